--- a/src/milletcourse/backends/platform_messages.py
+++ b/src/milletcourse/backends/platform_messages.py
@@ -79,19 +79,3 @@
     """The platform's list of machines, which lags."""
 
     machines: tuple[Machine, ...]
-
-
-class LeaseSpec(msgspec.Struct, frozen=True):
-    """A lease as an object of the platform.
-
-    Attributes:
-        holder: Name of the process that holds it; empty when released.
-        fencing_token: Rises by one with each change of the holder.
-        duration_seconds: Lapses when it was not renewed for this long.
-        renewals: Rises with each renewal, so that each renewal is a change.
-    """
-
-    holder: str
-    fencing_token: int
-    duration_seconds: float
-    renewals: int
--- a/src/milletcourse/configuration/service.py
+++ b/src/milletcourse/configuration/service.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
-from milletcourse.backends.platform_messages import LeaseSpec, ObjectChange, PutObject
+from milletcourse.backends.platform_messages import ObjectChange, PutObject
 from milletcourse.configuration.freshness import FreshnessTracker
 from milletcourse.configuration.platform_client import WATCH_IDLE_SECONDS, PlatformClient
 from milletcourse.configuration.store import ChangesPage, ChangesRequest, ConfigurationStore
-from milletcourse.control.lease import LeaseTracker
+from milletcourse.control.lease import LeaseSpec, LeaseTracker
 from milletcourse.errors import FailureError, HistoryExpired, VersionConflict
 from milletcourse.logs import get_logger
 from milletcourse.membership.messages import PlatformStamp
--- a/src/milletcourse/control/lease.py
+++ b/src/milletcourse/control/lease.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from milletcourse.backends.platform_messages import LeaseSpec
+import msgspec
 
 DEFAULT_DURATION_SECONDS = 6.0
 """Short enough to replace a dead holder within seconds, long enough for few renewals."""
@@ -17,6 +17,22 @@
 """A holder stops acting this long before others may take over."""
 
 
+class LeaseSpec(msgspec.Struct, frozen=True):
+    """A lease as an object of the platform.
+
+    Attributes:
+        holder: Name of the process that holds it; empty when released.
+        fencing_token: Rises by one with each change of the holder.
+        duration_seconds: Lapses when it was not renewed for this long.
+        renewals: Rises with each renewal, so that each renewal is a change.
+    """
+
+    holder: str
+    fencing_token: int
+    duration_seconds: float
+    renewals: int
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseClaim:
     """A write to try: the lease as this process wants it."""
--- a/src/milletcourse/errors.py
+++ b/src/milletcourse/errors.py
@@ -213,6 +213,14 @@
     status = 502
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerLate(Failure):
+    """A server was reached but its answer did not come in the time allowed; it may have run."""
+
+    code = "answer-late"
+    status = 504
+
+
 @dataclass(frozen=True, slots=True)
 class ResumeTokenInvalid(Failure):
     """Last-Event-ID is not a token for this request."""
--- /dev/null
+++ b/src/milletcourse/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Pass-through exchanges: routes, instances, attempts and version roll-out, without input/output."""
--- /dev/null
+++ b/src/milletcourse/exchange/attempt_plan.py
@@ -0,0 +1,73 @@
+"""Decides, after each attempt of a request, what may be done next; no input/output.
+
+What may run at most once is sent again only when it certainly has not run. What may be repeated is
+sent again within the route's attempts, the retry budget and the time left.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from milletcourse.exchange.messages import AttemptResult
+
+MIN_USEFUL_SECONDS = 0.02
+"""With less time than this left, another attempt could not answer in time."""
+MAX_SENDS = 4
+"""Bound on servers tried for one request, those that turned it away included."""
+
+
+class NextStep(Enum):
+    """What follows an attempt."""
+
+    SEND_AGAIN = "send-again"
+    REFUSE = "refuse"
+    """It never ran: refuse, and say when to come back."""
+    PASS_FAILURE = "pass-failure"
+    """Pass on the server's own failure."""
+    ANSWER_LOST = "answer-lost"
+    """It may have run: say so, without a promise."""
+    FINISHED = "finished"
+
+
+class AttemptPlan:
+    """The attempts of one request."""
+
+    def __init__(self, repeatable: bool, max_attempts: int) -> None:
+        self._repeatable = repeatable
+        self._max_attempts = max_attempts
+        self.sends = 0
+        self.possible_runs = 0
+
+    def on_send(self) -> None:
+        """A server is about to get the request."""
+        self.sends += 1
+
+    def next_step(self, result: AttemptResult, seconds_left: float, candidate: bool) -> NextStep:
+        """Decide by how the latest attempt ended.
+
+        Args:
+            result: End of the latest attempt.
+            seconds_left: Until the request's end.
+            candidate: Another server could take it, and the retry budget allows it.
+        """
+        if result is AttemptResult.ANSWERED:
+            return NextStep.FINISHED
+        if result in (AttemptResult.LOST, AttemptResult.FAILED, AttemptResult.CUT):
+            self.possible_runs += 1
+        if self._may_send(seconds_left) and candidate:
+            return NextStep.SEND_AGAIN
+        return self._final_step(result)
+
+    def _may_send(self, seconds_left: float) -> bool:
+        if self.sends >= MAX_SENDS or seconds_left < MIN_USEFUL_SECONDS:
+            return False
+        if self.possible_runs == 0:
+            return True
+        return self._repeatable and self.possible_runs < self._max_attempts
+
+    def _final_step(self, result: AttemptResult) -> NextStep:
+        if result is AttemptResult.FAILED:
+            return NextStep.PASS_FAILURE
+        if self.possible_runs == 0:
+            return NextStep.REFUSE
+        return NextStep.ANSWER_LOST
--- /dev/null
+++ b/src/milletcourse/exchange/dialect.py
@@ -0,0 +1,263 @@
+"""Reads and writes the header fields of exchanges under configurable names.
+
+The product has names of its own; an adapter for a platform hands in others. Only the names differ,
+never what is decided by them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from milletcourse.errors import FailureError, MalformedRequest
+from milletcourse.exchange.messages import (
+    AnswerHead,
+    Dispatch,
+    ExchangeRequest,
+    HeaderField,
+    PromptPart,
+)
+
+CONNECTION_FIELDS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+"""Fields that concern one connection only (RFC 9110, 7.6.1), and the body's framing."""
+MAX_PROMPT_PARTS = 256
+MAX_DEADLINE_SECONDS = 24 * 3600.0
+
+
+class HeaderNames(msgspec.Struct, frozen=True):
+    """Names of the header fields that an exchange is steered by."""
+
+    request_id: str = "Milletcourse-Request-Id"
+    key: str = "Milletcourse-Key"
+    tenant: str = "Milletcourse-Tenant"
+    deadline_ms: str = "Milletcourse-Deadline-Ms"
+    last_event_id: str = "Last-Event-ID"
+    model: str = "Milletcourse-Model"
+    token_usage: str = "Milletcourse-Tokens"
+    prompt_parts: str = "Milletcourse-Prompt-Parts"
+    instance: str = "Milletcourse-Instance"
+    weight_version: str = "Milletcourse-Weight-Version"
+    cache_salt: str = "Milletcourse-Cache-Salt"
+    cache_source: str = "Milletcourse-Cache-Source"
+    cache_target: str = "Milletcourse-Cache-Target"
+    priority: str = "Milletcourse-Priority"
+    signature: str = "Milletcourse-Signature"
+    not_executed: str = "Milletcourse-Not-Executed"
+    answer_weight_version: str = "Milletcourse-Answer-Weight-Version"
+    router_only: tuple[str, ...] = ()
+    """Further fields that only a router may set; dropped from what a client sends."""
+
+
+class HeaderDialect:
+    """Reads requests and answers, and writes dispatches, under one set of names."""
+
+    def __init__(self, names: HeaderNames) -> None:
+        self.names = names
+        self._request_id = names.request_id.lower().encode()
+        self._key = names.key.lower().encode()
+        self._deadline = names.deadline_ms.lower().encode()
+        self._last_event_id = names.last_event_id.lower().encode()
+        self._model = names.model.lower().encode()
+        self._token_usage = names.token_usage.lower().encode()
+        self._prompt_parts = names.prompt_parts.lower().encode()
+        self._signature = names.signature.lower().encode()
+        self._not_executed = names.not_executed.lower().encode()
+        self._answer_version = names.answer_weight_version.lower().encode()
+        set_by_router = (
+            names.key,
+            names.tenant,
+            names.deadline_ms,
+            names.last_event_id,
+            names.instance,
+            names.weight_version,
+            names.cache_salt,
+            names.cache_source,
+            names.cache_target,
+            names.priority,
+            *names.router_only,
+        )
+        self._dropped = CONNECTION_FIELDS | {name.lower().encode() for name in set_by_router}
+
+    # -- requests of clients --------------------------------------------------------------------
+
+    def read_request(
+        self, method: bytes, target: bytes, fields: list[HeaderField], received_at: float
+    ) -> ExchangeRequest:
+        """Understand the head of a client's request; the body is added later.
+
+        Raises:
+            FailureError: `MalformedRequest` that names the wrong field.
+        """
+        values = _single_values(fields)
+        listed = _connection_options(values)
+        kept = [
+            field
+            for field in fields
+            if field.name.lower() not in self._dropped and field.name.lower() not in listed
+        ]
+        usage = self._read_usage(values.get(self._token_usage))
+        request_id = _text(values.get(self._request_id))
+        if not request_id:
+            raise FailureError(MalformedRequest(f"{self.names.request_id} is missing"))
+        return ExchangeRequest(
+            method=method,
+            target=target,
+            host=_text(values.get(b"host")),
+            fields=kept,
+            body=b"",
+            request_id=request_id,
+            key=_text(values.get(self._key)),
+            deadline_seconds=self._read_deadline(values.get(self._deadline)),
+            last_event_id=_text(values.get(self._last_event_id)),
+            model=_text(values.get(self._model)),
+            prompt_parts=self._read_parts(values.get(self._prompt_parts)),
+            prompt_tokens=usage[0],
+            output_tokens=usage[1],
+            received_at=received_at,
+        )
+
+    def _read_deadline(self, value: bytes | None) -> float | None:
+        if value is None:
+            return None
+        try:
+            seconds = float(value) / 1000.0
+        except ValueError:
+            seconds = math.nan
+        if not 0.0 <= seconds <= MAX_DEADLINE_SECONDS:
+            raise FailureError(MalformedRequest(f"{self.names.deadline_ms} is no time"))
+        return seconds
+
+    def _read_usage(self, value: bytes | None) -> tuple[int, int]:
+        if value is None:
+            return 0, 0
+        numbers = value.split(b",")
+        if len(numbers) != 2 or not all(number.strip().isdigit() for number in numbers):
+            raise FailureError(MalformedRequest(f"{self.names.token_usage} is not two numbers"))
+        return int(numbers[0]), int(numbers[1])
+
+    def _read_parts(self, value: bytes | None) -> tuple[PromptPart, ...]:
+        if not value:
+            return ()
+        items = value.split(b",")
+        if len(items) > MAX_PROMPT_PARTS:
+            raise FailureError(MalformedRequest(f"{self.names.prompt_parts} has too many parts"))
+        return tuple(self._read_part(item.strip()) for item in items)
+
+    def _read_part(self, item: bytes) -> PromptPart:
+        name, colon, tokens = item.partition(b":")
+        if not colon or not tokens.isdigit() or not _is_hexadecimal(name):
+            raise FailureError(MalformedRequest(f"{self.names.prompt_parts} has a malformed part"))
+        return PromptPart(name.decode("latin-1"), int(tokens))
+
+    # -- requests to servers --------------------------------------------------------------------
+
+    def request_head(self, request: ExchangeRequest, dispatch: Dispatch) -> bytes:
+        """The head of a request as it goes to a server, body framing included."""
+        lines = [request.method + b" " + request.target + b" HTTP/1.1\r\n"]
+        lines.extend(field.name + b": " + field.value + b"\r\n" for field in request.fields)
+        lines.extend(
+            f"{name}: {value}\r\n".encode("latin-1")
+            for name, value in self._dispatch_fields(dispatch)
+        )
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            lines.append(b"Content-Length: %d\r\n" % len(request.body))
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+    def _dispatch_fields(self, dispatch: Dispatch) -> Iterable[tuple[str, str]]:
+        names = self.names
+        yield names.deadline_ms, str(max(int(dispatch.deadline_seconds * 1000), 1))
+        yield names.instance, dispatch.instance
+        if dispatch.tenant:
+            yield names.tenant, dispatch.tenant
+        if dispatch.weight_version is not None:
+            yield names.weight_version, str(dispatch.weight_version)
+        if dispatch.cache_salt:
+            yield names.cache_salt, dispatch.cache_salt
+        if dispatch.cache_source:
+            yield names.cache_source, dispatch.cache_source
+        if dispatch.cache_target:
+            yield names.cache_target, dispatch.cache_target
+        if dispatch.priority is not None:
+            yield names.priority, str(dispatch.priority)
+        if dispatch.last_event_id:
+            yield names.last_event_id, dispatch.last_event_id
+
+    # -- answers of servers ---------------------------------------------------------------------
+
+    def read_answer(self, status: int, reason: bytes, fields: list[HeaderField]) -> AnswerHead:
+        """Understand the head of a server's answer."""
+        values = _single_values(fields)
+        options = _connection_options(values)
+        kept = [
+            field
+            for field in fields
+            if field.name.lower() not in CONNECTION_FIELDS and field.name.lower() not in options
+        ]
+        version = values.get(self._answer_version, b"").strip()
+        length = values.get(b"content-length")
+        return AnswerHead(
+            status=status,
+            reason=reason,
+            fields=kept,
+            request_id=_text(values.get(self._request_id)),
+            signed=self._signature in values,
+            not_executed=self._not_executed in values,
+            weight_version=int(version) if version.isdigit() else None,
+            keep_alive_seconds=_keep_alive_seconds(values.get(b"keep-alive")),
+            content_length=int(length) if length is not None and length.isdigit() else None,
+            chunked=b"chunked" in values.get(b"transfer-encoding", b"").lower(),
+            closing=b"close" in options,
+            encoded=b"content-encoding" in values,
+            event_stream=values.get(b"content-type", b"").lower().startswith(b"text/event-stream"),
+        )
+
+
+def _single_values(fields: list[HeaderField]) -> dict[bytes, bytes]:
+    values: dict[bytes, bytes] = {}
+    for field in fields:
+        values[field.name.lower()] = field.value
+    return values
+
+
+def _connection_options(values: dict[bytes, bytes]) -> frozenset[bytes]:
+    options = values.get(b"connection")
+    if not options:
+        return frozenset()
+    return frozenset(option.strip().lower() for option in options.split(b","))
+
+
+def _keep_alive_seconds(value: bytes | None) -> float | None:
+    for option in (value or b"").split(b","):
+        name, _, number = option.partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
+
+
+def _is_hexadecimal(name: bytes) -> bool:
+    try:
+        int(name, 16)
+    except ValueError:
+        return False
+    return bool(name)
+
+
+def _text(value: bytes | None) -> str:
+    return value.decode("latin-1").strip() if value else ""
--- /dev/null
+++ b/src/milletcourse/exchange/event_stream.py
@@ -0,0 +1,49 @@
+"""Splits a `text/event-stream` body into whole events, so that a stream can be resumed after one."""
+
+from __future__ import annotations
+
+_ID_FIELD = b"id:"
+
+
+class EventSplitter:
+    """Holds back a partial event until its blank line has arrived.
+
+    Attributes:
+        last_event_id: Id of the latest whole event; empty before the first.
+        events: Whole events seen.
+    """
+
+    def __init__(self) -> None:
+        self._partial = b""
+        self.last_event_id = ""
+        self.events = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes of the body; returns the whole events that are complete now."""
+        pending = self._partial + data if self._partial else data
+        end = self._last_boundary(pending)
+        if end == 0:
+            self._partial = pending
+            return b""
+        whole = pending[:end]
+        self._partial = pending[end:]
+        self._note_ids(whole)
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Bytes after the last blank line, once the stream has ended as complete."""
+        rest = self._partial
+        self._partial = b""
+        return rest
+
+    @staticmethod
+    def _last_boundary(data: bytes) -> int:
+        plain = data.rfind(b"\n\n")
+        carriage = data.rfind(b"\r\n\r\n")
+        return max(plain + 2 if plain >= 0 else 0, carriage + 4 if carriage >= 0 else 0)
+
+    def _note_ids(self, whole: bytes) -> None:
+        for line in whole.splitlines():
+            if line.startswith(_ID_FIELD):
+                self.last_event_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+                self.events += 1
--- /dev/null
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -0,0 +1,216 @@
+"""Selects the server of an attempt among those that may run it; no input/output.
+
+Servers of models are chosen by estimated time to the first event: prompt work waiting there, plus
+what of this prompt is not kept there. Prompts with shared parts have home servers by consistent
+hashing, so that gateways agree without talking. Plain applications are chosen by load and latency.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Sequence
+
+import msgspec
+import xxhash
+
+from milletcourse.exchange.instance_table import Instance, InstanceTable
+from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.records import ServiceRecord
+from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.prefix.belief import BeliefIndex
+from milletcourse.routing.home_ring import HomeRing
+
+PREFILL_TOKENS_PER_SECOND = 40_000.0
+"""Speed at which servers read prompts; the users' two fleets read 38,400 and 50,700."""
+RUNNING_SECONDS = 0.004
+"""Estimated delay that each running request adds to a new one."""
+STORE_READ_SHARE = 0.3
+"""Time to take kept state from a store, as a share of reading it again."""
+HOME_HELD_SHARE = 0.8
+"""Chance that the home of a shared part has it by requests of other gateways."""
+MIN_SHARED_TOKENS = 512
+"""Shorter shared parts aren't worth a home or a move."""
+ZONE_SECONDS = 0.008
+"""Cost of crossing a zone: both ways of the network, and the price of the bytes."""
+JITTER_SHARE = 0.25
+"""Random part of an application server's cost, so that gateways don't choose alike."""
+
+
+class PromptChain(msgspec.Struct):
+    """Cumulative keys of a prompt's declared parts with the tokens up to each.
+
+    Attributes:
+        keys: One for each part; a key covers the salt and every part before.
+        tokens: Tokens up to and with each part.
+        shared: Number of parts that other requests may share.
+    """
+
+    keys: list[bytes]
+    tokens: list[int]
+    shared: int
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the shared parts."""
+        return self.tokens[self.shared - 1] if self.shared else 0
+
+    @property
+    def total_tokens(self) -> int:
+        """Tokens of all parts."""
+        return self.tokens[-1] if self.tokens else 0
+
+
+def prompt_chain(request: ExchangeRequest, scope: str) -> PromptChain:
+    """The chain of a request's parts under a reuse scope; the last part is the request's own."""
+    keys: list[bytes] = []
+    tokens: list[int] = []
+    path = scope
+    total = 0
+    for part in request.prompt_parts:
+        path = f"{path}|{part.name}"
+        total += part.tokens
+        keys.append(xxhash.xxh64_digest(path.encode()))
+        tokens.append(total)
+    return PromptChain(keys, tokens, max(len(keys) - 1, 0))
+
+
+class InstanceSelector:
+    """Chooses servers, and remembers which prompts they were sent."""
+
+    def __init__(
+        self, table: InstanceTable, gate: VersionGate, zone: str, random_source: random.Random
+    ) -> None:
+        self._table = table
+        self._gate = gate
+        self._zone = zone
+        self._random = random_source
+        self._rings: dict[str, tuple[int, HomeRing]] = {}
+        self.belief = BeliefIndex()
+
+    def choose(
+        self,
+        service: ServiceRecord,
+        request: ExchangeRequest,
+        scope: str,
+        tried: Collection[str],
+        now: float,
+    ) -> Instance | None:
+        """The best server for a request, None when none may run it.
+
+        Args:
+            service: Service that the request goes to.
+            request: The request.
+            scope: Reuse scope of its prompt state without the weight version.
+            tried: Incarnations that already had it.
+            now: Monotonic time.
+        """
+        candidates = self._candidates(service, request.model, tried, now)
+        if not candidates:
+            return None
+        if service.models:
+            return self._choose_engine(service, request, scope, candidates)
+        return min(candidates, key=self._application_cost)
+
+    def _candidates(
+        self, service: ServiceRecord, model: str, tried: Collection[str], now: float
+    ) -> list[Instance]:
+        permitted = [
+            instance
+            for instance in self._table.of_service(service.name).values()
+            if not instance.record.draining
+            and instance.name not in tried
+            and self._is_permitted(service, instance, model, now)
+        ]
+        healthy = [item for item in permitted if not item.health.is_ejected(now)]
+        free = [item for item in healthy if not item.health.is_busy(now)]
+        return free or healthy or permitted
+
+    def _is_permitted(
+        self, service: ServiceRecord, instance: Instance, model: str, now: float
+    ) -> bool:
+        if not service.models or not model:
+            return True
+        version = instance.version(model)
+        return version is not None and self._gate.permits(model, version, now)
+
+    # -- engines --------------------------------------------------------------------------------
+
+    def _choose_engine(
+        self,
+        service: ServiceRecord,
+        request: ExchangeRequest,
+        scope: str,
+        candidates: Sequence[Instance],
+    ) -> Instance:
+        chains: dict[int | None, PromptChain] = {}
+        home = self._home(service, request, scope, candidates)
+        best = candidates[0]
+        best_cost = float("inf")
+        for instance in candidates:
+            version = instance.version(request.model)
+            chain = chains.get(version)
+            if chain is None:
+                chain = chains[version] = prompt_chain(request, f"{scope}@{version}")
+            cost = self._engine_cost(instance, request, chain, instance.name == home)
+            if cost < best_cost:
+                best, best_cost = instance, cost
+        return best
+
+    def _home(
+        self,
+        service: ServiceRecord,
+        request: ExchangeRequest,
+        scope: str,
+        candidates: Sequence[Instance],
+    ) -> str:
+        chain = prompt_chain(request, scope)
+        if chain.shared_tokens < MIN_SHARED_TOKENS:
+            return ""
+        usable = {instance.name for instance in candidates}
+        for name in self._ring(service.name).walk(chain.keys[chain.shared - 1]):
+            if name in usable:
+                return name
+        return ""
+
+    def _ring(self, service: str) -> HomeRing:
+        cached = self._rings.get(service)
+        if cached is None or cached[0] != self._table.generation:
+            ring = HomeRing(sorted(self._table.of_service(service)))
+            cached = self._rings[service] = (self._table.generation, ring)
+        return cached[1]
+
+    def _engine_cost(
+        self, instance: Instance, request: ExchangeRequest, chain: PromptChain, is_home: bool
+    ) -> float:
+        waiting = instance.in_flight_tokens / PREFILL_TOKENS_PER_SECOND
+        running = instance.in_flight * RUNNING_SECONDS
+        depth = self.belief.held_blocks(instance.name, chain.keys)
+        held = float(chain.tokens[depth - 1]) if depth else 0.0
+        if is_home:
+            held = max(held, HOME_HELD_SHARE * chain.shared_tokens)
+        missing_shared = max(chain.shared_tokens - held, 0.0)
+        total = max(chain.total_tokens, request.prompt_tokens)
+        own = max(total - max(chain.shared_tokens, held), 0.0)
+        reading = (missing_shared * STORE_READ_SHARE + own) / PREFILL_TOKENS_PER_SECOND
+        zone = 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
+        return waiting + running + reading + zone + self._random.random() * 0.002
+
+    def note_sent(self, instance: Instance, request: ExchangeRequest, scope: str) -> None:
+        """The server reads this prompt now, and keeps it."""
+        version = instance.version(request.model)
+        chain = prompt_chain(request, f"{scope}@{version}")
+        if chain.keys:
+            self.belief.observe_incarnation(instance.name, instance.name)
+            self.belief.note_held(instance.name, instance.name, chain.keys)
+
+    def forget(self, name: str) -> None:
+        """The incarnation ended or dropped what it kept."""
+        self.belief.forget(name)
+
+    # -- applications ---------------------------------------------------------------------------
+
+    def _application_cost(self, instance: Instance) -> float:
+        latency = instance.latency_seconds
+        zone = 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
+        jitter = self._random.random() * JITTER_SHARE
+        return (instance.in_flight + 1 + jitter) * latency + zone
--- /dev/null
+++ b/src/milletcourse/exchange/instance_table.py
@@ -0,0 +1,149 @@
+"""What a gateway knows of the servers: incarnations, weight versions, load and health.
+
+Entries that vanish while the discovery's store was unstable are doubtful, not gone: they are kept
+for a while, since servers that still work show themselves again within a few heartbeats.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from milletcourse.exchange.messages import AttemptResult
+from milletcourse.exchange.records import InstanceRecord
+from milletcourse.exchange.server_health import ServerHealth
+
+DOUBT_SECONDS = 4.0
+"""An entry that vanished in an unstable time is kept this long after the store is back."""
+LATENCY_GAIN = 0.2
+"""Weight of the newest sample in a server's mean latency."""
+INITIAL_LATENCY_SECONDS = 0.05
+
+
+class Instance:
+    """One incarnation of a server with what was learned about it.
+
+    Attributes:
+        record: Latest record of the discovery.
+        health: Outlier ejection.
+        in_flight: Requests of this node that it works on.
+        in_flight_tokens: Prompt tokens of this node's requests that have no first event yet.
+        latency_seconds: Mean time of whole answers.
+        vanished_at: When its entry went in doubt, None while it is listed.
+    """
+
+    def __init__(self, record: InstanceRecord) -> None:
+        self.record = record
+        self.health = ServerHealth()
+        self.in_flight = 0
+        self.in_flight_tokens = 0
+        self.latency_seconds = INITIAL_LATENCY_SECONDS
+        self.vanished_at: float | None = None
+        self._versions = dict(record.weight_versions)
+
+    @property
+    def name(self) -> str:
+        """Name of the incarnation."""
+        return self.record.name
+
+    def version(self, model: str) -> int | None:
+        """Version of a model's weights that it is believed to have."""
+        return self._versions.get(model)
+
+    def note_version(self, model: str, version: int) -> bool:
+        """An answer or report showed a version; versions only rise within an incarnation."""
+        known = self._versions.get(model)
+        if known is not None and known >= version:
+            return False
+        self._versions[model] = version
+        self.health.on_ready()
+        return True
+
+    def update(self, record: InstanceRecord) -> None:
+        """The discovery shows a newer record."""
+        self.record = record
+        self.vanished_at = None
+        for model, version in record.weight_versions.items():
+            self.note_version(model, version)
+
+    def on_answer_time(self, seconds: float) -> None:
+        """A whole answer took this long."""
+        self.latency_seconds += LATENCY_GAIN * (seconds - self.latency_seconds)
+
+    def on_result(self, result: AttemptResult, now: float) -> None:
+        """An attempt at it ended."""
+        self.health.on_result(result, now)
+
+
+class InstanceTable:
+    """All known incarnations by service."""
+
+    def __init__(self) -> None:
+        self._instances: dict[str, Instance] = {}
+        self._services: dict[str, dict[str, Instance]] = {}
+        self._unstable_until = float("-inf")
+        self.generation = 0
+
+    def __iter__(self) -> Iterator[Instance]:
+        return iter(list(self._instances.values()))
+
+    def get(self, name: str) -> Instance | None:
+        """An incarnation by name."""
+        return self._instances.get(name)
+
+    def of_service(self, service: str) -> dict[str, Instance]:
+        """Incarnations of a service by name."""
+        return self._services.get(service, {})
+
+    def on_unstable(self, now: float) -> None:
+        """The discovery's store failed a call: entries that vanish now are doubtful."""
+        self._unstable_until = now + DOUBT_SECONDS
+
+    def replace_all(self, records: Iterable[InstanceRecord], now: float) -> None:
+        """A whole list arrived."""
+        listed = {record.name: record for record in records}
+        for record in listed.values():
+            self.upsert(record)
+        for name in [name for name in self._instances if name not in listed]:
+            self.remove(name, now)
+
+    def upsert(self, record: InstanceRecord) -> None:
+        """An entry appeared or changed."""
+        known = self._instances.get(record.name)
+        if known is not None and known.record.service == record.service:
+            known.update(record)
+            return
+        if known is not None:
+            self._forget(record.name)
+        instance = Instance(record)
+        self._instances[record.name] = instance
+        self._services.setdefault(record.service, {})[record.name] = instance
+        self.generation += 1
+
+    def remove(self, name: str, now: float) -> None:
+        """An entry went: gone, or doubtful while the store is unstable."""
+        instance = self._instances.get(name)
+        if instance is None:
+            return
+        if now < self._unstable_until and not instance.record.draining:
+            if instance.vanished_at is None:
+                instance.vanished_at = now
+            return
+        self._forget(name)
+
+    def expire_doubtful(self, now: float) -> None:
+        """Drop doubtful entries that did not come back."""
+        if now < self._unstable_until:
+            return
+        for instance in list(self._instances.values()):
+            if instance.vanished_at is not None:
+                self._forget(instance.name)
+
+    def _forget(self, name: str) -> None:
+        instance = self._instances.pop(name, None)
+        if instance is None:
+            return
+        self.generation += 1
+        service = self._services.get(instance.record.service, {})
+        service.pop(name, None)
+        if not service:
+            self._services.pop(instance.record.service, None)
--- /dev/null
+++ b/src/milletcourse/exchange/records.py
@@ -0,0 +1,156 @@
+"""Records that a gateway works by: configuration, instances, weight versions.
+
+All of them come from an object store through an adapter; times are in seconds, sizes in bytes,
+cache sizes in tokens.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+
+class RouteKind(Enum):
+    """What a route says about repeating its requests."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAMING = "streaming"
+
+
+class WeightedService(msgspec.Struct, frozen=True):
+    """A service with its share of a route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+class RouteRecord(msgspec.Struct, frozen=True):
+    """Requests of one host below one path prefix.
+
+    Attributes:
+        name: Unique name.
+        host: Value of the Host header.
+        path_prefix: Begins and ends with a slash.
+        kind: Whether requests may run more than once.
+        timeout_seconds: Longest time a request is held.
+        target_latency_seconds: Time within which an answer earns its full worth.
+        priority: Rank, 0 the highest.
+        backends: Services with weights, at least one.
+        max_attempts: Most servers that one request may run on.
+        public: No key is asked for.
+        resumable: A stream may go on at another server.
+        gap_seconds: Longest pause between events at which a stream is in time; 0 if none is set.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_seconds: float
+    target_latency_seconds: float
+    priority: int
+    backends: tuple[WeightedService, ...]
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_seconds: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or (self.kind is RouteKind.STREAMING and self.resumable)
+
+    @property
+    def streaming(self) -> bool:
+        """Whether answers are series of events."""
+        return self.kind is RouteKind.STREAMING
+
+
+class ServiceRecord(msgspec.Struct, frozen=True):
+    """A service: servers of requests, or one store of kept prompt state.
+
+    Attributes:
+        name: Unique name.
+        max_connections: Connections that one server accepts from all callers.
+        models: Models that its servers run; empty for plain applications.
+        slots: Requests that one server works on at once; 0 when unknown.
+        cache_tokens: Memory of one server for prompts, in tokens.
+        store_address: `host:port` of the store of kept prompt state; empty for servers.
+        zone: Zone of the store.
+    """
+
+    name: str
+    max_connections: int = 0
+    models: tuple[str, ...] = ()
+    slots: int = 0
+    cache_tokens: int = 0
+    store_address: str = ""
+    zone: str = ""
+
+
+class EdgeLimits(msgspec.Struct, frozen=True):
+    """Bounds on what a client may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_seconds: float = 5.0
+    idle_timeout_seconds: float = 30.0
+
+
+class TenantRecord(msgspec.Struct, frozen=True):
+    """A tenant with its keys.
+
+    Attributes:
+        name: Unique name.
+        keys: Keys that are valid now.
+        priority: Rank, 0 the highest; goes before a route's.
+        isolated: Shares no kept prompt state with other tenants.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int = 0
+    isolated: bool = False
+
+
+class ExchangeConfiguration(msgspec.Struct, frozen=True):
+    """One version of the operator's configuration, whole."""
+
+    version: int
+    routes: tuple[RouteRecord, ...] = ()
+    services: tuple[ServiceRecord, ...] = ()
+    limits: EdgeLimits = EdgeLimits()
+    tenants: tuple[TenantRecord, ...] = ()
+
+
+class InstanceRecord(msgspec.Struct, frozen=True):
+    """One incarnation of a server as the discovery shows it.
+
+    Attributes:
+        name: Unique for each start of a server.
+        service: Service that it belongs to.
+        address: `host:port`.
+        zone: Zone of its machine.
+        slots: Requests that it works on at once.
+        draining: It is about to leave.
+        weight_versions: Model -> version of the weights that it has.
+        sequence: Orders taken since its start.
+    """
+
+    name: str
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 0
+    draining: bool = False
+    weight_versions: dict[str, int] = {}
+    sequence: int = 0
+
+
+class ModelTarget(msgspec.Struct, frozen=True):
+    """The newest named version of a model's weights."""
+
+    model: str
+    version: int
--- /dev/null
+++ b/src/milletcourse/exchange/roll_out.py
@@ -0,0 +1,243 @@
+"""Moves servers onto named weight versions by fenced orders, as late as is safe; no input/output.
+
+Each load is priced and drops what a server kept, so an order is given only when waiting longer
+could miss a bound; a version named meanwhile is then taken in the same load. Orders that got no
+answer may be carried out late: they carry the expected number of orders taken, so that a late one
+is refused by the server once another was taken.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.version_gate import VersionGate
+
+SAFETY_SECONDS = 1.6
+"""The last load is planned to end this long before the bound."""
+INITIAL_LOAD_SECONDS = 0.8
+"""Assumed time of one load with its order, until one was measured."""
+LOAD_GAIN = 0.3
+UNANSWERED_SECONDS = 0.4
+"""An order without an answer is looked into after this time."""
+STUCK_SECONDS = 3.0
+"""A taken order that did not end by now is given up and looked into again."""
+PARALLEL_SHARE = 6
+"""One server in six may take weights at the same time, two at least; more slow each other down."""
+MIN_PARALLEL = 2
+REFUSED_PAUSE_SECONDS = 0.4
+"""A server that refused an order or did not answer is asked again after this time."""
+
+
+class OrderReply(Enum):
+    """What a server said to an order."""
+
+    TAKEN = "taken"
+    HOLDS = "holds"
+    BUSY = "busy"
+    FENCED = "fenced"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
+class WeightOrder(msgspec.Struct, frozen=True):
+    """An order to one server to take a version of a model's weights.
+
+    Attributes:
+        instance: Incarnation that must take it.
+        address: Its `host:port`.
+        model: Model.
+        version: Version to take.
+        holder: Name of the lease holder.
+        fencing_token: Token of the holder's term.
+        expected_sequence: Orders that the server must have taken before, None when unknown.
+    """
+
+    instance: str
+    address: str
+    model: str
+    version: int
+    holder: str
+    fencing_token: int
+    expected_sequence: int | None
+
+
+class ServerReport(msgspec.Struct, frozen=True):
+    """A server's own state.
+
+    Attributes:
+        weight_versions: Model -> version.
+        busy: An order is under way.
+        sequence: Orders taken since its start.
+    """
+
+    weight_versions: dict[str, int]
+    busy: bool
+    sequence: int
+
+
+class _Load(msgspec.Struct):
+    model: str
+    version: int
+    ordered_at: float
+    look_at: float
+    taken: bool = False
+
+
+class RollOut:
+    """Plans the orders of the lease holder."""
+
+    def __init__(self, gate: VersionGate) -> None:
+        self._gate = gate
+        self._loads: dict[str, _Load] = {}
+        self._not_before: dict[str, float] = {}
+        self._sequences: dict[str, int] = {}
+        self.load_seconds = INITIAL_LOAD_SECONDS
+
+    def has_work(self, instances: Iterable[Instance]) -> bool:
+        """Whether a server has an older version than the newest."""
+        return bool(self._loads) or any(self._pending_model(item) for item in instances)
+
+    def next_orders(
+        self, instances: Iterable[Instance], now: float, holder: str, fencing_token: int
+    ) -> list[WeightOrder]:
+        """Orders to give now."""
+        known = list(instances)
+        names = {instance.name for instance in known}
+        for name in [name for name in self._loads if name not in names]:
+            del self._loads[name]
+        served = [instance for instance in known if instance.record.weight_versions]
+        parallel = max(MIN_PARALLEL, len(served) // PARALLEL_SHARE)
+        room = parallel - len(self._loads)
+        waiting = self._waiting(served, now)
+        orders = []
+        while room > 0 and waiting and self._is_due(waiting, parallel, now):
+            _, instance, model = waiting.pop(0)
+            orders.append(self._order(instance, model, now, holder, fencing_token))
+            room -= 1
+        return orders
+
+    def _waiting(
+        self, instances: list[Instance], now: float
+    ) -> list[tuple[float, Instance, str]]:
+        """Servers that need an order, by the bound of the version that they have."""
+        waiting = []
+        for instance in instances:
+            model = self._pending_model(instance)
+            if model is None or instance.name in self._loads or instance.record.draining:
+                continue
+            if now < self._not_before.get(instance.name, float("-inf")):
+                continue
+            bound = self._gate.bound_of(model, instance.version(model) or 0)
+            waiting.append((bound if bound is not None else now, instance, model))
+        waiting.sort(key=lambda item: (item[0], item[1].name))
+        return waiting
+
+    def _is_due(
+        self, waiting: list[tuple[float, Instance, str]], parallel: int, now: float
+    ) -> bool:
+        """Whether some server would miss its bound if no order were given now."""
+        rounds_running = 1 if self._loads else 0
+        for index, (bound, _, _) in enumerate(waiting):
+            rounds = index // parallel + 1 + rounds_running
+            if bound - rounds * self.load_seconds - SAFETY_SECONDS <= now:
+                return True
+        return False
+
+    def _pending_model(self, instance: Instance) -> str | None:
+        for model in instance.record.weight_versions:
+            newest = self._gate.newest(model)
+            version = instance.version(model)
+            if newest is not None and version is not None and version < newest:
+                return model
+        return None
+
+    def _order(
+        self, instance: Instance, model: str, now: float, holder: str, fencing_token: int
+    ) -> WeightOrder:
+        version = self._gate.newest(model)
+        assert version is not None
+        self._loads[instance.name] = _Load(model, version, now, now + UNANSWERED_SECONDS)
+        return WeightOrder(
+            instance=instance.name,
+            address=instance.record.address,
+            model=model,
+            version=version,
+            holder=holder,
+            fencing_token=fencing_token,
+            expected_sequence=self._sequences.get(instance.name, instance.record.sequence),
+        )
+
+    # -- what servers answer --------------------------------------------------------------------
+
+    def on_reply(self, instance: Instance, reply: OrderReply, now: float) -> None:
+        """A server answered an order, or did not."""
+        load = self._loads.get(instance.name)
+        if load is None:
+            return
+        if reply is OrderReply.TAKEN:
+            load.taken = True
+            load.ordered_at = now
+            load.look_at = now + self.load_seconds * 0.85
+        elif reply is OrderReply.HOLDS:
+            self._finish(instance, load)
+        elif reply is OrderReply.UNANSWERED:
+            load.look_at = now + UNANSWERED_SECONDS
+        elif reply is OrderReply.BUSY:
+            load.look_at = now
+        else:
+            self._give_up(instance, now)
+
+    def due_looks(self, instances: Iterable[Instance], now: float) -> list[Instance]:
+        """Servers whose report is wanted now."""
+        wanted = []
+        for instance in instances:
+            load = self._loads.get(instance.name)
+            if load is None:
+                continue
+            if (instance.version(load.model) or 0) >= load.version:
+                self._finish(instance, load)
+            elif now >= load.look_at:
+                load.look_at = now + UNANSWERED_SECONDS
+                wanted.append(instance)
+        return wanted
+
+    def on_report(self, instance: Instance, report: ServerReport | None, now: float) -> None:
+        """A server's report arrived, or None when it did not."""
+        load = self._loads.get(instance.name)
+        if report is not None:
+            self._sequences[instance.name] = report.sequence
+            for model, version in report.weight_versions.items():
+                instance.note_version(model, version)
+        if load is None:
+            return
+        if report is None:
+            if now - load.ordered_at > STUCK_SECONDS:
+                self._give_up(instance, now)
+        elif report.weight_versions.get(load.model, 0) >= load.version:
+            if load.taken:
+                spent = now - load.ordered_at
+                self.load_seconds += LOAD_GAIN * (spent - self.load_seconds)
+            self._finish(instance, load)
+        elif report.busy:
+            load.look_at = now + 0.15
+        elif not load.taken or now - load.ordered_at > STUCK_SECONDS:
+            del self._loads[instance.name]
+        else:
+            load.look_at = now + 0.15
+
+    def reset(self) -> None:
+        """The lease was lost: forget what was ordered."""
+        self._loads.clear()
+        self._not_before.clear()
+
+    def _finish(self, instance: Instance, load: _Load) -> None:
+        instance.note_version(load.model, load.version)
+        self._loads.pop(instance.name, None)
+
+    def _give_up(self, instance: Instance, now: float) -> None:
+        self._loads.pop(instance.name, None)
+        self._not_before[instance.name] = now + REFUSED_PAUSE_SECONDS
--- /dev/null
+++ b/src/milletcourse/exchange/route_table.py
@@ -0,0 +1,55 @@
+"""Compiled look-ups over one configuration: route by host and path, tenant by key."""
+
+from __future__ import annotations
+
+from milletcourse.exchange.records import (
+    ExchangeConfiguration,
+    RouteRecord,
+    ServiceRecord,
+    TenantRecord,
+)
+
+
+class RouteTable:
+    """One configuration, ready for look-ups; swapped as a whole."""
+
+    def __init__(self, configuration: ExchangeConfiguration) -> None:
+        self.configuration = configuration
+        self.version = configuration.version
+        self.limits = configuration.limits
+        self._routes: dict[str, list[RouteRecord]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._services = {service.name: service for service in configuration.services}
+        self._tenants = {
+            key: tenant for tenant in configuration.tenants for key in tenant.keys if key
+        }
+        self.asks_for_keys = bool(configuration.tenants)
+
+    def find_route(self, host: str, path: str) -> RouteRecord | None:
+        """The route with the longest prefix that begins the path.
+
+        Args:
+            host: Value of the Host header.
+            path: Path without its query.
+        """
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_tenant(self, key: str) -> TenantRecord | None:
+        """The tenant that has the key."""
+        return self._tenants.get(key)
+
+    def service(self, name: str) -> ServiceRecord | None:
+        """A service by name."""
+        return self._services.get(name)
+
+    def cache_store(self, zone: str) -> ServiceRecord | None:
+        """The store of kept prompt state, one in the same zone before others."""
+        stores = [service for service in self._services.values() if service.store_address]
+        stores.sort(key=lambda service: (service.zone != zone, service.name))
+        return stores[0] if stores else None
--- /dev/null
+++ b/src/milletcourse/exchange/server_health.py
@@ -0,0 +1,87 @@
+"""Outlier ejection of one server from what requests show; no input/output."""
+
+from __future__ import annotations
+
+from milletcourse.exchange.messages import AttemptResult
+
+HALF_LIFE_SECONDS = 3.0
+"""Failures count half after this time."""
+EJECTION_PENALTY = 2.0
+"""Penalty from which a server gets no new work."""
+FIRST_EJECTION_SECONDS = 0.8
+MAX_EJECTION_SECONDS = 4.0
+BUSY_PAUSE_SECONDS = 0.15
+"""A server that turned a request away is passed over this long when others are free."""
+_WEIGHTS = {
+    AttemptResult.NOT_SENT: 2.0,
+    AttemptResult.LOST: 1.0,
+    AttemptResult.CUT: 1.0,
+    # Applications answer some requests with failures in good health.
+    AttemptResult.FAILED: 0.3,
+}
+
+
+class ServerHealth:
+    """Penalty by recent failures, and ejection with growing pauses."""
+
+    def __init__(self) -> None:
+        self._penalty = 0.0
+        self._penalty_at = 0.0
+        self._ejected_until = float("-inf")
+        self._pause_seconds = FIRST_EJECTION_SECONDS
+        self._trial_running = False
+        self._busy_until = float("-inf")
+
+    def on_result(self, result: AttemptResult, now: float) -> None:
+        """An attempt at the server ended."""
+        self._trial_running = False
+        if result is AttemptResult.ANSWERED:
+            self._penalty = self._decayed(now) * 0.7
+            self._penalty_at = now
+            if now >= self._ejected_until:
+                self._pause_seconds = FIRST_EJECTION_SECONDS
+            return
+        if result is AttemptResult.TURNED_AWAY:
+            self._busy_until = now + BUSY_PAUSE_SECONDS
+            return
+        weight = _WEIGHTS.get(result, 0.0)
+        if weight == 0.0:
+            return
+        self._penalty = self._decayed(now) + weight
+        self._penalty_at = now
+        if self._penalty >= EJECTION_PENALTY and now >= self._ejected_until:
+            self._ejected_until = now + self._pause_seconds
+            self._pause_seconds = min(self._pause_seconds * 2, MAX_EJECTION_SECONDS)
+
+    def on_aborted(self) -> None:
+        """An attempt was given up for reasons that say nothing about the server."""
+        self._trial_running = False
+
+    def on_order(self, until: float) -> None:
+        """The server is taking new weights until about this time."""
+        self._busy_until = max(self._busy_until, until)
+
+    def on_ready(self) -> None:
+        """The server has finished an order."""
+        self._busy_until = float("-inf")
+
+    def on_dispatch(self, now: float) -> None:
+        """A request goes there; after an ejection it is the trial."""
+        if self._needs_trial(now):
+            self._trial_running = True
+
+    def is_ejected(self, now: float) -> bool:
+        """Whether it gets no new work; one trial at a time is let through after the pause."""
+        if now < self._ejected_until:
+            return True
+        return self._needs_trial(now) and self._trial_running
+
+    def is_busy(self, now: float) -> bool:
+        """Whether it lately turned a request away or is under an order."""
+        return now < self._busy_until
+
+    def _needs_trial(self, now: float) -> bool:
+        return self._decayed(now) >= EJECTION_PENALTY / 2 and self._ejected_until > 0
+
+    def _decayed(self, now: float) -> float:
+        return self._penalty * 0.5 ** ((now - self._penalty_at) / HALF_LIFE_SECONDS)
--- /dev/null
+++ b/src/milletcourse/exchange/version_gate.py
@@ -0,0 +1,68 @@
+"""Which weight versions may still run, and which a server is due to take; no input/output.
+
+A version is named at some moment and must be the only one that runs soon after. Until then an
+older one may be used, which lets versions that are named in quick succession be rolled out once.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from milletcourse.exchange.records import ModelTarget
+
+USE_MARGIN_SECONDS = 1.0
+"""An older version gets no new work this long before its bound."""
+UNKNOWN_AGE_USE_SECONDS = 2.5
+"""A gateway that starts can't know when a version was named; it lets older ones run this long,
+less than the time after which a started machine is held to the bound."""
+
+
+class _Named(msgspec.Struct):
+    version: int
+    named_at: float
+
+
+class VersionGate:
+    """Named versions of each model with the time at which this process learnt of them."""
+
+    def __init__(self, bound_seconds: float) -> None:
+        self.bound_seconds = bound_seconds
+        self._named: dict[str, list[_Named]] = {}
+
+    def on_target(self, target: ModelTarget, now: float, just_started: bool = False) -> bool:
+        """A version was named; True when it is newer than all before it."""
+        named = self._named.setdefault(target.model, [])
+        if named and named[-1].version >= target.version:
+            return False
+        at = now
+        if just_started:
+            at = now - self.bound_seconds + USE_MARGIN_SECONDS + UNKNOWN_AGE_USE_SECONDS
+        named.append(_Named(target.version, at))
+        return True
+
+    def newest(self, model: str) -> int | None:
+        """The newest named version."""
+        named = self._named.get(model)
+        return named[-1].version if named else None
+
+    def models(self) -> list[str]:
+        """Models with a named version."""
+        return list(self._named)
+
+    def bound_of(self, model: str, version: int) -> float | None:
+        """Time at which a version may not start work any more, None while it is the newest."""
+        for named in self._named.get(model, ()):
+            if named.version > version:
+                return named.named_at + self.bound_seconds
+        return None
+
+    def permits(self, model: str, version: int, now: float) -> bool:
+        """Whether new work may go to a server that has this version."""
+        bound = self.bound_of(model, version)
+        return bound is None or now < bound - USE_MARGIN_SECONDS
+
+    def forget_before(self, now: float) -> None:
+        """Drop versions that were superseded long ago; the first newer one keeps the bound."""
+        for named in self._named.values():
+            while len(named) > 2 and named[1].named_at + self.bound_seconds < now:
+                del named[0]
--- /dev/null
+++ b/src/milletcourse/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Input/output of a gateway: connections, watches, orders; decisions come from `exchange`."""
--- /dev/null
+++ b/src/milletcourse/gateway/adapter.py
@@ -0,0 +1,60 @@
+"""What a platform's adapter hands to a gateway: names and formats, no decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from milletcourse.exchange.dialect import HeaderDialect
+from milletcourse.exchange.records import ExchangeConfiguration, InstanceRecord, ModelTarget
+from milletcourse.gateway.object_store import StoreDialect
+from milletcourse.gateway.roll_out_service import OrderDialect
+from milletcourse.gateway.settings import GatewaySettings
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectKinds:
+    """Names of the kinds and objects that a gateway reads and writes.
+
+    Attributes:
+        configuration: Kind of the configuration.
+        configuration_name: Name of the one object that holds it.
+        instances: Kind of the servers' entries.
+        targets: Kind of the named weight versions.
+        leases: Kind of the leases of the gateways.
+        roll_out_lease: Name of the roll-out's lease.
+    """
+
+    configuration: str
+    configuration_name: str
+    instances: str
+    targets: str
+    leases: str
+    roll_out_lease: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformAdapter:
+    """Everything that differs between platforms.
+
+    Attributes:
+        read_settings: Settings file -> settings.
+        headers: Header fields of exchanges.
+        store: Formats of the object store.
+        kinds: Names in the object store.
+        orders: Formats of orders to servers.
+        decode_configuration: Content of the configuration's object.
+        decode_instance: Name and content of a server's entry.
+        decode_target: Content of a named version.
+        ready_path: Path at which readiness is asked for.
+    """
+
+    read_settings: Callable[[bytes], GatewaySettings]
+    headers: HeaderDialect
+    store: StoreDialect
+    kinds: ObjectKinds
+    orders: OrderDialect
+    decode_configuration: Callable[[bytes], ExchangeConfiguration]
+    decode_instance: Callable[[str, bytes], InstanceRecord]
+    decode_target: Callable[[bytes], ModelTarget]
+    ready_path: str
--- /dev/null
+++ b/src/milletcourse/gateway/call_client.py
@@ -0,0 +1,93 @@
+"""Short calls to the object store and to servers, outside of clients' requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from milletcourse.exchange.messages import HeaderField
+from milletcourse.gateway.connection_pool import ConnectionPool
+from milletcourse.gateway.server_connection import ServerConnection
+
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One call.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        body: JSON body; empty for none.
+        fields: Further header fields.
+    """
+
+    method: str
+    target: str
+    body: bytes = b""
+    fields: tuple[HeaderField, ...] = ()
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Answer to a call, with the monotonic time at which the call was sent."""
+
+    status: int
+    body: bytes
+    sent_at: float
+
+
+class CallClient:
+    """Sends calls over pooled connections; a silent callee is noticed by the time-out."""
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+        self.calls = 0
+
+    async def call(self, address: str, call: Call, timeout_seconds: float) -> Reply | None:
+        """Send a call; None when no whole answer came in time."""
+        self.calls += 1
+        loop = asyncio.get_running_loop()
+        connection = await self._pool.acquire(address, timeout_seconds)
+        if connection is None:
+            return None
+        sent_at = loop.time()
+        connection.send(_encode(address, call))
+        timer = loop.call_at(sent_at + timeout_seconds, connection.abort)
+        try:
+            return await self._read(connection, sent_at)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        finally:
+            timer.cancel()
+
+    async def _read(self, connection: ServerConnection, sent_at: float) -> Reply | None:
+        status = 0
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = await connection.next_event()
+            if event.lost is not None or size > MAX_REPLY_BYTES:
+                connection.abort()
+                return None
+            if event.head is not None:
+                status = event.head.status
+            if event.body:
+                pieces.append(event.body)
+                size += len(event.body)
+            if event.complete:
+                self._pool.release(connection)
+                return Reply(status, b"".join(pieces), sent_at)
+
+
+def _encode(address: str, call: Call) -> bytes:
+    lines = [f"{call.method} {call.target} HTTP/1.1\r\nHost: {address}\r\n".encode()]
+    lines.extend(field.name + b": " + field.value + b"\r\n" for field in call.fields)
+    if call.body:
+        lines.append(b"Content-Type: application/json\r\n")
+    if call.body or call.method in ("POST", "PUT"):
+        lines.append(b"Content-Length: %d\r\n" % len(call.body))
+    lines.append(b"\r\n")
+    lines.append(call.body)
+    return b"".join(lines)
--- /dev/null
+++ b/src/milletcourse/gateway/client_connection.py
@@ -0,0 +1,343 @@
+"""One HTTP/1.1 connection of a client: checks what it sends, and writes answers.
+
+Requests of one connection are served one after the other. Bounds on size and time come from the
+configuration in force and may change while the connection is open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Protocol, cast
+
+import httptools
+import msgspec
+
+from milletcourse.errors import (
+    BodyTooLarge,
+    Failure,
+    HeadersTooLarge,
+    MalformedRequest,
+    RequestTimeout,
+)
+from milletcourse.exchange.messages import HeaderField
+from milletcourse.exchange.records import EdgeLimits
+
+LINGER_SECONDS = 1.0
+"""After an early refusal, bytes are read and dropped this long, so that the answer isn't reset."""
+MAX_QUEUED_REQUESTS = 8
+"""Requests that a client may have sent ahead on one connection before reading pauses."""
+MAX_UNREAD_ANSWER_BYTES = 4 * 1024 * 1024
+"""A client that reads slower than this much behind is cut off."""
+
+
+class ClientRequest(msgspec.Struct):
+    """A whole request as received.
+
+    Attributes:
+        method: HTTP method.
+        target: Raw path and query.
+        fields: All header fields.
+        body: Whole body.
+        received_at: Monotonic time of its first byte.
+        keep_alive: The client wants to keep the connection.
+        failure: Why it can't be served, None for a proper request.
+    """
+
+    method: bytes
+    target: bytes
+    fields: list[HeaderField]
+    body: bytes
+    received_at: float
+    keep_alive: bool
+    failure: Failure | None = None
+
+
+class EdgeState(Protocol):
+    """What a connection asks of its node."""
+
+    def limits(self) -> EdgeLimits:
+        """Bounds in force."""
+
+    def is_stopping(self) -> bool:
+        """Whether answers ask clients to leave."""
+
+
+Handler = Callable[[ClientRequest, "ClientConnection"], Awaitable[None]]
+RefusalWriter = Callable[["ClientConnection", Failure], None]
+
+
+class ClientConnection(asyncio.Protocol):
+    """Parses requests and hands them to a handler, one at a time."""
+
+    def __init__(
+        self,
+        edge: EdgeState,
+        handler: Handler,
+        refuse: RefusalWriter,
+        registry: set[ClientConnection],
+    ) -> None:
+        self.on_gone: Callable[[], None] | None = None
+        self.gone = False
+        self._edge = edge
+        self._handler = handler
+        self._refuse = refuse
+        self._registry = registry
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: deque[ClientRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._current: ClientRequest | None = None
+        self._streaming = False
+        self._answered = False
+        self._closing = False
+        self._discarding = False
+        self._idle_since = self._loop.time()
+        self._idle_limit = 0.0
+        self._reset_message()
+
+    # -- state ----------------------------------------------------------------------------------
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or served."""
+        return self._task is None and not self._queue and not self._reading
+
+    def check_time(self, now: float) -> None:
+        """Apply the bounds on time; called every fraction of a second."""
+        if self._task is not None or self._closing:
+            return
+        limits = self._edge.limits()
+        if self._reading:
+            bound = limits.header_timeout_seconds
+            since = self._message_at
+            if self._head_complete:
+                bound = max(limits.idle_timeout_seconds, bound)
+                since = self._last_byte_at
+            if now - since > bound:
+                self._fail(RequestTimeout("the request came too slowly"))
+        elif now - self._idle_since > max(self._idle_limit, limits.idle_timeout_seconds):
+            self.close()
+
+    # -- answers --------------------------------------------------------------------------------
+
+    def send_whole(
+        self, status: int, reason: bytes, fields: list[HeaderField], body: bytes
+    ) -> None:
+        """Write a whole answer."""
+        head = self._head_lines(status, reason, fields)
+        if status != HTTPStatus.NO_CONTENT and status != HTTPStatus.NOT_MODIFIED:
+            head.append(b"Content-Length: %d\r\n" % len(body))
+        head.append(b"\r\n")
+        if self._current is None or self._current.method != b"HEAD":
+            head.append(body)
+        self._answered = True
+        self._write(b"".join(head))
+
+    def begin_stream(self, status: int, reason: bytes, fields: list[HeaderField]) -> None:
+        """Write the head of an answer whose length isn't known."""
+        head = self._head_lines(status, reason, fields)
+        head.append(b"Transfer-Encoding: chunked\r\n\r\n")
+        self._streaming = True
+        self._answered = True
+        self._write(b"".join(head))
+
+    def send_piece(self, data: bytes) -> None:
+        """Write a piece of a stream."""
+        if data:
+            self._write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def end_stream(self) -> None:
+        """Say that the stream is complete."""
+        self._streaming = False
+        self._write(b"0\r\n\r\n")
+
+    def cut(self) -> None:
+        """End the connection so that an unfinished answer can't look complete."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close after everything written has gone out."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def _head_lines(self, status: int, reason: bytes, fields: list[HeaderField]) -> list[bytes]:
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason or _reason_of(status))]
+        lines.extend(field.name + b": " + field.value + b"\r\n" for field in fields)
+        if self._current is None or not self._current.keep_alive or self._edge.is_stopping():
+            self._closing = True
+            lines.append(b"Connection: close\r\n")
+        return lines
+
+    def _write(self, data: bytes) -> None:
+        if self.gone or self._transport is None:
+            return
+        self._transport.write(data)
+        if self._transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:
+            self.cut()
+
+    # -- asyncio.Protocol -----------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See `asyncio.Protocol`."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._registry.add(self)
+        self._idle_limit = self._edge.limits().idle_timeout_seconds
+
+    def data_received(self, data: bytes) -> None:
+        """See `asyncio.Protocol`."""
+        if self._discarding or self._closing:
+            return
+        now = self._loop.time()
+        self._last_byte_at = now
+        if not self._reading:
+            self._message_at = now
+            self._reading = True
+        self._unparsed_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if self._failure is None:
+                self._failure = MalformedRequest(f"no HTTP/1.1 request: {type(error).__name__}")
+        limits = self._edge.limits()
+        if not self._head_complete and self._unparsed_bytes > limits.max_header_bytes:
+            self._failure = self._failure or HeadersTooLarge("the head of the request is too large")
+        if self._failure is not None:
+            self._fail(self._failure)
+        elif len(self._queue) > MAX_QUEUED_REQUESTS and self._transport is not None:
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """See `asyncio.Protocol`."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """See `asyncio.Protocol`."""
+        self.gone = True
+        self._queue.clear()
+        self._registry.discard(self)
+        if self.on_gone is not None:
+            self.on_gone()
+
+    # -- httptools callbacks --------------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._reset_message()
+        self._reading = True
+        self._message_at = self._loop.time()
+
+    def on_url(self, target: bytes) -> None:
+        """Raw path and query."""
+        self._target += target
+        self._head_bytes += len(target)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header field."""
+        value = value or b""
+        self._head_bytes += len(name) + len(value) + 4
+        self._fields.append(HeaderField(name, value))
+        if name.lower() == b"expect" and value.lower() == b"100-continue":
+            self._expects_continue = True
+
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        self._head_complete = True
+        if self._head_bytes > self._edge.limits().max_header_bytes:
+            self._failure = HeadersTooLarge("the head of the request is too large")
+        elif self._expects_continue and self._task is None:
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body."""
+        if self._failure is not None:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > self._edge.limits().max_body_bytes:
+            self._failure = BodyTooLarge("the body of the request is too large")
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        if self._failure is not None:
+            return
+        request = ClientRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            fields=self._fields,
+            body=b"".join(self._body),
+            received_at=self._message_at,
+            keep_alive=self._parser.should_keep_alive(),
+        )
+        self._reset_message()
+        self._enqueue(request)
+
+    # -- inside ---------------------------------------------------------------------------------
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._fields: list[HeaderField] = []
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._unparsed_bytes = 0
+        self._head_complete = False
+        self._expects_continue = False
+        self._failure: Failure | None = None
+        self._reading = False
+        self._message_at = 0.0
+        self._last_byte_at = 0.0
+
+    def _fail(self, failure: Failure) -> None:
+        self._reset_message()
+        self._discarding = True
+        self._enqueue(ClientRequest(b"", b"", [], b"", self._loop.time(), False, failure))
+
+    def _enqueue(self, request: ClientRequest) -> None:
+        self._queue.append(request)
+        if self._task is None:
+            self._serve_next()
+
+    def _serve_next(self) -> None:
+        request = self._queue.popleft()
+        self._current = request
+        self._streaming = False
+        self._answered = False
+        if request.failure is not None:
+            self._refuse(self, request.failure)
+            self._loop.call_later(LINGER_SECONDS, self.close)
+            return
+        self._task = self._loop.create_task(self._handler(request, self))
+        self._task.add_done_callback(self._on_served)
+
+    def _on_served(self, task: asyncio.Task[None]) -> None:
+        self._task = None
+        self.on_gone = None
+        failed = task.cancelled() or task.exception() is not None
+        if failed or self._streaming or not self._answered:
+            self.cut()
+        if self.gone:
+            return
+        if self._closing:
+            self.close()
+            return
+        self._idle_since = self._loop.time()
+        self._idle_limit = self._edge.limits().idle_timeout_seconds
+        if self._transport is not None and not self._transport.is_reading():
+            self._transport.resume_reading()
+        if self._queue:
+            self._serve_next()
+
+
+def _reason_of(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Unknown"
--- /dev/null
+++ b/src/milletcourse/gateway/connection_pool.py
@@ -0,0 +1,68 @@
+"""Idle connections to servers, most recently used first."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from milletcourse.exchange.dialect import HeaderDialect
+from milletcourse.gateway.server_connection import ServerConnection, open_connection
+
+MAX_IDLE_PER_SERVER = 24
+"""Bounds descriptors; bursts beyond it open new connections."""
+
+
+class ConnectionPool:
+    """Keeps connections that may carry another request."""
+
+    def __init__(self, dialect: HeaderDialect) -> None:
+        self._dialect = dialect
+        self._idle: dict[str, deque[ServerConnection]] = {}
+        self.opened = 0
+
+    async def acquire(self, address: str, timeout_seconds: float) -> ServerConnection | None:
+        """A connection to the address, None when none came up in time."""
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable(now):
+                connection.reused += 1
+                return connection
+            connection.abort()
+        self.opened += 1
+        return await open_connection(address, self._dialect, timeout_seconds)
+
+    def release(self, connection: ServerConnection) -> None:
+        """Give back a connection after a whole answer; closes it when it can't be reused."""
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.setdefault(connection.address, deque())
+        if not connection.is_reusable(now) or len(idle) >= MAX_IDLE_PER_SERVER:
+            connection.abort()
+            return
+        idle.append(connection)
+
+    def sweep(self) -> None:
+        """Close connections that the server is about to close."""
+        now = asyncio.get_running_loop().time()
+        for address in list(self._idle):
+            kept: deque[ServerConnection] = deque()
+            for connection in self._idle[address]:
+                if connection.is_reusable(now):
+                    kept.append(connection)
+                else:
+                    connection.abort()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def forget(self, address: str) -> None:
+        """Close all idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.forget(address)
--- /dev/null
+++ b/src/milletcourse/gateway/context.py
@@ -0,0 +1,155 @@
+"""What all parts of one gateway share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from milletcourse.admission.retry_budget import RetryBudget
+from milletcourse.errors import Failure
+from milletcourse.exchange.attempt_plan import NextStep
+from milletcourse.exchange.dialect import HeaderDialect
+from milletcourse.exchange.freshness import ProofOfFreshness
+from milletcourse.exchange.instance_selector import InstanceSelector
+from milletcourse.exchange.instance_table import Instance, InstanceTable
+from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
+from milletcourse.exchange.records import EdgeLimits, RouteRecord
+from milletcourse.exchange.route_table import RouteTable
+from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.exchange.weighted_choice import WeightedChoice
+from milletcourse.gateway.client_connection import ClientRequest
+from milletcourse.gateway.connection_pool import ConnectionPool
+from milletcourse.gateway.event_log import EventLog
+from milletcourse.gateway.settings import GatewaySettings
+
+FRESHNESS_MARGIN_SECONDS = 0.4
+"""Keys are refused this long before the bound on revocation."""
+BUDGET_SHARE = 0.6
+"""Share of the allowed ratio that this node uses; the rest covers uneven windows."""
+EXPECTED_GATEWAYS = 10
+"""Divides the slack of the retry budget; a deployment of more gateways gets a larger slack."""
+RETRY_AFTER_SECONDS = 0.2
+RETRY_AFTER_SPREAD_SECONDS = 0.4
+"""Returns are spread, so that refused clients don't come back together."""
+
+
+class GatewayContext:
+    """State and services of one gateway."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: HeaderDialect,
+        random_source: random.Random,
+        log: EventLog,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.random = random_source
+        self.log = log
+        self.table: RouteTable | None = None
+        self.stopping = False
+        self.loop = asyncio.get_running_loop()
+        bounds = settings.bounds
+        self.freshness = ProofOfFreshness(
+            bounds.revoke - FRESHNESS_MARGIN_SECONDS, bounds.fail_closed
+        )
+        self.instances = InstanceTable()
+        self.gate = VersionGate(bounds.version)
+        self.selector = InstanceSelector(self.instances, self.gate, settings.zone, random_source)
+        self.weights = WeightedChoice(random_source)
+        self.pool = ConnectionPool(dialect)
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def now(self) -> float:
+        """Monotonic seconds."""
+        return self.loop.time()
+
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Take changed bounds into force; addresses stay as they are until a restart."""
+        bounds = settings.bounds
+        self.settings = settings
+        self.freshness.set_bound(bounds.revoke - FRESHNESS_MARGIN_SECONDS, bounds.fail_closed)
+        self.gate.bound_seconds = bounds.version
+        self._budgets.clear()
+
+    def limits(self) -> EdgeLimits:
+        """Bounds on what clients send; defaults before the first configuration."""
+        return self.table.limits if self.table is not None else EdgeLimits()
+
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stopping
+
+    def is_ready(self) -> bool:
+        """Whether clients should be sent here."""
+        return (
+            self.table is not None
+            and not self.stopping
+            and self.freshness.allows_keys(self.now())
+        )
+
+    def budget(self, service: str) -> RetryBudget:
+        """This node's share of a service's retry budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            share = bounds.retry_slack * BUDGET_SHARE / EXPECTED_GATEWAYS
+            budget = self._budgets[service] = RetryBudget(
+                self.now(),
+                ratio=bounds.retry_ratio * BUDGET_SHARE,
+                floor_per_second=share / 3 / bounds.budget_window,
+                floor_burst=share / 3,
+                max_saved=share / 3,
+            )
+        return budget
+
+    def retry_after(self) -> float:
+        """When a refused client may come back."""
+        return RETRY_AFTER_SECONDS + self.random.random() * RETRY_AFTER_SPREAD_SECONDS
+
+    # -- logs -----------------------------------------------------------------------------------
+
+    def log_refusal(self, failure: Failure, received: ClientRequest) -> None:
+        """A request was refused before it was routed."""
+        self.log.emit(
+            "request-refused",
+            code=failure.code,
+            detail=failure.detail,
+            target=received.target.decode("latin-1"),
+            **self._belief(),
+        )
+
+    def log_end(self, failure: Failure, request: ExchangeRequest, route: RouteRecord) -> None:
+        """A routed request ended with this gateway's own failure."""
+        self.log.emit(
+            "request-failed",
+            request_id=request.request_id,
+            route=route.name,
+            code=failure.code,
+            detail=failure.detail,
+            seconds=round(self.now() - request.received_at, 3),
+            **self._belief(),
+        )
+
+    def log_attempt(
+        self, request: ExchangeRequest, instance: Instance, result: AttemptResult, step: NextStep
+    ) -> None:
+        """An attempt did not end with an answer."""
+        if result is AttemptResult.ANSWERED:
+            return
+        self.log.emit(
+            "attempt-failed",
+            request_id=request.request_id,
+            instance=instance.name,
+            result=result.value,
+            step=step.value,
+            seconds=round(self.now() - request.received_at, 3),
+        )
+
+    def _belief(self) -> dict[str, Any]:
+        return {
+            "configuration": self.table.version if self.table is not None else None,
+            "proof_age": round(min(self.freshness.age(self.now()), 999.0), 3),
+        }
--- /dev/null
+++ b/src/milletcourse/gateway/node.py
@@ -0,0 +1,151 @@
+"""One gateway process: puts its parts together, and stops them in a planned way."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from milletcourse.errors import Draining, NotFound
+from milletcourse.gateway.adapter import PlatformAdapter
+from milletcourse.gateway.call_client import CallClient
+from milletcourse.gateway.client_connection import ClientConnection, ClientRequest, Handler
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.event_log import EventLog
+from milletcourse.gateway.exchange_runner import ExchangeRunner
+from milletcourse.gateway.kind_watch import KindWatch
+from milletcourse.gateway.object_store import ObjectStoreClient
+from milletcourse.gateway.refusals import refuse
+from milletcourse.gateway.roll_out_service import RollOutService
+from milletcourse.gateway.settings import GatewaySettings
+from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
+
+LISTEN_BACKLOG = 1024
+SWEEP_SECONDS = 0.25
+CONFIGURATION_WAIT_SECONDS = 1.0
+"""A watch of the configuration answers this often at least: each answer proves freshness, and a
+hung watch is noticed within the bound on a change."""
+INSTANCE_WAIT_SECONDS = 1.5
+TARGET_WAIT_SECONDS = 3.0
+LEAVE_ENTRY_SECONDS = 2.6
+"""After a stop signal: the entry asks each second and takes a node out after two misses."""
+CLOSE_IDLE_SECONDS = 3.6
+"""Idle connections are kept this long after a stop signal, so that their next request is served."""
+GRACE_MARGIN_SECONDS = 0.5
+"""All work has ended this long before the kill."""
+
+
+class GatewayNode:
+    """A gateway with its listeners and background work."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        adapter: PlatformAdapter,
+        random_source: random.Random,
+        log: EventLog,
+    ) -> None:
+        self.context = GatewayContext(settings, adapter.headers, random_source, log)
+        self._adapter = adapter
+        self._random = random_source
+        self._clients: set[ClientConnection] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._listeners: list[asyncio.Server] = []
+        self._calls = CallClient(self.context.pool)
+        self._store = ObjectStoreClient(settings.store, adapter.store, self._calls)
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        runner = ExchangeRunner(self.context)
+        await self._listen(self.context.settings.readiness, self._answer_readiness)
+        await self._listen(self.context.settings.frontend, runner.handle)
+        kinds = self._adapter.kinds
+        configuration = ConfigurationSink(
+            self.context, kinds.configuration_name, self._adapter.decode_configuration
+        )
+        instances = InstanceSink(self.context, self._adapter.decode_instance)
+        targets = TargetSink(self.context, self._adapter.decode_target)
+        watches = (
+            (kinds.configuration, configuration, CONFIGURATION_WAIT_SECONDS),
+            (kinds.instances, instances, INSTANCE_WAIT_SECONDS),
+            (kinds.targets, targets, TARGET_WAIT_SECONDS),
+        )
+        for kind, sink, wait_seconds in watches:
+            watch = KindWatch(self._store, kind, sink, wait_seconds, self._random)
+            self._spawn(watch.run())
+        roll_out = RollOutService(
+            self.context,
+            self._store,
+            kinds.leases,
+            kinds.roll_out_lease,
+            self._calls,
+            self._adapter.orders,
+        )
+        self._spawn(roll_out.run())
+        self._spawn(self._sweep())
+        self.context.log.emit("started", name=self.context.settings.name)
+
+    async def _listen(self, address: str, handler: Handler) -> None:
+        host, _, port = address.rpartition(":")
+        server = await asyncio.get_running_loop().create_server(
+            lambda: ClientConnection(self.context, handler, refuse, self._clients),
+            host,
+            int(port),
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
+        )
+        self._listeners.append(server)
+
+    async def _answer_readiness(self, request: ClientRequest, client: ClientConnection) -> None:
+        if request.target.split(b"?", 1)[0].decode("latin-1") != self._adapter.ready_path:
+            refuse(client, NotFound("nothing here but readiness"))
+        elif self.context.is_ready():
+            client.send_whole(200, b"", [], b"")
+        else:
+            refuse(client, Draining("not ready"))
+
+    async def _sweep(self) -> None:
+        """Bounds on time, kept without a timer for each connection."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = self.context.now()
+            for client in list(self._clients):
+                client.check_time(now)
+            self.context.pool.sweep()
+            self.context.instances.expire_doubtful(now)
+            self.context.gate.forget_before(now)
+
+    # -- planned stop ---------------------------------------------------------------------------
+
+    async def stop(self) -> None:
+        """Leave the entry, serve what comes meanwhile, end within the grace time."""
+        context = self.context
+        context.stopping = True
+        context.log.emit("stopping", connections=len(self._clients))
+        began = context.now()
+        end_at = began + context.settings.bounds.grace - GRACE_MARGIN_SECONDS
+        await asyncio.sleep(LEAVE_ENTRY_SECONDS)
+        for listener in self._listeners:
+            listener.close()
+        await asyncio.sleep(max(began + CLOSE_IDLE_SECONDS - context.now(), 0.0))
+        while self._clients and context.now() < end_at:
+            for client in list(self._clients):
+                if client.is_idle:
+                    client.close()
+            await asyncio.sleep(0.05)
+        for task in self._tasks:
+            task.cancel()
+        context.log.emit("stopped", unfinished=len(self._clients))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._on_task_end)
+        self._tasks.append(task)
+
+    def _on_task_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A gateway without one of its duties must not go on looking healthy.
+        self.context.log.emit("task-failed", error=repr(task.exception()))
+        raise SystemExit(70) from task.exception()
--- /dev/null
+++ b/src/milletcourse/gateway/object_store.py
@@ -0,0 +1,162 @@
+"""The object-store port: objects by kind and name with revisions, lists, watches and
+compare-and-set. A dialect knows one store's paths and formats; this client does the calls.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+
+from milletcourse.gateway.call_client import Call, CallClient, Reply
+
+CALL_TIMEOUT_SECONDS = 1.0
+WATCH_MARGIN_SECONDS = 0.6
+"""A watch that answers this much later than asked for is taken as hung."""
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """One object.
+
+    Attributes:
+        name: Unique within its kind.
+        revision: Revision of its last change.
+        spec: Its content as JSON.
+    """
+
+    name: str
+    revision: int
+    spec: bytes
+
+
+class ObjectPage(msgspec.Struct, frozen=True):
+    """A page of a list at a revision of the store."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    more: bool
+
+
+class ObjectChange(msgspec.Struct, frozen=True):
+    """An object that changed or went."""
+
+    stored: StoredObject
+    gone: bool
+
+
+class ObjectChanges(msgspec.Struct, frozen=True):
+    """Changes up to a revision."""
+
+    changes: tuple[ObjectChange, ...]
+    revision: int
+
+
+class StoreProblem(Enum):
+    """Why a call gave nothing."""
+
+    UNAVAILABLE = "unavailable"
+    HISTORY_GONE = "history-gone"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not-found"
+
+
+class StoreError(Exception):
+    """A call to the store that did not succeed.
+
+    Attributes:
+        problem: What went wrong.
+        current: The object as it is, after a conflict that shows it.
+    """
+
+    def __init__(self, problem: StoreProblem, current: StoredObject | None = None) -> None:
+        super().__init__(problem.value)
+        self.problem = problem
+        self.current = current
+
+
+class StoreDialect(Protocol):
+    """Paths and formats of one store; every reader raises `StoreError` for a failed reply."""
+
+    def list_call(self, kind: str, after: str) -> Call:
+        """A page of a kind's objects behind a name; empty for the first page."""
+
+    def read_page(self, reply: Reply) -> ObjectPage:
+        """Understand a page."""
+
+    def watch_call(self, kind: str, revision: int, wait_seconds: float) -> Call:
+        """Changes of a kind after a revision; waits for one."""
+
+    def read_changes(self, reply: Reply) -> ObjectChanges:
+        """Understand changes."""
+
+    def get_call(self, kind: str, name: str) -> Call:
+        """One object."""
+
+    def create_call(self, kind: str, name: str, spec: bytes) -> Call:
+        """Make an object that isn't there."""
+
+    def replace_call(self, kind: str, name: str, spec: bytes, revision: int) -> Call:
+        """Replace an object that is at a revision."""
+
+    def read_object(self, reply: Reply) -> StoredObject:
+        """Understand one object."""
+
+
+class ObjectStoreClient:
+    """Calls one store."""
+
+    def __init__(self, address: str, dialect: StoreDialect, calls: CallClient) -> None:
+        self._address = address
+        self._dialect = dialect
+        self._calls = calls
+
+    async def list_all(self, kind: str) -> tuple[list[StoredObject], int, float]:
+        """All objects of a kind: (objects, revision to watch from, time of the first call).
+
+        The revision is that of the first page, so that changes between pages are seen again.
+        """
+        objects: list[StoredObject] = []
+        after = ""
+        revision = 0
+        sent_at = 0.0
+        while True:
+            reply = await self._send(self._dialect.list_call(kind, after))
+            page = self._dialect.read_page(reply)
+            objects.extend(page.objects)
+            if not after:
+                revision, sent_at = page.revision, reply.sent_at
+            if not page.more or not page.objects:
+                return objects, revision, sent_at
+            after = page.objects[-1].name
+
+    async def watch(
+        self, kind: str, revision: int, wait_seconds: float
+    ) -> tuple[ObjectChanges, float]:
+        """Changes after a revision, and the time at which the call was sent."""
+        call = self._dialect.watch_call(kind, revision, wait_seconds)
+        reply = await self._send(call, wait_seconds + WATCH_MARGIN_SECONDS)
+        return self._dialect.read_changes(reply), reply.sent_at
+
+    async def get(self, kind: str, name: str) -> tuple[StoredObject, float]:
+        """One object, and the time at which the call was sent."""
+        reply = await self._send(self._dialect.get_call(kind, name))
+        return self._dialect.read_object(reply), reply.sent_at
+
+    async def create(self, kind: str, name: str, spec: bytes) -> tuple[StoredObject, float]:
+        """Make an object; raises a conflict when it is there."""
+        reply = await self._send(self._dialect.create_call(kind, name, spec))
+        return self._dialect.read_object(reply), reply.sent_at
+
+    async def replace(
+        self, kind: str, name: str, spec: bytes, revision: int
+    ) -> tuple[StoredObject, float]:
+        """Replace an object; raises a conflict when its revision differs."""
+        reply = await self._send(self._dialect.replace_call(kind, name, spec, revision))
+        return self._dialect.read_object(reply), reply.sent_at
+
+    async def _send(self, call: Call, timeout_seconds: float = CALL_TIMEOUT_SECONDS) -> Reply:
+        reply = await self._calls.call(self._address, call, timeout_seconds)
+        if reply is None:
+            raise StoreError(StoreProblem.UNAVAILABLE)
+        return reply
--- /dev/null
+++ b/src/milletcourse/gateway/process.py
@@ -0,0 +1,88 @@
+"""A gateway as a process: settings, signals, planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import signal
+from pathlib import Path
+
+import uvloop
+
+from milletcourse.gateway.adapter import PlatformAdapter
+from milletcourse.gateway.event_log import EventLog, NonBlockingWriter
+from milletcourse.gateway.node import GatewayNode
+
+STANDARD_OUTPUT = 1
+SETTINGS_POLL_SECONDS = 1.0
+COLLECTION_THRESHOLD = 20_000
+"""Allocations between garbage collections: fewer pauses, since requests leave no cycles."""
+
+
+def run_gateway(settings_path: Path, adapter: PlatformAdapter) -> None:
+    """Serve until a stop signal; returns after the planned stop."""
+    gc.freeze()
+    gc.set_threshold(COLLECTION_THRESHOLD, 20, 20)
+    uvloop.run(_serve(settings_path, adapter))
+
+
+async def _serve(settings_path: Path, adapter: PlatformAdapter) -> None:
+    settings = adapter.read_settings(settings_path.read_bytes())
+    log = EventLog(settings.name, NonBlockingWriter(STANDARD_OUTPUT))
+    node = GatewayNode(settings, adapter, random.Random(), log)
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    reloader = SettingsReloader(settings_path, adapter, node, log)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    await node.start()
+    following = asyncio.create_task(reloader.follow())
+    await stopped.wait()
+    following.cancel()
+    await node.stop()
+
+
+class SettingsReloader:
+    """Takes changed settings into force while the process serves."""
+
+    def __init__(
+        self, path: Path, adapter: PlatformAdapter, node: GatewayNode, log: EventLog
+    ) -> None:
+        self._path = path
+        self._adapter = adapter
+        self._node = node
+        self._log = log
+        self._content = path.read_bytes()
+
+    def reload(self) -> None:
+        """Read the file; settings that can't be read leave the former ones in force."""
+        try:
+            content = self._path.read_bytes()
+            settings = self._adapter.read_settings(content)
+        except (OSError, ValueError) as error:
+            self._log.emit("settings-rejected", error=str(error)[:200])
+            return
+        if content == self._content:
+            return
+        self._content = content
+        self._node.context.apply_settings(settings)
+        self._log.emit("settings-reloaded")
+
+    async def follow(self) -> None:
+        """Notice changes of the file that no signal tells of."""
+        seen = self._changed_at()
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_SECONDS)
+            changed_at = self._changed_at()
+            if changed_at != seen:
+                seen = changed_at
+                self.reload()
+
+    def _changed_at(self) -> int:
+        try:
+            return os.stat(self._path).st_mtime_ns
+        except OSError:
+            return 0
--- /dev/null
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -0,0 +1,170 @@
+"""Runs the roll-out of weight versions under the shared lease."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+import msgspec
+
+from milletcourse.control.lease import LeaseClaim, LeaseSpec, LeaseTracker
+from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.roll_out import OrderReply, RollOut, ServerReport, WeightOrder
+from milletcourse.gateway.call_client import Call, CallClient, Reply
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.object_store import ObjectStoreClient, StoredObject, StoreError
+
+TICK_SECONDS = 0.1
+RENEW_SECONDS = 0.9
+"""The holder renews this often while there is work."""
+LOOK_SECONDS = 1.0
+LOOK_SPREAD_SECONDS = 1.0
+"""Others look this often whether the holder still renews."""
+ORDER_TIMEOUT_SECONDS = 0.6
+LEASE_EXTRA_SECONDS = 0.3
+"""The lease lasts this much longer than the least time between two holders."""
+
+
+class OrderDialect(Protocol):
+    """Formats of orders and reports."""
+
+    def order_call(self, order: WeightOrder) -> Call:
+        """An order as a call to its server."""
+
+    def read_order_reply(self, reply: Reply) -> OrderReply:
+        """What the server said."""
+
+    def report_call(self) -> Call:
+        """Asks a server for its state."""
+
+    def read_report(self, reply: Reply) -> ServerReport | None:
+        """The server's state, None when it can't be read."""
+
+
+class RollOutService:
+    """Holds the lease while there is work, and gives the orders."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        store: ObjectStoreClient,
+        lease_kind: str,
+        lease_name: str,
+        calls: CallClient,
+        orders: OrderDialect,
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._lease_kind = lease_kind
+        self._lease_name = lease_name
+        self._calls = calls
+        self._orders = orders
+        duration = context.settings.bounds.lease + LEASE_EXTRA_SECONDS
+        self._lease = LeaseTracker(context.settings.name, duration)
+        self._plan = RollOut(context.gate)
+        self._next_lease_call = 0.0
+        self._was_holder = False
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            if self._context.stopping or not self._plan.has_work(self._context.instances):
+                continue
+            await self._keep_lease()
+            self._note_holder()
+            if self._lease.is_held(self._context.now()):
+                self._give_orders()
+
+    # -- lease ----------------------------------------------------------------------------------
+
+    async def _keep_lease(self) -> None:
+        now = self._context.now()
+        if now < self._next_lease_call:
+            return
+        held = self._lease.is_held(now)
+        spread = self._context.random.random() * LOOK_SPREAD_SECONDS
+        self._next_lease_call = now + (RENEW_SECONDS if held else LOOK_SECONDS + spread)
+        claim = self._lease.next_claim(now)
+        try:
+            if claim is None:
+                stored, _ = await self._store.get(self._lease_kind, self._lease_name)
+                self._observe(stored)
+            else:
+                await self._write(claim)
+        except StoreError as error:
+            if error.current is not None:
+                self._observe(error.current)
+
+    async def _write(self, claim: LeaseClaim) -> None:
+        spec = msgspec.json.encode(claim.spec)
+        if claim.expected_version == 0:
+            stored, sent_at = await self._store.create(self._lease_kind, self._lease_name, spec)
+        else:
+            stored, sent_at = await self._store.replace(
+                self._lease_kind, self._lease_name, spec, claim.expected_version
+            )
+        self._lease.on_written(claim, stored.revision, sent_at)
+        self._next_lease_call = sent_at + RENEW_SECONDS
+
+    def _observe(self, stored: StoredObject) -> None:
+        spec = msgspec.json.decode(stored.spec, type=LeaseSpec)
+        self._lease.on_observed(spec, stored.revision, self._context.now())
+
+    def _note_holder(self) -> None:
+        holder = self._lease.is_held(self._context.now())
+        if holder == self._was_holder:
+            return
+        self._was_holder = holder
+        self._plan.reset()
+        self._context.log.emit(
+            "lease-held" if holder else "lease-lost", fencing_token=self._lease.fencing_token
+        )
+
+    # -- orders ---------------------------------------------------------------------------------
+
+    def _give_orders(self) -> None:
+        now = self._context.now()
+        instances = list(self._context.instances)
+        orders = self._plan.next_orders(
+            instances, now, self._context.settings.name, self._lease.fencing_token
+        )
+        for order in orders:
+            self._spawn(self._give(order))
+        for instance in self._plan.due_looks(instances, now):
+            self._spawn(self._look(instance))
+
+    async def _give(self, order: WeightOrder) -> None:
+        instance = self._context.instances.get(order.instance)
+        if instance is None or not self._lease.is_held(self._context.now()):
+            return
+        until = self._context.now() + self._plan.load_seconds
+        instance.health.on_order(until)
+        reply = await self._calls.call(
+            order.address, self._orders.order_call(order), ORDER_TIMEOUT_SECONDS
+        )
+        result = OrderReply.UNANSWERED
+        if reply is not None:
+            result = self._orders.read_order_reply(reply)
+        self._plan.on_reply(instance, result, self._context.now())
+        self._context.log.emit(
+            "weight-order",
+            instance=order.instance,
+            version=order.version,
+            fencing_token=order.fencing_token,
+            reply=result.value,
+        )
+
+    async def _look(self, instance: Instance) -> None:
+        reply = await self._calls.call(
+            instance.record.address, self._orders.report_call(), ORDER_TIMEOUT_SECONDS
+        )
+        report = self._orders.read_report(reply) if reply is not None else None
+        self._plan.on_report(instance, report, self._context.now())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
--- /dev/null
+++ b/src/milletcourse/gateway/server_connection.py
@@ -0,0 +1,244 @@
+"""One HTTP/1.1 connection to a server; carries one exchange at a time.
+
+Answers are told apart by the request's identity, since a server may send a surplus answer in the
+place where the next one is due. A connection that showed anything surplus or foreign isn't reused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from enum import Enum
+from typing import cast
+
+import httptools
+import msgspec
+
+from milletcourse.exchange.dialect import HeaderDialect
+from milletcourse.exchange.messages import AnswerHead, HeaderField
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""A live server in the same region accepts within milliseconds."""
+KEEP_ALIVE_MARGIN_SECONDS = 0.6
+"""A pooled connection is not used this long before the server closes it."""
+DEFAULT_KEEP_ALIVE_SECONDS = 2.0
+"""Assumed when a server doesn't tell its idle time."""
+
+
+class LossCause(Enum):
+    """Why a connection gave no whole answer."""
+
+    RESET = "reset"
+    CLOSED = "closed"
+    GARBLED = "garbled"
+    ABORTED = "aborted"
+
+
+class AnswerEvent(msgspec.Struct):
+    """One step of an answer: its head, a piece of its body, its end, or its loss."""
+
+    head: AnswerHead | None = None
+    body: bytes = b""
+    complete: bool = False
+    lost: LossCause | None = None
+
+
+class ServerConnection(asyncio.Protocol):
+    """Sends one request at a time and hands out the answer as events."""
+
+    def __init__(self, address: str, dialect: HeaderDialect) -> None:
+        self.address = address
+        self.reused = 0
+        self.usable_until = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._dialect = dialect
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._events: deque[AnswerEvent] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._expected_id = ""
+        self._bodyless = False
+        self._busy = False
+        self._tainted = False
+        self._lost = False
+        self._aborted = False
+        self._reset_answer()
+
+    # -- use ------------------------------------------------------------------------------------
+
+    def send(self, data: bytes, request_id: str = "", bodyless: bool = False) -> None:
+        """Write a whole request and expect its answer next.
+
+        Args:
+            data: Head and body.
+            request_id: Identity that the answer must carry; empty when answers carry none.
+            bodyless: The answer has no body whatever its head says (HEAD).
+        """
+        assert self._transport is not None
+        self._events.clear()
+        self._expected_id = request_id
+        self._bodyless = bodyless
+        self._busy = True
+        if self._lost:
+            self._events.append(AnswerEvent(lost=LossCause.CLOSED))
+            return
+        self._transport.write(data)
+
+    async def next_event(self) -> AnswerEvent:
+        """The next step of the answer."""
+        while not self._events:
+            self._waiter = self._loop.create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        return self._events.popleft()
+
+    def abort(self) -> None:
+        """End the connection at once; the server sees it and drops the work."""
+        self._aborted = True
+        if self._transport is not None:
+            self._transport.abort()
+        self._emit(AnswerEvent(lost=LossCause.ABORTED))
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection still stands."""
+        return not self._lost and not self._aborted
+
+    def is_reusable(self, now: float) -> bool:
+        """Whether another request may be sent on it."""
+        return self.is_open and not self._tainted and not self._busy and now < self.usable_until
+
+    # -- asyncio.Protocol -----------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See `asyncio.Protocol`."""
+        self._transport = cast(asyncio.Transport, transport)
+        self.usable_until = self._loop.time() + DEFAULT_KEEP_ALIVE_SECONDS
+
+    def data_received(self, data: bytes) -> None:
+        """See `asyncio.Protocol`."""
+        if not self._busy:
+            self._taint()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._garbled()
+
+    def eof_received(self) -> bool:
+        """See `asyncio.Protocol`."""
+        self._tainted = True
+        if self._busy and self._head is not None and not self._head.framed and not self._skipping:
+            self._finish_answer()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """See `asyncio.Protocol`."""
+        self._lost = True
+        if not self._busy:
+            return
+        self._emit(AnswerEvent(lost=LossCause.CLOSED if error is None else LossCause.RESET))
+
+    # -- httptools callbacks --------------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """An answer begins."""
+        if not self._busy:
+            self._tainted = True
+        self._reset_answer()
+
+    def on_status(self, reason: bytes) -> None:
+        """Reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header field."""
+        self._fields.append(HeaderField(name, value or b""))
+
+    def on_headers_complete(self) -> None:
+        """The head is whole: find out whether it is the expected answer."""
+        status = self._parser.get_status_code()
+        if not self._busy or status < 200:
+            self._skipping = True
+            return
+        head = self._dialect.read_answer(status, self._reason, self._fields)
+        self._skipping = not self._is_expected(head)
+        if self._skipping:
+            self._tainted = True
+            if not head.framed:
+                self._garbled()
+            return
+        self._head = head
+        self._emit(AnswerEvent(head=head))
+        if self._bodyless:
+            self._tainted = True
+            self._finish_answer()
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body."""
+        if not self._skipping and self._busy:
+            self._emit(AnswerEvent(body=body))
+
+    def on_message_complete(self) -> None:
+        """The answer's framing says that it is whole."""
+        if self._skipping or self._head is None or not self._busy:
+            return
+        self._finish_answer()
+
+    # -- inside ---------------------------------------------------------------------------------
+
+    def _is_expected(self, head: AnswerHead) -> bool:
+        if not self._expected_id or head.request_id == self._expected_id:
+            return True
+        # A refusal without an identity can only be about the request at hand.
+        return not head.request_id and (head.not_executed or head.status == 421)
+
+    def _reset_answer(self) -> None:
+        self._head: AnswerHead | None = None
+        self._reason = b""
+        self._fields: list[HeaderField] = []
+        self._skipping = False
+
+    def _finish_answer(self) -> None:
+        head = self._head
+        assert head is not None and self._transport is not None
+        self._busy = False
+        if head.closing or not head.framed or self._transport.get_write_buffer_size() > 0:
+            self._tainted = True
+        idle = head.keep_alive_seconds
+        usable = DEFAULT_KEEP_ALIVE_SECONDS if idle is None else idle - KEEP_ALIVE_MARGIN_SECONDS
+        self.usable_until = self._loop.time() + usable
+        self._emit(AnswerEvent(complete=True))
+
+    def _taint(self) -> None:
+        self._tainted = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _garbled(self) -> None:
+        if self._busy:
+            self._emit(AnswerEvent(lost=LossCause.GARBLED))
+        self._taint()
+
+    def _emit(self, event: AnswerEvent) -> None:
+        self._events.append(event)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def open_connection(
+    address: str, dialect: HeaderDialect, timeout_seconds: float
+) -> ServerConnection | None:
+    """Connect to a server; None when no connection came up in time."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(min(timeout_seconds, CONNECT_TIMEOUT_SECONDS)):
+            _, protocol = await loop.create_connection(
+                lambda: ServerConnection(address, dialect), host, int(port)
+            )
+    except (OSError, TimeoutError):
+        return None
+    return protocol
--- /dev/null
+++ b/src/milletcourse/gateway/sinks.py
@@ -0,0 +1,140 @@
+"""Bring what the watches learn into the gateway's state."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from milletcourse.exchange.records import ExchangeConfiguration, InstanceRecord, ModelTarget
+from milletcourse.exchange.route_table import RouteTable
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.object_store import ObjectChange, StoredObject
+
+
+class _Sink:
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+
+    def on_unavailable(self) -> None:
+        """A call failed: the store is unstable."""
+        self._context.instances.on_unstable(self._context.now())
+
+    def _malformed(self, stored: StoredObject, error: Exception) -> None:
+        self._context.log.emit("object-malformed", name=stored.name, error=str(error)[:200])
+
+
+class ConfigurationSink(_Sink):
+    """Puts the newest configuration in force, never an older one."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        object_name: str,
+        decode: Callable[[bytes], ExchangeConfiguration],
+    ) -> None:
+        super().__init__(context)
+        self._object_name = object_name
+        self._decode = decode
+
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        """See `KindSink`."""
+        accepted = [self._apply(stored) for stored in objects if stored.name == self._object_name]
+        if accepted and all(accepted):
+            self._context.freshness.on_proof(sent_at)
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        """See `KindSink`."""
+        accepted = [
+            self._apply(change.stored)
+            for change in changes
+            if not change.gone and change.stored.name == self._object_name
+        ]
+        if all(accepted) and self._context.table is not None:
+            self._context.freshness.on_proof(sent_at)
+
+    def _apply(self, stored: StoredObject) -> bool:
+        """Take a configuration into force; False when it can't be understood."""
+        try:
+            configuration = self._decode(stored.spec)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._malformed(stored, error)
+            return False
+        current = self._context.table
+        if current is not None and configuration.version <= current.version:
+            return configuration.version == current.version
+        self._context.table = RouteTable(configuration)
+        self._context.log.emit(
+            "configuration-in-force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            tenants=len(configuration.tenants),
+        )
+        return True
+
+
+class InstanceSink(_Sink):
+    """Keeps the table of incarnations."""
+
+    def __init__(
+        self, context: GatewayContext, decode: Callable[[str, bytes], InstanceRecord]
+    ) -> None:
+        super().__init__(context)
+        self._decode = decode
+
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        """See `KindSink`."""
+        records = [record for record in map(self._read, objects) if record is not None]
+        self._context.instances.replace_all(records, self._context.now())
+        self._context.log.emit("instances-listed", count=len(records))
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        """See `KindSink`."""
+        table = self._context.instances
+        for change in changes:
+            if change.gone:
+                table.remove(change.stored.name, self._context.now())
+                self._context.log.emit("instance-gone", instance=change.stored.name)
+                continue
+            record = self._read(change.stored)
+            if record is not None:
+                table.upsert(record)
+                if record.draining:
+                    self._context.log.emit("instance-draining", instance=record.name)
+
+    def _read(self, stored: StoredObject) -> InstanceRecord | None:
+        try:
+            return self._decode(stored.name, stored.spec)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._malformed(stored, error)
+            return None
+
+
+class TargetSink(_Sink):
+    """Notes named weight versions."""
+
+    def __init__(self, context: GatewayContext, decode: Callable[[bytes], ModelTarget]) -> None:
+        super().__init__(context)
+        self._decode = decode
+        self._started = False
+
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        """See `KindSink`."""
+        for stored in objects:
+            self._note(stored, not self._started)
+        self._started = True
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        """See `KindSink`."""
+        for change in changes:
+            if not change.gone:
+                self._note(change.stored, False)
+
+    def _note(self, stored: StoredObject, just_started: bool) -> None:
+        try:
+            target = self._decode(stored.spec)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._malformed(stored, error)
+            return
+        if self._context.gate.on_target(target, self._context.now(), just_started):
+            self._context.log.emit("version-named", model=target.model, version=target.version)
--- /dev/null
+++ b/src/milletcourse/platform/__main__.py
@@ -0,0 +1,38 @@
+"""Starts a gateway on the users' platform: `python3 -m milletcourse.platform`."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from milletcourse.exchange.dialect import HeaderDialect
+from milletcourse.gateway.adapter import PlatformAdapter
+from milletcourse.gateway.process import run_gateway
+from milletcourse.platform.documents import (
+    decode_configuration,
+    decode_instance,
+    decode_target,
+    read_settings,
+)
+from milletcourse.platform.names import HEADER_NAMES, KINDS, READY_PATH, SETTINGS_VARIABLE
+from milletcourse.platform.object_store import PlatformStoreDialect
+from milletcourse.platform.orders import PlatformOrderDialect
+
+
+def new_adapter() -> PlatformAdapter:
+    """The adapter to this platform."""
+    return PlatformAdapter(
+        read_settings=read_settings,
+        headers=HeaderDialect(HEADER_NAMES),
+        store=PlatformStoreDialect(),
+        kinds=KINDS,
+        orders=PlatformOrderDialect(),
+        decode_configuration=decode_configuration,
+        decode_instance=decode_instance,
+        decode_target=decode_target,
+        ready_path=READY_PATH,
+    )
+
+
+if __name__ == "__main__":
+    run_gateway(Path(os.environ[SETTINGS_VARIABLE]), new_adapter())
--- /dev/null
+++ b/src/milletcourse/platform/documents.py
@@ -0,0 +1,249 @@
+"""Formats of the platform's documents: settings, configuration, servers' entries, versions."""
+
+from __future__ import annotations
+
+import msgspec
+
+from milletcourse.exchange.records import (
+    EdgeLimits,
+    ExchangeConfiguration,
+    InstanceRecord,
+    ModelTarget,
+    RouteKind,
+    RouteRecord,
+    ServiceRecord,
+    TenantRecord,
+    WeightedService,
+)
+from milletcourse.gateway.settings import GatewayBounds, GatewaySettings
+
+MILLISECOND = 0.001
+
+
+class _Document(msgspec.Struct, frozen=True, rename="pascal"):
+    """Base of all documents: unknown fields are passed over."""
+
+
+# -- settings -----------------------------------------------------------------------------------
+
+
+class _Listen(_Document, frozen=True):
+    frontend: str
+    readiness: str
+
+
+class _Platform(_Document, frozen=True):
+    address: str
+
+
+class _Bounds(_Document, frozen=True):
+    revoke_ms: float = 5000
+    fail_closed: bool = True
+    config_apply_ms: float = 2000
+    drain_ms: float = 2000
+    grace_s: float = 8
+    lease_ms: float = 3000
+    version_ms: float = 8000
+    retry_budget_ratio: float = 0.2
+    retry_slack: float = 50
+    budget_window_s: float = 10
+    contact_ms: float = 3000
+
+
+class _Settings(_Document, frozen=True):
+    node_name: str
+    zone: str
+    ip: str
+    listen: _Listen
+    platform: _Platform
+    internal_ports: list[int] = []
+    bounds: _Bounds = _Bounds()
+
+
+def read_settings(content: bytes) -> GatewaySettings:
+    """The settings file, which the deploy template lays out as JSON."""
+    document = msgspec.json.decode(content, type=_Settings)
+    bounds = document.bounds
+    ports = document.internal_ports
+    return GatewaySettings(
+        name=document.node_name,
+        zone=document.zone,
+        host=document.ip,
+        frontend=document.listen.frontend,
+        readiness=document.listen.readiness,
+        store=document.platform.address,
+        internal_ports=(ports[0], ports[-1]) if ports else (0, 0),
+        bounds=GatewayBounds(
+            revoke=bounds.revoke_ms * MILLISECOND,
+            fail_closed=bounds.fail_closed,
+            config_apply=bounds.config_apply_ms * MILLISECOND,
+            drain=bounds.drain_ms * MILLISECOND,
+            grace=bounds.grace_s,
+            lease=bounds.lease_ms * MILLISECOND,
+            version=bounds.version_ms * MILLISECOND,
+            retry_ratio=bounds.retry_budget_ratio,
+            retry_slack=bounds.retry_slack,
+            budget_window=bounds.budget_window_s,
+            contact=bounds.contact_ms * MILLISECOND,
+        ),
+    )
+
+
+# -- configuration ------------------------------------------------------------------------------
+
+
+class _Backend(_Document, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Document, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: RouteKind
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    backends: list[_Backend] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Model(_Document, frozen=True):
+    name: str
+
+
+class _Engine(_Document, frozen=True):
+    slots: int = 0
+    kv_capacity: int = 0
+    models: list[_Model] = []
+
+
+class _Service(_Document, frozen=True):
+    name: str
+    max_connections: int = 0
+    engine: _Engine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
+
+
+class _Limits(_Document, frozen=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 5000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(_Document, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+    isolated: bool = False
+
+
+class _Configuration(_Document, frozen=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] = []
+
+
+def decode_configuration(spec: bytes) -> ExchangeConfiguration:
+    """The configuration's object."""
+    document = msgspec.json.decode(spec, type=_Configuration)
+    limits = document.limits
+    return ExchangeConfiguration(
+        version=document.version,
+        routes=tuple(_route(route) for route in document.routes),
+        services=tuple(_service(service) for service in document.services),
+        limits=EdgeLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_seconds=limits.header_timeout_ms * MILLISECOND,
+            idle_timeout_seconds=limits.idle_timeout_ms * MILLISECOND,
+        ),
+        tenants=tuple(
+            TenantRecord(tenant.name, tuple(tenant.api_keys), tenant.priority, tenant.isolated)
+            for tenant in document.tenants
+        ),
+    )
+
+
+def _route(route: _Route) -> RouteRecord:
+    backends = tuple(WeightedService(item.service, item.weight) for item in route.backends)
+    return RouteRecord(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=route.route_type,
+        timeout_seconds=route.timeout_ms * MILLISECOND,
+        target_latency_seconds=route.target_latency_ms * MILLISECOND,
+        priority=route.priority,
+        backends=backends or (WeightedService(route.service),),
+        max_attempts=route.max_attempts,
+        public=route.public,
+        resumable=route.resumable,
+        gap_seconds=route.gap_aim_ms * MILLISECOND,
+    )
+
+
+def _service(service: _Service) -> ServiceRecord:
+    engine = service.engine or _Engine()
+    return ServiceRecord(
+        name=service.name,
+        max_connections=service.max_connections,
+        models=tuple(model.name for model in engine.models),
+        slots=engine.slots,
+        cache_tokens=engine.kv_capacity,
+        store_address=service.kv_store_addr,
+        zone=service.zone,
+    )
+
+
+# -- servers and versions -----------------------------------------------------------------------
+
+
+class _ModelState(_Document, frozen=True):
+    name: str
+    version: int
+
+
+class _Server(_Document, frozen=True):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 0
+    state: str = "ready"
+    models: list[_ModelState] = []
+    sequence: int = 0
+
+
+class _Version(_Document, frozen=True):
+    model: str
+    version: int
+
+
+def decode_instance(name: str, spec: bytes) -> InstanceRecord:
+    """A server's entry; its name is the incarnation."""
+    document = msgspec.json.decode(spec, type=_Server)
+    return InstanceRecord(
+        name=name,
+        service=document.service,
+        address=document.address,
+        zone=document.zone,
+        slots=document.slots,
+        draining=document.state != "ready",
+        weight_versions={model.name: model.version for model in document.models},
+        sequence=document.sequence,
+    )
+
+
+def decode_target(spec: bytes) -> ModelTarget:
+    """A named version of a model's weights."""
+    document = msgspec.json.decode(spec, type=_Version)
+    return ModelTarget(document.model, document.version)
--- /dev/null
+++ b/src/milletcourse/platform/object_store.py
@@ -0,0 +1,126 @@
+"""Paths and formats of the platform's metadata store."""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from milletcourse.gateway.call_client import Call, Reply
+from milletcourse.gateway.object_store import (
+    ObjectChange,
+    ObjectChanges,
+    ObjectPage,
+    StoredObject,
+    StoreError,
+    StoreProblem,
+)
+from milletcourse.platform.names import OBJECTS_PATH
+
+_PROBLEMS = {
+    404: StoreProblem.NOT_FOUND,
+    409: StoreProblem.CONFLICT,
+    410: StoreProblem.HISTORY_GONE,
+}
+
+
+class _Metadata(msgspec.Struct, frozen=True, rename="pascal"):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, frozen=True, rename="pascal"):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Page(msgspec.Struct, frozen=True):
+    items: list[_Object]
+    at: int = msgspec.field(name="At")
+    more: bool = msgspec.field(name="More", default=False)
+
+
+class _Event(msgspec.Struct, frozen=True, rename="pascal"):
+    object: _Object
+    gone: bool = False
+
+
+class _Changes(msgspec.Struct, frozen=True, rename="pascal"):
+    at: int
+    events: list[_Event] = []
+
+
+class PlatformStoreDialect:
+    """Implements `StoreDialect`."""
+
+    def list_call(self, kind: str, after: str) -> Call:
+        """See `StoreDialect`."""
+        query = f"?after={quote(after, safe='')}" if after else ""
+        return Call("GET", f"{OBJECTS_PATH}/{kind}{query}")
+
+    def read_page(self, reply: Reply) -> ObjectPage:
+        """See `StoreDialect`."""
+        page = _decode(reply, _Page)
+        return ObjectPage(tuple(_stored(item) for item in page.items), page.at, page.more)
+
+    def watch_call(self, kind: str, revision: int, wait_seconds: float) -> Call:
+        """See `StoreDialect`."""
+        wait = int(wait_seconds * 1000)
+        return Call("GET", f"{OBJECTS_PATH}/{kind}?Watch={revision}&WaitMs={wait}")
+
+    def read_changes(self, reply: Reply) -> ObjectChanges:
+        """See `StoreDialect`."""
+        changes = _decode(reply, _Changes)
+        return ObjectChanges(
+            tuple(ObjectChange(_stored(event.object), event.gone) for event in changes.events),
+            changes.at,
+        )
+
+    def get_call(self, kind: str, name: str) -> Call:
+        """See `StoreDialect`."""
+        return Call("GET", f"{OBJECTS_PATH}/{kind}/{quote(name, safe='')}")
+
+    def create_call(self, kind: str, name: str, spec: bytes) -> Call:
+        """See `StoreDialect`."""
+        body = _body({"Name": name}, spec)
+        return Call("POST", f"{OBJECTS_PATH}/{kind}", body)
+
+    def replace_call(self, kind: str, name: str, spec: bytes, revision: int) -> Call:
+        """See `StoreDialect`."""
+        body = _body({"Name": name, "Revision": revision}, spec)
+        return Call("PUT", f"{OBJECTS_PATH}/{kind}/{quote(name, safe='')}", body)
+
+    def read_object(self, reply: Reply) -> StoredObject:
+        """See `StoreDialect`."""
+        return _stored(_decode(reply, _Object))
+
+
+def _body(metadata: dict[str, Any], spec: bytes) -> bytes:
+    return msgspec.json.encode({"Metadata": metadata, "Spec": msgspec.Raw(spec)})
+
+
+def _stored(document: _Object) -> StoredObject:
+    return StoredObject(
+        document.metadata.name, document.metadata.revision, bytes(document.spec)
+    )
+
+
+def _decode(reply: Reply, document_type: Any) -> Any:
+    if reply.status not in (200, 201):
+        problem = _PROBLEMS.get(reply.status, StoreProblem.UNAVAILABLE)
+        current = None
+        if problem is StoreProblem.CONFLICT:
+            current = _current(reply.body)
+        raise StoreError(problem, current)
+    try:
+        return msgspec.json.decode(reply.body, type=document_type)
+    except msgspec.MsgspecError as error:
+        raise StoreError(StoreProblem.UNAVAILABLE) from error
+
+
+def _current(body: bytes) -> StoredObject | None:
+    try:
+        return _stored(msgspec.json.decode(body, type=_Object))
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/src/milletcourse/platform/orders.py
@@ -0,0 +1,77 @@
+"""Formats of orders to servers and of their reports."""
+
+from __future__ import annotations
+
+import msgspec
+
+from milletcourse.exchange.messages import HeaderField
+from milletcourse.exchange.roll_out import OrderReply, ServerReport, WeightOrder
+from milletcourse.gateway.call_client import Call, Reply
+from milletcourse.platform.names import HEADER_NAMES, ORDER_PATH, REPORT_PATH
+
+MANNER = "retain"
+"""Running requests go on under the new weights; measured best on both fleets."""
+_REPLIES = {
+    200: OrderReply.HOLDS,
+    202: OrderReply.TAKEN,
+    409: OrderReply.BUSY,
+    412: OrderReply.FENCED,
+}
+
+
+class _Order(msgspec.Struct, frozen=True, rename="pascal", omit_defaults=True):
+    operation: str
+    model: str
+    version: int
+    manner: str
+    holder: str
+    fencing_token: int
+    expected_rev: int | None = None
+
+
+class _ModelState(msgspec.Struct, frozen=True, rename="pascal"):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct, frozen=True, rename="pascal"):
+    models: list[_ModelState] = []
+    busy: bool = False
+    sequence: int = 0
+
+
+class PlatformOrderDialect:
+    """Implements `OrderDialect`."""
+
+    def order_call(self, order: WeightOrder) -> Call:
+        """See `OrderDialect`."""
+        document = _Order(
+            operation="Version",
+            model=order.model,
+            version=order.version,
+            manner=MANNER,
+            holder=order.holder,
+            fencing_token=order.fencing_token,
+            expected_rev=order.expected_sequence,
+        )
+        instance = HeaderField(HEADER_NAMES.instance.encode(), order.instance.encode())
+        return Call("POST", ORDER_PATH, msgspec.json.encode(document), (instance,))
+
+    def read_order_reply(self, reply: Reply) -> OrderReply:
+        """See `OrderDialect`."""
+        return _REPLIES.get(reply.status, OrderReply.REFUSED)
+
+    def report_call(self) -> Call:
+        """See `OrderDialect`."""
+        return Call("GET", REPORT_PATH)
+
+    def read_report(self, reply: Reply) -> ServerReport | None:
+        """See `OrderDialect`."""
+        if reply.status != 200:
+            return None
+        try:
+            report = msgspec.json.decode(reply.body, type=_Report)
+        except msgspec.MsgspecError:
+            return None
+        versions = {model.name: model.version for model in report.models}
+        return ServerReport(versions, report.busy, report.sequence)
--- a/src/milletcourse/prefix/belief.py
+++ b/src/milletcourse/prefix/belief.py
@@ -9,8 +9,10 @@
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Sequence
+from typing import TYPE_CHECKING
 
-from milletcourse.prefix.blocks import BlockHash
+if TYPE_CHECKING:
+    from milletcourse.prefix.blocks import BlockHash
 
 DEFAULT_MAX_BLOCKS_PER_ENGINE = 4096
 """Above the cache size of an engine at today's sizes; bounds memory per followed engine."""
