Refuse requests that come late in a planned stop; wait longer for a queueing server

Repeatable streams left a queueing server after 1.2 s. Change: after 2.6 s new requests get 503 with Retry-After; the first event may take 2.5 target latencies.

--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -50,6 +50,7 @@
         self.log = log
         self.table: RouteTable | None = None
         self.stopping = False
+        self.refusing = False
         self.loop = asyncio.get_running_loop()
         bounds = settings.bounds
         self.freshness = ProofOfFreshness(
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/exchange_runner.py
@@ -12,6 +12,7 @@
     AnswerLost,
     ConfigurationStale,
     DeadlineUnreachable,
+    Draining,
     Failure,
     FailureError,
     NoEngineAvailable,
@@ -40,7 +41,7 @@
 PRIORITY_STEP = 3
 """Ranks of a route within one rank of a tenant."""
 LOWEST_RANK = 9
-FIRST_EVENT_TARGETS = 1.5
+FIRST_EVENT_TARGETS = 2.5
 """A repeatable request leaves a server that is silent for this many target latencies."""
 MIN_SILENCE_SECONDS = 1.0
 EVENT_GAPS = 2.0
@@ -79,6 +80,8 @@
 
     def _open(self, received: ClientRequest, client: ClientConnection) -> Exchange:
         context = self._context
+        if context.refusing:
+            raise FailureError(Draining("this gateway stops", context.retry_after()))
         table = context.table
         if table is None:
             raise FailureError(NotReady("no configuration yet", context.retry_after()))
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -30,8 +30,6 @@
 TARGET_WAIT_SECONDS = 3.0
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
-CLOSE_IDLE_SECONDS = 3.6
-"""Idle connections are kept this long after a stop signal, so that their next request is served."""
 GRACE_MARGIN_SECONDS = 0.5
 """All work has ended this long before the kill."""
 
@@ -126,9 +124,10 @@
         began = context.now()
         end_at = began + context.settings.bounds.grace - GRACE_MARGIN_SECONDS
         await asyncio.sleep(LEAVE_ENTRY_SECONDS)
+        # A request taken later than this might not end within the grace time.
+        context.refusing = True
         for listener in self._listeners:
             listener.close()
-        await asyncio.sleep(max(began + CLOSE_IDLE_SECONDS - context.now(), 0.0))
         while self._clients and context.now() < end_at:
             for client in list(self._clients):
                 if client.is_idle:
