Read a server's report before an order; learn from refused versions; take back waiting work in time

Each first order was refused (409): the entry's sequence counts heartbeats, not orders. Ruled out: a lost watch (all nodes knew version 2 at 2.03 s). Change: work that has not begun is taken back 0.2 s before its version's bound; the report is read before an order; a 421 from the expected incarnation says that its weights have moved on.

--- a/src/milletcourse/exchange/dialect.py
+++ b/src/milletcourse/exchange/dialect.py
@@ -59,6 +59,7 @@
     priority: str = "Milletcourse-Priority"
     signature: str = "Milletcourse-Signature"
     not_executed: str = "Milletcourse-Not-Executed"
+    answer_instance: str = "Milletcourse-Answer-Instance"
     answer_weight_version: str = "Milletcourse-Answer-Weight-Version"
     router_only: tuple[str, ...] = ()
     """Further fields that only a router may set; dropped from what a client sends."""
@@ -78,6 +79,7 @@
         self._prompt_parts = names.prompt_parts.lower().encode()
         self._signature = names.signature.lower().encode()
         self._not_executed = names.not_executed.lower().encode()
+        self._answer_instance = names.answer_instance.lower().encode()
         self._answer_version = names.answer_weight_version.lower().encode()
         set_by_router = (
             names.key,
@@ -218,6 +220,7 @@
             fields=kept,
             request_id=_text(values.get(self._request_id)),
             signed=self._signature in values,
+            instance=_text(values.get(self._answer_instance)),
             not_executed=self._not_executed in values,
             weight_version=int(version) if version.isdigit() else None,
             keep_alive_seconds=_keep_alive_seconds(values.get(b"keep-alive")),
--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/instance_table.py
@@ -14,6 +14,8 @@
 
 DOUBT_SECONDS = 4.0
 """An entry that vanished in an unstable time is kept this long after the store is back."""
+VERSION_DOUBT_SECONDS = 0.3
+"""A server whose weight version isn't known gets no new work this long when others are free."""
 LATENCY_GAIN = 0.2
 """Weight of the newest sample in a server's mean latency."""
 INITIAL_LATENCY_SECONDS = 0.05
@@ -39,6 +41,7 @@
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.vanished_at: float | None = None
         self._versions = dict(record.weight_versions)
+        self._assumed: dict[str, int] = {}
 
     @property
     def name(self) -> str:
@@ -47,7 +50,22 @@
 
     def version(self, model: str) -> int | None:
         """Version of a model's weights that it is believed to have."""
-        return self._versions.get(model)
+        known = self._versions.get(model)
+        assumed = self._assumed.get(model)
+        if known is None or assumed is None:
+            return known
+        return max(known, assumed)
+
+    def on_version_refused(self, model: str, refused: int, newest: int | None, now: float) -> None:
+        """It refused a request for a version: it must have moved on, as far as is known."""
+        if self._assumed.get(model) == refused:
+            # The assumption was wrong: wait until the discovery or a peer tells.
+            del self._assumed[model]
+            self.health.on_order(now + VERSION_DOUBT_SECONDS)
+        elif newest is not None and newest > refused:
+            self._assumed[model] = newest
+        else:
+            self.health.on_order(now + VERSION_DOUBT_SECONDS)
 
     def note_version(self, model: str, version: int) -> bool:
         """An answer or report showed a version; versions only rise within an incarnation."""
@@ -55,6 +73,8 @@
         if known is not None and known >= version:
             return False
         self._versions[model] = version
+        if self._assumed.get(model, version) <= version:
+            self._assumed.pop(model, None)
         self.health.on_ready()
         return True
 
--- a/src/milletcourse/exchange/messages.py
+++ b/src/milletcourse/exchange/messages.py
@@ -102,6 +102,7 @@
         fields: Header fields that may be passed on.
         request_id: Identity of the request that it answers; empty when missing.
         signed: It carries the server's signature.
+        instance: Incarnation that answers; empty when it isn't told.
         not_executed: The server says that the request has not run and will not.
         weight_version: Version of the weights that it tells, None when missing.
         keep_alive_seconds: Idle time after which the server closes, None when not told.
@@ -117,6 +118,7 @@
     fields: list[HeaderField]
     request_id: str
     signed: bool
+    instance: str
     not_executed: bool
     weight_version: int | None
     keep_alive_seconds: float | None
@@ -145,7 +147,9 @@
     TURNED_AWAY = "turned-away"
     """The server said that it did not run."""
     WRONG_INSTANCE = "wrong-instance"
-    """Another incarnation or another weight version answered; it did not run."""
+    """Another incarnation answered; it did not run."""
+    WRONG_VERSION = "wrong-version"
+    """The incarnation has another weight version; it did not run."""
     LOST = "lost"
     """The connection ended, was silent or garbled after the request was sent; it may have run."""
     FAILED = "failed"
--- a/src/milletcourse/exchange/roll_out.py
+++ b/src/milletcourse/exchange/roll_out.py
@@ -21,6 +21,11 @@
 INITIAL_LOAD_SECONDS = 0.8
 """Assumed time of one load with its order, until one was measured."""
 LOAD_GAIN = 0.3
+MAX_LOAD_SECONDS = 2.5
+"""Longer loads were held up by something else, and don't count fully."""
+FIRST_LOOK_SHARE = 0.85
+"""A load is first looked at after this share of its usual time."""
+LOOK_AGAIN_SECONDS = 0.12
 UNANSWERED_SECONDS = 0.4
 """An order without an answer is looked into after this time."""
 STUCK_SECONDS = 3.0
@@ -79,12 +84,26 @@
     sequence: int
 
 
+class _Phase(Enum):
+    """How far a load has come."""
+
+    LOOKING = "looking"
+    """The server's report is wanted before the order: it tells the orders taken so far."""
+    READY = "ready"
+    """The report is there; the order may be given."""
+    ORDERED = "ordered"
+    """The order was sent; its answer is not known, or is lost."""
+    TAKEN = "taken"
+    """The server takes the weights."""
+
+
 class _Load(msgspec.Struct):
     model: str
     version: int
-    ordered_at: float
+    began_at: float
     look_at: float
-    taken: bool = False
+    phase: _Phase = _Phase.LOOKING
+    sequence: int = 0
 
 
 class RollOut:
@@ -94,7 +113,6 @@
         self._gate = gate
         self._loads: dict[str, _Load] = {}
         self._not_before: dict[str, float] = {}
-        self._sequences: dict[str, int] = {}
         self.load_seconds = INITIAL_LOAD_SECONDS
 
     def has_work(self, instances: Iterable[Instance]) -> bool:
@@ -113,12 +131,21 @@
         parallel = max(MIN_PARALLEL, len(served) // PARALLEL_SHARE)
         room = parallel - len(self._loads)
         waiting = self._waiting(served, now)
-        orders = []
         while room > 0 and waiting and self._is_due(waiting, parallel, now):
             _, instance, model = waiting.pop(0)
-            orders.append(self._order(instance, model, now, holder, fencing_token))
+            version = self._gate.newest(model)
+            assert version is not None
+            self._loads[instance.name] = _Load(model, version, now, now)
             room -= 1
-        return orders
+        return [
+            self._order(instance, now, holder, fencing_token)
+            for instance in served
+            if self._is_ready(instance)
+        ]
+
+    def _is_ready(self, instance: Instance) -> bool:
+        load = self._loads.get(instance.name)
+        return load is not None and load.phase is _Phase.READY
 
     def _waiting(
         self, instances: list[Instance], now: float
@@ -156,19 +183,21 @@
         return None
 
     def _order(
-        self, instance: Instance, model: str, now: float, holder: str, fencing_token: int
+        self, instance: Instance, now: float, holder: str, fencing_token: int
     ) -> WeightOrder:
-        version = self._gate.newest(model)
-        assert version is not None
-        self._loads[instance.name] = _Load(model, version, now, now + UNANSWERED_SECONDS)
+        load = self._loads[instance.name]
+        load.version = max(load.version, self._gate.newest(load.model) or 0)
+        load.phase = _Phase.ORDERED
+        load.began_at = now
+        load.look_at = now + UNANSWERED_SECONDS
         return WeightOrder(
             instance=instance.name,
             address=instance.record.address,
-            model=model,
-            version=version,
+            model=load.model,
+            version=load.version,
             holder=holder,
             fencing_token=fencing_token,
-            expected_sequence=self._sequences.get(instance.name, instance.record.sequence),
+            expected_sequence=load.sequence,
         )
 
     # -- what servers answer --------------------------------------------------------------------
@@ -179,15 +208,15 @@
         if load is None:
             return
         if reply is OrderReply.TAKEN:
-            load.taken = True
-            load.ordered_at = now
-            load.look_at = now + self.load_seconds * 0.85
+            load.phase = _Phase.TAKEN
+            load.began_at = now
+            load.look_at = now + self.load_seconds * FIRST_LOOK_SHARE
         elif reply is OrderReply.HOLDS:
             self._finish(instance, load)
         elif reply is OrderReply.UNANSWERED:
             load.look_at = now + UNANSWERED_SECONDS
         elif reply is OrderReply.BUSY:
-            load.look_at = now
+            load.look_at = now + LOOK_AGAIN_SECONDS
         else:
             self._give_up(instance, now)
 
@@ -209,25 +238,31 @@
         """A server's report arrived, or None when it did not."""
         load = self._loads.get(instance.name)
         if report is not None:
-            self._sequences[instance.name] = report.sequence
             for model, version in report.weight_versions.items():
                 instance.note_version(model, version)
         if load is None:
             return
         if report is None:
-            if now - load.ordered_at > STUCK_SECONDS:
+            if now - load.began_at > STUCK_SECONDS or load.phase is _Phase.LOOKING:
                 self._give_up(instance, now)
-        elif report.weight_versions.get(load.model, 0) >= load.version:
-            if load.taken:
-                spent = now - load.ordered_at
-                self.load_seconds += LOAD_GAIN * (spent - self.load_seconds)
+            return
+        load.sequence = report.sequence
+        if report.weight_versions.get(load.model, 0) >= load.version:
+            self._measure(load, now)
             self._finish(instance, load)
         elif report.busy:
-            load.look_at = now + 0.15
-        elif not load.taken or now - load.ordered_at > STUCK_SECONDS:
-            del self._loads[instance.name]
+            load.look_at = now + LOOK_AGAIN_SECONDS
+        elif load.phase is not _Phase.TAKEN or now - load.began_at > STUCK_SECONDS:
+            load.phase = _Phase.READY
+            load.look_at = float("inf")
         else:
-            load.look_at = now + 0.15
+            load.look_at = now + LOOK_AGAIN_SECONDS
+
+    def _measure(self, load: _Load, now: float) -> None:
+        if load.phase is not _Phase.TAKEN:
+            return
+        spent = min(now - load.began_at, MAX_LOAD_SECONDS)
+        self.load_seconds += LOAD_GAIN * (spent - self.load_seconds)
 
     def reset(self) -> None:
         """The lease was lost: forget what was ordered."""
--- a/src/milletcourse/exchange/version_gate.py
+++ b/src/milletcourse/exchange/version_gate.py
@@ -12,6 +12,8 @@
 
 USE_MARGIN_SECONDS = 1.0
 """An older version gets no new work this long before its bound."""
+START_MARGIN_SECONDS = 0.2
+"""Work that waits at a server is taken back this long before the bound of the server's version."""
 UNKNOWN_AGE_USE_SECONDS = 2.5
 """A gateway that starts can't know when a version was named; it lets older ones run this long,
 less than the time after which a started machine is held to the bound."""
@@ -61,6 +63,11 @@
         bound = self.bound_of(model, version)
         return bound is None or now < bound - USE_MARGIN_SECONDS
 
+    def start_by(self, model: str, version: int) -> float:
+        """Time by which work on a version must have started; infinite while it is the newest."""
+        bound = self.bound_of(model, version)
+        return float("inf") if bound is None else bound - START_MARGIN_SECONDS
+
     def forget_before(self, now: float) -> None:
         """Drop versions that were superseded long ago; the first newer one keeps the bound."""
         for named in self._named.values():
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/exchange_runner.py
@@ -144,6 +144,7 @@
         self._connection: ServerConnection | None = None
         self._end_cause: EndCause | None = None
         self._waiting_tokens = 0
+        self._sent_version: int | None = None
         self._quiet_until = float("inf")
         self._quiet_timer: asyncio.TimerHandle | None = None
         self._failure: ServerFailure | None = None
@@ -240,7 +241,8 @@
         if result is AttemptResult.ANSWERED:
             instance.on_result(result, self._context.now())
             return
-        self._tried.add(instance.name)
+        if result is not AttemptResult.WRONG_VERSION:
+            self._tried.add(instance.name)
         if self._end_cause is EndCause.CLIENT_GONE or self._stream_begun_in_time():
             instance.health.on_aborted()
         else:
@@ -279,6 +281,7 @@
 
     def _dispatch(self, instance: Instance) -> Dispatch:
         version = instance.version(self._request.model) if self._service.models else None
+        self._sent_version = version
         dispatch = Dispatch(
             instance=instance.name,
             deadline_seconds=self._seconds_left(),
@@ -316,7 +319,7 @@
     # -- answers --------------------------------------------------------------------------------
 
     async def _receive(self, connection: ServerConnection, instance: Instance) -> AttemptResult:
-        self._expect_within(self._first_event_seconds())
+        self._expect_within(min(self._first_event_seconds(), self._seconds_to_start()))
         event = await connection.next_event()
         if event.head is None:
             return self._lost(connection)
@@ -325,13 +328,15 @@
             instance.note_version(self._request.model, head.weight_version)
         if head.successful and head.event_stream and self._route.streaming:
             return await self._relay_stream(connection, instance, head)
-        return await self._take_whole(connection, head)
+        return await self._take_whole(connection, instance, head)
 
     def _lost(self, connection: ServerConnection) -> AttemptResult:
         connection.abort()
         return AttemptResult.CUT if self._stream_begun else AttemptResult.LOST
 
-    async def _take_whole(self, connection: ServerConnection, head: AnswerHead) -> AttemptResult:
+    async def _take_whole(
+        self, connection: ServerConnection, instance: Instance, head: AnswerHead
+    ) -> AttemptResult:
         pieces: list[bytes] = []
         size = 0
         while True:
@@ -344,11 +349,11 @@
             if event.complete:
                 break
         self._context.pool.release(connection)
-        return self._judge_whole(head, b"".join(pieces))
+        return self._judge_whole(instance, head, b"".join(pieces))
 
-    def _judge_whole(self, head: AnswerHead, body: bytes) -> AttemptResult:
+    def _judge_whole(self, instance: Instance, head: AnswerHead, body: bytes) -> AttemptResult:
         if head.status == 421:
-            return AttemptResult.WRONG_INSTANCE
+            return self._judge_misdirected(instance, head)
         if head.not_executed:
             return AttemptResult.TURNED_AWAY
         if head.encoded or head.status in (408, 429, 503):
@@ -364,6 +369,14 @@
         self._failure = ServerFailure(head, body)
         return AttemptResult.FAILED
 
+    def _judge_misdirected(self, instance: Instance, head: AnswerHead) -> AttemptResult:
+        model = self._request.model
+        if self._sent_version is None or head.instance not in ("", instance.name):
+            return AttemptResult.WRONG_INSTANCE
+        newest = self._context.gate.newest(model)
+        instance.on_version_refused(model, self._sent_version, newest, self._context.now())
+        return AttemptResult.WRONG_VERSION
+
     async def _relay_stream(
         self, connection: ServerConnection, instance: Instance, head: AnswerHead
     ) -> AttemptResult:
@@ -430,6 +443,13 @@
             return float("inf")
         return max(self._route.target_latency_seconds * FIRST_EVENT_TARGETS, MIN_SILENCE_SECONDS)
 
+    def _seconds_to_start(self) -> float:
+        """Time until work on the server's weight version may not start any more."""
+        if self._sent_version is None:
+            return float("inf")
+        start_by = self._context.gate.start_by(self._request.model, self._sent_version)
+        return max(start_by - self._context.now(), 0.0)
+
     def _expect_within(self, seconds: float) -> None:
         """Leave the server when it is silent for longer; one lazy timer serves all waits."""
         self._quiet_until = self._loop.time() + seconds
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -22,6 +22,7 @@
     priority="Request-Priority",
     signature="Server-Signature",
     not_executed="Not-Executed",
+    answer_instance="Instance-Id",
     answer_weight_version="Weight-Versions",
     router_only=("Kv-From", "Kv-Backup", "Hold", "Pin-Ms"),
 )
