Gateways tell each other their load on servers and the state of orders

Change: datagrams on the internal ports (own load when it changes, at most every 0.1 s; order notices at once), gateways listed in the object store.

--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -15,6 +15,7 @@
 
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.peer_messages import PeerLoads
 from milletcourse.exchange.records import ServiceRecord
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.prefix.belief import BeliefIndex
@@ -78,10 +79,16 @@
     """Chooses servers, and remembers which prompts they were sent."""
 
     def __init__(
-        self, table: InstanceTable, gate: VersionGate, zone: str, random_source: random.Random
+        self,
+        table: InstanceTable,
+        gate: VersionGate,
+        peer_loads: PeerLoads,
+        zone: str,
+        random_source: random.Random,
     ) -> None:
         self._table = table
         self._gate = gate
+        self._peer_loads = peer_loads
         self._zone = zone
         self._random = random_source
         self._rings: dict[str, tuple[int, HomeRing]] = {}
@@ -108,8 +115,8 @@
         if not candidates:
             return None
         if service.models:
-            return self._choose_engine(service, request, scope, candidates)
-        return min(candidates, key=self._application_cost)
+            return self._choose_engine(service, request, scope, candidates, now)
+        return min(candidates, key=lambda instance: self._application_cost(instance, now))
 
     def _candidates(
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
@@ -141,6 +148,7 @@
         request: ExchangeRequest,
         scope: str,
         candidates: Sequence[Instance],
+        now: float,
     ) -> Instance:
         chains: dict[int | None, PromptChain] = {}
         home = self._home(service, request, scope, candidates)
@@ -151,7 +159,7 @@
             chain = chains.get(version)
             if chain is None:
                 chain = chains[version] = prompt_chain(request, f"{scope}@{version}")
-            cost = self._engine_cost(instance, request, chain, instance.name == home)
+            cost = self._engine_cost(instance, request, chain, instance.name == home, now)
             if cost < best_cost:
                 best, best_cost = instance, cost
         return best
@@ -180,10 +188,17 @@
         return cached[1]
 
     def _engine_cost(
-        self, instance: Instance, request: ExchangeRequest, chain: PromptChain, is_home: bool
+        self,
+        instance: Instance,
+        request: ExchangeRequest,
+        chain: PromptChain,
+        is_home: bool,
+        now: float,
     ) -> float:
-        waiting = instance.in_flight_tokens / PREFILL_TOKENS_PER_SECOND
-        running = instance.in_flight * RUNNING_SECONDS
+        others = self._peer_loads
+        waiting_tokens = instance.in_flight_tokens + others.waiting_tokens(instance.key, now)
+        waiting = waiting_tokens / PREFILL_TOKENS_PER_SECOND
+        running = (instance.in_flight + others.running(instance.key, now)) * RUNNING_SECONDS
         depth = self.belief.held_blocks(instance.name, chain.keys)
         held = float(chain.tokens[depth - 1]) if depth else 0.0
         if is_home:
@@ -195,6 +210,13 @@
         zone = 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
         return waiting + running + reading + zone + self._random.random() * 0.002
 
+    def work_tokens(self, instance: Instance, request: ExchangeRequest, scope: str) -> int:
+        """Prompt tokens that the server will have to read for a request."""
+        chain = prompt_chain(request, f"{scope}@{instance.version(request.model)}")
+        depth = self.belief.held_blocks(instance.name, chain.keys)
+        held = chain.tokens[depth - 1] if depth else 0
+        return max(request.prompt_tokens - held, 0)
+
     def note_sent(self, instance: Instance, request: ExchangeRequest, scope: str) -> None:
         """The server reads this prompt now, and keeps it."""
         version = instance.version(request.model)
@@ -209,8 +231,9 @@
 
     # -- applications ---------------------------------------------------------------------------
 
-    def _application_cost(self, instance: Instance) -> float:
+    def _application_cost(self, instance: Instance, now: float) -> float:
         latency = instance.latency_seconds
         zone = 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
         jitter = self._random.random() * JITTER_SHARE
-        return (instance.in_flight + 1 + jitter) * latency + zone
+        in_flight = instance.in_flight + self._peer_loads.running(instance.key, now)
+        return (in_flight + 1 + jitter) * latency + zone
--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/instance_table.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Iterator
 
 from milletcourse.exchange.messages import AttemptResult
+from milletcourse.exchange.peer_messages import instance_key
 from milletcourse.exchange.records import InstanceRecord
 from milletcourse.exchange.server_health import ServerHealth
 
@@ -26,6 +27,7 @@
 
     Attributes:
         record: Latest record of the discovery.
+        key: Short identity in messages between gateways.
         health: Outlier ejection.
         in_flight: Requests of this node that it works on.
         in_flight_tokens: Prompt tokens of this node's requests that have no first event yet.
@@ -35,6 +37,7 @@
 
     def __init__(self, record: InstanceRecord) -> None:
         self.record = record
+        self.key = instance_key(record.name)
         self.health = ServerHealth()
         self.in_flight = 0
         self.in_flight_tokens = 0
--- /dev/null
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -0,0 +1,133 @@
+"""What gateways tell each other: their load on servers and the state of orders; no input/output.
+
+Messages are small and may be lost: each carries the sender's whole current load, and a notice is
+repeated for a while. Nothing depends on them but speed: what they don't tell is learnt from
+servers' answers and from the discovery.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+import xxhash
+
+STALE_SECONDS = 1.0
+"""Load told by a peer counts this long unless it is told again."""
+NOTICE_REPEATS = 3
+"""Times that a notice is sent, against loss."""
+
+
+class OrderState(IntEnum):
+    """State of a server under an order."""
+
+    LOADING = 1
+    READY = 2
+
+
+class InstanceLoad(msgspec.Struct, array_like=True, frozen=True):
+    """Load of one gateway on one server.
+
+    Attributes:
+        key: Hash of the server's name.
+        waiting_tokens: Prompt tokens to be read for requests without a first event.
+        running: Requests that the server works on.
+    """
+
+    key: int
+    waiting_tokens: int
+    running: int
+
+
+class OrderNotice(msgspec.Struct, array_like=True, frozen=True):
+    """A server takes, or has taken, a weight version."""
+
+    instance: str
+    model: str
+    version: int
+    state: OrderState
+
+
+class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
+    """One datagram.
+
+    Attributes:
+        sender: Name of the gateway.
+        sequence: Rises with each message of a process.
+        loads: Servers with load; others have none.
+        notices: Orders of the last moments.
+        holds_lease: The sender rolls weight versions out.
+    """
+
+    sender: str
+    sequence: int
+    loads: list[InstanceLoad] = []
+    notices: list[OrderNotice] = []
+    holds_lease: bool = False
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Bytes of a datagram."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> PeerMessage | None:
+    """Understand a datagram; None when it is none of ours."""
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
+
+
+def instance_key(name: str) -> int:
+    """Short identity of a server in messages; a collision only blurs two loads."""
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+class _PeerLoad(msgspec.Struct):
+    sequence: int
+    heard_at: float
+    loads: dict[int, InstanceLoad]
+
+
+class PeerLoads:
+    """Load of all other gateways on each server."""
+
+    def __init__(self) -> None:
+        self._peers: dict[str, _PeerLoad] = {}
+        self._holder_heard_at = float("-inf")
+
+    def on_message(self, message: PeerMessage, now: float) -> bool:
+        """Take a message; False when it is older than one already taken."""
+        known = self._peers.get(message.sender)
+        recent = known is not None and now - known.heard_at < STALE_SECONDS
+        if known is not None and recent and message.sequence <= known.sequence:
+            return False
+        loads = {load.key: load for load in message.loads}
+        self._peers[message.sender] = _PeerLoad(message.sequence, now, loads)
+        if message.holds_lease:
+            self._holder_heard_at = now
+        return True
+
+    def waiting_tokens(self, key: int, now: float) -> int:
+        """Prompt tokens that other gateways have waiting at a server."""
+        return sum(load.waiting_tokens for load in self._loads(key, now))
+
+    def running(self, key: int, now: float) -> int:
+        """Requests of other gateways that a server works on."""
+        return sum(load.running for load in self._loads(key, now))
+
+    def holder_age(self, now: float) -> float:
+        """Seconds since the holder of the roll-out's lease was heard."""
+        return now - self._holder_heard_at
+
+    def _loads(self, key: int, now: float) -> list[InstanceLoad]:
+        return [
+            peer.loads[key]
+            for peer in self._peers.values()
+            if key in peer.loads and now - peer.heard_at < STALE_SECONDS
+        ]
--- a/src/milletcourse/gateway/adapter.py
+++ b/src/milletcourse/gateway/adapter.py
@@ -21,6 +21,7 @@
         configuration_name: Name of the one object that holds it.
         instances: Kind of the servers' entries.
         targets: Kind of the named weight versions.
+        gateways: Kind of the list of gateways.
         leases: Kind of the leases of the gateways.
         roll_out_lease: Name of the roll-out's lease.
     """
@@ -29,6 +30,7 @@
     configuration_name: str
     instances: str
     targets: str
+    gateways: str
     leases: str
     roll_out_lease: str
 
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -14,7 +14,9 @@
 from milletcourse.exchange.instance_selector import InstanceSelector
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
+from milletcourse.exchange.peer_messages import InstanceLoad, PeerLoads
 from milletcourse.exchange.records import EdgeLimits, RouteRecord
+from milletcourse.exchange.roll_out import INITIAL_LOAD_SECONDS
 from milletcourse.exchange.route_table import RouteTable
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
@@ -58,7 +60,11 @@
         )
         self.instances = InstanceTable()
         self.gate = VersionGate(bounds.version)
-        self.selector = InstanceSelector(self.instances, self.gate, settings.zone, random_source)
+        self.peer_loads = PeerLoads()
+        self.load_seconds = INITIAL_LOAD_SECONDS
+        self.selector = InstanceSelector(
+            self.instances, self.gate, self.peer_loads, settings.zone, random_source
+        )
         self.weights = WeightedChoice(random_source)
         self.pool = ConnectionPool(dialect)
         self._budgets: dict[str, RetryBudget] = {}
@@ -75,6 +81,14 @@
         self.gate.bound_seconds = bounds.version
         self._budgets.clear()
 
+    def own_loads(self) -> list[InstanceLoad]:
+        """This gateway's load on each server that has some."""
+        return [
+            InstanceLoad(instance.key, instance.in_flight_tokens, instance.in_flight)
+            for instance in self.instances
+            if instance.in_flight
+        ]
+
     def limits(self) -> EdgeLimits:
         """Bounds on what clients send; defaults before the first configuration."""
         return self.table.limits if self.table is not None else EdgeLimits()
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/exchange_runner.py
@@ -219,7 +219,8 @@
         return self._tenant is None or self._context.freshness.allows_keys(self._context.now())
 
     async def _attempt(self, instance: Instance) -> AttemptResult:
-        tokens = self._request.prompt_tokens
+        selector = self._context.selector
+        tokens = selector.work_tokens(instance, self._request, self._scope())
         instance.in_flight += 1
         instance.in_flight_tokens += tokens
         instance.health.on_dispatch(self._context.now())
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -16,6 +16,7 @@
 from milletcourse.gateway.exchange_runner import ExchangeRunner
 from milletcourse.gateway.kind_watch import KindWatch
 from milletcourse.gateway.object_store import ObjectStoreClient
+from milletcourse.gateway.peers import PeerExchange
 from milletcourse.gateway.refusals import refuse
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
@@ -28,6 +29,8 @@
 hung watch is noticed within the bound on a change."""
 INSTANCE_WAIT_SECONDS = 1.5
 TARGET_WAIT_SECONDS = 3.0
+PEER_WAIT_SECONDS = 10.0
+"""Gateways come seldom, and nothing but speed depends on knowing them."""
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
 GRACE_MARGIN_SECONDS = 0.5
@@ -54,6 +57,8 @@
         self.frontend_address = settings.frontend
         self._calls = CallClient(self.context.pool)
         self._store = ObjectStoreClient(settings.store, adapter.store, self._calls)
+        self._peers = PeerExchange(self.context, self._store, adapter.kinds.gateways)
+        self._registration: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
@@ -75,6 +80,7 @@
         for kind, sink, wait_seconds in watches:
             watch = KindWatch(self._store, kind, sink, wait_seconds, self._random)
             self._spawn(watch.run())
+        await self._start_peers()
         roll_out = RollOutService(
             self.context,
             self._store,
@@ -82,11 +88,29 @@
             kinds.roll_out_lease,
             self._calls,
             self._adapter.orders,
+            self._peers,
         )
         self._spawn(roll_out.run())
         self._spawn(self._sweep())
         self.context.log.emit("started", frontend=self.frontend_address)
 
+    async def _start_peers(self) -> None:
+        """Exchange load and notices with the other gateways, where ports are free for it."""
+        settings = self.context.settings
+        port = settings.internal_ports[0]
+        if port == 0:
+            return
+        address = (settings.host, port)
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self._peers, local_addr=address
+        )
+        kind = self._adapter.kinds.gateways
+        watch = KindWatch(self._store, kind, self._peers, PEER_WAIT_SECONDS, self._random)
+        self._spawn(watch.run())
+        self._spawn(self._peers.run())
+        await_register = self._peers.register(f"{settings.host}:{port}")
+        self._registration = asyncio.get_running_loop().create_task(await_register)
+
     async def _listen(self, address: str, handler: Handler) -> str:
         """Listen at an address; port 0 takes a free one. Returns the address taken."""
         host, _, port = address.rpartition(":")
@@ -150,6 +174,9 @@
             listener.close()
         for client in list(self._clients):
             client.cut()
+        if self._registration is not None:
+            self._registration.cancel()
+        self._peers.close()
         self.context.pool.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- /dev/null
+++ b/src/milletcourse/gateway/peers.py
@@ -0,0 +1,174 @@
+"""Datagrams between gateways, and the list of gateways in the object store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import msgspec
+
+from milletcourse.exchange.peer_messages import (
+    NOTICE_REPEATS,
+    InstanceLoad,
+    OrderNotice,
+    OrderState,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.object_store import (
+    ObjectChange,
+    ObjectStoreClient,
+    StoredObject,
+    StoreError,
+    StoreProblem,
+)
+
+SEND_SECONDS = 0.1
+"""Changed load is told this often."""
+REPEAT_SECONDS = 0.5
+"""Unchanged load is told again, before it counts as stale."""
+REGISTER_RETRY_SECONDS = 1.0
+MAX_PEERS = 64
+"""Larger deployments would need digests; see docs/CAPACITY.md."""
+
+
+class PeerEntry(msgspec.Struct, frozen=True):
+    """A gateway in the object store."""
+
+    address: str
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Tells the other gateways this one's load and orders, and takes theirs."""
+
+    def __init__(self, context: GatewayContext, store: ObjectStoreClient, kind: str) -> None:
+        self._context = context
+        self._store = store
+        self._kind = kind
+        self._peers: dict[str, tuple[str, int]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sequence = 0
+        self._notices: list[tuple[OrderNotice, int]] = []
+        self._told: list[InstanceLoad] = []
+        self._told_at = 0.0
+        self.holds_lease = False
+
+    # -- list of gateways -----------------------------------------------------------------------
+
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        """See `KindSink`."""
+        self._peers.clear()
+        for stored in objects:
+            self._note(stored)
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        """See `KindSink`."""
+        for change in changes:
+            if change.gone:
+                self._peers.pop(change.stored.name, None)
+            else:
+                self._note(change.stored)
+
+    def on_unavailable(self) -> None:
+        """See `KindSink`: the known gateways stay known."""
+
+    def _note(self, stored: StoredObject) -> None:
+        if stored.name == self._context.settings.name or len(self._peers) >= MAX_PEERS:
+            return
+        try:
+            entry = msgspec.json.decode(stored.spec, type=PeerEntry)
+            host, _, port = entry.address.rpartition(":")
+            self._peers[stored.name] = (host, int(port))
+        except (msgspec.MsgspecError, ValueError):
+            self._context.log.emit("object-malformed", name=stored.name)
+
+    async def register(self, address: str) -> None:
+        """Enter this gateway into the list, once the store takes it."""
+        name = self._context.settings.name
+        spec = msgspec.json.encode(PeerEntry(address))
+        while True:
+            try:
+                await self._store.create(self._kind, name, spec)
+                return
+            except StoreError as error:
+                current = error.current if error.problem is StoreProblem.CONFLICT else None
+                if current is not None and await self._correct(current, spec):
+                    return
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+
+    async def _correct(self, current: StoredObject, spec: bytes) -> bool:
+        """The entry of an earlier process is there: keep it when it is the same."""
+        if msgspec.json.decode(current.spec) == msgspec.json.decode(spec):
+            return True
+        try:
+            await self._store.replace(self._kind, current.name, spec, current.revision)
+        except StoreError:
+            return False
+        return True
+
+    # -- datagrams ------------------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See `asyncio.DatagramProtocol`."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """See `asyncio.DatagramProtocol`."""
+        message = decode_message(data)
+        if message is None or addr not in self._peers.values():
+            return
+        now = self._context.now()
+        if not self._context.peer_loads.on_message(message, now):
+            return
+        for notice in message.notices:
+            self._take_notice(notice, now)
+
+    def _take_notice(self, notice: OrderNotice, now: float) -> None:
+        instance = self._context.instances.get(notice.instance)
+        if instance is None:
+            return
+        if notice.state is OrderState.READY:
+            instance.note_version(notice.model, notice.version)
+        elif (instance.version(notice.model) or 0) < notice.version:
+            instance.health.on_order(now + self._context.load_seconds)
+
+    def notify(self, notice: OrderNotice) -> None:
+        """Tell all gateways about an order at once; repeated in the next messages."""
+        self._notices.append((notice, NOTICE_REPEATS))
+        self._send(self._context.now())
+
+    async def run(self) -> None:
+        """Tell changed load until cancelled."""
+        while True:
+            await asyncio.sleep(SEND_SECONDS)
+            now = self._context.now()
+            loads = self._context.own_loads()
+            changed = loads != self._told
+            due = bool(loads or self.holds_lease) and now - self._told_at >= REPEAT_SECONDS
+            if changed or due or self._notices:
+                self._send(now)
+
+    def _send(self, now: float) -> None:
+        if self._transport is None or not self._peers:
+            return
+        self._sequence = max(self._sequence + 1, int(now * 1000))
+        self._told = self._context.own_loads()
+        self._told_at = now
+        message = PeerMessage(
+            self._context.settings.name,
+            self._sequence,
+            self._told,
+            [notice for notice, _ in self._notices],
+            self.holds_lease,
+        )
+        self._notices = [(notice, left - 1) for notice, left in self._notices if left > 1]
+        data = encode_message(message)
+        for address in self._peers.values():
+            self._transport.sendto(data, address)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -10,10 +10,12 @@
 
 from milletcourse.control.lease import LeaseClaim, LeaseSpec, LeaseTracker
 from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.peer_messages import OrderNotice, OrderState
 from milletcourse.exchange.roll_out import OrderReply, RollOut, ServerReport, WeightOrder
 from milletcourse.gateway.call_client import Call, CallClient, Reply
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.object_store import ObjectStoreClient, StoredObject, StoreError
+from milletcourse.gateway.peers import PeerExchange
 
 TICK_SECONDS = 0.1
 RENEW_SECONDS = 0.9
@@ -53,6 +55,7 @@
         lease_name: str,
         calls: CallClient,
         orders: OrderDialect,
+        peers: PeerExchange,
     ) -> None:
         self._context = context
         self._store = store
@@ -60,6 +63,7 @@
         self._lease_name = lease_name
         self._calls = calls
         self._orders = orders
+        self._peers = peers
         duration = context.settings.bounds.lease + LEASE_EXTRA_SECONDS
         self._lease = LeaseTracker(context.settings.name, duration)
         self._plan = RollOut(context.gate)
@@ -115,6 +119,7 @@
 
     def _note_holder(self) -> None:
         holder = self._lease.is_held(self._context.now())
+        self._peers.holds_lease = holder
         if holder == self._was_holder:
             return
         self._was_holder = holder
@@ -149,6 +154,8 @@
         if reply is not None:
             result = self._orders.read_order_reply(reply)
         self._plan.on_reply(instance, result, self._context.now())
+        if result is OrderReply.TAKEN:
+            self._notify(instance, order.model, order.version, OrderState.LOADING)
         self._context.log.emit(
             "weight-order",
             instance=order.instance,
@@ -163,6 +170,13 @@
         )
         report = self._orders.read_report(reply) if reply is not None else None
         self._plan.on_report(instance, report, self._context.now())
+        if report is None or report.busy:
+            return
+        for model, version in report.weight_versions.items():
+            self._notify(instance, model, version, OrderState.READY)
+
+    def _notify(self, instance: Instance, model: str, version: int, state: OrderState) -> None:
+        self._peers.notify(OrderNotice(instance.name, model, version, state))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -31,6 +31,7 @@
     configuration_name="main",
     instances="servers",
     targets="versions",
+    gateways="milletcourse-gateways",
     leases="milletcourse-leases",
     roll_out_lease="roll-out",
 )
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -17,6 +17,16 @@
 from milletcourse.exchange.freshness import ProofOfFreshness
 from milletcourse.exchange.instance_table import DOUBT_SECONDS, Instance, InstanceTable
 from milletcourse.exchange.messages import AttemptResult, Dispatch, HeaderField
+from milletcourse.exchange.peer_messages import (
+    InstanceLoad,
+    OrderNotice,
+    OrderState,
+    PeerLoads,
+    PeerMessage,
+    decode_message,
+    encode_message,
+    instance_key,
+)
 from milletcourse.exchange.records import (
     ExchangeConfiguration,
     InstanceRecord,
@@ -289,6 +299,39 @@
     assert set(fleet.versions.values()) == {4}
 
 
+# -- messages between gateways ------------------------------------------------------------------
+
+
+def test_loads_of_peers_add_up_and_grow_stale() -> None:
+    """The latest message of each peer counts, for a while; older and foreign ones don't."""
+    peers = PeerLoads()
+    key = instance_key("e-1")
+    assert peers.on_message(PeerMessage("a", 5, [InstanceLoad(key, 4000, 2)]), 1.0)
+    assert peers.on_message(PeerMessage("b", 1, [InstanceLoad(key, 1000, 1)]), 1.2)
+    assert not peers.on_message(PeerMessage("a", 4, []), 1.3)
+    assert peers.waiting_tokens(key, 1.5) == 5000
+    assert peers.running(key, 1.5) == 3
+    assert peers.on_message(PeerMessage("a", 6, []), 1.6)
+    assert peers.waiting_tokens(key, 1.7) == 1000
+    assert peers.waiting_tokens(key, 2.5) == 0
+    assert peers.on_message(PeerMessage("a", 1, [], holds_lease=True), 9.0)
+    assert peers.holder_age(10.0) == 1.0
+
+
+@given(st.binary(max_size=60))
+def test_foreign_datagrams_are_dropped(data: bytes) -> None:
+    """Whatever bytes come."""
+    message = decode_message(data)
+    assert message is None or isinstance(message, PeerMessage)
+
+
+def test_messages_survive_the_wire() -> None:
+    """Loads, notices and the lease flag."""
+    notice = OrderNotice("e-1", MODEL, 2, OrderState.LOADING)
+    message = PeerMessage("a", 7, [InstanceLoad(1, 2, 3)], [notice], True)
+    assert decode_message(encode_message(message)) == message
+
+
 # -- streams and header fields ------------------------------------------------------------------
 
 
