--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -25,7 +25,7 @@
 """Speed at which servers read prompts; the users' two fleets read 38,400 and 50,700."""
 RUNNING_SECONDS = 0.004
 """Estimated delay that each running request adds to a new one."""
-STORE_READ_SHARE = 0.3
+STORE_READ_SHARE = 0.7
 """Time to take kept state from a store, as a share of reading it again."""
 HOME_HELD_SHARE = 0.8
 """Chance that the home of a shared part has it by requests of other gateways."""
