--- /dev/null
+++ b/scripts/play_days.py
@@ -0,0 +1,111 @@
+"""Plays days of our own on the users' bench: each kind of trouble alone, then pairs that meet.
+
+Usage: python3 scripts/play_days.py BENCH SITE... [--only TEXT] [--jobs N] [--why TEXT]
+
+BENCH is the path of the bench's program and SITE that of a site file; both stay outside of this
+repository. The days stand in `bench/days.toml`. Prints one line for each day: served share, score's
+worth, broken rules. The exit code is 1 when a rule was broken or a day could not be played.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+import tomllib
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+CATALOGUE = Path(__file__).parent.parent / "bench" / "days.toml"
+DEFAULT_JOBS = 4
+VERSION_BUMPS_AT_SECONDS = (2.0, 7.0, 12.0)
+"""Weight versions are named on each day, since orders meet every trouble."""
+CONFIG_CHANGE_AT_SECONDS = 13.0
+
+
+@dataclass(frozen=True)
+class PlayedDay:
+    """What one day gave."""
+
+    site: str
+    name: str
+    served: float
+    worth: float
+    broken: str
+
+    def line(self) -> str:
+        """One line of the report."""
+        return (
+            f"{self.site:20} {self.name:36} served {self.served:.3f} worth {self.worth:.3f}"
+            f" {self.broken or 'rules kept'}"
+        )
+
+
+def day_document(entry: dict[str, Any]) -> str:
+    """The day in the form of the bench's own days."""
+    plan = [{"at": at, "kind": "version_bump", "count": 0} for at in VERSION_BUMPS_AT_SECONDS]
+    plan.append({"at": CONFIG_CHANGE_AT_SECONDS, "kind": "config_change", "how": "tenant"})
+    plan.extend(entry.get("plan", []))
+    lines = [f'name = "{entry["name"]}"', 'slot = "trouble"', f"seed = {entry.get('seed', 7)}"]
+    lines.append("one = 1.0\nzero = 0.0\ngoal = { floor = 0.0 }\nlabels = []")
+    if "closing" in entry:
+        lines.append(f"closing = {_inline(entry['closing'])}")
+    lines.append(f"plan = [{', '.join(_inline(item) for item in plan)}]")
+    lines.append(f"faults = [{', '.join(_inline(item) for item in entry.get('faults', []))}]")
+    return "\n".join(lines) + "\n"
+
+
+def _inline(table: dict[str, Any]) -> str:
+    return "{ " + ", ".join(f"{key} = {json.dumps(value)}" for key, value in table.items()) + " }"
+
+
+def play(bench: str, site: str, entry: dict[str, Any], why: str) -> PlayedDay:
+    """Play one day and read its report."""
+    name = entry["name"]
+    with tempfile.TemporaryDirectory() as folder:
+        day = Path(folder) / "day.toml"
+        day.write_text(day_document(entry))
+        report = Path(folder) / "report.json"
+        command = [bench, "run", site, str(day), "--no-cpu", "--report", str(report)]
+        run = subprocess.run([*command, "--why", f"{why}: {name}"], capture_output=True, text=True)
+        if not report.exists():
+            return PlayedDay(Path(site).stem, name, 0.0, 0.0, f"NOT PLAYED {run.stdout[-300:]}")
+        document = json.loads(report.read_text())
+    broken = json.dumps(document["breaks"]) if document["breaks"] else ""
+    if document["fault"]:
+        broken += f" FAULT {document['fault']}"
+    return PlayedDay(Path(site).stem, name, document["served"], document["G"], broken)
+
+
+def main() -> int:
+    """Play all days on all sites."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("bench")
+    parser.add_argument("sites", nargs="+")
+    parser.add_argument("--only", default="", help="play the days whose name holds this text")
+    parser.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
+    parser.add_argument("--why", default="days of our own")
+    arguments = parser.parse_args()
+    entries = tomllib.loads(CATALOGUE.read_text())["day"]
+    chosen = [entry for entry in entries if arguments.only in entry["name"]]
+    broken = 0
+    with ThreadPoolExecutor(arguments.jobs) as pool:
+        futures = [
+            pool.submit(play, arguments.bench, site, entry, arguments.why)
+            for site in arguments.sites
+            for entry in chosen
+        ]
+        for future in futures:
+            day = future.result()
+            broken += bool(day.broken)
+            print(day.line(), flush=True)
+    print(f"{len(futures)} days, {broken} with a rule broken or not played")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -17,6 +17,7 @@
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.peer_messages import PeerLoads
 from milletcourse.exchange.records import ServiceRecord
+from milletcourse.exchange.reuse_scope import cache_salt
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.prefix.belief import BeliefIndex
 from milletcourse.routing.home_ring import HomeRing
@@ -158,7 +159,7 @@
             version = instance.version(request.model)
             chain = chains.get(version)
             if chain is None:
-                chain = chains[version] = prompt_chain(request, f"{scope}@{version}")
+                chain = chains[version] = prompt_chain(request, cache_salt(scope, version))
             cost = self._engine_cost(instance, request, chain, instance.name == home, now)
             if cost < best_cost:
                 best, best_cost = instance, cost
@@ -212,7 +213,7 @@
 
     def work_tokens(self, instance: Instance, request: ExchangeRequest, scope: str) -> int:
         """Prompt tokens that the server will have to read for a request."""
-        chain = prompt_chain(request, f"{scope}@{instance.version(request.model)}")
+        chain = prompt_chain(request, cache_salt(scope, instance.version(request.model)))
         depth = self.belief.held_blocks(instance.name, chain.keys)
         held = chain.tokens[depth - 1] if depth else 0
         return max(request.prompt_tokens - held, 0)
@@ -220,7 +221,7 @@
     def note_sent(self, instance: Instance, request: ExchangeRequest, scope: str) -> None:
         """The server reads this prompt now, and keeps it."""
         version = instance.version(request.model)
-        chain = prompt_chain(request, f"{scope}@{version}")
+        chain = prompt_chain(request, cache_salt(scope, version))
         if chain.keys:
             self.belief.observe_incarnation(instance.name, instance.name)
             self.belief.note_held(instance.name, instance.name, chain.keys)
--- a/src/milletcourse/exchange/roll_out.py
+++ b/src/milletcourse/exchange/roll_out.py
@@ -37,6 +37,22 @@
 """A server that refused an order or did not answer is asked again after this time."""
 
 
+class RunningWork(Enum):
+    """What happens to requests that run when a server takes new weights."""
+
+    WAIT = "wait"
+    """They end first; new ones are turned away meanwhile."""
+    CUT = "cut"
+    """Their streams are cut."""
+    KEEP = "keep"
+    """They go on under the new weights."""
+
+
+RUNNING_WORK = RunningWork.KEEP
+"""Measured best on both of the users' fleets. What such a request leaves behind stands under the
+salt of the older version, which no later request of that server names."""
+
+
 class OrderReply(Enum):
     """What a server said to an order."""
 
@@ -58,7 +74,8 @@
         version: Version to take.
         holder: Name of the lease holder.
         fencing_token: Token of the holder's term.
-        expected_sequence: Orders that the server must have taken before, None when unknown.
+        expected_sequence: Orders that the server must have taken before.
+        running_work: What happens to running requests.
     """
 
     instance: str
@@ -67,7 +84,8 @@
     version: int
     holder: str
     fencing_token: int
-    expected_sequence: int | None
+    expected_sequence: int
+    running_work: RunningWork = RUNNING_WORK
 
 
 class ServerReport(msgspec.Struct, frozen=True):
--- a/src/milletcourse/platform/orders.py
+++ b/src/milletcourse/platform/orders.py
@@ -5,12 +5,15 @@
 import msgspec
 
 from milletcourse.exchange.messages import HeaderField
-from milletcourse.exchange.roll_out import OrderReply, ServerReport, WeightOrder
+from milletcourse.exchange.roll_out import OrderReply, RunningWork, ServerReport, WeightOrder
 from milletcourse.gateway.call_client import Call, Reply
 from milletcourse.platform.names import HEADER_NAMES, ORDER_PATH, REPORT_PATH
 
-MANNER = "retain"
-"""Running requests go on under the new weights; measured best on both fleets."""
+_MANNERS = {
+    RunningWork.WAIT: "wait",
+    RunningWork.CUT: "truncate",
+    RunningWork.KEEP: "retain",
+}
 _REPLIES = {
     200: OrderReply.HOLDS,
     202: OrderReply.TAKEN,
@@ -19,14 +22,14 @@
 }
 
 
-class _Order(msgspec.Struct, frozen=True, rename="pascal", omit_defaults=True):
+class _Order(msgspec.Struct, frozen=True, rename="pascal"):
     operation: str
     model: str
     version: int
     manner: str
     holder: str
     fencing_token: int
-    expected_rev: int | None = None
+    expected_rev: int
 
 
 class _ModelState(msgspec.Struct, frozen=True, rename="pascal"):
@@ -49,7 +52,7 @@
             operation="Version",
             model=order.model,
             version=order.version,
-            manner=MANNER,
+            manner=_MANNERS[order.running_work],
             holder=order.holder,
             fencing_token=order.fencing_token,
             expected_rev=order.expected_sequence,
