--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -161,6 +161,18 @@
             seconds=round(self.now() - request.received_at, 3),
         )
 
+    def log_client_left(
+        self, request: ExchangeRequest, instance: Instance, stream_begun: bool
+    ) -> None:
+        """A client closed its connection before the answer was whole."""
+        self.log.emit(
+            "client-left",
+            request_id=request.request_id,
+            instance=instance.name,
+            stream_begun=stream_begun,
+            seconds=round(self.now() - request.received_at, 3),
+        )
+
     def _belief(self) -> dict[str, Any]:
         return {
             "configuration": self.table.version if self.table is not None else None,
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -83,6 +83,9 @@
         self._end_cause: EndCause | None = None
         self._waiting_tokens = 0
         self._sent_version: int | None = None
+        self._sent_at = 0.0
+        self._answer_begun = False
+        self._instance: Instance | None = None
         self._silence = SilenceTimer(self._on_silent)
         self._failure: ServerFailure | None = None
         self._stream_begun = False
@@ -121,6 +124,7 @@
         while True:
             result = await self._attempt(instance)
             if self._end_cause is EndCause.CLIENT_GONE:
+                self._context.log_client_left(self._request, instance, self._stream_begun)
                 self._client.cut()
                 return
             following = self._next_instance(result)
@@ -180,14 +184,17 @@
             return
         if result is not AttemptResult.WRONG_VERSION:
             self._tried.add(instance.name)
-        if self._end_cause is EndCause.CLIENT_GONE or self._stream_begun_in_time():
-            instance.health.on_aborted()
-        else:
+        if self._tells_of_server():
             instance.on_result(result, self._context.now())
+        else:
+            instance.health.on_aborted()
 
-    def _stream_begun_in_time(self) -> bool:
-        """Whether time ran out while a stream was running: no fault of the server."""
-        return self._end_cause is EndCause.TIME_UP and self._stream_begun
+    def _tells_of_server(self) -> bool:
+        """Whether the end of an attempt without an answer is a sign of the server's health."""
+        if self._end_cause is None:
+            return True
+        silent_seconds = self._context.now() - self._sent_at
+        return not self._answer_begun and silent_seconds >= MIN_SILENCE_SECONDS
 
     async def _exchange_with(self, instance: Instance) -> AttemptResult:
         pool = self._context.pool
@@ -199,8 +206,10 @@
             pool.release(connection)
             return AttemptResult.NOT_SENT
         self._plan.on_send()
+        self._instance = instance
+        self._answer_begun = False
         self._connection = connection
-        sent_at = self._context.now()
+        self._sent_at = self._context.now()
         dispatch = self._dispatch(instance)
         head = self._context.dialect.request_head(self._request, dispatch)
         self._context.selector.note_sent(instance, self._request, self._scope)
@@ -213,7 +222,7 @@
             self._connection = None
             self._silence.stop()
         if result is AttemptResult.ANSWERED and not self._stream_begun:
-            instance.on_answer_time(self._context.now() - sent_at)
+            instance.on_answer_time(self._context.now() - self._sent_at)
         return result
 
     def _dispatch(self, instance: Instance) -> Dispatch:
@@ -250,6 +259,7 @@
         if event.head is None:
             return self._lost(connection)
         head = event.head
+        self._answer_begun = True
         if head.weight_version is not None and self._request.model:
             instance.note_version(self._request.model, head.weight_version)
         if head.successful and head.event_stream and self._route.streaming:
@@ -354,8 +364,6 @@
         return self._end_at - self._context.now()
 
     def _first_event_seconds(self) -> float:
-        if not self._route.repeatable:
-            return float("inf")
         return max(self._route.target_latency_seconds * FIRST_EVENT_TARGETS, MIN_SILENCE_SECONDS)
 
     def _seconds_to_start(self) -> float:
@@ -366,8 +374,19 @@
         return max(start_by - self._context.now(), 0.0)
 
     def _on_silent(self) -> None:
-        if self._connection is not None:
+        """Nothing has come for too long: leave the server, or let other requests avoid it."""
+        if self._connection is None:
+            return
+        seconds_to_start = 0.0 if self._stream_begun else self._seconds_to_start()
+        if self._route.repeatable or seconds_to_start <= 0.0:
             self._connection.abort()
+            return
+        self._suspect()
+        self._silence.expect_within(seconds_to_start)
+
+    def _suspect(self) -> None:
+        if self._instance is not None:
+            self._instance.on_result(AttemptResult.LOST, self._context.now())
 
     def _on_time_up(self) -> None:
         if self._end_cause is None:
