--- a/src/milletcourse/cli/main.py
+++ b/src/milletcourse/cli/main.py
@@ -15,6 +15,7 @@
     demo,
     experiment,
     explain,
+    explain_request,
     router,
     simulate,
     standin,
@@ -38,6 +39,7 @@
 app.command("demo")(demo.run_demo)
 app.add_typer(configuration.app, name="config")
 app.command("explain")(explain.run_explain)
+app.command("explain-request")(explain_request.explain_request)
 app.command("simulate")(simulate.run_simulate)
 app.add_typer(experiment.app, name="experiment")
 app.add_typer(bench.app, name="bench")
--- a/src/milletcourse/exchange/attempt_plan.py
+++ b/src/milletcourse/exchange/attempt_plan.py
@@ -16,6 +16,9 @@
 """Bound on servers tried for one request, those that turned it away included."""
 
 
+_POSSIBLE_RUNS = frozenset({AttemptResult.LOST, AttemptResult.FAILED, AttemptResult.CUT})
+
+
 class NextStep(Enum):
     """What follows an attempt."""
 
@@ -42,30 +45,22 @@
         """A server is about to get the request."""
         self.sends += 1
 
-    def next_step(self, result: AttemptResult, seconds_left: float, candidate: bool) -> NextStep:
-        """Decide by how the latest attempt ended.
+    def on_result(self, result: AttemptResult) -> None:
+        """The latest attempt ended."""
+        self.possible_runs += result in _POSSIBLE_RUNS
 
-        Args:
-            result: End of the latest attempt.
-            seconds_left: Until the request's end.
-            candidate: Another server could take it, and the retry budget allows it.
-        """
-        if result is AttemptResult.ANSWERED:
-            return NextStep.FINISHED
-        if result in (AttemptResult.LOST, AttemptResult.FAILED, AttemptResult.CUT):
-            self.possible_runs += 1
-        if self._may_send(seconds_left) and candidate:
-            return NextStep.SEND_AGAIN
-        return self._final_step(result)
-
-    def _may_send(self, seconds_left: float) -> bool:
+    def may_send_again(self, seconds_left: float) -> bool:
+        """Whether another server may get the request, as far as its own attempts tell."""
         if self.sends >= MAX_SENDS or seconds_left < MIN_USEFUL_SECONDS:
             return False
         if self.possible_runs == 0:
             return True
         return self._repeatable and self.possible_runs < self._max_attempts
 
-    def _final_step(self, result: AttemptResult) -> NextStep:
+    def final_step(self, result: AttemptResult) -> NextStep:
+        """How the request ends when it is not sent again."""
+        if result is AttemptResult.ANSWERED:
+            return NextStep.FINISHED
         if result is AttemptResult.FAILED:
             return NextStep.PASS_FAILURE
         if self.possible_runs == 0:
--- a/src/milletcourse/exchange/dialect.py
+++ b/src/milletcourse/exchange/dialect.py
@@ -134,6 +134,10 @@
             received_at=received_at,
         )
 
+    def request_id_of(self, fields: list[HeaderField]) -> str:
+        """A request's identity, for the logs of requests that can't be understood."""
+        return _text(_single_values(fields).get(self._request_id))
+
     def _read_deadline(self, value: bytes | None) -> float | None:
         if value is None:
             return None
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -23,6 +23,7 @@
 from milletcourse.gateway.client_connection import ClientRequest
 from milletcourse.gateway.connection_pool import ConnectionPool
 from milletcourse.gateway.event_log import EventLog
+from milletcourse.gateway.figures import Figures
 from milletcourse.gateway.settings import GatewaySettings
 
 FRESHNESS_MARGIN_SECONDS = 0.4
@@ -45,11 +46,13 @@
         dialect: HeaderDialect,
         random_source: random.Random,
         log: EventLog,
+        figures: Figures,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
         self.random = random_source
         self.log = log
+        self.figures = figures
         self.table: RouteTable | None = None
         self.stopping = False
         self.refusing = False
@@ -68,6 +71,7 @@
         self.weights = WeightedChoice(random_source)
         self.pool = ConnectionPool(dialect)
         self._budgets: dict[str, RetryBudget] = {}
+        self._reachable: dict[str, bool] = {}
 
     def now(self) -> float:
         """Monotonic seconds."""
@@ -122,57 +126,100 @@
         """When a refused client may come back."""
         return RETRY_AFTER_SECONDS + self.random.random() * RETRY_AFTER_SPREAD_SECONDS
 
-    # -- logs -----------------------------------------------------------------------------------
+    # -- what is recorded -----------------------------------------------------------------------
 
-    def log_refusal(self, failure: Failure, received: ClientRequest) -> None:
+    def record_refusal(self, failure: Failure, received: ClientRequest) -> None:
         """A request was refused before it was routed."""
+        self.figures.on_end(failure.code)
         self.log.emit(
             "request-refused",
+            request_id=self.dialect.request_id_of(received.fields),
             code=failure.code,
             detail=failure.detail,
             target=received.target.decode("latin-1"),
             **self._belief(),
         )
 
-    def log_end(self, failure: Failure, request: ExchangeRequest, route: RouteRecord) -> None:
+    def record_failure(
+        self, failure: Failure, request: ExchangeRequest, route: RouteRecord
+    ) -> None:
         """A routed request ended with this gateway's own failure."""
+        self.figures.on_end(failure.code)
         self.log.emit(
             "request-failed",
-            request_id=request.request_id,
             route=route.name,
             code=failure.code,
             detail=failure.detail,
-            seconds=round(self.now() - request.received_at, 3),
+            **self._about(request),
             **self._belief(),
         )
 
-    def log_attempt(
+    def record_attempt(
         self, request: ExchangeRequest, instance: Instance, result: AttemptResult, step: NextStep
     ) -> None:
-        """An attempt did not end with an answer."""
+        """An attempt ended; only those without an answer get a line."""
+        self.figures.on_attempt(result)
         if result is AttemptResult.ANSWERED:
             return
         self.log.emit(
             "attempt-failed",
-            request_id=request.request_id,
             instance=instance.name,
             result=result.value,
             step=step.value,
-            seconds=round(self.now() - request.received_at, 3),
+            **self._about(request),
         )
 
-    def log_client_left(
+    def record_served(self, request: ExchangeRequest, instance: Instance, sends: int) -> None:
+        """A whole answer was passed on."""
+        self.figures.on_end("served")
+        self.log.emit("request-served", instance=instance.name, sends=sends, **self._about(request))
+
+    def record_cut(self, request: ExchangeRequest, instance: Instance) -> None:
+        """A stream that a client had begun to read could not be completed."""
+        self.figures.on_end("cut")
+        self.log.emit("stream-cut", instance=instance.name, **self._about(request))
+
+    def record_client_left(
         self, request: ExchangeRequest, instance: Instance, stream_begun: bool
     ) -> None:
         """A client closed its connection before the answer was whole."""
+        self.figures.on_end("client-left")
         self.log.emit(
             "client-left",
-            request_id=request.request_id,
             instance=instance.name,
             stream_begun=stream_begun,
-            seconds=round(self.now() - request.received_at, 3),
+            **self._about(request),
         )
 
+    def record_store(self, kind: str, reachable: bool) -> None:
+        """A call about a kind of objects succeeded or failed; says when that changes."""
+        if not reachable:
+            self.figures.on_store_failure()
+        if self._reachable.get(kind) == reachable:
+            return
+        self._reachable[kind] = reachable
+        self.log.emit("store-reached" if reachable else "store-lost", kind=kind, **self._belief())
+
+    def record_result(self, instance: Instance, result: AttemptResult) -> None:
+        """A sign of a server's health; says when it is ejected or back."""
+        now = self.now()
+        ejected_before = instance.health.is_ejected(now)
+        instance.on_result(result, now)
+        ejected = instance.health.is_ejected(now)
+        if ejected == ejected_before:
+            return
+        if ejected:
+            self.figures.on_ejection()
+        self.log.emit(
+            "instance-ejected" if ejected else "instance-back",
+            instance=instance.name,
+            result=result.value,
+        )
+
+    def _about(self, request: ExchangeRequest) -> dict[str, Any]:
+        seconds = round(self.now() - request.received_at, 3)
+        return {"request_id": request.request_id, "seconds": seconds}
+
     def _belief(self) -> dict[str, Any]:
         return {
             "configuration": self.table.version if self.table is not None else None,
--- a/src/milletcourse/gateway/event_log.py
+++ b/src/milletcourse/gateway/event_log.py
@@ -18,6 +18,9 @@
 LINES_PER_SECOND = 10.0
 """Of each kind."""
 BURST_LINES = 40.0
+SERVED_EVENT = "request-served"
+SERVED_LINES_PER_SECOND = 2.0
+"""Successes are kept after failures."""
 
 
 class NonBlockingWriter:
@@ -48,6 +51,8 @@
         self._clock = clock
         self._buckets: dict[str, TokenBucket] = {}
         self._left_out: dict[str, int] = {}
+        self._left_out_total = 0
+        self._writer = writer
         self._logger: Any = None
         if writer is not None:
             self._logger = structlog.wrap_logger(
@@ -60,6 +65,12 @@
                 node=node,
             )
 
+    @property
+    def left_out(self) -> int:
+        """Lines that were left out or dropped since the start."""
+        dropped = self._writer.dropped if self._writer is not None else 0
+        return self._left_out_total + dropped
+
     def emit(self, event: str, **fields: Any) -> None:
         """Write an event, or count it as left out when its kind comes too often."""
         if self._logger is None:
@@ -67,11 +78,16 @@
         now = self._clock()
         bucket = self._buckets.get(event)
         if bucket is None:
-            bucket = self._buckets[event] = TokenBucket(LINES_PER_SECOND, BURST_LINES, now)
+            bucket = self._buckets[event] = TokenBucket(_lines_per_second(event), BURST_LINES, now)
         if not bucket.take(1.0, now):
             self._left_out[event] = self._left_out.get(event, 0) + 1
+            self._left_out_total += 1
             return
         left_out = self._left_out.pop(event, 0)
         if left_out:
             fields["left_out"] = left_out
         self._logger.msg(event, **fields)
+
+
+def _lines_per_second(event: str) -> float:
+    return SERVED_LINES_PER_SECOND if event == SERVED_EVENT else LINES_PER_SECOND
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -124,14 +124,15 @@
         while True:
             result = await self._attempt(instance)
             if self._end_cause is EndCause.CLIENT_GONE:
-                self._context.log_client_left(self._request, instance, self._stream_begun)
+                self._context.record_client_left(self._request, instance, self._stream_begun)
                 self._client.cut()
                 return
+            self._plan.on_result(result)
             following = self._next_instance(result)
-            step = self._plan.next_step(result, self._seconds_left(), following is not None)
-            self._context.log_attempt(self._request, instance, result, step)
-            if step is not NextStep.SEND_AGAIN or following is None:
-                self._finish(step)
+            step = NextStep.SEND_AGAIN if following else self._plan.final_step(result)
+            self._context.record_attempt(self._request, instance, result, step)
+            if following is None:
+                self._finish(step, instance)
                 return
             instance = following
 
@@ -144,7 +145,7 @@
         """Another server for the request, within the shared retry budget."""
         if result is AttemptResult.ANSWERED or self._end_cause is not None:
             return None
-        if not self._may_use_keys():
+        if not self._plan.may_send_again(self._seconds_left()) or not self._may_use_keys():
             return None
         instance = self._select()
         if instance is None:
@@ -180,12 +181,12 @@
 
     def _note_result(self, instance: Instance, result: AttemptResult) -> None:
         if result is AttemptResult.ANSWERED:
-            instance.on_result(result, self._context.now())
+            self._context.record_result(instance, result)
             return
         if result is not AttemptResult.WRONG_VERSION:
             self._tried.add(instance.name)
         if self._tells_of_server():
-            instance.on_result(result, self._context.now())
+            self._context.record_result(instance, result)
         else:
             instance.health.on_aborted()
 
@@ -299,6 +300,7 @@
         elif result is AttemptResult.FAILED:
             self._failure = ServerFailure(head, body)
         elif result is AttemptResult.ANSWERED:
+            self._note_first_answer()
             self._client.send_whole(head.status, head.reason, head.fields, body)
         return result
 
@@ -326,22 +328,29 @@
                 self._context.pool.release(connection)
                 return AttemptResult.ANSWERED
 
+    def _note_first_answer(self) -> None:
+        self._context.figures.on_first_answer(self._context.now() - self._request.received_at)
+
     def _pass_events(self, head: AnswerHead, data: bytes) -> None:
         if not self._stream_begun:
             self._stream_begun = True
+            self._note_first_answer()
             self._client.begin_stream(head.status, head.reason, head.fields)
         self._client.send_piece(data)
 
     # -- ends -----------------------------------------------------------------------------------
 
-    def _finish(self, step: NextStep) -> None:
+    def _finish(self, step: NextStep, instance: Instance) -> None:
         if step is NextStep.FINISHED:
+            self._context.record_served(self._request, instance, self._plan.sends)
             return
         if self._stream_begun:
+            self._context.record_cut(self._request, instance)
             self._client.cut()
             return
         if step is NextStep.PASS_FAILURE and self._failure is not None:
             head = self._failure.head
+            self._context.figures.on_end("passed-failure")
             self._client.send_whole(head.status, head.reason, head.fields, self._failure.body)
             return
         retry_after = self._context.retry_after()
@@ -357,7 +366,7 @@
             self._refuse(AnswerLost("the server's answer was lost"))
 
     def _refuse(self, failure: Failure) -> None:
-        self._context.log_end(failure, self._request, self._route)
+        self._context.record_failure(failure, self._request, self._route)
         refuse(self._client, failure)
 
     def _seconds_left(self) -> float:
@@ -386,7 +395,7 @@
 
     def _suspect(self) -> None:
         if self._instance is not None:
-            self._instance.on_result(AttemptResult.LOST, self._context.now())
+            self._context.record_result(self._instance, AttemptResult.LOST)
 
     def _on_time_up(self) -> None:
         if self._end_cause is None:
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/exchange_runner.py
@@ -30,7 +30,7 @@
         try:
             exchange = self._open(received, client)
         except FailureError as error:
-            self._context.log_refusal(error.failure, received)
+            self._context.record_refusal(error.failure, received)
             refuse(client, error.failure)
             return
         await exchange.run()
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -5,15 +5,17 @@
 import asyncio
 import random
 from collections.abc import Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from milletcourse.errors import Draining, NotFound
+from milletcourse.exchange.messages import HeaderField
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.call_client import CallClient
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest, Handler
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.exchange_runner import ExchangeRunner
+from milletcourse.gateway.figures import NoFigures
 from milletcourse.gateway.kind_watch import KindWatch
 from milletcourse.gateway.object_store import ObjectStoreClient
 from milletcourse.gateway.peers import PeerExchange
@@ -22,6 +24,9 @@
 from milletcourse.gateway.settings import GatewaySettings
 from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
 
+if TYPE_CHECKING:
+    from milletcourse.gateway.metrics import GatewayMetrics
+
 LISTEN_BACKLOG = 1024
 SWEEP_SECONDS = 0.25
 CONFIGURATION_WAIT_SECONDS = 1.0
@@ -33,6 +38,8 @@
 """Gateways come seldom, and nothing but speed depends on knowing them."""
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
+MAX_SHOWN_AGE_SECONDS = 1e6
+METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4"
 GRACE_MARGIN_SECONDS = 0.5
 """All work has ended this long before the kill."""
 
@@ -46,13 +53,17 @@
         adapter: PlatformAdapter,
         random_source: random.Random,
         log: EventLog,
+        metrics: GatewayMetrics | None = None,
     ) -> None:
-        self.context = GatewayContext(settings, adapter.headers, random_source, log)
+        figures = metrics or NoFigures()
+        self.context = GatewayContext(settings, adapter.headers, random_source, log, figures)
+        self._metrics = metrics
         self._adapter = adapter
         self._random = random_source
         self._clients: set[ClientConnection] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
+        self._metrics_path = ""
         self.readiness_address = settings.readiness
         self.frontend_address = settings.frontend
         self._calls = CallClient(self.context.pool)
@@ -133,6 +144,28 @@
         else:
             refuse(client, Draining("not ready"))
 
+    async def listen_for_metrics(self, port: int, path: str) -> str:
+        """Tell the figures at `GET path` on a port of this machine; returns the address."""
+        self._metrics_path = path
+        return await self._listen(f"{self.context.settings.host}:{port}", self._answer_metrics)
+
+    async def _answer_metrics(self, request: ClientRequest, client: ClientConnection) -> None:
+        metrics = self._metrics
+        if metrics is None or request.target.decode("latin-1") != self._metrics_path:
+            refuse(client, NotFound("nothing here but metrics"))
+            return
+        context = self.context
+        now = context.now()
+        metrics.configuration.set(context.table.version if context.table is not None else 0)
+        metrics.proof_age.set(min(context.freshness.age(now), MAX_SHOWN_AGE_SECONDS))
+        metrics.ready.set(context.is_ready())
+        metrics.instances.set(len(list(context.instances)))
+        metrics.holds_lease.set(self._peers.holds_lease)
+        metrics.clients.set(len(self._clients))
+        metrics.log_lines_left_out.set(context.log.left_out)
+        fields = [HeaderField(b"Content-Type", METRICS_CONTENT_TYPE)]
+        client.send_whole(200, b"", fields, metrics.render())
+
     async def _sweep(self) -> None:
         """Bounds on time, kept without a timer for each connection."""
         while True:
--- a/src/milletcourse/gateway/process.py
+++ b/src/milletcourse/gateway/process.py
@@ -8,6 +8,7 @@
 import random
 import signal
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -15,23 +16,38 @@
 from milletcourse.gateway.event_log import EventLog, NonBlockingWriter
 from milletcourse.gateway.node import GatewayNode
 
+if TYPE_CHECKING:
+    from milletcourse.gateway.metrics import GatewayMetrics
+
 STANDARD_OUTPUT = 1
 SETTINGS_POLL_SECONDS = 1.0
 COLLECTION_THRESHOLD = 20_000
 """Allocations between garbage collections: fewer pauses, since requests leave no cycles."""
 
 
-def run_gateway(settings_path: Path, adapter: PlatformAdapter) -> None:
-    """Serve until a stop signal; returns after the planned stop."""
+def run_gateway(
+    settings_path: Path, adapter: PlatformAdapter, metrics_port: int, metrics_path: str
+) -> None:
+    """Serve until a stop signal; returns after the planned stop.
+
+    Args:
+        settings_path: Settings file.
+        adapter: The platform's names and formats.
+        metrics_port: Port of the figures; 0 for none.
+        metrics_path: Path of the figures.
+    """
     gc.freeze()
     gc.set_threshold(COLLECTION_THRESHOLD, 20, 20)
-    uvloop.run(_serve(settings_path, adapter))
+    uvloop.run(_serve(settings_path, adapter, metrics_port, metrics_path))
 
 
-async def _serve(settings_path: Path, adapter: PlatformAdapter) -> None:
+async def _serve(
+    settings_path: Path, adapter: PlatformAdapter, metrics_port: int, metrics_path: str
+) -> None:
     settings = adapter.read_settings(settings_path.read_bytes())
     log = EventLog(settings.name, NonBlockingWriter(STANDARD_OUTPUT))
-    node = GatewayNode(settings, adapter, random.Random(), log)
+    metrics = _new_metrics() if metrics_port else None
+    node = GatewayNode(settings, adapter, random.Random(), log, metrics)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
@@ -39,12 +55,21 @@
     reloader = SettingsReloader(settings_path, adapter, node, log)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await node.start()
+    if metrics is not None:
+        await node.listen_for_metrics(metrics_port, metrics_path)
     following = asyncio.create_task(reloader.follow())
     await stopped.wait()
     following.cancel()
     await node.stop()
 
 
+def _new_metrics() -> GatewayMetrics:
+    # Imported only where it is used: memory and start-up are priced.
+    from milletcourse.gateway.metrics import GatewayMetrics
+
+    return GatewayMetrics()
+
+
 class SettingsReloader:
     """Takes changed settings into force while the process serves."""
 
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -156,6 +156,7 @@
         self._plan.on_reply(instance, result, self._context.now())
         if result is OrderReply.TAKEN:
             self._notify(instance, order.model, order.version, OrderState.LOADING)
+        self._context.figures.on_order(result.value)
         self._context.log.emit(
             "weight-order",
             instance=order.instance,
--- a/src/milletcourse/gateway/sinks.py
+++ b/src/milletcourse/gateway/sinks.py
@@ -13,12 +13,15 @@
 
 
 class _Sink:
+    _kind = ""
+
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
 
     def on_unavailable(self) -> None:
         """A call failed: the store is unstable."""
         self._context.instances.on_unstable(self._context.now())
+        self._context.record_store(self._kind, False)
 
     def _malformed(self, stored: StoredObject, error: Exception) -> None:
         self._context.log.emit("object-malformed", name=stored.name, error=str(error)[:200])
@@ -27,6 +30,8 @@
 class ConfigurationSink(_Sink):
     """Puts the newest configuration in force, never an older one."""
 
+    _kind = "configuration"
+
     def __init__(
         self,
         context: GatewayContext,
@@ -39,12 +44,14 @@
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
+        self._context.record_store(self._kind, True)
         accepted = [self._apply(stored) for stored in objects if stored.name == self._object_name]
         if accepted and all(accepted):
             self._context.freshness.on_proof(sent_at)
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
+        self._context.record_store(self._kind, True)
         accepted = [
             self._apply(change.stored)
             for change in changes
@@ -76,6 +83,8 @@
 class InstanceSink(_Sink):
     """Keeps the table of incarnations."""
 
+    _kind = "instances"
+
     def __init__(
         self, context: GatewayContext, decode: Callable[[str, bytes], InstanceRecord]
     ) -> None:
@@ -84,12 +93,14 @@
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
+        self._context.record_store(self._kind, True)
         records = [record for record in map(self._read, objects) if record is not None]
         self._context.instances.replace_all(records, self._context.now())
         self._context.log.emit("instances-listed", count=len(records))
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
+        self._context.record_store(self._kind, True)
         table = self._context.instances
         for change in changes:
             if change.gone:
@@ -113,6 +124,8 @@
 class TargetSink(_Sink):
     """Notes named weight versions."""
 
+    _kind = "targets"
+
     def __init__(self, context: GatewayContext, decode: Callable[[bytes], ModelTarget]) -> None:
         super().__init__(context)
         self._decode = decode
@@ -120,12 +133,14 @@
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
+        self._context.record_store(self._kind, True)
         for stored in objects:
             self._note(stored, not self._started)
         self._started = True
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
+        self._context.record_store(self._kind, True)
         for change in changes:
             if not change.gone:
                 self._note(change.stored, False)
--- a/src/milletcourse/platform/__main__.py
+++ b/src/milletcourse/platform/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import sys
 from pathlib import Path
 
 from milletcourse.exchange.dialect import HeaderDialect
@@ -34,5 +35,11 @@
     )
 
 
+def main(arguments: list[str]) -> None:
+    """Start a gateway; the one optional argument is PORT/PATH of its metrics."""
+    port, _, path = arguments[0].partition("/") if arguments else ("0", "", "")
+    run_gateway(Path(os.environ[SETTINGS_VARIABLE]), new_adapter(), int(port), f"/{path}")
+
+
 if __name__ == "__main__":
-    run_gateway(Path(os.environ[SETTINGS_VARIABLE]), new_adapter())
+    main(sys.argv[1:])
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -12,6 +12,7 @@
 
 from gateway_standin import Behaviour, Client, StandinServer, StandinStore, configuration
 from milletcourse.gateway.event_log import EventLog
+from milletcourse.gateway.metrics import GatewayMetrics
 from milletcourse.gateway.node import GatewayNode
 from milletcourse.platform.__main__ import new_adapter
 
@@ -57,9 +58,12 @@
 
     async def start_gateway(self, **bounds: Any) -> None:
         """Start the gateway without waiting for readiness."""
+        self.metrics = GatewayMetrics()
         document = settings_document(self.store.address, **bounds)
         settings = self.adapter.read_settings(json.dumps(document).encode())
-        self.node = GatewayNode(settings, self.adapter, random.Random(1), EventLog("front-1", None))
+        self.node = GatewayNode(
+            settings, self.adapter, random.Random(1), EventLog("front-1", None), self.metrics
+        )
         await self.node.start()
 
     async def start(self, **bounds: Any) -> None:
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -105,10 +105,10 @@
     for result in results:
         plan.on_send()
         possible_runs += result in (AttemptResult.LOST, AttemptResult.FAILED, AttemptResult.CUT)
-        step = plan.next_step(result, 1.0, True)
-        if step is NextStep.REFUSE:
+        plan.on_result(result)
+        if plan.final_step(result) is NextStep.REFUSE:
             assert possible_runs == 0
-        if step is not NextStep.SEND_AGAIN:
+        if result is AttemptResult.ANSWERED or not plan.may_send_again(1.0):
             return
         allowed = max_attempts if repeatable else 1
         assert possible_runs < allowed or possible_runs == 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,6 +20,7 @@
     signed,
     stream_head,
 )
+from milletcourse.cli.explain_request import explain_lines
 
 PROMPT = {
     "Model": "model-1",
@@ -199,6 +200,26 @@
     run_with_gateway(scenario)
 
 
+def test_retry_budget_is_spent_only_by_sends() -> None:
+    """Requests that can't be sent again leave the budget to those that can."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", reset)
+        await harness.add_server("app-2", "app", reset)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        budget = context.budget("app")
+        for number in range(5):
+            assert (await (await harness.client()).ask("/unsafe/", f"id-{number}")).status == 502
+        spent = 0
+        while budget.try_retry(context.now()):
+            spent += 1
+        assert spent >= 1
+
+    run_with_gateway(scenario)
+
+
 def test_own_failures_are_passed_on_with_their_signature() -> None:
     """After the attempts are used up, the last failure is the server's own, unchanged."""
 
@@ -624,6 +645,54 @@
     run_with_gateway(scenario)
 
 
+# -- figures and logs ---------------------------------------------------------------------------
+
+
+def test_figures_tell_outcomes_attempts_and_beliefs() -> None:
+    """At the metrics path only; bounded labels."""
+
+    async def scenario(harness: Harness) -> None:
+        behaviour = once_then_whole(failing)
+        await harness.add_server("app-1", "app", behaviour)
+        await harness.add_server("app-2", "app", behaviour)
+        await harness.start()
+        assert harness.node is not None
+        await (await harness.client()).ask("/safe/")
+        await (await harness.client()).ask("/nowhere/")
+        address = await harness.node.listen_for_metrics(0, "/metrics")
+        client = await Client.connect(address)
+        got = await client.ask("/metrics", method="GET", body=b"")
+        text = got.body.decode()
+        assert 'milletcourse_gateway_requests_total{outcome="served"} 1.0' in text
+        assert 'milletcourse_gateway_requests_total{outcome="not-found"} 1.0' in text
+        assert 'milletcourse_gateway_attempts_total{result="failed"} 1.0' in text
+        assert "milletcourse_gateway_configuration_version 1.0" in text
+        assert "milletcourse_gateway_ready 1.0" in text
+        assert (await client.ask("/other", method="GET", body=b"")).status == 404
+
+    run_with_gateway(scenario)
+
+
+def test_a_request_is_explained_from_the_logs_of_all_nodes() -> None:
+    """In the order of time, with the belief that decided it; other text before the JSON is cut."""
+    lines = [
+        '3.2 front-2 {"node":"b","event":"request-failed","request_id":"x","code":"overloaded",'
+        '"timestamp":"2026-01-01T00:00:03Z"}',
+        '{"node":"a","event":"configuration-in-force","version":4,'
+        '"timestamp":"2026-01-01T00:00:01Z"}',
+        '{"node":"a","event":"attempt-failed","request_id":"x","result":"lost",'
+        '"timestamp":"2026-01-01T00:00:02Z"}',
+        '{"node":"a","event":"attempt-failed","request_id":"y","timestamp":"2026-01-01T00:00:02Z"}',
+        "no JSON at all",
+    ]
+    explained = list(explain_lines(lines, "x"))
+    assert len(explained) == 3
+    assert "believed" in explained[0] and "version=4" in explained[0]
+    assert "result=lost" in explained[1]
+    assert "code=overloaded" in explained[2]
+    assert list(explain_lines(lines, "z")) == []
+
+
 # -- planned stop -------------------------------------------------------------------------------
 
 
