A fault soak of our own: real processes, faults from outside, promises checked while it runs

tests/soak: gateways as processes, stand-ins of store and servers behind loopback proxies, 18 faults drawn by a seed (signals, cuts that hold bytes up, resets, store down, silent and forgetful, sick, replaced and draining servers, versions, configurations, revoked keys), ground truth kept by the servers. Wall clocks are not moved: gateways read no wall time but for log lines. Change: 2.3 s; the next free port or none; the line moved. Two tests failed before and pass now.

--- a/src/milletcourse/exchange/freshness.py
+++ b/src/milletcourse/exchange/freshness.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-NOT_FOUND_PROOF_SECONDS = 1.5
-"""A refusal for an unknown route or key needs a proof this young; an older one may be outdated."""
+NOT_FOUND_PROOF_SECONDS = 2.3
+"""A refusal for an unknown route or key needs a proof this young; an older one may be outdated. A
+watch that waits 1 s proves the time of its sending, so on a calm day the age goes up to 2 s."""
 
 
 class ProofOfFreshness:
--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -12,8 +12,10 @@
 import msgspec
 import xxhash
 
-STALE_SECONDS = 1.0
-"""Load told by a peer counts this long unless it is told again."""
+MIN_STALE_SECONDS = 1.0
+"""Load told by a peer counts this long at least unless it is told again."""
+STALE_ROUNDS = 2.0
+"""It counts for this many of the rounds in which a peer tells all others."""
 NOTICE_REPEATS = 3
 """Times that a notice is sent, against loss."""
 
@@ -100,11 +102,17 @@
     def __init__(self) -> None:
         self._peers: dict[str, _PeerLoad] = {}
         self._holder_heard_at = float("-inf")
+        self._stale_seconds = MIN_STALE_SECONDS
+
+    def set_peers(self, count: int, told_per_second: float) -> None:
+        """The number of other gateways, and how many of them each one tells in a second."""
+        round_seconds = count / told_per_second
+        self._stale_seconds = max(MIN_STALE_SECONDS, STALE_ROUNDS * round_seconds)
 
     def on_message(self, message: PeerMessage, now: float) -> bool:
         """Take a message; False when it is older than one already taken."""
         known = self._peers.get(message.sender)
-        recent = known is not None and now - known.heard_at < STALE_SECONDS
+        recent = known is not None and now - known.heard_at < self._stale_seconds
         if known is not None and recent and message.sequence <= known.sequence:
             return False
         loads = {load.key: load for load in message.loads}
@@ -129,5 +137,5 @@
         return [
             peer.loads[key]
             for peer in self._peers.values()
-            if key in peer.loads and now - peer.heard_at < STALE_SECONDS
+            if key in peer.loads and now - peer.heard_at < self._stale_seconds
         ]
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -77,6 +77,7 @@
         settings = self.context.settings
         self.readiness_address = await self._listen(settings.readiness, self._answer_readiness)
         self.frontend_address = await self._listen(settings.frontend, runner.handle)
+        self.context.log.emit("started", frontend=self.frontend_address)
         kinds = self._adapter.kinds
         configuration = ConfigurationSink(
             self.context, kinds.configuration_name, self._adapter.decode_configuration
@@ -103,18 +104,17 @@
         )
         self._spawn(roll_out.run())
         self._spawn(self._sweep())
-        self.context.log.emit("started", frontend=self.frontend_address)
 
     async def _start_peers(self) -> None:
-        """Exchange load and notices with the other gateways, where ports are free for it."""
+        """Exchange load and notices with the other gateways, where a port is free for it.
+
+        Without one the gateway serves alone: nothing depends on its peers but speed.
+        """
         settings = self.context.settings
-        port = settings.internal_ports[0]
-        if port == 0:
+        port = await self._bind_datagrams(settings.host, settings.internal_ports)
+        if port is None:
+            self.context.log.emit("peers-unavailable", ports=settings.internal_ports)
             return
-        address = (settings.host, port)
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self._peers, local_addr=address
-        )
         kind = self._adapter.kinds.gateways
         watch = KindWatch(self._store, kind, self._peers, PEER_WAIT_SECONDS, self._random)
         self._spawn(watch.run())
@@ -122,6 +122,19 @@
         await_register = self._peers.register(f"{settings.host}:{port}")
         self._registration = asyncio.get_running_loop().create_task(await_register)
 
+    async def _bind_datagrams(self, host: str, ports: tuple[int, int]) -> int | None:
+        """Bind the first free port of a range; None when there is none."""
+        if ports[0] == 0:
+            return None
+        loop = asyncio.get_running_loop()
+        for port in range(ports[0], ports[1] + 1):
+            try:
+                await loop.create_datagram_endpoint(lambda: self._peers, local_addr=(host, port))
+            except OSError:
+                continue
+            return port
+        return None
+
     async def _listen(self, address: str, handler: Handler) -> str:
         """Listen at an address; port 0 takes a free one. Returns the address taken."""
         host, _, port = address.rpartition(":")
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -30,8 +30,9 @@
 REPEAT_SECONDS = 0.5
 """Unchanged load is told again, before it counts as stale."""
 REGISTER_RETRY_SECONDS = 1.0
-MAX_PEERS = 64
-"""Larger deployments would need digests; see docs/CAPACITY.md."""
+PEERS_A_TICK = 6
+"""Load is told to this many peers at a time, in turn: some 6 KB a second however many there are."""
+MAX_PEERS = 512
 
 
 class PeerEntry(msgspec.Struct, frozen=True):
@@ -51,6 +52,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._notices: list[tuple[OrderNotice, int]] = []
+        self._untold: dict[str, None] = {}
         self._told: list[InstanceLoad] = []
         self._told_at = 0.0
         self.holds_lease = False
@@ -62,6 +64,7 @@
         self._peers.clear()
         for stored in objects:
             self._note(stored)
+        self._context.peer_loads.set_peers(len(self._peers), PEERS_A_TICK / SEND_SECONDS)
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
@@ -70,6 +73,7 @@
                 self._peers.pop(change.stored.name, None)
             else:
                 self._note(change.stored)
+        self._context.peer_loads.set_peers(len(self._peers), PEERS_A_TICK / SEND_SECONDS)
 
     def on_unavailable(self) -> None:
         """See `KindSink`: the known gateways stay known."""
@@ -137,35 +141,49 @@
     def notify(self, notice: OrderNotice) -> None:
         """Tell all gateways about an order at once; repeated in the next messages."""
         self._notices.append((notice, NOTICE_REPEATS))
-        self._send(self._context.now())
+        self._send_to_all(self._context.now())
 
     async def run(self) -> None:
         """Tell changed load until cancelled."""
         while True:
             await asyncio.sleep(SEND_SECONDS)
             now = self._context.now()
+            if self._notices:
+                self._send_to_all(now)
+                continue
             loads = self._context.own_loads()
-            changed = loads != self._told
             due = bool(loads or self.holds_lease) and now - self._told_at >= REPEAT_SECONDS
-            if changed or due or self._notices:
-                self._send(now)
+            if loads != self._told or due:
+                self._told = loads
+                self._told_at = now
+                self._untold = dict.fromkeys(self._peers)
+            self._tell_some(now)
+
+    def _tell_some(self, now: float) -> None:
+        """Tell the next peers that haven't heard of the latest change."""
+        chosen = list(self._untold)[:PEERS_A_TICK]
+        for name in chosen:
+            del self._untold[name]
+        self._send(now, [self._peers[name] for name in chosen if name in self._peers])
+
+    def _send_to_all(self, now: float) -> None:
+        self._untold.clear()
+        self._send(now, list(self._peers.values()))
+        self._notices = [(notice, left - 1) for notice, left in self._notices if left > 1]
 
-    def _send(self, now: float) -> None:
-        if self._transport is None or not self._peers:
+    def _send(self, now: float, addresses: list[tuple[str, int]]) -> None:
+        if self._transport is None or not addresses:
             return
         self._sequence = max(self._sequence + 1, int(now * 1000))
-        self._told = self._context.own_loads()
-        self._told_at = now
         message = PeerMessage(
             self._context.settings.name,
             self._sequence,
-            self._told,
+            self._context.own_loads(),
             [notice for notice, _ in self._notices],
             self.holds_lease,
         )
-        self._notices = [(notice, left - 1) for notice, left in self._notices if left > 1]
         data = encode_message(message)
-        for address in self._peers.values():
+        for address in addresses:
             self._transport.sendto(data, address)
 
     def close(self) -> None:
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -41,6 +41,7 @@
         self.servers: dict[str, StandinServer] = {}
         self.node: GatewayNode | None = None
         self.adapter = new_adapter()
+        self.internal_ports: list[int] = []
 
     async def start_store(self) -> None:
         """The store alone, with no object."""
@@ -60,6 +61,7 @@
         """Start the gateway without waiting for readiness."""
         self.metrics = GatewayMetrics()
         document = settings_document(self.store.address, **bounds)
+        document["InternalPorts"] = self.internal_ports
         settings = self.adapter.read_settings(json.dumps(document).encode())
         self.node = GatewayNode(
             settings, self.adapter, random.Random(1), EventLog("front-1", None), self.metrics
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,165 @@
+"""Faults from outside, drawn by a seed: proxies, signals, the store, servers, the operator."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from soak.server import Mood
+from soak.world import SoakWorld
+
+Fault = Callable[[SoakWorld], Awaitable[None]]
+
+
+async def kill_gateway(world: SoakWorld) -> None:
+    """SIGKILL."""
+    world.random.choice(world.gateways).send(signal.SIGKILL)
+
+
+async def kill_all_gateways(world: SoakWorld) -> None:
+    """All at the same moment."""
+    for gateway in world.gateways:
+        gateway.send(signal.SIGKILL)
+
+
+async def stop_gateway(world: SoakWorld) -> None:
+    """SIGTERM."""
+    world.random.choice(world.gateways).send(signal.SIGTERM)
+
+
+async def freeze_gateway(world: SoakWorld) -> None:
+    """SIGSTOP, and SIGCONT after longer than a lease."""
+    gateway = world.random.choice(world.gateways)
+    gateway.send(signal.SIGSTOP)
+    await asyncio.sleep(world.random.uniform(0.5, 4.0))
+    gateway.send(signal.SIGCONT)
+
+
+async def hang_up_gateway(world: SoakWorld) -> None:
+    """SIGHUP."""
+    world.random.choice(world.gateways).send(signal.SIGHUP)
+
+
+async def cut_from_store(world: SoakWorld) -> None:
+    """One gateway's way to the store is cut; bytes are held up."""
+    proxy = world.random.choice(world.gateways).store
+    proxy.cut()
+    await asyncio.sleep(world.random.uniform(0.5, 5.0))
+    proxy.heal()
+
+
+async def slow_store(world: SoakWorld) -> None:
+    """All ways to the store are slow."""
+    for gateway in world.gateways:
+        gateway.store.delay_seconds = world.random.uniform(0.05, 0.3)
+    await asyncio.sleep(world.random.uniform(0.5, 3.0))
+    for gateway in world.gateways:
+        gateway.store.heal()
+
+
+async def store_down(world: SoakWorld) -> None:
+    """The store answers 503, or resets its connections."""
+    world.store.unavailable = True
+    if world.random.random() < 0.5:
+        world.store.cut()
+    await asyncio.sleep(world.random.uniform(0.5, 4.0))
+    world.store.unavailable = False
+
+
+async def store_silent(world: SoakWorld) -> None:
+    """Calls are carried out and get no answer; then their connections break."""
+    world.store.silent = True
+    await asyncio.sleep(world.random.uniform(0.5, 3.0))
+    world.store.silent = False
+    world.store.cut()
+
+
+async def forget_history(world: SoakWorld) -> None:
+    """Watches from before get 410."""
+    world.store.forget_history()
+    world.store.cut()
+
+
+async def cut_server(world: SoakWorld) -> None:
+    """The way to a server is cut for all gateways; bytes are held up."""
+    name = world.random.choice(list(world.server_proxies))
+    proxy = world.server_proxies[name]
+    proxy.cut()
+    await asyncio.sleep(world.random.uniform(0.3, 4.0))
+    proxy.heal()
+
+
+async def reset_server(world: SoakWorld) -> None:
+    """All connections to a server break."""
+    world.server_proxies[world.random.choice(list(world.server_proxies))].reset_all()
+
+
+async def replace_server(world: SoakWorld) -> None:
+    """A server crashes; another incarnation comes."""
+    name = world.random.choice(list(world.servers))
+    service = world.servers[name].service
+    await world.remove_server(name)
+    await asyncio.sleep(world.random.uniform(0.1, 1.0))
+    await world.add_server(service)
+
+
+async def drain_server(world: SoakWorld) -> None:
+    """A server says that it leaves, and does after its time."""
+    name = world.random.choice(list(world.servers))
+    server = world.servers[name]
+    await world.add_server(server.service)
+    server.draining = True
+    world.enter(server)
+    await asyncio.sleep(2.5)
+    if name in world.servers:
+        await world.remove_server(name)
+
+
+async def sick_server(world: SoakWorld) -> None:
+    """A server misbehaves in one way for a while."""
+    server = world.servers[world.random.choice(list(world.servers))]
+    kind = world.random.choice(list(Mood.__dataclass_fields__))
+    setattr(server.mood, kind, world.random.uniform(0.1, 0.7))
+    await asyncio.sleep(world.random.uniform(1.0, 4.0))
+    setattr(server.mood, kind, 0.0)
+
+
+async def name_version(world: SoakWorld) -> None:
+    """New weights are named."""
+    world.name_version()
+
+
+async def change_configuration(world: SoakWorld) -> None:
+    """A few versions in quick succession."""
+    for _ in range(world.random.randint(1, 5)):
+        world.put_configuration()
+        await asyncio.sleep(0.05)
+
+
+async def revoke_key(world: SoakWorld) -> None:
+    """A key is taken away; two are always left."""
+    if len(world.keys) > 2:
+        world.revoke(world.random.choice(list(world.keys)))
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_gateway,
+    kill_all_gateways,
+    stop_gateway,
+    freeze_gateway,
+    hang_up_gateway,
+    cut_from_store,
+    slow_store,
+    store_down,
+    store_silent,
+    forget_history,
+    cut_server,
+    reset_server,
+    replace_server,
+    drain_server,
+    sick_server,
+    name_version,
+    change_configuration,
+    revoke_key,
+)
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,145 @@
+"""What servers really did, and the promises checked against it."""
+
+from __future__ import annotations
+
+import itertools
+import zlib
+from dataclasses import dataclass, field
+
+REVOKE_SLACK_SECONDS = 0.1
+"""Between a client's send and the ledger's clock, on one machine."""
+
+
+@dataclass(frozen=True)
+class Run:
+    """One run of a request at a server."""
+
+    server: str
+    at: float
+    tenant: str
+    salt: str
+    version: int | None
+    resumed_after: int
+
+
+@dataclass(frozen=True)
+class SentRequest:
+    """A request as its client sent it."""
+
+    request_id: str
+    at: float
+    key: str
+    kind: str
+
+
+@dataclass(frozen=True)
+class GivenOrder:
+    """An order as a server got it."""
+
+    server: str
+    at: float
+    holder: str
+    fencing_token: int
+
+
+def piece_count(request_id: str) -> int:
+    """Number of events of a request's stream."""
+    return 3 + zlib.crc32(request_id.encode()) % 6
+
+
+def piece(request_id: str, number: int) -> bytes:
+    """One event of a request's stream; the same at every server."""
+    return b"id: %d\ndata: %b:%d\n\n" % (number, request_id.encode(), number)
+
+
+def whole_stream(request_id: str) -> bytes:
+    """The body of a request's stream."""
+    return b"".join(piece(request_id, n) for n in range(1, piece_count(request_id) + 1))
+
+
+@dataclass
+class Ledger:
+    """Ground truth of one soak."""
+
+    tenants: dict[str, str]
+    revoke_seconds: float
+    lease_seconds: float
+    isolated: frozenset[str] = frozenset()
+    runs: dict[str, list[Run]] = field(default_factory=dict)
+    sent: dict[str, SentRequest] = field(default_factory=dict)
+    orders: list[GivenOrder] = field(default_factory=list)
+    revoked_at: dict[str, float] = field(default_factory=dict)
+    bodies: dict[str, set[bytes]] = field(default_factory=dict)
+    outcomes: dict[str, int] = field(default_factory=dict)
+    promised: dict[str, int] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+
+    def violate(self, promise: str, detail: str) -> None:
+        """A promise was broken."""
+        self.violations.append(f"{promise}: {detail}")
+
+    # -- servers --------------------------------------------------------------------------------
+
+    def on_run(self, request_id: str, run: Run) -> None:
+        """A server begins to work on a request."""
+        runs = self.runs.setdefault(request_id, [])
+        runs.append(run)
+        sent = self.sent.get(request_id)
+        if sent is None:
+            self.violate("unasked", f"{request_id} was sent by no client")
+            return
+        if sent.kind in ("unsafe", "single") and len(runs) > 1:
+            self.violate("at-most-once", f"{request_id} ran {len(runs)} times")
+        if run.tenant != self.tenants.get(sent.key):
+            self.violate("tenant", f"{request_id} ran as {run.tenant!r}")
+        revoked = self.revoked_at.get(sent.key)
+        if revoked is not None and sent.at > revoked + self.revoke_seconds + REVOKE_SLACK_SECONDS:
+            self.violate("revoked-key", f"{request_id} sent {sent.at - revoked:.2f}s after")
+        if run.tenant in self.isolated and run.salt and run.tenant not in run.salt:
+            self.violate("wall", f"{request_id} has salt {run.salt}")
+        if run.version is not None and not run.salt.endswith(f"@{run.version}"):
+            self.violate("stale", f"{request_id} on version {run.version} has salt {run.salt}")
+
+    def on_body(self, request_id: str, body: bytes) -> None:
+        """A server wrote this body as the whole answer of a request."""
+        self.bodies.setdefault(request_id, set()).add(body)
+
+    def on_order(self, order: GivenOrder) -> None:
+        """A server got an order that its fence let through."""
+        for other in self.orders:
+            if other.fencing_token == order.fencing_token and other.holder != order.holder:
+                self.violate("one-holder", f"{other.holder} and {order.holder} share a token")
+        lately = [item for item in self.orders if order.at - item.at < self.lease_seconds]
+        holders = [item.holder for item in lately] + [order.holder]
+        changes = sum(a != b for a, b in itertools.pairwise(holders))
+        if changes > 1:
+            self.violate("one-holder", f"turns within the lease: {holders}")
+        self.orders.append(order)
+
+    # -- clients --------------------------------------------------------------------------------
+
+    def on_sent(self, request: SentRequest) -> None:
+        """A client is about to send a request."""
+        self.sent[request.request_id] = request
+
+    def on_answer(self, request_id: str, status: int, body: bytes, whole: bool) -> None:
+        """A client got an answer, or the beginning of one."""
+        kind = self.sent[request_id].kind
+        outcome = str(status) if whole else "cut"
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        if status in (408, 421, 429, 503):
+            self.promised[request_id] = status
+        if status != 200:
+            return
+        if kind in ("stream", "single"):
+            expected = whole_stream(request_id)
+            if not expected.startswith(body) or (whole and body != expected):
+                self.violate("stream-order", f"{request_id} got {body[-60:]!r}")
+        elif whole and body not in self.bodies.get(request_id, set()):
+            self.violate("whole-answer", f"{request_id} got {body[:60]!r}")
+
+    def check_late(self) -> None:
+        """Looks back when all is over: a refusal stays true, also for what was on its way."""
+        for request_id, status in self.promised.items():
+            if self.runs.get(request_id) and self.sent[request_id].kind in ("unsafe", "single"):
+                self.violate("refused-is-true", f"{request_id} got {status} and ran later")
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,132 @@
+"""Runs soaks: `python3 tests/soak/run.py [--seeds FIRST:LAST] [--seconds N]`.
+
+Prints one JSON line for each seed; the exit code is 1 when a promise was broken. Seeds that failed
+are kept in `tests/soak/failed_seeds.txt` and can be run again.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import logging
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+
+from soak.clients import SoakClient
+from soak.faults import FAULTS
+from soak.world import SoakWorld
+
+CLIENTS = 12
+SETTLE_SECONDS = 3.0
+"""Calm at the end, before recovery is judged."""
+JUDGED_SECONDS = 3.0
+RECOVERED_SHARE = 0.7
+"""Of the answers after the calm, this share must be served; two of four keys may be revoked."""
+READY_TIMEOUT_SECONDS = 10.0
+
+
+async def soak(seed: int, seconds: float, folder: Path) -> dict[str, object]:
+    """One soak; returns its report."""
+    world = SoakWorld(seed, folder)
+    try:
+        await world.start()
+        await asyncio.sleep(1.0)
+        background = [
+            asyncio.create_task(work)
+            for work in (
+                world.beat(),
+                world.keep_gateways(),
+                *(SoakClient(number, world).run() for number in range(CLIENTS)),
+            )
+        ]
+        running = await draw_faults(world, seconds)
+        await asyncio.gather(*running)
+        await asyncio.sleep(SETTLE_SECONDS)
+        before = dict(world.ledger.outcomes)
+        await asyncio.sleep(JUDGED_SECONDS)
+        check_recovery(world, before)
+        check_gateways(world)
+        world.ledger.check_late()
+        failed = [task for task in background if task.done() and task.exception() is not None]
+        for task in failed:
+            world.ledger.violate("soak", repr(task.exception()))
+    finally:
+        await world.stop()
+    ledger = world.ledger
+    return {
+        "seed": seed,
+        "requests": len(ledger.sent),
+        "runs": sum(len(runs) for runs in ledger.runs.values()),
+        "orders": len(ledger.orders),
+        "starts": sum(gateway.starts for gateway in world.gateways),
+        "outcomes": dict(sorted(ledger.outcomes.items())),
+        "violations": ledger.violations[:20],
+    }
+
+
+async def draw_faults(world: SoakWorld, seconds: float) -> list[asyncio.Task[None]]:
+    """Begin faults at random moments; some overlap."""
+    ends_at = asyncio.get_running_loop().time() + seconds
+    running = []
+    while asyncio.get_running_loop().time() < ends_at:
+        running.append(asyncio.create_task(world.random.choice(FAULTS)(world)))
+        await asyncio.sleep(world.random.uniform(0.2, 1.2))
+    return running
+
+
+def check_recovery(world: SoakWorld, before: dict[str, int]) -> None:
+    """After the faults, what may be served is served."""
+    after = world.ledger.outcomes
+    given = {outcome: count - before.get(outcome, 0) for outcome, count in after.items()}
+    refused_keys = given.get("401", 0)
+    asked = sum(given.values()) - refused_keys - given.get("left", 0)
+    if asked == 0 or given.get("200", 0) / asked < RECOVERED_SHARE:
+        world.ledger.violate("recovery", f"after the faults: {given}")
+
+
+def check_gateways(world: SoakWorld) -> None:
+    """No process ended by a defect, and configurations never went back within a life."""
+    for gateway in world.gateways:
+        version = 0
+        for line in gateway.log_lines():
+            if line["event"] == "started":
+                version = 0
+            if line["event"] == "task-failed":
+                world.ledger.violate("defect", f"{gateway.name}: {line}")
+            if line["event"] == "configuration-in-force":
+                if line["version"] <= version:
+                    world.ledger.violate("configuration", f"{gateway.name} went back: {line}")
+                version = line["version"]
+
+
+def main() -> int:
+    """Run all seeds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="", help="FIRST:LAST; a fresh one without it")
+    parser.add_argument("--seconds", type=float, default=20.0, help="time of faults a seed")
+    parser.add_argument("--keep", type=Path, help="folder that keeps the logs of failed seeds")
+    arguments = parser.parse_args()
+    first, _, last = (arguments.seeds or str(int(time.time()))).partition(":")
+    # Stand-ins write to connections that a fault has closed.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = Path(temporary)
+            if arguments.keep:
+                folder = arguments.keep / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+            report = asyncio.run(soak(seed, arguments.seconds, folder))
+        failed += bool(report["violations"])
+        print(json.dumps(report), flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/server.py
@@ -0,0 +1,196 @@
+"""A stand-in server for soaks: runs requests, takes orders, and misbehaves by chance."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from gateway_standin import ReceivedRequest, answer, chunk, read_request
+from soak.ledger import GivenOrder, Ledger, Run, piece, piece_count
+
+HOST = "127.0.0.1"
+LOAD_SECONDS = 0.3
+MODEL = "model-1"
+
+
+@dataclass
+class Mood:
+    """Chances of each misbehaviour; 0 in good health."""
+
+    shed: float = 0.0
+    fail: float = 0.0
+    reset_before: float = 0.0
+    reset_after: float = 0.0
+    truncate: float = 0.0
+    garble: float = 0.0
+    mute: float = 0.0
+    surplus: float = 0.0
+
+
+@dataclass
+class SoakServer:
+    """One incarnation of a server."""
+
+    name: str
+    service: str
+    ledger: Ledger
+    random: random.Random
+    version: int | None = None
+    mood: Mood = field(default_factory=Mood)
+    draining: bool = False
+    sequence: int = 0
+    token: int = 0
+    loading: bool = False
+    address: str = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def crash(self) -> None:
+        """End at once; connections break."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def entry(self, address: str) -> dict[str, Any]:
+        """Its entry in the store, under the address of its proxy."""
+        models = [{"Name": MODEL, "Version": self.version, "Adapters": []}]
+        return {
+            "Service": self.service,
+            "Address": address,
+            "Zone": "zone-1",
+            "Version": "v1",
+            "Slots": 16,
+            "State": "draining" if self.draining else "ready",
+            "ColdRemainingMs": 0,
+            "Models": models if self.version is not None else [],
+            "Sequence": 0,
+        }
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        work: asyncio.Task[None] | None = None
+        try:
+            while (request := await read_request(reader, id(writer))) is not None:
+                work = asyncio.create_task(self._handle(request, writer))
+                # Reading goes on meanwhile, so that a closed connection ends the work.
+                await asyncio.wait({work})
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            if work is not None:
+                work.cancel()
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        fields = {"Request-Id": request.request_id, "Instance-Id": self.name}
+        expected = request.headers.get("expected-instance")
+        if expected is not None and expected != self.name:
+            writer.write(answer(421, b"", fields))
+        elif request.target == "/milletcourse/report":
+            writer.write(answer(200, json.dumps(self._report()).encode()))
+        elif request.target == "/milletcourse/order":
+            writer.write(answer(self._take_order(json.loads(request.body))))
+        elif request.headers.get("expected-version", str(self.version)) != str(self.version):
+            writer.write(answer(421, b"", fields))
+        elif self.loading or self._happens(self.mood.shed):
+            writer.write(answer(503, b"", {**fields, "Not-Executed": "1"}))
+        else:
+            await self._run(request, writer)
+
+    def _report(self) -> dict[str, Any]:
+        models = [{"Name": MODEL, "Version": self.version, "Adapters": []}]
+        return {"Models": models, "Busy": self.loading, "Sequence": self.sequence}
+
+    def _take_order(self, order: dict[str, Any]) -> int:
+        if order["FencingToken"] < self.token:
+            return 412
+        self.token = order["FencingToken"]
+        now = asyncio.get_running_loop().time()
+        self.ledger.on_order(GivenOrder(self.name, now, order["Holder"], order["FencingToken"]))
+        if order["Version"] == self.version:
+            return 200
+        if self.loading or order.get("ExpectedRev", self.sequence) != self.sequence:
+            return 409
+        self.sequence += 1
+        self.loading = True
+        asyncio.get_running_loop().call_later(LOAD_SECONDS, self._finish_load, order["Version"])
+        return 202
+
+    def _finish_load(self, version: int) -> None:
+        self.version = version
+        self.loading = False
+
+    def _happens(self, chance: float) -> bool:
+        return self.random.random() < chance
+
+    async def _run(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        mood = self.mood
+        if self._happens(mood.reset_before):
+            writer.transport.abort()
+            return
+        resumed_after = int(request.headers.get("last-event-id", "0"))
+        self.ledger.on_run(
+            request.request_id,
+            Run(
+                self.name,
+                asyncio.get_running_loop().time(),
+                request.headers.get("tenant", ""),
+                request.headers.get("cache-salt", ""),
+                self.version,
+                resumed_after,
+            ),
+        )
+        await asyncio.sleep(self.random.uniform(0.002, 0.03))
+        if self._happens(mood.mute):
+            await asyncio.sleep(30)
+        if self._happens(mood.reset_after):
+            writer.transport.abort()
+            return
+        fields = {"Request-Id": request.request_id, "Server-Signature": f"s-{self.name}"}
+        if self._happens(mood.garble):
+            writer.write(b"HTTP/9.9 garbled\r\n\r\n")
+            return
+        if self._happens(mood.fail):
+            writer.write(answer(500, b"own failure", fields))
+            return
+        if request.headers.get("model"):
+            await self._stream(request, writer, fields, resumed_after)
+            return
+        body = f"{request.request_id} at {self.name}".encode()
+        self.ledger.on_body(request.request_id, body)
+        data = answer(200, body, fields)
+        if self._happens(mood.truncate):
+            writer.write(data[:-7])
+            writer.close()
+            return
+        writer.write(data)
+        if self._happens(mood.surplus):
+            writer.write(answer(200, b"surplus", {**fields, "Request-Id": "surplus"}))
+
+    async def _stream(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        fields: dict[str, str],
+        resumed_after: int,
+    ) -> None:
+        head = {**fields, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        writer.write(answer(200, b"", head, length=False))
+        for number in range(resumed_after + 1, piece_count(request.request_id) + 1):
+            data = piece(request.request_id, number)
+            if self._happens(self.mood.truncate):
+                writer.write(chunk(data[:9]))
+                await writer.drain()
+                writer.transport.abort()
+                return
+            writer.write(chunk(data))
+            await asyncio.sleep(self.random.uniform(0.001, 0.02))
+        writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,214 @@
+"""Gateways as real processes, and everything round them in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from gateway_standin import StandinStore, configuration
+from soak.ledger import Ledger
+from soak.proxy import FaultProxy
+from soak.server import MODEL, SoakServer
+
+HOST = "127.0.0.1"
+GATEWAYS = 3
+ENGINES = 4
+APPLICATIONS = 2
+BOUNDS = {
+    "RevokeMs": 3000,
+    "FailClosed": True,
+    "GraceS": 6,
+    "LeaseMs": 1500,
+    "VersionMs": 5000,
+    "DrainMs": 2000,
+}
+TENANTS = {"key-1": "tenant-1", "key-2": "tenant-2", "key-3": "tenant-3", "key-4": "tenant-4"}
+ISOLATED = frozenset({"tenant-1"})
+
+
+def free_port() -> int:
+    """A port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+class GatewayProcess:
+    """One gateway on a fixed address, started again when it ends."""
+
+    def __init__(self, name: str, store: FaultProxy, folder: Path) -> None:
+        self.name = name
+        self.store = store
+        self.frontend = f"{HOST}:{free_port()}"
+        self.readiness = f"{HOST}:{free_port()}"
+        self.starts = 0
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        internal = free_port()
+        document = {
+            "NodeName": name,
+            "Zone": "zone-1",
+            "Ip": HOST,
+            "Listen": {"Frontend": self.frontend, "Readiness": self.readiness},
+            "Platform": {"Address": store.address},
+            "InternalPorts": [internal, internal],
+            "Bounds": BOUNDS,
+        }
+        self._settings.write_text(json.dumps(document))
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        self.starts += 1
+        environment = {**os.environ, "MILLETCOURSE_SETTINGS": str(self._settings)}
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "milletcourse.platform"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """The JSON lines that it has written."""
+        found = []
+        for line in self._log.read_text(errors="replace").splitlines():
+            if line.startswith("{"):
+                try:
+                    found.append(json.loads(line))
+                except ValueError:
+                    continue
+        return found
+
+
+class SoakWorld:
+    """Store, servers behind proxies, gateways, operator."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.random = random.Random(seed)
+        self.folder = folder
+        self.store = StandinStore()
+        self.ledger = Ledger(TENANTS, BOUNDS["RevokeMs"] / 1000, BOUNDS["LeaseMs"] / 1000, ISOLATED)
+        self.servers: dict[str, SoakServer] = {}
+        self.server_proxies: dict[str, FaultProxy] = {}
+        self.gateways: list[GatewayProcess] = []
+        self.version = 1
+        self.configuration_version = 1
+        self.keys = dict(TENANTS)
+        self.ended = False
+        self._numbers = 0
+
+    async def start(self) -> None:
+        """Everything up and ready."""
+        await self.store.start()
+        self.name_version()
+        self.put_configuration()
+        for _ in range(ENGINES):
+            await self.add_server("engine")
+        for _ in range(APPLICATIONS):
+            await self.add_server("app")
+        for number in range(GATEWAYS):
+            proxy = FaultProxy(self.store.address)
+            await proxy.start()
+            gateway = GatewayProcess(f"front-{number + 1}", proxy, self.folder)
+            gateway.start()
+            self.gateways.append(gateway)
+
+    async def add_server(self, service: str) -> SoakServer:
+        """A new incarnation behind a proxy, entered into the store."""
+        self._numbers += 1
+        version = self.version if service == "engine" else None
+        name = f"{service}-{self._numbers}"
+        server = SoakServer(name, service, self.ledger, self.random, version)
+        await server.start()
+        proxy = FaultProxy(server.address)
+        await proxy.start()
+        self.servers[name] = server
+        self.server_proxies[name] = proxy
+        self.enter(server)
+        return server
+
+    def enter(self, server: SoakServer) -> None:
+        """Write a server's entry."""
+        self.store.put(
+            "servers", server.name, server.entry(self.server_proxies[server.name].address)
+        )
+
+    async def remove_server(self, name: str) -> None:
+        """A server ends at once; its entry goes."""
+        server = self.servers.pop(name)
+        await server.crash()
+        await self.server_proxies.pop(name).close()
+        self.store.remove("servers", name)
+
+    async def beat(self) -> None:
+        """Servers show changed versions in their entries, with a lag."""
+        while not self.ended:
+            await asyncio.sleep(0.6)
+            for server in list(self.servers.values()):
+                stored = self.store.objects["servers"][server.name]["Spec"]
+                entry = server.entry(self.server_proxies[server.name].address)
+                if entry != stored:
+                    self.enter(server)
+
+    async def keep_gateways(self) -> None:
+        """The platform starts a process again that has ended."""
+        while not self.ended:
+            await asyncio.sleep(0.2)
+            for gateway in self.gateways:
+                if not gateway.is_running() and not self.ended:
+                    gateway.start()
+
+    # -- operator -------------------------------------------------------------------------------
+
+    def name_version(self) -> None:
+        """Name newer weights."""
+        self.version += 1
+        self.store.put("versions", MODEL, {"Model": MODEL, "Version": self.version})
+
+    def put_configuration(self) -> None:
+        """The next version of the configuration, with the keys that are valid now."""
+        self.configuration_version += self.random.randint(1, 3)
+        tenants = [
+            {"Name": tenant, "ApiKeys": [key], "Isolated": tenant in ISOLATED}
+            for key, tenant in self.keys.items()
+        ]
+        document = configuration(self.configuration_version, Tenants=tenants)
+        self.store.put("config", "main", document)
+
+    def revoke(self, key: str) -> None:
+        """Take a key away for good."""
+        del self.keys[key]
+        self.put_configuration()
+        self.ledger.revoked_at[key] = asyncio.get_running_loop().time()
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        self.ended = True
+        for gateway in self.gateways:
+            gateway.send(signal.SIGCONT)
+            gateway.send(signal.SIGKILL)
+            if gateway.process is not None:
+                gateway.process.wait()
+            await gateway.store.close()
+        for name in list(self.servers):
+            await self.servers[name].crash()
+            await self.server_proxies[name].close()
+        await self.store.stop()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
@@ -426,6 +427,37 @@
     run_with_gateway(scenario)
 
 
+def test_unknown_keys_get_401_however_old_a_calm_proof_is() -> None:
+    """A watch that waits proves the time of its sending: its age goes up to twice the wait."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        client = await harness.client()
+        for number in range(24):
+            assert (await client.ask("/safe/", f"id-{number}", key="wrong")).status == 401
+            await asyncio.sleep(0.1)
+
+    run_with_gateway(scenario)
+
+
+def test_a_taken_internal_port_does_not_keep_a_gateway_from_serving() -> None:
+    """It takes the next one of the range, or serves without its peers."""
+
+    async def scenario(harness: Harness) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            port = taken.getsockname()[1]
+            await harness.add_server("app-1", "app", serve_whole)
+            harness.store.put("config", "main", configuration())
+            harness.internal_ports = [port, port]
+            await harness.start_gateway()
+            await harness.until(harness.is_ready)
+            assert (await (await harness.client()).ask("/safe/")).status == 200
+
+    run_with_gateway(scenario)
+
+
 def test_not_ready_before_the_first_configuration() -> None:
     """503, never 404 or 401."""
 
