--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -28,10 +28,12 @@
 
 FRESHNESS_MARGIN_SECONDS = 0.4
 """Keys are refused this long before the bound on revocation."""
-BUDGET_SHARE = 0.6
-"""Share of the allowed ratio that this node uses; the rest covers uneven windows."""
-EXPECTED_GATEWAYS = 10
-"""Divides the slack of the retry budget; a deployment of more gateways gets a larger slack."""
+BUDGET_SHARE = 0.8
+"""Share of the allowed retries that the gateways use; the rest covers uneven windows."""
+UNKNOWN_GATEWAYS = 10
+"""Divides the slack of the retry budget until the list of gateways is known."""
+SLACK_PARTS = 3
+"""The slack is spent as a burst, as a rate over the window, and as saved-up earnings."""
 RETRY_AFTER_SECONDS = 0.2
 RETRY_AFTER_SPREAD_SECONDS = 0.4
 """Returns are spread, so that refused clients don't come back together."""
@@ -70,6 +72,7 @@
         )
         self.weights = WeightedChoice(random_source)
         self.pool = ConnectionPool(dialect)
+        self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
         self._reachable: dict[str, bool] = {}
 
@@ -93,6 +96,12 @@
             if instance.in_flight
         ]
 
+    def set_gateways(self, count: int) -> None:
+        """The number of gateways that share the retry budget, this one included."""
+        if count != self.gateways:
+            self.gateways = count
+            self._budgets.clear()
+
     def limits(self) -> EdgeLimits:
         """Bounds on what clients send; defaults before the first configuration."""
         return self.table.limits if self.table is not None else EdgeLimits()
@@ -112,13 +121,14 @@
         budget = self._budgets.get(service)
         if budget is None:
             bounds = self.settings.bounds
-            share = bounds.retry_slack * BUDGET_SHARE / EXPECTED_GATEWAYS
+            gateways = self.gateways or UNKNOWN_GATEWAYS
+            part = bounds.retry_slack * BUDGET_SHARE / gateways / SLACK_PARTS
             budget = self._budgets[service] = RetryBudget(
                 self.now(),
                 ratio=bounds.retry_ratio * BUDGET_SHARE,
-                floor_per_second=share / 3 / bounds.budget_window,
-                floor_burst=share / 3,
-                max_saved=share / 3,
+                floor_per_second=part / bounds.budget_window,
+                floor_burst=part,
+                max_saved=part,
             )
         return budget
 
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -64,7 +64,7 @@
         self._peers.clear()
         for stored in objects:
             self._note(stored)
-        self._context.peer_loads.set_peers(len(self._peers), PEERS_A_TICK / SEND_SECONDS)
+        self._note_count()
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
@@ -73,11 +73,15 @@
                 self._peers.pop(change.stored.name, None)
             else:
                 self._note(change.stored)
-        self._context.peer_loads.set_peers(len(self._peers), PEERS_A_TICK / SEND_SECONDS)
+        self._note_count()
 
     def on_unavailable(self) -> None:
         """See `KindSink`: the known gateways stay known."""
 
+    def _note_count(self) -> None:
+        self._context.peer_loads.set_peers(len(self._peers), PEERS_A_TICK / SEND_SECONDS)
+        self._context.set_gateways(len(self._peers) + 1)
+
     def _note(self, stored: StoredObject) -> None:
         if stored.name == self._context.settings.name or len(self._peers) >= MAX_PEERS:
             return
