--- a/src/milletcourse/gateway/adapter.py
+++ b/src/milletcourse/gateway/adapter.py
@@ -10,6 +10,7 @@
 from milletcourse.gateway.object_store import StoreDialect
 from milletcourse.gateway.roll_out_service import OrderDialect
 from milletcourse.gateway.settings import GatewaySettings
+from milletcourse.gateway.store_follower import StoreProbeDialect
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +46,7 @@
         store: Formats of the object store.
         kinds: Names in the object store.
         orders: Formats of orders to servers.
+        store_probe: How a store of kept prompt state is asked for a sign of life.
         decode_configuration: Content of the configuration's object.
         decode_instance: Name and content of a server's entry.
         decode_target: Content of a named version.
@@ -56,6 +58,7 @@
     store: StoreDialect
     kinds: ObjectKinds
     orders: OrderDialect
+    store_probe: StoreProbeDialect
     decode_configuration: Callable[[bytes], ExchangeConfiguration]
     decode_instance: Callable[[str, bytes], InstanceRecord]
     decode_target: Callable[[bytes], ModelTarget]
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -67,6 +67,7 @@
         self.gate = VersionGate(bounds.version)
         self.peer_loads = PeerLoads()
         self.load_seconds = INITIAL_LOAD_SECONDS
+        self.unreachable_store = ""
         self.selector = InstanceSelector(
             self.instances, self.gate, self.peer_loads, settings.zone, random_source
         )
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -248,9 +248,10 @@
         if self._request.prompt_tokens < CACHE_STORE_MIN_TOKENS:
             return
         store = self._table.cache_store(instance.record.zone)
-        if store is not None:
-            dispatch.cache_source = store.store_address
-            dispatch.cache_target = store.store_address
+        if store is None or store.store_address == self._context.unreachable_store:
+            return
+        dispatch.cache_source = store.store_address
+        dispatch.cache_target = store.store_address
 
     # -- answers --------------------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -23,6 +23,7 @@
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
 from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
+from milletcourse.gateway.store_follower import StoreFollower
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
@@ -103,6 +104,8 @@
             self._peers,
         )
         self._spawn(roll_out.run())
+        follower = StoreFollower(self.context, self._calls, self._adapter.store_probe)
+        self._spawn(follower.run())
         self._spawn(self._sweep())
 
     async def _start_peers(self) -> None:
--- a/src/milletcourse/platform/__main__.py
+++ b/src/milletcourse/platform/__main__.py
@@ -9,6 +9,7 @@
 from milletcourse.exchange.dialect import HeaderDialect
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.process import run_gateway
+from milletcourse.platform.cache_events import PlatformCacheEvents
 from milletcourse.platform.documents import (
     decode_configuration,
     decode_instance,
@@ -28,6 +29,7 @@
         store=PlatformStoreDialect(),
         kinds=KINDS,
         orders=PlatformOrderDialect(),
+        store_probe=PlatformCacheEvents(),
         decode_configuration=decode_configuration,
         decode_instance=decode_instance,
         decode_target=decode_target,
