Read long lists stale and page by page, so that a herd of restarts gets through

A list of 1,003 servers takes 21 pages; 100 gateways ask for 2,100 in the first second, above the store's 2,000, and a refused page made each begin anew. Tests: 60 servers by 3 a page while 4 of 10 calls are refused; a stale list with a server that has gone.

--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -68,7 +68,7 @@
         self.readiness_address = settings.readiness
         self.frontend_address = settings.frontend
         self._calls = CallClient(self.context.pool)
-        self._store = ObjectStoreClient(settings.store, adapter.store, self._calls)
+        self._store = ObjectStoreClient(settings.store, adapter.store, self._calls, random_source)
         self._peers = PeerExchange(self.context, self._store, adapter.kinds.gateways)
         self._registration: asyncio.Task[None] | None = None
 
@@ -86,12 +86,13 @@
         instances = InstanceSink(self.context, self._adapter.decode_instance)
         targets = TargetSink(self.context, self._adapter.decode_target)
         watches = (
-            (kinds.configuration, configuration, CONFIGURATION_WAIT_SECONDS),
-            (kinds.instances, instances, INSTANCE_WAIT_SECONDS),
-            (kinds.targets, targets, TARGET_WAIT_SECONDS),
+            (kinds.configuration, configuration, CONFIGURATION_WAIT_SECONDS, False),
+            # Many pages: read stale, and brought up to date by the first watch.
+            (kinds.instances, instances, INSTANCE_WAIT_SECONDS, True),
+            (kinds.targets, targets, TARGET_WAIT_SECONDS, False),
         )
-        for kind, sink, wait_seconds in watches:
-            watch = KindWatch(self._store, kind, sink, wait_seconds, self._random)
+        for kind, sink, wait_seconds, stale in watches:
+            watch = KindWatch(self._store, kind, sink, wait_seconds, self._random, stale)
             self._spawn(watch.run())
         await self._start_peers()
         roll_out = RollOutService(
--- a/src/milletcourse/gateway/object_store.py
+++ b/src/milletcourse/gateway/object_store.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from enum import Enum
 from typing import Protocol
 
@@ -12,6 +14,9 @@
 from milletcourse.gateway.call_client import Call, CallClient, Reply
 
 CALL_TIMEOUT_SECONDS = 1.0
+PAGE_ATTEMPTS = 4
+FIRST_PAGE_PAUSE_SECONDS = 0.05
+"""Before a refused page is asked for again; doubled each time, with jitter."""
 WATCH_MARGIN_SECONDS = 0.6
 """A watch that answers this much later than asked for is taken as hung."""
 
@@ -78,8 +83,11 @@
 class StoreDialect(Protocol):
     """Paths and formats of one store; every reader raises `StoreError` for a failed reply."""
 
-    def list_call(self, kind: str, after: str) -> Call:
-        """A page of a kind's objects behind a name; empty for the first page."""
+    def list_call(self, kind: str, after: str, stale: bool) -> Call:
+        """A page of a kind's objects behind a name; empty for the first page.
+
+        A stale page may be seconds old, is cheap, and isn't counted against the store's rate.
+        """
 
     def read_page(self, reply: Reply) -> ObjectPage:
         """Understand a page."""
@@ -106,30 +114,48 @@
 class ObjectStoreClient:
     """Calls one store."""
 
-    def __init__(self, address: str, dialect: StoreDialect, calls: CallClient) -> None:
+    def __init__(
+        self, address: str, dialect: StoreDialect, calls: CallClient, random_source: random.Random
+    ) -> None:
         self._address = address
+        self._random = random_source
         self._dialect = dialect
         self._calls = calls
 
-    async def list_all(self, kind: str) -> tuple[list[StoredObject], int, float]:
+    async def list_all(
+        self, kind: str, stale: bool = False
+    ) -> tuple[list[StoredObject], int, float]:
         """All objects of a kind: (objects, revision to watch from, time of the first call).
 
-        The revision is that of the first page, so that changes between pages are seen again.
+        The revision is the lowest of all pages, so that changes between pages are seen again. A
+        page that the store refuses is asked for again, since beginning anew would add to its load.
         """
         objects: list[StoredObject] = []
         after = ""
         revision = 0
         sent_at = 0.0
         while True:
-            reply = await self._send(self._dialect.list_call(kind, after))
-            page = self._dialect.read_page(reply)
+            page, page_sent_at = await self._page(kind, after, stale)
             objects.extend(page.objects)
             if not after:
-                revision, sent_at = page.revision, reply.sent_at
+                revision, sent_at = page.revision, page_sent_at
+            revision = min(revision, page.revision)
             if not page.more or not page.objects:
                 return objects, revision, sent_at
             after = page.objects[-1].name
 
+    async def _page(self, kind: str, after: str, stale: bool) -> tuple[ObjectPage, float]:
+        pause = FIRST_PAGE_PAUSE_SECONDS
+        for _ in range(PAGE_ATTEMPTS - 1):
+            try:
+                reply = await self._send(self._dialect.list_call(kind, after, stale))
+                return self._dialect.read_page(reply), reply.sent_at
+            except StoreError:
+                await asyncio.sleep(pause * (0.5 + self._random.random()))
+                pause *= 2
+        reply = await self._send(self._dialect.list_call(kind, after, stale))
+        return self._dialect.read_page(reply), reply.sent_at
+
     async def watch(
         self, kind: str, revision: int, wait_seconds: float
     ) -> tuple[ObjectChanges, float]:
--- a/src/milletcourse/platform/object_store.py
+++ b/src/milletcourse/platform/object_store.py
@@ -54,9 +54,14 @@
 class PlatformStoreDialect:
     """Implements `StoreDialect`."""
 
-    def list_call(self, kind: str, after: str) -> Call:
+    def list_call(self, kind: str, after: str, stale: bool) -> Call:
         """See `StoreDialect`."""
-        query = f"?after={quote(after, safe='')}" if after else ""
+        terms = []
+        if after:
+            terms.append(f"after={quote(after, safe='')}")
+        if stale:
+            terms.append("Stale=1")
+        query = "?" + "&".join(terms) if terms else ""
         return Call("GET", f"{OBJECTS_PATH}/{kind}{query}")
 
     def read_page(self, reply: Reply) -> ObjectPage:
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -68,11 +69,16 @@
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.revision = 0
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.journal: list[tuple[int, str, dict[str, Any], bool]] = []
         self.forgotten = 0
         self.silent = False
         self.unavailable = False
+        self.refuse_share = 0.0
+        self.page_size = 50
+        self.stale_by = 0
         self.address = ""
         self.calls: list[ReceivedRequest] = []
+        self._random = random.Random(1)
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -105,6 +111,14 @@
         self._note(kind, stored, False)
         return self.revision
 
+    def put_unseen(self, kind: str, name: str, spec: Any) -> None:
+        """A change that watches don't hear of before its history is dropped."""
+        self.revision += 1
+        stored = {"Metadata": {"Name": name, "Revision": self.revision}, "Spec": spec}
+        self.objects[kind][name] = stored
+        self.journal.append((self.revision, kind, stored, False))
+        self.forget_history()
+
     def remove(self, kind: str, name: str) -> None:
         """An object goes."""
         stored = self.objects[kind].pop(name)
@@ -117,6 +131,7 @@
         self.history.clear()
 
     def _note(self, kind: str, stored: dict[str, Any], gone: bool) -> None:
+        self.journal.append((self.revision, kind, stored, gone))
         self.history.append((self.revision, kind, stored, gone))
         self._changed.set()
         self._changed = asyncio.Event()
@@ -150,14 +165,35 @@
         if request.method == "GET" and "Watch" in query:
             return await self._watch(kind, int(query["Watch"]), int(query.get("WaitMs", 0)))
         if request.method == "GET" and len(parts) == 1:
-            items = [item for _, item in sorted(self.objects.get(kind, {}).items())]
-            items = [item for item in items if item["Metadata"]["Name"] > query.get("after", "")]
-            return 200, {"items": items[:50], "More": len(items) > 50, "At": self.revision}
+            return self._list(kind, query)
         if request.method == "GET":
             stored = self.objects.get(kind, {}).get(parts[1])
             return (200, stored) if stored else (404, {})
         return self._write(kind, request)
 
+    def _list(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
+        if self._random.random() < self.refuse_share:
+            return 429, {}
+        objects = self.objects.get(kind, {})
+        at = self.revision
+        if "Stale" in query:
+            objects, at = self._objects_before(kind)
+        items = [item for name, item in sorted(objects.items()) if name > query.get("after", "")]
+        page = items[: self.page_size]
+        return 200, {"items": page, "More": len(items) > self.page_size, "At": at}
+
+    def _objects_before(self, kind: str) -> tuple[dict[str, dict[str, Any]], int]:
+        """A kind's objects as they were some changes ago."""
+        shown = self.journal[: max(len(self.journal) - self.stale_by, 0)]
+        objects: dict[str, dict[str, Any]] = {}
+        for _, changed, stored, gone in shown:
+            if changed != kind:
+                continue
+            objects.pop(stored["Metadata"]["Name"], None)
+            if not gone:
+                objects[stored["Metadata"]["Name"]] = stored
+        return objects, shown[-1][0] if shown else 0
+
     def _write(self, kind: str, request: ReceivedRequest) -> tuple[int, Any]:
         document = json.loads(request.body)
         name = document["Metadata"]["Name"]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -526,9 +526,8 @@
         assert harness.node is not None
         instances = harness.node.context.instances
         entry = harness.servers["app-1"].entry("app", state="draining")
-        harness.store.objects["servers"]["app-1"]["Spec"] = entry
-        harness.store.revision += 1
-        harness.store.forget_history()
+        harness.store.put_unseen("servers", "app-1", entry)
+        harness.store.stale_by = 1
         harness.store.cut()
 
         def is_draining() -> bool:
@@ -542,6 +541,46 @@
     run_with_gateway(scenario)
 
 
+def test_a_long_list_is_read_while_the_store_refuses_many_calls() -> None:
+    """A refused page is asked for again; the list isn't begun anew, as a herd would do for ever."""
+
+    async def scenario(harness: Harness) -> None:
+        server = StandinServer("template", serve_whole)
+        await server.start()
+        for number in range(60):
+            harness.store.put("servers", f"app-{number:02}", server.entry("app"))
+        harness.store.page_size = 3
+        harness.store.refuse_share = 0.4
+        harness.store.put("config", "main", configuration())
+        await harness.start_gateway()
+        assert harness.node is not None
+        instances = harness.node.context.instances
+        await harness.until(lambda: len(list(instances)) == 60)
+        pages = [call for call in harness.store.calls if call.target.count("/servers?")]
+        assert all("Stale=1" in call.target for call in pages if "Watch" not in call.target)
+        await server.stop()
+
+    run_with_gateway(scenario)
+
+
+def test_a_stale_list_is_brought_up_to_date_before_it_is_used() -> None:
+    """What changed since the stale page comes with the first watch."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.add_server("app-2", "app", serve_whole)
+        harness.store.put("config", "main", configuration())
+        harness.store.remove("servers", "app-1")
+        harness.store.stale_by = 2
+        await harness.start_gateway()
+        assert harness.node is not None
+        instances = harness.node.context.instances
+        await harness.until(lambda: instances.get("app-2") is not None)
+        assert instances.get("app-1") is None
+
+    run_with_gateway(scenario)
+
+
 def test_entries_that_vanish_with_the_store_are_doubtful_not_gone() -> None:
     """Servers whose entries lapse while the store fails are still used."""
 
