--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/client_connection.py
@@ -196,7 +196,7 @@
         return lines
 
     def _write(self, data: bytes) -> None:
-        if self.gone or self._transport is None:
+        if self.gone or self._transport is None or self._transport.is_closing():
             return
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -108,6 +108,9 @@
         """Send to servers until there is one final answer."""
         timer = self._loop.call_at(self._end_at, self._on_time_up)
         self._client.on_gone = self._on_gone
+        if self._client.gone:
+            # It left between its request and this moment.
+            self._on_gone()
         self._context.budget(self._service.name).on_request()
         try:
             await self._run_attempts()
@@ -219,6 +222,9 @@
         )
         try:
             result = await self._receive(connection, instance)
+        except BaseException:
+            connection.abort()
+            raise
         finally:
             self._connection = None
             self._silence.stop()
--- a/src/milletcourse/gateway/server_connection.py
+++ b/src/milletcourse/gateway/server_connection.py
@@ -83,7 +83,7 @@
         self._expected_id = request_id
         self._bodyless = bodyless
         self._busy = True
-        if self._lost:
+        if not self.is_open:
             self._events.append(AnswerEvent(lost=LossCause.CLOSED))
             return
         self._transport.write(data)
@@ -108,7 +108,9 @@
     @property
     def is_open(self) -> bool:
         """Whether the connection still stands."""
-        return not self._lost and not self._aborted
+        if self._lost or self._aborted or self._transport is None:
+            return False
+        return not self._transport.is_closing()
 
     def is_reusable(self, now: float) -> bool:
         """Whether another request may be sent on it."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -22,6 +22,10 @@
     stream_head,
 )
 from milletcourse.cli.explain_request import explain_lines
+from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
+from milletcourse.gateway.exchange import Exchange
+from milletcourse.gateway.refusals import refuse
 
 PROMPT = {
     "Model": "model-1",
@@ -389,6 +393,45 @@
     run_with_gateway(scenario)
 
 
+def test_client_that_left_before_its_request_was_begun_causes_no_send() -> None:
+    """The close is seen although nobody listened for it yet."""
+
+    async def scenario(harness: Harness) -> None:
+        server = await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        assert context.table is not None
+        route = context.table.find_route("site.example", "/safe/")
+        assert route is not None
+        request = ExchangeRequest(
+            method=b"GET",
+            target=b"/safe/",
+            host="site.example",
+            fields=[],
+            body=b"",
+            request_id="id-1",
+            key="",
+            deadline_seconds=1.0,
+            last_event_id="",
+            model="",
+            prompt_parts=(),
+            prompt_tokens=0,
+            output_tokens=0,
+            received_at=context.now(),
+        )
+        client = ClientConnection(context, _no_handler, refuse, set())
+        client.connection_lost(None)
+        await Exchange(context, context.table, request, route, None, client).run()
+        assert not server.received
+
+    run_with_gateway(scenario)
+
+
+async def _no_handler(_: ClientRequest, __: ClientConnection) -> None:
+    """Serves nothing."""
+
+
 def test_time_limit_ends_a_request_at_once() -> None:
     """504 without a promise when it may have run."""
 
