Keep within bounds that are shorter than today's; unknown kinds of routes run at most once

Cause: watch waits, lease margins and the planned stop were fixed for the bounds of the two sites; a deployment with RevokeMs 2,000 would have refused keys half of the time, one with short leases would never have held one. A kind of route that isn't known kept the whole configuration from being in force. Tests: calm proofs within three sets of bounds, short leases, an unknown kind; the first failed before (no watch_wait), the last raised.

--- a/src/milletcourse/control/lease.py
+++ b/src/milletcourse/control/lease.py
@@ -44,9 +44,15 @@
 class LeaseTracker:
     """One process's view of one lease."""
 
-    def __init__(self, owner: str, duration_seconds: float = DEFAULT_DURATION_SECONDS) -> None:
+    def __init__(
+        self,
+        owner: str,
+        duration_seconds: float = DEFAULT_DURATION_SECONDS,
+        margin_seconds: float = HOLDER_MARGIN_SECONDS,
+    ) -> None:
         self._owner = owner
         self._duration_seconds = duration_seconds
+        self._margin_seconds = margin_seconds
         self._spec: LeaseSpec | None = None
         self._version = 0
         self._unchanged_since = 0.0
@@ -82,7 +88,7 @@
         self._spec = claim.spec
         self._version = version
         self._unchanged_since = sent_at
-        self._held_until = sent_at + self._duration_seconds - HOLDER_MARGIN_SECONDS
+        self._held_until = sent_at + self._duration_seconds - self._margin_seconds
 
     def is_held(self, now: float) -> bool:
         """Whether this process may act as the holder."""
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -10,7 +10,7 @@
 from milletcourse.errors import Failure
 from milletcourse.exchange.attempt_plan import NextStep
 from milletcourse.exchange.dialect import HeaderDialect
-from milletcourse.exchange.freshness import ProofOfFreshness
+from milletcourse.exchange.freshness import ProofOfFreshness, watch_wait
 from milletcourse.exchange.instance_selector import InstanceSelector
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
@@ -61,7 +61,7 @@
         self.loop = asyncio.get_running_loop()
         bounds = settings.bounds
         self.freshness = ProofOfFreshness(
-            bounds.revoke - FRESHNESS_MARGIN_SECONDS, bounds.fail_closed
+            self._key_bound(settings), bounds.fail_closed, self.watch_wait()
         )
         self.instances = InstanceTable()
         self.gate = VersionGate(bounds.version)
@@ -85,10 +85,18 @@
         """Take changed bounds into force; addresses stay as they are until a restart."""
         bounds = settings.bounds
         self.settings = settings
-        self.freshness.set_bound(bounds.revoke - FRESHNESS_MARGIN_SECONDS, bounds.fail_closed)
+        self.freshness.set_bound(self._key_bound(settings), bounds.fail_closed, self.watch_wait())
         self.gate.bound_seconds = bounds.version
         self._budgets.clear()
 
+    @staticmethod
+    def _key_bound(settings: GatewaySettings) -> float:
+        return settings.bounds.revoke - FRESHNESS_MARGIN_SECONDS
+
+    def watch_wait(self) -> float:
+        """How long a watch of the configuration waits."""
+        return watch_wait(self._key_bound(self.settings), self.settings.bounds.config_apply)
+
     def own_loads(self) -> list[InstanceLoad]:
         """This gateway's load on each server that has some."""
         return [
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -30,15 +30,14 @@
 
 LISTEN_BACKLOG = 1024
 SWEEP_SECONDS = 0.25
-CONFIGURATION_WAIT_SECONDS = 1.0
-"""A watch of the configuration answers this often at least: each answer proves freshness, and a
-hung watch is noticed within the bound on a change."""
 INSTANCE_WAIT_SECONDS = 1.5
 TARGET_WAIT_SECONDS = 3.0
 PEER_WAIT_SECONDS = 10.0
 """Gateways come seldom, and nothing but speed depends on knowing them."""
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
+MAX_LEAVE_SHARE = 0.4
+"""Of a short grace time, so that what was taken can end."""
 MAX_SHOWN_AGE_SECONDS = 1e6
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4"
 GRACE_MARGIN_SECONDS = 0.5
@@ -86,7 +85,7 @@
         instances = InstanceSink(self.context, self._adapter.decode_instance)
         targets = TargetSink(self.context, self._adapter.decode_target)
         watches = (
-            (kinds.configuration, configuration, CONFIGURATION_WAIT_SECONDS, False),
+            (kinds.configuration, configuration, self.context.watch_wait(), False),
             # Many pages: read stale, and brought up to date by the first watch.
             (kinds.instances, instances, INSTANCE_WAIT_SECONDS, True),
             (kinds.targets, targets, TARGET_WAIT_SECONDS, False),
@@ -203,7 +202,8 @@
         context.log.emit("stopping", connections=len(self._clients))
         began = context.now()
         end_at = began + context.settings.bounds.grace - GRACE_MARGIN_SECONDS
-        await asyncio.sleep(LEAVE_ENTRY_SECONDS)
+        grace = context.settings.bounds.grace
+        await asyncio.sleep(min(LEAVE_ENTRY_SECONDS, grace * MAX_LEAVE_SHARE))
         # A request taken later than this might not end within the grace time.
         context.refusing = True
         for listener in self._listeners:
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -18,8 +18,10 @@
 from milletcourse.gateway.peers import PeerExchange
 
 TICK_SECONDS = 0.1
-RENEW_SECONDS = 0.9
-"""The holder renews this often while there is work."""
+MAX_RENEW_SECONDS = 0.9
+"""The holder renews at least this often while there is work."""
+MAX_MARGIN_SECONDS = 1.0
+"""It stops this long before others may take over, or a third of a short lease."""
 LOOK_SECONDS = 1.0
 LOOK_SPREAD_SECONDS = 1.0
 """Others look this often whether the holder still renews."""
@@ -65,7 +67,9 @@
         self._orders = orders
         self._peers = peers
         duration = context.settings.bounds.lease + LEASE_EXTRA_SECONDS
-        self._lease = LeaseTracker(context.settings.name, duration)
+        margin = min(MAX_MARGIN_SECONDS, duration / 3)
+        self._lease = LeaseTracker(context.settings.name, duration, margin)
+        self._renew_seconds = min(MAX_RENEW_SECONDS, (duration - margin) / 2)
         self._plan = RollOut(context.gate)
         self._next_lease_call = 0.0
         self._was_holder = False
@@ -90,7 +94,7 @@
             return
         held = self._lease.is_held(now)
         spread = self._context.random.random() * LOOK_SPREAD_SECONDS
-        self._next_lease_call = now + (RENEW_SECONDS if held else LOOK_SECONDS + spread)
+        self._next_lease_call = now + (self._renew_seconds if held else LOOK_SECONDS + spread)
         claim = self._lease.next_claim(now)
         try:
             if claim is None:
@@ -111,7 +115,7 @@
                 self._lease_kind, self._lease_name, spec, claim.expected_version
             )
         self._lease.on_written(claim, stored.revision, sent_at)
-        self._next_lease_call = sent_at + RENEW_SECONDS
+        self._next_lease_call = sent_at + self._renew_seconds
 
     def _observe(self, stored: StoredObject) -> None:
         spec = msgspec.json.decode(stored.spec, type=LeaseSpec)
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -92,6 +92,14 @@
 # -- configuration ------------------------------------------------------------------------------
 
 
+_ROUTE_KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAMING,
+}
+"""A kind that isn't known may run at most once."""
+
+
 class _Backend(_Document, frozen=True):
     service: str
     weight: float = 1.0
@@ -101,7 +109,7 @@
     name: str
     host: str
     path_prefix: str
-    route_type: RouteKind
+    route_type: str
     timeout_ms: float
     target_latency_ms: float = 0.0
     priority: int = 0
@@ -180,7 +188,7 @@
         name=route.name,
         host=route.host,
         path_prefix=route.path_prefix,
-        kind=route.route_type,
+        kind=_ROUTE_KINDS.get(route.route_type, RouteKind.UNSAFE),
         timeout_seconds=route.timeout_ms * MILLISECOND,
         target_latency_seconds=route.target_latency_ms * MILLISECOND,
         priority=route.priority,
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -10,11 +10,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from milletcourse.control.lease import LeaseTracker
 from milletcourse.errors import FailureError
 from milletcourse.exchange.attempt_plan import AttemptPlan, NextStep
 from milletcourse.exchange.dialect import HeaderDialect, HeaderNames
 from milletcourse.exchange.event_stream import EventSplitter
-from milletcourse.exchange.freshness import ProofOfFreshness
+from milletcourse.exchange.freshness import ProofOfFreshness, watch_wait
 from milletcourse.exchange.instance_table import DOUBT_SECONDS, Instance, InstanceTable
 from milletcourse.exchange.messages import AttemptResult, Dispatch, HeaderField
 from milletcourse.exchange.peer_messages import (
@@ -40,6 +41,7 @@
 from milletcourse.exchange.server_health import ServerHealth
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
+from milletcourse.platform.documents import decode_configuration
 
 SOURCES = Path(__file__).parent.parent / "src" / "milletcourse"
 MODEL = "model-1"
@@ -116,7 +118,7 @@
 
 def test_freshness_counts_from_when_the_call_was_sent() -> None:
     """A proof grows old; without one, keys are not trusted."""
-    proof = ProofOfFreshness(4.6, fail_closed=True)
+    proof = ProofOfFreshness(4.6, True, 1.0)
     assert not proof.allows_keys(0.0)
     proof.on_proof(10.0)
     proof.on_proof(9.0)
@@ -124,7 +126,46 @@
     assert not proof.allows_keys(14.7)
     assert proof.allows_not_found(12.2)
     assert not proof.allows_not_found(12.4)
-    assert ProofOfFreshness(4.6, fail_closed=False).allows_keys(0.0)
+    assert ProofOfFreshness(4.6, False, 1.0).allows_keys(0.0)
+
+
+@pytest.mark.parametrize(("key_bound", "config_apply"), [(4.6, 2.0), (1.6, 2.0), (4.6, 0.8)])
+def test_calm_proofs_stay_within_the_bounds(key_bound: float, config_apply: float) -> None:
+    """Whatever a deployment's bounds are, twice the wait of a watch fits into them."""
+    wait = watch_wait(key_bound, config_apply)
+    proof = ProofOfFreshness(key_bound, True, wait)
+    proof.on_proof(0.0)
+    assert proof.allows_keys(2 * wait)
+    assert proof.allows_not_found(2 * wait)
+    assert wait <= config_apply / 2
+
+
+@pytest.mark.parametrize("duration", [1.0, 3.3])
+def test_a_holder_stops_before_others_may_take_over(duration: float) -> None:
+    """Also where leases are short."""
+    margin = min(1.0, duration / 3)
+    holder = LeaseTracker("a", duration, margin)
+    claim = holder.next_claim(0.0)
+    assert claim is not None
+    holder.on_written(claim, 1, 0.0)
+    other = LeaseTracker("b", duration, margin)
+    other.on_observed(claim.spec, 1, 0.0)
+    assert holder.is_held(duration - margin - 0.01)
+    assert not holder.is_held(duration - margin + 0.01)
+    assert other.next_claim(duration - 0.01) is None
+    taken = other.next_claim(duration + 0.01)
+    assert taken is not None and taken.spec.fencing_token == claim.spec.fencing_token + 1
+
+
+def test_unknown_kinds_of_routes_run_at_most_once() -> None:
+    """A field or word that isn't known never keeps a configuration from being in force."""
+    spec = (
+        b'{"Version":3,"News":1,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/","RouteType":'
+        b'"keyed","TimeoutMs":100,"Service":"s","Novelty":{}}]}'
+    )
+    (found,) = decode_configuration(spec).routes
+    assert found.kind is RouteKind.UNSAFE
+    assert not found.repeatable
 
 
 # -- discovery and health -----------------------------------------------------------------------
