--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -81,6 +81,20 @@
     return PlayedDay(Path(site).stem, name, document["served"], document["G"], broken)
 
 
+def table(days: list[PlayedDay]) -> str:
+    """A Markdown table: one row a day, three columns a site."""
+    sites = list(dict.fromkeys(day.site for day in days))
+    head = " | ".join(f"{site}: rules | served | worth" for site in sites)
+    lines = [f"| trouble | {head} |", "| --- |" + " --- | --- | --- |" * len(sites)]
+    for name in dict.fromkeys(day.name for day in days):
+        cells = [name]
+        for site in sites:
+            day = next(day for day in days if (day.site, day.name) == (site, name))
+            cells += [day.broken or "kept", f"{day.served:.3f}", f"{day.worth:.3f}"]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines) + "\n"
+
+
 def main() -> int:
     """Play all days on all sites."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -89,10 +103,12 @@
     parser.add_argument("--only", default="", help="play the days whose name holds this text")
     parser.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
     parser.add_argument("--why", default="days of our own")
+    parser.add_argument("--table", type=Path, help="write a table of all days and sites here")
     arguments = parser.parse_args()
     entries = tomllib.loads(CATALOGUE.read_text())["day"]
     chosen = [entry for entry in entries if arguments.only in entry["name"]]
     broken = 0
+    days: list[PlayedDay] = []
     with ThreadPoolExecutor(arguments.jobs) as pool:
         futures = [
             pool.submit(play, arguments.bench, site, entry, arguments.why)
@@ -101,9 +117,12 @@
         ]
         for future in futures:
             day = future.result()
+            days.append(day)
             broken += bool(day.broken)
             print(day.line(), flush=True)
     print(f"{len(futures)} days, {broken} with a rule broken or not played")
+    if arguments.table:
+        arguments.table.write_text(table(days))
     return 1 if broken else 0
 
 
