--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -22,6 +22,13 @@
 
 CATALOGUE = Path(__file__).parent.parent / "bench" / "days.toml"
 DEFAULT_JOBS = 4
+TABLE_HEAD = """# Troubles
+
+Each kind of trouble and variant alone, then pairs that meet, on both sites: `bench/days.toml` played by
+`scripts/play_days.py` without processor time. Weight versions and a change of the configuration come on
+each day. Worth is before marks; rules are kept or named.
+
+"""
 VERSION_BUMPS_AT_SECONDS = (2.0, 7.0, 12.0)
 """Weight versions are named on each day, since orders meet every trouble."""
 CONFIG_CHANGE_AT_SECONDS = 13.0
@@ -92,7 +99,7 @@
             day = next(day for day in days if (day.site, day.name) == (site, name))
             cells += [day.broken or "kept", f"{day.served:.3f}", f"{day.worth:.3f}"]
         lines.append("| " + " | ".join(cells) + " |")
-    return "\n".join(lines) + "\n"
+    return TABLE_HEAD + "\n".join(lines) + "\n"
 
 
 def main() -> int:
