--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 	$(VENV)/bin/milletcourse demo $(if $(SERVE),--serve)
 
 check: $(STAMP)
-	$(VENV)/bin/ruff format --check src tests
-	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/ruff format --check src tests scripts
+	$(VENV)/bin/ruff check src tests scripts
 	$(VENV)/bin/mypy
 
 test: check
--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -22,13 +22,13 @@
 
 CATALOGUE = Path(__file__).parent.parent / "bench" / "days.toml"
 DEFAULT_JOBS = 4
-TABLE_HEAD = """# Troubles
-
-Each kind of trouble and variant alone, then pairs that meet, on both sites: `bench/days.toml` played by
-`scripts/play_days.py` without processor time. Weight versions and a change of the configuration come on
-each day. Worth is before marks; rules are kept or named.
-
-"""
+TABLE_HEAD = (
+    "# Troubles\n\n"
+    "Each kind of trouble and variant alone, then pairs that meet, on both sites:\n"
+    "`bench/days.toml` played by `scripts/play_days.py` without processor time. Weight versions\n"
+    "and a change of the configuration come on each day. Worth is before marks; rules are kept or\n"
+    "named.\n\n"
+)
 VERSION_BUMPS_AT_SECONDS = (2.0, 7.0, 12.0)
 """Weight versions are named on each day, since orders meet every trouble."""
 CONFIG_CHANGE_AT_SECONDS = 13.0
