Split attempts, the client's answer and the records out of the exchange; drop what nothing uses

Read as a newcomer: exchange.py held one send, the answer that the client has got and the ends in one class; GatewayContext both kept state and wrote lines; Figures stood twice (protocol and a class that does nothing); held tokens and chains were worked out in three places; counters, fields and methods were read by nobody (pool.opened, slots, the entry's sequence that was once taken for orders, ...).

--- a/src/milletcourse/exchange/event_stream.py
+++ b/src/milletcourse/exchange/event_stream.py
@@ -10,13 +10,11 @@
 
     Attributes:
         last_event_id: Id of the latest whole event; empty before the first.
-        events: Whole events seen.
     """
 
     def __init__(self) -> None:
         self._partial = b""
         self.last_event_id = ""
-        self.events = 0
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes of the body; returns the whole events that are complete now."""
@@ -46,4 +44,3 @@
         for line in whole.splitlines():
             if line.startswith(_ID_FIELD):
                 self.last_event_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
-                self.events += 1
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -34,6 +34,8 @@
 """Shorter shared parts aren't worth a home or a move."""
 ZONE_SECONDS = 0.008
 """Cost of crossing a zone: both ways of the network, and the price of the bytes."""
+ENGINE_JITTER_SECONDS = 0.002
+"""Random part of a model server's cost, which decides between equal ones."""
 JITTER_SHARE = 0.25
 """Random part of an application server's cost, so that gateways don't choose alike."""
 
@@ -159,7 +161,7 @@
             version = instance.version(request.model)
             chain = chains.get(version)
             if chain is None:
-                chain = chains[version] = prompt_chain(request, cache_salt(scope, version))
+                chain = chains[version] = self._chain_at(instance, request, scope)
             cost = self._engine_cost(instance, request, chain, instance.name == home, now)
             if cost < best_cost:
                 best, best_cost = instance, cost
@@ -200,28 +202,36 @@
         waiting_tokens = instance.in_flight_tokens + others.waiting_tokens(instance.key, now)
         waiting = waiting_tokens / PREFILL_TOKENS_PER_SECOND
         running = (instance.in_flight + others.running(instance.key, now)) * RUNNING_SECONDS
-        depth = self.belief.held_blocks(instance.name, chain.keys)
-        held = float(chain.tokens[depth - 1]) if depth else 0.0
+        held = float(self._held_tokens(instance, chain))
         if is_home:
             held = max(held, HOME_HELD_SHARE * chain.shared_tokens)
         missing_shared = max(chain.shared_tokens - held, 0.0)
         total = max(chain.total_tokens, request.prompt_tokens)
         own = max(total - max(chain.shared_tokens, held), 0.0)
         reading = (missing_shared * STORE_READ_SHARE + own) / PREFILL_TOKENS_PER_SECOND
-        zone = 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
-        return waiting + running + reading + zone + self._random.random() * 0.002
+        jitter = self._random.random() * ENGINE_JITTER_SECONDS
+        return waiting + running + reading + self._zone_seconds(instance) + jitter
+
+    def _held_tokens(self, instance: Instance, chain: PromptChain) -> int:
+        """Tokens of a prompt that a server is believed to keep."""
+        depth = self.belief.held_blocks(instance.name, chain.keys)
+        return chain.tokens[depth - 1] if depth else 0
+
+    def _chain_at(self, instance: Instance, request: ExchangeRequest, scope: str) -> PromptChain:
+        """The chain of a prompt under the weight version that a server has."""
+        return prompt_chain(request, cache_salt(scope, instance.version(request.model)))
+
+    def _zone_seconds(self, instance: Instance) -> float:
+        return 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
 
     def work_tokens(self, instance: Instance, request: ExchangeRequest, scope: str) -> int:
         """Prompt tokens that the server will have to read for a request."""
-        chain = prompt_chain(request, cache_salt(scope, instance.version(request.model)))
-        depth = self.belief.held_blocks(instance.name, chain.keys)
-        held = chain.tokens[depth - 1] if depth else 0
-        return max(request.prompt_tokens - held, 0)
+        chain = self._chain_at(instance, request, scope)
+        return max(request.prompt_tokens - self._held_tokens(instance, chain), 0)
 
     def note_sent(self, instance: Instance, request: ExchangeRequest, scope: str) -> None:
         """The server reads this prompt now, and keeps it."""
-        version = instance.version(request.model)
-        chain = prompt_chain(request, cache_salt(scope, version))
+        chain = self._chain_at(instance, request, scope)
         if chain.keys:
             self.belief.observe_incarnation(instance.name, instance.name)
             self.belief.note_held(instance.name, instance.name, chain.keys)
@@ -233,8 +243,6 @@
     # -- applications ---------------------------------------------------------------------------
 
     def _application_cost(self, instance: Instance, now: float) -> float:
-        latency = instance.latency_seconds
-        zone = 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
         jitter = self._random.random() * JITTER_SHARE
         in_flight = instance.in_flight + self._peer_loads.running(instance.key, now)
-        return (in_flight + 1 + jitter) * latency + zone
+        return (in_flight + 1 + jitter) * instance.latency_seconds + self._zone_seconds(instance)
--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/instance_table.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from milletcourse.exchange.messages import AttemptResult
 from milletcourse.exchange.peer_messages import instance_key
 from milletcourse.exchange.records import InstanceRecord
 from milletcourse.exchange.server_health import ServerHealth
@@ -61,25 +60,22 @@
 
     def on_version_refused(self, model: str, refused: int, newest: int | None, now: float) -> None:
         """It refused a request for a version: it must have moved on, as far as is known."""
-        if self._assumed.get(model) == refused:
-            # The assumption was wrong: wait until the discovery or a peer tells.
-            del self._assumed[model]
-            self.health.on_order(now + VERSION_DOUBT_SECONDS)
-        elif newest is not None and newest > refused:
+        was_assumed = self._assumed.pop(model, None) == refused
+        if not was_assumed and newest is not None and newest > refused:
             self._assumed[model] = newest
-        else:
-            self.health.on_order(now + VERSION_DOUBT_SECONDS)
+            return
+        # Nothing better is known: wait until the discovery or a peer tells.
+        self.health.on_order(now + VERSION_DOUBT_SECONDS)
 
-    def note_version(self, model: str, version: int) -> bool:
+    def note_version(self, model: str, version: int) -> None:
         """An answer or report showed a version; versions only rise within an incarnation."""
         known = self._versions.get(model)
         if known is not None and known >= version:
-            return False
+            return
         self._versions[model] = version
         if self._assumed.get(model, version) <= version:
             self._assumed.pop(model, None)
         self.health.on_ready()
-        return True
 
     def update(self, record: InstanceRecord) -> None:
         """The discovery shows a newer record."""
@@ -92,10 +88,6 @@
         """A whole answer took this long."""
         self.latency_seconds += LATENCY_GAIN * (seconds - self.latency_seconds)
 
-    def on_result(self, result: AttemptResult, now: float) -> None:
-        """An attempt at it ended."""
-        self.health.on_result(result, now)
-
 
 class InstanceTable:
     """All known incarnations by service."""
--- a/src/milletcourse/exchange/records.py
+++ b/src/milletcourse/exchange/records.py
@@ -73,19 +73,13 @@
 
     Attributes:
         name: Unique name.
-        max_connections: Connections that one server accepts from all callers.
         models: Models that its servers run; empty for plain applications.
-        slots: Requests that one server works on at once; 0 when unknown.
-        cache_tokens: Memory of one server for prompts, in tokens.
         store_address: `host:port` of the store of kept prompt state; empty for servers.
         zone: Zone of the store.
     """
 
     name: str
-    max_connections: int = 0
     models: tuple[str, ...] = ()
-    slots: int = 0
-    cache_tokens: int = 0
     store_address: str = ""
     zone: str = ""
 
@@ -133,20 +127,16 @@
         service: Service that it belongs to.
         address: `host:port`.
         zone: Zone of its machine.
-        slots: Requests that it works on at once.
         draining: It is about to leave.
         weight_versions: Model -> version of the weights that it has.
-        sequence: Orders taken since its start.
     """
 
     name: str
     service: str
     address: str
     zone: str = ""
-    slots: int = 0
     draining: bool = False
     weight_versions: dict[str, int] = {}
-    sequence: int = 0
 
 
 class ModelTarget(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/version_gate.py
+++ b/src/milletcourse/exchange/version_gate.py
@@ -47,10 +47,6 @@
         named = self._named.get(model)
         return named[-1].version if named else None
 
-    def models(self) -> list[str]:
-        """Models with a named version."""
-        return list(self._named)
-
     def bound_of(self, model: str, version: int) -> float | None:
         """Time at which a version may not start work any more, None while it is the newest."""
         for named in self._named.get(model, ()):
--- /dev/null
+++ b/src/milletcourse/gateway/attempt.py
@@ -0,0 +1,280 @@
+"""One send of a request to one server, up to its end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from milletcourse.exchange.answer_rules import judge_answer
+from milletcourse.exchange.event_stream import EventSplitter
+from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.messages import AnswerHead, AttemptResult, Dispatch, ExchangeRequest
+from milletcourse.exchange.records import RouteRecord, ServiceRecord, TenantRecord
+from milletcourse.exchange.reuse_scope import cache_salt, server_rank
+from milletcourse.exchange.route_table import RouteTable
+from milletcourse.gateway.answer_relay import AnswerRelay, ServerFailure
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.server_connection import ServerConnection
+from milletcourse.gateway.silence_timer import SilenceTimer
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest body of an answer that isn't a stream."""
+CACHE_STORE_MIN_TOKENS = 1024
+"""Shorter prompts are read again rather than moved."""
+FIRST_EVENT_TARGETS = 2.5
+"""A repeatable request leaves a server that is silent for this many target latencies."""
+MIN_SILENCE_SECONDS = 1.0
+"""A shorter silence tells nothing about a server."""
+EVENT_GAPS = 2.0
+"""A resumable stream leaves a server that is silent for this many allowed gaps."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeJob:
+    """What all attempts of one request share.
+
+    Attributes:
+        request: The request.
+        route: Its route.
+        tenant: Its tenant, None on public routes.
+        service: The service that it goes to.
+        scope: Reuse scope of its prompt state, without the weight version.
+        table: The configuration that it was admitted under.
+        end_at: Monotonic time at which it must have its final answer.
+    """
+
+    request: ExchangeRequest
+    route: RouteRecord
+    tenant: TenantRecord | None
+    service: ServiceRecord
+    scope: str
+    table: RouteTable
+    end_at: float
+
+
+class Attempt:
+    """Sends a request to a server and takes its answer."""
+
+    def __init__(
+        self, context: GatewayContext, job: ExchangeJob, relay: AnswerRelay, instance: Instance
+    ) -> None:
+        self.was_sent = False
+        self._context = context
+        self._job = job
+        self._relay = relay
+        self._instance = instance
+        self._ended = False
+        self._connection: ServerConnection | None = None
+        self._silence = SilenceTimer(self._on_silent)
+        self._waiting_tokens = 0
+        self._weight_version: int | None = None
+        self._sent_at = 0.0
+        self._answer_begun = False
+
+    @property
+    def is_at_server(self) -> bool:
+        """Whether the server works on it now, as far as is known."""
+        return self._connection is not None
+
+    def end(self) -> None:
+        """The request has no time left, or no client: give the attempt up at once."""
+        self._ended = True
+        if self._connection is not None:
+            self._connection.abort()
+
+    async def run(self) -> AttemptResult:
+        """Carry it out; load and health of the server are kept."""
+        instance = self._instance
+        job = self._job
+        tokens = self._context.selector.work_tokens(instance, job.request, job.scope)
+        instance.in_flight += 1
+        instance.in_flight_tokens += tokens
+        instance.health.on_dispatch(self._context.now())
+        self._waiting_tokens = tokens
+        result = AttemptResult.NOT_SENT
+        try:
+            result = await self._connect_and_send()
+        finally:
+            instance.in_flight -= 1
+            self._release_tokens()
+            self._note_health(result)
+        return result
+
+    def _release_tokens(self) -> None:
+        """The server has read the prompt, or the attempt is over."""
+        self._instance.in_flight_tokens -= self._waiting_tokens
+        self._waiting_tokens = 0
+
+    def _note_health(self, result: AttemptResult) -> None:
+        if result is AttemptResult.ANSWERED or self._tells_of_server():
+            self._context.note_result(self._instance, result)
+        else:
+            self._instance.health.on_aborted()
+
+    def _tells_of_server(self) -> bool:
+        """Whether an end without an answer is a sign of the server's health."""
+        if not self._ended:
+            return True
+        silent_seconds = self._context.now() - self._sent_at
+        return not self._answer_begun and silent_seconds >= MIN_SILENCE_SECONDS
+
+    # -- sending --------------------------------------------------------------------------------
+
+    async def _connect_and_send(self) -> AttemptResult:
+        pool = self._context.pool
+        address = self._instance.record.address
+        connection = await pool.acquire(address, self._seconds_left())
+        if connection is None:
+            return AttemptResult.NOT_SENT
+        if self._ended or not self._context.may_use_keys(self._job.tenant):
+            pool.release(connection)
+            return AttemptResult.NOT_SENT
+        self.was_sent = True
+        self._connection = connection
+        self._sent_at = self._context.now()
+        self._send(connection)
+        try:
+            result = await self._receive(connection)
+        except BaseException:
+            connection.abort()
+            raise
+        finally:
+            self._connection = None
+            self._silence.stop()
+        if result is AttemptResult.ANSWERED and not self._relay.begun:
+            self._instance.on_answer_time(self._context.now() - self._sent_at)
+        return result
+
+    def _send(self, connection: ServerConnection) -> None:
+        request = self._job.request
+        head = self._context.dialect.request_head(request, self._dispatch())
+        self._context.selector.note_sent(self._instance, request, self._job.scope)
+        connection.send(head + request.body, request.request_id, request.method == b"HEAD")
+
+    def _dispatch(self) -> Dispatch:
+        job = self._job
+        dispatch = Dispatch(
+            instance=self._instance.name,
+            deadline_seconds=self._seconds_left(),
+            tenant=job.tenant.name if job.tenant else "",
+            last_event_id=self._relay.last_event_id,
+        )
+        if not job.service.models:
+            return dispatch
+        dispatch.priority = server_rank(job.route, job.tenant)
+        self._weight_version = self._instance.version(job.request.model)
+        if self._weight_version is not None:
+            dispatch.weight_version = self._weight_version
+            dispatch.cache_salt = cache_salt(job.scope, self._weight_version)
+            self._add_cache_store(dispatch)
+        return dispatch
+
+    def _add_cache_store(self, dispatch: Dispatch) -> None:
+        if self._job.request.prompt_tokens < CACHE_STORE_MIN_TOKENS:
+            return
+        store = self._job.table.cache_store(self._instance.record.zone)
+        if store is None or store.store_address == self._context.unreachable_store:
+            return
+        dispatch.cache_source = store.store_address
+        dispatch.cache_target = store.store_address
+
+    def _seconds_left(self) -> float:
+        return self._job.end_at - self._context.now()
+
+    # -- answers --------------------------------------------------------------------------------
+
+    async def _receive(self, connection: ServerConnection) -> AttemptResult:
+        self._silence.expect_within(min(self._first_event_seconds(), self._seconds_to_start()))
+        event = await connection.next_event()
+        if event.head is None:
+            return self._lost(connection)
+        head = event.head
+        self._answer_begun = True
+        if head.weight_version is not None and self._job.request.model:
+            self._instance.note_version(self._job.request.model, head.weight_version)
+        if head.successful and head.event_stream and self._job.route.streaming:
+            return await self._take_stream(connection, head)
+        return await self._take_whole(connection, head)
+
+    def _lost(self, connection: ServerConnection) -> AttemptResult:
+        connection.abort()
+        return AttemptResult.CUT if self._relay.begun else AttemptResult.LOST
+
+    async def _take_whole(self, connection: ServerConnection, head: AnswerHead) -> AttemptResult:
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = await connection.next_event()
+            if event.lost is not None or size > MAX_ANSWER_BYTES:
+                return self._lost(connection)
+            if event.body:
+                pieces.append(event.body)
+                size += len(event.body)
+            if event.complete:
+                break
+        self._context.pool.release(connection)
+        return self._judge_whole(head, b"".join(pieces))
+
+    def _judge_whole(self, head: AnswerHead, body: bytes) -> AttemptResult:
+        result = judge_answer(head, self._instance.name, self._weight_version)
+        if result is AttemptResult.WRONG_VERSION and self._weight_version is not None:
+            model = self._job.request.model
+            newest = self._context.gate.newest(model)
+            now = self._context.now()
+            self._instance.on_version_refused(model, self._weight_version, newest, now)
+        elif self._relay.begun and result in (AttemptResult.ANSWERED, AttemptResult.FAILED):
+            # Not the rest of the stream that the client has begun to read.
+            return AttemptResult.CUT
+        elif result is AttemptResult.FAILED:
+            self._relay.failure = ServerFailure(head, body)
+        elif result is AttemptResult.ANSWERED:
+            self._relay.pass_whole(head, body)
+        return result
+
+    async def _take_stream(self, connection: ServerConnection, head: AnswerHead) -> AttemptResult:
+        if not head.signed or head.encoded:
+            return self._lost(connection)
+        splitter = EventSplitter()
+        while True:
+            event = await connection.next_event()
+            if event.lost is not None:
+                return self._lost(connection)
+            whole = splitter.feed(event.body) if event.body else b""
+            if whole:
+                self._release_tokens()
+                self._relay.pass_events(head, whole, splitter.last_event_id)
+                self._silence.expect_within(self._gap_seconds())
+            if event.complete:
+                self._relay.pass_events(head, splitter.take_rest(), splitter.last_event_id)
+                self._relay.end_stream()
+                self._context.pool.release(connection)
+                return AttemptResult.ANSWERED
+
+    # -- silence --------------------------------------------------------------------------------
+
+    def _first_event_seconds(self) -> float:
+        target = self._job.route.target_latency_seconds
+        return max(target * FIRST_EVENT_TARGETS, MIN_SILENCE_SECONDS)
+
+    def _gap_seconds(self) -> float:
+        """Longest silence between events; a stream that can't go on elsewhere is waited for."""
+        if not self._job.route.repeatable:
+            return float("inf")
+        return max(self._job.route.gap_seconds * EVENT_GAPS, MIN_SILENCE_SECONDS)
+
+    def _seconds_to_start(self) -> float:
+        """Time until work on the server's weight version may not start any more."""
+        if self._weight_version is None:
+            return float("inf")
+        start_by = self._context.gate.start_by(self._job.request.model, self._weight_version)
+        return max(start_by - self._context.now(), 0.0)
+
+    def _on_silent(self) -> None:
+        """Nothing has come for too long: leave the server, or let other requests avoid it."""
+        if self._connection is None:
+            return
+        seconds_to_start = 0.0 if self._relay.begun else self._seconds_to_start()
+        if self._job.route.repeatable or seconds_to_start <= 0.0:
+            self._connection.abort()
+            return
+        self._context.note_result(self._instance, AttemptResult.LOST)
+        self._silence.expect_within(seconds_to_start)
--- a/src/milletcourse/gateway/call_client.py
+++ b/src/milletcourse/gateway/call_client.py
@@ -42,11 +42,9 @@
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self.calls = 0
 
     async def call(self, address: str, call: Call, timeout_seconds: float) -> Reply | None:
         """Send a call; None when no whole answer came in time."""
-        self.calls += 1
         loop = asyncio.get_running_loop()
         connection = await self._pool.acquire(address, timeout_seconds)
         if connection is None:
--- a/src/milletcourse/gateway/connection_pool.py
+++ b/src/milletcourse/gateway/connection_pool.py
@@ -18,7 +18,6 @@
     def __init__(self, dialect: HeaderDialect) -> None:
         self._dialect = dialect
         self._idle: dict[str, deque[ServerConnection]] = {}
-        self.opened = 0
 
     async def acquire(self, address: str, timeout_seconds: float) -> ServerConnection | None:
         """A connection to the address, None when none came up in time."""
@@ -27,10 +26,8 @@
         while idle:
             connection = idle.pop()
             if connection.is_reusable(now):
-                connection.reused += 1
                 return connection
             connection.abort()
-        self.opened += 1
         return await open_connection(address, self._dialect, timeout_seconds)
 
     def release(self, connection: ServerConnection) -> None:
@@ -57,12 +54,9 @@
             else:
                 del self._idle[address]
 
-    def forget(self, address: str) -> None:
-        """Close all idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.abort()
-
     def close(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle):
-            self.forget(address)
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.abort()
+        self._idle.clear()
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -7,23 +7,20 @@
 from typing import Any
 
 from milletcourse.admission.retry_budget import RetryBudget
-from milletcourse.errors import Failure
-from milletcourse.exchange.attempt_plan import NextStep
 from milletcourse.exchange.dialect import HeaderDialect
 from milletcourse.exchange.freshness import ProofOfFreshness, watch_wait
 from milletcourse.exchange.instance_selector import InstanceSelector
 from milletcourse.exchange.instance_table import Instance, InstanceTable
-from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
+from milletcourse.exchange.messages import AttemptResult
 from milletcourse.exchange.peer_messages import InstanceLoad, PeerLoads
-from milletcourse.exchange.records import EdgeLimits, RouteRecord
-from milletcourse.exchange.roll_out import INITIAL_LOAD_SECONDS
+from milletcourse.exchange.records import EdgeLimits, TenantRecord
 from milletcourse.exchange.route_table import RouteTable
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
-from milletcourse.gateway.client_connection import ClientRequest
 from milletcourse.gateway.connection_pool import ConnectionPool
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.figures import Figures
+from milletcourse.gateway.recorder import Recorder
 from milletcourse.gateway.settings import GatewaySettings
 
 FRESHNESS_MARGIN_SECONDS = 0.4
@@ -34,6 +31,8 @@
 """Divides the slack of the retry budget until the list of gateways is known."""
 SLACK_PARTS = 3
 """The slack is spent as a burst, as a rate over the window, and as saved-up earnings."""
+MAX_SHOWN_AGE_SECONDS = 999.0
+"""Shown for a proof that there never was."""
 RETRY_AFTER_SECONDS = 0.2
 RETRY_AFTER_SPREAD_SECONDS = 0.4
 """Returns are spread, so that refused clients don't come back together."""
@@ -54,7 +53,7 @@
         self.dialect = dialect
         self.random = random_source
         self.log = log
-        self.figures = figures
+        self.record = Recorder(log, figures, self._belief, self.now)
         self.table: RouteTable | None = None
         self.stopping = False
         self.refusing = False
@@ -66,7 +65,6 @@
         self.instances = InstanceTable()
         self.gate = VersionGate(bounds.version)
         self.peer_loads = PeerLoads()
-        self.load_seconds = INITIAL_LOAD_SECONDS
         self.unreachable_store = ""
         self.selector = InstanceSelector(
             self.instances, self.gate, self.peer_loads, settings.zone, random_source
@@ -75,7 +73,6 @@
         self.pool = ConnectionPool(dialect)
         self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
-        self._reachable: dict[str, bool] = {}
 
     def now(self) -> float:
         """Monotonic seconds."""
@@ -145,102 +142,23 @@
         """When a refused client may come back."""
         return RETRY_AFTER_SECONDS + self.random.random() * RETRY_AFTER_SPREAD_SECONDS
 
-    # -- what is recorded -----------------------------------------------------------------------
-
-    def record_refusal(self, failure: Failure, received: ClientRequest) -> None:
-        """A request was refused before it was routed."""
-        self.figures.on_end(failure.code)
-        self.log.emit(
-            "request-refused",
-            request_id=self.dialect.request_id_of(received.fields),
-            code=failure.code,
-            detail=failure.detail,
-            target=received.target.decode("latin-1"),
-            **self._belief(),
-        )
-
-    def record_failure(
-        self, failure: Failure, request: ExchangeRequest, route: RouteRecord
-    ) -> None:
-        """A routed request ended with this gateway's own failure."""
-        self.figures.on_end(failure.code)
-        self.log.emit(
-            "request-failed",
-            route=route.name,
-            code=failure.code,
-            detail=failure.detail,
-            **self._about(request),
-            **self._belief(),
-        )
-
-    def record_attempt(
-        self, request: ExchangeRequest, instance: Instance, result: AttemptResult, step: NextStep
-    ) -> None:
-        """An attempt ended; only those without an answer get a line."""
-        self.figures.on_attempt(result)
-        if result is AttemptResult.ANSWERED:
-            return
-        self.log.emit(
-            "attempt-failed",
-            instance=instance.name,
-            result=result.value,
-            step=step.value,
-            **self._about(request),
-        )
-
-    def record_served(self, request: ExchangeRequest, instance: Instance, sends: int) -> None:
-        """A whole answer was passed on."""
-        self.figures.on_end("served")
-        self.log.emit("request-served", instance=instance.name, sends=sends, **self._about(request))
+    def may_use_keys(self, tenant: TenantRecord | None) -> bool:
+        """Whether a request of a tenant may be sent on now; public ones always."""
+        return tenant is None or self.freshness.allows_keys(self.now())
 
-    def record_cut(self, request: ExchangeRequest, instance: Instance) -> None:
-        """A stream that a client had begun to read could not be completed."""
-        self.figures.on_end("cut")
-        self.log.emit("stream-cut", instance=instance.name, **self._about(request))
-
-    def record_client_left(
-        self, request: ExchangeRequest, instance: Instance, stream_begun: bool
-    ) -> None:
-        """A client closed its connection before the answer was whole."""
-        self.figures.on_end("client-left")
-        self.log.emit(
-            "client-left",
-            instance=instance.name,
-            stream_begun=stream_begun,
-            **self._about(request),
-        )
-
-    def record_store(self, kind: str, reachable: bool) -> None:
-        """A call about a kind of objects succeeded or failed; says when that changes."""
-        if not reachable:
-            self.figures.on_store_failure()
-        if self._reachable.get(kind) == reachable:
-            return
-        self._reachable[kind] = reachable
-        self.log.emit("store-reached" if reachable else "store-lost", kind=kind, **self._belief())
-
-    def record_result(self, instance: Instance, result: AttemptResult) -> None:
+    def note_result(self, instance: Instance, result: AttemptResult) -> None:
         """A sign of a server's health; says when it is ejected or back."""
         now = self.now()
-        ejected_before = instance.health.is_ejected(now)
-        instance.on_result(result, now)
-        ejected = instance.health.is_ejected(now)
-        if ejected == ejected_before:
-            return
-        if ejected:
-            self.figures.on_ejection()
-        self.log.emit(
-            "instance-ejected" if ejected else "instance-back",
-            instance=instance.name,
-            result=result.value,
-        )
-
-    def _about(self, request: ExchangeRequest) -> dict[str, Any]:
-        seconds = round(self.now() - request.received_at, 3)
-        return {"request_id": request.request_id, "seconds": seconds}
+        was_ejected = instance.health.is_ejected(now)
+        instance.health.on_result(result, now)
+        is_ejected = instance.health.is_ejected(now)
+        if is_ejected and not was_ejected:
+            self.record.ejection(instance.name, result)
+        elif was_ejected and not is_ejected:
+            self.record.return_of(instance.name, result)
 
     def _belief(self) -> dict[str, Any]:
         return {
             "configuration": self.table.version if self.table is not None else None,
-            "proof_age": round(min(self.freshness.age(self.now()), 999.0), 3),
+            "proof_age": round(min(self.freshness.age(self.now()), MAX_SHOWN_AGE_SECONDS), 3),
         }
--- a/src/milletcourse/gateway/event_log.py
+++ b/src/milletcourse/gateway/event_log.py
@@ -1,7 +1,7 @@
 """One JSON line for each decision, with a bounded rate by kind; never blocks.
 
-A full pipe drops lines and counts them; so does a kind that comes too often. What was left out is
-said in a line of its own.
+A full pipe drops lines and counts them; so does a kind that comes too often. What was left out of a
+kind is said in its next line.
 """
 
 from __future__ import annotations
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/exchange_runner.py
@@ -30,7 +30,8 @@
         try:
             exchange = self._open(received, client)
         except FailureError as error:
-            self._context.record_refusal(error.failure, received)
+            request_id = self._context.dialect.request_id_of(received.fields)
+            self._context.record.refusal(error.failure, request_id, received.target)
             refuse(client, error.failure)
             return
         await exchange.run()
--- a/src/milletcourse/gateway/figures.py
+++ b/src/milletcourse/gateway/figures.py
@@ -1,14 +1,12 @@
-"""The interface of a gateway's figures, and the one that keeps none."""
+"""What a gateway counts; without a metrics port nothing is kept, and less is imported."""
 
 from __future__ import annotations
 
-from typing import Protocol
-
 from milletcourse.exchange.messages import AttemptResult
 
 
-class Figures(Protocol):
-    """Takes what is counted."""
+class Figures:
+    """Takes what is counted, and keeps none of it; `GatewayMetrics` does."""
 
     def on_end(self, outcome: str) -> None:
         """A request has its final outcome."""
@@ -27,25 +25,3 @@
 
     def on_store_failure(self) -> None:
         """A call to the object store gave nothing."""
-
-
-class NoFigures:
-    """Counts nothing: for gateways without a metrics port, which then import less."""
-
-    def on_end(self, outcome: str) -> None:
-        """See `Figures`."""
-
-    def on_attempt(self, result: AttemptResult) -> None:
-        """See `Figures`."""
-
-    def on_first_answer(self, seconds: float) -> None:
-        """See `Figures`."""
-
-    def on_ejection(self) -> None:
-        """See `Figures`."""
-
-    def on_order(self, reply: str) -> None:
-        """See `Figures`."""
-
-    def on_store_failure(self) -> None:
-        """See `Figures`."""
--- a/src/milletcourse/gateway/metrics.py
+++ b/src/milletcourse/gateway/metrics.py
@@ -5,11 +5,12 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from milletcourse.exchange.messages import AttemptResult
+from milletcourse.gateway.figures import Figures
 
 ANSWER_BUCKETS_SECONDS = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
-class GatewayMetrics:
+class GatewayMetrics(Figures):
     """Figures of one gateway in a registry of its own; labels are bounded by types."""
 
     def __init__(self) -> None:
@@ -67,27 +68,27 @@
         )
 
     def on_end(self, outcome: str) -> None:
-        """A request has its final outcome."""
+        """See `Figures`."""
         self._requests.labels(outcome).inc()
 
     def on_attempt(self, result: AttemptResult) -> None:
-        """An attempt ended."""
+        """See `Figures`."""
         self._attempts.labels(result.value).inc()
 
     def on_first_answer(self, seconds: float) -> None:
-        """The first byte of an answer went to a client."""
+        """See `Figures`."""
         self._first_answer.observe(seconds)
 
     def on_ejection(self) -> None:
-        """A server was ejected."""
+        """See `Figures`."""
         self._ejections.inc()
 
     def on_order(self, reply: str) -> None:
-        """A server replied to an order, or did not."""
+        """See `Figures`."""
         self._orders.labels(reply).inc()
 
     def on_store_failure(self) -> None:
-        """A call to the object store gave nothing."""
+        """See `Figures`."""
         self._calls_failed.inc()
 
     def render(self) -> bytes:
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -12,10 +12,10 @@
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.call_client import CallClient
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest, Handler
-from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.exchange_runner import ExchangeRunner
-from milletcourse.gateway.figures import NoFigures
+from milletcourse.gateway.figures import Figures
 from milletcourse.gateway.kind_watch import KindWatch
 from milletcourse.gateway.object_store import ObjectStoreClient
 from milletcourse.gateway.peers import PeerExchange
@@ -38,7 +38,6 @@
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
 MAX_LEAVE_SHARE = 0.4
 """Of a short grace time, so that what was taken can end."""
-MAX_SHOWN_AGE_SECONDS = 1e6
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4"
 GRACE_MARGIN_SECONDS = 0.5
 """All work has ended this long before the kill."""
@@ -55,7 +54,7 @@
         log: EventLog,
         metrics: GatewayMetrics | None = None,
     ) -> None:
-        figures = metrics or NoFigures()
+        figures = metrics or Figures()
         self.context = GatewayContext(settings, adapter.headers, random_source, log, figures)
         self._metrics = metrics
         self._adapter = adapter
@@ -122,8 +121,8 @@
         watch = KindWatch(self._store, kind, self._peers, PEER_WAIT_SECONDS, self._random)
         self._spawn(watch.run())
         self._spawn(self._peers.run())
-        await_register = self._peers.register(f"{settings.host}:{port}")
-        self._registration = asyncio.get_running_loop().create_task(await_register)
+        registration = self._peers.register(f"{settings.host}:{port}")
+        self._registration = asyncio.get_running_loop().create_task(registration)
 
     async def _bind_datagrams(self, host: str, ports: tuple[int, int]) -> int | None:
         """Bind the first free port of a range; None when there is none."""
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -16,6 +16,7 @@
     decode_message,
     encode_message,
 )
+from milletcourse.exchange.roll_out import INITIAL_LOAD_SECONDS
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.object_store import (
     ObjectChange,
@@ -140,7 +141,7 @@
         if notice.state is OrderState.READY:
             instance.note_version(notice.model, notice.version)
         elif (instance.version(notice.model) or 0) < notice.version:
-            instance.health.on_order(now + self._context.load_seconds)
+            instance.health.on_order(now + INITIAL_LOAD_SECONDS)
 
     def notify(self, notice: OrderNotice) -> None:
         """Tell all gateways about an order at once; repeated in the next messages."""
--- /dev/null
+++ b/src/milletcourse/gateway/recorder.py
@@ -0,0 +1,131 @@
+"""Log lines and figures of requests, servers and the store, at one place for each decision."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from milletcourse.errors import Failure
+from milletcourse.exchange.attempt_plan import NextStep
+from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
+from milletcourse.exchange.records import RouteRecord
+from milletcourse.exchange.roll_out import OrderReply, WeightOrder
+from milletcourse.gateway.event_log import EventLog
+from milletcourse.gateway.figures import Figures
+
+Belief = Callable[[], dict[str, Any]]
+"""What the gateway goes by now: fields that are added to the lines of decisions."""
+
+
+class Recorder:
+    """Writes a line and counts, for everything that happens to a request or a server."""
+
+    def __init__(
+        self, log: EventLog, figures: Figures, belief: Belief, now: Callable[[], float]
+    ) -> None:
+        self._log = log
+        self._figures = figures
+        self._belief = belief
+        self._now = now
+        self._reachable: dict[str, bool] = {}
+
+    # -- requests -------------------------------------------------------------------------------
+
+    def refusal(self, failure: Failure, request_id: str, target: bytes) -> None:
+        """A request was refused before it was routed."""
+        self._figures.on_end(failure.code)
+        self._log.emit(
+            "request-refused",
+            request_id=request_id,
+            code=failure.code,
+            detail=failure.detail,
+            target=target.decode("latin-1"),
+            **self._belief(),
+        )
+
+    def failure(self, failure: Failure, request: ExchangeRequest, route: RouteRecord) -> None:
+        """A routed request ended with this gateway's own failure."""
+        self._figures.on_end(failure.code)
+        self._log.emit(
+            "request-failed",
+            route=route.name,
+            code=failure.code,
+            detail=failure.detail,
+            **self._about(request),
+            **self._belief(),
+        )
+
+    def attempt(
+        self, request: ExchangeRequest, instance: str, result: AttemptResult, step: NextStep
+    ) -> None:
+        """An attempt ended; only those without an answer get a line."""
+        self._figures.on_attempt(result)
+        if result is AttemptResult.ANSWERED:
+            return
+        self._log.emit(
+            "attempt-failed",
+            instance=instance,
+            result=result.value,
+            step=step.value,
+            **self._about(request),
+        )
+
+    def first_answer(self, request: ExchangeRequest) -> None:
+        """The first byte of an answer goes to a client."""
+        self._figures.on_first_answer(self._now() - request.received_at)
+
+    def served(self, request: ExchangeRequest, instance: str, sends: int) -> None:
+        """A whole answer was passed on."""
+        self._figures.on_end("served")
+        self._log.emit("request-served", instance=instance, sends=sends, **self._about(request))
+
+    def passed_failure(self) -> None:
+        """A server's own failure was passed on; its attempt has a line."""
+        self._figures.on_end("passed-failure")
+
+    def cut(self, request: ExchangeRequest, instance: str) -> None:
+        """A stream that a client had begun to read could not be completed."""
+        self._figures.on_end("cut")
+        self._log.emit("stream-cut", instance=instance, **self._about(request))
+
+    def client_left(self, request: ExchangeRequest, instance: str, stream_begun: bool) -> None:
+        """A client closed its connection before the answer was whole."""
+        self._figures.on_end("client-left")
+        self._log.emit(
+            "client-left", instance=instance, stream_begun=stream_begun, **self._about(request)
+        )
+
+    # -- servers and the store ------------------------------------------------------------------
+
+    def ejection(self, instance: str, result: AttemptResult) -> None:
+        """A server gets no new work for a while."""
+        self._figures.on_ejection()
+        self._log.emit("instance-ejected", instance=instance, result=result.value)
+
+    def return_of(self, instance: str, result: AttemptResult) -> None:
+        """An ejected server gets work again."""
+        self._log.emit("instance-back", instance=instance, result=result.value)
+
+    def weight_order(self, order: WeightOrder, reply: OrderReply) -> None:
+        """A server replied to an order, or did not."""
+        self._figures.on_order(reply.value)
+        self._log.emit(
+            "weight-order",
+            instance=order.instance,
+            version=order.version,
+            fencing_token=order.fencing_token,
+            reply=reply.value,
+        )
+
+    def store_call(self, kind: str, succeeded: bool) -> None:
+        """A call about a kind of objects ended; a line says when that changes."""
+        if not succeeded:
+            self._figures.on_store_failure()
+        if self._reachable.get(kind) == succeeded:
+            return
+        self._reachable[kind] = succeeded
+        self._log.emit("store-reached" if succeeded else "store-lost", kind=kind, **self._belief())
+
+    def _about(self, request: ExchangeRequest) -> dict[str, Any]:
+        seconds = round(self._now() - request.received_at, 3)
+        return {"request_id": request.request_id, "seconds": seconds}
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -160,14 +160,7 @@
         self._plan.on_reply(instance, result, self._context.now())
         if result is OrderReply.TAKEN:
             self._notify(instance, order.model, order.version, OrderState.LOADING)
-        self._context.figures.on_order(result.value)
-        self._context.log.emit(
-            "weight-order",
-            instance=order.instance,
-            version=order.version,
-            fencing_token=order.fencing_token,
-            reply=result.value,
-        )
+        self._context.record.weight_order(order, result)
 
     async def _look(self, instance: Instance) -> None:
         reply = await self._calls.call(
--- a/src/milletcourse/gateway/server_connection.py
+++ b/src/milletcourse/gateway/server_connection.py
@@ -49,7 +49,6 @@
 
     def __init__(self, address: str, dialect: HeaderDialect) -> None:
         self.address = address
-        self.reused = 0
         self.usable_until = 0.0
         self._loop = asyncio.get_running_loop()
         self._dialect = dialect
--- a/src/milletcourse/gateway/sinks.py
+++ b/src/milletcourse/gateway/sinks.py
@@ -21,7 +21,10 @@
     def on_unavailable(self) -> None:
         """A call failed: the store is unstable."""
         self._context.instances.on_unstable(self._context.now())
-        self._context.record_store(self._kind, False)
+        self._context.record.store_call(self._kind, False)
+
+    def _on_reached(self) -> None:
+        self._context.record.store_call(self._kind, True)
 
     def _malformed(self, stored: StoredObject, error: Exception) -> None:
         self._context.log.emit("object-malformed", name=stored.name, error=str(error)[:200])
@@ -44,14 +47,14 @@
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
-        self._context.record_store(self._kind, True)
+        self._on_reached()
         accepted = [self._apply(stored) for stored in objects if stored.name == self._object_name]
         if accepted and all(accepted):
             self._context.freshness.on_proof(sent_at)
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
-        self._context.record_store(self._kind, True)
+        self._on_reached()
         accepted = [
             self._apply(change.stored)
             for change in changes
@@ -93,14 +96,14 @@
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
-        self._context.record_store(self._kind, True)
+        self._on_reached()
         records = [record for record in map(self._read, objects) if record is not None]
         self._context.instances.replace_all(records, self._context.now())
         self._context.log.emit("instances-listed", count=len(records))
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
-        self._context.record_store(self._kind, True)
+        self._on_reached()
         table = self._context.instances
         for change in changes:
             if change.gone:
@@ -133,14 +136,14 @@
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
-        self._context.record_store(self._kind, True)
+        self._on_reached()
         for stored in objects:
             self._note(stored, not self._started)
         self._started = True
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
-        self._context.record_store(self._kind, True)
+        self._on_reached()
         for change in changes:
             if not change.gone:
                 self._note(change.stored, False)
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -126,14 +126,11 @@
 
 
 class _Engine(_Document, frozen=True):
-    slots: int = 0
-    kv_capacity: int = 0
     models: list[_Model] = []
 
 
 class _Service(_Document, frozen=True):
     name: str
-    max_connections: int = 0
     engine: _Engine | None = None
     kv_store_addr: str = ""
     zone: str = ""
@@ -204,10 +201,7 @@
     engine = service.engine or _Engine()
     return ServiceRecord(
         name=service.name,
-        max_connections=service.max_connections,
         models=tuple(model.name for model in engine.models),
-        slots=engine.slots,
-        cache_tokens=engine.kv_capacity,
         store_address=service.kv_store_addr,
         zone=service.zone,
     )
@@ -225,10 +219,8 @@
     service: str
     address: str
     zone: str = ""
-    slots: int = 0
     state: str = "ready"
     models: list[_ModelState] = []
-    sequence: int = 0
 
 
 class _Version(_Document, frozen=True):
@@ -244,10 +236,8 @@
         service=document.service,
         address=document.address,
         zone=document.zone,
-        slots=document.slots,
         draining=document.state != "ready",
         weight_versions={model.name: model.version for model in document.models},
-        sequence=document.sequence,
     )
 
 
