Read the platform's bounds by one table of names; a stale list is proved by its watch

The bounds and their defaults stood twice (settings and documents). Unused bounds are gone. The time of a stale page was handed on as if it proved something; only servers are listed so, so nothing changed.

--- a/src/milletcourse/gateway/kind_watch.py
+++ b/src/milletcourse/gateway/kind_watch.py
@@ -89,7 +89,8 @@
             self._revision = revision
             return
         since, watched_at = await self._store.watch(self._kind, revision, 0.0)
-        self._sink.on_list(objects, sent_at)
+        # A stale page proves nothing about now; together with the watch it does.
+        self._sink.on_list(objects, watched_at)
         self._sink.on_changes(since.changes, watched_at)
         self._revision = max(since.revision, revision)
 
--- a/src/milletcourse/gateway/settings.py
+++ b/src/milletcourse/gateway/settings.py
@@ -12,27 +12,23 @@
         revoke: A revoked key is refused everywhere after this time.
         fail_closed: Refuse keys when it can't be proved that they still hold.
         config_apply: A configuration is in force after this time.
-        drain: A leaving server gets no new work after this time.
         grace: Time between the stop signal and the kill.
         lease: Duration of a lease.
         version: A named weight version is the only one that starts work after this time.
         retry_ratio: Sends past the first of a request, as a share of requests, over all gateways.
         retry_slack: Sends past the first that are allowed beside the share, over all gateways.
         budget_window: Window in which both are counted.
-        contact: A started gateway is held to the bounds after this time.
     """
 
     revoke: float = 5.0
     fail_closed: bool = True
     config_apply: float = 2.0
-    drain: float = 2.0
     grace: float = 8.0
     lease: float = 3.0
     version: float = 8.0
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     budget_window: float = 10.0
-    contact: float = 3.0
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from milletcourse.exchange.records import (
@@ -36,18 +38,18 @@
     address: str
 
 
-class _Bounds(_Document, frozen=True):
-    revoke_ms: float = 5000
-    fail_closed: bool = True
-    config_apply_ms: float = 2000
-    drain_ms: float = 2000
-    grace_s: float = 8
-    lease_ms: float = 3000
-    version_ms: float = 8000
-    retry_budget_ratio: float = 0.2
-    retry_slack: float = 50
-    budget_window_s: float = 10
-    contact_ms: float = 3000
+_BOUND_NAMES = {
+    "RevokeMs": "revoke",
+    "FailClosed": "fail_closed",
+    "ConfigApplyMs": "config_apply",
+    "GraceS": "grace",
+    "LeaseMs": "lease",
+    "VersionMs": "version",
+    "RetryBudgetRatio": "retry_ratio",
+    "RetrySlack": "retry_slack",
+    "BudgetWindowS": "budget_window",
+}
+"""The platform's bounds that a gateway keeps, with the product's names."""
 
 
 class _Settings(_Document, frozen=True):
@@ -57,13 +59,12 @@
     listen: _Listen
     platform: _Platform
     internal_ports: list[int] = []
-    bounds: _Bounds = _Bounds()
+    bounds: dict[str, Any] = {}
 
 
 def read_settings(content: bytes) -> GatewaySettings:
     """The settings file, which the deploy template lays out as JSON."""
     document = msgspec.json.decode(content, type=_Settings)
-    bounds = document.bounds
     ports = document.internal_ports
     return GatewaySettings(
         name=document.node_name,
@@ -73,22 +74,20 @@
         readiness=document.listen.readiness,
         store=document.platform.address,
         internal_ports=(ports[0], ports[-1]) if ports else (0, 0),
-        bounds=GatewayBounds(
-            revoke=bounds.revoke_ms * MILLISECOND,
-            fail_closed=bounds.fail_closed,
-            config_apply=bounds.config_apply_ms * MILLISECOND,
-            drain=bounds.drain_ms * MILLISECOND,
-            grace=bounds.grace_s,
-            lease=bounds.lease_ms * MILLISECOND,
-            version=bounds.version_ms * MILLISECOND,
-            retry_ratio=bounds.retry_budget_ratio,
-            retry_slack=bounds.retry_slack,
-            budget_window=bounds.budget_window_s,
-            contact=bounds.contact_ms * MILLISECOND,
-        ),
+        bounds=_bounds(document.bounds),
     )
 
 
+def _bounds(given: dict[str, Any]) -> GatewayBounds:
+    """Bounds in seconds; those that the platform doesn't give keep their defaults."""
+    values = {
+        own: given[name] * MILLISECOND if name.endswith("Ms") else given[name]
+        for name, own in _BOUND_NAMES.items()
+        if given.get(name) is not None
+    }
+    return msgspec.convert(values, GatewayBounds)
+
+
 # -- configuration ------------------------------------------------------------------------------
 
 
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -41,7 +41,8 @@
 from milletcourse.exchange.server_health import ServerHealth
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
-from milletcourse.platform.documents import decode_configuration
+from milletcourse.gateway.settings import GatewayBounds
+from milletcourse.platform.documents import decode_configuration, read_settings
 
 SOURCES = Path(__file__).parent.parent / "src" / "milletcourse"
 MODEL = "model-1"
@@ -157,6 +158,18 @@
     assert taken is not None and taken.spec.fencing_token == claim.spec.fencing_token + 1
 
 
+def test_bounds_are_read_in_seconds_and_missing_or_strange_ones_are_passed_over() -> None:
+    """Whole numbers, fractions, truth values, and kinds that aren't known."""
+    content = (
+        b'{"NodeName":"n","Zone":"z","Ip":"1.2.3.4","Listen":{"Frontend":"1.2.3.4:1","Readiness":'
+        b'"1.2.3.4:2"},"Platform":{"Address":"1.2.3.5:3"},"Novelty":[],"Bounds":{"RevokeMs":4000,'
+        b'"FailClosed":false,"RetryBudgetRatio":0.3,"GraceS":6,"LeaseMs":null,"Strange":["x"]}}'
+    )
+    bounds = read_settings(content).bounds
+    assert (bounds.revoke, bounds.fail_closed, bounds.grace) == (4.0, False, 6)
+    assert (bounds.retry_ratio, bounds.lease) == (0.3, GatewayBounds().lease)
+
+
 def test_unknown_kinds_of_routes_run_at_most_once() -> None:
     """A field or word that isn't known never keeps a configuration from being in force."""
     spec = (
