Three faults found by reading: beliefs kept for ever, an unreadable lease, a send that never was

Cause: beliefs about ended incarnations were never forgotten; the lease's decoding was not guarded, and a failed task ends the process; an attempt ended before it was sent had a send time of 0, so a client that left while the connection came up counted against a healthy server.

--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -96,6 +96,7 @@
         self._random = random_source
         self._rings: dict[str, tuple[int, HomeRing]] = {}
         self.belief = BeliefIndex()
+        table.on_forgotten = self.belief.forget
 
     def choose(
         self,
@@ -236,10 +237,6 @@
             self.belief.observe_incarnation(instance.name, instance.name)
             self.belief.note_held(instance.name, instance.name, chain.keys)
 
-    def forget(self, name: str) -> None:
-        """The incarnation ended or dropped what it kept."""
-        self.belief.forget(name)
-
     # -- applications ---------------------------------------------------------------------------
 
     def _application_cost(self, instance: Instance, now: float) -> float:
--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/instance_table.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from milletcourse.exchange.peer_messages import instance_key
 from milletcourse.exchange.records import InstanceRecord
@@ -97,6 +97,7 @@
         self._services: dict[str, dict[str, Instance]] = {}
         self._unstable_until = float("-inf")
         self.generation = 0
+        self.on_forgotten: Callable[[str], None] | None = None
 
     def __iter__(self) -> Iterator[Instance]:
         return iter(list(self._instances.values()))
@@ -158,6 +159,8 @@
         if instance is None:
             return
         self.generation += 1
+        if self.on_forgotten is not None:
+            self.on_forgotten(name)
         service = self._services.get(instance.record.service, {})
         service.pop(name, None)
         if not service:
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -67,7 +67,7 @@
         self._silence = SilenceTimer(self._on_silent)
         self._waiting_tokens = 0
         self._weight_version: int | None = None
-        self._sent_at = 0.0
+        self._sent_at = float("inf")
         self._answer_begun = False
 
     @property
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -86,12 +86,12 @@
     def _note(self, stored: StoredObject) -> None:
         if stored.name == self._context.settings.name or len(self._peers) >= MAX_PEERS:
             return
-        try:
-            entry = msgspec.json.decode(stored.spec, type=PeerEntry)
-            host, _, port = entry.address.rpartition(":")
-            self._peers[stored.name] = (host, int(port))
-        except (msgspec.MsgspecError, ValueError):
+        entry = _decode_entry(stored.spec)
+        host, _, port = entry.address.rpartition(":") if entry is not None else ("", "", "")
+        if not port.isdigit():
             self._context.log.emit("object-malformed", name=stored.name)
+            return
+        self._peers[stored.name] = (host, int(port))
 
     async def register(self, address: str) -> None:
         """Enter this gateway into the list, once the store takes it."""
@@ -109,7 +109,7 @@
 
     async def _correct(self, current: StoredObject, spec: bytes) -> bool:
         """The entry of an earlier process is there: keep it when it is the same."""
-        if msgspec.json.decode(current.spec) == msgspec.json.decode(spec):
+        if _decode_entry(current.spec) == _decode_entry(spec):
             return True
         try:
             await self._store.replace(self._kind, current.name, spec, current.revision)
@@ -195,3 +195,10 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _decode_entry(spec: bytes) -> PeerEntry | None:
+    try:
+        return msgspec.json.decode(spec, type=PeerEntry)
+    except msgspec.MsgspecError:
+        return None
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -118,7 +118,11 @@
         self._next_lease_call = sent_at + self._renew_seconds
 
     def _observe(self, stored: StoredObject) -> None:
-        spec = msgspec.json.decode(stored.spec, type=LeaseSpec)
+        try:
+            spec = msgspec.json.decode(stored.spec, type=LeaseSpec)
+        except msgspec.MsgspecError:
+            self._context.log.emit("object-malformed", name=stored.name)
+            return
         self._lease.on_observed(spec, stored.revision, self._context.now())
 
     def _note_holder(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -404,22 +404,7 @@
         assert context.table is not None
         route = context.table.find_route("site.example", "/safe/")
         assert route is not None
-        request = ExchangeRequest(
-            method=b"GET",
-            target=b"/safe/",
-            host="site.example",
-            fields=[],
-            body=b"",
-            request_id="id-1",
-            key="",
-            deadline_seconds=1.0,
-            last_event_id="",
-            model="",
-            prompt_parts=(),
-            prompt_tokens=0,
-            output_tokens=0,
-            received_at=context.now(),
-        )
+        request = a_request(context.now())
         client = ClientConnection(context, _no_handler, refuse, set())
         client.connection_lost(None)
         await Exchange(context, context.table, request, route, None, client).run()
@@ -428,10 +413,86 @@
     run_with_gateway(scenario)
 
 
+def a_request(received_at: float) -> ExchangeRequest:
+    """A request of no tenant, as the edge hands it on."""
+    return ExchangeRequest(
+        method=b"GET",
+        target=b"/safe/",
+        host="site.example",
+        fields=[],
+        body=b"",
+        request_id="id-1",
+        key="",
+        deadline_seconds=1.0,
+        last_event_id="",
+        model="",
+        prompt_parts=(),
+        prompt_tokens=0,
+        output_tokens=0,
+        received_at=received_at,
+    )
+
+
 async def _no_handler(_: ClientRequest, __: ClientConnection) -> None:
     """Serves nothing."""
 
 
+def test_ended_incarnations_leave_no_beliefs() -> None:
+    """Servers come and go for months; what they kept is forgotten with them."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("e-1", "engine", stream_of_four, 1)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        await (await harness.client()).ask("/stream/", **PROMPT)
+        assert len(context.selector.belief) > 0
+        harness.store.remove("servers", "e-1")
+        await harness.until(lambda: context.instances.get("e-1") is None)
+        assert len(context.selector.belief) == 0
+
+    run_with_gateway(scenario)
+
+
+def test_a_lease_that_cannot_be_read_does_not_end_the_process() -> None:
+    """It is passed over and said; requests are served on."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("e-1", "engine", stream_of_four, 1)
+        harness.store.put("milletcourse-leases", "roll-out", {"holder": 7})
+        harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 2})
+        await harness.start()
+
+        def lease_calls() -> int:
+            return sum("milletcourse-leases" in call.target for call in harness.store.calls)
+
+        await harness.until(lambda: lease_calls() >= 2)
+        assert (await (await harness.client()).ask("/stream/", **PROMPT)).status == 200
+
+    run_with_gateway(scenario)
+
+
+def test_an_attempt_that_was_never_sent_says_nothing_of_its_server() -> None:
+    """A client that leaves while the connection comes up is no sign of the server's health."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        instance = context.instances.get("app-1")
+        assert instance is not None and context.table is not None
+        route = context.table.find_route("site.example", "/safe/")
+        assert route is not None
+        client = ClientConnection(context, _no_handler, refuse, set())
+        client.connection_lost(None)
+        request = a_request(context.now())
+        await Exchange(context, context.table, request, route, None, client).run()
+        assert not instance.health.is_ejected(context.now())
+
+    run_with_gateway(scenario)
+
+
 def test_time_limit_ends_a_request_at_once() -> None:
     """504 without a promise when it may have run."""
 
