--- a/src/milletcourse/exchange/freshness.py
+++ b/src/milletcourse/exchange/freshness.py
@@ -6,40 +6,76 @@
 
 from __future__ import annotations
 
+import msgspec
+
 NOT_FOUND_SLACK_SECONDS = 0.3
 """Time of a call and its pause, beyond the age that a calm day's proofs reach."""
+PROOF_SLACK_SECONDS = 0.3
+"""The same for the age at which a reader of the store stops vouching for what it knows."""
 WAITS_A_PROOF = 2.0
 """A watch proves the time of its sending, so on a calm day the age goes up to twice its wait."""
 MAX_WAIT_SECONDS = 1.0
-WAITS_WITHIN_BOUND = 2.5
+WAITS_WITHIN_BOUND = 5.0
 """Waits that fit into the bound on keys, so that one lost answer doesn't end it."""
+WAITS_WITHIN_APPLY = 4.0
+"""Waits that fit into the bound on changes: a follower must notice that its reader lost the store,
+and read it itself, before a change that it missed is due."""
+MAX_HOLD_SECONDS = 0.8
+HOLDS_WITHIN_APPLY = 2.5
+"""Questions to a reader that fit into the bound on changes, since one to a dead reader is lost."""
+HOLDS_WITHIN_BOUND = 4.0
+
+
+class ReadingTimes(msgspec.Struct, frozen=True):
+    """How often the store's state is asked for, and how old a proof of it may get.
 
+    Attributes:
+        watch_wait: Longest wait of a watch of the configuration.
+        feed_hold: Longest time that a reader keeps a follower's question.
+        max_proof_age: A reader whose own proof is older doesn't vouch for what it knows.
+        calm_age: Age that a proof reaches on a calm day, at a follower.
+    """
 
-def watch_wait(bound_seconds: float, config_apply_seconds: float) -> float:
-    """How long a watch of the configuration may wait under the bounds on keys and changes."""
-    return min(
-        MAX_WAIT_SECONDS, bound_seconds / WAITS_WITHIN_BOUND, config_apply_seconds / WAITS_A_PROOF
+    watch_wait: float
+    feed_hold: float
+    max_proof_age: float
+    calm_age: float
+
+
+def reading_times(bound_seconds: float, config_apply_seconds: float) -> ReadingTimes:
+    """Times that keep the bounds on keys and on changes."""
+    wait = min(
+        MAX_WAIT_SECONDS,
+        bound_seconds / WAITS_WITHIN_BOUND,
+        config_apply_seconds / WAITS_WITHIN_APPLY,
+    )
+    hold = min(
+        MAX_HOLD_SECONDS,
+        bound_seconds / HOLDS_WITHIN_BOUND,
+        config_apply_seconds / HOLDS_WITHIN_APPLY,
     )
+    proof_age = WAITS_A_PROOF * wait
+    return ReadingTimes(wait, hold, proof_age + PROOF_SLACK_SECONDS, proof_age + hold)
 
 
 class ProofOfFreshness:
     """Latest proof, on this process's monotonic clock."""
 
-    def __init__(self, bound_seconds: float, fail_closed: bool, wait_seconds: float) -> None:
+    def __init__(self, bound_seconds: float, fail_closed: bool, calm_age_seconds: float) -> None:
         self._proved_at = float("-inf")
-        self.set_bound(bound_seconds, fail_closed, wait_seconds)
+        self.set_bound(bound_seconds, fail_closed, calm_age_seconds)
 
-    def set_bound(self, bound_seconds: float, fail_closed: bool, wait_seconds: float) -> None:
+    def set_bound(self, bound_seconds: float, fail_closed: bool, calm_age_seconds: float) -> None:
         """Change the bounds; the proof stays.
 
         Args:
             bound_seconds: Age of a proof up to which keys are trusted.
             fail_closed: Whether keys are refused without such a proof.
-            wait_seconds: How long a watch of the configuration waits.
+            calm_age_seconds: Age that a proof reaches on a calm day.
         """
         self._bound_seconds = bound_seconds
         self._fail_closed = fail_closed
-        self._not_found_seconds = WAITS_A_PROOF * wait_seconds + NOT_FOUND_SLACK_SECONDS
+        self._not_found_seconds = calm_age_seconds + NOT_FOUND_SLACK_SECONDS
 
     def on_proof(self, sent_at: float) -> None:
         """A call that was sent at this time has completed and its result is in force."""
--- /dev/null
+++ b/src/milletcourse/exchange/store_reading.py
@@ -0,0 +1,110 @@
+"""Decides from whom a gateway learns what the object store holds; no input/output.
+
+One gateway of each zone reads the store, and the others of its zone follow it: calls to the store
+are priced and bounded in rate for all gateways together. All gateways rank the same list in the
+same way, so that they agree without talking. A gateway that no reader serves reads the store
+itself, so that nothing but the number of calls depends on readers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+SET_ASIDE_SECONDS = 4.0
+"""A reader that failed isn't asked again this long; doubled with each failure in a row."""
+MAX_SET_ASIDE_SECONDS = 32.0
+STARTING_SECONDS = 0.15
+"""A reader that answers, but can't vouch for what it knows, is asked again after this time."""
+
+
+class GatewayRecord(msgspec.Struct, frozen=True):
+    """A gateway as the list of gateways shows it.
+
+    Attributes:
+        name: Unique name of its machine.
+        zone: Zone of its machine; empty when it isn't known.
+        address: `host:port` that takes datagrams.
+        feed: `host:port` that tells what the store holds; empty when it doesn't.
+    """
+
+    name: str
+    zone: str
+    address: str
+    feed: str = ""
+
+
+class _Failures(msgspec.Struct):
+    in_a_row: int = 0
+    until: float = float("-inf")
+
+
+class ReadingPlan:
+    """Ranks the gateways, and remembers which readers failed."""
+
+    def __init__(self, own_name: str, zone: str) -> None:
+        self._own_name = own_name
+        self._zone = zone
+        self._candidates: list[GatewayRecord] = []
+        self._failures: dict[str, _Failures] = {}
+        self.is_reader = True
+
+    def set_gateways(self, gateways: Iterable[GatewayRecord]) -> None:
+        """Take the list of gateways; this one counts whether it is listed or not."""
+        zones: dict[str, list[GatewayRecord]] = {}
+        own = GatewayRecord(self._own_name, self._zone, "", "own")
+        for gateway in [own, *gateways]:
+            if gateway.feed and (gateway is own or gateway.name != self._own_name):
+                zones.setdefault(gateway.zone, []).append(gateway)
+        for members in zones.values():
+            members.sort(key=lambda gateway: (_rank(gateway.name), gateway.name))
+        order = self._order(zones)
+        self._candidates = []
+        for gateway in order:
+            if gateway is own:
+                break
+            self._candidates.append(gateway)
+        self.is_reader = not self._candidates
+        listed = {gateway.name for gateway in order}
+        self._failures = {name: kept for name, kept in self._failures.items() if name in listed}
+
+    def _order(self, zones: dict[str, list[GatewayRecord]]) -> list[GatewayRecord]:
+        """First of the own zone, first ones of the other zones, second of the own zone."""
+        near = zones[self._zone]
+        others = sorted(
+            (zone for zone in zones if zone != self._zone),
+            key=lambda zone: _rank(f"{self._own_name}|{zone}"),
+        )
+        return [near[0], *(zones[zone][0] for zone in others), *near[1:2]]
+
+    def choose(self, now: float) -> GatewayRecord | None:
+        """The reader to follow, None when this gateway must read the store itself."""
+        for gateway in self._candidates:
+            failures = self._failures.get(gateway.name)
+            if failures is None or now >= failures.until:
+                return gateway
+        return None
+
+    def on_fed(self, reader: str) -> None:
+        """A reader told what the store holds."""
+        self._failures.pop(reader, None)
+
+    def on_failed(self, reader: str, now: float, answered: bool) -> None:
+        """A reader told nothing.
+
+        Args:
+            reader: Its name.
+            now: Monotonic time.
+            answered: It said that it can't vouch for what it knows; else it was silent or gone.
+        """
+        failures = self._failures.setdefault(reader, _Failures())
+        pause = STARTING_SECONDS if answered else SET_ASIDE_SECONDS
+        pause = min(pause * 2**failures.in_a_row, MAX_SET_ASIDE_SECONDS)
+        failures.in_a_row += 1
+        failures.until = now + pause
+
+
+def _rank(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -8,7 +8,7 @@
 
 from milletcourse.admission.retry_budget import RetryBudget
 from milletcourse.exchange.dialect import HeaderDialect
-from milletcourse.exchange.freshness import ProofOfFreshness, watch_wait
+from milletcourse.exchange.freshness import ProofOfFreshness, ReadingTimes, reading_times
 from milletcourse.exchange.instance_selector import InstanceSelector
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.messages import AttemptResult
@@ -39,7 +39,12 @@
 
 
 class GatewayContext:
-    """State and services of one gateway."""
+    """State and services of one gateway.
+
+    Attributes:
+        reading: How often the state of the object store is asked for.
+        reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
+    """
 
     def __init__(
         self,
@@ -59,8 +64,10 @@
         self.refusing = False
         self.loop = asyncio.get_running_loop()
         bounds = settings.bounds
+        self.reading = self._reading_times(settings)
+        self.reads_store = False
         self.freshness = ProofOfFreshness(
-            self._key_bound(settings), bounds.fail_closed, self.watch_wait()
+            self._key_bound(settings), bounds.fail_closed, self.reading.calm_age
         )
         self.instances = InstanceTable()
         self.gate = VersionGate(bounds.version)
@@ -82,7 +89,10 @@
         """Take changed bounds into force; addresses stay as they are until a restart."""
         bounds = settings.bounds
         self.settings = settings
-        self.freshness.set_bound(self._key_bound(settings), bounds.fail_closed, self.watch_wait())
+        self.reading = self._reading_times(settings)
+        self.freshness.set_bound(
+            self._key_bound(settings), bounds.fail_closed, self.reading.calm_age
+        )
         self.gate.bound_seconds = bounds.version
         self._budgets.clear()
 
@@ -90,9 +100,8 @@
     def _key_bound(settings: GatewaySettings) -> float:
         return settings.bounds.revoke - FRESHNESS_MARGIN_SECONDS
 
-    def watch_wait(self) -> float:
-        """How long a watch of the configuration waits."""
-        return watch_wait(self._key_bound(self.settings), self.settings.bounds.config_apply)
+    def _reading_times(self, settings: GatewaySettings) -> ReadingTimes:
+        return reading_times(self._key_bound(settings), settings.bounds.config_apply)
 
     def own_loads(self) -> list[InstanceLoad]:
         """This gateway's load on each server that has some."""
--- /dev/null
+++ b/src/milletcourse/gateway/directory.py
@@ -0,0 +1,122 @@
+"""The list of gateways, which each of them enters itself into; kept in the object store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from milletcourse.exchange.store_reading import GatewayRecord
+from milletcourse.gateway.event_log import EventLog
+from milletcourse.gateway.object_store import (
+    ObjectChange,
+    ObjectStoreClient,
+    StoredObject,
+    StoreError,
+    StoreProblem,
+)
+
+REGISTER_RETRY_SECONDS = 1.0
+MAX_GATEWAYS = 512
+"""Further ones are neither told nor followed."""
+
+
+class GatewayEntry(msgspec.Struct, frozen=True):
+    """A gateway in the object store.
+
+    Attributes:
+        address: `host:port` that takes datagrams.
+        zone: Zone of its machine.
+        feed: `host:port` that tells what the store holds.
+    """
+
+    address: str
+    zone: str = ""
+    feed: str = ""
+
+
+class GatewayDirectory:
+    """Follows the list; a `KindSink`."""
+
+    def __init__(self, own_name: str, log: EventLog) -> None:
+        self._own_name = own_name
+        self._log = log
+        self._others: dict[str, GatewayRecord] = {}
+        self._listeners: list[Callable[[list[GatewayRecord]], None]] = []
+
+    def add_listener(self, listener: Callable[[list[GatewayRecord]], None]) -> None:
+        """Call this with the other gateways whenever the list changes."""
+        self._listeners.append(listener)
+
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        """See `KindSink`."""
+        self._others.clear()
+        for stored in objects:
+            self._note(stored)
+        self._tell()
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        """See `KindSink`."""
+        if not changes:
+            return
+        for change in changes:
+            if change.gone:
+                self._others.pop(change.stored.name, None)
+            else:
+                self._note(change.stored)
+        self._tell()
+
+    def on_unavailable(self) -> None:
+        """See `KindSink`: the known gateways stay known."""
+
+    def _tell(self) -> None:
+        others = list(self._others.values())
+        for listener in self._listeners:
+            listener(others)
+
+    def _note(self, stored: StoredObject) -> None:
+        if stored.name == self._own_name or len(self._others) >= MAX_GATEWAYS:
+            return
+        entry = decode_entry(stored.spec)
+        if entry is None or not entry.address.rpartition(":")[2].isdigit():
+            self._log.emit("object-malformed", name=stored.name)
+            return
+        self._others[stored.name] = GatewayRecord(
+            stored.name, entry.zone, entry.address, entry.feed
+        )
+
+
+def decode_entry(spec: bytes) -> GatewayEntry | None:
+    """Understand an entry; None when it is none."""
+    try:
+        return msgspec.json.decode(spec, type=GatewayEntry)
+    except msgspec.MsgspecError:
+        return None
+
+
+async def register(store: ObjectStoreClient, kind: str, name: str, entry: GatewayEntry) -> None:
+    """Enter a gateway into the list, once the store takes it."""
+    spec = msgspec.json.encode(entry)
+    while True:
+        try:
+            await store.create(kind, name, spec)
+            return
+        except StoreError as error:
+            current = error.current if error.problem is StoreProblem.CONFLICT else None
+            if current is not None and await _correct(store, kind, current, entry):
+                return
+        await asyncio.sleep(REGISTER_RETRY_SECONDS)
+
+
+async def _correct(
+    store: ObjectStoreClient, kind: str, current: StoredObject, entry: GatewayEntry
+) -> bool:
+    """The entry of an earlier process is there: keep it when it is the same."""
+    if decode_entry(current.spec) == entry:
+        return True
+    try:
+        await store.replace(kind, current.name, msgspec.json.encode(entry), current.revision)
+    except StoreError:
+        return False
+    return True
--- a/src/milletcourse/gateway/kind_watch.py
+++ b/src/milletcourse/gateway/kind_watch.py
@@ -1,13 +1,13 @@
-"""Follows all objects of one kind: lists them, then watches, and lists again after any doubt."""
+"""Follows a kind of objects in the store: lists, then watches, and lists again after any doubt."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from typing import Protocol
 
+from milletcourse.gateway.kind_mirror import KindMirror
 from milletcourse.gateway.object_store import (
-    ObjectChange,
+    ObjectChanges,
     ObjectStoreClient,
     StoredObject,
     StoreError,
@@ -19,39 +19,24 @@
 """After a failed call: short, since a bound on time runs from the store's acknowledgement."""
 
 
-class KindSink(Protocol):
-    """Takes what a watch learns."""
-
-    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
-        """All objects as they were after a call sent at this time."""
-
-    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
-        """Changes since; maybe none."""
-
-    def on_unavailable(self) -> None:
-        """A call failed."""
-
-
 class KindWatch:
-    """One watched kind."""
+    """One watched kind; goes on from what its mirror knows."""
 
     def __init__(
         self,
         store: ObjectStoreClient,
-        kind: str,
-        sink: KindSink,
+        mirror: KindMirror,
         wait_seconds: float,
         random_source: random.Random,
         stale_lists: bool = False,
     ) -> None:
         self._store = store
-        self._kind = kind
-        self._sink = sink
+        self._mirror = mirror
         self._wait_seconds = wait_seconds
         self._random = random_source
         self._stale_lists = stale_lists
         self._history_gone = False
-        self._revision: int | None = None
+        self._revision = mirror.revision
         self._failures = 0
 
     async def run(self) -> None:
@@ -72,8 +57,9 @@
         if self._revision is None:
             await self._list()
             return
-        changes, sent_at = await self._store.watch(self._kind, self._revision, self._wait_seconds)
-        self._sink.on_changes(changes.changes, sent_at)
+        kind = self._mirror.kind
+        changes, sent_at = await self._store.watch(kind, self._revision, self._wait_seconds)
+        self._mirror.on_changes(changes, sent_at)
         self._revision = max(changes.revision, self._revision)
 
     async def _list(self) -> None:
@@ -82,20 +68,28 @@
         A stale list is followed by a watch that doesn't wait, which brings what came since; when
         that history is gone, only a fresh list will do.
         """
+        kind = self._mirror.kind
         stale = self._stale_lists and not self._history_gone
-        objects, revision, sent_at = await self._store.list_all(self._kind, stale)
-        if not stale:
-            self._sink.on_list(objects, sent_at)
-            self._revision = revision
-            return
-        since, watched_at = await self._store.watch(self._kind, revision, 0.0)
-        # A stale page proves nothing about now; together with the watch it does.
-        self._sink.on_list(objects, watched_at)
-        self._sink.on_changes(since.changes, watched_at)
-        self._revision = max(since.revision, revision)
+        objects, revision, sent_at = await self._store.list_all(kind, stale)
+        if stale:
+            # A stale page proves nothing about now; together with the watch it does.
+            since, sent_at = await self._store.watch(kind, revision, 0.0)
+            objects = _brought_up_to_date(objects, since)
+            revision = max(since.revision, revision)
+        self._mirror.on_list(objects, revision, sent_at)
+        self._revision = revision
 
     async def _pause(self) -> None:
-        self._sink.on_unavailable()
+        self._mirror.on_unavailable()
         pause = min(FIRST_PAUSE_SECONDS * 2**self._failures, MAX_PAUSE_SECONDS)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(pause * (0.5 + self._random.random()))
+
+
+def _brought_up_to_date(objects: list[StoredObject], since: ObjectChanges) -> list[StoredObject]:
+    listed = {stored.name: stored for stored in objects}
+    for change in since.changes:
+        listed.pop(change.stored.name, None)
+        if not change.gone:
+            listed[change.stored.name] = change.stored
+    return list(listed.values())
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -9,21 +9,25 @@
 
 from milletcourse.errors import Draining, NotFound
 from milletcourse.exchange.messages import HeaderField
+from milletcourse.exchange.store_reading import ReadingPlan
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.call_client import CallClient
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest, Handler
 from milletcourse.gateway.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
+from milletcourse.gateway.directory import GatewayDirectory, GatewayEntry, register
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.exchange_runner import ExchangeRunner
 from milletcourse.gateway.figures import Figures
-from milletcourse.gateway.kind_watch import KindWatch
+from milletcourse.gateway.kind_mirror import KindMirror
 from milletcourse.gateway.object_store import ObjectStoreClient
 from milletcourse.gateway.peers import PeerExchange
 from milletcourse.gateway.refusals import refuse
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
 from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
+from milletcourse.gateway.store_feed import StoreFeed
 from milletcourse.gateway.store_follower import StoreFollower
+from milletcourse.gateway.store_reader import StoreReader, WatchedKind
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
@@ -32,7 +36,7 @@
 SWEEP_SECONDS = 0.25
 INSTANCE_WAIT_SECONDS = 1.5
 TARGET_WAIT_SECONDS = 3.0
-PEER_WAIT_SECONDS = 10.0
+GATEWAY_WAIT_SECONDS = 10.0
 """Gateways come seldom, and nothing but speed depends on knowing them."""
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
@@ -67,7 +71,10 @@
         self.frontend_address = settings.frontend
         self._calls = CallClient(self.context.pool)
         self._store = ObjectStoreClient(settings.store, adapter.store, self._calls, random_source)
-        self._peers = PeerExchange(self.context, self._store, adapter.kinds.gateways)
+        self._directory = GatewayDirectory(settings.name, log)
+        self._peers = PeerExchange(self.context)
+        self._reader: StoreReader | None = None
+        self._new_mirrors()
         self._registration: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -77,22 +84,8 @@
         self.readiness_address = await self._listen(settings.readiness, self._answer_readiness)
         self.frontend_address = await self._listen(settings.frontend, runner.handle)
         self.context.log.emit("started", frontend=self.frontend_address)
+        self._start_reading(await self._start_peers())
         kinds = self._adapter.kinds
-        configuration = ConfigurationSink(
-            self.context, kinds.configuration_name, self._adapter.decode_configuration
-        )
-        instances = InstanceSink(self.context, self._adapter.decode_instance)
-        targets = TargetSink(self.context, self._adapter.decode_target)
-        watches = (
-            (kinds.configuration, configuration, self.context.watch_wait(), False),
-            # Many pages: read stale, and brought up to date by the first watch.
-            (kinds.instances, instances, INSTANCE_WAIT_SECONDS, True),
-            (kinds.targets, targets, TARGET_WAIT_SECONDS, False),
-        )
-        for kind, sink, wait_seconds, stale in watches:
-            watch = KindWatch(self._store, kind, sink, wait_seconds, self._random, stale)
-            self._spawn(watch.run())
-        await self._start_peers()
         roll_out = RollOutService(
             self.context,
             self._store,
@@ -107,22 +100,68 @@
         self._spawn(follower.run())
         self._spawn(self._sweep())
 
-    async def _start_peers(self) -> None:
-        """Exchange load and notices with the other gateways, where a port is free for it.
+    def _new_mirrors(self) -> None:
+        """What is followed in the object store, and who takes it."""
+        context = self.context
+        kinds = self._adapter.kinds
+        decode_configuration = self._adapter.decode_configuration
+        configuration = ConfigurationSink(context, kinds.configuration_name, decode_configuration)
+        instances = InstanceSink(context, self._adapter.decode_instance)
+        targets = TargetSink(context, self._adapter.decode_target)
+        self._gateways = KindMirror(kinds.gateways, self._directory)
+        self._watched = (
+            WatchedKind(KindMirror(kinds.configuration, configuration), context.reading.watch_wait),
+            # Many pages: read stale, and brought up to date by the first watch.
+            WatchedKind(KindMirror(kinds.instances, instances), INSTANCE_WAIT_SECONDS, True),
+            WatchedKind(KindMirror(kinds.targets, targets), TARGET_WAIT_SECONDS),
+            WatchedKind(self._gateways, GATEWAY_WAIT_SECONDS, True),
+        )
+
+    def _start_reading(self, plan: ReadingPlan) -> None:
+        self._reader = StoreReader(
+            self.context,
+            self._store,
+            self._calls,
+            plan,
+            self._watched,
+            self._gateways,
+            self._random,
+            self._on_task_end,
+        )
+        self._spawn(self._reader.run())
+
+    async def _start_peers(self) -> ReadingPlan:
+        """Act together with the other gateways, where there are ports for it.
 
-        Without one the gateway serves alone: nothing depends on its peers but speed.
+        Without them the gateway serves alone: nothing depends on the others but speed and the
+        number of calls to the store.
         """
         settings = self.context.settings
+        plan = ReadingPlan(settings.name, settings.zone)
         port = await self._bind_datagrams(settings.host, settings.internal_ports)
         if port is None:
             self.context.log.emit("peers-unavailable", ports=settings.internal_ports)
-            return
-        kind = self._adapter.kinds.gateways
-        watch = KindWatch(self._store, kind, self._peers, PEER_WAIT_SECONDS, self._random)
-        self._spawn(watch.run())
+            return plan
+        feed = StoreFeed(self.context, [kind.mirror for kind in self._watched])
+        feed_address = await self._listen_for_followers(feed)
+        self._directory.add_listener(self._peers.set_gateways)
+        self._directory.add_listener(plan.set_gateways)
         self._spawn(self._peers.run())
-        registration = self._peers.register(f"{settings.host}:{port}")
+        entry = GatewayEntry(f"{settings.host}:{port}", settings.zone, feed_address)
+        registration = register(self._store, self._adapter.kinds.gateways, settings.name, entry)
         self._registration = asyncio.get_running_loop().create_task(registration)
+        return plan
+
+    async def _listen_for_followers(self, feed: StoreFeed) -> str:
+        """Tell other gateways what the store holds at the first free port; empty without one."""
+        first, last = self.context.settings.internal_ports
+        for port in range(first, last + 1):
+            try:
+                return await self._listen(f"{self.context.settings.host}:{port}", feed.handle)
+            except OSError:
+                continue
+        self.context.log.emit("feed-unavailable", ports=(first, last))
+        return ""
 
     async def _bind_datagrams(self, host: str, ports: tuple[int, int]) -> int | None:
         """Bind the first free port of a range; None when there is none."""
@@ -225,6 +264,8 @@
             client.cut()
         if self._registration is not None:
             self._registration.cancel()
+        if self._reader is not None:
+            self._reader.close()
         self._peers.close()
         self.context.pool.close()
 
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -1,12 +1,10 @@
-"""Datagrams between gateways, and the list of gateways in the object store."""
+"""Datagrams between gateways: load on servers, and the state of weight orders."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import cast
 
-import msgspec
-
 from milletcourse.exchange.peer_messages import (
     NOTICE_REPEATS,
     InstanceLoad,
@@ -17,39 +15,24 @@
     encode_message,
 )
 from milletcourse.exchange.roll_out import INITIAL_LOAD_SECONDS
+from milletcourse.exchange.store_reading import GatewayRecord
 from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.object_store import (
-    ObjectChange,
-    ObjectStoreClient,
-    StoredObject,
-    StoreError,
-    StoreProblem,
-)
 
 SEND_SECONDS = 0.1
 """Changed load is told this often."""
 REPEAT_SECONDS = 0.5
 """Unchanged load is told again, before it counts as stale."""
-REGISTER_RETRY_SECONDS = 1.0
 PEERS_A_TICK = 6
 """Load is told to this many peers at a time, in turn: some 6 KB a second however many there are."""
-MAX_PEERS = 512
-
-
-class PeerEntry(msgspec.Struct, frozen=True):
-    """A gateway in the object store."""
-
-    address: str
 
 
 class PeerExchange(asyncio.DatagramProtocol):
     """Tells the other gateways this one's load and orders, and takes theirs."""
 
-    def __init__(self, context: GatewayContext, store: ObjectStoreClient, kind: str) -> None:
+    def __init__(self, context: GatewayContext) -> None:
         self._context = context
-        self._store = store
-        self._kind = kind
         self._peers: dict[str, tuple[str, int]] = {}
+        self._addresses: set[tuple[str, int]] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._notices: list[tuple[OrderNotice, int]] = []
@@ -58,65 +41,13 @@
         self._told_at = 0.0
         self.holds_lease = False
 
-    # -- list of gateways -----------------------------------------------------------------------
-
-    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
-        """See `KindSink`."""
-        self._peers.clear()
-        for stored in objects:
-            self._note(stored)
-        self._note_count()
-
-    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
-        """See `KindSink`."""
-        for change in changes:
-            if change.gone:
-                self._peers.pop(change.stored.name, None)
-            else:
-                self._note(change.stored)
-        self._note_count()
-
-    def on_unavailable(self) -> None:
-        """See `KindSink`: the known gateways stay known."""
-
-    def _note_count(self) -> None:
+    def set_gateways(self, gateways: list[GatewayRecord]) -> None:
+        """Take the list of the other gateways."""
+        self._peers = {gateway.name: _socket_address(gateway.address) for gateway in gateways}
+        self._addresses = set(self._peers.values())
         self._context.peer_loads.set_peers(len(self._peers), PEERS_A_TICK / SEND_SECONDS)
         self._context.set_gateways(len(self._peers) + 1)
 
-    def _note(self, stored: StoredObject) -> None:
-        if stored.name == self._context.settings.name or len(self._peers) >= MAX_PEERS:
-            return
-        entry = _decode_entry(stored.spec)
-        host, _, port = entry.address.rpartition(":") if entry is not None else ("", "", "")
-        if not port.isdigit():
-            self._context.log.emit("object-malformed", name=stored.name)
-            return
-        self._peers[stored.name] = (host, int(port))
-
-    async def register(self, address: str) -> None:
-        """Enter this gateway into the list, once the store takes it."""
-        name = self._context.settings.name
-        spec = msgspec.json.encode(PeerEntry(address))
-        while True:
-            try:
-                await self._store.create(self._kind, name, spec)
-                return
-            except StoreError as error:
-                current = error.current if error.problem is StoreProblem.CONFLICT else None
-                if current is not None and await self._correct(current, spec):
-                    return
-            await asyncio.sleep(REGISTER_RETRY_SECONDS)
-
-    async def _correct(self, current: StoredObject, spec: bytes) -> bool:
-        """The entry of an earlier process is there: keep it when it is the same."""
-        if _decode_entry(current.spec) == _decode_entry(spec):
-            return True
-        try:
-            await self._store.replace(self._kind, current.name, spec, current.revision)
-        except StoreError:
-            return False
-        return True
-
     # -- datagrams ------------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -126,7 +57,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """See `asyncio.DatagramProtocol`."""
         message = decode_message(data)
-        if message is None or addr not in self._peers.values():
+        if message is None or addr not in self._addresses:
             return
         now = self._context.now()
         if not self._context.peer_loads.on_message(message, now):
@@ -197,8 +128,6 @@
             self._transport.close()
 
 
-def _decode_entry(spec: bytes) -> PeerEntry | None:
-    try:
-        return msgspec.json.decode(spec, type=PeerEntry)
-    except msgspec.MsgspecError:
-        return None
+def _socket_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -79,13 +79,19 @@
         """Work until cancelled."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            if self._context.stopping or not self._plan.has_work(self._context.instances):
+            if not self._takes_part() or not self._plan.has_work(self._context.instances):
                 continue
             await self._keep_lease()
             self._note_holder()
             if self._lease.is_held(self._context.now()):
                 self._give_orders()
 
+    def _takes_part(self) -> bool:
+        """Whether this gateway may hold the lease: only those that read the store ask for it."""
+        if self._context.stopping:
+            return False
+        return self._context.reads_store or self._lease.is_held(self._context.now())
+
     # -- lease ----------------------------------------------------------------------------------
 
     async def _keep_lease(self) -> None:
--- a/src/milletcourse/gateway/sinks.py
+++ b/src/milletcourse/gateway/sinks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -44,25 +44,31 @@
         super().__init__(context)
         self._object_name = object_name
         self._decode = decode
+        self._understood = False
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
         self._on_reached()
-        accepted = [self._apply(stored) for stored in objects if stored.name == self._object_name]
-        if accepted and all(accepted):
+        self._apply_all(stored for stored in objects if stored.name == self._object_name)
+        if self._understood:
             self._context.freshness.on_proof(sent_at)
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
         self._on_reached()
-        accepted = [
-            self._apply(change.stored)
+        self._apply_all(
+            change.stored
             for change in changes
             if not change.gone and change.stored.name == self._object_name
-        ]
-        if all(accepted) and self._context.table is not None:
+        )
+        if self._understood:
             self._context.freshness.on_proof(sent_at)
 
+    def _apply_all(self, objects: Iterable[StoredObject]) -> None:
+        """Take configurations into force; without the newest one, no call proves anything."""
+        for stored in objects:
+            self._understood = self._apply(stored)
+
     def _apply(self, stored: StoredObject) -> bool:
         """Take a configuration into force; False when it can't be understood."""
         try:
--- /dev/null
+++ b/src/milletcourse/gateway/store_feed.py
@@ -0,0 +1,100 @@
+"""Tells the gateways that follow this one what the object store holds."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from milletcourse.errors import MalformedRequest, NotReady
+from milletcourse.exchange.feed_messages import (
+    FeedAnswer,
+    FeedQuestion,
+    decode_question,
+    encode_answer,
+)
+from milletcourse.exchange.messages import HeaderField
+from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.kind_mirror import KindMirror
+from milletcourse.gateway.refusals import refuse
+
+MAX_HOLD_SECONDS = 5.0
+"""No question is kept longer, whatever it asks for."""
+_CONTENT_TYPE = HeaderField(b"Content-Type", b"application/json")
+
+
+class StoreFeed:
+    """Answers the questions of followers from what the mirrors know."""
+
+    def __init__(self, context: GatewayContext, mirrors: Sequence[KindMirror]) -> None:
+        self._context = context
+        self._mirrors = {mirror.kind: mirror for mirror in mirrors}
+        self._waiters: set[asyncio.Future[None]] = set()
+        for mirror in mirrors:
+            mirror.on_news = self._wake
+
+    async def handle(self, request: ClientRequest, client: ClientConnection) -> None:
+        """Answer one question; the handler of `ClientConnection`."""
+        received_at = self._context.now()
+        question = decode_question(request.body)
+        if question is None:
+            refuse(client, MalformedRequest("no question about the store"))
+            return
+        await self._wait_for_news(question, received_at)
+        if not self._vouches():
+            refuse(client, NotReady("the store isn't read here now"))
+            return
+        now = self._context.now()
+        proved_at = now - self._context.freshness.age(now)
+        told = [
+            self._mirrors[position.kind].since(position.revision)
+            for position in question.positions
+            if position.kind in self._mirrors
+        ]
+        answer = FeedAnswer([kind for kind in told if kind is not None], proved_at - received_at)
+        client.send_whole(200, b"", [_CONTENT_TYPE], encode_answer(answer))
+
+    def _vouches(self) -> bool:
+        """Whether what is known here is current enough to be told."""
+        context = self._context
+        if not context.reads_store or context.stopping:
+            return False
+        return context.freshness.age(context.now()) <= context.reading.max_proof_age
+
+    async def _wait_for_news(self, question: FeedQuestion, received_at: float) -> None:
+        """Wait until there is something to tell, or the question was kept long enough."""
+        until = received_at + min(question.hold_seconds, MAX_HOLD_SECONDS)
+        while self._vouches() and not self._has_news(question):
+            now = self._context.now()
+            proof_ends_at = now - self._context.freshness.age(now)
+            proof_ends_at += self._context.reading.max_proof_age
+            seconds = min(until, proof_ends_at) - now
+            if seconds <= 0:
+                return
+            await self._wait(seconds)
+
+    async def _wait(self, seconds: float) -> None:
+        waiter = self._context.loop.create_future()
+        self._waiters.add(waiter)
+        timer = self._context.loop.call_later(seconds, _finish, waiter)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            self._waiters.discard(waiter)
+
+    def _has_news(self, question: FeedQuestion) -> bool:
+        return any(
+            self._mirrors[position.kind].has_news(position.revision)
+            for position in question.positions
+            if position.kind in self._mirrors
+        )
+
+    def _wake(self) -> None:
+        for waiter in self._waiters:
+            _finish(waiter)
+
+
+def _finish(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
--- /dev/null
+++ b/src/milletcourse/gateway/store_reader.py
@@ -0,0 +1,184 @@
+"""Keeps the mirrors current: from a reader among the gateways, or from the store itself."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from milletcourse.exchange.feed_messages import (
+    FeedAnswer,
+    FeedPosition,
+    FeedQuestion,
+    decode_answer,
+    encode_question,
+)
+from milletcourse.exchange.store_reading import GatewayRecord, ReadingPlan
+from milletcourse.gateway.call_client import Call, CallClient
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.kind_mirror import KindMirror
+from milletcourse.gateway.kind_watch import KindWatch
+from milletcourse.gateway.object_store import ObjectStoreClient, StoreError
+
+FEED_PATH = "/feed"
+FEED_MARGIN_SECONDS = 0.4
+"""A reader that answers this much later than asked for is taken as silent."""
+LOOK_SECONDS = 0.1
+"""While the store is read here, a reader that may be followed is looked for this often."""
+QUICK_SECONDS = 0.1
+"""A refusal this soon shows a live machine, whose process may just be starting."""
+START_PATIENCE_SECONDS = 0.7
+"""At a start a reader is waited for this long, since many gateways may start together."""
+MIN_QUESTION_SECONDS = 0.02
+"""Between two questions, so that a burst of changes comes in few answers."""
+
+
+class WatchedKind(msgspec.Struct, frozen=True):
+    """How a kind is read from the store.
+
+    Attributes:
+        mirror: Takes what is learnt.
+        wait_seconds: Longest wait of a watch.
+        stale_lists: Read lists stale and bring them up to date by a watch: for many pages.
+    """
+
+    mirror: KindMirror
+    wait_seconds: float
+    stale_lists: bool = False
+
+
+class StoreReader:
+    """Follows a reader while there is one, and reads the store while there is none."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        store: ObjectStoreClient,
+        calls: CallClient,
+        plan: ReadingPlan,
+        kinds: Sequence[WatchedKind],
+        gateways: KindMirror,
+        random_source: random.Random,
+        on_task_end: Callable[[asyncio.Task[None]], None],
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._calls = calls
+        self._plan = plan
+        self._kinds = kinds
+        self._gateways = gateways
+        self._random = random_source
+        self._on_task_end = on_task_end
+        self._mirrors = {kind.mirror.kind: kind.mirror for kind in kinds}
+        self._watches: list[asyncio.Task[None]] = []
+        self._following = ""
+
+    async def run(self) -> None:
+        """Keep the mirrors current until cancelled."""
+        await self._learn_gateways()
+        patient_until = self._context.now() + START_PATIENCE_SECONDS
+        while True:
+            reader = self._plan.choose(self._context.now())
+            if reader is not None and await self._ask(reader, 0.0):
+                patient_until = 0.0
+                self._stop_watches()
+                await self._follow(reader)
+                continue
+            self._note_source("")
+            if self._plan.is_reader or self._context.now() >= patient_until:
+                self._start_watches()
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def close(self) -> None:
+        """Stop reading."""
+        self._stop_watches()
+
+    async def _learn_gateways(self) -> None:
+        """Know the others before the first choice; without them the store is read here."""
+        try:
+            objects, revision, sent_at = await self._store.list_all(self._gateways.kind, stale=True)
+        except StoreError:
+            return
+        self._gateways.on_list(objects, revision, sent_at)
+
+    # -- following a reader ---------------------------------------------------------------------
+
+    async def _follow(self, reader: GatewayRecord) -> None:
+        """Ask one reader again and again until it fails or another one goes before it."""
+        self._note_source(reader.name)
+        while self._plan.choose(self._context.now()) == reader:
+            if not await self._ask(reader, self._context.reading.feed_hold):
+                return
+            await asyncio.sleep(MIN_QUESTION_SECONDS)
+
+    async def _ask(self, reader: GatewayRecord, hold_seconds: float) -> bool:
+        """Ask what came; False when the reader told nothing that can be relied on."""
+        positions = [
+            FeedPosition(kind, -1 if mirror.revision is None else mirror.revision)
+            for kind, mirror in self._mirrors.items()
+        ]
+        body = encode_question(FeedQuestion(positions, hold_seconds))
+        asked_at = self._context.now()
+        reply = await self._calls.call(
+            reader.feed, Call("POST", FEED_PATH, body), hold_seconds + FEED_MARGIN_SECONDS
+        )
+        answer = decode_answer(reply.body) if reply is not None and reply.status == 200 else None
+        if reply is None or answer is None:
+            quick = self._context.now() - asked_at < QUICK_SECONDS
+            self._on_failed(reader, quick or reply is not None)
+            return False
+        self._plan.on_fed(reader.name)
+        self._take(answer, reply.sent_at)
+        age = self._context.now() - (asked_at + answer.proof_offset)
+        return age <= self._context.reading.calm_age
+
+    def _take(self, answer: FeedAnswer, asked_at: float) -> None:
+        proved_at = asked_at + answer.proof_offset
+        told = set()
+        for fed in answer.kinds:
+            mirror = self._mirrors.get(fed.kind)
+            if mirror is not None:
+                mirror.on_fed(fed, proved_at)
+                told.add(fed.kind)
+        for kind, mirror in self._mirrors.items():
+            if kind not in told:
+                mirror.on_proof(proved_at)
+
+    def _on_failed(self, reader: GatewayRecord, answered: bool) -> None:
+        self._plan.on_failed(reader.name, self._context.now(), answered)
+        if not self._following:
+            return
+        # Whatever the reader is silent about must not be missed here.
+        self._context.log.emit("reader-lost", reader=reader.name, answered=answered)
+        self._following = ""
+        self._start_watches()
+
+    def _note_source(self, reader: str) -> None:
+        if reader != self._following:
+            self._following = reader
+            if reader:
+                self._context.log.emit("reader-followed", reader=reader)
+
+    # -- reading the store ----------------------------------------------------------------------
+
+    def _start_watches(self) -> None:
+        if self._watches:
+            return
+        self._context.reads_store = True
+        loop = asyncio.get_running_loop()
+        for kind in self._kinds:
+            watch = KindWatch(
+                self._store, kind.mirror, kind.wait_seconds, self._random, kind.stale_lists
+            )
+            task = loop.create_task(watch.run())
+            task.add_done_callback(self._on_task_end)
+            self._watches.append(task)
+        self._context.log.emit("store-read-here")
+
+    def _stop_watches(self) -> None:
+        self._context.reads_store = False
+        for task in self._watches:
+            task.cancel()
+        self._watches.clear()
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -20,10 +20,10 @@
 """Bound on waiting for something that must come."""
 
 
-def settings_document(store: str, **bounds: Any) -> dict[str, Any]:
+def settings_document(store: str, name: str = "front-1", **bounds: Any) -> dict[str, Any]:
     """The settings as the deploy template lays them out."""
     return {
-        "NodeName": "front-1",
+        "NodeName": name,
         "Zone": "zone-1",
         "Ip": "127.0.0.1",
         "Listen": {"Frontend": "127.0.0.1:0", "Readiness": "127.0.0.1:0"},
@@ -42,6 +42,7 @@
         self.node: GatewayNode | None = None
         self.adapter = new_adapter()
         self.internal_ports: list[int] = []
+        self.others: list[GatewayNode] = []
 
     async def start_store(self) -> None:
         """The store alone, with no object."""
@@ -60,13 +61,23 @@
     async def start_gateway(self, **bounds: Any) -> None:
         """Start the gateway without waiting for readiness."""
         self.metrics = GatewayMetrics()
-        document = settings_document(self.store.address, **bounds)
+        self.node = await self._start_node("front-1", self.store.address, self.metrics, **bounds)
+
+    async def add_gateway(self, name: str, store: str = "", **bounds: Any) -> GatewayNode:
+        """Start a further gateway; it may see the store at an address of its own."""
+        node = await self._start_node(name, store or self.store.address, None, **bounds)
+        self.others.append(node)
+        return node
+
+    async def _start_node(
+        self, name: str, store: str, metrics: GatewayMetrics | None, **bounds: Any
+    ) -> GatewayNode:
+        document = settings_document(store, name, **bounds)
         document["InternalPorts"] = self.internal_ports
         settings = self.adapter.read_settings(json.dumps(document).encode())
-        self.node = GatewayNode(
-            settings, self.adapter, random.Random(1), EventLog("front-1", None), self.metrics
-        )
-        await self.node.start()
+        node = GatewayNode(settings, self.adapter, random.Random(1), EventLog(name, None), metrics)
+        await node.start()
+        return node
 
     async def start(self, **bounds: Any) -> None:
         """Gateway with the usual configuration, ready."""
@@ -94,8 +105,8 @@
 
     async def close(self) -> None:
         """End everything."""
-        if self.node is not None:
-            self.node.close()
+        for node in [*self.others, *([self.node] if self.node is not None else [])]:
+            node.close()
         for server in self.servers.values():
             await server.stop()
         await self.store.stop()
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -15,7 +15,7 @@
 from milletcourse.exchange.attempt_plan import AttemptPlan, NextStep
 from milletcourse.exchange.dialect import HeaderDialect, HeaderNames
 from milletcourse.exchange.event_stream import EventSplitter
-from milletcourse.exchange.freshness import ProofOfFreshness, watch_wait
+from milletcourse.exchange.freshness import ProofOfFreshness, reading_times
 from milletcourse.exchange.instance_table import DOUBT_SECONDS, Instance, InstanceTable
 from milletcourse.exchange.messages import AttemptResult, Dispatch, HeaderField
 from milletcourse.exchange.peer_messages import (
@@ -42,6 +42,7 @@
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
 from milletcourse.gateway.settings import GatewayBounds
+from milletcourse.gateway.store_reader import FEED_MARGIN_SECONDS
 from milletcourse.platform.documents import decode_configuration, read_settings
 
 SOURCES = Path(__file__).parent.parent / "src" / "milletcourse"
@@ -119,7 +120,7 @@
 
 def test_freshness_counts_from_when_the_call_was_sent() -> None:
     """A proof grows old; without one, keys are not trusted."""
-    proof = ProofOfFreshness(4.6, True, 1.0)
+    proof = ProofOfFreshness(4.6, True, 2.0)
     assert not proof.allows_keys(0.0)
     proof.on_proof(10.0)
     proof.on_proof(9.0)
@@ -127,18 +128,22 @@
     assert not proof.allows_keys(14.7)
     assert proof.allows_not_found(12.2)
     assert not proof.allows_not_found(12.4)
-    assert ProofOfFreshness(4.6, False, 1.0).allows_keys(0.0)
+    assert ProofOfFreshness(4.6, False, 2.0).allows_keys(0.0)
 
 
 @pytest.mark.parametrize(("key_bound", "config_apply"), [(4.6, 2.0), (1.6, 2.0), (4.6, 0.8)])
 def test_calm_proofs_stay_within_the_bounds(key_bound: float, config_apply: float) -> None:
     """Whatever a deployment's bounds are, twice the wait of a watch fits into them."""
-    wait = watch_wait(key_bound, config_apply)
-    proof = ProofOfFreshness(key_bound, True, wait)
+    times = reading_times(key_bound, config_apply)
+    proof = ProofOfFreshness(key_bound, True, times.calm_age)
     proof.on_proof(0.0)
-    assert proof.allows_keys(2 * wait)
-    assert proof.allows_not_found(2 * wait)
-    assert wait <= config_apply / 2
+    assert times.calm_age >= 2 * times.watch_wait + times.feed_hold
+    assert proof.allows_keys(times.calm_age)
+    assert proof.allows_not_found(times.calm_age)
+    assert times.watch_wait <= config_apply / 4
+    # A follower notices a reader without the store, or a silent one, before a change is due.
+    assert times.max_proof_age < config_apply
+    assert times.feed_hold + FEED_MARGIN_SECONDS < config_apply
 
 
 @pytest.mark.parametrize("duration", [1.0, 3.3])
--- /dev/null
+++ b/tests/test_store_feed.py
@@ -0,0 +1,290 @@
+"""Gateways that follow a reader of the store: ranking, proofs, and every way a reader fails."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import configuration, serve_whole
+from milletcourse.exchange.store_reading import (
+    SET_ASIDE_SECONDS,
+    GatewayRecord,
+    ReadingPlan,
+)
+from milletcourse.gateway.kind_mirror import KindMirror
+from milletcourse.gateway.node import GatewayNode
+from milletcourse.gateway.object_store import ObjectChange, ObjectChanges, StoredObject
+from soak.proxy import FaultProxy
+
+NAMES = [f"front-{number}" for number in range(1, 13)]
+ZONES = ["zone-1", "zone-2", "zone-3"]
+
+
+def records() -> list[GatewayRecord]:
+    """Twelve gateways in three zones."""
+    return [
+        GatewayRecord(name, ZONES[index % 3], f"10.0.0.{index}:1", f"10.0.0.{index}:2")
+        for index, name in enumerate(NAMES)
+    ]
+
+
+def plan_of(record: GatewayRecord, listed: list[GatewayRecord]) -> ReadingPlan:
+    """The plan of one gateway that knows a list."""
+    plan = ReadingPlan(record.name, record.zone)
+    plan.set_gateways(listed)
+    return plan
+
+
+def test_one_gateway_of_each_zone_reads_and_all_agree_on_it() -> None:
+    """Whatever the order of the list, the others of a zone follow its reader."""
+    listed = records()
+    shuffled = listed[:]
+    random.Random(3).shuffle(shuffled)
+    readers: dict[str, set[str]] = {zone: set() for zone in ZONES}
+    for record in listed:
+        plan = plan_of(record, shuffled)
+        chosen = plan.choose(0.0)
+        assert (chosen is None) is plan.is_reader
+        readers[record.zone].add(record.name if chosen is None else chosen.name)
+    assert all(len(names) == 1 for names in readers.values())
+
+
+def test_failed_readers_are_set_aside_for_longer_each_time() -> None:
+    """The other zones' readers come next, then the second of the zone, then the store."""
+    listed = records()
+    follower = next(item for item in listed if plan_of(item, listed).choose(0.0) is not None)
+    plan = plan_of(follower, listed)
+    first = plan.choose(0.0)
+    asked: list[str] = []
+    while (reader := plan.choose(0.0)) is not None:
+        asked.append(reader.name)
+        plan.on_failed(reader.name, 0.0, answered=False)
+    assert first is not None and asked[0] == first.name
+    assert len(asked) == len(set(asked)) <= len(ZONES) + 1
+    assert plan.choose(SET_ASIDE_SECONDS + 0.1) == first
+    plan.on_failed(first.name, SET_ASIDE_SECONDS + 0.1, answered=False)
+    assert plan.choose(2 * SET_ASIDE_SECONDS + 0.1) != first
+    plan.on_fed(first.name)
+    assert plan.choose(2 * SET_ASIDE_SECONDS + 0.1) == first
+
+
+def test_a_gateway_without_others_reads_the_store_itself() -> None:
+    """Also one whose others tell nothing, or are not listed yet."""
+    plan = ReadingPlan("front-1", "zone-1")
+    assert plan.is_reader
+    plan.set_gateways([GatewayRecord("front-2", "zone-1", "10.0.0.2:1")])
+    assert plan.choose(0.0) is None and plan.is_reader
+
+
+class _Collector:
+    """A sink that keeps the names it knows."""
+
+    def __init__(self) -> None:
+        self.names: set[str] = set()
+
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        self.names = {stored.name for stored in objects}
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        for change in changes:
+            if change.gone:
+                self.names.discard(change.stored.name)
+            else:
+                self.names.add(change.stored.name)
+
+    def on_unavailable(self) -> None:
+        pass
+
+
+def _stored(name: str, revision: int) -> StoredObject:
+    return StoredObject(name, revision, b"{}")
+
+
+def test_a_mirror_tells_what_a_follower_lacks() -> None:
+    """All of it at first; changes later; what vanished while lists were read again."""
+    reader = KindMirror("kind", _Collector())
+    sink = _Collector()
+    follower = KindMirror("kind", sink)
+    assert reader.since(-1) is None and not reader.has_news(-1)
+    reader.on_list([_stored("a", 1), _stored("b", 2)], 10, 0.0)
+
+    def feed() -> None:
+        position = -1 if follower.revision is None else follower.revision
+        fed = reader.since(position)
+        if fed is not None:
+            follower.on_fed(fed, 0.0)
+
+    feed()
+    assert sink.names == {"a", "b"} and follower.revision == 10
+    assert not reader.has_news(10)
+    reader.on_changes(ObjectChanges((ObjectChange(_stored("c", 11), False),), 12), 0.0)
+    feed()
+    assert sink.names == {"a", "b", "c"} and follower.revision == 12
+    reader.on_list([_stored("c", 11), _stored("d", 14)], 15, 0.0)
+    assert reader.has_news(12)
+    feed()
+    assert sink.names == {"c", "d"} and follower.revision == 15
+    follower.on_list([_stored("a", 1)], 9, 0.0)
+    assert sink.names == {"c", "d"}, "an older list is void"
+    reader.on_changes(ObjectChanges((), 20), 0.0)
+    assert not reader.has_news(15)
+    feed()
+    assert follower.revision == 20, "the position stays near, so that the store still knows it"
+
+
+def _free_ports() -> list[int]:
+    """A range of two ports for the gateways of one test, free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = int(probe.getsockname()[1])
+    return [port, min(port + 8, 65535)]
+
+
+async def _start_pair(harness: Harness, store: str = "") -> tuple[GatewayNode, GatewayNode]:
+    """A reader, which may see the store through a proxy, and a follower that sees it itself."""
+    await harness.add_server("app-1", "app", serve_whole)
+    harness.store.put("config", "main", configuration())
+    harness.internal_ports = _free_ports()
+    names = sorted(["front-1", "front-2"], key=lambda name: _is_follower(name))
+    reader = await harness.add_gateway(names[0], store)
+    await harness.until(reader.context.is_ready)
+    follower = await harness.add_gateway(names[1])
+    await harness.until(lambda: _is_fed(follower))
+    return reader, follower
+
+
+def _is_follower(name: str) -> bool:
+    """Whether a gateway of a pair in one zone follows the other."""
+    other = "front-2" if name == "front-1" else "front-1"
+    plan = ReadingPlan(name, "zone-1")
+    plan.set_gateways([GatewayRecord(other, "zone-1", "10.0.0.1:1", "10.0.0.1:2")])
+    return not plan.is_reader
+
+
+def _is_fed(node: GatewayNode) -> bool:
+    return node.context.is_ready() and not node.context.reads_store
+
+
+def _calls_for(harness: Harness, kind: str) -> int:
+    return sum(f"/{kind}" in call.target for call in harness.store.calls)
+
+
+def test_a_follower_learns_all_from_its_reader_and_leaves_the_store_alone() -> None:
+    """A new version is in force at the follower, which asked the store for its list only."""
+
+    async def scenario(harness: Harness) -> None:
+        _, follower = await _start_pair(harness)
+        harness.store.calls.clear()
+        harness.store.put("config", "main", configuration(2))
+        await harness.add_server("app-2", "app", serve_whole)
+        context = follower.context
+        await harness.until(lambda: context.table is not None and context.table.version == 2)
+        await harness.until(lambda: context.instances.get("app-2") is not None)
+        # One watch of each kind was waiting when the calls were cleared; only the reader's go on.
+        assert _calls_for(harness, "config") <= 2
+        assert context.freshness.age(context.now()) < context.reading.calm_age
+
+    run_with_gateway(scenario)
+
+
+def test_a_follower_whose_reader_ends_reads_the_store_itself() -> None:
+    """Nothing that changes after the reader's end is missed."""
+
+    async def scenario(harness: Harness) -> None:
+        reader, follower = await _start_pair(harness)
+        reader.close()
+        harness.store.put("config", "main", configuration(2))
+        context = follower.context
+        await harness.until(lambda: context.table is not None and context.table.version == 2)
+        assert context.reads_store
+
+    run_with_gateway(scenario)
+
+
+def test_a_reader_that_lost_the_store_does_not_vouch_for_what_it_knows() -> None:
+    """Its followers read the store themselves, and keep their keys."""
+
+    async def scenario(harness: Harness) -> None:
+        proxy = FaultProxy(harness.store.address)
+        await proxy.start()
+        try:
+            _, follower = await _start_pair(harness, proxy.address)
+            proxy.cut()
+            harness.store.put("config", "main", configuration(2))
+            context = follower.context
+            await harness.until(lambda: context.table is not None and context.table.version == 2)
+            assert context.may_use_keys(None) and context.is_ready()
+        finally:
+            await proxy.close()
+
+    run_with_gateway(scenario)
+
+
+def test_a_follower_goes_back_to_its_reader() -> None:
+    """When the reader can vouch again, the store is left alone again."""
+
+    async def scenario(harness: Harness) -> None:
+        proxy = FaultProxy(harness.store.address)
+        await proxy.start()
+        try:
+            reader, follower = await _start_pair(harness, proxy.address)
+            proxy.cut()
+            await harness.until(lambda: follower.context.reads_store)
+            proxy.heal()
+            await harness.until(lambda: _is_fed(follower))
+            assert reader.context.reads_store
+        finally:
+            await proxy.close()
+
+    run_with_gateway(scenario)
+
+
+def test_a_follower_that_is_cut_from_the_store_is_served_by_its_reader() -> None:
+    """Its proofs come from the reader, so that it goes on serving keys."""
+
+    async def scenario(harness: Harness) -> None:
+        proxy = FaultProxy(harness.store.address)
+        await proxy.start()
+        try:
+            await harness.add_server("app-1", "app", serve_whole)
+            harness.store.put("config", "main", configuration())
+            harness.internal_ports = _free_ports()
+            names = sorted(["front-1", "front-2"], key=lambda name: _is_follower(name))
+            await harness.add_gateway(names[0])
+            follower = await harness.add_gateway(names[1], proxy.address, RevokeMs=1500)
+            await harness.until(lambda: _is_fed(follower))
+            proxy.cut()
+            context = follower.context
+            later = context.now() + 1.5
+            await harness.until(
+                lambda: context.now() - context.freshness.age(context.now()) > later
+            )
+            assert context.is_ready() and not context.reads_store
+        finally:
+            await proxy.close()
+
+    run_with_gateway(scenario)
+
+
+def test_bad_questions_get_a_typed_answer() -> None:
+    """Bytes that are no question, kinds that nobody follows, absurd waits."""
+
+    async def scenario(harness: Harness) -> None:
+        reader, _ = await _start_pair(harness)
+        host = "127.0.0.1"
+        entry = harness.store.objects["milletcourse-gateways"][reader.context.settings.name]
+        port = int(entry["Spec"]["feed"].rpartition(":")[2])
+        for body, status in (
+            (b"no question", b"400"),
+            (b'[[["unknown",-1]],0.0]', b"200"),
+            (b'[[["config",-1]],1e9]', b"200"),
+        ):
+            stream, writer = await asyncio.open_connection(host, port)
+            head = b"POST /feed HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body)
+            writer.write(head + body)
+            assert status in await stream.readline()
+            writer.close()
+
+    run_with_gateway(scenario)
