Followers start from the store's own lists, and wide links read for their zone

The log of a follower's reader: first lists took 0.3 s, then its link of 10 Mbit/s was full with the whole configuration and all entries for 26 followers, so that its own watches hung and its followers left it again and again. Change: a gateway that starts lists all kinds from the store at once, and only then follows; of a zone the widest link reads. Sums of peers' loads are kept instead of added up for each server and request. request-served tells the first byte and the longest pause.

--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from enum import IntEnum
 
 import msgspec
@@ -93,14 +94,21 @@
 class _PeerLoad(msgspec.Struct):
     sequence: int
     heard_at: float
-    loads: dict[int, InstanceLoad]
+    loads: list[InstanceLoad]
+
+
+class _Total(msgspec.Struct):
+    waiting_tokens: int = 0
+    running: int = 0
 
 
 class PeerLoads:
-    """Load of all other gateways on each server."""
+    """Load of all other gateways on each server; sums are kept, since each choice reads all."""
 
     def __init__(self) -> None:
-        self._peers: dict[str, _PeerLoad] = {}
+        # In the order of their latest messages, so that stale ones stand in front.
+        self._peers: OrderedDict[str, _PeerLoad] = OrderedDict()
+        self._totals: dict[int, _Total] = {}
         self._holder_heard_at = float("-inf")
         self._stale_seconds = MIN_STALE_SECONDS
 
@@ -111,31 +119,48 @@
 
     def on_message(self, message: PeerMessage, now: float) -> bool:
         """Take a message; False when it is older than one already taken."""
+        self._forget_stale(now)
         known = self._peers.get(message.sender)
-        recent = known is not None and now - known.heard_at < self._stale_seconds
-        if known is not None and recent and message.sequence <= known.sequence:
+        if known is not None and message.sequence <= known.sequence:
             return False
-        loads = {load.key: load for load in message.loads}
-        self._peers[message.sender] = _PeerLoad(message.sequence, now, loads)
+        if known is not None:
+            self._forget(message.sender)
+        self._peers[message.sender] = _PeerLoad(message.sequence, now, message.loads)
+        self._add(message.loads, 1)
         if message.holds_lease:
             self._holder_heard_at = now
         return True
 
     def waiting_tokens(self, key: int, now: float) -> int:
         """Prompt tokens that other gateways have waiting at a server."""
-        return sum(load.waiting_tokens for load in self._loads(key, now))
+        self._forget_stale(now)
+        total = self._totals.get(key)
+        return total.waiting_tokens if total is not None else 0
 
     def running(self, key: int, now: float) -> int:
         """Requests of other gateways that a server works on."""
-        return sum(load.running for load in self._loads(key, now))
+        self._forget_stale(now)
+        total = self._totals.get(key)
+        return total.running if total is not None else 0
 
     def holder_age(self, now: float) -> float:
         """Seconds since the holder of the roll-out's lease was heard."""
         return now - self._holder_heard_at
 
-    def _loads(self, key: int, now: float) -> list[InstanceLoad]:
-        return [
-            peer.loads[key]
-            for peer in self._peers.values()
-            if key in peer.loads and now - peer.heard_at < self._stale_seconds
-        ]
+    def _forget_stale(self, now: float) -> None:
+        while self._peers:
+            name, oldest = next(iter(self._peers.items()))
+            if now - oldest.heard_at < self._stale_seconds:
+                return
+            self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        self._add(self._peers.pop(name).loads, -1)
+
+    def _add(self, loads: list[InstanceLoad], sign: int) -> None:
+        for load in loads:
+            total = self._totals.setdefault(load.key, _Total())
+            total.waiting_tokens += sign * load.waiting_tokens
+            total.running += sign * load.running
+            if total.running == 0 and total.waiting_tokens == 0:
+                del self._totals[load.key]
--- a/src/milletcourse/exchange/store_reading.py
+++ b/src/milletcourse/exchange/store_reading.py
@@ -28,12 +28,14 @@
         zone: Zone of its machine; empty when it isn't known.
         address: `host:port` that takes datagrams.
         feed: `host:port` that tells what the store holds; empty when it doesn't.
+        link_megabits: Bandwidth of its machine's link in Mbit/s.
     """
 
     name: str
     zone: str
     address: str
     feed: str = ""
+    link_megabits: float = 0.0
 
 
 class _Failures(msgspec.Struct):
@@ -44,9 +46,8 @@
 class ReadingPlan:
     """Ranks the gateways, and remembers which readers failed."""
 
-    def __init__(self, own_name: str, zone: str) -> None:
-        self._own_name = own_name
-        self._zone = zone
+    def __init__(self, own_name: str, zone: str, link_megabits: float = 0.0) -> None:
+        self._own = GatewayRecord(own_name, zone, "", "own", link_megabits)
         self._candidates: list[GatewayRecord] = []
         self._failures: dict[str, _Failures] = {}
         self.is_reader = True
@@ -54,12 +55,13 @@
     def set_gateways(self, gateways: Iterable[GatewayRecord]) -> None:
         """Take the list of gateways; this one counts whether it is listed or not."""
         zones: dict[str, list[GatewayRecord]] = {}
-        own = GatewayRecord(self._own_name, self._zone, "", "own")
+        own = self._own
         for gateway in [own, *gateways]:
-            if gateway.feed and (gateway is own or gateway.name != self._own_name):
+            if gateway.feed and (gateway is own or gateway.name != self._own.name):
                 zones.setdefault(gateway.zone, []).append(gateway)
         for members in zones.values():
-            members.sort(key=lambda gateway: (_rank(gateway.name), gateway.name))
+            # A reader sends each change to all its followers, so a wide link goes first.
+            members.sort(key=lambda item: (-item.link_megabits, _rank(item.name), item.name))
         order = self._order(zones)
         self._candidates = []
         for gateway in order:
@@ -72,10 +74,10 @@
 
     def _order(self, zones: dict[str, list[GatewayRecord]]) -> list[GatewayRecord]:
         """First of the own zone, first ones of the other zones, second of the own zone."""
-        near = zones[self._zone]
+        near = zones[self._own.zone]
         others = sorted(
-            (zone for zone in zones if zone != self._zone),
-            key=lambda zone: _rank(f"{self._own_name}|{zone}"),
+            (zone for zone in zones if zone != self._own.zone),
+            key=lambda zone: _rank(f"{self._own.name}|{zone}"),
         )
         return [near[0], *(zones[zone][0] for zone in others), *near[1:2]]
 
--- a/src/milletcourse/gateway/answer_relay.py
+++ b/src/milletcourse/gateway/answer_relay.py
@@ -23,6 +23,8 @@
         begun: The head of a stream has gone to the client.
         last_event_id: Event after which a stream goes on.
         failure: The latest server's own failure, passed on when nothing better comes.
+        first_seconds: Time from the request to the first byte of its answer, 0 before.
+        longest_gap_seconds: Longest pause between two pieces of the answer.
     """
 
     def __init__(
@@ -31,13 +33,16 @@
         self.begun = False
         self.last_event_id = request.last_event_id
         self.failure: ServerFailure | None = None
+        self.first_seconds = 0.0
+        self.longest_gap_seconds = 0.0
+        self._piece_at = 0.0
         self._request = request
         self._client = client
         self._recorder = recorder
 
     def pass_whole(self, head: AnswerHead, body: bytes) -> None:
         """Pass on a successful answer."""
-        self._recorder.first_answer(self._request)
+        self._begin()
         self._client.send_whole(head.status, head.reason, head.fields, body)
 
     def pass_failure(self, failure: ServerFailure) -> None:
@@ -50,11 +55,19 @@
         """Pass on events of a stream; its head is the first server's."""
         if not self.begun:
             self.begun = True
-            self._recorder.first_answer(self._request)
+            self._begin()
             self._client.begin_stream(head.status, head.reason, head.fields)
+        now = self._recorder.now()
+        self.longest_gap_seconds = max(self.longest_gap_seconds, now - self._piece_at)
+        self._piece_at = now
         self._client.send_piece(data)
         self.last_event_id = last_event_id or self.last_event_id
 
+    def _begin(self) -> None:
+        self._piece_at = self._recorder.now()
+        self.first_seconds = self._piece_at - self._request.received_at
+        self._recorder.first_answer(self.first_seconds)
+
     def end_stream(self) -> None:
         """The stream is complete."""
         self._client.end_stream()
--- a/src/milletcourse/gateway/directory.py
+++ b/src/milletcourse/gateway/directory.py
@@ -29,11 +29,13 @@
         address: `host:port` that takes datagrams.
         zone: Zone of its machine.
         feed: `host:port` that tells what the store holds.
+        link_megabits: Bandwidth of its machine's link in Mbit/s.
     """
 
     address: str
     zone: str = ""
     feed: str = ""
+    link_megabits: float = 0.0
 
 
 class GatewayDirectory:
@@ -83,7 +85,7 @@
             self._log.emit("object-malformed", name=stored.name)
             return
         self._others[stored.name] = GatewayRecord(
-            stored.name, entry.zone, entry.address, entry.feed
+            stored.name, entry.zone, entry.address, entry.feed, entry.link_megabits
         )
 
 
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -141,7 +141,14 @@
     def _finish(self, step: NextStep, instance: Instance) -> None:
         record = self._context.record
         if step is NextStep.FINISHED:
-            record.served(self._job.request, instance.name, self._plan.sends)
+            relay = self._relay
+            record.served(
+                self._job.request,
+                instance.name,
+                self._plan.sends,
+                relay.first_seconds,
+                relay.longest_gap_seconds,
+            )
         elif self._relay.begun:
             record.cut(self._job.request, instance.name)
             self._client.cut()
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -108,13 +108,12 @@
         configuration = ConfigurationSink(context, kinds.configuration_name, decode_configuration)
         instances = InstanceSink(context, self._adapter.decode_instance)
         targets = TargetSink(context, self._adapter.decode_target)
-        self._gateways = KindMirror(kinds.gateways, self._directory)
         self._watched = (
             WatchedKind(KindMirror(kinds.configuration, configuration), context.reading.watch_wait),
             # Many pages: read stale, and brought up to date by the first watch.
             WatchedKind(KindMirror(kinds.instances, instances), INSTANCE_WAIT_SECONDS, True),
             WatchedKind(KindMirror(kinds.targets, targets), TARGET_WAIT_SECONDS),
-            WatchedKind(self._gateways, GATEWAY_WAIT_SECONDS, True),
+            WatchedKind(KindMirror(kinds.gateways, self._directory), GATEWAY_WAIT_SECONDS, True),
         )
 
     def _start_reading(self, plan: ReadingPlan) -> None:
@@ -124,7 +123,6 @@
             self._calls,
             plan,
             self._watched,
-            self._gateways,
             self._random,
             self._on_task_end,
         )
@@ -137,7 +135,7 @@
         number of calls to the store.
         """
         settings = self.context.settings
-        plan = ReadingPlan(settings.name, settings.zone)
+        plan = ReadingPlan(settings.name, settings.zone, settings.link_megabits)
         port = await self._bind_datagrams(settings.host, settings.internal_ports)
         if port is None:
             self.context.log.emit("peers-unavailable", ports=settings.internal_ports)
@@ -147,7 +145,9 @@
         self._directory.add_listener(self._peers.set_gateways)
         self._directory.add_listener(plan.set_gateways)
         self._spawn(self._peers.run())
-        entry = GatewayEntry(f"{settings.host}:{port}", settings.zone, feed_address)
+        entry = GatewayEntry(
+            f"{settings.host}:{port}", settings.zone, feed_address, settings.link_megabits
+        )
         registration = register(self._store, self._adapter.kinds.gateways, settings.name, entry)
         self._registration = asyncio.get_running_loop().create_task(registration)
         return plan
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -26,7 +26,7 @@
         self._log = log
         self._figures = figures
         self._belief = belief
-        self._now = now
+        self.now = now
         self._reachable: dict[str, bool] = {}
 
     # -- requests -------------------------------------------------------------------------------
@@ -70,14 +70,23 @@
             **self._about(request),
         )
 
-    def first_answer(self, request: ExchangeRequest) -> None:
-        """The first byte of an answer goes to a client."""
-        self._figures.on_first_answer(self._now() - request.received_at)
+    def first_answer(self, seconds: float) -> None:
+        """The first byte of an answer goes to a client, this long after its request."""
+        self._figures.on_first_answer(seconds)
 
-    def served(self, request: ExchangeRequest, instance: str, sends: int) -> None:
-        """A whole answer was passed on."""
+    def served(
+        self, request: ExchangeRequest, instance: str, sends: int, first: float, gap: float
+    ) -> None:
+        """A whole answer was passed on; with its first byte and its longest pause in seconds."""
         self._figures.on_end("served")
-        self._log.emit("request-served", instance=instance, sends=sends, **self._about(request))
+        self._log.emit(
+            "request-served",
+            instance=instance,
+            sends=sends,
+            first=round(first, 3),
+            gap=round(gap, 3),
+            **self._about(request),
+        )
 
     def passed_failure(self) -> None:
         """A server's own failure was passed on; its attempt has a line."""
@@ -127,5 +136,5 @@
         self._log.emit("store-reached" if succeeded else "store-lost", kind=kind, **self._belief())
 
     def _about(self, request: ExchangeRequest) -> dict[str, Any]:
-        seconds = round(self._now() - request.received_at, 3)
+        seconds = round(self.now() - request.received_at, 3)
         return {"request_id": request.request_id, "seconds": seconds}
--- a/src/milletcourse/gateway/settings.py
+++ b/src/milletcourse/gateway/settings.py
@@ -43,6 +43,7 @@
         store: `host:port` of the object store.
         internal_ports: First and last port that gateways may use among themselves.
         bounds: Time bounds.
+        link_megabits: Bandwidth of the machine's link in Mbit/s; 0 when it isn't known.
     """
 
     name: str
@@ -53,3 +54,4 @@
     store: str
     internal_ports: tuple[int, int] = (0, 0)
     bounds: GatewayBounds = GatewayBounds()
+    link_megabits: float = 0.0
--- a/src/milletcourse/gateway/store_reader.py
+++ b/src/milletcourse/gateway/store_reader.py
@@ -31,6 +31,8 @@
 """A refusal this soon shows a live machine, whose process may just be starting."""
 START_PATIENCE_SECONDS = 0.7
 """At a start a reader is waited for this long, since many gateways may start together."""
+FIRST_LISTS_SECONDS = 0.8
+"""A store that doesn't list all kinds by now is left; readers may know them."""
 MIN_QUESTION_SECONDS = 0.02
 """Between two questions, so that a burst of changes comes in few answers."""
 
@@ -59,7 +61,6 @@
         calls: CallClient,
         plan: ReadingPlan,
         kinds: Sequence[WatchedKind],
-        gateways: KindMirror,
         random_source: random.Random,
         on_task_end: Callable[[asyncio.Task[None]], None],
     ) -> None:
@@ -68,7 +69,6 @@
         self._calls = calls
         self._plan = plan
         self._kinds = kinds
-        self._gateways = gateways
         self._random = random_source
         self._on_task_end = on_task_end
         self._mirrors = {kind.mirror.kind: kind.mirror for kind in kinds}
@@ -77,7 +77,7 @@
 
     async def run(self) -> None:
         """Keep the mirrors current until cancelled."""
-        await self._learn_gateways()
+        await self._learn_all()
         patient_until = self._context.now() + START_PATIENCE_SECONDS
         while True:
             reader = self._plan.choose(self._context.now())
@@ -95,13 +95,25 @@
         """Stop reading."""
         self._stop_watches()
 
-    async def _learn_gateways(self) -> None:
-        """Know the others before the first choice; without them the store is read here."""
+    async def _learn_all(self) -> None:
+        """Know all kinds before the first choice of a reader.
+
+        They come from the store, all at once: after a loss of all gateways the readers would have
+        to send them to everybody over their own links, which are far narrower than the store's.
+        """
+        try:
+            async with asyncio.timeout(FIRST_LISTS_SECONDS):
+                await asyncio.gather(*(self._learn(kind) for kind in self._kinds))
+        except TimeoutError:
+            self._context.log.emit("store-silent-at-start")
+
+    async def _learn(self, kind: WatchedKind) -> None:
+        mirror = kind.mirror
         try:
-            objects, revision, sent_at = await self._store.list_all(self._gateways.kind, stale=True)
+            objects, revision, sent_at = await self._store.list_all(mirror.kind, kind.stale_lists)
         except StoreError:
             return
-        self._gateways.on_list(objects, revision, sent_at)
+        mirror.on_list(objects, revision, sent_at)
 
     # -- following a reader ---------------------------------------------------------------------
 
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -38,6 +38,10 @@
     address: str
 
 
+class _MachineLimits(_Document, frozen=True):
+    link_mbps: float = 0.0
+
+
 _BOUND_NAMES = {
     "RevokeMs": "revoke",
     "FailClosed": "fail_closed",
@@ -60,6 +64,7 @@
     platform: _Platform
     internal_ports: list[int] = []
     bounds: dict[str, Any] = {}
+    limits: _MachineLimits = _MachineLimits()
 
 
 def read_settings(content: bytes) -> GatewaySettings:
@@ -75,6 +80,7 @@
         store=document.platform.address,
         internal_ports=(ports[0], ports[-1]) if ports else (0, 0),
         bounds=_bounds(document.bounds),
+        link_megabits=document.limits.link_mbps,
     )
 
 
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -36,7 +36,12 @@
     RouteRecord,
     WeightedService,
 )
-from milletcourse.exchange.roll_out import OrderReply, RollOut, ServerReport, WeightOrder
+from milletcourse.exchange.roll_out import (
+    OrderReply,
+    RollOut,
+    ServerReport,
+    WeightOrder,
+)
 from milletcourse.exchange.route_table import RouteTable
 from milletcourse.exchange.server_health import ServerHealth
 from milletcourse.exchange.version_gate import VersionGate
@@ -378,6 +383,39 @@
     assert peers.holder_age(10.0) == 1.0
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["a", "b", "c"]),
+            st.integers(0, 6),
+            st.lists(st.tuples(st.integers(1, 3), st.integers(0, 50), st.integers(0, 3))),
+            st.floats(0.0, 0.7),
+        ),
+        max_size=30,
+    )
+)
+def test_sums_of_peers_are_those_of_their_latest_messages(
+    told: list[tuple[str, int, list[tuple[int, int, int]], float]],
+) -> None:
+    """However messages come, overtake each other, and go stale."""
+    peers = PeerLoads()
+    latest: dict[str, tuple[int, float, list[tuple[int, int, int]]]] = {}
+    now = 0.0
+    for sender, sequence, loads, pause in told:
+        now += pause
+        latest = {name: item for name, item in latest.items() if now - item[1] < 1.0}
+        known = latest.get(sender)
+        message = PeerMessage(sender, sequence, [InstanceLoad(*load) for load in loads])
+        newer = known is None or sequence > known[0]
+        assert peers.on_message(message, now) == newer
+        if newer:
+            latest[sender] = (sequence, now, loads)
+        for key in (1, 2, 3):
+            mine = [load for _, _, loads in latest.values() for load in loads if load[0] == key]
+            assert peers.waiting_tokens(key, now) == sum(load[1] for load in mine)
+            assert peers.running(key, now) == sum(load[2] for load in mine)
+
+
 @given(st.binary(max_size=60))
 def test_foreign_datagrams_are_dropped(data: bytes) -> None:
     """Whatever bytes come."""
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -51,6 +51,17 @@
     assert all(len(names) == 1 for names in readers.values())
 
 
+def test_the_widest_link_of_a_zone_reads() -> None:
+    """Whatever the hash of its name."""
+    wide = GatewayRecord("front-99", "zone-1", "10.0.0.99:1", "10.0.0.99:2", 200.0)
+    listed = [*records(), wide]
+    for record in listed:
+        plan = ReadingPlan(record.name, record.zone, record.link_megabits)
+        plan.set_gateways(listed)
+        if record.zone == "zone-1":
+            assert plan.is_reader is (record == wide)
+
+
 def test_failed_readers_are_set_aside_for_longer_each_time() -> None:
     """The other zones' readers come next, then the second of the zone, then the store."""
     listed = records()
