A shared part has one store of kept state for all zones; short shared parts use it too

Cause: each server used the store of its own zone, so that a part that had been read in one zone was read again in the next (68 of 131 prompts that went to another server than the one that had read their part); short prompts used no store at all. Ruled out: the store's room and links (moves rose and the parts were found). Change: the store is that of the zone of the part's first home on the ring, which all gateways know alike; shared parts from 32 tokens on are moved.

--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -184,6 +184,19 @@
                 return name
         return ""
 
+    def anchor_zone(self, service: ServiceRecord, request: ExchangeRequest, scope: str) -> str:
+        """Zone of the first home of a prompt's shared parts, whether it may run the prompt or not.
+
+        All gateways agree on it, so that what one server sends to the store of this zone is found
+        by the next one, wherever it is. Empty when there is no server.
+        """
+        chain = prompt_chain(request, scope)
+        if not chain.shared:
+            return ""
+        name = next(self._ring(service.name).walk(chain.keys[chain.shared - 1]), "")
+        instance = self._table.get(name)
+        return instance.record.zone if instance is not None else ""
+
     def _ring(self, service: str) -> HomeRing:
         cached = self._rings.get(service)
         if cached is None or cached[0] != self._table.generation:
--- a/src/milletcourse/exchange/messages.py
+++ b/src/milletcourse/exchange/messages.py
@@ -66,6 +66,11 @@
         """Path without the query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share: all but the last."""
+        return sum(part.tokens for part in self.prompt_parts[:-1])
+
 
 class Dispatch(msgspec.Struct):
     """What a gateway itself says to a server about one attempt.
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -18,8 +18,8 @@
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest body of an answer that isn't a stream."""
-CACHE_STORE_MIN_TOKENS = 1024
-"""Shorter prompts are read again rather than moved."""
+CACHE_STORE_MIN_SHARED_TOKENS = 32
+"""Shorter shared parts are read again rather than moved: servers keep blocks of 16 tokens."""
 FIRST_EVENT_TARGETS = 2.5
 """A repeatable request leaves a server that is silent for this many target latencies."""
 MIN_SILENCE_SECONDS = 1.0
@@ -169,9 +169,11 @@
         return dispatch
 
     def _add_cache_store(self, dispatch: Dispatch) -> None:
-        if self._job.request.prompt_tokens < CACHE_STORE_MIN_TOKENS:
+        if self._job.request.shared_tokens < CACHE_STORE_MIN_SHARED_TOKENS:
             return
-        store = self._job.table.cache_store(self._instance.record.zone)
+        job = self._job
+        zone = self._context.selector.anchor_zone(job.service, job.request, job.scope)
+        store = job.table.cache_store(zone or self._instance.record.zone)
         if store is None or store.store_address == self._context.unreachable_store:
             return
         dispatch.cache_source = store.store_address
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -727,6 +727,47 @@
     run_with_gateway(scenario)
 
 
+def test_a_shared_part_has_one_store_wherever_it_is_read() -> None:
+    """Servers of all zones take it from there and send it there, short as it may be."""
+    parts = [("5c1e07a2", "91bd3f06"), ("0a0b0c0d", "0badcafe"), ("1f1f1f1f", "2e2e2e2e")]
+
+    async def scenario(harness: Harness) -> None:
+        zones = ["zone-1", "zone-2", "zone-3"]
+        for zone in zones:
+            server = await harness.add_server(f"e-{zone}", "engine", stream_of_four, 3)
+            entry = {**server.entry("engine", 3), "Zone": zone}
+            harness.store.put("servers", server.name, entry)
+        services = configuration()["Services"] + [
+            {"Name": f"kept-{zone}", "KvStoreAddr": f"10.0.0.{index}:1", "Zone": zone}
+            for index, zone in enumerate(zones)
+        ]
+        harness.store.put("config", "main", configuration(Services=services))
+        await harness.start_gateway()
+        await harness.until(harness.is_ready)
+        assert harness.node is not None
+        health = {item.name: item.health for item in harness.node.context.instances}
+        for shared, own in parts:
+            sources = set()
+            for number in range(6):
+                # Each server in turn is passed over, so that others get the prompt.
+                health[f"e-{zones[number % 3]}"].on_order(harness.node.context.now() + 5.0)
+                prompt = {"Prompt_Prefix": f"{shared}:60,{own}:20", "Token_Usage": "80,4"}
+                got = await (await harness.client()).ask(
+                    "/stream/", f"{shared}-{number}", Model="model-1", **prompt
+                )
+                assert got.status == 200
+                health[f"e-{zones[number % 3]}"].on_ready()
+            for server in harness.servers.values():
+                for request in server.received:
+                    if request.request_id.startswith(shared):
+                        assert request.headers["kv-source"] == request.headers["kv-target"]
+                        sources.add(request.headers["kv-source"])
+            assert len(sources) == 1
+        assert all(server.received for server in harness.servers.values())
+
+    run_with_gateway(scenario)
+
+
 def test_refused_version_is_learnt_and_the_request_goes_on() -> None:
     """A server that moved on answers 421; the same request then runs on the newest version."""
 
