Loads go over the zones' readers, and a choice compares a few servers instead of all

Cause: 79 gateways told their load to six others a tick in turn, so that a load was 0.7 s old on average, longer than most requests run: each gateway knew little of the others' load. Change: LoadExchange, a core without input/output: followers tell their reader, readers add up and tell each other their zone and their followers the fleet; without a reader, gossip as before. Notices of orders go the same way and in no circles. A choice compares the home, holders, and a few servers at random. The flag holds_lease in messages, which nothing read, is gone.

--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -14,8 +14,8 @@
 import xxhash
 
 from milletcourse.exchange.instance_table import Instance, InstanceTable
+from milletcourse.exchange.load_exchange import LoadExchange
 from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.peer_messages import PeerLoads
 from milletcourse.exchange.records import ServiceRecord
 from milletcourse.exchange.reuse_scope import cache_salt
 from milletcourse.exchange.version_gate import VersionGate
@@ -36,6 +36,13 @@
 """Cost of crossing a zone: both ways of the network, and the price of the bytes."""
 ENGINE_JITTER_SECONDS = 0.002
 """Random part of a model server's cost, which decides between equal ones."""
+NEAR_SAMPLE = 6
+"""Servers of the own zone that are compared for one request, beside its home and its holders.
+Gateways that compare all of them by the same sums would all choose the same one."""
+FAR_SAMPLE = 2
+"""Servers of other zones that are compared."""
+MAX_HOLDERS = 4
+"""Servers believed to hold a prompt that are compared."""
 JITTER_SHARE = 0.25
 """Random part of an application server's cost, so that gateways don't choose alike."""
 
@@ -85,13 +92,13 @@
         self,
         table: InstanceTable,
         gate: VersionGate,
-        peer_loads: PeerLoads,
+        loads: LoadExchange,
         zone: str,
         random_source: random.Random,
     ) -> None:
         self._table = table
         self._gate = gate
-        self._peer_loads = peer_loads
+        self._loads = loads
         self._zone = zone
         self._random = random_source
         self._rings: dict[str, tuple[int, HomeRing]] = {}
@@ -158,7 +165,7 @@
         home = self._home(service, request, scope, candidates)
         best = candidates[0]
         best_cost = float("inf")
-        for instance in candidates:
+        for instance in self._compared(candidates, home, request, scope):
             version = instance.version(request.model)
             chain = chains.get(version)
             if chain is None:
@@ -168,6 +175,26 @@
                 best, best_cost = instance, cost
         return best
 
+    def _compared(
+        self, candidates: Sequence[Instance], home: str, request: ExchangeRequest, scope: str
+    ) -> Sequence[Instance]:
+        """Servers whose costs are worked out: the home, holders, and a few at random."""
+        if len(candidates) <= NEAR_SAMPLE + FAR_SAMPLE + MAX_HOLDERS:
+            return candidates
+        by_name = {instance.name: instance for instance in candidates}
+        near = [item for item in candidates if item.record.zone == self._zone]
+        far = [item for item in candidates if item.record.zone != self._zone]
+        chosen = [*self._sample(near, NEAR_SAMPLE), *self._sample(far, FAR_SAMPLE)]
+        names = {instance.name: None for instance in chosen}
+        names[home] = None
+        for version in {instance.version(request.model): None for instance in candidates}:
+            chain = prompt_chain(request, cache_salt(scope, version))
+            names.update(dict.fromkeys(self.belief.holders(chain.keys, MAX_HOLDERS)))
+        return [by_name[name] for name in names if name in by_name]
+
+    def _sample(self, instances: list[Instance], count: int) -> list[Instance]:
+        return self._random.sample(instances, min(count, len(instances)))
+
     def _home(
         self,
         service: ServiceRecord,
@@ -212,7 +239,7 @@
         is_home: bool,
         now: float,
     ) -> float:
-        others = self._peer_loads
+        others = self._loads
         waiting_tokens = instance.in_flight_tokens + others.waiting_tokens(instance.key, now)
         waiting = waiting_tokens / PREFILL_TOKENS_PER_SECOND
         running = (instance.in_flight + others.running(instance.key, now)) * RUNNING_SECONDS
@@ -254,5 +281,5 @@
 
     def _application_cost(self, instance: Instance, now: float) -> float:
         jitter = self._random.random() * JITTER_SHARE
-        in_flight = instance.in_flight + self._peer_loads.running(instance.key, now)
+        in_flight = instance.in_flight + self._loads.running(instance.key, now)
         return (in_flight + 1 + jitter) * instance.latency_seconds + self._zone_seconds(instance)
--- /dev/null
+++ b/src/milletcourse/exchange/load_exchange.py
@@ -0,0 +1,233 @@
+"""Who tells whom the load on servers; events in, messages out, no input/output.
+
+A gateway tells its load to the reader of the store that it follows. A reader adds up its followers
+and itself, tells that sum to the other zones' readers, and the sum of all zones to its followers:
+each gateway knows the load of the whole fleet within a few ticks, for two small messages a tick,
+and only readers talk across zones. A gateway whose reader is silent tells its load to all others
+in turn. Messages are small and may be lost; nothing depends on them but speed.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from milletcourse.exchange.load_sums import LoadSums, added
+from milletcourse.exchange.peer_messages import (
+    NOTICE_REPEATS,
+    InstanceLoad,
+    LoadScope,
+    OrderNotice,
+    PeerMessage,
+)
+
+TICK_SECONDS = 0.05
+"""A changed load is told this often."""
+DIGEST_SECONDS = 0.1
+"""Sums are told this often: some 5 KB a second to each gateway, at 45 servers under load."""
+REPEAT_SECONDS = 0.4
+"""What has not changed is told again, before it counts as stale."""
+STALE_SECONDS = 1.0
+"""What isn't told again counts no longer than this."""
+GOSSIP_RECEIVERS = 3
+"""Without a reader, load is told to this many others a tick, in turn."""
+PASSED_ON_SECONDS = 2.0
+"""A notice that was passed on isn't passed on again this long: its repetitions are over by then."""
+STALE_ROUNDS = 2.0
+"""Then it counts for this many of the rounds in which all others are told."""
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """A message and the gateways that it is for."""
+
+    message: PeerMessage
+    receivers: list[str]
+
+
+class _Notice(msgspec.Struct):
+    notice: OrderNotice
+    left: int
+    to_readers: bool
+
+
+class LoadExchange:
+    """One gateway's part in telling loads, and what it knows of the others' load."""
+
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
+        self._others: list[str] = []
+        self._readers: list[str] = []
+        self._reader = ""
+        self._reader_since = float("-inf")
+        self._gateways = LoadSums(STALE_SECONDS)
+        self._zones = LoadSums(STALE_SECONDS)
+        self._followers: dict[str, float] = {}
+        self._fleet: dict[int, InstanceLoad] = {}
+        self._fleet_sequence = 0
+        self._fleet_at = float("-inf")
+        self._told: list[InstanceLoad] = []
+        self._told_by_key: dict[int, InstanceLoad] = {}
+        self._told_at = float("-inf")
+        self._digest_at = float("-inf")
+        self._untold: dict[str, None] = {}
+        self._notices: list[_Notice] = []
+        self._passed_on: dict[OrderNotice, float] = {}
+        self._sequence = 0
+
+    def set_gateways(self, others: list[str], readers: list[str]) -> None:
+        """Take the list of the other gateways, and of the zones' readers among them."""
+        self._others = others
+        self._readers = readers
+        round_seconds = len(others) / GOSSIP_RECEIVERS * TICK_SECONDS
+        self._gateways.stale_seconds = max(STALE_SECONDS, STALE_ROUNDS * round_seconds)
+
+    # -- what the others have on the servers ----------------------------------------------------
+
+    def waiting_tokens(self, key: int, now: float) -> int:
+        """Prompt tokens that other gateways have waiting at a server."""
+        if self._knows_fleet(now):
+            mine = self._told_by_key.get(key)
+            total = self._fleet.get(key)
+            waiting = total.waiting_tokens if total is not None else 0
+            return max(waiting - (mine.waiting_tokens if mine is not None else 0), 0)
+        return self._gateways.waiting_tokens(key, now) + self._zones.waiting_tokens(key, now)
+
+    def running(self, key: int, now: float) -> int:
+        """Requests of other gateways that a server works on."""
+        if self._knows_fleet(now):
+            mine = self._told_by_key.get(key)
+            total = self._fleet.get(key)
+            running = total.running if total is not None else 0
+            return max(running - (mine.running if mine is not None else 0), 0)
+        return self._gateways.running(key, now) + self._zones.running(key, now)
+
+    def _knows_fleet(self, now: float) -> bool:
+        return bool(self._reader) and now - self._fleet_at < STALE_SECONDS
+
+    # -- hearing --------------------------------------------------------------------------------
+
+    def on_message(self, message: PeerMessage, now: float) -> bool:
+        """Take a message; False when a later one of its sender was taken."""
+        sender = message.sender
+        if message.scope is LoadScope.FLEET:
+            return self._on_fleet(message, now)
+        if message.scope is LoadScope.ZONE:
+            self._gateways.forget(sender)
+            return self._zones.on_told(sender, message.sequence, message.loads, now)
+        self._zones.forget(sender)
+        if message.follows:
+            self._followers[sender] = now
+        return self._gateways.on_told(sender, message.sequence, message.loads, now)
+
+    def _on_fleet(self, message: PeerMessage, now: float) -> bool:
+        if message.sender != self._reader:
+            return False
+        if message.sequence <= self._fleet_sequence and self._knows_fleet(now):
+            return False
+        self._fleet = {load.key: load for load in message.loads}
+        self._fleet_sequence = message.sequence
+        self._fleet_at = now
+        return True
+
+    # -- telling --------------------------------------------------------------------------------
+
+    def notify(self, notice: OrderNotice) -> None:
+        """Tell all gateways about an order with the next messages; repeated against loss."""
+        self._add_notice(notice, to_readers=True)
+
+    def pass_on(self, message: PeerMessage, now: float) -> None:
+        """Tell others what a message says about orders.
+
+        What a reader says goes to the followers here; what a follower says goes to all.
+        """
+        if message.scope is LoadScope.FLEET:
+            return
+        self._passed_on = {
+            notice: at for notice, at in self._passed_on.items() if now - at < PASSED_ON_SECONDS
+        }
+        for notice in message.notices:
+            if notice not in self._passed_on:
+                self._passed_on[notice] = now
+                self._add_notice(notice, to_readers=message.follows)
+
+    def _add_notice(self, notice: OrderNotice, to_readers: bool) -> None:
+        self._notices.append(_Notice(notice, NOTICE_REPEATS, to_readers))
+        self._digest_at = float("-inf")
+
+    def tick(self, now: float, own: list[InstanceLoad], reader: str) -> list[Outgoing]:
+        """Messages to send now.
+
+        Args:
+            now: Monotonic time.
+            own: This gateway's load on each server that has some.
+            reader: The reader of the store that it follows; empty while it reads the store itself.
+        """
+        if reader != self._reader:
+            self._reader = reader
+            self._reader_since = now
+            self._told_at = float("-inf")
+        if not reader:
+            return self._digests(now, own)
+        outgoing = []
+        due = own != self._told or now - self._told_at >= REPEAT_SECONDS or bool(self._notices)
+        if due:
+            self._note_told(own, now)
+            outgoing.append(self._outgoing(now, LoadScope.GATEWAY, own, [reader], follows=True))
+            self._spend_notices()
+        if not self._knows_fleet(now) and now - self._reader_since >= STALE_SECONDS:
+            outgoing.extend(self._gossip(now, own, due))
+        return outgoing
+
+    def _note_told(self, own: list[InstanceLoad], now: float) -> None:
+        self._told = own
+        self._told_by_key = {load.key: load for load in own}
+        self._told_at = now
+
+    def _digests(self, now: float, own: list[InstanceLoad]) -> list[Outgoing]:
+        """As a reader: the zone's sum to the other readers, the fleet's to the followers."""
+        if now - self._digest_at < DIGEST_SECONDS:
+            return []
+        self._digest_at = now
+        self._followers = {
+            name: heard for name, heard in self._followers.items() if now - heard < STALE_SECONDS
+        }
+        zone = added(own, self._gateways.loads(now))
+        fleet = added(zone, self._zones.loads(now))
+        readers = list(dict.fromkeys([*self._readers, *self._zones.senders(now)]))
+        outgoing = []
+        if fleet != self._told or self._notices or now - self._told_at >= REPEAT_SECONDS:
+            self._note_told(fleet, now)
+            outgoing.append(self._outgoing(now, LoadScope.ZONE, zone, readers))
+            outgoing.append(self._outgoing(now, LoadScope.FLEET, fleet, list(self._followers)))
+        self._spend_notices()
+        return [item for item in outgoing if item.receivers]
+
+    def _gossip(self, now: float, own: list[InstanceLoad], begin_round: bool) -> list[Outgoing]:
+        """Tell the next few that haven't heard of the latest change."""
+        if begin_round:
+            self._untold = dict.fromkeys(self._others)
+        receivers = list(self._untold)[:GOSSIP_RECEIVERS]
+        for name in receivers:
+            del self._untold[name]
+        return [self._outgoing(now, LoadScope.GATEWAY, own, receivers)] if receivers else []
+
+    def _outgoing(
+        self,
+        now: float,
+        scope: LoadScope,
+        loads: list[InstanceLoad],
+        receivers: list[str],
+        follows: bool = False,
+    ) -> Outgoing:
+        # Above that of an earlier process on this machine, whose clock was the same.
+        self._sequence = max(self._sequence + 1, int(now * 1000))
+        # Readers tell each other only what began with them, so that nothing goes in circles.
+        notices = [
+            kept.notice for kept in self._notices if kept.to_readers or scope is LoadScope.FLEET
+        ]
+        message = PeerMessage(self._own_name, self._sequence, loads, notices, scope, follows)
+        return Outgoing(message, receivers)
+
+    def _spend_notices(self) -> None:
+        for kept in self._notices:
+            kept.left -= 1
+        self._notices = [kept for kept in self._notices if kept.left > 0]
--- a/src/milletcourse/exchange/store_reading.py
+++ b/src/milletcourse/exchange/store_reading.py
@@ -44,13 +44,19 @@
 
 
 class ReadingPlan:
-    """Ranks the gateways, and remembers which readers failed."""
+    """Ranks the gateways, and remembers which readers failed.
+
+    Attributes:
+        is_reader: This gateway reads the store for its zone.
+        first_readers: Names of the zones' readers, while all of them live.
+    """
 
     def __init__(self, own_name: str, zone: str, link_megabits: float = 0.0) -> None:
         self._own = GatewayRecord(own_name, zone, "", "own", link_megabits)
         self._candidates: list[GatewayRecord] = []
         self._failures: dict[str, _Failures] = {}
         self.is_reader = True
+        self.first_readers: list[str] = []
 
     def set_gateways(self, gateways: Iterable[GatewayRecord]) -> None:
         """Take the list of gateways; this one counts whether it is listed or not."""
@@ -62,6 +68,7 @@
         for members in zones.values():
             # A reader sends each change to all its followers, so a wide link goes first.
             members.sort(key=lambda item: (-item.link_megabits, _rank(item.name), item.name))
+        self.first_readers = [members[0].name for members in zones.values()]
         order = self._order(zones)
         self._candidates = []
         for gateway in order:
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -11,8 +11,9 @@
 from milletcourse.exchange.freshness import ProofOfFreshness, ReadingTimes, reading_times
 from milletcourse.exchange.instance_selector import InstanceSelector
 from milletcourse.exchange.instance_table import Instance, InstanceTable
+from milletcourse.exchange.load_exchange import LoadExchange
 from milletcourse.exchange.messages import AttemptResult
-from milletcourse.exchange.peer_messages import InstanceLoad, PeerLoads
+from milletcourse.exchange.peer_messages import InstanceLoad
 from milletcourse.exchange.records import EdgeLimits, TenantRecord
 from milletcourse.exchange.route_table import RouteTable
 from milletcourse.exchange.version_gate import VersionGate
@@ -44,6 +45,7 @@
     Attributes:
         reading: How often the state of the object store is asked for.
         reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
+        followed_reader: Name of the gateway that it follows instead; empty for none.
     """
 
     def __init__(
@@ -66,15 +68,16 @@
         bounds = settings.bounds
         self.reading = self._reading_times(settings)
         self.reads_store = False
+        self.followed_reader = ""
         self.freshness = ProofOfFreshness(
             self._key_bound(settings), bounds.fail_closed, self.reading.calm_age
         )
         self.instances = InstanceTable()
         self.gate = VersionGate(bounds.version)
-        self.peer_loads = PeerLoads()
+        self.loads = LoadExchange(settings.name)
         self.unreachable_store = ""
         self.selector = InstanceSelector(
-            self.instances, self.gate, self.peer_loads, settings.zone, random_source
+            self.instances, self.gate, self.loads, settings.zone, random_source
         )
         self.weights = WeightedChoice(random_source)
         self.pool = ConnectionPool(dialect)
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -142,8 +142,12 @@
             return plan
         feed = StoreFeed(self.context, [kind.mirror for kind in self._watched])
         feed_address = await self._listen_for_followers(feed)
-        self._directory.add_listener(self._peers.set_gateways)
         self._directory.add_listener(plan.set_gateways)
+        self._directory.add_listener(
+            lambda others: self._peers.set_gateways(
+                others, [name for name in plan.first_readers if name != settings.name]
+            )
+        )
         self._spawn(self._peers.run())
         entry = GatewayEntry(
             f"{settings.host}:{port}", settings.zone, feed_address, settings.link_megabits
--- a/src/milletcourse/gateway/store_reader.py
+++ b/src/milletcourse/gateway/store_reader.py
@@ -73,7 +73,6 @@
         self._on_task_end = on_task_end
         self._mirrors = {kind.mirror.kind: kind.mirror for kind in kinds}
         self._watches: list[asyncio.Task[None]] = []
-        self._following = ""
 
     async def run(self) -> None:
         """Keep the mirrors current until cancelled."""
@@ -160,16 +159,16 @@
 
     def _on_failed(self, reader: GatewayRecord, answered: bool) -> None:
         self._plan.on_failed(reader.name, self._context.now(), answered)
-        if not self._following:
+        if not self._context.followed_reader:
             return
         # Whatever the reader is silent about must not be missed here.
         self._context.log.emit("reader-lost", reader=reader.name, answered=answered)
-        self._following = ""
+        self._context.followed_reader = ""
         self._start_watches()
 
     def _note_source(self, reader: str) -> None:
-        if reader != self._following:
-            self._following = reader
+        if reader != self._context.followed_reader:
+            self._context.followed_reader = reader
             if reader:
                 self._context.log.emit("reader-followed", reader=reader)
 
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -17,12 +17,13 @@
 from milletcourse.exchange.event_stream import EventSplitter
 from milletcourse.exchange.freshness import ProofOfFreshness, reading_times
 from milletcourse.exchange.instance_table import DOUBT_SECONDS, Instance, InstanceTable
+from milletcourse.exchange.load_sums import LoadSums
 from milletcourse.exchange.messages import AttemptResult, Dispatch, HeaderField
 from milletcourse.exchange.peer_messages import (
     InstanceLoad,
+    LoadScope,
     OrderNotice,
     OrderState,
-    PeerLoads,
     PeerMessage,
     decode_message,
     encode_message,
@@ -367,20 +368,19 @@
 # -- messages between gateways ------------------------------------------------------------------
 
 
-def test_loads_of_peers_add_up_and_grow_stale() -> None:
-    """The latest message of each peer counts, for a while; older and foreign ones don't."""
-    peers = PeerLoads()
+def test_loads_of_senders_add_up_and_grow_stale() -> None:
+    """The latest message of each sender counts, for a while; older ones don't."""
+    sums = LoadSums(1.0)
     key = instance_key("e-1")
-    assert peers.on_message(PeerMessage("a", 5, [InstanceLoad(key, 4000, 2)]), 1.0)
-    assert peers.on_message(PeerMessage("b", 1, [InstanceLoad(key, 1000, 1)]), 1.2)
-    assert not peers.on_message(PeerMessage("a", 4, []), 1.3)
-    assert peers.waiting_tokens(key, 1.5) == 5000
-    assert peers.running(key, 1.5) == 3
-    assert peers.on_message(PeerMessage("a", 6, []), 1.6)
-    assert peers.waiting_tokens(key, 1.7) == 1000
-    assert peers.waiting_tokens(key, 2.5) == 0
-    assert peers.on_message(PeerMessage("a", 1, [], holds_lease=True), 9.0)
-    assert peers.holder_age(10.0) == 1.0
+    assert sums.on_told("a", 5, [InstanceLoad(key, 4000, 2)], 1.0)
+    assert sums.on_told("b", 1, [InstanceLoad(key, 1000, 1)], 1.2)
+    assert not sums.on_told("a", 4, [], 1.3)
+    assert sums.waiting_tokens(key, 1.5) == 5000
+    assert sums.running(key, 1.5) == 3
+    assert sums.on_told("a", 6, [], 1.6)
+    assert sums.waiting_tokens(key, 1.7) == 1000
+    assert sums.waiting_tokens(key, 2.5) == 0
+    assert sums.on_told("a", 1, [], 9.0)
 
 
 @given(
@@ -394,20 +394,20 @@
         max_size=30,
     )
 )
-def test_sums_of_peers_are_those_of_their_latest_messages(
+def test_sums_are_those_of_the_latest_messages(
     told: list[tuple[str, int, list[tuple[int, int, int]], float]],
 ) -> None:
     """However messages come, overtake each other, and go stale."""
-    peers = PeerLoads()
+    peers = LoadSums(1.0)
     latest: dict[str, tuple[int, float, list[tuple[int, int, int]]]] = {}
     now = 0.0
     for sender, sequence, loads, pause in told:
         now += pause
         latest = {name: item for name, item in latest.items() if now - item[1] < 1.0}
         known = latest.get(sender)
-        message = PeerMessage(sender, sequence, [InstanceLoad(*load) for load in loads])
         newer = known is None or sequence > known[0]
-        assert peers.on_message(message, now) == newer
+        told_loads = [InstanceLoad(*load) for load in loads]
+        assert peers.on_told(sender, sequence, told_loads, now) == newer
         if newer:
             latest[sender] = (sequence, now, loads)
         for key in (1, 2, 3):
@@ -426,7 +426,7 @@
 def test_messages_survive_the_wire() -> None:
     """Loads, notices and the lease flag."""
     notice = OrderNotice("e-1", MODEL, 2, OrderState.LOADING)
-    message = PeerMessage("a", 7, [InstanceLoad(1, 2, 3)], [notice], True)
+    message = PeerMessage("a", 7, [InstanceLoad(1, 2, 3)], [notice], LoadScope.ZONE, True)
     assert decode_message(encode_message(message)) == message
 
 
--- /dev/null
+++ b/tests/test_load_exchange.py
@@ -0,0 +1,233 @@
+"""Gateways that tell each other their load: what they know, how much they send, what is lost."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from milletcourse.exchange.instance_selector import InstanceSelector
+from milletcourse.exchange.instance_table import InstanceTable
+from milletcourse.exchange.load_exchange import (
+    DIGEST_SECONDS,
+    STALE_SECONDS,
+    TICK_SECONDS,
+    LoadExchange,
+)
+from milletcourse.exchange.load_sums import added
+from milletcourse.exchange.messages import ExchangeRequest, PromptPart
+from milletcourse.exchange.peer_messages import (
+    InstanceLoad,
+    OrderNotice,
+    OrderState,
+    PeerMessage,
+)
+from milletcourse.exchange.records import InstanceRecord, ServiceRecord
+from milletcourse.exchange.version_gate import VersionGate
+
+ZONES = 3
+SERVERS = 5
+
+
+class Fleet:
+    """Gateways in three zones, the first of each zone its reader, and the messages between them."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.names = [f"g{number:02}" for number in range(size)]
+        self.exchanges = {name: LoadExchange(name) for name in self.names}
+        self.readers = self.names[:ZONES]
+        self.loads: dict[str, list[InstanceLoad]] = {name: [] for name in self.names}
+        self.dead: set[str] = set()
+        self.heard: dict[str, list[PeerMessage]] = {name: [] for name in self.names}
+        self.sent = dict.fromkeys(self.names, 0)
+        self.loss = 0.0
+        self.now = 100.0
+        for name in self.names:
+            others = [other for other in self.names if other != name]
+            readers = [reader for reader in self.readers if reader != name]
+            self.exchanges[name].set_gateways(others, readers)
+
+    def reader_of(self, name: str) -> str:
+        """The reader that a gateway follows; empty for readers."""
+        reader = self.readers[self.names.index(name) % ZONES]
+        return "" if reader == name else reader
+
+    def shuffle_loads(self) -> None:
+        """Each gateway gets a new load."""
+        for name in self.names:
+            keys = self.random.sample(range(1, SERVERS + 1), self.random.randint(0, 3))
+            self.loads[name] = [
+                InstanceLoad(key, self.random.randint(0, 9000), self.random.randint(1, 4))
+                for key in sorted(keys)
+            ]
+
+    def run(self, seconds: float) -> None:
+        """Let ticks go by."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            for name in self.names:
+                if name not in self.dead:
+                    self._tick(name)
+
+    def _tick(self, name: str) -> None:
+        exchange = self.exchanges[name]
+        for outgoing in exchange.tick(self.now, self.loads[name], self.reader_of(name)):
+            for receiver in outgoing.receivers:
+                self.sent[name] += 1
+                if receiver in self.dead or self.random.random() < self.loss:
+                    continue
+                if self.exchanges[receiver].on_message(outgoing.message, self.now):
+                    self.heard[receiver].append(outgoing.message)
+                    self.exchanges[receiver].pass_on(outgoing.message, self.now)
+
+    def expected(self, name: str) -> list[InstanceLoad]:
+        """The load of all others that live."""
+        others = [other for other in self.names if other != name and other not in self.dead]
+        return added(*(self.loads[other] for other in others))
+
+    def known(self, name: str) -> list[InstanceLoad]:
+        """What a gateway knows of the others' load."""
+        exchange = self.exchanges[name]
+        loads = [
+            InstanceLoad(
+                key, exchange.waiting_tokens(key, self.now), exchange.running(key, self.now)
+            )
+            for key in range(1, SERVERS + 1)
+        ]
+        return [load for load in loads if load.running or load.waiting_tokens]
+
+
+@pytest.mark.parametrize("size", [1, 3, 7, 30])
+def test_each_gateway_knows_the_load_of_all_others(size: int) -> None:
+    """Exactly, a few ticks after it changed; also where a zone has its reader only."""
+    fleet = Fleet(size, size)
+    for _ in range(4):
+        fleet.shuffle_loads()
+        fleet.run(3 * DIGEST_SECONDS + 2 * TICK_SECONDS)
+        for name in fleet.names:
+            assert fleet.known(name) == fleet.expected(name)
+
+
+def test_what_a_gateway_sends_does_not_grow_with_the_fleet() -> None:
+    """A follower sends one message a tick at most; a reader as many as it has followers."""
+    sent = {}
+    for size in (12, 60):
+        fleet = Fleet(size, 1)
+        for _ in range(40):
+            fleet.shuffle_loads()
+            fleet.run(TICK_SECONDS)
+        follower = fleet.names[-1]
+        sent[size] = fleet.sent[follower]
+        digests = 40 * TICK_SECONDS / DIGEST_SECONDS + 1
+        assert fleet.sent[fleet.readers[0]] <= digests * (size / ZONES + ZONES)
+    assert max(sent.values()) <= 40
+
+
+def test_without_a_reader_load_is_told_to_all_in_turn() -> None:
+    """And what a dead gateway told counts no longer."""
+    fleet = Fleet(9, 5)
+    fleet.shuffle_loads()
+    fleet.run(0.5)
+    fleet.dead.add(fleet.readers[0])
+    fleet.run(2 * STALE_SECONDS + 1.0)
+    followers = [name for name in fleet.names if fleet.reader_of(name) == fleet.readers[0]]
+    for name in followers:
+        for mine in followers:
+            if mine != name:
+                for load in fleet.loads[mine]:
+                    assert fleet.exchanges[name].running(load.key, fleet.now) >= load.running
+    fleet.dead.clear()
+    fleet.run(2 * STALE_SECONDS + 1.0)
+    for name in fleet.names:
+        assert fleet.known(name) == fleet.expected(name)
+
+
+@pytest.mark.parametrize("teller", [0, 5])
+def test_notices_reach_every_gateway_and_go_in_no_circles(teller: int) -> None:
+    """Told by a reader or by a follower, also while a third of the messages is lost."""
+    fleet = Fleet(12, teller)
+    fleet.loss = 0.3
+    fleet.run(1.0)
+    notice = OrderNotice("e-1", "model-1", 2, OrderState.LOADING)
+    fleet.exchanges[fleet.names[teller]].notify(notice)
+    fleet.run(1.0)
+    for name in fleet.names:
+        if name != fleet.names[teller]:
+            assert any(notice in message.notices for message in fleet.heard[name])
+    for name in fleet.names:
+        fleet.heard[name].clear()
+    fleet.run(3.0)
+    assert not any(message.notices for heard in fleet.heard.values() for message in heard)
+
+
+def test_a_digest_of_another_reader_is_dropped() -> None:
+    """Only the reader that a gateway follows counts it in once."""
+    fleet = Fleet(6, 2)
+    fleet.shuffle_loads()
+    fleet.run(0.5)
+    follower = fleet.names[3]
+    before = fleet.known(follower)
+    stranger = fleet.exchanges[fleet.readers[1]]
+    fleet.loads[fleet.readers[1]] = [InstanceLoad(1, 1, 1)]
+    for outgoing in stranger.tick(fleet.now + 1.0, fleet.loads[fleet.readers[1]], ""):
+        if outgoing.message.scope.name == "FLEET":
+            assert not fleet.exchanges[follower].on_message(outgoing.message, fleet.now)
+    assert fleet.known(follower) == before
+
+
+# -- choices by many gateways with the same sums ------------------------------------------------
+
+
+def _selector(seed: int, servers: int) -> tuple[InstanceSelector, InstanceTable]:
+    table = InstanceTable()
+    for number in range(servers):
+        zone = f"zone-{number % ZONES}"
+        name = f"e{number:02}"
+        table.upsert(InstanceRecord(name, "s", "10.0.0.1:1", zone, weight_versions={"m": 1}))
+    loads = LoadExchange(f"g{seed}")
+    gate = VersionGate(8.0)
+    return InstanceSelector(table, gate, loads, "zone-0", random.Random(seed)), table
+
+
+def _prompt(shared_tokens: int) -> ExchangeRequest:
+    parts = (PromptPart("aa", shared_tokens), PromptPart("bb", 50))
+    tokens = shared_tokens + 50
+    return ExchangeRequest(
+        b"POST", b"/", "h", [], b"", "id", "", None, "", "m", parts, tokens, 10, 0.0
+    )
+
+
+def test_gateways_with_the_same_sums_choose_different_servers() -> None:
+    """The least loaded server of all doesn't get the requests of all."""
+    service = ServiceRecord("s", ("m",))
+    chosen: dict[str, int] = {}
+    for seed in range(60):
+        selector, table = _selector(seed, 45)
+        for instance in table:
+            instance.in_flight = 0 if instance.name == "e00" else 4
+        instance = selector.choose(service, _prompt(60), "scope", (), 0.0)
+        assert instance is not None
+        chosen[instance.name] = chosen.get(instance.name, 0) + 1
+    assert 1 <= chosen["e00"] <= 40
+
+
+def test_long_shared_parts_go_to_their_home_from_every_gateway() -> None:
+    """Whatever the sample; and a server that is believed to hold a prompt is compared."""
+    service = ServiceRecord("s", ("m",))
+    request = _prompt(8000)
+    names = set()
+    for seed in range(20):
+        selector, table = _selector(seed, 45)
+        instance = selector.choose(service, request, "scope", (), 0.0)
+        assert instance is not None
+        names.add(instance.name)
+    assert len(names) == 1
+    home = names.pop()
+    selector, table = _selector(1, 45)
+    holder = next(instance for instance in table if instance.name != home)
+    selector.note_sent(holder, request, "scope")
+    at_home = table.get(home)
+    assert at_home is not None
+    at_home.in_flight_tokens = 100_000
+    assert selector.choose(service, request, "scope", (), 0.0) is holder
