A stream whose server is silent is left only for another server that can go on with it

Its server had been silent for a second; the gateway left it, and only then found its share of the retry budget spent. Ruled out: the change of the configuration itself (the stream was cut by its own timer); a client that left (it got the end of the connection). Change: before an answer that has begun is left, the plan, the candidates and the budget are asked, and the retry is reserved; else the silence counts against the server and the stream is waited for.

--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -96,12 +96,21 @@
     for name in dict.fromkeys(day.name for day in days):
         cells = [name]
         for site in sites:
-            day = next(day for day in days if (day.site, day.name) == (site, name))
+            day = next((day for day in days if (day.site, day.name) == (site, name)), None)
+            if day is None:
+                cells += ["not played", "", ""]
+                continue
             cells += [day.broken or "kept", f"{day.served:.3f}", f"{day.worth:.3f}"]
         lines.append("| " + " | ".join(cells) + " |")
     return TABLE_HEAD + "\n".join(lines) + "\n"
 
 
+def can_play(entry: dict[str, Any], site: str) -> bool:
+    """Whether a site's contracts hold what a day's kind of trouble needs."""
+    contracts = tomllib.loads(Path(site).read_text()).get("contracts", [])
+    return "needs" not in entry or entry["needs"] in contracts
+
+
 def main() -> int:
     """Play all days on all sites."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -121,6 +130,7 @@
             pool.submit(play, arguments.bench, site, entry, arguments.why)
             for site in arguments.sites
             for entry in chosen
+            if can_play(entry, site)
         ]
         for future in futures:
             day = future.result()
--- a/src/milletcourse/exchange/attempt_plan.py
+++ b/src/milletcourse/exchange/attempt_plan.py
@@ -49,11 +49,18 @@
 
     def may_send_again(self, seconds_left: float) -> bool:
         """Whether another server may get the request, as far as its own attempts tell."""
+        return self._may_send(self.possible_runs, seconds_left)
+
+    def may_leave(self, seconds_left: float) -> bool:
+        """Whether another server may get it if the running attempt is given up as a run."""
+        return self._may_send(self.possible_runs + 1, seconds_left)
+
+    def _may_send(self, possible_runs: int, seconds_left: float) -> bool:
         if self.sends >= MAX_SENDS or seconds_left < MIN_USEFUL_SECONDS:
             return False
-        if self.possible_runs == 0:
+        if possible_runs == 0:
             return True
-        return self._repeatable and self.possible_runs < self._max_attempts
+        return self._repeatable and possible_runs < self._max_attempts
 
     def final_step(self, result: AttemptResult) -> NextStep:
         """How the request ends when it is not sent again."""
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from milletcourse.exchange.answer_rules import judge_answer
@@ -55,9 +56,15 @@
     """Sends a request to a server and takes its answer."""
 
     def __init__(
-        self, context: GatewayContext, job: ExchangeJob, relay: AnswerRelay, instance: Instance
+        self,
+        context: GatewayContext,
+        job: ExchangeJob,
+        relay: AnswerRelay,
+        instance: Instance,
+        may_leave: Callable[[], bool],
     ) -> None:
         self.was_sent = False
+        self._may_leave = may_leave
         self._context = context
         self._job = job
         self._relay = relay
@@ -271,12 +278,21 @@
         return max(start_by - self._context.now(), 0.0)
 
     def _on_silent(self) -> None:
-        """Nothing has come for too long: leave the server, or let other requests avoid it."""
+        """Nothing has come for too long: leave the server, or let other requests avoid it.
+
+        An answer that has begun is left only when another server can go on with it: silence is no
+        reason to end it. One that hasn't begun may be asked for again, by the client at the latest.
+        """
         if self._connection is None:
             return
-        seconds_to_start = 0.0 if self._relay.begun else self._seconds_to_start()
-        if self._job.route.repeatable or seconds_to_start <= 0.0:
+        if self._may_end_silent_attempt():
             self._connection.abort()
             return
         self._context.note_result(self._instance, AttemptResult.LOST)
-        self._silence.expect_within(seconds_to_start)
+        seconds = MIN_SILENCE_SECONDS if self._relay.begun else self._seconds_to_start()
+        self._silence.expect_within(seconds)
+
+    def _may_end_silent_attempt(self) -> bool:
+        if not self._relay.begun:
+            return self._job.route.repeatable or self._seconds_to_start() <= 0.0
+        return self._job.route.repeatable and self._may_leave()
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -64,6 +64,7 @@
         self._tried: set[str] = set()
         self._attempt: Attempt | None = None
         self._end_cause: EndCause | None = None
+        self._retry_reserved = False
 
     # -- attempts -------------------------------------------------------------------------------
 
@@ -104,7 +105,9 @@
             instance = following
 
     async def _try(self, instance: Instance) -> AttemptResult:
-        attempt = self._attempt = Attempt(self._context, self._job, self._relay, instance)
+        attempt = self._attempt = Attempt(
+            self._context, self._job, self._relay, instance, lambda: self._may_leave(instance)
+        )
         if self._end_cause is not None:
             attempt.end()
         result = await attempt.run()
@@ -114,12 +117,28 @@
             self._tried.add(instance.name)
         return result
 
-    def _select(self) -> Instance | None:
+    def _select(self, *passed_over: str) -> Instance | None:
         job = self._job
+        tried = self._tried.union(passed_over)
         return self._context.selector.choose(
-            job.service, job.request, job.scope, self._tried, self._context.now()
+            job.service, job.request, job.scope, tried, self._context.now()
         )
 
+    def _may_leave(self, instance: Instance) -> bool:
+        """Whether a silent server may be left: only when another one can take the request over.
+
+        The retry is taken from the budget here, so that it is there when the server has been left.
+        """
+        now = self._context.now()
+        if self._end_cause is not None or not self._plan.may_leave(self._job.end_at - now):
+            return False
+        if not self._context.may_use_keys(self._job.tenant):
+            return False
+        if self._select(instance.name) is None:
+            return False
+        self._retry_reserved = self._context.budget(self._job.service.name).try_retry(now)
+        return self._retry_reserved
+
     def _next_instance(self, result: AttemptResult) -> Instance | None:
         """Another server for the request, within the shared retry budget."""
         if result is AttemptResult.ANSWERED or self._end_cause is not None:
@@ -133,6 +152,9 @@
         if instance is None or self._plan.sends == 0:
             # What no server has got yet costs nothing of the budget.
             return instance
+        if self._retry_reserved:
+            self._retry_reserved = False
+            return instance
         budget = self._context.budget(self._job.service.name)
         return instance if budget.try_retry(now) else None
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -23,6 +23,7 @@
 )
 from milletcourse.cli.explain_request import explain_lines
 from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.gateway.attempt import MIN_SILENCE_SECONDS
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
 from milletcourse.gateway.exchange import Exchange
 from milletcourse.gateway.refusals import refuse
@@ -355,6 +356,57 @@
     run_with_gateway(scenario)
 
 
+def _silent_for_a_while(silences: list[str]) -> Behaviour:
+    """The first request gets two events, and the others after a long silence."""
+
+    async def behave(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if silences:
+            await stream_of_four(server, request, writer)
+            return
+        silences.append(server.name)
+        writer.write(stream_head(request) + chunk(event(1)) + chunk(event(2)))
+        await asyncio.sleep(1.6 * MIN_SILENCE_SECONDS)
+        writer.write(chunk(event(3)) + chunk(event(4)) + b"0\r\n\r\n")
+
+    return behave
+
+
+@pytest.mark.parametrize("servers", [1, 2])
+def test_a_silent_server_is_left_only_for_another_one(servers: int) -> None:
+    """A stream that can't go on elsewhere is waited for, not cut."""
+
+    async def scenario(harness: Harness) -> None:
+        silences: list[str] = []
+        behaviour = _silent_for_a_while(silences)
+        for number in range(servers):
+            await harness.add_server(f"e-{number}", "engine", behaviour, 1)
+        await harness.start()
+        got = await (await harness.client()).ask("/stream/", Deadline_Ms="6000", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+        assert got.body == b"".join(event(number) for number in range(1, 5))
+        sends = sum(len(server.received) for server in harness.servers.values())
+        assert sends == servers
+
+    run_with_gateway(scenario)
+
+
+def test_a_silent_server_is_not_left_without_a_retry_to_spend() -> None:
+    """The retry budget is asked before the server is left, not after."""
+
+    async def scenario(harness: Harness) -> None:
+        behaviour = _silent_for_a_while([])
+        for number in range(2):
+            await harness.add_server(f"e-{number}", "engine", behaviour, 1)
+        await harness.start(RetryBudgetRatio=0.0, RetrySlack=0)
+        got = await (await harness.client()).ask("/stream/", Deadline_Ms="6000", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+        assert sum(len(server.received) for server in harness.servers.values()) == 1
+
+    run_with_gateway(scenario)
+
+
 def test_stream_that_may_not_resume_is_cut_and_never_looks_complete() -> None:
     """One run; the client sees that it is not whole."""
 
@@ -620,6 +672,24 @@
     run_with_gateway(scenario)
 
 
+def test_a_malformed_configuration_proves_nothing() -> None:
+    """Keys are not trusted while the newest configuration can't be understood."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.start(RevokeMs=1400)
+        node = harness.node
+        assert node is not None
+        harness.store.put("config", "main", {"Version": "no number"})
+        await harness.until(lambda: not node.context.is_ready())
+        assert (await (await harness.client()).ask("/safe/")).status == 503
+        harness.store.put("config", "main", configuration(3))
+        await harness.until(node.context.is_ready)
+        assert (await (await harness.client()).ask("/safe/")).status == 200
+
+    run_with_gateway(scenario)
+
+
 def test_lost_history_is_listed_again() -> None:
     """A watch that gets 410 lists, and sees what it missed."""
 
