Gateways tell each other which servers fail, and pass over those that several saw fail

A server that fails fast looks idle and draws requests; each of 79 gateways had to find each sick server by itself, and met it about once in 14 s, slower than its failures are forgotten. Ruled out: health checks (they say the contrary); lower thresholds for one gateway (application servers fail some requests in good health). Change: loads carry failures and answers of the last seconds; a server is suspected when three failures that no single gateway can tell alone are more than half of the answers. The sums forget by themselves.

--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -52,7 +52,15 @@
         )
 
 
-def day_document(entry: dict[str, Any]) -> str:
+def service_names(site: str) -> dict[str, str]:
+    """Names in a site's file for what days call the models' and the applications' service."""
+    services = tomllib.loads(Path(site).read_text()).get("services", [])
+    models = next((item["name"] for item in services if item.get("model") == "llm"), "")
+    applications = next((item["name"] for item in services if "model" not in item), "")
+    return {"models": models, "applications": applications}
+
+
+def day_document(entry: dict[str, Any], services: dict[str, str]) -> str:
     """The day in the form of the bench's own days."""
     plan = [{"at": at, "kind": "version_bump", "count": 0} for at in VERSION_BUMPS_AT_SECONDS]
     plan.append({"at": CONFIG_CHANGE_AT_SECONDS, "kind": "config_change", "how": "tenant"})
@@ -62,10 +70,16 @@
     if "closing" in entry:
         lines.append(f"closing = {_inline(entry['closing'])}")
     lines.append(f"plan = [{', '.join(_inline(item) for item in plan)}]")
-    lines.append(f"faults = [{', '.join(_inline(item) for item in entry.get('faults', []))}]")
+    faults = [_at_service(fault, services) for fault in entry.get("faults", [])]
+    lines.append(f"faults = [{', '.join(_inline(fault) for fault in faults)}]")
     return "\n".join(lines) + "\n"
 
 
+def _at_service(fault: dict[str, Any], services: dict[str, str]) -> dict[str, Any]:
+    named = fault.get("service")
+    return {**fault, "service": services[named]} if named in services else fault
+
+
 def _inline(table: dict[str, Any]) -> str:
     return "{ " + ", ".join(f"{key} = {json.dumps(value)}" for key, value in table.items()) + " }"
 
@@ -75,7 +89,7 @@
     name = entry["name"]
     with tempfile.TemporaryDirectory() as folder:
         day = Path(folder) / "day.toml"
-        day.write_text(day_document(entry))
+        day.write_text(day_document(entry, service_names(site)))
         report = Path(folder) / "report.json"
         command = [bench, "run", site, str(day), "--no-cpu", "--report", str(report)]
         run = subprocess.run([*command, "--why", f"{why}: {name}"], capture_output=True, text=True)
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -139,10 +139,17 @@
             and instance.name not in tried
             and self._is_permitted(service, instance, model, now)
         ]
-        healthy = [item for item in permitted if not item.health.is_ejected(now)]
+        healthy = [item for item in permitted if self._is_healthy(item, now)]
         free = [item for item in healthy if not item.health.is_busy(now)]
         return free or healthy or permitted
 
+    def _is_healthy(self, instance: Instance, now: float) -> bool:
+        """Whether neither this gateway nor all of them together found it sick."""
+        if instance.health.is_ejected(now):
+            return False
+        others = self._loads.others_load(instance.key, now)
+        return not instance.health.is_suspected(others.bad, others.good, now)
+
     def _is_permitted(
         self, service: ServiceRecord, instance: Instance, model: str, now: float
     ) -> bool:
@@ -239,10 +246,10 @@
         is_home: bool,
         now: float,
     ) -> float:
-        others = self._loads
-        waiting_tokens = instance.in_flight_tokens + others.waiting_tokens(instance.key, now)
+        others = self._loads.others_load(instance.key, now)
+        waiting_tokens = instance.in_flight_tokens + others.waiting_tokens
         waiting = waiting_tokens / PREFILL_TOKENS_PER_SECOND
-        running = (instance.in_flight + others.running(instance.key, now)) * RUNNING_SECONDS
+        running = (instance.in_flight + others.running) * RUNNING_SECONDS
         held = float(self._held_tokens(instance, chain))
         if is_home:
             held = max(held, HOME_HELD_SHARE * chain.shared_tokens)
@@ -281,5 +288,5 @@
 
     def _application_cost(self, instance: Instance, now: float) -> float:
         jitter = self._random.random() * JITTER_SHARE
-        in_flight = instance.in_flight + self._loads.running(instance.key, now)
+        in_flight = instance.in_flight + self._loads.others_load(instance.key, now).running
         return (in_flight + 1 + jitter) * instance.latency_seconds + self._zone_seconds(instance)
--- a/src/milletcourse/exchange/load_exchange.py
+++ b/src/milletcourse/exchange/load_exchange.py
@@ -82,23 +82,20 @@
 
     # -- what the others have on the servers ----------------------------------------------------
 
-    def waiting_tokens(self, key: int, now: float) -> int:
-        """Prompt tokens that other gateways have waiting at a server."""
+    def others_load(self, key: int, now: float) -> InstanceLoad:
+        """What all other gateways have at a server, and how it went lately."""
+        nothing = InstanceLoad(key, 0, 0)
         if self._knows_fleet(now):
-            mine = self._told_by_key.get(key)
             total = self._fleet.get(key)
-            waiting = total.waiting_tokens if total is not None else 0
-            return max(waiting - (mine.waiting_tokens if mine is not None else 0), 0)
-        return self._gateways.waiting_tokens(key, now) + self._zones.waiting_tokens(key, now)
-
-    def running(self, key: int, now: float) -> int:
-        """Requests of other gateways that a server works on."""
-        if self._knows_fleet(now):
             mine = self._told_by_key.get(key)
-            total = self._fleet.get(key)
-            running = total.running if total is not None else 0
-            return max(running - (mine.running if mine is not None else 0), 0)
-        return self._gateways.running(key, now) + self._zones.running(key, now)
+            if total is None or mine is None:
+                return total or nothing
+            return total.minus(mine)
+        of_gateways = self._gateways.load(key, now)
+        of_zones = self._zones.load(key, now)
+        if of_gateways is None or of_zones is None:
+            return of_gateways or of_zones or nothing
+        return of_gateways.plus(of_zones)
 
     def _knows_fleet(self, now: float) -> bool:
         return bool(self._reader) and now - self._fleet_at < STALE_SECONDS
--- a/src/milletcourse/exchange/load_sums.py
+++ b/src/milletcourse/exchange/load_sums.py
@@ -16,11 +16,6 @@
     loads: list[InstanceLoad]
 
 
-class _Sum(msgspec.Struct):
-    waiting_tokens: int = 0
-    running: int = 0
-
-
 class LoadSums:
     """Load of a set of senders on each server; kept as sums, since each choice reads them all."""
 
@@ -28,7 +23,7 @@
         self.stale_seconds = stale_seconds
         # In the order of their latest messages, so that stale ones stand in front.
         self._senders: OrderedDict[str, _Told] = OrderedDict()
-        self._sums: dict[int, _Sum] = {}
+        self._sums: dict[int, InstanceLoad] = {}
 
     def on_told(self, sender: str, sequence: int, loads: list[InstanceLoad], now: float) -> bool:
         """Take what a sender tells; False when something later was taken already."""
@@ -38,39 +33,35 @@
             return False
         self.forget(sender)
         self._senders[sender] = _Told(sequence, now, loads)
-        self._add(loads, 1)
+        for load in loads:
+            known_sum = self._sums.get(load.key)
+            self._sums[load.key] = load if known_sum is None else known_sum.plus(load)
         return True
 
     def forget(self, sender: str) -> None:
         """Take back what a sender told."""
         told = self._senders.pop(sender, None)
-        if told is not None:
-            self._add(told.loads, -1)
+        for load in told.loads if told is not None else ():
+            left = self._sums[load.key].minus(load)
+            if left.is_nothing:
+                del self._sums[load.key]
+            else:
+                self._sums[load.key] = left
 
     def senders(self, now: float) -> list[str]:
         """Those that were heard lately."""
         self._forget_stale(now)
         return list(self._senders)
 
-    def waiting_tokens(self, key: int, now: float) -> int:
-        """Prompt tokens waiting at a server."""
+    def load(self, key: int, now: float) -> InstanceLoad | None:
+        """The sum for one server, None when nobody has load there."""
         self._forget_stale(now)
-        total = self._sums.get(key)
-        return total.waiting_tokens if total is not None else 0
-
-    def running(self, key: int, now: float) -> int:
-        """Requests that a server works on."""
-        self._forget_stale(now)
-        total = self._sums.get(key)
-        return total.running if total is not None else 0
+        return self._sums.get(key)
 
     def loads(self, now: float) -> list[InstanceLoad]:
         """The sums of all servers with load."""
         self._forget_stale(now)
-        return [
-            InstanceLoad(key, total.waiting_tokens, total.running)
-            for key, total in self._sums.items()
-        ]
+        return list(self._sums.values())
 
     def _forget_stale(self, now: float) -> None:
         while self._senders:
@@ -79,21 +70,12 @@
                 return
             self.forget(name)
 
-    def _add(self, loads: Iterable[InstanceLoad], sign: int) -> None:
-        for load in loads:
-            total = self._sums.setdefault(load.key, _Sum())
-            total.waiting_tokens += sign * load.waiting_tokens
-            total.running += sign * load.running
-            if total.running == 0 and total.waiting_tokens == 0:
-                del self._sums[load.key]
-
 
 def added(*parts: Iterable[InstanceLoad]) -> list[InstanceLoad]:
     """The sum of several lists, in the order of the servers' keys."""
-    sums: dict[int, _Sum] = {}
+    sums: dict[int, InstanceLoad] = {}
     for part in parts:
         for load in part:
-            total = sums.setdefault(load.key, _Sum())
-            total.waiting_tokens += load.waiting_tokens
-            total.running += load.running
-    return [InstanceLoad(key, sums[key].waiting_tokens, sums[key].running) for key in sorted(sums)]
+            known = sums.get(load.key)
+            sums[load.key] = load if known is None else known.plus(load)
+    return [sums[key] for key in sorted(sums)]
--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -41,11 +41,40 @@
         key: Hash of the server's name.
         waiting_tokens: Prompt tokens to be read for requests without a first event.
         running: Requests that the server works on.
+        bad: Attempts that failed there lately, weighed by what they say of the server.
+        good: Attempts that were answered there lately.
     """
 
     key: int
     waiting_tokens: int
     running: int
+    bad: int = 0
+    good: int = 0
+
+    def plus(self, other: InstanceLoad) -> InstanceLoad:
+        """The sum of two loads on the same server."""
+        return InstanceLoad(
+            self.key,
+            self.waiting_tokens + other.waiting_tokens,
+            self.running + other.running,
+            self.bad + other.bad,
+            self.good + other.good,
+        )
+
+    def minus(self, other: InstanceLoad) -> InstanceLoad:
+        """What is left of a sum without one of its parts, as far as that is still in it."""
+        return InstanceLoad(
+            self.key,
+            max(self.waiting_tokens - other.waiting_tokens, 0),
+            max(self.running - other.running, 0),
+            max(self.bad - other.bad, 0),
+            max(self.good - other.good, 0),
+        )
+
+    @property
+    def is_nothing(self) -> bool:
+        """Whether there is neither load nor news."""
+        return not (self.waiting_tokens or self.running or self.bad or self.good)
 
 
 class OrderNotice(msgspec.Struct, array_like=True, frozen=True):
--- a/src/milletcourse/exchange/server_health.py
+++ b/src/milletcourse/exchange/server_health.py
@@ -12,6 +12,14 @@
 MAX_EJECTION_SECONDS = 4.0
 BUSY_PAUSE_SECONDS = 0.15
 """A server that turned a request away is passed over this long when others are free."""
+TALLY_HALF_LIFE_SECONDS = 1.5
+"""What is told to other gateways counts half after this time."""
+MAX_TOLD_BAD = 2
+"""One gateway's failures count this much at most: its own link may be what is sick."""
+SUSPICION_BAD = 3
+"""Failures of all gateways from which a server is suspected: more than one gateway can tell."""
+SUSPICION_RATIO = 0.5
+"""And it is so only when failures are more than this part of the answers."""
 _WEIGHTS = {
     AttemptResult.NOT_SENT: 2.0,
     AttemptResult.LOST: 1.0,
@@ -31,10 +39,14 @@
         self._pause_seconds = FIRST_EJECTION_SECONDS
         self._trial_running = False
         self._busy_until = float("-inf")
+        self._bad = 0.0
+        self._good = 0.0
+        self._tally_at = 0.0
 
     def on_result(self, result: AttemptResult, now: float) -> None:
         """An attempt at the server ended."""
         self._trial_running = False
+        self._count(result, now)
         if result is AttemptResult.ANSWERED:
             self._penalty = self._decayed(now) * 0.7
             self._penalty_at = now
@@ -53,6 +65,25 @@
             self._ejected_until = now + self._pause_seconds
             self._pause_seconds = min(self._pause_seconds * 2, MAX_EJECTION_SECONDS)
 
+    def _count(self, result: AttemptResult, now: float) -> None:
+        decay = 0.5 ** ((now - self._tally_at) / TALLY_HALF_LIFE_SECONDS)
+        self._bad = self._bad * decay + _WEIGHTS.get(result, 0.0)
+        self._good = self._good * decay + (result is AttemptResult.ANSWERED)
+        self._tally_at = now
+
+    def tally(self, now: float) -> tuple[int, int]:
+        """Failures and answers of late, as they are told to other gateways."""
+        decay = 0.5 ** ((now - self._tally_at) / TALLY_HALF_LIFE_SECONDS)
+        return min(round(self._bad * decay), MAX_TOLD_BAD), round(self._good * decay)
+
+    def is_suspected(self, others_bad: int, others_good: int, now: float) -> bool:
+        """Whether what all gateways saw of late says that it is sick."""
+        if others_bad == 0:
+            return False
+        bad, good = self.tally(now)
+        bad += others_bad
+        return bad >= SUSPICION_BAD and bad > SUSPICION_RATIO * (good + others_good)
+
     def on_aborted(self) -> None:
         """An attempt was given up for reasons that say nothing about the server."""
         self._trial_running = False
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -107,12 +107,15 @@
         return reading_times(self._key_bound(settings), settings.bounds.config_apply)
 
     def own_loads(self) -> list[InstanceLoad]:
-        """This gateway's load on each server that has some."""
-        return [
-            InstanceLoad(instance.key, instance.in_flight_tokens, instance.in_flight)
-            for instance in self.instances
-            if instance.in_flight
-        ]
+        """This gateway's load on each server that has some, and how it went there lately."""
+        now = self.now()
+        loads = []
+        for instance in self.instances:
+            bad, good = instance.health.tally(now)
+            if instance.in_flight or bad or good:
+                tokens = instance.in_flight_tokens
+                loads.append(InstanceLoad(instance.key, tokens, instance.in_flight, bad, good))
+        return loads
 
     def set_gateways(self, count: int) -> None:
         """The number of gateways that share the retry budget, this one included."""
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -372,14 +372,13 @@
     """The latest message of each sender counts, for a while; older ones don't."""
     sums = LoadSums(1.0)
     key = instance_key("e-1")
-    assert sums.on_told("a", 5, [InstanceLoad(key, 4000, 2)], 1.0)
-    assert sums.on_told("b", 1, [InstanceLoad(key, 1000, 1)], 1.2)
+    assert sums.on_told("a", 5, [InstanceLoad(key, 4000, 2, 1, 3)], 1.0)
+    assert sums.on_told("b", 1, [InstanceLoad(key, 1000, 1, 0, 1)], 1.2)
     assert not sums.on_told("a", 4, [], 1.3)
-    assert sums.waiting_tokens(key, 1.5) == 5000
-    assert sums.running(key, 1.5) == 3
+    assert sums.load(key, 1.5) == InstanceLoad(key, 5000, 3, 1, 4)
     assert sums.on_told("a", 6, [], 1.6)
-    assert sums.waiting_tokens(key, 1.7) == 1000
-    assert sums.waiting_tokens(key, 2.5) == 0
+    assert sums.load(key, 1.7) == InstanceLoad(key, 1000, 1, 0, 1)
+    assert sums.load(key, 2.5) is None
     assert sums.on_told("a", 1, [], 9.0)
 
 
@@ -412,8 +411,9 @@
             latest[sender] = (sequence, now, loads)
         for key in (1, 2, 3):
             mine = [load for _, _, loads in latest.values() for load in loads if load[0] == key]
-            assert peers.waiting_tokens(key, now) == sum(load[1] for load in mine)
-            assert peers.running(key, now) == sum(load[2] for load in mine)
+            load = peers.load(key, now) or InstanceLoad(key, 0, 0)
+            assert load.waiting_tokens == sum(load[1] for load in mine)
+            assert load.running == sum(load[2] for load in mine)
 
 
 @given(st.binary(max_size=60))
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -15,14 +15,20 @@
     LoadExchange,
 )
 from milletcourse.exchange.load_sums import added
-from milletcourse.exchange.messages import ExchangeRequest, PromptPart
+from milletcourse.exchange.messages import AttemptResult, ExchangeRequest, PromptPart
 from milletcourse.exchange.peer_messages import (
     InstanceLoad,
     OrderNotice,
     OrderState,
     PeerMessage,
+    instance_key,
 )
 from milletcourse.exchange.records import InstanceRecord, ServiceRecord
+from milletcourse.exchange.server_health import (
+    MAX_TOLD_BAD,
+    SUSPICION_BAD,
+    ServerHealth,
+)
 from milletcourse.exchange.version_gate import VersionGate
 
 ZONES = 3
@@ -58,7 +64,13 @@
         for name in self.names:
             keys = self.random.sample(range(1, SERVERS + 1), self.random.randint(0, 3))
             self.loads[name] = [
-                InstanceLoad(key, self.random.randint(0, 9000), self.random.randint(1, 4))
+                InstanceLoad(
+                    key,
+                    self.random.randint(0, 9000),
+                    self.random.randint(1, 4),
+                    self.random.randint(0, 2),
+                    self.random.randint(0, 5),
+                )
                 for key in sorted(keys)
             ]
 
@@ -89,13 +101,8 @@
     def known(self, name: str) -> list[InstanceLoad]:
         """What a gateway knows of the others' load."""
         exchange = self.exchanges[name]
-        loads = [
-            InstanceLoad(
-                key, exchange.waiting_tokens(key, self.now), exchange.running(key, self.now)
-            )
-            for key in range(1, SERVERS + 1)
-        ]
-        return [load for load in loads if load.running or load.waiting_tokens]
+        loads = [exchange.others_load(key, self.now) for key in range(1, SERVERS + 1)]
+        return [load for load in loads if not load.is_nothing]
 
 
 @pytest.mark.parametrize("size", [1, 3, 7, 30])
@@ -136,7 +143,10 @@
         for mine in followers:
             if mine != name:
                 for load in fleet.loads[mine]:
-                    assert fleet.exchanges[name].running(load.key, fleet.now) >= load.running
+                    assert (
+                        fleet.exchanges[name].others_load(load.key, fleet.now).running
+                        >= load.running
+                    )
     fleet.dead.clear()
     fleet.run(2 * STALE_SECONDS + 1.0)
     for name in fleet.names:
@@ -179,13 +189,15 @@
 # -- choices by many gateways with the same sums ------------------------------------------------
 
 
-def _selector(seed: int, servers: int) -> tuple[InstanceSelector, InstanceTable]:
+def _selector(
+    seed: int, servers: int, loads: LoadExchange | None = None
+) -> tuple[InstanceSelector, InstanceTable]:
     table = InstanceTable()
     for number in range(servers):
         zone = f"zone-{number % ZONES}"
         name = f"e{number:02}"
         table.upsert(InstanceRecord(name, "s", "10.0.0.1:1", zone, weight_versions={"m": 1}))
-    loads = LoadExchange(f"g{seed}")
+    loads = loads or LoadExchange(f"g{seed}")
     gate = VersionGate(8.0)
     return InstanceSelector(table, gate, loads, "zone-0", random.Random(seed)), table
 
@@ -212,6 +224,39 @@
     assert 1 <= chosen["e00"] <= 40
 
 
+def test_a_server_that_fails_several_gateways_gets_no_work_from_any() -> None:
+    """Each of them saw it fail once; none of them would eject it for that."""
+    fleet = Fleet(9, 3)
+    key = instance_key("e00")
+    for name in fleet.names[3:6]:
+        fleet.loads[name] = [InstanceLoad(key, 0, 0, 1, 0)]
+    for name in fleet.names[6:]:
+        fleet.loads[name] = [InstanceLoad(key, 0, 0, 0, 1)]
+    fleet.run(0.5)
+    for seed, name in enumerate(fleet.names):
+        selector, table = _selector(seed, 2, fleet.exchanges[name])
+        sick, other = table.get("e00"), table.get("e01")
+        assert sick is not None and other is not None
+        if name in fleet.names[3:6]:
+            sick.health.on_result(AttemptResult.LOST, fleet.now)
+            assert not sick.health.is_ejected(fleet.now)
+        other.in_flight = 30
+        chosen = selector.choose(ServiceRecord("s", ("m",)), _prompt(60), "scope", (), fleet.now)
+        assert chosen is other
+
+
+def test_one_gateway_alone_makes_nobody_suspect_a_server() -> None:
+    """Its own link may be what is sick; nor do failures among many answers."""
+    health = ServerHealth()
+    assert not health.is_suspected(MAX_TOLD_BAD, 0, 0.0)
+    assert health.is_suspected(SUSPICION_BAD, 0, 0.0)
+    assert not health.is_suspected(SUSPICION_BAD, 2 * SUSPICION_BAD, 0.0)
+    for _ in range(9):
+        health.on_result(AttemptResult.LOST, 1.0)
+    assert health.tally(1.0) == (MAX_TOLD_BAD, 0)
+    assert health.tally(9.0) == (0, 0)
+
+
 def test_long_shared_parts_go_to_their_home_from_every_gateway() -> None:
     """Whatever the sample; and a server that is believed to hold a prompt is compared."""
     service = ServiceRecord("s", ("m",))
