Retries that each of many gateways can spend, and patience with silent servers that answer others

The slack of the retry budget was divided by 59 gateways and three uses, 0.7 of a retry each, and what requests earn was capped by that: no retry was ever possible on the grown deployments. Ruled out: the plan of attempts (it allowed another send); the selection (candidates were there). Change: parts below one retry are not divided further; what requests earned is kept up to the own slack, one retry at least. Since retries then read prompts again that only waited in a queue, a silent server that answers others is given 1.4 times as long.

--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -25,6 +25,9 @@
 """A repeatable request leaves a server that is silent for this many target latencies."""
 MIN_SILENCE_SECONDS = 1.0
 """A shorter silence tells nothing about a server."""
+LIVE_PATIENCE = 1.4
+"""A server that answers others is given this much longer: it has a queue, or reads prompts, and a
+request that is sent again elsewhere is read again, which makes an overload worse."""
 EVENT_GAPS = 2.0
 """A resumable stream leaves a server that is silent for this many allowed gaps."""
 
@@ -75,6 +78,7 @@
         self._waiting_tokens = 0
         self._weight_version: int | None = None
         self._sent_at = float("inf")
+        self._heard_at = float("inf")
         self._answer_begun = False
 
     @property
@@ -137,7 +141,7 @@
             return AttemptResult.NOT_SENT
         self.was_sent = True
         self._connection = connection
-        self._sent_at = self._context.now()
+        self._sent_at = self._heard_at = self._context.now()
         self._send(connection)
         try:
             result = await self._receive(connection)
@@ -250,6 +254,7 @@
             whole = splitter.feed(event.body) if event.body else b""
             if whole:
                 self._release_tokens()
+                self._heard_at = self._context.now()
                 self._relay.pass_events(head, whole, splitter.last_event_id)
                 self._silence.expect_within(self._gap_seconds())
             if event.complete:
@@ -285,14 +290,28 @@
         """
         if self._connection is None:
             return
-        if self._may_end_silent_attempt():
+        seconds_to_start = float("inf") if self._relay.begun else self._seconds_to_start()
+        patience = self._seconds_of_patience()
+        if seconds_to_start > 0.0 and patience > 0.0:
+            self._silence.expect_within(min(seconds_to_start, patience))
+            return
+        if seconds_to_start <= 0.0 or self._may_leave_silent():
             self._connection.abort()
             return
         self._context.note_result(self._instance, AttemptResult.LOST)
-        seconds = MIN_SILENCE_SECONDS if self._relay.begun else self._seconds_to_start()
-        self._silence.expect_within(seconds)
+        again = MIN_SILENCE_SECONDS if self._relay.begun else float("inf")
+        self._silence.expect_within(min(seconds_to_start, again))
 
-    def _may_end_silent_attempt(self) -> bool:
-        if not self._relay.begun:
-            return self._job.route.repeatable or self._seconds_to_start() <= 0.0
-        return self._job.route.repeatable and self._may_leave()
+    def _may_leave_silent(self) -> bool:
+        if not self._job.route.repeatable:
+            return False
+        return not self._relay.begun or self._may_leave()
+
+    def _seconds_of_patience(self) -> float:
+        """How much longer a silent server that answers others is waited for."""
+        if not self._context.answers_others(self._instance):
+            return 0.0
+        usual = self._gap_seconds() if self._relay.begun else self._first_event_seconds()
+        if usual == float("inf"):
+            return 0.0
+        return self._heard_at + usual * LIVE_PATIENCE - self._context.now()
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -6,7 +6,7 @@
 import random
 from typing import Any
 
-from milletcourse.admission.retry_budget import RetryBudget
+from milletcourse.admission.retry_budget import RetryBudget, shared_retry_budget
 from milletcourse.exchange.dialect import HeaderDialect
 from milletcourse.exchange.freshness import ProofOfFreshness, ReadingTimes, reading_times
 from milletcourse.exchange.instance_selector import InstanceSelector
@@ -30,8 +30,6 @@
 """Share of the allowed retries that the gateways use; the rest covers uneven windows."""
 UNKNOWN_GATEWAYS = 10
 """Divides the slack of the retry budget until the list of gateways is known."""
-SLACK_PARTS = 3
-"""The slack is spent as a burst, as a rate over the window, and as saved-up earnings."""
 MAX_SHOWN_AGE_SECONDS = 999.0
 """Shown for a proof that there never was."""
 RETRY_AFTER_SECONDS = 0.2
@@ -142,14 +140,12 @@
         budget = self._budgets.get(service)
         if budget is None:
             bounds = self.settings.bounds
-            gateways = self.gateways or UNKNOWN_GATEWAYS
-            part = bounds.retry_slack * BUDGET_SHARE / gateways / SLACK_PARTS
-            budget = self._budgets[service] = RetryBudget(
+            budget = self._budgets[service] = shared_retry_budget(
                 self.now(),
                 ratio=bounds.retry_ratio * BUDGET_SHARE,
-                floor_per_second=part / bounds.budget_window,
-                floor_burst=part,
-                max_saved=part,
+                slack=bounds.retry_slack * BUDGET_SHARE,
+                window_seconds=bounds.budget_window,
+                members=self.gateways or UNKNOWN_GATEWAYS,
             )
         return budget
 
@@ -172,6 +168,12 @@
         elif was_ejected and not is_ejected:
             self.record.return_of(instance.name, result)
 
+    def answers_others(self, instance: Instance) -> bool:
+        """Whether a server lately answered requests of this gateway or of others."""
+        now = self.now()
+        _, good = instance.health.tally(now)
+        return good > 0 or self.loads.others_load(instance.key, now).good > 0
+
     def _belief(self) -> dict[str, Any]:
         return {
             "configuration": self.table.version if self.table is not None else None,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -49,6 +49,22 @@
     proxy.heal()
 
 
+async def cut_feed(world: SoakWorld) -> None:
+    """What a gateway tells its followers is held up, or comes late."""
+    proxy = world.random.choice(world.gateways).feed
+    if world.random.random() < 0.5:
+        proxy.delay_seconds = world.random.uniform(0.1, 1.0)
+    else:
+        proxy.cut()
+    await asyncio.sleep(world.random.uniform(0.5, 5.0))
+    proxy.heal()
+
+
+async def reset_feed(world: SoakWorld) -> None:
+    """All connections to what a gateway tells break."""
+    world.random.choice(world.gateways).feed.reset_all()
+
+
 async def slow_store(world: SoakWorld) -> None:
     """All ways to the store are slow."""
     for gateway in world.gateways:
@@ -150,6 +166,8 @@
     freeze_gateway,
     hang_up_gateway,
     cut_from_store,
+    cut_feed,
+    reset_feed,
     slow_store,
     store_down,
     store_silent,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,7 +19,9 @@
 from soak.server import MODEL, SoakServer
 
 HOST = "127.0.0.1"
-GATEWAYS = 3
+ZONES_OF_GATEWAYS = ("zone-1", "zone-1", "zone-1", "zone-2", "zone-2")
+"""One gateway of each zone reads the store; the others follow it."""
+GATEWAY_KIND = "milletcourse-gateways"
 ENGINES = 4
 APPLICATIONS = 2
 BOUNDS = {
@@ -44,7 +46,7 @@
 class GatewayProcess:
     """One gateway on a fixed address, started again when it ends."""
 
-    def __init__(self, name: str, store: FaultProxy, folder: Path) -> None:
+    def __init__(self, name: str, zone: str, store: FaultProxy, folder: Path) -> None:
         self.name = name
         self.store = store
         self.frontend = f"{HOST}:{free_port()}"
@@ -53,9 +55,10 @@
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         internal = free_port()
+        self.feed = FaultProxy(f"{HOST}:{internal}")
         document = {
             "NodeName": name,
-            "Zone": "zone-1",
+            "Zone": zone,
             "Ip": HOST,
             "Listen": {"Frontend": self.frontend, "Readiness": self.readiness},
             "Platform": {"Address": store.address},
@@ -124,10 +127,11 @@
             await self.add_server("engine")
         for _ in range(APPLICATIONS):
             await self.add_server("app")
-        for number in range(GATEWAYS):
+        for number, zone in enumerate(ZONES_OF_GATEWAYS):
             proxy = FaultProxy(self.store.address)
             await proxy.start()
-            gateway = GatewayProcess(f"front-{number + 1}", proxy, self.folder)
+            gateway = GatewayProcess(f"front-{number + 1}", zone, proxy, self.folder)
+            await gateway.feed.start()
             gateway.start()
             self.gateways.append(gateway)
 
@@ -162,12 +166,22 @@
         """Servers show changed versions in their entries, with a lag."""
         while not self.ended:
             await asyncio.sleep(0.6)
+            self._put_proxies_before_feeds()
             for server in list(self.servers.values()):
                 stored = self.store.objects["servers"][server.name]["Spec"]
                 entry = server.entry(self.server_proxies[server.name].address)
                 if entry != stored:
                     self.enter(server)
 
+    def _put_proxies_before_feeds(self) -> None:
+        """Followers reach their reader through a proxy: its entry is rewritten."""
+        entries = self.store.objects.get(GATEWAY_KIND, {})
+        for gateway in self.gateways:
+            stored = entries.get(gateway.name)
+            if stored is not None and stored["Spec"]["feed"] != gateway.feed.address:
+                spec = {**stored["Spec"], "feed": gateway.feed.address}
+                self.store.put(GATEWAY_KIND, gateway.name, spec)
+
     async def keep_gateways(self) -> None:
         """The platform starts a process again that has ended."""
         while not self.ended:
@@ -208,6 +222,7 @@
             if gateway.process is not None:
                 gateway.process.wait()
             await gateway.store.close()
+            await gateway.feed.close()
         for name in list(self.servers):
             await self.servers[name].crash()
             await self.server_proxies[name].close()
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from milletcourse.admission.retry_budget import shared_retry_budget
 from milletcourse.control.lease import LeaseTracker
 from milletcourse.errors import FailureError
 from milletcourse.exchange.attempt_plan import AttemptPlan, NextStep
@@ -124,6 +125,35 @@
         assert possible_runs < allowed or possible_runs == 0
 
 
+@pytest.mark.parametrize("members", [3, 7, 59, 79, 420])
+def test_many_members_share_a_retry_budget_that_each_can_spend(members: int) -> None:
+    """All of them together keep the bound, and none of them is left without retries."""
+    ratio, slack, window = 0.2, 198.0, 10.0
+    share = 0.8
+    chooser = random.Random(members)
+    budgets = [
+        shared_retry_budget(0.0, ratio * share, slack * share, window, members)
+        for _ in range(members)
+    ]
+    spent: list[float] = []
+    requests: list[float] = []
+    for step in range(40 * 15):
+        now = step / 40
+        for _ in range(8):
+            budget = chooser.choice(budgets)
+            budget.on_request()
+            requests.append(now)
+            if budget.try_retry(now):
+                spent.append(now)
+    in_window = sum(now >= 5.0 for now in spent)
+    asked = sum(now >= 5.0 for now in requests)
+    assert in_window <= ratio * asked + slack
+    # What is saved at the end is part of it too, were all to spend it at once.
+    at_once = sum(budget.try_retry(15.0) for budget in budgets for _ in range(100))
+    assert in_window + at_once <= ratio * asked + slack
+    assert in_window >= 0.5 * ratio * share * asked
+
+
 def test_freshness_counts_from_when_the_call_was_sent() -> None:
     """A proof grows old; without one, keys are not trusted."""
     proof = ProofOfFreshness(4.6, True, 2.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -22,7 +22,8 @@
     stream_head,
 )
 from milletcourse.cli.explain_request import explain_lines
-from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
+from milletcourse.gateway import attempt
 from milletcourse.gateway.attempt import MIN_SILENCE_SECONDS
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
 from milletcourse.gateway.exchange import Exchange
@@ -407,6 +408,43 @@
     run_with_gateway(scenario)
 
 
+@pytest.mark.parametrize("lively", [True, False])
+def test_a_silent_server_that_answers_others_is_waited_for(
+    lively: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has a queue; one that answers nobody is left for another one."""
+    monkeypatch.setattr(attempt, "LIVE_PATIENCE", 20.0)
+
+    async def slow_if_asked(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if request.request_id == "slow" and not any(
+            received.request_id == "slow" and received is not request
+            for other in servers
+            for received in other.received
+        ):
+            await asyncio.sleep(1.4 * MIN_SILENCE_SECONDS)
+        await stream_of_four(server, request, writer)
+
+    servers: list[StandinServer] = []
+
+    async def scenario(harness: Harness) -> None:
+        for number in range(2):
+            servers.append(await harness.add_server(f"e-{number}", "engine", slow_if_asked, 1))
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        now = context.now() if lively else context.now() - 60.0
+        for instance in context.instances:
+            for _ in range(8):
+                instance.health.on_result(AttemptResult.ANSWERED, now)
+        got = await (await harness.client()).ask("/stream/", "slow", Deadline_Ms="6000", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+        assert sum(len(server.received) for server in servers) == (1 if lively else 2)
+
+    run_with_gateway(scenario)
+
+
 def test_stream_that_may_not_resume_is_cut_and_never_looks_complete() -> None:
     """One run; the client sees that it is not whole."""
 
