Split a gateway's part in the fleet out of its node, and patience out of its attempts

No change of behaviour: FleetMember keeps what is followed, told and heard; exchange/patience.py says how long a silent server is waited for. Tasks that ended are forgotten.

--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -9,6 +9,12 @@
 from milletcourse.exchange.event_stream import EventSplitter
 from milletcourse.exchange.instance_table import Instance
 from milletcourse.exchange.messages import AnswerHead, AttemptResult, Dispatch, ExchangeRequest
+from milletcourse.exchange.patience import (
+    MIN_SILENCE_SECONDS,
+    first_event_seconds,
+    gap_seconds,
+    patience_left,
+)
 from milletcourse.exchange.records import RouteRecord, ServiceRecord, TenantRecord
 from milletcourse.exchange.reuse_scope import cache_salt, server_rank
 from milletcourse.exchange.route_table import RouteTable
@@ -21,15 +27,6 @@
 """Largest body of an answer that isn't a stream."""
 CACHE_STORE_MIN_SHARED_TOKENS = 32
 """Shorter shared parts are read again rather than moved: servers keep blocks of 16 tokens."""
-FIRST_EVENT_TARGETS = 2.5
-"""A repeatable request leaves a server that is silent for this many target latencies."""
-MIN_SILENCE_SECONDS = 1.0
-"""A shorter silence tells nothing about a server."""
-LIVE_PATIENCE = 1.4
-"""A server that answers others is given this much longer: it has a queue, or reads prompts, and a
-request that is sent again elsewhere is read again, which makes an overload worse."""
-EVENT_GAPS = 2.0
-"""A resumable stream leaves a server that is silent for this many allowed gaps."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +193,9 @@
     # -- answers --------------------------------------------------------------------------------
 
     async def _receive(self, connection: ServerConnection) -> AttemptResult:
-        self._silence.expect_within(min(self._first_event_seconds(), self._seconds_to_start()))
+        self._silence.expect_within(
+            min(first_event_seconds(self._job.route), self._seconds_to_start())
+        )
         event = await connection.next_event()
         if event.head is None:
             return self._lost(connection)
@@ -256,7 +255,7 @@
                 self._release_tokens()
                 self._heard_at = self._context.now()
                 self._relay.pass_events(head, whole, splitter.last_event_id)
-                self._silence.expect_within(self._gap_seconds())
+                self._silence.expect_within(gap_seconds(self._job.route))
             if event.complete:
                 self._relay.pass_events(head, splitter.take_rest(), splitter.last_event_id)
                 self._relay.end_stream()
@@ -265,16 +264,6 @@
 
     # -- silence --------------------------------------------------------------------------------
 
-    def _first_event_seconds(self) -> float:
-        target = self._job.route.target_latency_seconds
-        return max(target * FIRST_EVENT_TARGETS, MIN_SILENCE_SECONDS)
-
-    def _gap_seconds(self) -> float:
-        """Longest silence between events; a stream that can't go on elsewhere is waited for."""
-        if not self._job.route.repeatable:
-            return float("inf")
-        return max(self._job.route.gap_seconds * EVENT_GAPS, MIN_SILENCE_SECONDS)
-
     def _seconds_to_start(self) -> float:
         """Time until work on the server's weight version may not start any more."""
         if self._weight_version is None:
@@ -309,9 +298,7 @@
 
     def _seconds_of_patience(self) -> float:
         """How much longer a silent server that answers others is waited for."""
-        if not self._context.answers_others(self._instance):
-            return 0.0
-        usual = self._gap_seconds() if self._relay.begun else self._first_event_seconds()
-        if usual == float("inf"):
-            return 0.0
-        return self._heard_at + usual * LIVE_PATIENCE - self._context.now()
+        route = self._job.route
+        usual = gap_seconds(route) if self._relay.begun else first_event_seconds(route)
+        silent = self._context.now() - self._heard_at
+        return patience_left(usual, silent, self._context.answers_others(self._instance))
--- /dev/null
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -0,0 +1,141 @@
+"""One gateway's part among all: what it follows in the store, tells others, and hears from them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from milletcourse.exchange.store_reading import GatewayRecord, ReadingPlan
+from milletcourse.gateway.adapter import PlatformAdapter
+from milletcourse.gateway.call_client import CallClient
+from milletcourse.gateway.client_connection import Handler
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.directory import GatewayDirectory, GatewayEntry, register
+from milletcourse.gateway.kind_mirror import KindMirror
+from milletcourse.gateway.object_store import ObjectStoreClient
+from milletcourse.gateway.peers import PeerExchange
+from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
+from milletcourse.gateway.store_feed import StoreFeed
+from milletcourse.gateway.store_reader import StoreReader, WatchedKind
+
+INSTANCE_WAIT_SECONDS = 1.5
+TARGET_WAIT_SECONDS = 3.0
+GATEWAY_WAIT_SECONDS = 10.0
+"""Gateways come seldom, and nothing but speed depends on knowing them."""
+
+Listen = Callable[[str, Handler], Awaitable[str]]
+"""Listens at an address with a handler; tells the address that was taken."""
+Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
+"""Starts a task without which the gateway can't go on."""
+
+
+class FleetMember:
+    """Follows the store, alone or with the other gateways.
+
+    Attributes:
+        peers: Datagrams to and from the other gateways.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        store: ObjectStoreClient,
+        calls: CallClient,
+        adapter: PlatformAdapter,
+        listen: Listen,
+        spawn: Spawn,
+    ) -> None:
+        settings = context.settings
+        self.peers = PeerExchange(context)
+        self._context = context
+        self._store = store
+        self._listen = listen
+        self._spawn = spawn
+        self._gateways_kind = adapter.kinds.gateways
+        self._directory = GatewayDirectory(settings.name, context.log)
+        self._plan = ReadingPlan(settings.name, settings.zone, settings.link_megabits)
+        self._watched = _watched_kinds(context, adapter, self._directory)
+        self._reader = StoreReader(context, store, calls, self._plan, self._watched, spawn)
+        self._registration: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Act together with the other gateways, where there are ports for it, and follow the store.
+
+        Without them the gateway serves alone: nothing depends on the others but speed and the
+        number of calls to the store.
+        """
+        settings = self._context.settings
+        port = await self._bind_datagrams(settings.host, settings.internal_ports)
+        if port is None:
+            self._context.log.emit("peers-unavailable", ports=settings.internal_ports)
+        else:
+            await self._join(f"{settings.host}:{port}")
+        self._spawn(self._reader.run())
+
+    async def _join(self, address: str) -> None:
+        settings = self._context.settings
+        feed_address = await self._listen_for_followers()
+        self._directory.add_listener(self._on_gateways)
+        self._spawn(self.peers.run())
+        entry = GatewayEntry(address, settings.zone, feed_address, settings.link_megabits)
+        registration = register(self._store, self._gateways_kind, settings.name, entry)
+        self._registration = asyncio.get_running_loop().create_task(registration)
+
+    def _on_gateways(self, others: list[GatewayRecord]) -> None:
+        own_name = self._context.settings.name
+        self._plan.set_gateways(others)
+        readers = [name for name in self._plan.first_readers if name != own_name]
+        self.peers.set_gateways(others, readers)
+
+    async def _listen_for_followers(self) -> str:
+        """Tell other gateways what the store holds at the first free port; empty without one."""
+        settings = self._context.settings
+        feed = StoreFeed(self._context, [kind.mirror for kind in self._watched])
+        first, last = settings.internal_ports
+        for port in range(first, last + 1):
+            try:
+                return await self._listen(f"{settings.host}:{port}", feed.handle)
+            except OSError:
+                continue
+        self._context.log.emit("feed-unavailable", ports=settings.internal_ports)
+        return ""
+
+    async def _bind_datagrams(self, host: str, ports: tuple[int, int]) -> int | None:
+        """Bind the first free port of a range; None when there is none."""
+        if ports[0] == 0:
+            return None
+        loop = asyncio.get_running_loop()
+        for port in range(ports[0], ports[1] + 1):
+            try:
+                await loop.create_datagram_endpoint(lambda: self.peers, local_addr=(host, port))
+            except OSError:
+                continue
+            return port
+        return None
+
+    def close(self) -> None:
+        """Stop following and telling."""
+        if self._registration is not None:
+            self._registration.cancel()
+        self._reader.close()
+        self.peers.close()
+
+
+def _watched_kinds(
+    context: GatewayContext, adapter: PlatformAdapter, directory: GatewayDirectory
+) -> tuple[WatchedKind, ...]:
+    """What is followed in the object store, and who takes it."""
+    kinds = adapter.kinds
+    configuration = ConfigurationSink(
+        context, kinds.configuration_name, adapter.decode_configuration
+    )
+    instances = InstanceSink(context, adapter.decode_instance)
+    targets = TargetSink(context, adapter.decode_target)
+    return (
+        WatchedKind(KindMirror(kinds.configuration, configuration), context.reading.watch_wait),
+        # Many pages: read stale, and brought up to date by the first watch.
+        WatchedKind(KindMirror(kinds.instances, instances), INSTANCE_WAIT_SECONDS, True),
+        WatchedKind(KindMirror(kinds.targets, targets), TARGET_WAIT_SECONDS),
+        WatchedKind(KindMirror(kinds.gateways, directory), GATEWAY_WAIT_SECONDS, True),
+    )
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -9,35 +9,25 @@
 
 from milletcourse.errors import Draining, NotFound
 from milletcourse.exchange.messages import HeaderField
-from milletcourse.exchange.store_reading import ReadingPlan
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.call_client import CallClient
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest, Handler
 from milletcourse.gateway.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
-from milletcourse.gateway.directory import GatewayDirectory, GatewayEntry, register
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.exchange_runner import ExchangeRunner
 from milletcourse.gateway.figures import Figures
-from milletcourse.gateway.kind_mirror import KindMirror
+from milletcourse.gateway.fleet_member import FleetMember
 from milletcourse.gateway.object_store import ObjectStoreClient
-from milletcourse.gateway.peers import PeerExchange
 from milletcourse.gateway.refusals import refuse
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
-from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
-from milletcourse.gateway.store_feed import StoreFeed
 from milletcourse.gateway.store_follower import StoreFollower
-from milletcourse.gateway.store_reader import StoreReader, WatchedKind
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
 
 LISTEN_BACKLOG = 1024
 SWEEP_SECONDS = 0.25
-INSTANCE_WAIT_SECONDS = 1.5
-TARGET_WAIT_SECONDS = 3.0
-GATEWAY_WAIT_SECONDS = 10.0
-"""Gateways come seldom, and nothing but speed depends on knowing them."""
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
 MAX_LEAVE_SHARE = 0.4
@@ -62,20 +52,17 @@
         self.context = GatewayContext(settings, adapter.headers, random_source, log, figures)
         self._metrics = metrics
         self._adapter = adapter
-        self._random = random_source
         self._clients: set[ClientConnection] = set()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[asyncio.Server] = []
         self._metrics_path = ""
         self.readiness_address = settings.readiness
         self.frontend_address = settings.frontend
         self._calls = CallClient(self.context.pool)
         self._store = ObjectStoreClient(settings.store, adapter.store, self._calls, random_source)
-        self._directory = GatewayDirectory(settings.name, log)
-        self._peers = PeerExchange(self.context)
-        self._reader: StoreReader | None = None
-        self._new_mirrors()
-        self._registration: asyncio.Task[None] | None = None
+        self._fleet = FleetMember(
+            self.context, self._store, self._calls, adapter, self._listen, self._spawn
+        )
 
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
@@ -84,7 +71,7 @@
         self.readiness_address = await self._listen(settings.readiness, self._answer_readiness)
         self.frontend_address = await self._listen(settings.frontend, runner.handle)
         self.context.log.emit("started", frontend=self.frontend_address)
-        self._start_reading(await self._start_peers())
+        await self._fleet.start()
         kinds = self._adapter.kinds
         roll_out = RollOutService(
             self.context,
@@ -93,93 +80,13 @@
             kinds.roll_out_lease,
             self._calls,
             self._adapter.orders,
-            self._peers,
+            self._fleet.peers,
         )
         self._spawn(roll_out.run())
         follower = StoreFollower(self.context, self._calls, self._adapter.store_probe)
         self._spawn(follower.run())
         self._spawn(self._sweep())
 
-    def _new_mirrors(self) -> None:
-        """What is followed in the object store, and who takes it."""
-        context = self.context
-        kinds = self._adapter.kinds
-        decode_configuration = self._adapter.decode_configuration
-        configuration = ConfigurationSink(context, kinds.configuration_name, decode_configuration)
-        instances = InstanceSink(context, self._adapter.decode_instance)
-        targets = TargetSink(context, self._adapter.decode_target)
-        self._watched = (
-            WatchedKind(KindMirror(kinds.configuration, configuration), context.reading.watch_wait),
-            # Many pages: read stale, and brought up to date by the first watch.
-            WatchedKind(KindMirror(kinds.instances, instances), INSTANCE_WAIT_SECONDS, True),
-            WatchedKind(KindMirror(kinds.targets, targets), TARGET_WAIT_SECONDS),
-            WatchedKind(KindMirror(kinds.gateways, self._directory), GATEWAY_WAIT_SECONDS, True),
-        )
-
-    def _start_reading(self, plan: ReadingPlan) -> None:
-        self._reader = StoreReader(
-            self.context,
-            self._store,
-            self._calls,
-            plan,
-            self._watched,
-            self._random,
-            self._on_task_end,
-        )
-        self._spawn(self._reader.run())
-
-    async def _start_peers(self) -> ReadingPlan:
-        """Act together with the other gateways, where there are ports for it.
-
-        Without them the gateway serves alone: nothing depends on the others but speed and the
-        number of calls to the store.
-        """
-        settings = self.context.settings
-        plan = ReadingPlan(settings.name, settings.zone, settings.link_megabits)
-        port = await self._bind_datagrams(settings.host, settings.internal_ports)
-        if port is None:
-            self.context.log.emit("peers-unavailable", ports=settings.internal_ports)
-            return plan
-        feed = StoreFeed(self.context, [kind.mirror for kind in self._watched])
-        feed_address = await self._listen_for_followers(feed)
-        self._directory.add_listener(plan.set_gateways)
-        self._directory.add_listener(
-            lambda others: self._peers.set_gateways(
-                others, [name for name in plan.first_readers if name != settings.name]
-            )
-        )
-        self._spawn(self._peers.run())
-        entry = GatewayEntry(
-            f"{settings.host}:{port}", settings.zone, feed_address, settings.link_megabits
-        )
-        registration = register(self._store, self._adapter.kinds.gateways, settings.name, entry)
-        self._registration = asyncio.get_running_loop().create_task(registration)
-        return plan
-
-    async def _listen_for_followers(self, feed: StoreFeed) -> str:
-        """Tell other gateways what the store holds at the first free port; empty without one."""
-        first, last = self.context.settings.internal_ports
-        for port in range(first, last + 1):
-            try:
-                return await self._listen(f"{self.context.settings.host}:{port}", feed.handle)
-            except OSError:
-                continue
-        self.context.log.emit("feed-unavailable", ports=(first, last))
-        return ""
-
-    async def _bind_datagrams(self, host: str, ports: tuple[int, int]) -> int | None:
-        """Bind the first free port of a range; None when there is none."""
-        if ports[0] == 0:
-            return None
-        loop = asyncio.get_running_loop()
-        for port in range(ports[0], ports[1] + 1):
-            try:
-                await loop.create_datagram_endpoint(lambda: self._peers, local_addr=(host, port))
-            except OSError:
-                continue
-            return port
-        return None
-
     async def _listen(self, address: str, handler: Handler) -> str:
         """Listen at an address; port 0 takes a free one. Returns the address taken."""
         host, _, port = address.rpartition(":")
@@ -218,7 +125,7 @@
         metrics.proof_age.set(min(context.freshness.age(now), MAX_SHOWN_AGE_SECONDS))
         metrics.ready.set(context.is_ready())
         metrics.instances.set(len(list(context.instances)))
-        metrics.holds_lease.set(self._peers.holds_lease)
+        metrics.holds_lease.set(self._fleet.peers.holds_lease)
         metrics.clients.set(len(self._clients))
         metrics.log_lines_left_out.set(context.log.left_out)
         fields = [HeaderField(b"Content-Type", METRICS_CONTENT_TYPE)]
@@ -260,25 +167,23 @@
 
     def close(self) -> None:
         """End at once; what is unfinished is cut."""
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         for listener in self._listeners:
             listener.close()
         for client in list(self._clients):
             client.cut()
-        if self._registration is not None:
-            self._registration.cancel()
-        if self._reader is not None:
-            self._reader.close()
-        self._peers.close()
+        self._fleet.close()
         self.context.pool.close()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         task.add_done_callback(self._on_task_end)
-        self._tasks.append(task)
+        self._tasks.add(task)
+        return task
 
     def _on_task_end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         # A gateway without one of its duties must not go on looking healthy.
--- a/src/milletcourse/gateway/store_reader.py
+++ b/src/milletcourse/gateway/store_reader.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
 
 import msgspec
 
@@ -61,16 +61,14 @@
         calls: CallClient,
         plan: ReadingPlan,
         kinds: Sequence[WatchedKind],
-        random_source: random.Random,
-        on_task_end: Callable[[asyncio.Task[None]], None],
+        spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
     ) -> None:
         self._context = context
         self._store = store
         self._calls = calls
         self._plan = plan
         self._kinds = kinds
-        self._random = random_source
-        self._on_task_end = on_task_end
+        self._spawn = spawn
         self._mirrors = {kind.mirror.kind: kind.mirror for kind in kinds}
         self._watches: list[asyncio.Task[None]] = []
 
@@ -178,14 +176,12 @@
         if self._watches:
             return
         self._context.reads_store = True
-        loop = asyncio.get_running_loop()
+        random_source = self._context.random
         for kind in self._kinds:
             watch = KindWatch(
-                self._store, kind.mirror, kind.wait_seconds, self._random, kind.stale_lists
+                self._store, kind.mirror, kind.wait_seconds, random_source, kind.stale_lists
             )
-            task = loop.create_task(watch.run())
-            task.add_done_callback(self._on_task_end)
-            self._watches.append(task)
+            self._watches.append(self._spawn(watch.run()))
         self._context.log.emit("store-read-here")
 
     def _stop_watches(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -22,9 +22,9 @@
     stream_head,
 )
 from milletcourse.cli.explain_request import explain_lines
+from milletcourse.exchange import patience
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
-from milletcourse.gateway import attempt
-from milletcourse.gateway.attempt import MIN_SILENCE_SECONDS
+from milletcourse.exchange.patience import MIN_SILENCE_SECONDS
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
 from milletcourse.gateway.exchange import Exchange
 from milletcourse.gateway.refusals import refuse
@@ -413,7 +413,7 @@
     lively: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """It has a queue; one that answers nobody is left for another one."""
-    monkeypatch.setattr(attempt, "LIVE_PATIENCE", 20.0)
+    monkeypatch.setattr(patience, "LIVE_PATIENCE", 20.0)
 
     async def slow_if_asked(
         server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
