Say which servers all gateways found sick, and who reads the store

instance-suspected and instance-cleared in the logs, milletcourse_gateway_reads_store in the figures: what a gateway goes by must show. Test: test_it_is_told_which_servers_all_gateways_found_sick (failed before).

--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -145,10 +145,12 @@
 
     def _is_healthy(self, instance: Instance, now: float) -> bool:
         """Whether neither this gateway nor all of them together found it sick."""
-        if instance.health.is_ejected(now):
-            return False
+        return not instance.health.is_ejected(now) and not self.is_suspected(instance, now)
+
+    def is_suspected(self, instance: Instance, now: float) -> bool:
+        """Whether several gateways saw a server fail lately."""
         others = self._loads.others_load(instance.key, now)
-        return not instance.health.is_suspected(others.bad, others.good, now)
+        return instance.health.is_suspected(others.bad, others.good, now)
 
     def _is_permitted(
         self, service: ServiceRecord, instance: Instance, model: str, now: float
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -81,6 +81,7 @@
         self.pool = ConnectionPool(dialect)
         self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
+        self._suspected: set[str] = set()
 
     def now(self) -> float:
         """Monotonic seconds."""
@@ -168,6 +169,18 @@
         elif was_ejected and not is_ejected:
             self.record.return_of(instance.name, result)
 
+    def note_suspicions(self) -> None:
+        """Say which servers all gateways together found sick or well since the last call."""
+        now = self.now()
+        suspected = {
+            instance.name
+            for instance in self.instances
+            if self.selector.is_suspected(instance, now)
+        }
+        for name in sorted(suspected ^ self._suspected):
+            self.record.suspicion(name, name in suspected)
+        self._suspected = suspected
+
     def answers_others(self, instance: Instance) -> bool:
         """Whether a server lately answered requests of this gateway or of others."""
         now = self.now()
--- a/src/milletcourse/gateway/metrics.py
+++ b/src/milletcourse/gateway/metrics.py
@@ -60,6 +60,11 @@
         self.holds_lease = Gauge(
             "milletcourse_gateway_holds_lease", "1 for the roll-out's holder", registry=registry
         )
+        self.reads_store = Gauge(
+            "milletcourse_gateway_reads_store",
+            "1 when it reads the object store itself, 0 when it follows another gateway",
+            registry=registry,
+        )
         self.clients = Gauge(
             "milletcourse_gateway_client_connections", "Open connections", registry=registry
         )
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -126,6 +126,7 @@
         metrics.ready.set(context.is_ready())
         metrics.instances.set(len(list(context.instances)))
         metrics.holds_lease.set(self._fleet.peers.holds_lease)
+        metrics.reads_store.set(context.reads_store)
         metrics.clients.set(len(self._clients))
         metrics.log_lines_left_out.set(context.log.left_out)
         fields = [HeaderField(b"Content-Type", METRICS_CONTENT_TYPE)]
@@ -141,6 +142,7 @@
             self.context.pool.sweep()
             self.context.instances.expire_doubtful(now)
             self.context.gate.forget_before(now)
+            self.context.note_suspicions()
 
     # -- planned stop ---------------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -115,6 +115,10 @@
         """An ejected server gets work again."""
         self._log.emit("instance-back", instance=instance, result=result.value)
 
+    def suspicion(self, instance: str, suspected: bool) -> None:
+        """Several gateways saw a server fail, so that it gets no new work; or no more."""
+        self._log.emit("instance-suspected" if suspected else "instance-cleared", instance=instance)
+
     def weight_order(self, order: WeightOrder, reply: OrderReply) -> None:
         """A server replied to an order, or did not."""
         self._figures.on_order(reply.value)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -25,6 +25,12 @@
 from milletcourse.exchange import patience
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.patience import MIN_SILENCE_SECONDS
+from milletcourse.exchange.peer_messages import (
+    InstanceLoad,
+    LoadScope,
+    PeerMessage,
+    instance_key,
+)
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
 from milletcourse.gateway.exchange import Exchange
 from milletcourse.gateway.refusals import refuse
@@ -992,11 +998,32 @@
         assert 'milletcourse_gateway_attempts_total{result="failed"} 1.0' in text
         assert "milletcourse_gateway_configuration_version 1.0" in text
         assert "milletcourse_gateway_ready 1.0" in text
+        assert "milletcourse_gateway_reads_store 1.0" in text
         assert (await client.ask("/other", method="GET", body=b"")).status == 404
 
     run_with_gateway(scenario)
 
 
+def test_it_is_told_which_servers_all_gateways_found_sick(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Once when they do, and once when they don't any more."""
+    told: list[tuple[str, bool]] = []
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        monkeypatch.setattr(context.record, "suspicion", lambda *about: told.append(about))
+        failures = InstanceLoad(instance_key("app-1"), 0, 0, bad=3)
+        for sequence, loads in ((1, [failures]), (2, [])):
+            message = PeerMessage("other", sequence, loads, scope=LoadScope.ZONE)
+            assert context.loads.on_message(message, context.now())
+            await harness.until(lambda: len(told) >= sequence)
+        assert told == [("app-1", True), ("app-1", False)]
+
+    run_with_gateway(scenario)
+
+
 def test_a_request_is_explained_from_the_logs_of_all_nodes() -> None:
     """In the order of time, with the belief that decided it; other text before the JSON is cut."""
     lines = [
