--- a/src/milletcourse/capacity/hollow_members.py
+++ b/src/milletcourse/capacity/hollow_members.py
@@ -15,6 +15,7 @@
 from milletcourse.configuration.freshness import FreshnessTracker
 from milletcourse.configuration.store import ChangesPage, ChangesRequest, ConfigurationStore
 from milletcourse.membership.failure_detector import FailureDetector
+from milletcourse.membership.member_sync import MEMBER_SYNC_SECONDS
 from milletcourse.membership.messages import (
     MemberRecord,
     MembershipMessage,
@@ -24,7 +25,6 @@
     PlatformStamp,
 )
 from milletcourse.membership.service import TICK_SECONDS
-from milletcourse.node import MEMBER_SYNC_SECONDS
 from milletcourse.wire.envelope import Envelope, EnvelopeCodec, MessageType
 from milletcourse.wire.membership import decode_membership, encode_membership
 
--- /dev/null
+++ b/src/milletcourse/configuration/freshness_watch.py
@@ -0,0 +1,76 @@
+"""Feeds the proof of freshness: freezes of this process, stamps of peers, and majorities."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from milletcourse.configuration.freshness import FreshnessTracker
+from milletcourse.configuration.store import ConfigurationStore
+from milletcourse.logs import get_logger
+from milletcourse.membership.failure_detector import FailureDetector
+from milletcourse.runtime.clock import Clock
+
+FREEZE_SECONDS = 1.5
+"""Looks that are this far apart mean that the process did not run."""
+
+
+class FreshnessWatch:
+    """Looks often whether the configuration may still be trusted.
+
+    Args:
+        freshness: The proof.
+        detector: What is known of the other routers.
+        store: The configuration in force.
+        highest_heard: Highest revision that any router told.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        freshness: FreshnessTracker,
+        detector: FailureDetector,
+        store: ConfigurationStore,
+        highest_heard: Callable[[], int],
+        clock: Clock,
+    ) -> None:
+        self._freshness = freshness
+        self._detector = detector
+        self._store = store
+        self._highest_heard = highest_heard
+        self._clock = clock
+        self._looked_at = 0.0
+        self._log = get_logger("node")
+
+    def start(self) -> None:
+        """Count from now on."""
+        self._looked_at = self._clock.monotonic()
+
+    def look(self) -> None:
+        """Notice a freeze, and refresh what others prove."""
+        self.notice_freeze()
+        self.share_stamp()
+        self._note_majority()
+
+    def notice_freeze(self) -> None:
+        """A process that did not run must not trust what it believed before."""
+        now = self._clock.monotonic()
+        if self._looked_at and now - self._looked_at > FREEZE_SECONDS:
+            self._log.warning("the process was frozen", seconds=round(now - self._looked_at, 1))
+            self._freshness.on_wake(self._clock.wall())
+        self._looked_at = now
+
+    def share_stamp(self) -> None:
+        """Let the next datagrams carry the latest stamp of the platform."""
+        self._detector.stamp = self._freshness.latest_stamp
+
+    def _note_majority(self) -> None:
+        """Hearing most of the configured routers stands in for the platform while it is away."""
+        router_set = self._store.policy.router_set
+        if router_set is None or not router_set.members:
+            return
+        now = self._clock.monotonic()
+        names = {item.name for item in router_set.members}
+        heard_at = min(self._detector.majority_heard_at(names), now)
+        self._freshness.on_majority(
+            self._clock.wall() - (now - heard_at), self._store.revision, self._highest_heard()
+        )
--- a/src/milletcourse/exchange/freshness.py
+++ b/src/milletcourse/exchange/freshness.py
@@ -81,6 +81,11 @@
         """A call that was sent at this time has completed and its result is in force."""
         self._proved_at = max(self._proved_at, sent_at)
 
+    @property
+    def proved_at(self) -> float:
+        """When the call of the latest proof was sent; minus infinity before the first."""
+        return self._proved_at
+
     def age(self, now: float) -> float:
         """Seconds since the latest proof."""
         return now - self._proved_at
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -8,16 +8,15 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Sequence
-
-import msgspec
-import xxhash
+from collections.abc import Collection, Iterable, Iterator, Sequence
 
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.load_exchange import LoadExchange
 from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
 from milletcourse.exchange.records import ServiceRecord
 from milletcourse.exchange.reuse_scope import cache_salt
+from milletcourse.exchange.server_health import ServerTally
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.prefix.belief import BeliefIndex
 from milletcourse.routing.home_ring import HomeRing
@@ -31,7 +30,7 @@
 HOME_HELD_SHARE = 0.8
 """Chance that the home of a shared part has it by requests of other gateways."""
 MIN_SHARED_TOKENS = 512
-"""Shorter shared parts aren't worth a home or a move."""
+"""Shorter shared parts aren't worth a home."""
 ZONE_SECONDS = 0.008
 """Cost of crossing a zone: both ways of the network, and the price of the bytes."""
 ENGINE_JITTER_SECONDS = 0.002
@@ -47,44 +46,6 @@
 """Random part of an application server's cost, so that gateways don't choose alike."""
 
 
-class PromptChain(msgspec.Struct):
-    """Cumulative keys of a prompt's declared parts with the tokens up to each.
-
-    Attributes:
-        keys: One for each part; a key covers the salt and every part before.
-        tokens: Tokens up to and with each part.
-        shared: Number of parts that other requests may share.
-    """
-
-    keys: list[bytes]
-    tokens: list[int]
-    shared: int
-
-    @property
-    def shared_tokens(self) -> int:
-        """Tokens of the shared parts."""
-        return self.tokens[self.shared - 1] if self.shared else 0
-
-    @property
-    def total_tokens(self) -> int:
-        """Tokens of all parts."""
-        return self.tokens[-1] if self.tokens else 0
-
-
-def prompt_chain(request: ExchangeRequest, scope: str) -> PromptChain:
-    """The chain of a request's parts under a reuse scope; the last part is the request's own."""
-    keys: list[bytes] = []
-    tokens: list[int] = []
-    path = scope
-    total = 0
-    for part in request.prompt_parts:
-        path = f"{path}|{part.name}"
-        total += part.tokens
-        keys.append(xxhash.xxh64_digest(path.encode()))
-        tokens.append(total)
-    return PromptChain(keys, tokens, max(len(keys) - 1, 0))
-
-
 class InstanceSelector:
     """Chooses servers, and remembers which prompts they were sent."""
 
@@ -150,7 +111,7 @@
     def is_suspected(self, instance: Instance, now: float) -> bool:
         """Whether several gateways saw a server fail lately."""
         others = self._loads.others_load(instance.key, now)
-        return instance.health.is_suspected(others.bad, others.good, now)
+        return instance.health.is_suspected(ServerTally(others.bad, others.good), now)
 
     def _is_permitted(
         self, service: ServiceRecord, instance: Instance, model: str, now: float
@@ -170,34 +131,39 @@
         candidates: Sequence[Instance],
         now: float,
     ) -> Instance:
-        chains: dict[int | None, PromptChain] = {}
+        model = request.model
+        versions = dict.fromkeys(instance.version(model) for instance in candidates)
+        chains = {
+            version: prompt_chain(request, cache_salt(scope, version)) for version in versions
+        }
         home = self._home(service, request, scope, candidates)
         best = candidates[0]
         best_cost = float("inf")
-        for instance in self._compared(candidates, home, request, scope):
-            version = instance.version(request.model)
-            chain = chains.get(version)
-            if chain is None:
-                chain = chains[version] = self._chain_at(instance, request, scope)
+        for instance in self._compared(candidates, home, chains.values()):
+            chain = chains[instance.version(model)]
             cost = self._engine_cost(instance, request, chain, instance.name == home, now)
             if cost < best_cost:
                 best, best_cost = instance, cost
         return best
 
     def _compared(
-        self, candidates: Sequence[Instance], home: str, request: ExchangeRequest, scope: str
+        self, candidates: Sequence[Instance], home: str, chains: Iterable[PromptChain]
     ) -> Sequence[Instance]:
-        """Servers whose costs are worked out: the home, holders, and a few at random."""
+        """Servers whose costs are worked out: the home, holders, and a few at random.
+
+        Args:
+            candidates: Servers that may run the prompt.
+            home: Name of the one that is its home; empty for none.
+            chains: The prompt under each weight version that candidates have.
+        """
         if len(candidates) <= NEAR_SAMPLE + FAR_SAMPLE + MAX_HOLDERS:
             return candidates
         by_name = {instance.name: instance for instance in candidates}
         near = [item for item in candidates if item.record.zone == self._zone]
         far = [item for item in candidates if item.record.zone != self._zone]
         chosen = [*self._sample(near, NEAR_SAMPLE), *self._sample(far, FAR_SAMPLE)]
-        names = {instance.name: None for instance in chosen}
-        names[home] = None
-        for version in {instance.version(request.model): None for instance in candidates}:
-            chain = prompt_chain(request, cache_salt(scope, version))
+        names = dict.fromkeys([*(instance.name for instance in chosen), home])
+        for chain in chains:
             names.update(dict.fromkeys(self.belief.holders(chain.keys, MAX_HOLDERS)))
         return [by_name[name] for name in names if name in by_name]
 
@@ -211,14 +177,11 @@
         scope: str,
         candidates: Sequence[Instance],
     ) -> str:
-        chain = prompt_chain(request, scope)
-        if chain.shared_tokens < MIN_SHARED_TOKENS:
+        if request.shared_tokens < MIN_SHARED_TOKENS:
             return ""
         usable = {instance.name for instance in candidates}
-        for name in self._ring(service.name).walk(chain.keys[chain.shared - 1]):
-            if name in usable:
-                return name
-        return ""
+        homes = self._homes(service, request, scope)
+        return next((name for name in homes if name in usable), "")
 
     def anchor_zone(self, service: ServiceRecord, request: ExchangeRequest, scope: str) -> str:
         """Zone of the first home of a prompt's shared parts, whether it may run the prompt or not.
@@ -226,13 +189,17 @@
         All gateways agree on it, so that what one server sends to the store of this zone is found
         by the next one, wherever it is. Empty when there is no server.
         """
-        chain = prompt_chain(request, scope)
-        if not chain.shared:
-            return ""
-        name = next(self._ring(service.name).walk(chain.keys[chain.shared - 1]), "")
+        name = next(self._homes(service, request, scope), "")
         instance = self._table.get(name)
         return instance.record.zone if instance is not None else ""
 
+    def _homes(self, service: ServiceRecord, request: ExchangeRequest, scope: str) -> Iterator[str]:
+        """All servers in the order in which they are homes of a prompt's shared parts."""
+        chain = prompt_chain(request, scope)
+        if not chain.shared:
+            return iter(())
+        return self._ring(service.name).walk(chain.keys[chain.shared - 1])
+
     def _ring(self, service: str) -> HomeRing:
         cached = self._rings.get(service)
         if cached is None or cached[0] != self._table.generation:
--- a/src/milletcourse/exchange/load_exchange.py
+++ b/src/milletcourse/exchange/load_exchange.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from milletcourse.exchange.load_sums import LoadSums, added
+from milletcourse.exchange.order_notices import OrderNotices
 from milletcourse.exchange.peer_messages import (
-    NOTICE_REPEATS,
     InstanceLoad,
     LoadScope,
     OrderNotice,
@@ -30,10 +30,8 @@
 """What isn't told again counts no longer than this."""
 GOSSIP_RECEIVERS = 3
 """Without a reader, load is told to this many others a tick, in turn."""
-PASSED_ON_SECONDS = 2.0
-"""A notice that was passed on isn't passed on again this long: its repetitions are over by then."""
 STALE_ROUNDS = 2.0
-"""Then it counts for this many of the rounds in which all others are told."""
+"""Load told so counts for this many of the rounds in which all others are told."""
 
 
 class Outgoing(msgspec.Struct, frozen=True):
@@ -43,14 +41,12 @@
     receivers: list[str]
 
 
-class _Notice(msgspec.Struct):
-    notice: OrderNotice
-    left: int
-    to_readers: bool
-
-
 class LoadExchange:
-    """One gateway's part in telling loads, and what it knows of the others' load."""
+    """One gateway's part in telling loads, and what it knows of the others' load.
+
+    What was told last is the gateway's own load while it follows a reader, and the fleet's while it
+    is one; a follower's own part is taken out of what its reader tells.
+    """
 
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
@@ -69,8 +65,7 @@
         self._told_at = float("-inf")
         self._digest_at = float("-inf")
         self._untold: dict[str, None] = {}
-        self._notices: list[_Notice] = []
-        self._passed_on: dict[OrderNotice, float] = {}
+        self._notices = OrderNotices()
         self._sequence = 0
 
     def set_gateways(self, others: list[str], readers: list[str]) -> None:
@@ -103,7 +98,14 @@
     # -- hearing --------------------------------------------------------------------------------
 
     def on_message(self, message: PeerMessage, now: float) -> bool:
-        """Take a message; False when a later one of its sender was taken."""
+        """Take a message, and pass its notices on; False when a later one was taken."""
+        if not self._take_loads(message, now):
+            return False
+        if self._notices.pass_on(message, now):
+            self._digest_at = float("-inf")
+        return True
+
+    def _take_loads(self, message: PeerMessage, now: float) -> bool:
         sender = message.sender
         if message.scope is LoadScope.FLEET:
             return self._on_fleet(message, now)
@@ -129,25 +131,7 @@
 
     def notify(self, notice: OrderNotice) -> None:
         """Tell all gateways about an order with the next messages; repeated against loss."""
-        self._add_notice(notice, to_readers=True)
-
-    def pass_on(self, message: PeerMessage, now: float) -> None:
-        """Tell others what a message says about orders.
-
-        What a reader says goes to the followers here; what a follower says goes to all.
-        """
-        if message.scope is LoadScope.FLEET:
-            return
-        self._passed_on = {
-            notice: at for notice, at in self._passed_on.items() if now - at < PASSED_ON_SECONDS
-        }
-        for notice in message.notices:
-            if notice not in self._passed_on:
-                self._passed_on[notice] = now
-                self._add_notice(notice, to_readers=message.follows)
-
-    def _add_notice(self, notice: OrderNotice, to_readers: bool) -> None:
-        self._notices.append(_Notice(notice, NOTICE_REPEATS, to_readers))
+        self._notices.add(notice)
         self._digest_at = float("-inf")
 
     def tick(self, now: float, own: list[InstanceLoad], reader: str) -> list[Outgoing]:
@@ -167,18 +151,14 @@
         outgoing = []
         due = own != self._told or now - self._told_at >= REPEAT_SECONDS or bool(self._notices)
         if due:
-            self._note_told(own, now)
+            self._told, self._told_at = own, now
+            self._told_by_key = {load.key: load for load in own}
             outgoing.append(self._outgoing(now, LoadScope.GATEWAY, own, [reader], follows=True))
-            self._spend_notices()
+            self._notices.on_told()
         if not self._knows_fleet(now) and now - self._reader_since >= STALE_SECONDS:
             outgoing.extend(self._gossip(now, own, due))
         return outgoing
 
-    def _note_told(self, own: list[InstanceLoad], now: float) -> None:
-        self._told = own
-        self._told_by_key = {load.key: load for load in own}
-        self._told_at = now
-
     def _digests(self, now: float, own: list[InstanceLoad]) -> list[Outgoing]:
         """As a reader: the zone's sum to the other readers, the fleet's to the followers."""
         if now - self._digest_at < DIGEST_SECONDS:
@@ -192,10 +172,10 @@
         readers = list(dict.fromkeys([*self._readers, *self._zones.senders(now)]))
         outgoing = []
         if fleet != self._told or self._notices or now - self._told_at >= REPEAT_SECONDS:
-            self._note_told(fleet, now)
+            self._told, self._told_at = fleet, now
             outgoing.append(self._outgoing(now, LoadScope.ZONE, zone, readers))
             outgoing.append(self._outgoing(now, LoadScope.FLEET, fleet, list(self._followers)))
-        self._spend_notices()
+        self._notices.on_told()
         return [item for item in outgoing if item.receivers]
 
     def _gossip(self, now: float, own: list[InstanceLoad], begin_round: bool) -> list[Outgoing]:
@@ -217,14 +197,6 @@
     ) -> Outgoing:
         # Above that of an earlier process on this machine, whose clock was the same.
         self._sequence = max(self._sequence + 1, int(now * 1000))
-        # Readers tell each other only what began with them, so that nothing goes in circles.
-        notices = [
-            kept.notice for kept in self._notices if kept.to_readers or scope is LoadScope.FLEET
-        ]
+        notices = self._notices.to_tell(scope)
         message = PeerMessage(self._own_name, self._sequence, loads, notices, scope, follows)
         return Outgoing(message, receivers)
-
-    def _spend_notices(self) -> None:
-        for kept in self._notices:
-            kept.left -= 1
-        self._notices = [kept for kept in self._notices if kept.left > 0]
--- a/src/milletcourse/exchange/messages.py
+++ b/src/milletcourse/exchange/messages.py
@@ -66,10 +66,15 @@
         """Path without the query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    @property
+    def shared_parts(self) -> int:
+        """Number of parts that other requests may share: all but the last."""
+        return max(len(self.prompt_parts) - 1, 0)
+
     @property
     def shared_tokens(self) -> int:
-        """Tokens of the parts that other requests may share: all but the last."""
-        return sum(part.tokens for part in self.prompt_parts[:-1])
+        """Tokens of the parts that other requests may share."""
+        return sum(part.tokens for part in self.prompt_parts[: self.shared_parts])
 
 
 class Dispatch(msgspec.Struct):
--- a/src/milletcourse/exchange/server_health.py
+++ b/src/milletcourse/exchange/server_health.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import msgspec
+
+from milletcourse.exchange.decaying_count import DecayingCount
 from milletcourse.exchange.messages import AttemptResult
 
 HALF_LIFE_SECONDS = 3.0
@@ -10,6 +13,8 @@
 """Penalty from which a server gets no new work."""
 FIRST_EJECTION_SECONDS = 0.8
 MAX_EJECTION_SECONDS = 4.0
+ANSWER_FORGIVES = 0.7
+"""Part of the penalty that is left after an answer."""
 BUSY_PAUSE_SECONDS = 0.15
 """A server that turned a request away is passed over this long when others are free."""
 TALLY_HALF_LIFE_SECONDS = 1.5
@@ -29,27 +34,36 @@
 }
 
 
+class ServerTally(msgspec.Struct, frozen=True):
+    """How attempts at a server went lately.
+
+    Attributes:
+        bad: Failures, weighed by what they say of the server.
+        good: Answers.
+    """
+
+    bad: int
+    good: int
+
+
 class ServerHealth:
     """Penalty by recent failures, and ejection with growing pauses."""
 
     def __init__(self) -> None:
-        self._penalty = 0.0
-        self._penalty_at = 0.0
+        self._penalty = DecayingCount(HALF_LIFE_SECONDS)
         self._ejected_until = float("-inf")
         self._pause_seconds = FIRST_EJECTION_SECONDS
         self._trial_running = False
         self._busy_until = float("-inf")
-        self._bad = 0.0
-        self._good = 0.0
-        self._tally_at = 0.0
+        self._bad = DecayingCount(TALLY_HALF_LIFE_SECONDS)
+        self._good = DecayingCount(TALLY_HALF_LIFE_SECONDS)
 
     def on_result(self, result: AttemptResult, now: float) -> None:
         """An attempt at the server ended."""
         self._trial_running = False
-        self._count(result, now)
         if result is AttemptResult.ANSWERED:
-            self._penalty = self._decayed(now) * 0.7
-            self._penalty_at = now
+            self._good.add(1.0, now)
+            self._penalty.scale(ANSWER_FORGIVES, now)
             if now >= self._ejected_until:
                 self._pause_seconds = FIRST_EJECTION_SECONDS
             return
@@ -59,30 +73,24 @@
         weight = _WEIGHTS.get(result, 0.0)
         if weight == 0.0:
             return
-        self._penalty = self._decayed(now) + weight
-        self._penalty_at = now
-        if self._penalty >= EJECTION_PENALTY and now >= self._ejected_until:
+        self._bad.add(weight, now)
+        self._penalty.add(weight, now)
+        if self._penalty.value(now) >= EJECTION_PENALTY and now >= self._ejected_until:
             self._ejected_until = now + self._pause_seconds
             self._pause_seconds = min(self._pause_seconds * 2, MAX_EJECTION_SECONDS)
 
-    def _count(self, result: AttemptResult, now: float) -> None:
-        decay = 0.5 ** ((now - self._tally_at) / TALLY_HALF_LIFE_SECONDS)
-        self._bad = self._bad * decay + _WEIGHTS.get(result, 0.0)
-        self._good = self._good * decay + (result is AttemptResult.ANSWERED)
-        self._tally_at = now
-
-    def tally(self, now: float) -> tuple[int, int]:
+    def tally(self, now: float) -> ServerTally:
         """Failures and answers of late, as they are told to other gateways."""
-        decay = 0.5 ** ((now - self._tally_at) / TALLY_HALF_LIFE_SECONDS)
-        return min(round(self._bad * decay), MAX_TOLD_BAD), round(self._good * decay)
+        bad = min(round(self._bad.value(now)), MAX_TOLD_BAD)
+        return ServerTally(bad, round(self._good.value(now)))
 
-    def is_suspected(self, others_bad: int, others_good: int, now: float) -> bool:
+    def is_suspected(self, others: ServerTally, now: float) -> bool:
         """Whether what all gateways saw of late says that it is sick."""
-        if others_bad == 0:
+        if others.bad == 0:
             return False
-        bad, good = self.tally(now)
-        bad += others_bad
-        return bad >= SUSPICION_BAD and bad > SUSPICION_RATIO * (good + others_good)
+        own = self.tally(now)
+        bad = own.bad + others.bad
+        return bad >= SUSPICION_BAD and bad > SUSPICION_RATIO * (own.good + others.good)
 
     def on_aborted(self) -> None:
         """An attempt was given up for reasons that say nothing about the server."""
@@ -112,7 +120,4 @@
         return now < self._busy_until
 
     def _needs_trial(self, now: float) -> bool:
-        return self._decayed(now) >= EJECTION_PENALTY / 2 and self._ejected_until > 0
-
-    def _decayed(self, now: float) -> float:
-        return self._penalty * 0.5 ** ((now - self._penalty_at) / HALF_LIFE_SECONDS)
+        return self._penalty.value(now) >= EJECTION_PENALTY / 2 and self._ejected_until > 0
--- a/src/milletcourse/gateway/adapter.py
+++ b/src/milletcourse/gateway/adapter.py
@@ -7,10 +7,10 @@
 
 from milletcourse.exchange.dialect import HeaderDialect
 from milletcourse.exchange.records import ExchangeConfiguration, InstanceRecord, ModelTarget
+from milletcourse.gateway.cache_store_probe import CacheStoreDialect
 from milletcourse.gateway.object_store import StoreDialect
 from milletcourse.gateway.roll_out_service import OrderDialect
 from milletcourse.gateway.settings import GatewaySettings
-from milletcourse.gateway.store_follower import StoreProbeDialect
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
         store: Formats of the object store.
         kinds: Names in the object store.
         orders: Formats of orders to servers.
-        store_probe: How a store of kept prompt state is asked for a sign of life.
+        cache_store: How a store of kept prompt state is asked for a sign of life.
         decode_configuration: Content of the configuration's object.
         decode_instance: Name and content of a server's entry.
         decode_target: Content of a named version.
@@ -58,7 +58,7 @@
     store: StoreDialect
     kinds: ObjectKinds
     orders: OrderDialect
-    store_probe: StoreProbeDialect
+    cache_store: CacheStoreDialect
     decode_configuration: Callable[[bytes], ExchangeConfiguration]
     decode_instance: Callable[[str, bytes], InstanceRecord]
     decode_target: Callable[[bytes], ModelTarget]
--- a/src/milletcourse/gateway/store_follower.py
+++ b/src/milletcourse/gateway/cache_store_probe.py
@@ -15,7 +15,7 @@
 """Between calls: a store that goes is noticed within two seconds."""
 
 
-class StoreProbeDialect(Protocol):
+class CacheStoreDialect(Protocol):
     """How a store of kept prompt state is asked for a sign of life."""
 
     def sign_of_life_call(self, position: int, wait_seconds: float) -> Call:
@@ -25,11 +25,11 @@
         """The position to go on from; 0 when the reply tells none."""
 
 
-class StoreFollower:
+class CacheStoreProbe:
     """Keeps `GatewayContext.unreachable_store` current."""
 
     def __init__(
-        self, context: GatewayContext, calls: CallClient, dialect: StoreProbeDialect
+        self, context: GatewayContext, calls: CallClient, dialect: CacheStoreDialect
     ) -> None:
         self._context = context
         self._calls = calls
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -110,10 +110,16 @@
         now = self.now()
         loads = []
         for instance in self.instances:
-            bad, good = instance.health.tally(now)
-            if instance.in_flight or bad or good:
-                tokens = instance.in_flight_tokens
-                loads.append(InstanceLoad(instance.key, tokens, instance.in_flight, bad, good))
+            tally = instance.health.tally(now)
+            load = InstanceLoad(
+                instance.key,
+                instance.in_flight_tokens,
+                instance.in_flight,
+                tally.bad,
+                tally.good,
+            )
+            if not load.is_nothing:
+                loads.append(load)
         return loads
 
     def set_gateways(self, count: int) -> None:
@@ -184,8 +190,10 @@
     def answers_others(self, instance: Instance) -> bool:
         """Whether a server lately answered requests of this gateway or of others."""
         now = self.now()
-        _, good = instance.health.tally(now)
-        return good > 0 or self.loads.others_load(instance.key, now).good > 0
+        return (
+            instance.health.tally(now).good > 0
+            or self.loads.others_load(instance.key, now).good > 0
+        )
 
     def _belief(self) -> dict[str, Any]:
         return {
--- a/src/milletcourse/gateway/directory.py
+++ b/src/milletcourse/gateway/directory.py
@@ -80,7 +80,7 @@
     def _note(self, stored: StoredObject) -> None:
         if stored.name == self._own_name or len(self._others) >= MAX_GATEWAYS:
             return
-        entry = decode_entry(stored.spec)
+        entry = _decode_entry(stored.spec)
         if entry is None or not entry.address.rpartition(":")[2].isdigit():
             self._log.emit("object-malformed", name=stored.name)
             return
@@ -89,7 +89,7 @@
         )
 
 
-def decode_entry(spec: bytes) -> GatewayEntry | None:
+def _decode_entry(spec: bytes) -> GatewayEntry | None:
     """Understand an entry; None when it is none."""
     try:
         return msgspec.json.decode(spec, type=GatewayEntry)
@@ -115,7 +115,7 @@
     store: ObjectStoreClient, kind: str, current: StoredObject, entry: GatewayEntry
 ) -> bool:
     """The entry of an earlier process is there: keep it when it is the same."""
-    if decode_entry(current.spec) == entry:
+    if _decode_entry(current.spec) == entry:
         return True
     try:
         await store.replace(kind, current.name, msgspec.json.encode(entry), current.revision)
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 from milletcourse.errors import (
@@ -129,34 +130,37 @@
 
         The retry is taken from the budget here, so that it is there when the server has been left.
         """
-        now = self._context.now()
-        if self._end_cause is not None or not self._plan.may_leave(self._job.end_at - now):
+        if self._other_instance(self._plan.may_leave, instance.name) is None:
             return False
-        if not self._context.may_use_keys(self._job.tenant):
-            return False
-        if self._select(instance.name) is None:
-            return False
-        self._retry_reserved = self._context.budget(self._job.service.name).try_retry(now)
+        self._retry_reserved = self._try_retry()
         return self._retry_reserved
 
-    def _next_instance(self, result: AttemptResult) -> Instance | None:
-        """Another server for the request, within the shared retry budget."""
-        if result is AttemptResult.ANSWERED or self._end_cause is not None:
-            return None
-        now = self._context.now()
-        if not self._plan.may_send_again(self._job.end_at - now):
+    def _other_instance(
+        self, plan_allows: Callable[[float], bool], *passed_over: str
+    ) -> Instance | None:
+        """Another server, if the request may still be sent on."""
+        if self._end_cause is not None or not plan_allows(self._job.end_at - self._context.now()):
             return None
         if not self._context.may_use_keys(self._job.tenant):
             return None
-        instance = self._select()
+        return self._select(*passed_over)
+
+    def _try_retry(self) -> bool:
+        budget = self._context.budget(self._job.service.name)
+        return budget.try_retry(self._context.now())
+
+    def _next_instance(self, result: AttemptResult) -> Instance | None:
+        """Another server for the request, within the shared retry budget."""
+        if result is AttemptResult.ANSWERED:
+            return None
+        instance = self._other_instance(self._plan.may_send_again)
         if instance is None or self._plan.sends == 0:
             # What no server has got yet costs nothing of the budget.
             return instance
         if self._retry_reserved:
             self._retry_reserved = False
             return instance
-        budget = self._context.budget(self._job.service.name)
-        return instance if budget.try_retry(now) else None
+        return instance if self._try_retry() else None
 
     # -- ends -----------------------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -17,7 +17,7 @@
 from milletcourse.gateway.peers import PeerExchange
 from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
 from milletcourse.gateway.store_feed import StoreFeed
-from milletcourse.gateway.store_reader import StoreReader, WatchedKind
+from milletcourse.gateway.store_sync import StoreSync, WatchedKind
 
 INSTANCE_WAIT_SECONDS = 1.5
 TARGET_WAIT_SECONDS = 3.0
@@ -56,7 +56,7 @@
         self._directory = GatewayDirectory(settings.name, context.log)
         self._plan = ReadingPlan(settings.name, settings.zone, settings.link_megabits)
         self._watched = _watched_kinds(context, adapter, self._directory)
-        self._reader = StoreReader(context, store, calls, self._plan, self._watched, spawn)
+        self._reader = StoreSync(context, store, calls, self._plan, self._watched, spawn)
         self._registration: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -10,6 +10,7 @@
 from milletcourse.errors import Draining, NotFound
 from milletcourse.exchange.messages import HeaderField
 from milletcourse.gateway.adapter import PlatformAdapter
+from milletcourse.gateway.cache_store_probe import CacheStoreProbe
 from milletcourse.gateway.call_client import CallClient
 from milletcourse.gateway.client_connection import ClientConnection, ClientRequest, Handler
 from milletcourse.gateway.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
@@ -21,7 +22,6 @@
 from milletcourse.gateway.refusals import refuse
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
-from milletcourse.gateway.store_follower import StoreFollower
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
@@ -83,8 +83,8 @@
             self._fleet.peers,
         )
         self._spawn(roll_out.run())
-        follower = StoreFollower(self.context, self._calls, self._adapter.store_probe)
-        self._spawn(follower.run())
+        probe = CacheStoreProbe(self.context, self._calls, self._adapter.cache_store)
+        self._spawn(probe.run())
         self._spawn(self._sweep())
 
     async def _listen(self, address: str, handler: Handler) -> str:
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -50,7 +50,6 @@
             return
         for notice in message.notices:
             self._take_notice(notice, now)
-        self._context.loads.pass_on(message, now)
 
     def _take_notice(self, notice: OrderNotice, now: float) -> None:
         instance = self._context.instances.get(notice.instance)
--- a/src/milletcourse/gateway/store_feed.py
+++ b/src/milletcourse/gateway/store_feed.py
@@ -44,14 +44,13 @@
         if not self._vouches():
             refuse(client, NotReady("the store isn't read here now"))
             return
-        now = self._context.now()
-        proved_at = now - self._context.freshness.age(now)
         told = [
             self._mirrors[position.kind].since(position.revision)
             for position in question.positions
             if position.kind in self._mirrors
         ]
-        answer = FeedAnswer([kind for kind in told if kind is not None], proved_at - received_at)
+        proof_offset = self._context.freshness.proved_at - received_at
+        answer = FeedAnswer([kind for kind in told if kind is not None], proof_offset)
         client.send_whole(200, b"", [_CONTENT_TYPE], encode_answer(answer))
 
     def _vouches(self) -> bool:
@@ -65,10 +64,9 @@
         """Wait until there is something to tell, or the question was kept long enough."""
         until = received_at + min(question.hold_seconds, MAX_HOLD_SECONDS)
         while self._vouches() and not self._has_news(question):
-            now = self._context.now()
-            proof_ends_at = now - self._context.freshness.age(now)
-            proof_ends_at += self._context.reading.max_proof_age
-            seconds = min(until, proof_ends_at) - now
+            context = self._context
+            proof_ends_at = context.freshness.proved_at + context.reading.max_proof_age
+            seconds = min(until, proof_ends_at) - context.now()
             if seconds <= 0:
                 return
             await self._wait(seconds)
--- a/src/milletcourse/gateway/store_reader.py
+++ b/src/milletcourse/gateway/store_sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Sequence
+from enum import Enum
 from typing import Any
 
 import msgspec
@@ -37,6 +38,17 @@
 """Between two questions, so that a burst of changes comes in few answers."""
 
 
+class _Outcome(Enum):
+    """What a question to a reader gave."""
+
+    FED = "fed"
+    REFUSED = "refused"
+    """It can't vouch for what it knows, or its process isn't there."""
+    SILENT = "silent"
+    OUTDATED = "outdated"
+    """Its proof is older than on any calm day."""
+
+
 class WatchedKind(msgspec.Struct, frozen=True):
     """How a kind is read from the store.
 
@@ -51,8 +63,11 @@
     stale_lists: bool = False
 
 
-class StoreReader:
-    """Follows a reader while there is one, and reads the store while there is none."""
+class StoreSync:
+    """Follows a reader while there is one, and reads the store while there is none.
+
+    It alone sets `reads_store` and `followed_reader` of the context.
+    """
 
     def __init__(
         self,
@@ -78,12 +93,11 @@
         patient_until = self._context.now() + START_PATIENCE_SECONDS
         while True:
             reader = self._plan.choose(self._context.now())
-            if reader is not None and await self._ask(reader, 0.0):
+            if reader is not None and await self._ask(reader, 0.0) is _Outcome.FED:
                 patient_until = 0.0
                 self._stop_watches()
                 await self._follow(reader)
                 continue
-            self._note_source("")
             if self._plan.is_reader or self._context.now() >= patient_until:
                 self._start_watches()
             await asyncio.sleep(LOOK_SECONDS)
@@ -116,35 +130,44 @@
 
     async def _follow(self, reader: GatewayRecord) -> None:
         """Ask one reader again and again until it fails or another one goes before it."""
-        self._note_source(reader.name)
-        while self._plan.choose(self._context.now()) == reader:
-            if not await self._ask(reader, self._context.reading.feed_hold):
-                return
+        self._context.followed_reader = reader.name
+        self._context.log.emit("reader-followed", reader=reader.name)
+        outcome = _Outcome.FED
+        while outcome is _Outcome.FED and self._plan.choose(self._context.now()) == reader:
             await asyncio.sleep(MIN_QUESTION_SECONDS)
-
-    async def _ask(self, reader: GatewayRecord, hold_seconds: float) -> bool:
-        """Ask what came; False when the reader told nothing that can be relied on."""
-        positions = [
-            FeedPosition(kind, -1 if mirror.revision is None else mirror.revision)
-            for kind, mirror in self._mirrors.items()
-        ]
-        body = encode_question(FeedQuestion(positions, hold_seconds))
+            outcome = await self._ask(reader, self._context.reading.feed_hold)
+        self._context.followed_reader = ""
+        if outcome is not _Outcome.FED:
+            # Whatever the reader is silent about must not be missed here.
+            self._context.log.emit("reader-lost", reader=reader.name, outcome=outcome.value)
+            self._start_watches()
+
+    async def _ask(self, reader: GatewayRecord, hold_seconds: float) -> _Outcome:
+        """Ask a reader what came, and take it."""
+        question = encode_question(FeedQuestion(self._positions(), hold_seconds))
         asked_at = self._context.now()
         reply = await self._calls.call(
-            reader.feed, Call("POST", FEED_PATH, body), hold_seconds + FEED_MARGIN_SECONDS
+            reader.feed, Call("POST", FEED_PATH, question), hold_seconds + FEED_MARGIN_SECONDS
         )
         answer = decode_answer(reply.body) if reply is not None and reply.status == 200 else None
         if reply is None or answer is None:
-            quick = self._context.now() - asked_at < QUICK_SECONDS
-            self._on_failed(reader, quick or reply is not None)
-            return False
+            now = self._context.now()
+            answered = reply is not None or now - asked_at < QUICK_SECONDS
+            self._plan.on_failed(reader.name, now, answered)
+            return _Outcome.REFUSED if answered else _Outcome.SILENT
         self._plan.on_fed(reader.name)
-        self._take(answer, reply.sent_at)
-        age = self._context.now() - (asked_at + answer.proof_offset)
-        return age <= self._context.reading.calm_age
+        proved_at = reply.sent_at + answer.proof_offset
+        self._take(answer, proved_at)
+        is_current = self._context.now() - proved_at <= self._context.reading.calm_age
+        return _Outcome.FED if is_current else _Outcome.OUTDATED
+
+    def _positions(self) -> list[FeedPosition]:
+        return [
+            FeedPosition(kind, -1 if mirror.revision is None else mirror.revision)
+            for kind, mirror in self._mirrors.items()
+        ]
 
-    def _take(self, answer: FeedAnswer, asked_at: float) -> None:
-        proved_at = asked_at + answer.proof_offset
+    def _take(self, answer: FeedAnswer, proved_at: float) -> None:
         told = set()
         for fed in answer.kinds:
             mirror = self._mirrors.get(fed.kind)
@@ -155,21 +178,6 @@
             if kind not in told:
                 mirror.on_proof(proved_at)
 
-    def _on_failed(self, reader: GatewayRecord, answered: bool) -> None:
-        self._plan.on_failed(reader.name, self._context.now(), answered)
-        if not self._context.followed_reader:
-            return
-        # Whatever the reader is silent about must not be missed here.
-        self._context.log.emit("reader-lost", reader=reader.name, answered=answered)
-        self._context.followed_reader = ""
-        self._start_watches()
-
-    def _note_source(self, reader: str) -> None:
-        if reader != self._context.followed_reader:
-            self._context.followed_reader = reader
-            if reader:
-                self._context.log.emit("reader-followed", reader=reader)
-
     # -- reading the store ----------------------------------------------------------------------
 
     def _start_watches(self) -> None:
--- a/src/milletcourse/membership/service.py
+++ b/src/milletcourse/membership/service.py
@@ -22,7 +22,6 @@
     Attributes:
         detector: The pure core.
         on_news: Called with a member's record, revision and platform stamp after each datagram.
-        on_wake: Called when this process was frozen.
     """
 
     def __init__(
--- a/src/milletcourse/node.py
+++ b/src/milletcourse/node.py
@@ -15,6 +15,7 @@
 from milletcourse.backends.app_client import AppClient
 from milletcourse.backends.engine_client import EngineClient
 from milletcourse.configuration.freshness import FreshnessTracker
+from milletcourse.configuration.freshness_watch import FreshnessWatch
 from milletcourse.configuration.platform_client import PlatformClient
 from milletcourse.configuration.service import ConfigurationService, LeaseKeeper
 from milletcourse.configuration.store import ConfigurationStore
@@ -22,16 +23,14 @@
 from milletcourse.control.machines_service import MachinesService
 from milletcourse.control.router_set_service import RouterSetService
 from milletcourse.control.weight_service import WeightService
-from milletcourse.edge.administration import (
-    Administration,
-)
+from milletcourse.edge.administration import Administration
 from milletcourse.edge.applications import ApplicationsSink
 from milletcourse.edge.asgi import RequestGuard
 from milletcourse.edge.context import EdgeContext
 from milletcourse.edge.routes import build_routes
 from milletcourse.errors import FailureError
-from milletcourse.logs import get_logger
 from milletcourse.membership.failure_detector import FailureDetector
+from milletcourse.membership.member_sync import MemberSync
 from milletcourse.membership.messages import MemberRecord, MemberState, PlatformStamp
 from milletcourse.membership.service import MembershipService
 from milletcourse.metrics import RouterMetrics
@@ -56,14 +55,6 @@
 from milletcourse.wire.envelope import EnvelopeCodec, MessageType
 
 WATCHDOG_SECONDS = 0.25
-FREEZE_SECONDS = 1.5
-"""A watchdog period that took this long means that the process did not run."""
-JOIN_RETRY_SECONDS = 0.5
-MEMBER_SYNC_SECONDS = 30.0
-"""A whole exchange of the member list this often corrects whatever news was missed; at 420 members
-it costs 650 bytes a second."""
-JOIN_MEMBERS = 1000
-"""Members told to a joining router: all of a large deployment, some 20 KB once a start."""
 
 OpenDatagrams = Callable[[DatagramHandler], Awaitable[DatagramEndpoint]]
 
@@ -96,8 +87,6 @@
         self._platform = PlatformClient(settings.platform, client)
         self._peers = PeerClient(settings.name, self.incarnation, self._codec, client)
         self._endpoint: DatagramEndpoint | None = None
-        self._last_watch = 0.0
-        self._log = get_logger("node")
         self._build_membership()
         self._build_configuration()
         self._build_inference(client, parameters or RoutingParameters())
@@ -119,6 +108,9 @@
         self.detector = FailureDetector(own, self._random)
         self.membership = MembershipService(self.detector, self._codec, self.clock, self.tasks)
         self.membership.on_news = self._on_peer_news
+        self.member_sync = MemberSync(
+            self.detector, self._peers.members, self.settings.peers, self.clock, self._random
+        )
 
     def _build_configuration(self) -> None:
         lease = LeaseKeeper(
@@ -141,6 +133,13 @@
             self._random,
             self.tasks,
         )
+        self.freshness_watch = FreshnessWatch(
+            self.freshness,
+            self.detector,
+            self.store,
+            self.configuration.highest_heard,
+            self.clock,
+        )
         self.store.on_change = self._on_revision
 
     def _build_inference(self, client: HttpClient, parameters: RoutingParameters) -> None:
@@ -195,7 +194,7 @@
             self._on_claim,
             self.configuration.page_for,
             self.status,
-            self._on_join,
+            self.member_sync.on_join,
         )
 
     def _build_control(self) -> None:
@@ -277,9 +276,9 @@
         self.follower.start()
         self.weight_service.start()
         self.router_set_service.start()
-        self._last_watch = self.clock.monotonic()
+        self.freshness_watch.start()
         self.tasks.spawn(self._watchdog(), "watchdog")
-        self.tasks.spawn(self._join(), "join")
+        self.tasks.spawn(self.member_sync.run(), "join")
 
     async def drain(self) -> None:
         """Planned stop: not ready, still serving for a while, then finish what runs."""
@@ -297,7 +296,7 @@
 
     def is_fresh(self) -> bool:
         """Whether this router can prove that its configuration is in force."""
-        self._notice_freeze()
+        self.freshness_watch.notice_freeze()
         return self.freshness.is_fresh(self.clock.wall())
 
     def status(self) -> RouterStatus:
@@ -339,7 +338,7 @@
 
     def _on_peer_news(self, record: MemberRecord, revision: int, stamp: PlatformStamp) -> None:
         self.freshness.on_stamp(stamp, self.store.revision)
-        self._share_stamp()
+        self.freshness_watch.share_stamp()
         self.configuration.on_peer_revision(record.http_address, revision)
 
     def _on_revision(self, revision: int) -> None:
@@ -348,11 +347,8 @@
         self.freshness.on_revision(revision)
         self.metrics.revision.set(revision)
 
-    def _share_stamp(self) -> None:
-        self.detector.stamp = self.freshness.latest_stamp
-
     async def _on_claim(self, request: ClaimRequest) -> ClaimReply:
-        self._notice_freeze()
+        self.freshness_watch.notice_freeze()
         if not self._keeps_claim(request):
             return ClaimReply(ClaimVerdict.NOT_REPLICA)
         return self.replica.handle(request, self.clock.wall())
@@ -370,57 +366,9 @@
             return await self._on_claim(request)
         return await self._peers.claim(member.address, request)
 
-    def _on_join(self, records: tuple[MemberRecord, ...]) -> tuple[MemberRecord, ...]:
-        """A router introduced itself: answer with some live members."""
-        self.detector.merge(records, self.clock.monotonic())
-        live = self.detector.live()
-        return tuple(self._random.sample(live, min(len(live), JOIN_MEMBERS)))
-
-    async def _join(self) -> None:
-        """Learn all members from peers: often until some are known, then as anti-entropy."""
-        while True:
-            for address in self._sync_addresses():
-                try:
-                    records = await self._peers.members(address, self.detector.own)
-                except FailureError:
-                    continue
-                self.detector.merge(records, self.clock.monotonic())
-            joined = self.detector.live_count() > 1
-            pause = MEMBER_SYNC_SECONDS if joined else JOIN_RETRY_SECONDS
-            await self.clock.sleep(pause * (0.75 + self._random.random() / 2))
-
-    def _sync_addresses(self) -> list[str]:
-        """The peers named in the settings while alone, else one random live member."""
-        own = self.detector.own.name
-        live = [item.http_address for item in self.detector.live() if item.name != own]
-        return [self._random.choice(live)] if live else list(self.settings.peers)
-
     async def _watchdog(self) -> None:
-        """Notice freezes, refresh majority evidence and publish gauges."""
+        """Keep the proof of freshness and the gauges current."""
         while True:
-            self._notice_freeze()
-            self._share_stamp()
-            self._note_majority()
+            self.freshness_watch.look()
             self.metrics.live_members.set(self.detector.live_count())
             await self.clock.sleep(WATCHDOG_SECONDS)
-
-    def _notice_freeze(self) -> None:
-        now = self.clock.monotonic()
-        if self._last_watch and now - self._last_watch > FREEZE_SECONDS:
-            self._log.warning("the process was frozen", seconds=round(now - self._last_watch, 1))
-            self.freshness.on_wake(self.clock.wall())
-        self._last_watch = now
-
-    def _note_majority(self) -> None:
-        """Hearing most of the configured routers stands in for the platform while it is away."""
-        router_set = self.policy.router_set
-        if router_set is None or not router_set.members:
-            return
-        now = self.clock.monotonic()
-        names = {item.name for item in router_set.members}
-        heard_at = min(self.detector.majority_heard_at(names), now)
-        self.freshness.on_majority(
-            self.clock.wall() - (now - heard_at),
-            self.store.revision,
-            self.configuration.highest_heard(),
-        )
--- a/src/milletcourse/platform/__main__.py
+++ b/src/milletcourse/platform/__main__.py
@@ -29,7 +29,7 @@
         store=PlatformStoreDialect(),
         kinds=KINDS,
         orders=PlatformOrderDialect(),
-        store_probe=PlatformCacheEvents(),
+        cache_store=PlatformCacheEvents(),
         decode_configuration=decode_configuration,
         decode_instance=decode_instance,
         decode_target=decode_target,
--- a/src/milletcourse/platform/cache_events.py
+++ b/src/milletcourse/platform/cache_events.py
@@ -15,15 +15,15 @@
 
 
 class PlatformCacheEvents:
-    """Implements `StoreProbeDialect`."""
+    """Implements `CacheStoreDialect`."""
 
     def sign_of_life_call(self, position: int, wait_seconds: float) -> Call:
-        """See `StoreProbeDialect`."""
+        """See `CacheStoreDialect`."""
         wait = HeaderField(b"Wait-Ms", b"%d" % int(wait_seconds * 1000))
         return Call("GET", f"{_EVENTS_PATH}?Since={position}", fields=(wait,))
 
     def read_position(self, reply: Reply) -> int:
-        """See `StoreProbeDialect`."""
+        """See `CacheStoreDialect`."""
         try:
             return msgspec.json.decode(reply.body, type=_Page).next_token
         except msgspec.MsgspecError:
--- a/src/milletcourse/simulation/world.py
+++ b/src/milletcourse/simulation/world.py
@@ -26,6 +26,7 @@
 from milletcourse.standins.application import AppLedger, ApplicationApp
 from milletcourse.standins.engine_app import EngineApp
 from milletcourse.standins.engine_core import EngineCore, EngineProfile, ReuseRecord
+from milletcourse.standins.engine_resources import engine_application
 from milletcourse.standins.kv_store import KvStoreApp, KvStoreCore
 from milletcourse.standins.platform_app import PlatformApp
 from milletcourse.standins.platform_core import PlatformCore
@@ -191,7 +192,7 @@
             self._random_for(host.name),
         )
         app.on_accept = functools.partial(self._on_accept, host.name)
-        host.application = app.application
+        host.application = engine_application(app)
         await app.start()
         return SimulatedEngine(host.name, host, app, version)
 
--- a/src/milletcourse/standins/engine_app.py
+++ b/src/milletcourse/standins/engine_app.py
@@ -22,7 +22,6 @@
     KvKeys,
     KvTransfer,
 )
-from milletcourse.edge.asgi import RequestGuard
 from milletcourse.errors import (
     BackendRefused,
     FailureError,
@@ -32,13 +31,11 @@
 from milletcourse.prefix.blocks import BlockHash, block_chain
 from milletcourse.runtime.clock import Clock
 from milletcourse.runtime.http import HttpClient, json_request, send_for_body
-from milletcourse.runtime.server import AsgiApplication
 from milletcourse.runtime.tasks import TaskSet
 from milletcourse.standins.answers import answer_seed, answer_token
 from milletcourse.standins.block_pool import Provenance
 from milletcourse.standins.engine_core import EngineCore, EngineProfile, EngineRequest
 from milletcourse.standins.engine_faults import EngineFaults
-from milletcourse.standins.engine_resources import engine_routes
 
 RESUME_WINDOW_SECONDS = 5.0
 """An unread stream is kept this long for a resume, then cancelled."""
@@ -103,7 +100,6 @@
         self._fed_sequence = 1
         self._loads: deque[tuple[float, EngineLoad]] = deque()
         self._transfers = asyncio.Lock()
-        self.application: AsgiApplication = RequestGuard(engine_routes(self))
 
     @property
     def profile(self) -> EngineProfile:
--- a/src/milletcourse/standins/engine_resources.py
+++ b/src/milletcourse/standins/engine_resources.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import falcon.asgi
 
 from milletcourse.backends.engine_messages import (
@@ -15,16 +13,15 @@
     KvImport,
     KvKeys,
 )
-from milletcourse.edge.asgi import decode_json, new_application, respond_json
+from milletcourse.edge.asgi import RequestGuard, decode_json, new_application, respond_json
 from milletcourse.errors import FailureError, NotFound
 from milletcourse.prefix.blocks import BLOCK_TOKENS
+from milletcourse.runtime.server import AsgiApplication
+from milletcourse.standins.engine_app import EngineApp
 from milletcourse.standins.engine_faults import EngineFaults
 
-if TYPE_CHECKING:
-    from milletcourse.standins.engine_app import EngineApp
-
 
-def engine_routes(app: EngineApp) -> falcon.asgi.App:
+def engine_application(app: EngineApp) -> AsgiApplication:
     """The engine's HTTP interface."""
     transfers = _Transfers(app)
     feed = _Feed(app)
@@ -42,7 +39,7 @@
     application.add_route("/livez", feed, suffix="live")
     application.add_route("/standin/faults", feed, suffix="faults")
     application.add_route("/standin/stats", feed, suffix="stats")
-    return application
+    return RequestGuard(application)
 
 
 class _Resource:
--- a/src/milletcourse/standins/processes.py
+++ b/src/milletcourse/standins/processes.py
@@ -11,6 +11,7 @@
 from milletcourse.standins.application import AppLedger, ApplicationApp
 from milletcourse.standins.engine_app import EngineApp
 from milletcourse.standins.engine_core import EngineCore, EngineProfile
+from milletcourse.standins.engine_resources import engine_application
 from milletcourse.standins.kv_store import KvStoreApp, KvStoreCore
 from milletcourse.standins.platform_app import PlatformApp
 from milletcourse.standins.platform_core import PlatformCore
@@ -85,7 +86,7 @@
         core = EngineCore(profile, secrets.token_hex(8))
         core.loaded.update(models)
         self.app = EngineApp(name, core, LoopClock(), self._client, random.Random(0), weight_store)
-        super().__init__(self.app.application, host, port)
+        super().__init__(engine_application(self.app), host, port)
 
     async def start(self) -> None:
         """Begin to serve and compute."""
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -49,7 +49,7 @@
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
 from milletcourse.gateway.settings import GatewayBounds
-from milletcourse.gateway.store_reader import FEED_MARGIN_SECONDS
+from milletcourse.gateway.store_sync import FEED_MARGIN_SECONDS
 from milletcourse.platform.documents import decode_configuration, read_settings
 
 SOURCES = Path(__file__).parent.parent / "src" / "milletcourse"
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -28,6 +28,7 @@
     MAX_TOLD_BAD,
     SUSPICION_BAD,
     ServerHealth,
+    ServerTally,
 )
 from milletcourse.exchange.version_gate import VersionGate
 
@@ -91,7 +92,6 @@
                     continue
                 if self.exchanges[receiver].on_message(outgoing.message, self.now):
                     self.heard[receiver].append(outgoing.message)
-                    self.exchanges[receiver].pass_on(outgoing.message, self.now)
 
     def expected(self, name: str) -> list[InstanceLoad]:
         """The load of all others that live."""
@@ -248,13 +248,13 @@
 def test_one_gateway_alone_makes_nobody_suspect_a_server() -> None:
     """Its own link may be what is sick; nor do failures among many answers."""
     health = ServerHealth()
-    assert not health.is_suspected(MAX_TOLD_BAD, 0, 0.0)
-    assert health.is_suspected(SUSPICION_BAD, 0, 0.0)
-    assert not health.is_suspected(SUSPICION_BAD, 2 * SUSPICION_BAD, 0.0)
+    assert not health.is_suspected(ServerTally(MAX_TOLD_BAD, 0), 0.0)
+    assert health.is_suspected(ServerTally(SUSPICION_BAD, 0), 0.0)
+    assert not health.is_suspected(ServerTally(SUSPICION_BAD, 2 * SUSPICION_BAD), 0.0)
     for _ in range(9):
         health.on_result(AttemptResult.LOST, 1.0)
-    assert health.tally(1.0) == (MAX_TOLD_BAD, 0)
-    assert health.tally(9.0) == (0, 0)
+    assert health.tally(1.0) == ServerTally(MAX_TOLD_BAD, 0)
+    assert health.tally(9.0) == ServerTally(0, 0)
 
 
 def test_long_shared_parts_go_to_their_home_from_every_gateway() -> None:
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -153,15 +153,17 @@
     return [port, min(port + 8, 65535)]
 
 
-async def _start_pair(harness: Harness, store: str = "") -> tuple[GatewayNode, GatewayNode]:
-    """A reader, which may see the store through a proxy, and a follower that sees it itself."""
+async def _start_pair(
+    harness: Harness, reader_store: str = "", follower_store: str = "", **bounds: int
+) -> tuple[GatewayNode, GatewayNode]:
+    """A reader and its follower; each may see the store through a proxy."""
     await harness.add_server("app-1", "app", serve_whole)
     harness.store.put("config", "main", configuration())
     harness.internal_ports = _free_ports()
-    names = sorted(["front-1", "front-2"], key=lambda name: _is_follower(name))
-    reader = await harness.add_gateway(names[0], store)
+    names = sorted(["front-1", "front-2"], key=_is_follower)
+    reader = await harness.add_gateway(names[0], reader_store)
     await harness.until(reader.context.is_ready)
-    follower = await harness.add_gateway(names[1])
+    follower = await harness.add_gateway(names[1], follower_store, **bounds)
     await harness.until(lambda: _is_fed(follower))
     return reader, follower
 
@@ -259,13 +261,7 @@
         proxy = FaultProxy(harness.store.address)
         await proxy.start()
         try:
-            await harness.add_server("app-1", "app", serve_whole)
-            harness.store.put("config", "main", configuration())
-            harness.internal_ports = _free_ports()
-            names = sorted(["front-1", "front-2"], key=lambda name: _is_follower(name))
-            await harness.add_gateway(names[0])
-            follower = await harness.add_gateway(names[1], proxy.address, RevokeMs=1500)
-            await harness.until(lambda: _is_fed(follower))
+            _, follower = await _start_pair(harness, follower_store=proxy.address, RevokeMs=1500)
             proxy.cut()
             context = follower.context
             later = context.now() + 1.5
