An incarnation that another one answers for gets no work, no orders, and all gateways are told

Cause: after a crash another incarnation answers 421 at the old address while the old entry still stands, for heartbeats or as long as the store forgets its history. Ruled out: overload (9 servers at under a tenth of their slots), health checks (none are made). Change: a 421 that names another incarnation, on a request or on an order, ends the named one in the instance table: no work, no orders, not a home of shared parts. It is told to all gateways as a server's notice (orders' notices carried on, renamed). An entry that is written anew brings it back, so that a wrong end costs one request. What names no other incarnation ends nothing. Tests: test_an_ended_incarnation_gets_one_request_at_most (fails before: 503), test_an_ended_incarnation_is_told_to_the_other_gateways, two of the table.

Before: 4 of 8 failed beside load.

--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/instance_table.py
@@ -32,6 +32,7 @@
         in_flight_tokens: Prompt tokens of this node's requests that have no first event yet.
         latency_seconds: Mean time of whole answers.
         vanished_at: When its entry went in doubt, None while it is listed.
+        ended: Another incarnation answers at its address, whatever its entry says.
     """
 
     def __init__(self, record: InstanceRecord) -> None:
@@ -42,6 +43,7 @@
         self.in_flight_tokens = 0
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.vanished_at: float | None = None
+        self.ended = False
         self._versions = dict(record.weight_versions)
         self._assumed: dict[str, int] = {}
 
@@ -100,7 +102,8 @@
         self.on_forgotten: Callable[[str], None] | None = None
 
     def __iter__(self) -> Iterator[Instance]:
-        return iter(list(self._instances.values()))
+        """All incarnations that aren't known to have ended."""
+        return iter([item for item in self._instances.values() if not item.ended])
 
     def get(self, name: str) -> Instance | None:
         """An incarnation by name."""
@@ -123,24 +126,45 @@
             self.remove(name, now)
 
     def upsert(self, record: InstanceRecord) -> None:
-        """An entry appeared or changed."""
+        """An entry appeared or changed.
+
+        One that was written anew since its incarnation was found ended brings it back: should that
+        be wrong, the next answer at its address says so again.
+        """
         known = self._instances.get(record.name)
         if known is not None and known.record.service == record.service:
+            is_news = known.record != record
             known.update(record)
+            if known.ended and is_news:
+                known.ended = False
+                self._add_to_service(known)
             return
         if known is not None:
             self._forget(record.name)
         instance = Instance(record)
         self._instances[record.name] = instance
-        self._services.setdefault(record.service, {})[record.name] = instance
-        self.generation += 1
+        self._add_to_service(instance)
+
+    def end(self, name: str) -> bool:
+        """Another incarnation answers at its address: it gets no work and no orders any more.
+
+        Its entry may stand for several heartbeats, or as long as the store is away. True when this
+        wasn't known.
+        """
+        instance = self._instances.get(name)
+        if instance is None or instance.ended:
+            return False
+        instance.ended = True
+        self._drop_from_service(instance)
+        return True
 
     def remove(self, name: str, now: float) -> None:
         """An entry went: gone, or doubtful while the store is unstable."""
         instance = self._instances.get(name)
         if instance is None:
             return
-        if now < self._unstable_until and not instance.record.draining:
+        is_doubtful = now < self._unstable_until and not instance.record.draining
+        if is_doubtful and not instance.ended:
             if instance.vanished_at is None:
                 instance.vanished_at = now
             return
@@ -158,10 +182,19 @@
         instance = self._instances.pop(name, None)
         if instance is None:
             return
+        self._drop_from_service(instance)
+
+    def _add_to_service(self, instance: Instance) -> None:
+        members = self._services.setdefault(instance.record.service, {})
+        members[instance.name] = instance
+        self.generation += 1
+
+    def _drop_from_service(self, instance: Instance) -> None:
+        """Take it out of what may be chosen, with all that is believed to be kept there."""
         self.generation += 1
         if self.on_forgotten is not None:
-            self.on_forgotten(name)
-        service = self._services.get(instance.record.service, {})
-        service.pop(name, None)
-        if not service:
+            self.on_forgotten(instance.name)
+        members = self._services.get(instance.record.service, {})
+        members.pop(instance.name, None)
+        if not members:
             self._services.pop(instance.record.service, None)
--- a/src/milletcourse/exchange/load_exchange.py
+++ b/src/milletcourse/exchange/load_exchange.py
@@ -12,13 +12,13 @@
 import msgspec
 
 from milletcourse.exchange.load_sums import LoadSums, added
-from milletcourse.exchange.order_notices import OrderNotices
 from milletcourse.exchange.peer_messages import (
     InstanceLoad,
     LoadScope,
-    OrderNotice,
     PeerMessage,
+    ServerNotice,
 )
+from milletcourse.exchange.server_notices import ServerNotices
 
 TICK_SECONDS = 0.05
 """A changed load is told this often."""
@@ -65,7 +65,7 @@
         self._told_at = float("-inf")
         self._digest_at = float("-inf")
         self._untold: dict[str, None] = {}
-        self._notices = OrderNotices()
+        self._notices = ServerNotices()
         self._sequence = 0
 
     def set_gateways(self, others: list[str], readers: list[str]) -> None:
@@ -129,8 +129,8 @@
 
     # -- telling --------------------------------------------------------------------------------
 
-    def notify(self, notice: OrderNotice) -> None:
-        """Tell all gateways about an order with the next messages; repeated against loss."""
+    def notify(self, notice: ServerNotice) -> None:
+        """Tell all gateways a server's state with the next messages; repeated against loss."""
         self._notices.add(notice)
         self._digest_at = float("-inf")
 
--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -1,4 +1,4 @@
-"""What gateways tell each other: their load on servers and the state of orders; no input/output.
+"""What gateways tell each other: their load on servers and the state of servers; no input/output.
 
 Messages are small and may be lost: each carries a whole current load, and a notice is repeated for
 a while. Nothing depends on them but speed: what they don't tell is learnt from servers' answers and
@@ -16,11 +16,15 @@
 """Times that a notice is sent, against loss."""
 
 
-class OrderState(IntEnum):
-    """State of a server under an order."""
+class ServerState(IntEnum):
+    """What a notice says of a server."""
 
     LOADING = 1
+    """It takes a weight version."""
     READY = 2
+    """It has a weight version."""
+    ENDED = 3
+    """Another incarnation answers at its address."""
 
 
 class LoadScope(IntEnum):
@@ -77,13 +81,20 @@
         return not (self.waiting_tokens or self.running or self.bad or self.good)
 
 
-class OrderNotice(msgspec.Struct, array_like=True, frozen=True):
-    """A server takes, or has taken, a weight version."""
+class ServerNotice(msgspec.Struct, array_like=True, frozen=True):
+    """The state of one incarnation of a server.
+
+    Attributes:
+        instance: Name of the incarnation.
+        model: Model whose weights it takes; empty when it ended.
+        version: Version of the weights; 0 when it ended.
+        state: What it does, or did.
+    """
 
     instance: str
     model: str
     version: int
-    state: OrderState
+    state: ServerState
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -93,7 +104,7 @@
         sender: Name of the gateway.
         sequence: Rises with each message of a process.
         loads: Servers with load; others have none.
-        notices: Orders of the last moments.
+        notices: States of servers that changed in the last moments.
         scope: Whose load it is.
         follows: The sender follows the receiver, and wants to be told the fleet's load.
     """
@@ -101,7 +112,7 @@
     sender: str
     sequence: int
     loads: list[InstanceLoad] = []
-    notices: list[OrderNotice] = []
+    notices: list[ServerNotice] = []
     scope: LoadScope = LoadScope.GATEWAY
     follows: bool = False
 
--- a/src/milletcourse/exchange/roll_out.py
+++ b/src/milletcourse/exchange/roll_out.py
@@ -61,6 +61,8 @@
     BUSY = "busy"
     FENCED = "fenced"
     REFUSED = "refused"
+    WRONG_INSTANCE = "wrong-instance"
+    """Another incarnation answered."""
     UNANSWERED = "unanswered"
 
 
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -228,7 +228,12 @@
 
     def _judge_whole(self, head: AnswerHead, body: bytes) -> AttemptResult:
         result = judge_answer(head, self._instance.name, self._weight_version)
-        if result is AttemptResult.WRONG_VERSION and self._weight_version is not None:
+        if result is AttemptResult.WRONG_INSTANCE and head.instance not in (
+            "",
+            self._instance.name,
+        ):
+            self._context.note_successor(self._instance.name, head.instance)
+        elif result is AttemptResult.WRONG_VERSION and self._weight_version is not None:
             model = self._job.request.model
             newest = self._context.gate.newest(model)
             now = self._context.now()
--- a/src/milletcourse/gateway/call_client.py
+++ b/src/milletcourse/gateway/call_client.py
@@ -30,11 +30,19 @@
 
 
 class Reply(msgspec.Struct, frozen=True):
-    """Answer to a call, with the monotonic time at which the call was sent."""
+    """Answer to a call.
+
+    Attributes:
+        status: HTTP status.
+        body: Whole body.
+        sent_at: Monotonic time at which the call was sent.
+        instance: Incarnation that answers; empty when it isn't told.
+    """
 
     status: int
     body: bytes
     sent_at: float
+    instance: str = ""
 
 
 class CallClient:
@@ -62,6 +70,7 @@
 
     async def _read(self, connection: ServerConnection, sent_at: float) -> Reply | None:
         status = 0
+        instance = ""
         pieces: list[bytes] = []
         size = 0
         while True:
@@ -71,12 +80,13 @@
                 return None
             if event.head is not None:
                 status = event.head.status
+                instance = event.head.instance
             if event.body:
                 pieces.append(event.body)
                 size += len(event.body)
             if event.complete:
                 self._pool.release(connection)
-                return Reply(status, b"".join(pieces), sent_at)
+                return Reply(status, b"".join(pieces), sent_at, instance)
 
 
 def _encode(address: str, call: Call) -> bytes:
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 from milletcourse.admission.retry_budget import RetryBudget, shared_retry_budget
@@ -44,6 +45,7 @@
         reading: How often the state of the object store is asked for.
         reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
         followed_reader: Name of the gateway that it follows instead; empty for none.
+        on_instance_ended: Called when an answer showed that an incarnation has ended.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
             self._key_bound(settings), bounds.fail_closed, self.reading.calm_age
         )
         self.instances = InstanceTable()
+        self.on_instance_ended: Callable[[str], None] | None = None
         self.gate = VersionGate(bounds.version)
         self.loads = LoadExchange(settings.name)
         self.unreachable_store = ""
@@ -175,6 +178,18 @@
         elif was_ejected and not is_ejected:
             self.record.return_of(instance.name, result)
 
+    def note_successor(self, name: str, successor: str) -> None:
+        """Another incarnation answered at the address of one, so that one has ended."""
+        if self.end_instance(name, successor) and self.on_instance_ended is not None:
+            self.on_instance_ended(name)
+
+    def end_instance(self, name: str, successor: str) -> bool:
+        """Take an incarnation out of use for good; True when this wasn't known."""
+        if not self.instances.end(name):
+            return False
+        self.record.instance_ended(name, successor)
+        return True
+
     def note_suspicions(self) -> None:
         """Say which servers all gateways together found sick or well since the last call."""
         now = self.now()
--- a/src/milletcourse/gateway/kind_watch.py
+++ b/src/milletcourse/gateway/kind_watch.py
@@ -63,19 +63,9 @@
         self._revision = max(changes.revision, self._revision)
 
     async def _list(self) -> None:
-        """Take all objects, as they are now.
-
-        A stale list is followed by a watch that doesn't wait, which brings what came since; when
-        that history is gone, only a fresh list will do.
-        """
         kind = self._mirror.kind
         stale = self._stale_lists and not self._history_gone
-        objects, revision, sent_at = await self._store.list_all(kind, stale)
-        if stale:
-            # A stale page proves nothing about now; together with the watch it does.
-            since, sent_at = await self._store.watch(kind, revision, 0.0)
-            objects = _brought_up_to_date(objects, since)
-            revision = max(since.revision, revision)
+        objects, revision, sent_at = await list_as_of_now(self._store, kind, stale)
         self._mirror.on_list(objects, revision, sent_at)
         self._revision = revision
 
@@ -86,6 +76,22 @@
         await asyncio.sleep(pause * (0.5 + self._random.random()))
 
 
+async def list_as_of_now(
+    store: ObjectStoreClient, kind: str, stale: bool
+) -> tuple[list[StoredObject], int, float]:
+    """All objects of a kind as they are now: (objects, revision, time of the proving call).
+
+    A stale list is followed by a watch that doesn't wait, which brings what came since; when that
+    history is gone, only a fresh list will do.
+    """
+    objects, revision, sent_at = await store.list_all(kind, stale)
+    if not stale:
+        return objects, revision, sent_at
+    # A stale page proves nothing about now; together with the watch it does.
+    since, watched_at = await store.watch(kind, revision, 0.0)
+    return _brought_up_to_date(objects, since), max(since.revision, revision), watched_at
+
+
 def _brought_up_to_date(objects: list[StoredObject], since: ObjectChanges) -> list[StoredObject]:
     listed = {stored.name: stored for stored in objects}
     for change in since.changes:
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Datagrams between gateways: load on servers, and the state of weight orders."""
+"""Datagrams between gateways: load on servers, and changes of their state."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 
 from milletcourse.exchange.load_exchange import TICK_SECONDS, Outgoing
 from milletcourse.exchange.peer_messages import (
-    OrderNotice,
-    OrderState,
+    ServerNotice,
+    ServerState,
     decode_message,
     encode_message,
 )
@@ -18,7 +18,7 @@
 
 
 class PeerExchange(asyncio.DatagramProtocol):
-    """Carries the messages of a `LoadExchange`, and takes notices of orders."""
+    """Carries the messages of a `LoadExchange`, and takes notices of servers' states."""
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
@@ -26,6 +26,7 @@
         self._addresses: set[tuple[str, int]] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self.holds_lease = False
+        context.on_instance_ended = self._tell_ended
 
     def set_gateways(self, gateways: list[GatewayRecord], readers: list[str]) -> None:
         """Take the list of the other gateways, and of the zones' readers among them."""
@@ -51,17 +52,22 @@
         for notice in message.notices:
             self._take_notice(notice, now)
 
-    def _take_notice(self, notice: OrderNotice, now: float) -> None:
+    def _take_notice(self, notice: ServerNotice, now: float) -> None:
         instance = self._context.instances.get(notice.instance)
         if instance is None:
             return
-        if notice.state is OrderState.READY:
+        if notice.state is ServerState.ENDED:
+            self._context.end_instance(notice.instance, "told")
+        elif notice.state is ServerState.READY:
             instance.note_version(notice.model, notice.version)
         elif (instance.version(notice.model) or 0) < notice.version:
             instance.health.on_order(now + INITIAL_LOAD_SECONDS)
 
-    def notify(self, notice: OrderNotice) -> None:
-        """Tell all gateways about an order at once."""
+    def _tell_ended(self, instance: str) -> None:
+        self.notify(ServerNotice(instance, "", 0, ServerState.ENDED))
+
+    def notify(self, notice: ServerNotice) -> None:
+        """Tell all gateways a server's state at once."""
         self._context.loads.notify(notice)
         self._tick()
 
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -115,6 +115,10 @@
         """An ejected server gets work again."""
         self._log.emit("instance-back", instance=instance, result=result.value)
 
+    def instance_ended(self, instance: str, successor: str) -> None:
+        """Another incarnation answers at a server's address; its name, or `told` by a peer."""
+        self._log.emit("instance-ended", instance=instance, successor=successor)
+
     def suspicion(self, instance: str, suspected: bool) -> None:
         """Several gateways saw a server fail, so that it gets no new work; or no more."""
         self._log.emit("instance-suspected" if suspected else "instance-cleared", instance=instance)
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -10,7 +10,7 @@
 
 from milletcourse.control.lease import LeaseClaim, LeaseSpec, LeaseTracker
 from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.peer_messages import OrderNotice, OrderState
+from milletcourse.exchange.peer_messages import ServerNotice, ServerState
 from milletcourse.exchange.roll_out import OrderReply, RollOut, ServerReport, WeightOrder
 from milletcourse.gateway.call_client import Call, CallClient, Reply
 from milletcourse.gateway.context import GatewayContext
@@ -167,9 +167,11 @@
         result = OrderReply.UNANSWERED
         if reply is not None:
             result = self._orders.read_order_reply(reply)
+            if result is OrderReply.WRONG_INSTANCE and reply.instance not in ("", order.instance):
+                self._context.note_successor(order.instance, reply.instance)
         self._plan.on_reply(instance, result, self._context.now())
         if result is OrderReply.TAKEN:
-            self._notify(instance, order.model, order.version, OrderState.LOADING)
+            self._notify(instance, order.model, order.version, ServerState.LOADING)
         self._context.record.weight_order(order, result)
 
     async def _look(self, instance: Instance) -> None:
@@ -181,10 +183,10 @@
         if report is None or report.busy:
             return
         for model, version in report.weight_versions.items():
-            self._notify(instance, model, version, OrderState.READY)
+            self._notify(instance, model, version, ServerState.READY)
 
-    def _notify(self, instance: Instance, model: str, version: int, state: OrderState) -> None:
-        self._peers.notify(OrderNotice(instance.name, model, version, state))
+    def _notify(self, instance: Instance, model: str, version: int, state: ServerState) -> None:
+        self._peers.notify(ServerNotice(instance.name, model, version, state))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/src/milletcourse/gateway/store_sync.py
+++ b/src/milletcourse/gateway/store_sync.py
@@ -20,7 +20,7 @@
 from milletcourse.gateway.call_client import Call, CallClient
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.kind_mirror import KindMirror
-from milletcourse.gateway.kind_watch import KindWatch
+from milletcourse.gateway.kind_watch import KindWatch, list_as_of_now
 from milletcourse.gateway.object_store import ObjectStoreClient, StoreError
 
 FEED_PATH = "/feed"
@@ -121,7 +121,9 @@
     async def _learn(self, kind: WatchedKind) -> None:
         mirror = kind.mirror
         try:
-            objects, revision, sent_at = await self._store.list_all(mirror.kind, kind.stale_lists)
+            objects, revision, sent_at = await list_as_of_now(
+                self._store, mirror.kind, kind.stale_lists
+            )
         except StoreError:
             return
         mirror.on_list(objects, revision, sent_at)
--- a/src/milletcourse/platform/orders.py
+++ b/src/milletcourse/platform/orders.py
@@ -19,6 +19,7 @@
     202: OrderReply.TAKEN,
     409: OrderReply.BUSY,
     412: OrderReply.FENCED,
+    421: OrderReply.WRONG_INSTANCE,
 }
 
 
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -23,9 +23,9 @@
 from milletcourse.exchange.peer_messages import (
     InstanceLoad,
     LoadScope,
-    OrderNotice,
-    OrderState,
     PeerMessage,
+    ServerNotice,
+    ServerState,
     decode_message,
     encode_message,
     instance_key,
@@ -239,6 +239,31 @@
     assert set(table.of_service("s")) == {"b"}
 
 
+def test_an_ended_incarnation_gets_nothing_while_its_entry_stands() -> None:
+    """Lists that still show it change nothing; an entry that was written anew brings it back."""
+    table = InstanceTable()
+    table.replace_all([engine("a"), engine("b")], 0.0)
+    assert table.end("a")
+    assert not table.end("a")
+    table.replace_all([engine("a"), engine("b")], 1.0)
+    assert set(table.of_service("s")) == {"b"}
+    assert [instance.name for instance in table] == ["b"]
+    table.upsert(engine("a", 2))
+    assert set(table.of_service("s")) == {"a", "b"}
+    assert [instance.name for instance in table] == ["a", "b"]
+
+
+def test_an_ended_incarnation_is_never_doubtful() -> None:
+    """It goes with its entry, also while the store is unstable."""
+    table = InstanceTable()
+    table.replace_all([engine("a"), engine("b")], 0.0)
+    table.end("a")
+    table.on_unstable(1.0)
+    table.replace_all([], 1.5)
+    assert table.get("a") is None
+    assert set(table.of_service("s")) == {"b"}
+
+
 def test_a_refused_version_is_assumed_once_and_then_doubted() -> None:
     """The newest version is tried; a second refusal takes the assumption back."""
     instance = Instance(engine("a", 1))
@@ -455,7 +480,7 @@
 
 def test_messages_survive_the_wire() -> None:
     """Loads, notices and the lease flag."""
-    notice = OrderNotice("e-1", MODEL, 2, OrderState.LOADING)
+    notice = ServerNotice("e-1", MODEL, 2, ServerState.LOADING)
     message = PeerMessage("a", 7, [InstanceLoad(1, 2, 3)], [notice], LoadScope.ZONE, True)
     assert decode_message(encode_message(message)) == message
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -909,6 +909,55 @@
     run_with_gateway(scenario)
 
 
+def successor_of(successor: str) -> Behaviour:
+    """A server that runs as another incarnation than its entry says."""
+
+    async def behave(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(answer(421, b"", {"Request-Id": request.request_id, "Instance-Id": successor}))
+
+    return behave
+
+
+@pytest.mark.parametrize("path", ["/safe/", "/unsafe/"])
+def test_an_ended_incarnation_gets_one_request_at_most(path: str) -> None:
+    """Another incarnation at its address shows its end, long before its entry goes.
+
+    The other server is slow, so that the ended one, which answers at once, looks better.
+    """
+
+    async def serve_slowly(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(0.15)
+        await serve_whole(server, request, writer)
+
+    async def scenario(harness: Harness) -> None:
+        restarted = await harness.add_server("app-1", "app", successor_of("app-3"))
+        await harness.add_server("app-2", "app", serve_slowly)
+        await harness.start()
+        for number in range(6):
+            got = await (await harness.client()).ask(path, f"request-{number}")
+            assert got.status == 200
+        assert len(restarted.received) == 1
+
+    run_with_gateway(scenario)
+
+
+def test_an_answer_that_names_no_other_incarnation_ends_none() -> None:
+    """A server that only misdirects a request stays in use."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", once_then_whole(successor_of("")))
+        await harness.start()
+        client = await harness.client()
+        assert (await client.ask("/safe/", "request-1")).status == 503
+        assert (await client.ask("/safe/", "request-2")).status == 200
+
+    run_with_gateway(scenario)
+
+
 # -- bad input ----------------------------------------------------------------------------------
 
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -18,9 +18,9 @@
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest, PromptPart
 from milletcourse.exchange.peer_messages import (
     InstanceLoad,
-    OrderNotice,
-    OrderState,
     PeerMessage,
+    ServerNotice,
+    ServerState,
     instance_key,
 )
 from milletcourse.exchange.records import InstanceRecord, ServiceRecord
@@ -159,7 +159,7 @@
     fleet = Fleet(12, teller)
     fleet.loss = 0.3
     fleet.run(1.0)
-    notice = OrderNotice("e-1", "model-1", 2, OrderState.LOADING)
+    notice = ServerNotice("e-1", "model-1", 2, ServerState.LOADING)
     fleet.exchanges[fleet.names[teller]].notify(notice)
     fleet.run(1.0)
     for name in fleet.names:
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -177,7 +177,8 @@
 
 
 def _is_fed(node: GatewayNode) -> bool:
-    return node.context.is_ready() and not node.context.reads_store
+    """Whether it follows a reader; one that is still reading its first lists doesn't yet."""
+    return node.context.is_ready() and bool(node.context.followed_reader)
 
 
 def _calls_for(harness: Harness, kind: str) -> int:
@@ -202,6 +203,21 @@
     run_with_gateway(scenario)
 
 
+def test_an_ended_incarnation_is_told_to_the_other_gateways() -> None:
+    """The one that met it tells, so that no other gateway has to."""
+
+    async def scenario(harness: Harness) -> None:
+        reader, follower = await _start_pair(harness)
+        await harness.add_server("app-2", "app", serve_whole)
+        for node in (reader, follower):
+            await harness.until(lambda node=node: node.context.instances.get("app-2") is not None)
+        follower.context.note_successor("app-1", "app-3")
+        known = reader.context.instances
+        await harness.until(lambda: set(known.of_service("app")) == {"app-2"})
+
+    run_with_gateway(scenario)
+
+
 def test_a_follower_whose_reader_ends_reads_the_store_itself() -> None:
     """Nothing that changes after the reader's end is missed."""
 
