Roll-outs weigh superseded answers against loads; stores of kept state get what pays; losses explained

Change: a server takes the weights now when the answers that waiting would spoil outweigh the load, by what is observed: requests it answers (tallies that gateways tell anyhow) and the rhythm of names. Orders follow a load's end at once instead of at the next tick. Without traffic the bound still decides.

Change: a part that is there isn't sent again until what came since could have displaced it, and prompts that save less than half of what is sent give way while the store's room is turned over within the time of reuse. Room from the configuration, reuse from the bounds, rates observed.

Gateways log sums every 5 s (ends by route, superseded, sent again, connections, calls), and `milletcourse explain-losses` adds them up over all logs: table, JSON, plot. Lines for requests carry their route.

--- /dev/null
+++ b/src/milletcourse/cli/explain_losses.py
@@ -0,0 +1,61 @@
+"""`milletcourse explain-losses`: where service was lost, from the gateways' own logs."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from milletcourse.reports.loss_report import LossReport, loss_report, table_lines
+
+
+def explain_losses(
+    as_json: Annotated[bool, typer.Option("--json", help="Print the report as JSON.")] = False,
+    plot: Annotated[
+        Path | None, typer.Option(help="Draw the moments into this PNG file (extra `plots`).")
+    ] = None,
+) -> None:
+    """Add up the logs of all gateways on standard input.
+
+    Lines may carry other text before the JSON object, and come in any order. The exit code is 1
+    when no gateway tells how its requests ended.
+    """
+    report = loss_report(sys.stdin)
+    if as_json:
+        typer.echo(msgspec.json.encode(report).decode())
+    else:
+        typer.echo("\n".join(table_lines(report)))
+    if plot is not None:
+        _draw(report, plot)
+    if not report.moments:
+        typer.echo("no line tells how requests ended", err=True)
+        raise typer.Exit(1)
+
+
+def _draw(report: LossReport, path: Path) -> None:
+    """A stacked bar of the losses of each moment."""
+    try:
+        import matplotlib
+    except ImportError as error:
+        typer.echo("drawing needs matplotlib: pip install 'milletcourse[plots]'", err=True)
+        raise typer.Exit(2) from error
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    starts = [moment.start for moment in report.moments]
+    names = sorted({name for moment in report.moments for name in moment.ends} - {"in-time"})
+    figure, axes = pyplot.subplots(figsize=(10, 4))
+    below = [0] * len(starts)
+    for name in names:
+        heights = [moment.ends.get(name, 0) for moment in report.moments]
+        axes.bar(starts, heights, bottom=below, width=4.0, align="edge", label=name)
+        below = [low + height for low, height in zip(below, heights, strict=True)]
+    superseded = [moment.superseded for moment in report.moments]
+    axes.step(starts, superseded, where="post", color="black", label="on superseded weights")
+    axes.set_xlabel("seconds since the first line")
+    axes.set_ylabel("requests")
+    axes.legend()
+    figure.savefig(path, bbox_inches="tight")
--- a/src/milletcourse/cli/explain_request.py
+++ b/src/milletcourse/cli/explain_request.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from collections.abc import Iterable, Iterator
 from typing import Annotated, Any
 
 import typer
 
+from milletcourse.reports.log_lines import read_documents
+
 SHARED_FIELDS = frozenset({"event", "node", "timestamp"})
 BELIEF_EVENTS = frozenset(
     {
@@ -47,7 +48,9 @@
 
 def explain_lines(lines: Iterable[str], request_id: str) -> Iterator[str]:
     """The lines of one request in order of time, each node's belief before its first line."""
-    documents = sorted(_documents(lines), key=lambda document: str(document.get("timestamp", "")))
+    documents = sorted(
+        read_documents(lines), key=lambda document: str(document.get("timestamp", ""))
+    )
     beliefs: dict[str, dict[str, dict[str, Any]]] = {}
     shown: set[str] = set()
     for document in documents:
@@ -68,19 +71,6 @@
         yield _render(document)
 
 
-def _documents(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            document = json.loads(line[start:])
-        except ValueError:
-            continue
-        if isinstance(document, dict):
-            yield document
-
-
 def _render(document: dict[str, Any]) -> str:
     fields = " ".join(
         f"{name}={value}" for name, value in document.items() if name not in SHARED_FIELDS
--- a/src/milletcourse/cli/main.py
+++ b/src/milletcourse/cli/main.py
@@ -15,6 +15,7 @@
     demo,
     experiment,
     explain,
+    explain_losses,
     explain_request,
     router,
     simulate,
@@ -39,6 +40,7 @@
 app.command("demo")(demo.run_demo)
 app.add_typer(configuration.app, name="config")
 app.command("explain")(explain.run_explain)
+app.command("explain-losses")(explain_losses.explain_losses)
 app.command("explain-request")(explain_request.explain_request)
 app.command("simulate")(simulate.run_simulate)
 app.add_typer(experiment.app, name="experiment")
--- a/src/milletcourse/exchange/records.py
+++ b/src/milletcourse/exchange/records.py
@@ -76,12 +76,14 @@
         models: Models that its servers run; empty for plain applications.
         store_address: `host:port` of the store of kept prompt state; empty for servers.
         zone: Zone of the store.
+        capacity_tokens: Tokens that the store has room for; 0 when it isn't told.
     """
 
     name: str
     models: tuple[str, ...] = ()
     store_address: str = ""
     zone: str = ""
+    capacity_tokens: int = 0
 
 
 class EdgeLimits(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/roll_out.py
+++ b/src/milletcourse/exchange/roll_out.py
@@ -1,19 +1,21 @@
-"""Moves servers onto named weight versions by fenced orders, as late as is safe; no input/output.
+"""Moves servers onto named weight versions by fenced orders; no input/output.
 
-Each load is priced and drops what a server kept, so an order is given only when waiting longer
-could miss a bound; a version named meanwhile is then taken in the same load. Orders that got no
+Each load is priced and drops what a server kept, so an order is given only when it is worth more
+than waiting for a version that may follow, or when waiting longer could miss a bound; a version
+named meanwhile is then taken in the same load. Orders that got no
 answer may be carried out late: they carry the expected number of orders taken, so that a late one
 is refused by the server once another was taken.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import msgspec
 
 from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.roll_out_timing import is_worth_loading
 from milletcourse.exchange.version_gate import VersionGate
 
 SAFETY_SECONDS = 1.6
@@ -126,11 +128,16 @@
     sequence: int = 0
 
 
+RequestRate = Callable[[Instance], float]
+"""Requests that all gateways together send to a server in a second."""
+
+
 class RollOut:
     """Plans the orders of the lease holder."""
 
-    def __init__(self, gate: VersionGate) -> None:
+    def __init__(self, gate: VersionGate, request_rate: RequestRate) -> None:
         self._gate = gate
+        self._request_rate = request_rate
         self._loads: dict[str, _Load] = {}
         self._not_before: dict[str, float] = {}
         self.load_seconds = INITIAL_LOAD_SECONDS
@@ -151,8 +158,11 @@
         parallel = max(MIN_PARALLEL, len(served) // PARALLEL_SHARE)
         room = parallel - len(self._loads)
         waiting = self._waiting(served, now)
-        while room > 0 and waiting and self._is_due(waiting, parallel, now):
-            _, instance, model = waiting.pop(0)
+        while room > 0 and waiting:
+            chosen = 0 if self._is_due(waiting, parallel, now) else self._first_worth(waiting, now)
+            if chosen is None:
+                break
+            _, instance, model = waiting.pop(chosen)
             version = self._gate.newest(model)
             assert version is not None
             self._loads[instance.name] = _Load(model, version, now, now)
@@ -192,6 +202,19 @@
                 return True
         return False
 
+    def _first_worth(self, waiting: list[tuple[float, Instance, str]], now: float) -> int | None:
+        """Index of the first server that had better not wait for a version that may follow."""
+        for index, (_, instance, model) in enumerate(waiting):
+            superseded_at = self._gate.superseded_at(model, instance.version(model) or 0)
+            if superseded_at is not None and is_worth_loading(
+                self._request_rate(instance),
+                self._gate.seconds_to_next(model, now),
+                now - superseded_at,
+                self.load_seconds,
+            ):
+                return index
+        return None
+
     def _pending_model(self, instance: Instance) -> str | None:
         for model in instance.record.weight_versions:
             newest = self._gate.newest(model)
--- a/src/milletcourse/exchange/store_reading.py
+++ b/src/milletcourse/exchange/store_reading.py
@@ -18,6 +18,8 @@
 MAX_SET_ASIDE_SECONDS = 32.0
 STARTING_SECONDS = 0.15
 """A reader that answers, but can't vouch for what it knows, is asked again after this time."""
+MAX_STARTING_SECONDS = 0.6
+"""And at least this often: questions to readers are cheap, and calls to the store are not."""
 
 
 class GatewayRecord(msgspec.Struct, frozen=True):
@@ -109,8 +111,12 @@
             answered: It said that it can't vouch for what it knows; else it was silent or gone.
         """
         failures = self._failures.setdefault(reader, _Failures())
-        pause = STARTING_SECONDS if answered else SET_ASIDE_SECONDS
-        pause = min(pause * 2**failures.in_a_row, MAX_SET_ASIDE_SECONDS)
+        first, most = (
+            (STARTING_SECONDS, MAX_STARTING_SECONDS)
+            if answered
+            else (SET_ASIDE_SECONDS, MAX_SET_ASIDE_SECONDS)
+        )
+        pause = min(first * 2**failures.in_a_row, most)
         failures.in_a_row += 1
         failures.until = now + pause
 
--- a/src/milletcourse/exchange/version_gate.py
+++ b/src/milletcourse/exchange/version_gate.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from milletcourse.exchange.records import ModelTarget
+from milletcourse.exchange.roll_out_timing import GRACE_SECONDS, NamingRhythm
 
 USE_MARGIN_SECONDS = 1.0
 """An older version gets no new work this long before its bound."""
@@ -30,6 +31,7 @@
     def __init__(self, bound_seconds: float) -> None:
         self.bound_seconds = bound_seconds
         self._named: dict[str, list[_Named]] = {}
+        self._rhythms: dict[str, NamingRhythm] = {}
 
     def on_target(self, target: ModelTarget, now: float, just_started: bool = False) -> bool:
         """A version was named; True when it is newer than all before it."""
@@ -40,6 +42,8 @@
         if just_started:
             at = now - self.bound_seconds + USE_MARGIN_SECONDS + UNKNOWN_AGE_USE_SECONDS
         named.append(_Named(target.version, at))
+        if not just_started:
+            self._rhythms.setdefault(target.model, NamingRhythm()).on_named(now)
         return True
 
     def newest(self, model: str) -> int | None:
@@ -54,6 +58,21 @@
                 return named.named_at + self.bound_seconds
         return None
 
+    def superseded_at(self, model: str, version: int) -> float | None:
+        """When a version newer than this one was named first, None while it is the newest."""
+        bound = self.bound_of(model, version)
+        return None if bound is None else bound - self.bound_seconds
+
+    def is_superseded(self, model: str, version: int, now: float) -> bool:
+        """Whether a version was superseded for longer than the grace time."""
+        superseded_at = self.superseded_at(model, version)
+        return superseded_at is not None and now - superseded_at > GRACE_SECONDS
+
+    def seconds_to_next(self, model: str, now: float) -> float:
+        """Expected time until a model's next version is named."""
+        rhythm = self._rhythms.get(model)
+        return 0.0 if rhythm is None else rhythm.seconds_to_next(now, self.bound_seconds)
+
     def permits(self, model: str, version: int, now: float) -> bool:
         """Whether new work may go to a server that has this version."""
         bound = self.bound_of(model, version)
--- a/src/milletcourse/gateway/answer_relay.py
+++ b/src/milletcourse/gateway/answer_relay.py
@@ -47,7 +47,6 @@
 
     def pass_failure(self, failure: ServerFailure) -> None:
         """Pass on a server's own failure, unchanged."""
-        self._recorder.passed_failure()
         head = failure.head
         self._client.send_whole(head.status, head.reason, head.fields, failure.body)
 
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -15,6 +15,7 @@
     gap_seconds,
     patience_left,
 )
+from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
 from milletcourse.exchange.records import RouteRecord, ServiceRecord, TenantRecord
 from milletcourse.exchange.reuse_scope import cache_salt, server_rank
 from milletcourse.exchange.route_table import RouteTable
@@ -77,6 +78,8 @@
         self._sent_at = float("inf")
         self._heard_at = float("inf")
         self._answer_begun = False
+        self._sent_chain: PromptChain | None = None
+        self._sent_to = ""
 
     @property
     def is_at_server(self) -> bool:
@@ -171,6 +174,10 @@
         dispatch.priority = server_rank(job.route, job.tenant)
         self._weight_version = self._instance.version(job.request.model)
         if self._weight_version is not None:
+            if self._context.gate.is_superseded(
+                job.request.model, self._weight_version, self._context.now()
+            ):
+                self._context.record.tally.on_superseded(job.route.name)
             dispatch.weight_version = self._weight_version
             dispatch.cache_salt = cache_salt(job.scope, self._weight_version)
             self._add_cache_store(dispatch)
@@ -185,7 +192,20 @@
         if store is None or store.store_address == self._context.unreachable_store:
             return
         dispatch.cache_source = store.store_address
-        dispatch.cache_target = store.store_address
+        context = self._context
+        chain = prompt_chain(job.request, dispatch.cache_salt)
+        reuse_seconds = context.settings.bounds.reuse
+        if context.cache_stores.should_send(
+            store, chain, context.members, reuse_seconds, context.now()
+        ):
+            dispatch.cache_target = store.store_address
+            self._sent_chain = chain
+            self._sent_to = store.store_address
+
+    def _note_sent_chain(self) -> None:
+        """The server has read the whole prompt, and sends it to the store that it was told."""
+        if self._sent_chain is not None:
+            self._context.cache_stores.on_sent(self._sent_to, self._sent_chain)
 
     def _seconds_left(self) -> float:
         return self._job.end_at - self._context.now()
@@ -264,6 +284,7 @@
             if event.complete:
                 self._relay.pass_events(head, splitter.take_rest(), splitter.last_event_id)
                 self._relay.end_stream()
+                self._note_sent_chain()
                 self._context.pool.release(connection)
                 return AttemptResult.ANSWERED
 
--- a/src/milletcourse/gateway/cache_store_probe.py
+++ b/src/milletcourse/gateway/cache_store_probe.py
@@ -52,6 +52,8 @@
             self._position = self._dialect.read_position(reply)
         was_reachable = self._context.unreachable_store != address
         self._context.unreachable_store = "" if reply is not None else address
+        if reply is None:
+            self._context.cache_stores.on_lost(address)
         if was_reachable != (reply is not None):
             event = "cache-store-reached" if reply is not None else "cache-store-lost"
             self._context.log.emit(event, address=address)
--- a/src/milletcourse/gateway/connection_pool.py
+++ b/src/milletcourse/gateway/connection_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from milletcourse.exchange.dialect import HeaderDialect
 from milletcourse.gateway.server_connection import ServerConnection, open_connection
@@ -15,8 +16,9 @@
 class ConnectionPool:
     """Keeps connections that may carry another request."""
 
-    def __init__(self, dialect: HeaderDialect) -> None:
+    def __init__(self, dialect: HeaderDialect, on_opened: Callable[[str], None]) -> None:
         self._dialect = dialect
+        self._on_opened = on_opened
         self._idle: dict[str, deque[ServerConnection]] = {}
 
     async def acquire(self, address: str, timeout_seconds: float) -> ServerConnection | None:
@@ -28,7 +30,10 @@
             if connection.is_reusable(now):
                 return connection
             connection.abort()
-        return await open_connection(address, self._dialect, timeout_seconds)
+        opened = await open_connection(address, self._dialect, timeout_seconds)
+        if opened is not None:
+            self._on_opened(address)
+        return opened
 
     def release(self, connection: ServerConnection) -> None:
         """Give back a connection after a whole answer; closes it when it can't be reused."""
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Any
 
 from milletcourse.admission.retry_budget import RetryBudget, shared_retry_budget
+from milletcourse.exchange.cache_store_plan import CacheStorePlan
 from milletcourse.exchange.dialect import HeaderDialect
 from milletcourse.exchange.freshness import ProofOfFreshness, ReadingTimes, reading_times
 from milletcourse.exchange.instance_selector import InstanceSelector
@@ -17,6 +19,7 @@
 from milletcourse.exchange.peer_messages import InstanceLoad
 from milletcourse.exchange.records import EdgeLimits, TenantRecord
 from milletcourse.exchange.route_table import RouteTable
+from milletcourse.exchange.server_health import TALLY_HALF_LIFE_SECONDS
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
 from milletcourse.gateway.connection_pool import ConnectionPool
@@ -30,9 +33,11 @@
 BUDGET_SHARE = 0.8
 """Share of the allowed retries that the gateways use; the rest covers uneven windows."""
 UNKNOWN_GATEWAYS = 10
-"""Divides the slack of the retry budget until the list of gateways is known."""
+"""Divides what all gateways share until the list of them is known."""
 MAX_SHOWN_AGE_SECONDS = 999.0
 """Shown for a proof that there never was."""
+ANSWERS_TO_RATE = math.log(2.0) / TALLY_HALF_LIFE_SECONDS
+"""A steady rate keeps a count that halves in a half-life at the rate divided by this."""
 RETRY_AFTER_SECONDS = 0.2
 RETRY_AFTER_SPREAD_SECONDS = 0.4
 """Returns are spread, so that refused clients don't come back together."""
@@ -77,11 +82,12 @@
         self.gate = VersionGate(bounds.version)
         self.loads = LoadExchange(settings.name)
         self.unreachable_store = ""
+        self.cache_stores = CacheStorePlan()
         self.selector = InstanceSelector(
             self.instances, self.gate, self.loads, settings.zone, random_source
         )
         self.weights = WeightedChoice(random_source)
-        self.pool = ConnectionPool(dialect)
+        self.pool = ConnectionPool(dialect, self._on_opened)
         self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
         self._suspected: set[str] = set()
@@ -131,6 +137,11 @@
             self.gateways = count
             self._budgets.clear()
 
+    @property
+    def members(self) -> int:
+        """Gateways that share what is bounded for all of them together."""
+        return self.gateways or UNKNOWN_GATEWAYS
+
     def limits(self) -> EdgeLimits:
         """Bounds on what clients send; defaults before the first configuration."""
         return self.table.limits if self.table is not None else EdgeLimits()
@@ -155,7 +166,7 @@
                 ratio=bounds.retry_ratio * BUDGET_SHARE,
                 slack=bounds.retry_slack * BUDGET_SHARE,
                 window_seconds=bounds.budget_window,
-                members=self.gateways or UNKNOWN_GATEWAYS,
+                members=self.members,
             )
         return budget
 
@@ -202,6 +213,16 @@
             self.record.suspicion(name, name in suspected)
         self._suspected = suspected
 
+    def _on_opened(self, address: str) -> None:
+        if address != self.settings.store:
+            self.record.tally.on_connection()
+
+    def request_rate(self, instance: Instance) -> float:
+        """Requests that a server answers in a second, to all gateways together."""
+        now = self.now()
+        answers = instance.health.tally(now).good + self.loads.others_load(instance.key, now).good
+        return answers * ANSWERS_TO_RATE
+
     def answers_others(self, instance: Instance) -> bool:
         """Whether a server lately answered requests of this gateway or of others."""
         now = self.now()
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -93,13 +93,13 @@
         while True:
             result = await self._try(instance)
             if self._end_cause is EndCause.CLIENT_GONE:
-                record.client_left(request, instance.name, self._relay.begun)
+                record.client_left(request, self._job.route, instance.name, self._relay.begun)
                 self._client.cut()
                 return
             self._plan.on_result(result)
             following = self._next_instance(result)
             step = NextStep.SEND_AGAIN if following else self._plan.final_step(result)
-            record.attempt(request, instance.name, result, step)
+            record.attempt(request, self._job.route, instance.name, result, step)
             if following is None:
                 self._finish(step, instance)
                 return
@@ -170,15 +170,17 @@
             relay = self._relay
             record.served(
                 self._job.request,
+                self._job.route,
                 instance.name,
                 self._plan.sends,
                 relay.first_seconds,
                 relay.longest_gap_seconds,
             )
         elif self._relay.begun:
-            record.cut(self._job.request, instance.name)
+            record.cut(self._job.request, self._job.route, instance.name)
             self._client.cut()
         elif step is NextStep.PASS_FAILURE and self._relay.failure is not None:
+            record.passed_failure(self._job.route)
             self._relay.pass_failure(self._relay.failure)
         else:
             self._refuse(self._own_failure(step))
--- a/src/milletcourse/gateway/kind_watch.py
+++ b/src/milletcourse/gateway/kind_watch.py
@@ -17,10 +17,19 @@
 FIRST_PAUSE_SECONDS = 0.05
 MAX_PAUSE_SECONDS = 0.4
 """After a failed call: short, since a bound on time runs from the store's acknowledgement."""
+SPREAD_SECONDS = 0.1
+"""Watches that waited for their leader go on within this time, not all at once."""
 
 
 class KindWatch:
-    """One watched kind; goes on from what its mirror knows."""
+    """One watched kind; goes on from what its mirror knows.
+
+    Calls to a store that is away cost as much as others. So while the leading watch fails, it alone
+    finds out when the store is back, and those that follow it wait.
+
+    Attributes:
+        reached: Set while the latest call succeeded.
+    """
 
     def __init__(
         self,
@@ -29,7 +38,10 @@
         wait_seconds: float,
         random_source: random.Random,
         stale_lists: bool = False,
+        leader: KindWatch | None = None,
     ) -> None:
+        self.reached = asyncio.Event()
+        self._leader = leader
         self._store = store
         self._mirror = mirror
         self._wait_seconds = wait_seconds
@@ -45,6 +57,7 @@
             try:
                 await self._step()
                 self._failures = 0
+                self.reached.set()
             except StoreError as error:
                 self._revision = None
                 self._history_gone = error.problem is StoreProblem.HISTORY_GONE
@@ -70,7 +83,12 @@
         self._revision = revision
 
     async def _pause(self) -> None:
+        self.reached.clear()
         self._mirror.on_unavailable()
+        if self._leader is not None and not self._leader.reached.is_set():
+            await self._leader.reached.wait()
+            await asyncio.sleep(SPREAD_SECONDS * self._random.random())
+            return
         pause = min(FIRST_PAUSE_SECONDS * 2**self._failures, MAX_PAUSE_SECONDS)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(pause * (0.5 + self._random.random()))
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -9,6 +9,7 @@
 
 from milletcourse.errors import Draining, NotFound
 from milletcourse.exchange.messages import HeaderField
+from milletcourse.exchange.service_tally import TALLY_SECONDS
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.cache_store_probe import CacheStoreProbe
 from milletcourse.gateway.call_client import CallClient
@@ -59,7 +60,13 @@
         self.readiness_address = settings.readiness
         self.frontend_address = settings.frontend
         self._calls = CallClient(self.context.pool)
-        self._store = ObjectStoreClient(settings.store, adapter.store, self._calls, random_source)
+        self._store = ObjectStoreClient(
+            settings.store,
+            adapter.store,
+            self._calls,
+            random_source,
+            self.context.record.tally.on_store_call,
+        )
         self._fleet = FleetMember(
             self.context, self._store, self._calls, adapter, self._listen, self._spawn
         )
@@ -86,6 +93,7 @@
         probe = CacheStoreProbe(self.context, self._calls, self._adapter.cache_store)
         self._spawn(probe.run())
         self._spawn(self._sweep())
+        self._spawn(self._tally())
 
     async def _listen(self, address: str, handler: Handler) -> str:
         """Listen at an address; port 0 takes a free one. Returns the address taken."""
@@ -144,6 +152,12 @@
             self.context.gate.forget_before(now)
             self.context.note_suspicions()
 
+    async def _tally(self) -> None:
+        """Sums for the log, at a bounded rate."""
+        while True:
+            await asyncio.sleep(TALLY_SECONDS)
+            self.context.record.tallied()
+
     # -- planned stop ---------------------------------------------------------------------------
 
     async def stop(self) -> None:
@@ -164,6 +178,7 @@
                 if client.is_idle:
                     client.close()
             await asyncio.sleep(0.05)
+        context.record.tallied()
         context.log.emit("stopped", unfinished=len(self._clients))
         self.close()
 
--- a/src/milletcourse/gateway/object_store.py
+++ b/src/milletcourse/gateway/object_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -17,6 +18,8 @@
 PAGE_ATTEMPTS = 4
 FIRST_PAGE_PAUSE_SECONDS = 0.05
 """Before a refused page is asked for again; doubled each time, with jitter."""
+SERVER_ERROR_STATUS = 500
+"""From this status on a reply says that the store did nothing."""
 WATCH_MARGIN_SECONDS = 0.6
 """A watch that answers this much later than asked for is taken as hung."""
 
@@ -111,16 +114,26 @@
         """Understand one object."""
 
 
+OnCall = Callable[[str, bool], None]
+"""Told of each call: the kind of its objects, and whether the store did it."""
+
+
 class ObjectStoreClient:
     """Calls one store."""
 
     def __init__(
-        self, address: str, dialect: StoreDialect, calls: CallClient, random_source: random.Random
+        self,
+        address: str,
+        dialect: StoreDialect,
+        calls: CallClient,
+        random_source: random.Random,
+        on_call: OnCall,
     ) -> None:
         self._address = address
         self._random = random_source
         self._dialect = dialect
         self._calls = calls
+        self._on_call = on_call
 
     async def list_all(
         self, kind: str, stale: bool = False
@@ -148,12 +161,12 @@
         pause = FIRST_PAGE_PAUSE_SECONDS
         for _ in range(PAGE_ATTEMPTS - 1):
             try:
-                reply = await self._send(self._dialect.list_call(kind, after, stale))
+                reply = await self._send(kind, self._dialect.list_call(kind, after, stale))
                 return self._dialect.read_page(reply), reply.sent_at
             except StoreError:
                 await asyncio.sleep(pause * (0.5 + self._random.random()))
                 pause *= 2
-        reply = await self._send(self._dialect.list_call(kind, after, stale))
+        reply = await self._send(kind, self._dialect.list_call(kind, after, stale))
         return self._dialect.read_page(reply), reply.sent_at
 
     async def watch(
@@ -161,28 +174,31 @@
     ) -> tuple[ObjectChanges, float]:
         """Changes after a revision, and the time at which the call was sent."""
         call = self._dialect.watch_call(kind, revision, wait_seconds)
-        reply = await self._send(call, wait_seconds + WATCH_MARGIN_SECONDS)
+        reply = await self._send(kind, call, wait_seconds + WATCH_MARGIN_SECONDS)
         return self._dialect.read_changes(reply), reply.sent_at
 
     async def get(self, kind: str, name: str) -> tuple[StoredObject, float]:
         """One object, and the time at which the call was sent."""
-        reply = await self._send(self._dialect.get_call(kind, name))
+        reply = await self._send(kind, self._dialect.get_call(kind, name))
         return self._dialect.read_object(reply), reply.sent_at
 
     async def create(self, kind: str, name: str, spec: bytes) -> tuple[StoredObject, float]:
         """Make an object; raises a conflict when it is there."""
-        reply = await self._send(self._dialect.create_call(kind, name, spec))
+        reply = await self._send(kind, self._dialect.create_call(kind, name, spec))
         return self._dialect.read_object(reply), reply.sent_at
 
     async def replace(
         self, kind: str, name: str, spec: bytes, revision: int
     ) -> tuple[StoredObject, float]:
         """Replace an object; raises a conflict when its revision differs."""
-        reply = await self._send(self._dialect.replace_call(kind, name, spec, revision))
+        reply = await self._send(kind, self._dialect.replace_call(kind, name, spec, revision))
         return self._dialect.read_object(reply), reply.sent_at
 
-    async def _send(self, call: Call, timeout_seconds: float = CALL_TIMEOUT_SECONDS) -> Reply:
+    async def _send(
+        self, kind: str, call: Call, timeout_seconds: float = CALL_TIMEOUT_SECONDS
+    ) -> Reply:
         reply = await self._calls.call(self._address, call, timeout_seconds)
+        self._on_call(kind, reply is not None and reply.status < SERVER_ERROR_STATUS)
         if reply is None:
             raise StoreError(StoreProblem.UNAVAILABLE)
         return reply
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from milletcourse.errors import Failure
+import msgspec
+
+from milletcourse.errors import Failure, RunState
 from milletcourse.exchange.attempt_plan import NextStep
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.records import RouteRecord
 from milletcourse.exchange.roll_out import OrderReply, WeightOrder
+from milletcourse.exchange.service_tally import Outcome, ServiceTally, served_outcome
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.figures import Figures
 
@@ -28,6 +31,7 @@
         self._belief = belief
         self.now = now
         self._reachable: dict[str, bool] = {}
+        self.tally = ServiceTally()
 
     # -- requests -------------------------------------------------------------------------------
 
@@ -45,6 +49,8 @@
 
     def failure(self, failure: Failure, request: ExchangeRequest, route: RouteRecord) -> None:
         """A routed request ended with this gateway's own failure."""
+        has_not_run = failure.run_state is RunState.NOT_RUN
+        self.tally.on_end(route.name, Outcome.REFUSED if has_not_run else Outcome.FAILED)
         self._figures.on_end(failure.code)
         self._log.emit(
             "request-failed",
@@ -56,14 +62,22 @@
         )
 
     def attempt(
-        self, request: ExchangeRequest, instance: str, result: AttemptResult, step: NextStep
+        self,
+        request: ExchangeRequest,
+        route: RouteRecord,
+        instance: str,
+        result: AttemptResult,
+        step: NextStep,
     ) -> None:
         """An attempt ended; only those without an answer get a line."""
         self._figures.on_attempt(result)
+        if step is NextStep.SEND_AGAIN:
+            self.tally.on_sent_again(route.name)
         if result is AttemptResult.ANSWERED:
             return
         self._log.emit(
             "attempt-failed",
+            route=route.name,
             instance=instance,
             result=result.value,
             step=step.value,
@@ -75,12 +89,20 @@
         self._figures.on_first_answer(seconds)
 
     def served(
-        self, request: ExchangeRequest, instance: str, sends: int, first: float, gap: float
+        self,
+        request: ExchangeRequest,
+        route: RouteRecord,
+        instance: str,
+        sends: int,
+        first: float,
+        gap: float,
     ) -> None:
         """A whole answer was passed on; with its first byte and its longest pause in seconds."""
+        self.tally.on_end(route.name, served_outcome(route, first, gap))
         self._figures.on_end("served")
         self._log.emit(
             "request-served",
+            route=route.name,
             instance=instance,
             sends=sends,
             first=round(first, 3),
@@ -88,22 +110,37 @@
             **self._about(request),
         )
 
-    def passed_failure(self) -> None:
+    def passed_failure(self, route: RouteRecord) -> None:
         """A server's own failure was passed on; its attempt has a line."""
+        self.tally.on_end(route.name, Outcome.SERVER_FAILURE)
         self._figures.on_end("passed-failure")
 
-    def cut(self, request: ExchangeRequest, instance: str) -> None:
+    def cut(self, request: ExchangeRequest, route: RouteRecord, instance: str) -> None:
         """A stream that a client had begun to read could not be completed."""
+        self.tally.on_end(route.name, Outcome.CUT)
         self._figures.on_end("cut")
-        self._log.emit("stream-cut", instance=instance, **self._about(request))
+        self._log.emit("stream-cut", route=route.name, instance=instance, **self._about(request))
 
-    def client_left(self, request: ExchangeRequest, instance: str, stream_begun: bool) -> None:
+    def client_left(
+        self, request: ExchangeRequest, route: RouteRecord, instance: str, stream_begun: bool
+    ) -> None:
         """A client closed its connection before the answer was whole."""
+        self.tally.on_end(route.name, Outcome.CLIENT_LEFT)
         self._figures.on_end("client-left")
         self._log.emit(
-            "client-left", instance=instance, stream_begun=stream_begun, **self._about(request)
+            "client-left",
+            route=route.name,
+            instance=instance,
+            stream_begun=stream_begun,
+            **self._about(request),
         )
 
+    def tallied(self) -> None:
+        """Write what was counted since the last time, if it is anything."""
+        report = self.tally.take()
+        if report is not None:
+            self._log.emit("service-tally", **msgspec.to_builtins(report))
+
     # -- servers and the store ------------------------------------------------------------------
 
     def ejection(self, instance: str, result: AttemptResult) -> None:
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/roll_out_service.py
@@ -70,7 +70,7 @@
         margin = min(MAX_MARGIN_SECONDS, duration / 3)
         self._lease = LeaseTracker(context.settings.name, duration, margin)
         self._renew_seconds = min(MAX_RENEW_SECONDS, (duration - margin) / 2)
-        self._plan = RollOut(context.gate)
+        self._plan = RollOut(context.gate, context.request_rate)
         self._next_lease_call = 0.0
         self._was_holder = False
         self._running: set[asyncio.Task[None]] = set()
@@ -180,6 +180,9 @@
         )
         report = self._orders.read_report(reply) if reply is not None else None
         self._plan.on_report(instance, report, self._context.now())
+        if self._lease.is_held(self._context.now()):
+            # The next order need not wait for the next tick.
+            self._give_orders()
         if report is None or report.busy:
             return
         for model, version in report.weight_versions.items():
--- a/src/milletcourse/gateway/settings.py
+++ b/src/milletcourse/gateway/settings.py
@@ -18,6 +18,7 @@
         retry_ratio: Sends past the first of a request, as a share of requests, over all gateways.
         retry_slack: Sends past the first that are allowed beside the share, over all gateways.
         budget_window: Window in which both are counted.
+        reuse: A part of a prompt is expected to be asked for again within this time, if at all.
     """
 
     revoke: float = 5.0
@@ -29,6 +30,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     budget_window: float = 10.0
+    reuse: float = 10.0
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
--- a/src/milletcourse/gateway/store_sync.py
+++ b/src/milletcourse/gateway/store_sync.py
@@ -187,10 +187,12 @@
             return
         self._context.reads_store = True
         random_source = self._context.random
+        leader: KindWatch | None = None
         for kind in self._kinds:
             watch = KindWatch(
-                self._store, kind.mirror, kind.wait_seconds, random_source, kind.stale_lists
+                self._store, kind.mirror, kind.wait_seconds, random_source, kind.stale_lists, leader
             )
+            leader = leader or watch
             self._watches.append(self._spawn(watch.run()))
         self._context.log.emit("store-read-here")
 
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -52,6 +52,7 @@
     "RetryBudgetRatio": "retry_ratio",
     "RetrySlack": "retry_slack",
     "BudgetWindowS": "budget_window",
+    "RetryAfterS": "reuse",
 }
 """The platform's bounds that a gateway keeps, with the product's names."""
 
@@ -139,6 +140,7 @@
     engine: _Engine | None = None
     kv_store_addr: str = ""
     zone: str = ""
+    kv_capacity: int = 0
 
 
 class _Limits(_Document, frozen=True):
@@ -209,6 +211,7 @@
         models=tuple(model.name for model in engine.models),
         store_address=service.kv_store_addr,
         zone=service.zone,
+        capacity_tokens=service.kv_capacity,
     )
 
 
--- /dev/null
+++ b/src/milletcourse/reports/loss_report.py
@@ -0,0 +1,235 @@
+"""Where service was lost: sums over all gateways' logs, by route, moment, server and decision."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from datetime import datetime
+from typing import Any
+
+import msgspec
+
+from milletcourse.exchange.service_tally import TALLY_SECONDS, Outcome, TallyReport
+from milletcourse.reports.log_lines import SkippedLines, read_documents
+
+TALLY_EVENT = "service-tally"
+DECISION_FIELDS = {
+    "attempt-failed": ("instance", "result", "step"),
+    "instance-ejected": ("instance", "result"),
+    "instance-ended": ("instance",),
+    "instance-suspected": ("instance",),
+    "weight-order": ("instance", "reply"),
+    "request-failed": ("code",),
+    "request-refused": ("code",),
+    "reader-lost": ("reader", "outcome"),
+    "store-lost": ("kind",),
+}
+"""Lines of decisions, and the fields by which they are counted."""
+MAX_SHOWN = 12
+"""Most frequent decisions of a kind that a report names."""
+
+
+class RouteLosses(msgspec.Struct):
+    """How the requests of one route ended, and what was done for them.
+
+    Attributes:
+        ends: Outcome -> requests.
+        superseded: Sent to servers with superseded weights.
+        sent_again: Attempts after the first.
+    """
+
+    ends: dict[str, int] = {}
+    superseded: int = 0
+    sent_again: int = 0
+
+
+class Moment(msgspec.Struct):
+    """One stretch of time over all gateways.
+
+    Attributes:
+        start: Seconds since the first line.
+        ends: Outcome -> requests.
+        superseded: Requests sent to servers with superseded weights.
+        store_calls: Calls to the object store.
+    """
+
+    start: float
+    ends: dict[str, int]
+    superseded: int = 0
+    store_calls: int = 0
+
+
+class Decision(msgspec.Struct):
+    """Decisions of one kind about one thing.
+
+    Attributes:
+        event: Name of the log line.
+        about: Values of the fields that it is counted by.
+        count: How often, lines that were left out of the log not counted.
+        left_out: Lines of this kind that the log says it left out, all things together.
+    """
+
+    event: str
+    about: list[str]
+    count: int
+    left_out: int
+
+
+class LossReport(msgspec.Struct):
+    """All of it.
+
+    Attributes:
+        gateways: Names of the machines whose lines were read.
+        routes: By name.
+        moments: In order.
+        decisions: Most frequent first.
+        connections: New connections to servers.
+        store_calls: Kind of objects -> calls.
+        store_failures: Kind of objects -> calls that gave nothing.
+        skipped: Lines that could not be used.
+    """
+
+    gateways: list[str]
+    routes: dict[str, RouteLosses]
+    moments: list[Moment]
+    decisions: list[Decision]
+    connections: int
+    store_calls: dict[str, int]
+    store_failures: dict[str, int]
+    skipped: SkippedLines
+
+
+class _Sums:
+    """What is added up while lines are read."""
+
+    def __init__(self) -> None:
+        self.gateways: set[str] = set()
+        self.ends: dict[str, Counter[str]] = {}
+        self.superseded: Counter[str] = Counter()
+        self.sent_again: Counter[str] = Counter()
+        self.moments: dict[int, tuple[Counter[str], Counter[str]]] = {}
+        self.decisions: Counter[tuple[str, ...]] = Counter()
+        self.left_out: Counter[str] = Counter()
+        self.connections = 0
+        self.calls: Counter[str] = Counter()
+        self.failures: Counter[str] = Counter()
+
+    def add_tally(self, tally: TallyReport, stretch: int) -> None:
+        """Add one gateway's sums of a stretch of time."""
+        ends, extras = self.moments.setdefault(stretch, (Counter(), Counter()))
+        for route, outcomes in tally.ends.items():
+            self.ends.setdefault(route, Counter()).update(outcomes)
+            ends.update(outcomes)
+        self.superseded.update(tally.superseded)
+        self.sent_again.update(tally.sent_again)
+        self.connections += tally.connections
+        self.calls.update(tally.store_calls)
+        self.failures.update(tally.store_failures)
+        extras["superseded"] += sum(tally.superseded.values())
+        extras["calls"] += sum(tally.store_calls.values())
+
+
+def loss_report(lines: Iterable[str]) -> LossReport:
+    """Add up the logs of any number of gateways, in any order."""
+    skipped = SkippedLines()
+    sums = _Sums()
+    documents = list(read_documents(lines, skipped))
+    first = min((at for at in map(_time, documents) if at is not None), default=0.0)
+    for document in documents:
+        event = str(document["event"])
+        sums.gateways.add(str(document.get("node", "")))
+        sums.left_out[event] += _whole(document.get("left_out"))
+        if event == TALLY_EVENT:
+            _add_tally(sums, document, first, skipped)
+        elif event in DECISION_FIELDS:
+            about = (str(document.get(name, "")) for name in DECISION_FIELDS[event])
+            sums.decisions[(event, *about)] += 1
+    return _report(sums, skipped)
+
+
+def _add_tally(sums: _Sums, document: dict[str, Any], first: float, skipped: SkippedLines) -> None:
+    at = _time(document)
+    try:
+        tally = msgspec.convert(document, TallyReport)
+    except msgspec.ValidationError:
+        tally = None
+    if at is None or tally is None:
+        skipped.unknown += 1
+        return
+    # A tally tells of the time before it.
+    sums.add_tally(tally, max(int((at - first) / TALLY_SECONDS) - 1, 0))
+
+
+def _report(sums: _Sums, skipped: SkippedLines) -> LossReport:
+    routes = {
+        name: RouteLosses(
+            dict(sums.ends.get(name, {})), sums.superseded[name], sums.sent_again[name]
+        )
+        for name in sorted({*sums.ends, *sums.superseded})
+    }
+    moments = [
+        Moment(stretch * TALLY_SECONDS, dict(ends), extras["superseded"], extras["calls"])
+        for stretch, (ends, extras) in sorted(sums.moments.items())
+    ]
+    decisions = [
+        Decision(event, about, count, sums.left_out[event])
+        for (event, *about), count in sums.decisions.most_common()
+    ]
+    return LossReport(
+        sorted(sums.gateways),
+        routes,
+        moments,
+        decisions,
+        sums.connections,
+        dict(sums.calls),
+        dict(sums.failures),
+        skipped,
+    )
+
+
+def _time(document: dict[str, Any]) -> float | None:
+    """Seconds since the epoch at which a line was written, None when it isn't told."""
+    try:
+        return datetime.fromisoformat(str(document.get("timestamp"))).timestamp()
+    except ValueError:
+        return None
+
+
+def _whole(value: object) -> int:
+    return value if isinstance(value, int) else 0
+
+
+def table_lines(report: LossReport) -> list[str]:
+    """The report as text for people."""
+    columns = [outcome.value for outcome in Outcome]
+    head = f"{'':28}" + "".join(f"{name:>15}" for name in [*columns, "superseded"])
+    lines = [f"{len(report.gateways)} gateways", "", "by route", head]
+    lines += [_row(name, route.ends, route.superseded) for name, route in report.routes.items()]
+    lines += ["", f"by moment (start of {TALLY_SECONDS:g} s)", head]
+    lines += [_row(f"{at.start:.0f}", at.ends, at.superseded) for at in report.moments]
+    lines += ["", "decisions, most frequent of each kind (left out of the log in brackets)"]
+    shown: Counter[str] = Counter()
+    for decision in report.decisions:
+        shown[decision.event] += 1
+        if shown[decision.event] <= MAX_SHOWN:
+            about = " ".join(decision.about)
+            lines.append(f"{decision.count:6} {decision.event} {about} ({decision.left_out})")
+    calls = sum(report.store_calls.values())
+    failed = sum(report.store_failures.values())
+    lines += ["", f"new connections to servers: {report.connections}"]
+    lines += [f"calls to the object store: {calls}, {failed} of them without a result"]
+    lines += [
+        f"  {kind}: {count}, {report.store_failures.get(kind, 0)} without a result"
+        for kind, count in sorted(report.store_calls.items())
+    ]
+    skipped = report.skipped
+    lines += [
+        f"lines passed over: {skipped.foreign} foreign, {skipped.broken} broken, "
+        f"{skipped.unknown} of another version"
+    ]
+    return lines
+
+
+def _row(label: str, ends: dict[str, int], superseded: int) -> str:
+    counts = [ends.get(outcome.value, 0) for outcome in Outcome]
+    return f"{label:28}" + "".join(f"{count:15}" for count in [*counts, superseded])
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -333,7 +333,8 @@
     def __init__(self, size: int, seed: int) -> None:
         self.random = random.Random(seed)
         self.gate = VersionGate(BOUND)
-        self.plan = RollOut(self.gate)
+        self.rate = 0.0
+        self.plan = RollOut(self.gate, lambda _: self.rate)
         self.instances = [Instance(engine(f"e{number:02}")) for number in range(size)]
         self.versions = {instance.name: 1 for instance in self.instances}
         self.sequences = dict.fromkeys(self.versions, 0)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -9,6 +9,7 @@
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import configuration, serve_whole
 from milletcourse.exchange.store_reading import (
+    MAX_STARTING_SECONDS,
     SET_ASIDE_SECONDS,
     GatewayRecord,
     ReadingPlan,
@@ -291,6 +292,41 @@
     run_with_gateway(scenario)
 
 
+def test_a_store_that_is_away_is_asked_for_one_kind_only() -> None:
+    """The other kinds are asked for when it is back, and nothing is missed."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        await asyncio.sleep(0.3)
+        harness.store.refuse_share = 1.0
+        harness.store.calls.clear()
+        await harness.until(lambda: _calls_for(harness, "config") >= 9)
+        for kind in ("servers", "versions"):
+            assert _calls_for(harness, kind) <= 3, "at most those that began before"
+        harness.store.refuse_share = 0.0
+        await harness.add_server("app-2", "app", serve_whole)
+        assert harness.node is not None
+        instances = harness.node.context.instances
+        await harness.until(lambda: instances.get("app-2") is not None)
+
+    run_with_gateway(scenario)
+
+
+def test_a_reader_that_can_not_vouch_is_asked_again_soon_however_often_it_refused() -> None:
+    """A silent one is left alone for longer and longer."""
+    plan = ReadingPlan("front-1", "zone-1")
+    other = "front-2"
+    plan.set_gateways([GatewayRecord(other, "zone-1", "10.0.0.1:1", "10.0.0.1:2", 9.0)])
+    for _ in range(20):
+        plan.on_failed(other, 0.0, answered=True)
+    assert plan.choose(MAX_STARTING_SECONDS - 0.01) is None
+    assert plan.choose(MAX_STARTING_SECONDS) is not None
+    for _ in range(2):
+        plan.on_failed(other, 0.0, answered=False)
+    assert plan.choose(SET_ASIDE_SECONDS) is None
+
+
 def test_bad_questions_get_a_typed_answer() -> None:
     """Bytes that are no question, kinds that nobody follows, absurd waits."""
 
