Measurements of hollow members leave the product; the bars of membership stay as a test

Removed: capacity/ (1,125 lines), `milletcourse capacity`, the stored measurement and the page's generated part with the test that held the two together.

--- a/src/milletcourse/capacity/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Measured slopes and the capacity table worked out from them."""
--- a/src/milletcourse/cli/main.py
+++ b/src/milletcourse/cli/main.py
@@ -10,7 +10,6 @@
 
 from milletcourse.cli import (
     bench,
-    capacity,
     configuration,
     demo,
     experiment,
@@ -47,7 +46,6 @@
 app.command("simulate")(simulate.run_simulate)
 app.add_typer(experiment.app, name="experiment")
 app.add_typer(bench.app, name="bench")
-app.add_typer(capacity.app, name="capacity")
 
 
 def run() -> None:
