--- a/src/milletcourse/exchange/roll_out_timing.py
+++ b/src/milletcourse/exchange/roll_out_timing.py
@@ -14,8 +14,7 @@
 """Loss, in requests, by one that is answered by superseded weights: a fifth of its worth."""
 LOAD_COST_REQUESTS = 2.0
 """What a load costs, in requests: the load itself, and shared prompts that are read again after it.
-With 2, days on which versions are named each 3 to 4 s take about half of the loads of a roll-out
-without waiting."""
+Two whole requests stand against ten that are answered by superseded weights."""
 GRACE_SECONDS = 1.5
 """An answer by weights that were superseded more recently than this is as good as any."""
 REMEMBERED_NAMES = 4
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -199,7 +199,7 @@
             self.on_instance_ended(name)
 
     def end_instance(self, name: str, successor: str) -> bool:
-        """Take an incarnation out of use for good; True when this wasn't known."""
+        """Take an incarnation out of use; True when this wasn't known."""
         if Mechanism.ENDED_INCARNATIONS not in self.mechanisms or not self.instances.end(name):
             return False
         self.record.instance_ended(name, successor)
--- a/src/milletcourse/gateway/kind_watch.py
+++ b/src/milletcourse/gateway/kind_watch.py
@@ -18,7 +18,8 @@
 MAX_PAUSE_SECONDS = 0.4
 """After a failed call: short, since a bound on time runs from the store's acknowledgement."""
 MAX_FOLLOWER_PAUSE_SECONDS = 1.5
-"""The same at a gateway that goes back to its reader as soon as that one reaches the store."""
+"""The same at a gateway that stands in for its reader: it goes back to it as soon as that one
+reaches the store, so its own calls matter less."""
 SPREAD_SECONDS = 0.1
 """Watches that waited for their leader go on within this time, not all at once."""
 
