--- a/src/milletcourse/cli/main.py
+++ b/src/milletcourse/cli/main.py
@@ -17,6 +17,7 @@
     explain,
     explain_losses,
     explain_request,
+    mechanisms,
     router,
     simulate,
     standin,
@@ -40,6 +41,7 @@
 app.command("demo")(demo.run_demo)
 app.add_typer(configuration.app, name="config")
 app.command("explain")(explain.run_explain)
+app.command("mechanisms")(mechanisms.list_mechanisms)
 app.command("explain-losses")(explain_losses.explain_losses)
 app.command("explain-request")(explain_request.explain_request)
 app.command("simulate")(simulate.run_simulate)
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -12,6 +12,7 @@
 
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
 from milletcourse.exchange.records import ServiceRecord
@@ -22,7 +23,8 @@
 from milletcourse.routing.home_ring import HomeRing
 
 PREFILL_TOKENS_PER_SECOND = 40_000.0
-"""Speed at which servers read prompts; the users' two fleets read 38,400 and 50,700."""
+"""Speed at which servers read prompts, in the order of what engines do today. Learning it from
+first events was tried three times and served no better (docs/POLICY.md, round 6)."""
 RUNNING_SECONDS = 0.004
 """Estimated delay that each running request adds to a new one."""
 STORE_READ_SHARE = 0.7
@@ -56,12 +58,14 @@
         loads: LoadExchange,
         zone: str,
         random_source: random.Random,
+        mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
     ) -> None:
         self._table = table
         self._gate = gate
         self._loads = loads
         self._zone = zone
         self._random = random_source
+        self._mechanisms = mechanisms
         self._rings: dict[str, tuple[int, HomeRing]] = {}
         self.belief = BeliefIndex()
         table.on_forgotten = self.belief.forget
@@ -110,6 +114,8 @@
 
     def is_suspected(self, instance: Instance, now: float) -> bool:
         """Whether several gateways saw a server fail lately."""
+        if Mechanism.SHARED_SUSPICION not in self._mechanisms:
+            return False
         others = self._loads.others_load(instance.key, now)
         return instance.health.is_suspected(ServerTally(others.bad, others.good), now)
 
@@ -177,7 +183,8 @@
         scope: str,
         candidates: Sequence[Instance],
     ) -> str:
-        if request.shared_tokens < MIN_SHARED_TOKENS:
+        has_homes = Mechanism.HOME_SERVERS in self._mechanisms
+        if not has_homes or request.shared_tokens < MIN_SHARED_TOKENS:
             return ""
         usable = {instance.name for instance in candidates}
         homes = self._homes(service, request, scope)
--- /dev/null
+++ b/src/milletcourse/exchange/mechanisms.py
@@ -0,0 +1,72 @@
+"""Mechanisms that can be switched off one by one, so that each can be shown to be worth its code.
+
+A gateway without one of them keeps every promise; it only serves worse, or costs more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+
+class Mechanism(Enum):
+    """A mechanism with its name on the command line, and what it does."""
+
+    ENDED_INCARNATIONS = (
+        "ended-incarnations",
+        "an answer of another incarnation at its address takes one out of use, at all gateways",
+    )
+    ROLL_OUT_WEIGHING = (
+        "roll-out-weighing",
+        "weights are taken early when that is worth more than waiting for a next version",
+    )
+    KEPT_STATE_STORE = (
+        "kept-state-store",
+        "servers take kept prompt state from a store, and send theirs to it",
+    )
+    STORE_ROOM = (
+        "store-room",
+        "servers send to the store only what it lacks and what pays",
+    )
+    HOME_SERVERS = (
+        "home-servers",
+        "prompts with shared parts have home servers that all gateways agree on",
+    )
+    SHARED_SUSPICION = (
+        "shared-suspicion",
+        "a server that several gateways saw fail gets no new work from any",
+    )
+    LEADING_WATCH = (
+        "leading-watch",
+        "only one kind is asked for while the object store is away",
+    )
+
+    def __init__(self, label: str, description: str) -> None:
+        self.label = label
+        self.description = description
+
+
+class UnknownMechanismError(ValueError):
+    """A name that is no mechanism's."""
+
+    def __init__(self, name: str) -> None:
+        known = ", ".join(mechanism.label for mechanism in Mechanism)
+        super().__init__(f"no mechanism is called {name!r}; there are {known}")
+
+
+def mechanisms_without(names: Iterable[str]) -> frozenset[Mechanism]:
+    """All mechanisms but some.
+
+    Raises:
+        UnknownMechanismError: For a name that is none.
+    """
+    known = {mechanism.label: mechanism for mechanism in Mechanism}
+    off = set()
+    for name in names:
+        if name not in known:
+            raise UnknownMechanismError(name)
+        off.add(known[name])
+    return frozenset(Mechanism) - off
+
+
+ALL_MECHANISMS = frozenset(Mechanism)
--- a/src/milletcourse/exchange/roll_out.py
+++ b/src/milletcourse/exchange/roll_out.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.load_window import LoadWindow
 from milletcourse.exchange.roll_out_timing import is_worth_loading
 from milletcourse.exchange.version_gate import VersionGate
 
@@ -32,9 +33,6 @@
 """An order without an answer is looked into after this time."""
 STUCK_SECONDS = 3.0
 """A taken order that did not end by now is given up and looked into again."""
-PARALLEL_SHARE = 6
-"""One server in six may take weights at the same time, two at least; more slow each other down."""
-MIN_PARALLEL = 2
 REFUSED_PAUSE_SECONDS = 0.4
 """A server that refused an order or did not answer is asked again after this time."""
 
@@ -140,6 +138,7 @@
         self._request_rate = request_rate
         self._loads: dict[str, _Load] = {}
         self._not_before: dict[str, float] = {}
+        self._window = LoadWindow()
         self.load_seconds = INITIAL_LOAD_SECONDS
 
     def has_work(self, instances: Iterable[Instance]) -> bool:
@@ -155,18 +154,12 @@
         for name in [name for name in self._loads if name not in names]:
             del self._loads[name]
         served = [instance for instance in known if instance.record.weight_versions]
-        parallel = max(MIN_PARALLEL, len(served) // PARALLEL_SHARE)
-        room = parallel - len(self._loads)
         waiting = self._waiting(served, now)
-        while room > 0 and waiting:
-            chosen = 0 if self._is_due(waiting, parallel, now) else self._first_worth(waiting, now)
-            if chosen is None:
-                break
+        while (chosen := self._next_load(waiting, len(served), now)) is not None:
             _, instance, model = waiting.pop(chosen)
             version = self._gate.newest(model)
             assert version is not None
             self._loads[instance.name] = _Load(model, version, now, now)
-            room -= 1
         return [
             self._order(instance, now, holder, fencing_token)
             for instance in served
@@ -191,6 +184,21 @@
         waiting.sort(key=lambda item: (item[0], item[1].name))
         return waiting
 
+    def _next_load(
+        self, waiting: list[tuple[float, Instance, str]], servers: int, now: float
+    ) -> int | None:
+        """Index of the server that takes weights next, None when none does now.
+
+        What a bound asks for keeps to the number that is sure not to slow loads down; only where
+        there is time left are more tried.
+        """
+        sure = self._window.sure(servers)
+        if len(self._loads) < sure and self._is_due(waiting, sure, now):
+            return 0
+        if len(self._loads) < self._window.size(servers):
+            return self._first_worth(waiting, now)
+        return None
+
     def _is_due(
         self, waiting: list[tuple[float, Instance, str]], parallel: int, now: float
     ) -> bool:
@@ -304,6 +312,7 @@
             return
         spent = min(now - load.began_at, MAX_LOAD_SECONDS)
         self.load_seconds += LOAD_GAIN * (spent - self.load_seconds)
+        self._window.on_load(spent)
 
     def reset(self) -> None:
         """The lease was lost: forget what was ordered."""
--- a/src/milletcourse/exchange/store_reading.py
+++ b/src/milletcourse/exchange/store_reading.py
@@ -56,6 +56,7 @@
     def __init__(self, own_name: str, zone: str, link_megabits: float = 0.0) -> None:
         self._own = GatewayRecord(own_name, zone, "", "own", link_megabits)
         self._candidates: list[GatewayRecord] = []
+        self._substitutes: list[GatewayRecord] = []
         self._failures: dict[str, _Failures] = {}
         self.is_reader = True
         self.first_readers: list[str] = []
@@ -72,11 +73,9 @@
             members.sort(key=lambda item: (-item.link_megabits, _rank(item.name), item.name))
         self.first_readers = [members[0].name for members in zones.values()]
         order = self._order(zones)
-        self._candidates = []
-        for gateway in order:
-            if gateway is own:
-                break
-            self._candidates.append(gateway)
+        place = order.index(own) if own in order else len(order)
+        self._candidates = order[:place]
+        self._substitutes = [gateway for gateway in order if gateway is not own]
         self.is_reader = not self._candidates
         listed = {gateway.name for gateway in order}
         self._failures = {name: kept for name, kept in self._failures.items() if name in listed}
@@ -92,7 +91,14 @@
 
     def choose(self, now: float) -> GatewayRecord | None:
         """The reader to follow, None when this gateway must read the store itself."""
-        for gateway in self._candidates:
+        return self._first_willing(self._candidates, now)
+
+    def choose_substitute(self, now: float) -> GatewayRecord | None:
+        """One to learn from while this gateway must read the store, and can't reach it."""
+        return self._first_willing(self._substitutes, now)
+
+    def _first_willing(self, gateways: list[GatewayRecord], now: float) -> GatewayRecord | None:
+        for gateway in gateways:
             failures = self._failures.get(gateway.name)
             if failures is None or now >= failures.until:
                 return gateway
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -15,6 +15,7 @@
 from milletcourse.exchange.instance_selector import InstanceSelector
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages import AttemptResult
 from milletcourse.exchange.peer_messages import InstanceLoad
 from milletcourse.exchange.records import EdgeLimits, TenantRecord
@@ -47,6 +48,7 @@
     """State and services of one gateway.
 
     Attributes:
+        mechanisms: Those that are switched on.
         reading: How often the state of the object store is asked for.
         reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
         followed_reader: Name of the gateway that it follows instead; empty for none.
@@ -60,8 +62,10 @@
         random_source: random.Random,
         log: EventLog,
         figures: Figures,
+        mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
     ) -> None:
         self.settings = settings
+        self.mechanisms = mechanisms
         self.dialect = dialect
         self.random = random_source
         self.log = log
@@ -84,7 +88,7 @@
         self.unreachable_store = ""
         self.cache_stores = CacheStorePlan()
         self.selector = InstanceSelector(
-            self.instances, self.gate, self.loads, settings.zone, random_source
+            self.instances, self.gate, self.loads, settings.zone, random_source, mechanisms
         )
         self.weights = WeightedChoice(random_source)
         self.pool = ConnectionPool(dialect, self._on_opened)
@@ -196,7 +200,7 @@
 
     def end_instance(self, name: str, successor: str) -> bool:
         """Take an incarnation out of use for good; True when this wasn't known."""
-        if not self.instances.end(name):
+        if Mechanism.ENDED_INCARNATIONS not in self.mechanisms or not self.instances.end(name):
             return False
         self.record.instance_ended(name, successor)
         return True
@@ -218,7 +222,12 @@
             self.record.tally.on_connection()
 
     def request_rate(self, instance: Instance) -> float:
-        """Requests that a server answers in a second, to all gateways together."""
+        """Requests that a server answers in a second, to all gateways together.
+
+        Without the weighing of roll-outs it is told as 0, so that only their bounds decide.
+        """
+        if Mechanism.ROLL_OUT_WEIGHING not in self.mechanisms:
+            return 0.0
         now = self.now()
         answers = instance.health.tally(now).good + self.loads.others_load(instance.key, now).good
         return answers * ANSWERS_TO_RATE
--- /dev/null
+++ b/src/milletcourse/gateway/dispatch_builder.py
@@ -0,0 +1,86 @@
+"""What a gateway itself says to a server about one attempt, and what it notes when that is done."""
+
+from __future__ import annotations
+
+from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.mechanisms import Mechanism
+from milletcourse.exchange.messages import Dispatch
+from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
+from milletcourse.exchange.reuse_scope import cache_salt, server_rank
+from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.exchange_job import ExchangeJob
+
+CACHE_STORE_MIN_SHARED_TOKENS = 32
+"""Shorter shared parts are read again rather than moved: servers keep blocks of 16 tokens."""
+
+
+class DispatchBuilder:
+    """Builds the dispatch of one attempt.
+
+    Attributes:
+        weight_version: Version that the server must have, None for plain applications.
+    """
+
+    def __init__(self, context: GatewayContext, job: ExchangeJob, instance: Instance) -> None:
+        self.weight_version: int | None = None
+        self._context = context
+        self._job = job
+        self._instance = instance
+        self._sent_chain: PromptChain | None = None
+        self._sent_to = ""
+
+    def build(self, last_event_id: str) -> Dispatch:
+        """The dispatch as of now.
+
+        Args:
+            last_event_id: Event after which a stream goes on; empty for none.
+        """
+        job = self._job
+        dispatch = Dispatch(
+            instance=self._instance.name,
+            deadline_seconds=job.end_at - self._context.now(),
+            tenant=job.tenant.name if job.tenant else "",
+            last_event_id=last_event_id,
+        )
+        if job.service.models:
+            self._add_model(dispatch)
+        return dispatch
+
+    def _add_model(self, dispatch: Dispatch) -> None:
+        job = self._job
+        context = self._context
+        dispatch.priority = server_rank(job.route, job.tenant)
+        model = job.request.model
+        version = self.weight_version = self._instance.version(model)
+        if version is None:
+            return
+        if context.gate.is_superseded(model, version, context.now()):
+            context.record.tally.on_superseded(job.route.name)
+        dispatch.weight_version = version
+        dispatch.cache_salt = cache_salt(job.scope, version)
+        self._add_cache_store(dispatch)
+
+    def _add_cache_store(self, dispatch: Dispatch) -> None:
+        job = self._job
+        context = self._context
+        if Mechanism.KEPT_STATE_STORE not in context.mechanisms:
+            return
+        if job.request.shared_tokens < CACHE_STORE_MIN_SHARED_TOKENS:
+            return
+        zone = context.selector.anchor_zone(job.service, job.request, job.scope)
+        store = job.table.cache_store(zone or self._instance.record.zone)
+        if store is None or store.store_address == context.unreachable_store:
+            return
+        dispatch.cache_source = store.store_address
+        chain = prompt_chain(job.request, dispatch.cache_salt)
+        if Mechanism.STORE_ROOM not in context.mechanisms or context.cache_stores.should_send(
+            store, chain, context.members, context.settings.bounds.reuse, context.now()
+        ):
+            dispatch.cache_target = store.store_address
+            self._sent_chain = chain
+            self._sent_to = store.store_address
+
+    def on_whole_answer(self) -> None:
+        """The server has read the whole prompt, and sends it to the store that it was told."""
+        if self._sent_chain is not None:
+            self._context.cache_stores.on_sent(self._sent_to, self._sent_chain)
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -20,9 +20,10 @@
 from milletcourse.exchange.reuse_scope import reuse_scope
 from milletcourse.exchange.route_table import RouteTable
 from milletcourse.gateway.answer_relay import AnswerRelay
-from milletcourse.gateway.attempt import Attempt, ExchangeJob
+from milletcourse.gateway.attempt import Attempt
 from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.exchange_job import ExchangeJob
 from milletcourse.gateway.refusals import refuse
 
 DEFAULT_DEADLINE_SECONDS = 30.0
--- /dev/null
+++ b/src/milletcourse/gateway/exchange_job.py
@@ -0,0 +1,32 @@
+"""What all attempts of one request share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.records import RouteRecord, ServiceRecord, TenantRecord
+from milletcourse.exchange.route_table import RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeJob:
+    """One request with what it was admitted under.
+
+    Attributes:
+        request: The request.
+        route: Its route.
+        tenant: Its tenant, None on public routes.
+        service: The service that it goes to.
+        scope: Reuse scope of its prompt state, without the weight version.
+        table: The configuration that it was admitted under.
+        end_at: Monotonic time at which it must have its final answer.
+    """
+
+    request: ExchangeRequest
+    route: RouteRecord
+    tenant: TenantRecord | None
+    service: ServiceRecord
+    scope: str
+    table: RouteTable
+    end_at: float
--- a/src/milletcourse/gateway/kind_watch.py
+++ b/src/milletcourse/gateway/kind_watch.py
@@ -17,6 +17,8 @@
 FIRST_PAUSE_SECONDS = 0.05
 MAX_PAUSE_SECONDS = 0.4
 """After a failed call: short, since a bound on time runs from the store's acknowledgement."""
+MAX_FOLLOWER_PAUSE_SECONDS = 1.5
+"""The same at a gateway that goes back to its reader as soon as that one reaches the store."""
 SPREAD_SECONDS = 0.1
 """Watches that waited for their leader go on within this time, not all at once."""
 
@@ -39,9 +41,11 @@
         random_source: random.Random,
         stale_lists: bool = False,
         leader: KindWatch | None = None,
+        max_pause_seconds: float = MAX_PAUSE_SECONDS,
     ) -> None:
         self.reached = asyncio.Event()
         self._leader = leader
+        self._max_pause_seconds = max_pause_seconds
         self._store = store
         self._mirror = mirror
         self._wait_seconds = wait_seconds
@@ -89,7 +93,7 @@
             await self._leader.reached.wait()
             await asyncio.sleep(SPREAD_SECONDS * self._random.random())
             return
-        pause = min(FIRST_PAUSE_SECONDS * 2**self._failures, MAX_PAUSE_SECONDS)
+        pause = min(FIRST_PAUSE_SECONDS * 2**self._failures, self._max_pause_seconds)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(pause * (0.5 + self._random.random()))
 
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from milletcourse.errors import Draining, NotFound
+from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages import HeaderField
 from milletcourse.exchange.service_tally import TALLY_SECONDS
 from milletcourse.gateway.adapter import PlatformAdapter
@@ -48,9 +49,12 @@
         random_source: random.Random,
         log: EventLog,
         metrics: GatewayMetrics | None = None,
+        mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
     ) -> None:
         figures = metrics or Figures()
-        self.context = GatewayContext(settings, adapter.headers, random_source, log, figures)
+        self.context = GatewayContext(
+            settings, adapter.headers, random_source, log, figures, mechanisms
+        )
         self._metrics = metrics
         self._adapter = adapter
         self._clients: set[ClientConnection] = set()
--- a/src/milletcourse/gateway/process.py
+++ b/src/milletcourse/gateway/process.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.event_log import EventLog, NonBlockingWriter
 from milletcourse.gateway.node import GatewayNode
@@ -26,7 +27,11 @@
 
 
 def run_gateway(
-    settings_path: Path, adapter: PlatformAdapter, metrics_port: int, metrics_path: str
+    settings_path: Path,
+    adapter: PlatformAdapter,
+    metrics_port: int,
+    metrics_path: str,
+    mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
 ) -> None:
     """Serve until a stop signal; returns after the planned stop.
 
@@ -35,19 +40,24 @@
         adapter: The platform's names and formats.
         metrics_port: Port of the figures; 0 for none.
         metrics_path: Path of the figures.
+        mechanisms: Those that are switched on.
     """
     gc.freeze()
     gc.set_threshold(COLLECTION_THRESHOLD, 20, 20)
-    uvloop.run(_serve(settings_path, adapter, metrics_port, metrics_path))
+    uvloop.run(_serve(settings_path, adapter, metrics_port, metrics_path, mechanisms))
 
 
 async def _serve(
-    settings_path: Path, adapter: PlatformAdapter, metrics_port: int, metrics_path: str
+    settings_path: Path,
+    adapter: PlatformAdapter,
+    metrics_port: int,
+    metrics_path: str,
+    mechanisms: frozenset[Mechanism],
 ) -> None:
     settings = adapter.read_settings(settings_path.read_bytes())
     log = EventLog(settings.name, NonBlockingWriter(STANDARD_OUTPUT))
     metrics = _new_metrics() if metrics_port else None
-    node = GatewayNode(settings, adapter, random.Random(), log, metrics)
+    node = GatewayNode(settings, adapter, random.Random(), log, metrics, mechanisms)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
--- a/src/milletcourse/gateway/store_sync.py
+++ b/src/milletcourse/gateway/store_sync.py
@@ -16,11 +16,17 @@
     decode_answer,
     encode_question,
 )
+from milletcourse.exchange.mechanisms import Mechanism
 from milletcourse.exchange.store_reading import GatewayRecord, ReadingPlan
 from milletcourse.gateway.call_client import Call, CallClient
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.kind_mirror import KindMirror
-from milletcourse.gateway.kind_watch import KindWatch, list_as_of_now
+from milletcourse.gateway.kind_watch import (
+    MAX_FOLLOWER_PAUSE_SECONDS,
+    MAX_PAUSE_SECONDS,
+    KindWatch,
+    list_as_of_now,
+)
 from milletcourse.gateway.object_store import ObjectStoreClient, StoreError
 
 FEED_PATH = "/feed"
@@ -86,6 +92,7 @@
         self._spawn = spawn
         self._mirrors = {kind.mirror.kind: kind.mirror for kind in kinds}
         self._watches: list[asyncio.Task[None]] = []
+        self._leading_watch: KindWatch | None = None
 
     async def run(self) -> None:
         """Keep the mirrors current until cancelled."""
@@ -100,6 +107,8 @@
                 continue
             if self._plan.is_reader or self._context.now() >= patient_until:
                 self._start_watches()
+            if self._has_lost_store():
+                await self._learn_from_substitute()
             await asyncio.sleep(LOOK_SECONDS)
 
     def close(self) -> None:
@@ -144,6 +153,25 @@
             self._context.log.emit("reader-lost", reader=reader.name, outcome=outcome.value)
             self._start_watches()
 
+    def _has_lost_store(self) -> bool:
+        """Whether this gateway reads the store, and its latest call about it failed."""
+        return self._leading_watch is not None and not self._leading_watch.reached.is_set()
+
+    async def _learn_from_substitute(self) -> None:
+        """Learn from another reader for as long as the store can't be reached from here.
+
+        The store may turn away this gateway alone. Its own watches go on meanwhile, since they find
+        out when that is over; what is learnt is as old as the other reader's proof says.
+        """
+        reader = self._plan.choose_substitute(self._context.now())
+        if reader is None or await self._ask(reader, 0.0) is not _Outcome.FED:
+            return
+        self._context.log.emit("substitute-asked", reader=reader.name)
+        while self._has_lost_store():
+            await asyncio.sleep(MIN_QUESTION_SECONDS)
+            if await self._ask(reader, self._context.reading.feed_hold) is not _Outcome.FED:
+                return
+
     async def _ask(self, reader: GatewayRecord, hold_seconds: float) -> _Outcome:
         """Ask a reader what came, and take it."""
         question = encode_question(FeedQuestion(self._positions(), hold_seconds))
@@ -190,9 +218,17 @@
         leader: KindWatch | None = None
         for kind in self._kinds:
             watch = KindWatch(
-                self._store, kind.mirror, kind.wait_seconds, random_source, kind.stale_lists, leader
+                self._store,
+                kind.mirror,
+                kind.wait_seconds,
+                random_source,
+                kind.stale_lists,
+                leader,
+                MAX_PAUSE_SECONDS if self._plan.is_reader else MAX_FOLLOWER_PAUSE_SECONDS,
             )
-            leader = leader or watch
+            if Mechanism.LEADING_WATCH in self._context.mechanisms:
+                leader = leader or watch
+            self._leading_watch = self._leading_watch or watch
             self._watches.append(self._spawn(watch.run()))
         self._context.log.emit("store-read-here")
 
@@ -201,3 +237,4 @@
         for task in self._watches:
             task.cancel()
         self._watches.clear()
+        self._leading_watch = None
--- a/src/milletcourse/platform/__main__.py
+++ b/src/milletcourse/platform/__main__.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from milletcourse.exchange.dialect import HeaderDialect
+from milletcourse.exchange.mechanisms import UnknownMechanismError, mechanisms_without
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.process import run_gateway
 from milletcourse.platform.cache_events import PlatformCacheEvents
@@ -20,6 +21,8 @@
 from milletcourse.platform.object_store import PlatformStoreDialect
 from milletcourse.platform.orders import PlatformOrderDialect
 
+WITHOUT_OPTION = "--without="
+
 
 def new_adapter() -> PlatformAdapter:
     """The adapter to this platform."""
@@ -38,9 +41,16 @@
 
 
 def main(arguments: list[str]) -> None:
-    """Start a gateway; the one optional argument is PORT/PATH of its metrics."""
-    port, _, path = arguments[0].partition("/") if arguments else ("0", "", "")
-    run_gateway(Path(os.environ[SETTINGS_VARIABLE]), new_adapter(), int(port), f"/{path}")
+    """Start a gateway: [PORT/PATH of its metrics] [--without=MECHANISM[,MECHANISM]]."""
+    metrics = [item for item in arguments if not item.startswith(WITHOUT_OPTION)]
+    without = [item.removeprefix(WITHOUT_OPTION) for item in arguments if item not in metrics]
+    try:
+        mechanisms = mechanisms_without(name for names in without for name in names.split(","))
+    except UnknownMechanismError as error:
+        raise SystemExit(str(error)) from error
+    port, _, path = metrics[0].partition("/") if metrics else ("0", "", "")
+    settings_path = Path(os.environ[SETTINGS_VARIABLE])
+    run_gateway(settings_path, new_adapter(), int(port), f"/{path}", mechanisms)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_mechanisms.py
@@ -0,0 +1,74 @@
+"""Switching mechanisms off: names, and gateways that keep serving without any one of them."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import serve_whole
+from milletcourse.cli.main import app
+from milletcourse.exchange.mechanisms import (
+    ALL_MECHANISMS,
+    Mechanism,
+    UnknownMechanismError,
+    mechanisms_without,
+)
+from milletcourse.platform.__main__ import main
+
+SOURCES = Path(__file__).parent.parent / "src" / "milletcourse"
+DEPLOYMENT_WORDS = re.compile(
+    r"vodomjer|whitcombe-lessons|phaenkan|rosterapp|rulecache|kanlm|tutor-models|lesson-desk"
+    r"|jezik|pamcenje|mjerila|quiet-1|trouble-[123]|scale-[12]|fleetbench",
+    re.IGNORECASE,
+)
+"""Names of the users' deployments, services and days, and of their bench."""
+
+
+def test_names_switch_off_what_they_name() -> None:
+    """And nothing else."""
+    assert mechanisms_without([]) == ALL_MECHANISMS
+    left = mechanisms_without(["store-room", "home-servers"])
+    assert ALL_MECHANISMS - left == {Mechanism.STORE_ROOM, Mechanism.HOME_SERVERS}
+
+
+def test_a_name_that_is_none_is_refused_with_those_that_are() -> None:
+    """By the function and by the program, before it reads anything else."""
+    with pytest.raises(UnknownMechanismError, match="store-room"):
+        mechanisms_without(["store-rooms"])
+    with pytest.raises(SystemExit, match="no mechanism is called 'nothing'"):
+        main(["0/metrics", "--without=store-room,nothing"])
+
+
+def test_the_command_line_lists_each_with_what_it_does() -> None:
+    """So that the names need not be looked up in the source."""
+    shown = CliRunner().invoke(app, ["mechanisms"]).stdout
+    for mechanism in Mechanism:
+        assert mechanism.label in shown and mechanism.description in shown
+
+
+@pytest.mark.parametrize("mechanism", list(Mechanism), ids=lambda item: item.label)
+def test_a_gateway_serves_without_any_one_of_them(mechanism: Mechanism) -> None:
+    """Its promises don't rest on them."""
+
+    async def scenario(harness: Harness) -> None:
+        harness.mechanisms = mechanisms_without([mechanism.label])
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        got = await (await harness.client()).ask("/unsafe/")
+        assert (got.status, got.whole) == (200, True)
+
+    run_with_gateway(scenario)
+
+
+def test_no_deployment_day_or_bench_is_named_in_the_sources() -> None:
+    """Nothing may depend on which of the users' deployments it serves."""
+    named = [
+        f"{path.relative_to(SOURCES)}: {found.group()}"
+        for path in sorted(SOURCES.rglob("*.py"))
+        if (found := DEPLOYMENT_WORDS.search(path.read_text()))
+    ]
+    assert not named
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -292,6 +292,50 @@
     run_with_gateway(scenario)
 
 
+def test_a_reader_that_the_store_turns_away_learns_from_another_gateway() -> None:
+    """It keeps its keys and takes what changes, and reads the store again when it can."""
+
+    async def scenario(harness: Harness) -> None:
+        proxy = FaultProxy(harness.store.address)
+        await proxy.start()
+        try:
+            reader, _ = await _start_pair(harness, proxy.address, RevokeMs=1500)
+            proxy.cut()
+            context = reader.context
+            later = context.now() + 4.0
+            await harness.until(
+                lambda: context.now() - context.freshness.age(context.now()) > later
+            )
+            assert context.is_ready()
+            harness.store.put("config", "main", configuration(2))
+            await harness.until(lambda: context.table is not None and context.table.version == 2)
+            proxy.heal()
+            harness.store.calls.clear()
+            await harness.until(lambda: _calls_for(harness, "config") >= 6)
+            assert context.reads_store and context.is_ready()
+        finally:
+            await proxy.close()
+
+    run_with_gateway(scenario)
+
+
+def test_a_plan_names_substitutes_for_a_reader_only_among_others() -> None:
+    """Readers of other zones first; a gateway alone in its zone has them too."""
+    plan = ReadingPlan("front-1", "zone-1", 1000.0)
+    assert plan.choose_substitute(0.0) is None
+    others = [
+        GatewayRecord("front-2", "zone-1", "10.0.0.1:1", "10.0.0.1:2", 10.0),
+        GatewayRecord("front-3", "zone-2", "10.0.0.2:1", "10.0.0.2:2", 10.0),
+    ]
+    plan.set_gateways(others)
+    assert plan.is_reader and plan.choose(0.0) is None
+    first = plan.choose_substitute(0.0)
+    assert first is not None and first.name == "front-3"
+    plan.on_failed("front-3", 0.0, answered=False)
+    second = plan.choose_substitute(0.0)
+    assert second is not None and second.name == "front-2"
+
+
 def test_a_store_that_is_away_is_asked_for_one_kind_only() -> None:
     """The other kinds are asked for when it is back, and nothing is missed."""
 
