Readers that refuse, and gateways that restart, cost the store few calls

When the store turned one zone's reader away, each of its followers began to read the store at once, again each time that the reader was asked and refused (264 times "reader-lost refused"). And each start of a gateway asked for four kinds and wrote its entry again, though it stood unchanged. Change: after a refusal another zone's reader is asked first, and the store is read here only when that one doesn't tell either. A gateway that starts reads a stale list of gateways (a tenth of a call), and asks a reader with a wide link for the rest, once; its entry is written only when it changed.

--- a/src/milletcourse/gateway/directory.py
+++ b/src/milletcourse/gateway/directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 
 import msgspec
 
@@ -18,6 +19,8 @@
 )
 
 REGISTER_RETRY_SECONDS = 1.0
+LIST_WAIT_SECONDS = 0.5
+"""The list is waited for this long, to see whether the entry of an earlier process stands."""
 MAX_GATEWAYS = 512
 """Further ones are neither told nor followed."""
 
@@ -39,11 +42,18 @@
 
 
 class GatewayDirectory:
-    """Follows the list; a `KindSink`."""
+    """Follows the list; a `KindSink`.
+
+    Attributes:
+        is_listed: Set when the list is known, which may be some seconds old at first.
+        own_entry: What the list says of this gateway: of an earlier process, right after a start.
+    """
 
     def __init__(self, own_name: str, log: EventLog) -> None:
         self._own_name = own_name
         self._log = log
+        self.is_listed = asyncio.Event()
+        self.own_entry: GatewayEntry | None = None
         self._others: dict[str, GatewayRecord] = {}
         self._listeners: list[Callable[[list[GatewayRecord]], None]] = []
 
@@ -57,6 +67,7 @@
         for stored in objects:
             self._note(stored)
         self._tell()
+        self.is_listed.set()
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
@@ -78,9 +89,12 @@
             listener(others)
 
     def _note(self, stored: StoredObject) -> None:
-        if stored.name == self._own_name or len(self._others) >= MAX_GATEWAYS:
-            return
         entry = _decode_entry(stored.spec)
+        if stored.name == self._own_name:
+            self.own_entry = entry
+            return
+        if len(self._others) >= MAX_GATEWAYS:
+            return
         if entry is None or not entry.address.rpartition(":")[2].isdigit():
             self._log.emit("object-malformed", name=stored.name)
             return
@@ -97,8 +111,18 @@
         return None
 
 
-async def register(store: ObjectStoreClient, kind: str, name: str, entry: GatewayEntry) -> None:
-    """Enter a gateway into the list, once the store takes it."""
+async def register(
+    store: ObjectStoreClient, kind: str, name: str, entry: GatewayEntry, directory: GatewayDirectory
+) -> None:
+    """Enter a gateway into the list, once the store takes it.
+
+    The entry of an earlier process is mostly the same, and needs no call then.
+    """
+    with suppress(TimeoutError):
+        # Without the list: the store may take an entry though it has not told the list.
+        await asyncio.wait_for(directory.is_listed.wait(), LIST_WAIT_SECONDS)
+    if directory.own_entry == entry:
+        return
     spec = msgspec.json.encode(entry)
     while True:
         try:
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -56,7 +56,9 @@
         self._directory = GatewayDirectory(settings.name, context.log)
         self._plan = ReadingPlan(settings.name, settings.zone, settings.link_megabits)
         self._watched = _watched_kinds(context, adapter, self._directory)
-        self._reader = StoreSync(context, store, calls, self._plan, self._watched, spawn)
+        self._reader = StoreSync(
+            context, store, calls, self._plan, self._watched, self._gateways_kind, spawn
+        )
         self._registration: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -79,7 +81,9 @@
         self._directory.add_listener(self._on_gateways)
         self._spawn(self.peers.run())
         entry = GatewayEntry(address, settings.zone, feed_address, settings.link_megabits)
-        registration = register(self._store, self._gateways_kind, settings.name, entry)
+        registration = register(
+            self._store, self._gateways_kind, settings.name, entry, self._directory
+        )
         self._registration = asyncio.get_running_loop().create_task(registration)
 
     def _on_gateways(self, others: list[GatewayRecord]) -> None:
--- a/src/milletcourse/gateway/store_sync.py
+++ b/src/milletcourse/gateway/store_sync.py
@@ -40,6 +40,8 @@
 """At a start a reader is waited for this long, since many gateways may start together."""
 FIRST_LISTS_SECONDS = 0.8
 """A store that doesn't list all kinds by now is left; readers may know them."""
+FIRST_FEED_MEGABITS = 50.0
+"""A reader with a narrower link isn't asked for all that there is: some 100 KB in 20 ms here."""
 MIN_QUESTION_SECONDS = 0.02
 """Between two questions, so that a burst of changes comes in few answers."""
 
@@ -82,6 +84,7 @@
         calls: CallClient,
         plan: ReadingPlan,
         kinds: Sequence[WatchedKind],
+        gateways_kind: str,
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
     ) -> None:
         self._context = context
@@ -89,6 +92,7 @@
         self._calls = calls
         self._plan = plan
         self._kinds = kinds
+        self._gateways_kind = gateways_kind
         self._spawn = spawn
         self._mirrors = {kind.mirror.kind: kind.mirror for kind in kinds}
         self._watches: list[asyncio.Task[None]] = []
@@ -96,15 +100,19 @@
 
     async def run(self) -> None:
         """Keep the mirrors current until cancelled."""
-        await self._learn_all()
+        if await self._learns_gateways() and not await self._is_fed_at_start():
+            await self._learn_all()
         patient_until = self._context.now() + START_PATIENCE_SECONDS
         while True:
             reader = self._plan.choose(self._context.now())
-            if reader is not None and await self._ask(reader, 0.0) is _Outcome.FED:
+            outcome = await self._ask(reader, 0.0) if reader is not None else _Outcome.SILENT
+            if reader is not None and outcome is _Outcome.FED:
                 patient_until = 0.0
                 self._stop_watches()
                 await self._follow(reader)
                 continue
+            if outcome is _Outcome.REFUSED and await self._is_fed_by_another():
+                continue
             if self._plan.is_reader or self._context.now() >= patient_until:
                 self._start_watches()
             if self._has_lost_store():
@@ -115,12 +123,33 @@
         """Stop reading."""
         self._stop_watches()
 
-    async def _learn_all(self) -> None:
-        """Know all kinds before the first choice of a reader.
+    async def _learns_gateways(self) -> bool:
+        """Whether it is known whom to ask: a list that is some seconds old is cheap, and does."""
+        mirror = self._mirrors[self._gateways_kind]
+        try:
+            async with asyncio.timeout(FIRST_LISTS_SECONDS):
+                objects, revision, sent_at = await self._store.list_all(mirror.kind, stale=True)
+        except (StoreError, TimeoutError):
+            # The watches go on asking.
+            self._context.log.emit("gateways-unknown-at-start")
+            return False
+        mirror.on_list(objects, revision, sent_at)
+        return True
+
+    async def _is_fed_at_start(self) -> bool:
+        """Whether a reader with a wide link, asked once, tells all that there is.
 
-        They come from the store, all at once: after a loss of all gateways the readers would have
-        to send them to everybody over their own links, which are far narrower than the store's.
+        A gateway that restarts alone gets it so, and costs the store nothing. After a loss of all,
+        readers start too: they refuse, or aren't there, and all gateways read their first lists
+        from the store, whose link is far wider than any reader's.
         """
+        reader = self._plan.choose(self._context.now())
+        if reader is None or reader.link_megabits < FIRST_FEED_MEGABITS:
+            return False
+        return await self._ask(reader, 0.0, QUICK_SECONDS) is _Outcome.FED
+
+    async def _learn_all(self) -> None:
+        """Know all kinds before the first choice of a reader; they come all at once."""
         try:
             async with asyncio.timeout(FIRST_LISTS_SECONDS):
                 await asyncio.gather(*(self._learn(kind) for kind in self._kinds))
@@ -130,10 +159,16 @@
     async def _learn(self, kind: WatchedKind) -> None:
         mirror = kind.mirror
         try:
+            if mirror.revision is not None:
+                changes, sent_at = await self._store.watch(mirror.kind, mirror.revision, 0.0)
+                mirror.on_changes(changes, sent_at)
+                return
             objects, revision, sent_at = await list_as_of_now(
                 self._store, mirror.kind, kind.stale_lists
             )
-        except StoreError:
+        except StoreError as error:
+            # The watches, or a reader, bring it later.
+            self._context.log.emit("first-list-failed", kind=mirror.kind, problem=str(error))
             return
         mirror.on_list(objects, revision, sent_at)
 
@@ -148,10 +183,24 @@
             await asyncio.sleep(MIN_QUESTION_SECONDS)
             outcome = await self._ask(reader, self._context.reading.feed_hold)
         self._context.followed_reader = ""
-        if outcome is not _Outcome.FED:
-            # Whatever the reader is silent about must not be missed here.
-            self._context.log.emit("reader-lost", reader=reader.name, outcome=outcome.value)
-            self._start_watches()
+        if outcome is _Outcome.FED:
+            return
+        self._context.log.emit("reader-lost", reader=reader.name, outcome=outcome.value)
+        if outcome is _Outcome.REFUSED and await self._is_fed_by_another():
+            return
+        # Whatever the reader is silent about must not be missed here.
+        self._start_watches()
+
+    async def _is_fed_by_another(self) -> bool:
+        """Whether another reader tells what there is, after one said that it can't vouch for it.
+
+        All followers of a reader lose it in the same moment; were each to read the store at once,
+        its trouble would cost a call a follower and kind whenever it comes.
+        """
+        reader = self._plan.choose(self._context.now())
+        if reader is None:
+            return False
+        return await self._ask(reader, 0.0, QUICK_SECONDS) is _Outcome.FED
 
     def _has_lost_store(self) -> bool:
         """Whether this gateway reads the store, and its latest call about it failed."""
@@ -172,12 +221,23 @@
             if await self._ask(reader, self._context.reading.feed_hold) is not _Outcome.FED:
                 return
 
-    async def _ask(self, reader: GatewayRecord, hold_seconds: float) -> _Outcome:
-        """Ask a reader what came, and take it."""
+    async def _ask(
+        self,
+        reader: GatewayRecord,
+        hold_seconds: float,
+        margin_seconds: float = FEED_MARGIN_SECONDS,
+    ) -> _Outcome:
+        """Ask a reader what came, and take it.
+
+        Args:
+            reader: The reader.
+            hold_seconds: How long it keeps the question while there is no news.
+            margin_seconds: Time beyond that after which it is taken as silent.
+        """
         question = encode_question(FeedQuestion(self._positions(), hold_seconds))
         asked_at = self._context.now()
         reply = await self._calls.call(
-            reader.feed, Call("POST", FEED_PATH, question), hold_seconds + FEED_MARGIN_SECONDS
+            reader.feed, Call("POST", FEED_PATH, question), hold_seconds + margin_seconds
         )
         answer = decode_answer(reply.body) if reply is not None and reply.status == 200 else None
         if reply is None or answer is None:
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -65,16 +65,33 @@
         self.metrics = GatewayMetrics()
         self.node = await self._start_node("front-1", self.store.address, self.metrics, **bounds)
 
-    async def add_gateway(self, name: str, store: str = "", **bounds: Any) -> GatewayNode:
+    async def add_gateway(
+        self,
+        name: str,
+        store: str = "",
+        zone: str = "",
+        link_megabits: float = 0.0,
+        **bounds: Any,
+    ) -> GatewayNode:
         """Start a further gateway; it may see the store at an address of its own."""
-        node = await self._start_node(name, store or self.store.address, None, **bounds)
+        node = await self._start_node(
+            name, store or self.store.address, None, zone, link_megabits, **bounds
+        )
         self.others.append(node)
         return node
 
     async def _start_node(
-        self, name: str, store: str, metrics: GatewayMetrics | None, **bounds: Any
+        self,
+        name: str,
+        store: str,
+        metrics: GatewayMetrics | None,
+        zone: str = "",
+        link_megabits: float = 0.0,
+        **bounds: Any,
     ) -> GatewayNode:
         document = settings_document(store, name, **bounds)
+        document["Zone"] = zone or document["Zone"]
+        document["Limits"] = {"LinkMbps": link_megabits}
         document["InternalPorts"] = self.internal_ports
         settings = self.adapter.read_settings(json.dumps(document).encode())
         log = EventLog(name, None)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -6,6 +6,8 @@
 import random
 import socket
 
+import msgspec
+
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import configuration, serve_whole
 from milletcourse.exchange.store_reading import (
@@ -21,6 +23,8 @@
 
 NAMES = [f"front-{number}" for number in range(1, 13)]
 ZONES = ["zone-1", "zone-2", "zone-3"]
+GATEWAYS = "milletcourse-gateways"
+WIDE_LINK = 200.0
 
 
 def records() -> list[GatewayRecord]:
@@ -155,15 +159,20 @@
 
 
 async def _start_pair(
-    harness: Harness, reader_store: str = "", follower_store: str = "", **bounds: int
+    harness: Harness,
+    reader_store: str = "",
+    follower_store: str = "",
+    reader_link: float = 0.0,
+    **bounds: int,
 ) -> tuple[GatewayNode, GatewayNode]:
     """A reader and its follower; each may see the store through a proxy."""
     await harness.add_server("app-1", "app", serve_whole)
     harness.store.put("config", "main", configuration())
     harness.internal_ports = _free_ports()
     names = sorted(["front-1", "front-2"], key=_is_follower)
-    reader = await harness.add_gateway(names[0], reader_store)
+    reader = await harness.add_gateway(names[0], reader_store, link_megabits=reader_link)
     await harness.until(reader.context.is_ready)
+    await harness.until(lambda: names[0] in harness.store.objects.get(GATEWAYS, {}))
     follower = await harness.add_gateway(names[1], follower_store, **bounds)
     await harness.until(lambda: _is_fed(follower))
     return reader, follower
@@ -204,6 +213,31 @@
     run_with_gateway(scenario)
 
 
+def _first_calls_for(harness: Harness, kind: str) -> list[str]:
+    """Lists of a kind; watches, which a reader goes on with, aren't counted."""
+    targets = [call.target for call in harness.store.calls if f"/{kind}" in call.target]
+    return [target for target in targets if "Watch=" not in target]
+
+
+def test_a_gateway_that_restarts_alone_learns_all_from_its_reader() -> None:
+    """One cheap list of whom to ask; its entry of before stands, so it isn't written again."""
+
+    async def scenario(harness: Harness) -> None:
+        _, follower = await _start_pair(harness, reader_link=WIDE_LINK)
+        name = follower.context.settings.name
+        await harness.until(lambda: name in harness.store.objects[GATEWAYS])
+        follower.close()
+        harness.store.calls.clear()
+        again = await harness.add_gateway(name)
+        await harness.until(lambda: _is_fed(again))
+        assert again.context.instances.get("app-1") is not None
+        for kind in ("config", "servers", "versions"):
+            assert _first_calls_for(harness, kind) == []
+        assert len(_first_calls_for(harness, GATEWAYS)) == 1
+
+    run_with_gateway(scenario)
+
+
 def test_an_ended_incarnation_is_told_to_the_other_gateways() -> None:
     """The one that met it tells, so that no other gateway has to."""
 
@@ -252,6 +286,32 @@
     run_with_gateway(scenario)
 
 
+def test_a_reader_that_can_not_vouch_costs_no_calls_while_another_one_can() -> None:
+    """Its followers learn from another zone's reader at once, and miss nothing."""
+
+    async def scenario(harness: Harness) -> None:
+        reader, follower = await _start_pair(harness)
+        far = await harness.add_gateway("front-3", zone="zone-2")
+        await harness.until(far.context.is_ready)
+        context = follower.context
+        await harness.until(lambda: context.gateways == 3)
+        times = reader.context.reading
+        reader.context.reading = msgspec.structs.replace(times, max_proof_age=0.0)
+        reads_store = False
+        # It refuses, and is asked again several times.
+        later = context.now() + 4 * MAX_STARTING_SECONDS
+        while context.now() < later:
+            reads_store = reads_store or context.reads_store
+            await asyncio.sleep(0.005)
+        assert not reads_store
+        harness.store.put("config", "main", configuration(2))
+        await harness.until(lambda: context.table is not None and context.table.version == 2)
+        reader.context.reading = times
+        await harness.until(lambda: context.followed_reader == reader.context.settings.name)
+
+    run_with_gateway(scenario)
+
+
 def test_a_follower_goes_back_to_its_reader() -> None:
     """When the reader can vouch again, the store is left alone again."""
 
