Stores of kept state: shared by all zones, and asked for a sign of life by all gateways together

Cause: zones without a store all used the first of two by name, four fifths of all. Change: zones without a store share all stores by the prompt's key, the same way at all gateways.

--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -25,6 +25,10 @@
     """It has a weight version."""
     ENDED = 3
     """Another incarnation answers at its address."""
+    STORE_LOST = 4
+    """A store of kept prompt state doesn't answer."""
+    STORE_FOUND = 5
+    """A store of kept prompt state answers again."""
 
 
 class LoadScope(IntEnum):
@@ -82,12 +86,12 @@
 
 
 class ServerNotice(msgspec.Struct, array_like=True, frozen=True):
-    """The state of one incarnation of a server.
+    """The state of one incarnation of a server, or of a store of kept prompt state.
 
     Attributes:
-        instance: Name of the incarnation.
-        model: Model whose weights it takes; empty when it ended.
-        version: Version of the weights; 0 when it ended.
+        instance: Name of the incarnation, or `host:port` of the store.
+        model: Model whose weights it takes; empty when the notice isn't about weights.
+        version: Version of the weights; 0 when the notice isn't about weights.
         state: What it does, or did.
     """
 
--- a/src/milletcourse/exchange/route_table.py
+++ b/src/milletcourse/exchange/route_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import xxhash
+
 from milletcourse.exchange.records import (
     ExchangeConfiguration,
     RouteRecord,
@@ -27,6 +29,10 @@
             key: tenant for tenant in configuration.tenants for key in tenant.keys if key
         }
         self.asks_for_keys = bool(configuration.tenants)
+        self.cache_stores = sorted(
+            (service for service in configuration.services if service.store_address),
+            key=lambda store: store.name,
+        )
 
     def find_route(self, host: str, path: str) -> RouteRecord | None:
         """The route with the longest prefix that begins the path.
@@ -48,8 +54,23 @@
         """A service by name."""
         return self._services.get(name)
 
-    def cache_store(self, zone: str) -> ServiceRecord | None:
-        """The store of kept prompt state, one in the same zone before others."""
-        stores = [service for service in self._services.values() if service.store_address]
-        stores.sort(key=lambda service: (service.zone != zone, service.name))
-        return stores[0] if stores else None
+    def cache_store(self, zone: str, key: bytes) -> ServiceRecord | None:
+        """The store that keeps a prompt's state, the same one at all gateways.
+
+        One of the given zone where there is one. Zones without a store share all of them by the
+        prompt's key: were each to take the first, that one's link would carry nearly everything.
+
+        Args:
+            zone: Zone in which the prompt's home is.
+            key: Key of the prompt's last shared part.
+        """
+        near = [store for store in self.cache_stores if store.zone == zone]
+        stores = near or self.cache_stores
+        if len(stores) < 2:
+            return stores[0] if stores else None
+        return max(stores, key=lambda store: xxhash.xxh64_intdigest(key, _seed(store)))
+
+
+def _seed(store: ServiceRecord) -> int:
+    """What sets a store apart when stores are ranked for a prompt."""
+    return xxhash.xxh32_intdigest(store.name.encode())
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -52,6 +52,9 @@
         reading: How often the state of the object store is asked for.
         reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
         followed_reader: Name of the gateway that it follows instead; empty for none.
+        unreachable_stores: Addresses of stores of kept prompt state that don't answer.
+        on_cache_store_changed: Called with the address of a store of kept prompt state, and whether
+            it answers, when this gateway found that it does or doesn't any more.
         on_instance_ended: Called when an answer showed that an incarnation has ended.
     """
 
@@ -85,7 +88,8 @@
         self.on_instance_ended: Callable[[str], None] | None = None
         self.gate = VersionGate(bounds.version)
         self.loads = LoadExchange(settings.name)
-        self.unreachable_store = ""
+        self.unreachable_stores: set[str] = set()
+        self.on_cache_store_changed: Callable[[str, bool], None] | None = None
         self.cache_stores = CacheStorePlan()
         self.selector = InstanceSelector(
             self.instances, self.gate, self.loads, settings.zone, random_source, mechanisms
@@ -205,6 +209,24 @@
         self.record.instance_ended(name, successor)
         return True
 
+    def note_cache_store(self, address: str, reachable: bool) -> None:
+        """This gateway asked a store of kept prompt state for a sign of life."""
+        if self.set_cache_store(address, reachable) and self.on_cache_store_changed is not None:
+            self.on_cache_store_changed(address, reachable)
+
+    def set_cache_store(self, address: str, reachable: bool) -> bool:
+        """Whether a store of kept prompt state may be used; True when that is news."""
+        was_reachable = address not in self.unreachable_stores
+        if was_reachable == reachable:
+            return False
+        if reachable:
+            self.unreachable_stores.discard(address)
+        else:
+            self.unreachable_stores.add(address)
+            self.cache_stores.on_lost(address)
+        self.log.emit("cache-store-reached" if reachable else "cache-store-lost", address=address)
+        return True
+
     def note_suspicions(self) -> None:
         """Say which servers all gateways together found sick or well since the last call."""
         now = self.now()
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -27,6 +27,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self.holds_lease = False
         context.on_instance_ended = self._tell_ended
+        context.on_cache_store_changed = self._tell_cache_store
 
     def set_gateways(self, gateways: list[GatewayRecord], readers: list[str]) -> None:
         """Take the list of the other gateways, and of the zones' readers among them."""
@@ -53,6 +54,9 @@
             self._take_notice(notice, now)
 
     def _take_notice(self, notice: ServerNotice, now: float) -> None:
+        if notice.state in (ServerState.STORE_LOST, ServerState.STORE_FOUND):
+            self._take_cache_store(notice)
+            return
         instance = self._context.instances.get(notice.instance)
         if instance is None:
             return
@@ -63,6 +67,17 @@
         elif (instance.version(notice.model) or 0) < notice.version:
             instance.health.on_order(now + INITIAL_LOAD_SECONDS)
 
+    def _take_cache_store(self, notice: ServerNotice) -> None:
+        table = self._context.table
+        stores = table.cache_stores if table is not None else []
+        if any(store.store_address == notice.instance for store in stores):
+            reachable = notice.state is ServerState.STORE_FOUND
+            self._context.set_cache_store(notice.instance, reachable)
+
+    def _tell_cache_store(self, address: str, reachable: bool) -> None:
+        state = ServerState.STORE_FOUND if reachable else ServerState.STORE_LOST
+        self.notify(ServerNotice(address, "", 0, state))
+
     def _tell_ended(self, instance: str) -> None:
         self.notify(ServerNotice(instance, "", 0, ServerState.ENDED))
 
