Placement for many gateways: long prompts apart from streams, beliefs that end, one home for a tenant's prompts

A gateway among 195 sends so seldom that what it believes a server to keep has long given way. A single tenant's prompts, which share nothing with others', had homes at many servers and read their first part at each of them. Change: a sixth of each zone's servers take the longest prompts, are no homes and get no streams while there is room elsewhere; beliefs end after 4 s; prompts of an isolated tenant have their home by their first part.

--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -12,14 +12,19 @@
 
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.long_prompt_servers import (
+    is_long,
+    long_prompt_servers,
+    mostly_generates,
+)
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
+from milletcourse.exchange.recent_holders import RecentHolders
 from milletcourse.exchange.records import ServiceRecord
-from milletcourse.exchange.reuse_scope import cache_salt
+from milletcourse.exchange.reuse_scope import cache_salt, is_of_one_tenant
 from milletcourse.exchange.server_health import ServerTally
 from milletcourse.exchange.version_gate import VersionGate
-from milletcourse.prefix.belief import BeliefIndex
 from milletcourse.routing.home_ring import HomeRing
 
 PREFILL_TOKENS_PER_SECOND = 40_000.0
@@ -42,8 +47,12 @@
 Gateways that compare all of them by the same sums would all choose the same one."""
 FAR_SAMPLE = 2
 """Servers of other zones that are compared."""
+BELIEVED_SECONDS = 4.0
+"""TRIAL"""
 MAX_HOLDERS = 4
 """Servers believed to hold a prompt that are compared."""
+APART_SECONDS = 0.15
+"""What it is worth to keep long prompts and streams apart: some pauses of the streams."""
 JITTER_SHARE = 0.25
 """Random part of an application server's cost, so that gateways don't choose alike."""
 
@@ -67,8 +76,9 @@
         self._random = random_source
         self._mechanisms = mechanisms
         self._rings: dict[str, tuple[int, HomeRing]] = {}
-        self.belief = BeliefIndex()
-        table.on_forgotten = self.belief.forget
+        self._for_long_prompts: dict[str, tuple[int, frozenset[str]]] = {}
+        self.holders = RecentHolders(BELIEVED_SECONDS)
+        table.on_forgotten = self.holders.forget
 
     def choose(
         self,
@@ -145,32 +155,46 @@
         home = self._home(service, request, scope, candidates)
         best = candidates[0]
         best_cost = float("inf")
-        for instance in self._compared(candidates, home, chains.values()):
+        apart = self._kept_apart(service, request)
+        for instance in self._compared(candidates, apart, home, chains.values(), now):
             chain = chains[instance.version(model)]
             cost = self._engine_cost(instance, request, chain, instance.name == home, now)
+            if instance.name in apart:
+                cost += APART_SECONDS
             if cost < best_cost:
                 best, best_cost = instance, cost
         return best
 
     def _compared(
-        self, candidates: Sequence[Instance], home: str, chains: Iterable[PromptChain]
+        self,
+        candidates: Sequence[Instance],
+        apart: Collection[str],
+        home: str,
+        chains: Iterable[PromptChain],
+        now: float,
     ) -> Sequence[Instance]:
         """Servers whose costs are worked out: the home, holders, and a few at random.
 
         Args:
             candidates: Servers that may run the prompt.
+            apart: Names of those that had better not run it.
             home: Name of the one that is its home; empty for none.
             chains: The prompt under each weight version that candidates have.
+            now: Monotonic time.
         """
         if len(candidates) <= NEAR_SAMPLE + FAR_SAMPLE + MAX_HOLDERS:
             return candidates
         by_name = {instance.name: instance for instance in candidates}
-        near = [item for item in candidates if item.record.zone == self._zone]
-        far = [item for item in candidates if item.record.zone != self._zone]
+        fitting = [item for item in candidates if item.name not in apart] or candidates
+        near = [item for item in fitting if item.record.zone == self._zone]
+        far = [item for item in fitting if item.record.zone != self._zone]
         chosen = [*self._sample(near, NEAR_SAMPLE), *self._sample(far, FAR_SAMPLE)]
+        if apart:
+            others = [item for item in candidates if item.name in apart]
+            chosen.extend(self._sample(others, FAR_SAMPLE))
         names = dict.fromkeys([*(instance.name for instance in chosen), home])
         for chain in chains:
-            names.update(dict.fromkeys(self.belief.holders(chain.keys, MAX_HOLDERS)))
+            names.update(dict.fromkeys(self.holders.holders(chain.keys, MAX_HOLDERS, now)))
         return [by_name[name] for name in names if name in by_name]
 
     def _sample(self, instances: list[Instance], count: int) -> list[Instance]:
@@ -205,15 +229,38 @@
         chain = prompt_chain(request, scope)
         if not chain.shared:
             return iter(())
-        return self._ring(service.name).walk(chain.keys[chain.shared - 1])
+        # A single tenant's prompts are few: together at one server they share their first part.
+        depth = 1 if is_of_one_tenant(scope) else chain.shared
+        return self._ring(service.name).walk(chain.keys[depth - 1])
 
     def _ring(self, service: str) -> HomeRing:
         cached = self._rings.get(service)
         if cached is None or cached[0] != self._table.generation:
-            ring = HomeRing(sorted(self._table.of_service(service)))
+            names = set(self._table.of_service(service)) - self._long_prompt_servers(service)
+            ring = HomeRing(sorted(names))
             cached = self._rings[service] = (self._table.generation, ring)
         return cached[1]
 
+    def _kept_apart(self, service: ServiceRecord, request: ExchangeRequest) -> Collection[str]:
+        """Names of the servers that had better not run a request, since others disturb it there."""
+        for_long = self._long_prompt_servers(service.name)
+        if not for_long:
+            return ()
+        if is_long(request, PREFILL_TOKENS_PER_SECOND):
+            return self._table.of_service(service.name).keys() - for_long
+        if mostly_generates(request, PREFILL_TOKENS_PER_SECOND):
+            return for_long
+        return ()
+
+    def _long_prompt_servers(self, service: str) -> frozenset[str]:
+        if Mechanism.LONG_PROMPT_SERVERS not in self._mechanisms:
+            return frozenset()
+        cached = self._for_long_prompts.get(service)
+        if cached is None or cached[0] != self._table.generation:
+            servers = long_prompt_servers(self._table.of_service(service).values())
+            cached = self._for_long_prompts[service] = (self._table.generation, servers)
+        return cached[1]
+
     def _engine_cost(
         self,
         instance: Instance,
@@ -226,7 +273,7 @@
         waiting_tokens = instance.in_flight_tokens + others.waiting_tokens
         waiting = waiting_tokens / PREFILL_TOKENS_PER_SECOND
         running = (instance.in_flight + others.running) * RUNNING_SECONDS
-        held = float(self._held_tokens(instance, chain))
+        held = float(self._held_tokens(instance, chain, now))
         if is_home:
             held = max(held, HOME_HELD_SHARE * chain.shared_tokens)
         missing_shared = max(chain.shared_tokens - held, 0.0)
@@ -236,9 +283,9 @@
         jitter = self._random.random() * ENGINE_JITTER_SECONDS
         return waiting + running + reading + self._zone_seconds(instance) + jitter
 
-    def _held_tokens(self, instance: Instance, chain: PromptChain) -> int:
+    def _held_tokens(self, instance: Instance, chain: PromptChain, now: float) -> int:
         """Tokens of a prompt that a server is believed to keep."""
-        depth = self.belief.held_blocks(instance.name, chain.keys)
+        depth = self.holders.held_parts(instance.name, chain.keys, now)
         return chain.tokens[depth - 1] if depth else 0
 
     def _chain_at(self, instance: Instance, request: ExchangeRequest, scope: str) -> PromptChain:
@@ -248,17 +295,19 @@
     def _zone_seconds(self, instance: Instance) -> float:
         return 0.0 if instance.record.zone == self._zone else ZONE_SECONDS
 
-    def work_tokens(self, instance: Instance, request: ExchangeRequest, scope: str) -> int:
+    def work_tokens(
+        self, instance: Instance, request: ExchangeRequest, scope: str, now: float
+    ) -> int:
         """Prompt tokens that the server will have to read for a request."""
         chain = self._chain_at(instance, request, scope)
-        return max(request.prompt_tokens - self._held_tokens(instance, chain), 0)
+        return max(request.prompt_tokens - self._held_tokens(instance, chain, now), 0)
 
-    def note_sent(self, instance: Instance, request: ExchangeRequest, scope: str) -> None:
-        """The server reads this prompt now, and keeps it."""
+    def note_sent(
+        self, instance: Instance, request: ExchangeRequest, scope: str, now: float
+    ) -> None:
+        """The server reads this prompt now, and keeps it for a while."""
         chain = self._chain_at(instance, request, scope)
-        if chain.keys:
-            self.belief.observe_incarnation(instance.name, instance.name)
-            self.belief.note_held(instance.name, instance.name, chain.keys)
+        self.holders.note_sent(instance.name, chain.keys, now)
 
     # -- applications ---------------------------------------------------------------------------
 
--- a/src/milletcourse/exchange/mechanisms.py
+++ b/src/milletcourse/exchange/mechanisms.py
@@ -32,6 +32,10 @@
         "home-servers",
         "prompts with shared parts have home servers that all gateways agree on",
     )
+    LONG_PROMPT_SERVERS = (
+        "long-prompt-servers",
+        "a few servers of each zone take the longest prompts, so that streams run elsewhere",
+    )
     SHARED_SUSPICION = (
         "shared-suspicion",
         "a server that several gateways saw fail gets no new work from any",
--- a/src/milletcourse/exchange/reuse_scope.py
+++ b/src/milletcourse/exchange/reuse_scope.py
@@ -7,6 +7,7 @@
 PRIORITY_STEP = 3
 """Ranks of a route within one rank of a tenant."""
 LOWEST_RANK = 9
+_ONE_TENANT = ":tenant:"
 
 
 def reuse_scope(model: str, tenant: TenantRecord | None) -> str:
@@ -16,10 +17,15 @@
     """
     escaped = model.replace(":", "%3A")
     if tenant is not None and tenant.isolated:
-        return f"{escaped}:tenant:{tenant.name}"
+        return f"{escaped}{_ONE_TENANT}{tenant.name}"
     return f"{escaped}:shared"
 
 
+def is_of_one_tenant(scope: str) -> bool:
+    """Whether only one tenant's requests share prompt state in a scope."""
+    return _ONE_TENANT in scope
+
+
 def cache_salt(scope: str, weight_version: int | None) -> str:
     """Text under which servers keep prompt state: nothing is found across versions."""
     return f"{scope}@{weight_version}"
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -66,7 +66,9 @@
         """Carry it out; load and health of the server are kept."""
         instance = self._instance
         job = self._job
-        tokens = self._context.selector.work_tokens(instance, job.request, job.scope)
+        tokens = self._context.selector.work_tokens(
+            instance, job.request, job.scope, self._context.now()
+        )
         instance.in_flight += 1
         instance.in_flight_tokens += tokens
         instance.health.on_dispatch(self._context.now())
@@ -130,7 +132,9 @@
         head = self._context.dialect.request_head(
             request, self._dispatch.build(self._relay.last_event_id)
         )
-        self._context.selector.note_sent(self._instance, request, self._job.scope)
+        self._context.selector.note_sent(
+            self._instance, request, self._job.scope, self._context.now()
+        )
         connection.send(head + request.body, request.request_id, request.method == b"HEAD")
 
     def _seconds_left(self) -> float:
--- a/src/milletcourse/gateway/dispatch_builder.py
+++ b/src/milletcourse/gateway/dispatch_builder.py
@@ -6,11 +6,12 @@
 from milletcourse.exchange.mechanisms import Mechanism
 from milletcourse.exchange.messages import Dispatch
 from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
+from milletcourse.exchange.records import ServiceRecord
 from milletcourse.exchange.reuse_scope import cache_salt, server_rank
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.exchange_job import ExchangeJob
 
-CACHE_STORE_MIN_SHARED_TOKENS = 32
+MOVED_MIN_SHARED_TOKENS = 32
 """Shorter shared parts are read again rather than moved: servers keep blocks of 16 tokens."""
 
 
@@ -58,28 +59,43 @@
             context.record.tally.on_superseded(job.route.name)
         dispatch.weight_version = version
         dispatch.cache_salt = cache_salt(job.scope, version)
-        self._add_cache_store(dispatch)
+        if job.request.shared_tokens >= MOVED_MIN_SHARED_TOKENS:
+            self._add_kept_state(dispatch)
 
-    def _add_cache_store(self, dispatch: Dispatch) -> None:
-        job = self._job
-        context = self._context
-        if Mechanism.KEPT_STATE_STORE not in context.mechanisms:
-            return
-        if job.request.shared_tokens < CACHE_STORE_MIN_SHARED_TOKENS:
-            return
-        zone = context.selector.anchor_zone(job.service, job.request, job.scope)
-        store = job.table.cache_store(zone or self._instance.record.zone)
-        if store is None or store.store_address == context.unreachable_store:
+    def _add_kept_state(self, dispatch: Dispatch) -> None:
+        """The store that the server takes kept state from, and sends its own to."""
+        chain = prompt_chain(self._job.request, dispatch.cache_salt)
+        store = self._store(chain)
+        if store is None:
             return
         dispatch.cache_source = store.store_address
-        chain = prompt_chain(job.request, dispatch.cache_salt)
-        if Mechanism.STORE_ROOM not in context.mechanisms or context.cache_stores.should_send(
-            store, chain, context.members, context.settings.bounds.reuse, context.now()
-        ):
+        if self._should_send(store, chain):
             dispatch.cache_target = store.store_address
             self._sent_chain = chain
             self._sent_to = store.store_address
 
+    def _store(self, chain: PromptChain) -> ServiceRecord | None:
+        """The store that keeps this prompt's state, None when there is none that answers."""
+        job = self._job
+        context = self._context
+        if Mechanism.KEPT_STATE_STORE not in context.mechanisms:
+            return None
+        zone = context.selector.anchor_zone(job.service, job.request, job.scope)
+        store = job.table.cache_store(
+            zone or self._instance.record.zone, chain.keys[chain.shared - 1]
+        )
+        if store is None or store.store_address in context.unreachable_stores:
+            return None
+        return store
+
+    def _should_send(self, store: ServiceRecord, chain: PromptChain) -> bool:
+        context = self._context
+        if Mechanism.STORE_ROOM not in context.mechanisms:
+            return True
+        return context.cache_stores.should_send(
+            store, chain, context.members, context.settings.bounds.reuse, context.now()
+        )
+
     def on_whole_answer(self) -> None:
         """The server has read the whole prompt, and sends it to the store that it was told."""
         if self._sent_chain is not None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -542,10 +542,10 @@
         assert harness.node is not None
         context = harness.node.context
         await (await harness.client()).ask("/stream/", **PROMPT)
-        assert len(context.selector.belief) > 0
+        assert len(context.selector.holders) > 0
         harness.store.remove("servers", "e-1")
         await harness.until(lambda: context.instances.get("e-1") is None)
-        assert len(context.selector.belief) == 0
+        assert len(context.selector.holders) == 0
 
     run_with_gateway(scenario)
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -202,11 +202,11 @@
     return InstanceSelector(table, gate, loads, "zone-0", random.Random(seed)), table
 
 
-def _prompt(shared_tokens: int) -> ExchangeRequest:
+def _prompt(shared_tokens: int, output_tokens: int = 0) -> ExchangeRequest:
     parts = (PromptPart("aa", shared_tokens), PromptPart("bb", 50))
     tokens = shared_tokens + 50
     return ExchangeRequest(
-        b"POST", b"/", "h", [], b"", "id", "", None, "", "m", parts, tokens, 10, 0.0
+        b"POST", b"/", "h", [], b"", "id", "", None, "", "m", parts, tokens, output_tokens, 0.0
     )
 
 
@@ -271,7 +271,7 @@
     home = names.pop()
     selector, table = _selector(1, 45)
     holder = next(instance for instance in table if instance.name != home)
-    selector.note_sent(holder, request, "scope")
+    selector.note_sent(holder, request, "scope", 0.0)
     at_home = table.get(home)
     assert at_home is not None
     at_home.in_flight_tokens = 100_000
