--- a/src/milletcourse/gateway/cache_store_probe.py
+++ b/src/milletcourse/gateway/cache_store_probe.py
@@ -9,7 +9,7 @@
 import asyncio
 from typing import Protocol
 
-from milletcourse.gateway.call_client import Call, CallClient
+from milletcourse.gateway.call_client import Call, Reply
 from milletcourse.gateway.context import GatewayContext
 
 WAIT_SECONDS = 0.25
@@ -17,42 +17,58 @@
 TIMEOUT_SECONDS = 0.8
 PAUSE_SECONDS = 0.8
 """Between calls of a gateway that is alone: a store that goes is noticed within two seconds."""
-CALLS_AT_ONCE = 4
-"""Calls that all gateways together have at a store: it holds a dozen and turns others away."""
+CALLS_AT_ONCE = 1.0
+"""Calls that all gateways together have at a store, on average: it holds a dozen and turns others
+away, and each answer tells what the store has done since the gateway's last one."""
+
+
+class Caller(Protocol):
+    """Makes a call, as `CallClient` does."""
+
+    async def call(self, address: str, call: Call, timeout_seconds: float) -> Reply | None:
+        """The reply, None when there was none in time."""
 
 
 class CacheStoreDialect(Protocol):
     """How a store of kept prompt state is asked for a sign of life."""
 
-    def sign_of_life_call(self, wait_seconds: float) -> Call:
-        """A call that takes no slot, is held for a while, and has a short answer."""
+    def sign_of_life_call(self, position: int, wait_seconds: float) -> Call:
+        """A call that takes no slot and is held for a while; tells what came since a position."""
+
+    def read_position(self, reply: Reply) -> int | None:
+        """The position to go on from; None when the reply tells none."""
 
 
 class CacheStoreProbe:
     """Keeps `GatewayContext.unreachable_stores` current."""
 
-    def __init__(
-        self, context: GatewayContext, calls: CallClient, dialect: CacheStoreDialect
-    ) -> None:
+    def __init__(self, context: GatewayContext, calls: Caller, dialect: CacheStoreDialect) -> None:
         self._context = context
         self._calls = calls
         self._dialect = dialect
+        self._positions: dict[str, int] = {}
 
     async def run(self) -> None:
         """Follow until cancelled."""
         # Gateways that start together don't ask together.
-        await asyncio.sleep(self._context.random.random() * self._pause_seconds())
+        await asyncio.sleep(self._context.random.random() * self.pause_seconds())
         while True:
-            await asyncio.sleep(self._pause_seconds())
+            await asyncio.sleep(self.pause_seconds())
             table = self._context.table
             addresses = [store.store_address for store in table.cache_stores] if table else []
             self._context.unreachable_stores.intersection_update(addresses)
-            await asyncio.gather(*map(self._look, addresses))
+            await asyncio.gather(*map(self.look, addresses))
 
-    def _pause_seconds(self) -> float:
+    def pause_seconds(self) -> float:
+        """Time between two looks of this gateway."""
         return max(PAUSE_SECONDS, self._context.members * WAIT_SECONDS / CALLS_AT_ONCE)
 
-    async def _look(self, address: str) -> None:
-        call = self._dialect.sign_of_life_call(WAIT_SECONDS)
+    async def look(self, address: str) -> None:
+        """Ask one store, and note whether it answers."""
+        position = self._positions.get(address, 0)
+        call = self._dialect.sign_of_life_call(position, WAIT_SECONDS)
         reply = await self._calls.call(address, call, TIMEOUT_SECONDS)
+        if reply is not None:
+            # A store that is busy refuses without a position: go on from the former one.
+            self._positions[address] = self._dialect.read_position(reply) or position
         self._context.note_cache_store(address, reply is not None)
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -53,8 +53,8 @@
         reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
         followed_reader: Name of the gateway that it follows instead; empty for none.
         unreachable_stores: Addresses of stores of kept prompt state that don't answer.
-        on_cache_store_changed: Called with the address of a store of kept prompt state, and whether
-            it answers, when this gateway found that it does or doesn't any more.
+        on_cache_store_found: Called with the address of a store of kept prompt state, and whether
+            this gateway found that it answers, when others should know.
         on_instance_ended: Called when an answer showed that an incarnation has ended.
     """
 
@@ -89,7 +89,7 @@
         self.gate = VersionGate(bounds.version)
         self.loads = LoadExchange(settings.name)
         self.unreachable_stores: set[str] = set()
-        self.on_cache_store_changed: Callable[[str, bool], None] | None = None
+        self.on_cache_store_found: Callable[[str, bool], None] | None = None
         self.cache_stores = CacheStorePlan()
         self.selector = InstanceSelector(
             self.instances, self.gate, self.loads, settings.zone, random_source, mechanisms
@@ -210,9 +210,13 @@
         return True
 
     def note_cache_store(self, address: str, reachable: bool) -> None:
-        """This gateway asked a store of kept prompt state for a sign of life."""
-        if self.set_cache_store(address, reachable) and self.on_cache_store_changed is not None:
-            self.on_cache_store_changed(address, reachable)
+        """This gateway asked a store of kept prompt state for a sign of life.
+
+        That it gave none is told each time, since gateways that started meanwhile don't know it.
+        """
+        is_news = self.set_cache_store(address, reachable)
+        if self.on_cache_store_found is not None and (is_news or not reachable):
+            self.on_cache_store_found(address, reachable)
 
     def set_cache_store(self, address: str, reachable: bool) -> bool:
         """Whether a store of kept prompt state may be used; True when that is news."""
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -27,7 +27,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self.holds_lease = False
         context.on_instance_ended = self._tell_ended
-        context.on_cache_store_changed = self._tell_cache_store
+        context.on_cache_store_found = self._tell_cache_store
 
     def set_gateways(self, gateways: list[GatewayRecord], readers: list[str]) -> None:
         """Take the list of the other gateways, and of the zones' readers among them."""
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -46,6 +47,14 @@
         self.mechanisms = ALL_MECHANISMS
         self.others: list[GatewayNode] = []
 
+    @staticmethod
+    def free_ports() -> list[int]:
+        """A range of ports for the gateways of one test, free just now."""
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = int(probe.getsockname()[1])
+        return [port, min(port + 8, 65535)]
+
     async def start_store(self) -> None:
         """The store alone, with no object."""
         await self.store.start()
--- /dev/null
+++ b/tests/test_cache_store_probe.py
@@ -0,0 +1,122 @@
+"""How gateways notice together that a store of kept prompt state is down, and that it is back."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import configuration
+from milletcourse.gateway.cache_store_probe import (
+    CALLS_AT_ONCE,
+    PAUSE_SECONDS,
+    WAIT_SECONDS,
+    CacheStoreProbe,
+)
+from milletcourse.gateway.call_client import Call, Reply
+from milletcourse.gateway.node import GatewayNode
+from milletcourse.platform.cache_events import PlatformCacheEvents
+
+STORE = "127.0.0.1:1"
+"""Where nothing listens."""
+
+
+def _with_store() -> dict[str, object]:
+    services = [*configuration()["Services"], {"Name": "kept", "KvStoreAddr": STORE}]
+    return configuration(Services=services)
+
+
+async def _two_gateways(harness: Harness) -> tuple[GatewayNode, GatewayNode]:
+    """In two zones, so that both read the store and neither follows the other."""
+    harness.internal_ports = harness.free_ports()
+    harness.store.put("config", "main", _with_store())
+    nodes = []
+    for number in (1, 2):
+        nodes.append(await harness.add_gateway(f"front-{number}", zone=f"zone-{number}"))
+        await harness.until(nodes[-1].context.is_ready)
+    for node in nodes:
+        await harness.until(lambda node=node: node.context.gateways == 2)
+    return nodes[0], nodes[1]
+
+
+def test_what_one_gateway_finds_all_know() -> None:
+    """That a store is down, and that it is back; a store that nobody configured is passed over."""
+
+    async def scenario(harness: Harness) -> None:
+        finder, other = await _two_gateways(harness)
+        finder.context.note_cache_store(STORE, False)
+        finder.context.note_cache_store("127.0.0.1:2", False)
+        await harness.until(lambda: other.context.unreachable_stores == {STORE})
+        finder.context.note_cache_store(STORE, True)
+        await harness.until(lambda: not other.context.unreachable_stores)
+
+    run_with_gateway(scenario)
+
+
+def test_a_store_that_stays_down_is_told_again() -> None:
+    """A gateway that started meanwhile learns it with the next look of any other."""
+
+    async def scenario(harness: Harness) -> None:
+        finder, other = await _two_gateways(harness)
+        finder.context.note_cache_store(STORE, False)
+        await harness.until(lambda: other.context.unreachable_stores == {STORE})
+        other.context.unreachable_stores.clear()
+
+        def looks_again() -> bool:
+            finder.context.note_cache_store(STORE, False)
+            return other.context.unreachable_stores == {STORE}
+
+        await harness.until(looks_again)
+
+    run_with_gateway(scenario)
+
+
+class _Calls:
+    """Answers calls from a list, and keeps them."""
+
+    def __init__(self, replies: list[Reply | None]) -> None:
+        self._replies = replies
+        self.targets: list[str] = []
+
+    async def call(self, address: str, call: Call, timeout_seconds: float) -> Reply | None:
+        """See `CallClient`."""
+        self.targets.append(call.target)
+        return self._replies.pop(0)
+
+
+@pytest.mark.parametrize("refusal", [Reply(429, b"", 0.0), Reply(503, b"busy", 0.0)])
+def test_a_busy_store_is_asked_on_from_the_former_position(refusal: Reply) -> None:
+    """From the beginning it would tell all that it has done."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.start()
+        assert harness.node is not None
+        page = Reply(200, b'{"BootEpoch":1,"NextToken":120,"Lost":false,"Events":[]}', 0.0)
+        calls = _Calls([page, refusal, page])
+        probe = CacheStoreProbe(harness.node.context, calls, PlatformCacheEvents())
+        for _ in range(3):
+            await probe.look(STORE)
+        assert [target.partition("Since=")[2] for target in calls.targets] == ["0", "120", "120"]
+        assert not harness.node.context.unreachable_stores
+
+    run_with_gateway(scenario)
+
+
+def test_more_gateways_ask_seldomer() -> None:
+    """All together have about as many calls at a store, however many they are."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        probe = CacheStoreProbe(context, _Calls([]), PlatformCacheEvents())
+        context.set_gateways(1)
+        assert probe.pause_seconds() == PAUSE_SECONDS
+        for count in (200, 400):
+            context.set_gateways(count)
+            held = count * WAIT_SECONDS / probe.pause_seconds()
+            assert held == pytest.approx(CALLS_AT_ONCE)
+        await asyncio.sleep(0)
+
+    run_with_gateway(scenario)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import socket
 
 import msgspec
 
@@ -150,14 +149,6 @@
     assert follower.revision == 20, "the position stays near, so that the store still knows it"
 
 
-def _free_ports() -> list[int]:
-    """A range of two ports for the gateways of one test, free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = int(probe.getsockname()[1])
-    return [port, min(port + 8, 65535)]
-
-
 async def _start_pair(
     harness: Harness,
     reader_store: str = "",
@@ -168,7 +159,7 @@
     """A reader and its follower; each may see the store through a proxy."""
     await harness.add_server("app-1", "app", serve_whole)
     harness.store.put("config", "main", configuration())
-    harness.internal_ports = _free_ports()
+    harness.internal_ports = harness.free_ports()
     names = sorted(["front-1", "front-2"], key=_is_follower)
     reader = await harness.add_gateway(names[0], reader_store, link_megabits=reader_link)
     await harness.until(reader.context.is_ready)
