--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -6,6 +6,7 @@
 import re
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -248,6 +249,23 @@
     assert set(table.of_service("s")) == {"b"}, "a store that is well tells what is gone"
 
 
+def test_a_server_that_leaves_stays_left_while_the_store_is_away() -> None:
+    """Its leaving was acknowledged: no trouble of the store brings it back, or makes it doubtful."""
+    table = InstanceTable()
+    table.replace_all([engine("a"), engine("b")], 0.0)
+    table.upsert(msgspec.structs.replace(engine("a"), draining=True))
+    table.on_unstable()
+    leaving = table.get("a")
+    assert leaving is not None and leaving.record.draining
+    table.remove("a", 1.0)
+    table.remove("b", 1.0)
+    assert table.get("a") is None
+    assert set(table.of_service("s")) == {"b"}, "one that said nothing is only doubtful"
+    table.on_reached(9.0)
+    table.expire_doubtful(9.0 + BACK_SECONDS)
+    assert not table.of_service("s")
+
+
 def test_an_ended_incarnation_gets_nothing_while_its_entry_stands() -> None:
     """Lists that still show it change nothing; an entry that was written anew brings it back."""
     table = InstanceTable()
