--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -250,7 +250,7 @@
 
 
 def test_a_server_that_leaves_stays_left_while_the_store_is_away() -> None:
-    """Its leaving was acknowledged: no trouble of the store brings it back, or makes it doubtful."""
+    """Its leaving was acknowledged: no trouble of the store brings it back or makes it doubtful."""
     table = InstanceTable()
     table.replace_all([engine("a"), engine("b")], 0.0)
     table.upsert(msgspec.structs.replace(engine("a"), draining=True))
