--- a/tests/test_cache_store_probe.py
+++ b/tests/test_cache_store_probe.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import pytest
 
 from gateway_harness import Harness, run_with_gateway
@@ -117,6 +115,5 @@
             context.set_gateways(count)
             held = count * WAIT_SECONDS / probe.pause_seconds()
             assert held == pytest.approx(CALLS_AT_ONCE)
-        await asyncio.sleep(0)
 
     run_with_gateway(scenario)
