Read the change as a newcomer: names, one question asked in one place, a loop without a stand-in value

Change: `subject`, `avoided`, `separates_long_prompts`, `_is_fed_at_once`; plainer English. No behaviour and no assertion changes; one test has a new name (..._less_often_each).

--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -48,8 +48,9 @@
 part some ten seconds after its last use on a busy day. 4 s and 10 s served alike (trial E3)."""
 MAX_HOLDERS = 4
 """Servers believed to hold a prompt that are compared."""
-APART_SECONDS = 0.15
-"""What it is worth to keep long prompts and streams apart: some pauses of the streams."""
+AVOIDED_SECONDS = 0.15
+"""Cost of running a long prompt beside streams, or a stream beside long prompts: as much as a few
+pieces of a prompt that is read take. Played at this value only (docs/POLICY.md, round L5)."""
 JITTER_SHARE = 0.25
 """Random part of an application server's cost, so that gateways don't choose alike."""
 
@@ -151,12 +152,12 @@
         home = self._home(service, request, scope, candidates)
         best = candidates[0]
         best_cost = float("inf")
-        apart = self._kept_apart(service, request)
-        for instance in self._compared(candidates, apart, home, chains.values(), now):
+        avoided = self._avoided(service, request)
+        for instance in self._compared(candidates, avoided, home, chains.values(), now):
             chain = chains[instance.version(model)]
             cost = self._engine_cost(instance, request, chain, instance.name == home, now)
-            if instance.name in apart:
-                cost += APART_SECONDS
+            if instance.name in avoided:
+                cost += AVOIDED_SECONDS
             if cost < best_cost:
                 best, best_cost = instance, cost
         return best
@@ -164,7 +165,7 @@
     def _compared(
         self,
         candidates: Sequence[Instance],
-        apart: Collection[str],
+        avoided: Collection[str],
         home: str,
         chains: Iterable[PromptChain],
         now: float,
@@ -173,7 +174,7 @@
 
         Args:
             candidates: Servers that may run the prompt.
-            apart: Names of those that had better not run it.
+            avoided: Names of those that run it only when all others are worse.
             home: Name of the one that is its home; empty for none.
             chains: The prompt under each weight version that candidates have.
             now: Monotonic time.
@@ -181,12 +182,12 @@
         if len(candidates) <= NEAR_SAMPLE + FAR_SAMPLE + MAX_HOLDERS:
             return candidates
         by_name = {instance.name: instance for instance in candidates}
-        fitting = [item for item in candidates if item.name not in apart] or candidates
+        fitting = [item for item in candidates if item.name not in avoided] or candidates
         near = [item for item in fitting if item.record.zone == self._zone]
         far = [item for item in fitting if item.record.zone != self._zone]
         chosen = [*self._sample(near, NEAR_SAMPLE), *self._sample(far, FAR_SAMPLE)]
-        if apart:
-            others = [item for item in candidates if item.name in apart]
+        if avoided:
+            others = [item for item in candidates if item.name in avoided]
             chosen.extend(self._sample(others, FAR_SAMPLE))
         names = dict.fromkeys([*(instance.name for instance in chosen), home])
         for chain in chains:
@@ -220,8 +221,8 @@
         instance = self._table.get(name)
         return instance.record.zone if instance is not None else ""
 
-    def _kept_apart(self, service: ServiceRecord, request: ExchangeRequest) -> Collection[str]:
-        """Names of the servers that had better not run a request, since others disturb it there."""
+    def _avoided(self, service: ServiceRecord, request: ExchangeRequest) -> Collection[str]:
+        """Names of the servers where a request would disturb others, or be disturbed by them."""
         for_long = self._homes.for_long_prompts(service.name)
         if not for_long:
             return ()
--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -89,13 +89,13 @@
     """The state of one incarnation of a server, or of a store of kept prompt state.
 
     Attributes:
-        instance: Name of the incarnation, or `host:port` of the store.
+        subject: Name of the incarnation, or `host:port` of the store.
         model: Model whose weights it takes; empty when the notice isn't about weights.
         version: Version of the weights; 0 when the notice isn't about weights.
         state: What it does, or did.
     """
 
-    instance: str
+    subject: str
     model: str
     version: int
     state: ServerState
--- a/src/milletcourse/exchange/prompt_homes.py
+++ b/src/milletcourse/exchange/prompt_homes.py
@@ -42,15 +42,15 @@
     and others, which their homes still keep, to the new one.
     """
 
-    def __init__(self, table: InstanceTable, spares_streams: bool) -> None:
+    def __init__(self, table: InstanceTable, separates_long_prompts: bool) -> None:
         """Homes among a table's servers.
 
         Args:
             table: The servers.
-            spares_streams: Whether some servers take long prompts, so that streams run elsewhere.
+            separates_long_prompts: Whether some servers take long prompts and are no homes.
         """
         self._table = table
-        self._spares_streams = spares_streams
+        self._separates_long_prompts = separates_long_prompts
         self._places: dict[str, _Places] = {}
 
     def in_order(self, service: str, request: ExchangeRequest, scope: str) -> Iterator[str]:
@@ -81,7 +81,7 @@
 
     def _new_places(self, service: str) -> _Places:
         instances = self._table.of_service(service).values()
-        for_long = long_prompt_servers(instances) if self._spares_streams else frozenset()
+        for_long = long_prompt_servers(instances) if self._separates_long_prompts else frozenset()
         names = {
             instance.record.address: instance.name
             for instance in instances
--- a/src/milletcourse/gateway/cache_store_probe.py
+++ b/src/milletcourse/gateway/cache_store_probe.py
@@ -1,7 +1,7 @@
 """Notices when a store of kept prompt state is down, so that no server asks it in vain.
 
-All gateways share the work: each asks the seldomer the more of them there are, and tells the others
-when a store doesn't answer, or answers again.
+All gateways share the work: the more of them there are, the less often each asks, and each tells
+the others when a store doesn't answer, or answers again.
 """
 
 from __future__ import annotations
@@ -16,10 +16,10 @@
 """A call is held this long at most; shorter ones are priced as probes."""
 TIMEOUT_SECONDS = 0.8
 PAUSE_SECONDS = 0.8
-"""Between calls of a gateway that is alone: a store that goes is noticed within two seconds."""
+"""Between calls of a gateway that is alone, so that it notices within two seconds."""
 CALLS_AT_ONCE = 1.0
-"""Calls that all gateways together have at a store, on average: it holds a dozen and turns others
-away, and each answer tells what the store has done since the gateway's last one."""
+"""Calls that all gateways together have at a store, on average. Stores hold about a dozen and turn
+the rest away, and each answer lists what the store has done since the gateway's last call."""
 
 
 class Caller(Protocol):
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -219,7 +219,7 @@
             self.on_cache_store_found(address, reachable)
 
     def set_cache_store(self, address: str, reachable: bool) -> bool:
-        """Whether a store of kept prompt state may be used; True when that is news."""
+        """Take a store of kept prompt state out of use or back into it; True when that is news."""
         was_reachable = address not in self.unreachable_stores
         if was_reachable == reachable:
             return False
--- a/src/milletcourse/gateway/directory.py
+++ b/src/milletcourse/gateway/directory.py
@@ -19,6 +19,7 @@
 )
 
 REGISTER_RETRY_SECONDS = 1.0
+"""Until a gateway is listed it only serves alone, so a refused entry may wait a second."""
 LIST_WAIT_SECONDS = 0.5
 """The list is waited for this long, to see whether the entry of an earlier process stands."""
 MAX_GATEWAYS = 512
@@ -119,7 +120,7 @@
     The entry of an earlier process is mostly the same, and needs no call then.
     """
     with suppress(TimeoutError):
-        # Without the list: the store may take an entry though it has not told the list.
+        # Without the list the entry is written: that costs one call at most.
         await asyncio.wait_for(directory.is_listed.wait(), LIST_WAIT_SECONDS)
     if directory.own_entry == entry:
         return
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -57,11 +57,11 @@
         if notice.state in (ServerState.STORE_LOST, ServerState.STORE_FOUND):
             self._take_cache_store(notice)
             return
-        instance = self._context.instances.get(notice.instance)
+        instance = self._context.instances.get(notice.subject)
         if instance is None:
             return
         if notice.state is ServerState.ENDED:
-            self._context.end_instance(notice.instance, "told")
+            self._context.end_instance(notice.subject, "told")
         elif notice.state is ServerState.READY:
             instance.note_version(notice.model, notice.version)
         elif (instance.version(notice.model) or 0) < notice.version:
@@ -70,9 +70,9 @@
     def _take_cache_store(self, notice: ServerNotice) -> None:
         table = self._context.table
         stores = table.cache_stores if table is not None else []
-        if any(store.store_address == notice.instance for store in stores):
+        if any(store.store_address == notice.subject for store in stores):
             reachable = notice.state is ServerState.STORE_FOUND
-            self._context.set_cache_store(notice.instance, reachable)
+            self._context.set_cache_store(notice.subject, reachable)
 
     def _tell_cache_store(self, address: str, reachable: bool) -> None:
         state = ServerState.STORE_FOUND if reachable else ServerState.STORE_LOST
--- a/src/milletcourse/gateway/store_sync.py
+++ b/src/milletcourse/gateway/store_sync.py
@@ -105,14 +105,15 @@
         patient_until = self._context.now() + START_PATIENCE_SECONDS
         while True:
             reader = self._plan.choose(self._context.now())
-            outcome = await self._ask(reader, 0.0) if reader is not None else _Outcome.SILENT
-            if reader is not None and outcome is _Outcome.FED:
-                patient_until = 0.0
-                self._stop_watches()
-                await self._follow(reader)
-                continue
-            if outcome is _Outcome.REFUSED and await self._is_fed_by_another():
-                continue
+            if reader is not None:
+                outcome = await self._ask(reader, 0.0)
+                if outcome is _Outcome.FED:
+                    patient_until = 0.0
+                    self._stop_watches()
+                    await self._follow(reader)
+                    continue
+                if outcome is _Outcome.REFUSED and await self._is_fed_by_another():
+                    continue
             if self._plan.is_reader or self._context.now() >= patient_until:
                 self._start_watches()
             if self._has_lost_store():
@@ -146,7 +147,7 @@
         reader = self._plan.choose(self._context.now())
         if reader is None or reader.link_megabits < FIRST_FEED_MEGABITS:
             return False
-        return await self._ask(reader, 0.0, QUICK_SECONDS) is _Outcome.FED
+        return await self._is_fed_at_once(reader)
 
     async def _learn_all(self) -> None:
         """Know all kinds before the first choice of a reader; they come all at once."""
@@ -198,8 +199,10 @@
         its trouble would cost a call a follower and kind whenever it comes.
         """
         reader = self._plan.choose(self._context.now())
-        if reader is None:
-            return False
+        return reader is not None and await self._is_fed_at_once(reader)
+
+    async def _is_fed_at_once(self, reader: GatewayRecord) -> bool:
+        """Whether a reader tells what there is without keeping the question."""
         return await self._ask(reader, 0.0, QUICK_SECONDS) is _Outcome.FED
 
     def _has_lost_store(self) -> bool:
--- a/tests/test_cache_store_probe.py
+++ b/tests/test_cache_store_probe.py
@@ -101,7 +101,7 @@
     run_with_gateway(scenario)
 
 
-def test_more_gateways_ask_seldomer() -> None:
+def test_more_gateways_ask_less_often_each() -> None:
     """All together have about as many calls at a store, however many they are."""
 
     async def scenario(harness: Harness) -> None:
