Tenants get a part of the tolerance of their limits

Ruled out: a wrong account of use (tenant-limited lines: use 54,000 to 69,000 a second, limit 47,937). Change: the granted rate is the limit's plus half of the overage and 0.8 of the slack, spread over the window; the rest of both stays as reserve for what is spent before others hear of it.

--- a/src/milletcourse/exchange/records.py
+++ b/src/milletcourse/exchange/records.py
@@ -119,6 +119,20 @@
     undeclared_tokens: int = 0
 
 
+class LimitTolerance(msgspec.Struct, frozen=True):
+    """How far all gateways together may go beyond a limit.
+
+    Attributes:
+        window_seconds: What is used is judged in each window of this length.
+        overage: Share of a window's limit by which it may be exceeded.
+        slack: Units beyond that.
+    """
+
+    window_seconds: float = 8.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 class TenantRecord(msgspec.Struct, frozen=True):
     """A tenant with its keys.
 
--- a/src/milletcourse/exchange/tenant_limits.py
+++ b/src/milletcourse/exchange/tenant_limits.py
@@ -14,11 +14,16 @@
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.peer_messages import TenantUse, tenant_key
 from milletcourse.exchange.recent_use import RecentUse
-from milletcourse.exchange.records import LimitUnit, TenantLimit, TenantRecord
+from milletcourse.exchange.records import LimitTolerance, LimitUnit, TenantLimit, TenantRecord
 from milletcourse.exchange.shared_bucket import SharedBucket
 
 MAX_WAIT_SECONDS = 5.0
 """Longest time after which a refused client is told to come back: few wait longer for an answer."""
+OVERAGE_USED = 0.5
+SLACK_USED = 0.8
+"""Parts of the tolerance that are granted, since a refusal within it is lost to the caller. What is
+left is for what gateways spend before the others hear of it: 2 in 100 of a window for a tenant that
+sends 2.8 times its limit (`milletcourse experiment limits`)."""
 NOTE_SECONDS = 1.0
 """The refusals of a tenant are told to operators once in this time."""
 
@@ -46,9 +51,9 @@
 class Account:
     """One tenant's use at this gateway."""
 
-    def __init__(self, limit: TenantLimit, key: int, now: float) -> None:
+    def __init__(self, per_second: float, burst: float, key: int, now: float) -> None:
         self.key = key
-        self.bucket = SharedBucket(limit.per_second, limit.burst, now)
+        self.bucket = SharedBucket(per_second, burst, now)
         self.use = RecentUse()
         self.promised_until = now
         self.refused = 0
@@ -58,8 +63,9 @@
 class TenantLimits:
     """Accounts of all tenants with a limit, at one gateway."""
 
-    def __init__(self, loads: LoadExchange) -> None:
+    def __init__(self, loads: LoadExchange, tolerance: LimitTolerance) -> None:
         self._loads = loads
+        self._tolerance = tolerance
         self._accounts: dict[str, Account] = {}
 
     def configure(self, tenants: Iterable[TenantRecord], now: float) -> None:
@@ -71,11 +77,16 @@
             if limit is None:
                 continue
             account = kept.get(tenant.name)
+            per_second = granted_per_second(limit, self._tolerance)
             if account is None:
-                account = Account(limit, tenant_key(tenant.name), now)
-            account.bucket.change(limit.per_second, limit.burst)
+                account = Account(per_second, limit.burst, tenant_key(tenant.name), now)
+            account.bucket.change(per_second, limit.burst)
             self._accounts[tenant.name] = account
 
+    def set_tolerance(self, tolerance: LimitTolerance) -> None:
+        """Change how far limits may be exceeded, from the next configuration on."""
+        self._tolerance = tolerance
+
     def names(self) -> list[str]:
         """Tenants that have a limit."""
         return list(self._accounts)
@@ -182,6 +193,14 @@
         return notes
 
 
+def granted_per_second(limit: TenantLimit, tolerance: LimitTolerance) -> float:
+    """The rate that is granted: the limit's, and a part of the tolerance spread over its window."""
+    window = tolerance.window_seconds
+    of_window = limit.per_second * window + limit.burst
+    beyond = OVERAGE_USED * tolerance.overage * of_window + SLACK_USED * tolerance.slack
+    return limit.per_second + beyond / window
+
+
 def units_of(limit: TenantLimit, request: ExchangeRequest) -> float:
     """What a request uses of a limit, in the limit's unit."""
     if limit.unit is LimitUnit.REQUESTS:
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -89,7 +89,7 @@
         self.on_instance_ended: Callable[[str], None] | None = None
         self.gate = VersionGate(bounds.version)
         self.loads = LoadExchange(settings.name)
-        self.limits_of_tenants = TenantLimits(self.loads)
+        self.limits_of_tenants = TenantLimits(self.loads, bounds.limit_tolerance)
         self.unreachable_stores: set[str] = set()
         self.on_cache_store_found: Callable[[str, bool], None] | None = None
         self.cache_stores = CacheStorePlan()
@@ -115,6 +115,7 @@
             self._key_bound(settings), bounds.fail_closed, self.reading.calm_age
         )
         self.gate.bound_seconds = bounds.version
+        self.limits_of_tenants.set_tolerance(bounds.limit_tolerance)
         self._budgets.clear()
 
     @staticmethod
--- a/src/milletcourse/gateway/settings.py
+++ b/src/milletcourse/gateway/settings.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from milletcourse.exchange.records import LimitTolerance
+
 
 class GatewayBounds(msgspec.Struct, frozen=True):
     """Time bounds that operators hold a gateway to, in seconds unless named otherwise.
@@ -18,6 +20,9 @@
         retry_ratio: Sends past the first of a request, as a share of requests, over all gateways.
         retry_slack: Sends past the first that are allowed beside the share, over all gateways.
         budget_window: Window in which both are counted.
+        limit_window: Window in which a tenant's use is held against its limit.
+        limit_overage: Share of a window's limit by which all gateways together may exceed it.
+        limit_slack: Units of a limit beyond that.
         reuse: A part of a prompt is expected to be asked for again within this time, if at all.
     """
 
@@ -31,6 +36,14 @@
     retry_slack: float = 50.0
     budget_window: float = 10.0
     reuse: float = 10.0
+    limit_window: float = 8.0
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
+
+    @property
+    def limit_tolerance(self) -> LimitTolerance:
+        """How far all gateways together may go beyond a tenant's limit."""
+        return LimitTolerance(self.limit_window, self.limit_overage, self.limit_slack)
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -55,6 +55,9 @@
     "RetrySlack": "retry_slack",
     "BudgetWindowS": "budget_window",
     "RetryAfterS": "reuse",
+    "QuotaWindowS": "limit_window",
+    "QuotaOverage": "limit_overage",
+    "QuotaSlack": "limit_slack",
 }
 """The platform's bounds that a gateway keeps, with the product's names."""
 
