Tolerance of limits is granted while a tenant's debt is small

Change: 0.8 of the overage and 0.95 of the slack while there is no debt, less with a debt, nothing at a debt of a quarter second of the rate.

--- a/src/milletcourse/exchange/shared_bucket.py
+++ b/src/milletcourse/exchange/shared_bucket.py
@@ -13,6 +13,9 @@
 START_SECONDS = 0.5
 """A copy starts with what comes in within this time: so long it takes a process to start, in which
 nothing was spent. A full burst would come anew with each restart of all gateways."""
+TOLERATED_DEBT_SECONDS = 0.25
+"""Tolerance beyond a limit is granted in full without a debt, and no more at a debt of so much of the
+rate: a tenant that sends a little more than its limit gets it, one that sends a multiple doesn't."""
 MAX_STEP_SECONDS = 1.0
 """After a longer hole, a frozen process or a slow one, what the others spent in it isn't known: it
 is taken as all that came in."""
@@ -23,22 +26,23 @@
 class SharedBucket:
     """One gateway's copy of a bucket."""
 
-    def __init__(self, per_second: float, burst: float, now: float) -> None:
+    def __init__(self, per_second: float, beyond: float, burst: float, now: float) -> None:
         """A copy at the start of a process.
 
         Args:
             per_second: Units that come in each second, for all gateways together.
+            beyond: Units that come in each second beside them, while there is no debt.
             burst: Units that are saved up at most.
             now: Monotonic time.
         """
-        self.per_second = per_second
-        self.burst = burst
+        self.change(per_second, beyond, burst)
         self._level = min(per_second * START_SECONDS, burst)
         self._updated_at = now
 
-    def change(self, per_second: float, burst: float) -> None:
+    def change(self, per_second: float, beyond: float, burst: float) -> None:
         """Take another limit into force; what is spent stays spent."""
         self.per_second = per_second
+        self.beyond = beyond
         self.burst = burst
 
     def level(self, now: float, others_per_second: float, part: float) -> float:
@@ -52,12 +56,17 @@
         elapsed = now - self._updated_at
         if elapsed > MAX_STEP_SECONDS:
             elapsed = 0.0
-        gained = (self.per_second * part - others_per_second) * elapsed
+        gained = (self._income() * part - others_per_second) * elapsed
         debt = self.per_second * part * MAX_DEBT_SECONDS
         self._level = min(max(self._level + gained, min(self._level, -debt)), self.burst * part)
         self._updated_at = now
         return self._level
 
+    def _income(self) -> float:
+        """Units that come in each second; a debt shows that much is spent before others hear of it."""
+        debt_seconds = max(-self._level, 0.0) / self.per_second
+        return self.per_second + self.beyond * max(1.0 - debt_seconds / TOLERATED_DEBT_SECONDS, 0.0)
+
     def spend(self, units: float) -> None:
         """Take units out; a negative number gives units back."""
         self._level -= units
--- a/src/milletcourse/exchange/tenant_limits.py
+++ b/src/milletcourse/exchange/tenant_limits.py
@@ -19,8 +19,8 @@
 
 MAX_WAIT_SECONDS = 5.0
 """Longest time after which a refused client is told to come back: few wait longer for an answer."""
-OVERAGE_USED = 0.5
-SLACK_USED = 0.8
+OVERAGE_USED = 0.8
+SLACK_USED = 0.95
 """Parts of the tolerance that are granted, since a refusal within it is lost to the caller. What is
 left is for what gateways spend before the others hear of it: 2 in 100 of a window for a tenant that
 sends 2.8 times its limit (`milletcourse experiment limits`)."""
@@ -51,9 +51,9 @@
 class Account:
     """One tenant's use at this gateway."""
 
-    def __init__(self, per_second: float, burst: float, key: int, now: float) -> None:
+    def __init__(self, limit: TenantLimit, beyond: float, key: int, now: float) -> None:
         self.key = key
-        self.bucket = SharedBucket(per_second, burst, now)
+        self.bucket = SharedBucket(limit.per_second, beyond, limit.burst, now)
         self.use = RecentUse()
         self.promised_until = now
         self.refused = 0
@@ -77,10 +77,10 @@
             if limit is None:
                 continue
             account = kept.get(tenant.name)
-            per_second = granted_per_second(limit, self._tolerance)
+            beyond = granted_beyond(limit, self._tolerance)
             if account is None:
-                account = Account(per_second, limit.burst, tenant_key(tenant.name), now)
-            account.bucket.change(per_second, limit.burst)
+                account = Account(limit, beyond, tenant_key(tenant.name), now)
+            account.bucket.change(limit.per_second, beyond, limit.burst)
             self._accounts[tenant.name] = account
 
     def set_tolerance(self, tolerance: LimitTolerance) -> None:
@@ -193,12 +193,12 @@
         return notes
 
 
-def granted_per_second(limit: TenantLimit, tolerance: LimitTolerance) -> float:
-    """The rate that is granted: the limit's, and a part of the tolerance spread over its window."""
+def granted_beyond(limit: TenantLimit, tolerance: LimitTolerance) -> float:
+    """The rate that is granted beside the limit's: a part of the tolerance, spread over its window."""
     window = tolerance.window_seconds
     of_window = limit.per_second * window + limit.burst
     beyond = OVERAGE_USED * tolerance.overage * of_window + SLACK_USED * tolerance.slack
-    return limit.per_second + beyond / window
+    return beyond / window
 
 
 def units_of(limit: TenantLimit, request: ExchangeRequest) -> float:
--- a/tests/test_tenant_limits.py
+++ b/tests/test_tenant_limits.py
@@ -140,6 +140,25 @@
     assert told == pytest.approx(spent, rel=0.05)
 
 
+@pytest.mark.parametrize(("factor", "most"), [(1.05, 1.051), (4.0, 1.06)])
+def test_a_part_of_the_tolerance_is_granted_to_those_that_need_little_of_it(
+    factor: float, most: float
+) -> None:
+    """A tenant a little over its limit is served whole, one far over it keeps to the limit."""
+    tenant = _tenant()
+    loads = LoadExchange("gateway-1")
+    limits = TenantLimits(loads, LimitTolerance(WINDOW_SECONDS, OVERAGE, 0.0))
+    limits.configure([tenant], 0.0)
+    asked = admitted = 0.0
+    for step in range(4000):
+        now = step * 0.01
+        limits.tick(1.0, now)
+        while asked < factor * RATE * now:
+            asked += 100
+            admitted += 100 if limits.try_spend(tenant, _request(100), 1.0, now) is None else 0
+    assert admitted / (RATE * 40.0) == pytest.approx(min(factor, most), abs=0.04)
+
+
 def test_operators_are_told_of_a_limited_tenant_once_a_second() -> None:
     """Who, its limit, its use, and how many refusals."""
     tenant = _tenant()
