--- a/src/milletcourse/exchange/tenant_limits.py
+++ b/src/milletcourse/exchange/tenant_limits.py
@@ -194,7 +194,7 @@
 
 
 def granted_beyond(limit: TenantLimit, tolerance: LimitTolerance) -> float:
-    """The rate that is granted beside the limit's: a part of the tolerance, spread over its window."""
+    """The rate that is granted beside the limit's: a part of the tolerance over its window."""
     window = tolerance.window_seconds
     of_window = limit.per_second * window + limit.burst
     beyond = OVERAGE_USED * tolerance.overage * of_window + SLACK_USED * tolerance.slack
