Requests that would wait long at the best model server are refused at once

With 34 of 45 engines the slots are full, 19 to 22 requests wait or run at each server where 16 may run, and 4 in 10 attempts of long prompts are left for silence and read elsewhere anew. Change: gateways tell each other the memory that their requests take; the wait at a server counts its slots and memory; a request whose wait at the best server is over half of its route's target is refused at once with the time to come back. A prompt's own reading doesn't count.

--- /dev/null
+++ b/src/milletcourse/exchange/engine_load.py
@@ -0,0 +1,76 @@
+"""What a request takes of a model server, and how long it would wait there; no input/output.
+
+A server runs a bounded number of requests at once, keeps all their tokens in a bounded memory, and
+reads prompts in pieces between the tokens of the requests that it runs.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.records import RouteRecord, ServiceRecord
+
+PREFILL_TOKENS_PER_SECOND = 40_000.0
+"""Speed at which servers read prompts, in the order of what engines do today. Learning it from
+first events was tried three times and served no better (docs/POLICY.md, round 6)."""
+RUNNING_SECONDS = 0.004
+"""Estimated delay that each running request adds to a new one."""
+SLOT_SECONDS = 0.15
+"""Wait for a slot for each request that stands before it. Streams of some 300 tokens take 1.5 s at
+an idle server and 2.5 s between the pieces of prompts, so 16 slots come free at this pace."""
+FULL_SECONDS = 0.4
+"""Cost of a prompt that doesn't fit into a server's memory. A running one gives way and is read
+anew: some 9,000 tokens, for which all streams of the server wait as well."""
+GENERATED_SHARE = 0.5
+"""Of the most tokens that a request may generate, what it holds in memory on the mean."""
+MAX_WAIT_SHARE = 0.5
+"""A request is refused when it would wait longer than this share of its route's target latency at
+the best server. Without a bound an overload keeps itself up: with a quarter of 45 servers gone for
+14 s, requests were late until 24 s after its begin, and with the bound until 14 s."""
+
+
+class ServerLoad(msgspec.Struct, frozen=True):
+    """Load of one server, by all gateways together.
+
+    Attributes:
+        waiting_tokens: Prompt tokens to be read for requests without a first event.
+        requests: Requests that it works on.
+        memory_tokens: Memory that they take, in tokens.
+    """
+
+    waiting_tokens: int
+    requests: int
+    memory_tokens: int
+
+
+def memory_tokens(request: ExchangeRequest) -> int:
+    """Memory that a request takes while it runs, in tokens."""
+    return request.prompt_tokens + int(GENERATED_SHARE * request.output_tokens)
+
+
+def wait_seconds(service: ServiceRecord, load: ServerLoad, request: ExchangeRequest) -> float:
+    """Expected time until a server begins to read a request's prompt.
+
+    Args:
+        service: What its servers have room for.
+        load: Load of the server.
+        request: The request, which isn't part of the load.
+    """
+    seconds = load.waiting_tokens / PREFILL_TOKENS_PER_SECOND + load.requests * RUNNING_SECONDS
+    if service.slots:
+        seconds += max(load.requests + 1 - service.slots, 0) * SLOT_SECONDS
+    memory = load.memory_tokens + memory_tokens(request)
+    # Whether a prompt fits into an empty server is known to the server only.
+    if load.memory_tokens and 0 < service.capacity_tokens < memory:
+        seconds += FULL_SECONDS * memory / service.capacity_tokens
+    return seconds
+
+
+def is_worth_sending(route: RouteRecord, seconds: float) -> bool:
+    """Whether a request goes to a server at which it would wait this long, and isn't refused.
+
+    Routes without a target have no bound.
+    """
+    target = route.target_latency_seconds
+    return not target or seconds <= MAX_WAIT_SHARE * target
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -10,6 +10,13 @@
 import random
 from collections.abc import Collection, Iterable, Sequence
 
+import msgspec
+
+from milletcourse.exchange.engine_load import (
+    PREFILL_TOKENS_PER_SECOND,
+    ServerLoad,
+    wait_seconds,
+)
 from milletcourse.exchange.instance_table import Instance, InstanceTable
 from milletcourse.exchange.load_exchange import LoadExchange
 from milletcourse.exchange.long_prompt_servers import is_long, mostly_generates
@@ -23,11 +30,6 @@
 from milletcourse.exchange.server_health import ServerTally
 from milletcourse.exchange.version_gate import VersionGate
 
-PREFILL_TOKENS_PER_SECOND = 40_000.0
-"""Speed at which servers read prompts, in the order of what engines do today. Learning it from
-first events was tried three times and served no better (docs/POLICY.md, round 6)."""
-RUNNING_SECONDS = 0.004
-"""Estimated delay that each running request adds to a new one."""
 STORE_READ_SHARE = 0.7
 """Time to take kept state from a store, as a share of reading it again."""
 HOME_HELD_SHARE = 0.8
@@ -55,6 +57,18 @@
 """Random part of an application server's cost, so that gateways don't choose alike."""
 
 
+class Choice(msgspec.Struct, frozen=True):
+    """The best server for a request.
+
+    Attributes:
+        instance: The server.
+        wait_seconds: Expected time until it begins with the request; 0 for applications.
+    """
+
+    instance: Instance
+    wait_seconds: float = 0.0
+
+
 class InstanceSelector:
     """Chooses servers, and remembers which prompts they were sent."""
 
@@ -84,7 +98,7 @@
         scope: str,
         tried: Collection[str],
         now: float,
-    ) -> Instance | None:
+    ) -> Choice | None:
         """The best server for a request, None when none may run it.
 
         Args:
@@ -99,7 +113,7 @@
             return None
         if service.models:
             return self._choose_engine(service, request, scope, candidates, now)
-        return min(candidates, key=lambda instance: self._application_cost(instance, now))
+        return Choice(min(candidates, key=lambda item: self._application_cost(item, now)))
 
     def _candidates(
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
@@ -143,23 +157,25 @@
         scope: str,
         candidates: Sequence[Instance],
         now: float,
-    ) -> Instance:
+    ) -> Choice:
         model = request.model
         versions = dict.fromkeys(instance.version(model) for instance in candidates)
         chains = {
             version: prompt_chain(request, cache_salt(scope, version)) for version in versions
         }
         home = self._home(service, request, scope, candidates)
-        best = candidates[0]
+        best = Choice(candidates[0])
         best_cost = float("inf")
         avoided = self._avoided(service, request)
         for instance in self._compared(candidates, avoided, home, chains.values(), now):
             chain = chains[instance.version(model)]
-            cost = self._engine_cost(instance, request, chain, instance.name == home, now)
+            load = self._load(instance, now)
+            wait = wait_seconds(service, load, request)
+            cost = wait + self._own_cost(instance, request, chain, instance.name == home, now)
             if instance.name in avoided:
                 cost += AVOIDED_SECONDS
             if cost < best_cost:
-                best, best_cost = instance, cost
+                best, best_cost = Choice(instance, wait), cost
         return best
 
     def _compared(
@@ -232,7 +248,15 @@
             return for_long
         return ()
 
-    def _engine_cost(
+    def _load(self, instance: Instance, now: float) -> ServerLoad:
+        others = self._loads.others_load(instance.key, now)
+        return ServerLoad(
+            instance.in_flight_tokens + others.waiting_tokens,
+            instance.in_flight + others.running,
+            instance.memory_tokens + others.memory_tokens,
+        )
+
+    def _own_cost(
         self,
         instance: Instance,
         request: ExchangeRequest,
@@ -240,10 +264,7 @@
         is_home: bool,
         now: float,
     ) -> float:
-        others = self._loads.others_load(instance.key, now)
-        waiting_tokens = instance.in_flight_tokens + others.waiting_tokens
-        waiting = waiting_tokens / PREFILL_TOKENS_PER_SECOND
-        running = (instance.in_flight + others.running) * RUNNING_SECONDS
+        """Time to read what a server lacks of a prompt, and to reach it."""
         held = float(self._held_tokens(instance, chain, now))
         if is_home:
             held = max(held, HOME_HELD_SHARE * chain.shared_tokens)
@@ -252,7 +273,7 @@
         own = max(total - max(chain.shared_tokens, held), 0.0)
         reading = (missing_shared * STORE_READ_SHARE + own) / PREFILL_TOKENS_PER_SECOND
         jitter = self._random.random() * ENGINE_JITTER_SECONDS
-        return waiting + running + reading + self._zone_seconds(instance) + jitter
+        return reading + self._zone_seconds(instance) + jitter
 
     def _held_tokens(self, instance: Instance, chain: PromptChain, now: float) -> int:
         """Tokens of a prompt that a server is believed to keep."""
--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/instance_table.py
@@ -32,6 +32,7 @@
         health: Outlier ejection.
         in_flight: Requests of this node that it works on.
         in_flight_tokens: Prompt tokens of this node's requests that have no first event yet.
+        memory_tokens: Memory that this node's requests take there, in tokens.
         latency_seconds: Mean time of whole answers.
         vanished_at: When its entry went in doubt, None while it is listed.
         ended: Another incarnation answers at its address, whatever its entry says.
@@ -43,6 +44,7 @@
         self.health = ServerHealth()
         self.in_flight = 0
         self.in_flight_tokens = 0
+        self.memory_tokens = 0
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.vanished_at: float | None = None
         self.ended = False
--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -51,6 +51,7 @@
         running: Requests that the server works on.
         bad: Attempts that failed there lately, weighed by what they say of the server.
         good: Attempts that were answered there lately.
+        memory_tokens: Memory that the requests there take, in tokens.
     """
 
     key: int
@@ -58,6 +59,7 @@
     running: int
     bad: int = 0
     good: int = 0
+    memory_tokens: int = 0
 
     def plus(self, other: InstanceLoad) -> InstanceLoad:
         """The sum of two loads on the same server."""
@@ -67,6 +69,7 @@
             self.running + other.running,
             self.bad + other.bad,
             self.good + other.good,
+            self.memory_tokens + other.memory_tokens,
         )
 
     def minus(self, other: InstanceLoad) -> InstanceLoad:
@@ -77,6 +80,7 @@
             max(self.running - other.running, 0),
             max(self.bad - other.bad, 0),
             max(self.good - other.good, 0),
+            max(self.memory_tokens - other.memory_tokens, 0),
         )
 
     @property
--- a/src/milletcourse/exchange/records.py
+++ b/src/milletcourse/exchange/records.py
@@ -76,7 +76,9 @@
         models: Models that its servers run; empty for plain applications.
         store_address: `host:port` of the store of kept prompt state; empty for servers.
         zone: Zone of the store.
-        capacity_tokens: Tokens that the store has room for; 0 when it isn't told.
+        capacity_tokens: Tokens of prompt state that the store, or each server, has room for; 0 when
+            it isn't told.
+        slots: Requests that each server works on at the same time; 0 when it isn't told.
     """
 
     name: str
@@ -84,6 +86,7 @@
     store_address: str = ""
     zone: str = ""
     capacity_tokens: int = 0
+    slots: int = 0
 
 
 class EdgeLimits(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/shared_bucket.py
+++ b/src/milletcourse/exchange/shared_bucket.py
@@ -14,8 +14,9 @@
 """A copy starts with what comes in within this time: so long it takes a process to start, in which
 nothing was spent. A full burst would come anew with each restart of all gateways."""
 TOLERATED_DEBT_SECONDS = 0.25
-"""Tolerance beyond a limit is granted in full without a debt, and no more at a debt of this much of
-the rate: a tenant that sends a little beyond its limit gets it, one that sends a multiple doesn't."""
+"""Tolerance beyond a limit is granted in full without a debt, and no more at a debt of so many
+seconds of the rate: a tenant that sends little beyond its limit gets it, one that sends a multiple
+of it doesn't."""
 MAX_STEP_SECONDS = 1.0
 """After a longer hole, a frozen process or a slow one, what the others spent in it isn't known: it
 is taken as all that came in."""
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from milletcourse.exchange.answer_rules import judge_answer
+from milletcourse.exchange.engine_load import memory_tokens
 from milletcourse.exchange.event_stream import EventSplitter
 from milletcourse.exchange.instance_table import Instance
 from milletcourse.exchange.messages import AnswerHead, AttemptResult
@@ -71,6 +72,8 @@
         )
         instance.in_flight += 1
         instance.in_flight_tokens += tokens
+        memory = memory_tokens(job.request)
+        instance.memory_tokens += memory
         instance.health.on_dispatch(self._context.now())
         self._waiting_tokens = tokens
         result = AttemptResult.NOT_SENT
@@ -78,6 +81,7 @@
             result = await self._connect_and_send()
         finally:
             instance.in_flight -= 1
+            instance.memory_tokens -= memory
             self._release_tokens()
             self._note_health(result)
         return result
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -137,6 +137,7 @@
                 instance.in_flight,
                 tally.bad,
                 tally.good,
+                instance.memory_tokens,
             )
             if not load.is_nothing:
                 loads.append(load)
--- a/src/milletcourse/gateway/dispatch_builder.py
+++ b/src/milletcourse/gateway/dispatch_builder.py
@@ -50,7 +50,8 @@
     def _add_model(self, dispatch: Dispatch) -> None:
         job = self._job
         context = self._context
-        dispatch.priority = server_rank(job.route, job.tenant)
+        if Mechanism.SERVER_RANKS in context.mechanisms:
+            dispatch.priority = server_rank(job.route, job.tenant)
         model = job.request.model
         version = self.weight_version = self._instance.version(model)
         if version is None:
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -14,7 +14,10 @@
     Overloaded,
 )
 from milletcourse.exchange.attempt_plan import AttemptPlan, NextStep
+from milletcourse.exchange.engine_load import is_worth_sending
+from milletcourse.exchange.instance_selector import Choice
 from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.mechanisms import Mechanism
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.records import RouteKind, RouteRecord, ServiceRecord, TenantRecord
 from milletcourse.exchange.reuse_scope import reuse_scope
@@ -67,6 +70,7 @@
         self._attempt: Attempt | None = None
         self._end_cause: EndCause | None = None
         self._retry_reserved = False
+        self._keeps_bound = Mechanism.WAIT_BOUND in context.mechanisms
 
     # -- attempts -------------------------------------------------------------------------------
 
@@ -93,9 +97,8 @@
             )
 
     async def _run_attempts(self) -> None:
-        instance = self._select()
+        instance = self._first_instance()
         if instance is None:
-            self._refuse(NoEngineAvailable("no server may take it", self._context.retry_after()))
             return
         record = self._context.record
         request = self._job.request
@@ -114,6 +117,19 @@
                 return
             instance = following
 
+    def _first_instance(self) -> Instance | None:
+        """The server to send to first; without a good one the request is refused at once."""
+        choice = self._select()
+        retry_after = self._context.retry_after()
+        if choice is None:
+            self._refuse(NoEngineAvailable("no server may take it", retry_after))
+            return None
+        wait = choice.wait_seconds
+        if is_worth_sending(self._job.route, wait) or not self._keeps_bound:
+            return choice.instance
+        self._refuse(Overloaded(f"it would wait {wait:.2f} s at the best server", retry_after))
+        return None
+
     async def _try(self, instance: Instance) -> AttemptResult:
         attempt = self._attempt = Attempt(
             self._context, self._job, self._relay, instance, lambda: self._may_leave(instance)
@@ -127,11 +143,15 @@
             self._tried.add(instance.name)
         return result
 
-    def _select(self, *passed_over: str) -> Instance | None:
+    def _select(self, *passed_over: str) -> Choice | None:
         job = self._job
         tried = self._tried.union(passed_over)
         return self._context.selector.choose(
-            job.service, job.request, job.scope, tried, self._context.now()
+            job.service,
+            job.request,
+            job.scope,
+            tried,
+            self._context.now(),
         )
 
     def _may_leave(self, instance: Instance) -> bool:
@@ -152,7 +172,8 @@
             return None
         if not self._context.may_use_keys(self._job.tenant):
             return None
-        return self._select(*passed_over)
+        choice = self._select(*passed_over)
+        return choice.instance if choice is not None else None
 
     def _try_retry(self) -> bool:
         budget = self._context.budget(self._job.service.name)
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -138,6 +138,8 @@
 
 class _Engine(_Document, frozen=True):
     models: list[_Model] = []
+    slots: int = 0
+    kv_capacity: int = 0
 
 
 class _Service(_Document, frozen=True):
@@ -260,7 +262,8 @@
         models=tuple(model.name for model in engine.models),
         store_address=service.kv_store_addr,
         zone=service.zone,
-        capacity_tokens=service.kv_capacity,
+        capacity_tokens=service.kv_capacity or engine.kv_capacity,
+        slots=engine.slots,
     )
 
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -219,8 +219,9 @@
         selector, table = _selector(seed, 45)
         for instance in table:
             instance.in_flight = 0 if instance.name == "e00" else 4
-        instance = selector.choose(service, _prompt(60), "scope", (), 0.0)
-        assert instance is not None
+        choice = selector.choose(service, _prompt(60), "scope", (), 0.0)
+        assert choice is not None
+        instance = choice.instance
         chosen[instance.name] = chosen.get(instance.name, 0) + 1
     assert 1 <= chosen["e00"] <= 40
 
@@ -242,8 +243,8 @@
             sick.health.on_result(AttemptResult.LOST, fleet.now)
             assert not sick.health.is_ejected(fleet.now)
         other.in_flight = 30
-        chosen = selector.choose(ServiceRecord("s", ("m",)), _prompt(60), "scope", (), fleet.now)
-        assert chosen is other
+        choice = selector.choose(ServiceRecord("s", ("m",)), _prompt(60), "scope", (), fleet.now)
+        assert choice is not None and choice.instance is other
 
 
 def test_one_gateway_alone_makes_nobody_suspect_a_server() -> None:
@@ -265,9 +266,9 @@
     names = set()
     for seed in range(20):
         selector, table = _selector(seed, 45)
-        instance = selector.choose(service, request, "scope", (), 0.0)
-        assert instance is not None
-        names.add(instance.name)
+        choice = selector.choose(service, request, "scope", (), 0.0)
+        assert choice is not None
+        names.add(choice.instance.name)
     assert len(names) == 1
     home = names.pop()
     selector, table = _selector(1, 45)
@@ -276,4 +277,5 @@
     at_home = table.get(home)
     assert at_home is not None
     at_home.in_flight_tokens = 100_000
-    assert selector.choose(service, request, "scope", (), 0.0) is holder
+    choice = selector.choose(service, request, "scope", (), 0.0)
+    assert choice is not None and choice.instance is holder
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -83,9 +83,9 @@
 
 
 def _chosen(selector: InstanceSelector, request: ExchangeRequest) -> Instance:
-    instance = selector.choose(SERVICE, request, "scope", (), 0.0)
-    assert instance is not None
-    return instance
+    choice = selector.choose(SERVICE, request, "scope", (), 0.0)
+    assert choice is not None
+    return choice.instance
 
 
 # -- stores of kept state -----------------------------------------------------------------------
@@ -145,7 +145,7 @@
             request.prompt_parts = parts
             chosen = _selector(_table()).choose(SERVICE, request, scope, (), 0.0)
             assert chosen is not None
-            homes.add(chosen.name)
+            homes.add(chosen.instance.name)
         assert len(homes) >= least
         assert least > 1 or len(homes) == 1
 
@@ -189,7 +189,8 @@
     other = next(item for item in table if item is not home)
     selector.note_sent(other, request, "scope", 0.0)
     home.in_flight_tokens = 3_000
-    assert selector.choose(SERVICE, request, "scope", (), 60.0) is home
+    later = selector.choose(SERVICE, request, "scope", (), 60.0)
+    assert later is not None and later.instance is home
 
 
 @settings(max_examples=50)
