Prompts avoid servers whose streams they would make pause

Change: where prompts wait already and with this one would be read for over 0.7 of the pause that streams bear, a server costs 0.03 s more for each request that it runs.

--- a/src/milletcourse/exchange/engine_load.py
+++ b/src/milletcourse/exchange/engine_load.py
@@ -24,6 +24,11 @@
 anew: some 9,000 tokens, for which all streams of the server wait as well."""
 GENERATED_SHARE = 0.5
 """Of the most tokens that a request may generate, what it holds in memory on the mean."""
+PAUSE_SHARE = 0.7
+"""Reading in a row for this share of the pause that streams bear makes their next event late: it
+holds several tokens, and each waits for a piece of a prompt."""
+DISTURBED_SECONDS = 0.03
+"""Cost of each stream that a prompt makes late. On a calm day one stream in twenty was late so."""
 MAX_WAIT_SHARE = 0.5
 """A request is refused when it would wait longer than this share of its route's target latency at
 the best server. Without a bound an overload keeps itself up: with a quarter of 45 servers gone for
@@ -67,6 +72,21 @@
     return seconds
 
 
+def disturbance_seconds(load: ServerLoad, request: ExchangeRequest, pause_seconds: float) -> float:
+    """Cost of the pauses that a prompt makes for the streams of a server where others are read.
+
+    Args:
+        load: Load of the server.
+        request: The request; its own part is read wherever it runs.
+        pause_seconds: Longest pause between events that streams bear; 0 when none is set.
+    """
+    own_tokens = request.prompt_tokens - request.shared_tokens
+    reading = (load.waiting_tokens + own_tokens) / PREFILL_TOKENS_PER_SECOND
+    if not load.waiting_tokens or not pause_seconds or reading <= PAUSE_SHARE * pause_seconds:
+        return 0.0
+    return load.requests * DISTURBED_SECONDS
+
+
 def is_worth_sending(route: RouteRecord, seconds: float) -> bool:
     """Whether a request goes to a server at which it would wait this long, and isn't refused.
 
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -15,6 +15,7 @@
 from milletcourse.exchange.engine_load import (
     PREFILL_TOKENS_PER_SECOND,
     ServerLoad,
+    disturbance_seconds,
     wait_seconds,
 )
 from milletcourse.exchange.instance_table import Instance, InstanceTable
@@ -98,6 +99,7 @@
         scope: str,
         tried: Collection[str],
         now: float,
+        pause_seconds: float = 0.0,
     ) -> Choice | None:
         """The best server for a request, None when none may run it.
 
@@ -107,12 +109,13 @@
             scope: Reuse scope of its prompt state without the weight version.
             tried: Incarnations that already had it.
             now: Monotonic time.
+            pause_seconds: Longest pause between events that streams bear; 0 when none is set.
         """
         candidates = self._candidates(service, request.model, tried, now)
         if not candidates:
             return None
         if service.models:
-            return self._choose_engine(service, request, scope, candidates, now)
+            return self._choose_engine(service, request, scope, candidates, now, pause_seconds)
         return Choice(min(candidates, key=lambda item: self._application_cost(item, now)))
 
     def _candidates(
@@ -157,6 +160,7 @@
         scope: str,
         candidates: Sequence[Instance],
         now: float,
+        pause_seconds: float,
     ) -> Choice:
         model = request.model
         versions = dict.fromkeys(instance.version(model) for instance in candidates)
@@ -172,6 +176,7 @@
             load = self._load(instance, now)
             wait = wait_seconds(service, load, request)
             cost = wait + self._own_cost(instance, request, chain, instance.name == home, now)
+            cost += disturbance_seconds(load, request, pause_seconds)
             if instance.name in avoided:
                 cost += AVOIDED_SECONDS
             if cost < best_cost:
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -152,6 +152,7 @@
             job.scope,
             tried,
             self._context.now(),
+            job.route.gap_seconds,
         )
 
     def _may_leave(self, instance: Instance) -> bool:
--- a/tests/test_engine_load.py
+++ b/tests/test_engine_load.py
@@ -14,6 +14,7 @@
     MAX_WAIT_SHARE,
     SLOT_SECONDS,
     ServerLoad,
+    disturbance_seconds,
     is_worth_sending,
     memory_tokens,
     wait_seconds,
@@ -40,6 +41,7 @@
 SLOTS = 16
 MEMORY = 80_000
 SERVICE = ServiceRecord("s", ("m",), capacity_tokens=MEMORY, slots=SLOTS)
+PAUSE_SECONDS = 0.6
 
 
 def _prompt(tokens: int, output: int = 200) -> ExchangeRequest:
@@ -64,7 +66,7 @@
     told = [load for load in loads.values() if not load.is_nothing]
     exchange.on_message(PeerMessage("other", 1, told, scope=LoadScope.ZONE), 0.0)
     selector = InstanceSelector(table, VersionGate(8.0), exchange, "", random.Random(1))
-    choice = selector.choose(SERVICE, request, "scope", (), 0.0)
+    choice = selector.choose(SERVICE, request, "scope", (), 0.0, PAUSE_SECONDS)
     assert choice is not None
     return choice
 
@@ -78,10 +80,11 @@
     [
         _load("e-0", running=SLOTS + 2),
         _load("e-0", running=6, memory=MEMORY - 1_000),
+        _load("e-0", waiting=20_000, running=8),
     ],
 )
 def test_a_server_without_room_is_passed_over(crowded: InstanceLoad) -> None:
-    """No slot or no memory, though it is the prompt's home."""
+    """No slot, no memory, or streams that would pause, though it is the prompt's home."""
     request = _prompt(9_000)
     home = _choice({}, request).instance.name
     full = InstanceLoad(
@@ -125,6 +128,7 @@
     request = _prompt(tokens)
     load = ServerLoad(waiting, requests, memory)
     wait = wait_seconds(SERVICE, load, request)
+    disturbance = disturbance_seconds(load, request, PAUSE_SECONDS)
     assert wait >= 0.0
     for more in (
         ServerLoad(waiting + 500, requests, memory),
@@ -132,6 +136,7 @@
         ServerLoad(waiting, requests, memory + 500),
     ):
         assert wait_seconds(SERVICE, more, request) >= wait
+        assert disturbance_seconds(more, request, PAUSE_SECONDS) >= disturbance
 
 
 def test_services_that_tell_no_bounds_have_none() -> None:
