--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,307 @@
+"""A gateway's streams, silent servers and clients that leave."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gateway_behaviours import (
+    PROMPT,
+    stream_broken_in_an_event,
+    stream_of_four,
+)
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import (
+    Behaviour,
+    ReceivedRequest,
+    StandinServer,
+    chunk,
+    event,
+    serve_whole,
+    stream_head,
+)
+from milletcourse.exchange import patience
+from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
+from milletcourse.exchange.patience import MIN_SILENCE_SECONDS
+from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
+from milletcourse.gateway.exchange import Exchange
+from milletcourse.gateway.refusals import refuse
+
+# -- streams ------------------------------------------------------------------------------------
+
+
+def _broken_then_whole() -> Behaviour:
+    used: list[str] = []
+
+    async def behave(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        behaviour = stream_of_four if used else stream_broken_in_an_event
+        used.append(server.name)
+        await behaviour(server, request, writer)
+
+    return behave
+
+
+def test_resumable_stream_goes_on_after_the_last_whole_event() -> None:
+    """At another server, with no piece missing or twice."""
+
+    async def scenario(harness: Harness) -> None:
+        behaviour = _broken_then_whole()
+        servers = [await harness.add_server(f"e-{n}", "engine", behaviour, 1) for n in (1, 2)]
+        await harness.start()
+        got = await (await harness.client()).ask("/stream/", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+        assert got.body == b"".join(event(number) for number in range(1, 5))
+        resumed = [
+            request.headers["last-event-id"]
+            for server in servers
+            for request in server.received
+            if "last-event-id" in request.headers
+        ]
+        assert resumed == ["2"]
+
+    run_with_gateway(scenario)
+
+
+def _silent_for_a_while(silences: list[str]) -> Behaviour:
+    """The first request gets two events, and the others after a long silence."""
+
+    async def behave(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if silences:
+            await stream_of_four(server, request, writer)
+            return
+        silences.append(server.name)
+        writer.write(stream_head(request) + chunk(event(1)) + chunk(event(2)))
+        await asyncio.sleep(1.6 * MIN_SILENCE_SECONDS)
+        writer.write(chunk(event(3)) + chunk(event(4)) + b"0\r\n\r\n")
+
+    return behave
+
+
+@pytest.mark.parametrize("servers", [1, 2])
+def test_a_silent_server_is_left_only_for_another_one(servers: int) -> None:
+    """A stream that can't go on elsewhere is waited for, not cut."""
+
+    async def scenario(harness: Harness) -> None:
+        silences: list[str] = []
+        behaviour = _silent_for_a_while(silences)
+        for number in range(servers):
+            await harness.add_server(f"e-{number}", "engine", behaviour, 1)
+        await harness.start()
+        got = await (await harness.client()).ask("/stream/", Deadline_Ms="6000", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+        assert got.body == b"".join(event(number) for number in range(1, 5))
+        sends = sum(len(server.received) for server in harness.servers.values())
+        assert sends == servers
+
+    run_with_gateway(scenario)
+
+
+def test_a_silent_server_is_not_left_without_a_retry_to_spend() -> None:
+    """The retry budget is asked before the server is left, not after."""
+
+    async def scenario(harness: Harness) -> None:
+        behaviour = _silent_for_a_while([])
+        for number in range(2):
+            await harness.add_server(f"e-{number}", "engine", behaviour, 1)
+        await harness.start(RetryBudgetRatio=0.0, RetrySlack=0)
+        got = await (await harness.client()).ask("/stream/", Deadline_Ms="6000", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+        assert sum(len(server.received) for server in harness.servers.values()) == 1
+
+    run_with_gateway(scenario)
+
+
+@pytest.mark.parametrize("lively", [True, False])
+def test_a_silent_server_that_answers_others_is_waited_for(
+    lively: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has a queue; one that answers nobody is left for another one."""
+    monkeypatch.setattr(patience, "LIVE_PATIENCE", 20.0)
+
+    async def slow_if_asked(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if request.request_id == "slow" and not any(
+            received.request_id == "slow" and received is not request
+            for other in servers
+            for received in other.received
+        ):
+            await asyncio.sleep(1.4 * MIN_SILENCE_SECONDS)
+        await stream_of_four(server, request, writer)
+
+    servers: list[StandinServer] = []
+
+    async def scenario(harness: Harness) -> None:
+        for number in range(2):
+            servers.append(await harness.add_server(f"e-{number}", "engine", slow_if_asked, 1))
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        now = context.now() if lively else context.now() - 60.0
+        for instance in context.instances:
+            for _ in range(8):
+                instance.health.on_result(AttemptResult.ANSWERED, now)
+        got = await (await harness.client()).ask("/stream/", "slow", Deadline_Ms="6000", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+        assert sum(len(server.received) for server in servers) == (1 if lively else 2)
+
+    run_with_gateway(scenario)
+
+
+def test_stream_that_may_not_resume_is_cut_and_never_looks_complete() -> None:
+    """One run; the client sees that it is not whole."""
+
+    async def scenario(harness: Harness) -> None:
+        behaviour = _broken_then_whole()
+        servers = [await harness.add_server(f"e-{n}", "engine", behaviour, 1) for n in (1, 2)]
+        await harness.start()
+        got = await (await harness.client()).ask("/single/", **PROMPT)
+        assert got.whole is False
+        assert got.body == event(1) + event(2)
+        assert sum(len(server.received) for server in servers) == 1
+
+    run_with_gateway(scenario)
+
+
+def test_client_that_leaves_ends_the_work_at_the_server() -> None:
+    """The server sees its connection close."""
+
+    async def endless(
+        _: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.Event().wait()
+
+    async def scenario(harness: Harness) -> None:
+        server = await harness.add_server("app-1", "app", endless)
+        await harness.start()
+        client = await harness.client()
+        client.send("/held/")
+        await harness.until(lambda: bool(server.received))
+        client.close()
+        await harness.until(lambda: bool(server.closed))
+        assert len(server.received) == 1
+        # A plain close would still deliver what a partition holds up, once it has healed.
+        assert server.resets == 1
+
+    run_with_gateway(scenario)
+
+
+def test_client_that_left_before_its_request_was_begun_causes_no_send() -> None:
+    """The close is seen although nobody listened for it yet."""
+
+    async def scenario(harness: Harness) -> None:
+        server = await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        assert context.table is not None
+        route = context.table.find_route("site.example", "/safe/")
+        assert route is not None
+        request = a_request(context.now())
+        client = ClientConnection(context, _no_handler, refuse, set())
+        client.connection_lost(None)
+        await Exchange(context, context.table, request, route, None, client).run()
+        assert not server.received
+
+    run_with_gateway(scenario)
+
+
+def a_request(received_at: float) -> ExchangeRequest:
+    """A request of no tenant, as the edge hands it on."""
+    return ExchangeRequest(
+        method=b"GET",
+        target=b"/safe/",
+        host="site.example",
+        fields=[],
+        body=b"",
+        request_id="id-1",
+        key="",
+        deadline_seconds=1.0,
+        last_event_id="",
+        model="",
+        prompt_parts=(),
+        prompt_tokens=0,
+        output_tokens=0,
+        received_at=received_at,
+    )
+
+
+async def _no_handler(_: ClientRequest, __: ClientConnection) -> None:
+    """Serves nothing."""
+
+
+def test_ended_incarnations_leave_no_beliefs() -> None:
+    """Servers come and go for months; what they kept is forgotten with them."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("e-1", "engine", stream_of_four, 1)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        await (await harness.client()).ask("/stream/", **PROMPT)
+        assert len(context.selector.holders) > 0
+        harness.store.remove("servers", "e-1")
+        await harness.until(lambda: context.instances.get("e-1") is None)
+        assert len(context.selector.holders) == 0
+
+    run_with_gateway(scenario)
+
+
+def test_a_lease_that_cannot_be_read_does_not_end_the_process() -> None:
+    """It is passed over and said; requests are served on."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("e-1", "engine", stream_of_four, 1)
+        harness.store.put("milletcourse-leases", "roll-out", {"holder": 7})
+        harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 2})
+        await harness.start()
+
+        def lease_calls() -> int:
+            return sum("milletcourse-leases" in call.target for call in harness.store.calls)
+
+        await harness.until(lambda: lease_calls() >= 2)
+        assert (await (await harness.client()).ask("/stream/", **PROMPT)).status == 200
+
+    run_with_gateway(scenario)
+
+
+def test_an_attempt_that_was_never_sent_says_nothing_of_its_server() -> None:
+    """A client that leaves while the connection comes up is no sign of the server's health."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        instance = context.instances.get("app-1")
+        assert instance is not None and context.table is not None
+        route = context.table.find_route("site.example", "/safe/")
+        assert route is not None
+        client = ClientConnection(context, _no_handler, refuse, set())
+        client.connection_lost(None)
+        request = a_request(context.now())
+        await Exchange(context, context.table, request, route, None, client).run()
+        assert not instance.health.is_ejected(context.now())
+
+    run_with_gateway(scenario)
+
+
+def test_time_limit_ends_a_request_at_once() -> None:
+    """504 without a promise when it may have run."""
+
+    async def mute(_: StandinServer, __: ReceivedRequest, ___: asyncio.StreamWriter) -> None:
+        return
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", mute)
+        await harness.start()
+        got = await (await harness.client()).ask("/unsafe/", Deadline_Ms="200")
+        assert got.status == 504
+        assert "retry-after" not in got.headers
+
+    run_with_gateway(scenario)
