--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -28,7 +28,7 @@
 from milletcourse.exchange.recent_holders import RecentHolders
 from milletcourse.exchange.records import ServiceRecord
 from milletcourse.exchange.reuse_scope import cache_salt
-from milletcourse.exchange.server_health import ServerTally
+from milletcourse.exchange.server_candidates import ServerCandidates
 from milletcourse.exchange.version_gate import VersionGate
 
 STORE_READ_SHARE = 0.7
@@ -83,12 +83,12 @@
         mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
     ) -> None:
         self._table = table
-        self._gate = gate
         self._loads = loads
         self._zone = zone
         self._random = random_source
         self._mechanisms = mechanisms
         self._homes = PromptHomes(table, Mechanism.LONG_PROMPT_SERVERS in mechanisms)
+        self.candidates = ServerCandidates(table, gate, loads, mechanisms)
         self.holders = RecentHolders(BELIEVED_SECONDS)
         table.on_forgotten = self.holders.forget
 
@@ -111,46 +111,13 @@
             now: Monotonic time.
             pause_seconds: Longest pause between events that streams bear; 0 when none is set.
         """
-        candidates = self._candidates(service, request.model, tried, now)
+        candidates = self.candidates.of_service(service, request.model, tried, now)
         if not candidates:
             return None
         if service.models:
             return self._choose_engine(service, request, scope, candidates, now, pause_seconds)
         return Choice(min(candidates, key=lambda item: self._application_cost(item, now)))
 
-    def _candidates(
-        self, service: ServiceRecord, model: str, tried: Collection[str], now: float
-    ) -> list[Instance]:
-        permitted = [
-            instance
-            for instance in self._table.of_service(service.name).values()
-            if not instance.record.draining
-            and instance.name not in tried
-            and self._is_permitted(service, instance, model, now)
-        ]
-        healthy = [item for item in permitted if self._is_healthy(item, now)]
-        free = [item for item in healthy if not item.health.is_busy(now)]
-        return free or healthy or permitted
-
-    def _is_healthy(self, instance: Instance, now: float) -> bool:
-        """Whether neither this gateway nor all of them together found it sick."""
-        return not instance.health.is_ejected(now) and not self.is_suspected(instance, now)
-
-    def is_suspected(self, instance: Instance, now: float) -> bool:
-        """Whether several gateways saw a server fail lately."""
-        if Mechanism.SHARED_SUSPICION not in self._mechanisms:
-            return False
-        others = self._loads.others_load(instance.key, now)
-        return instance.health.is_suspected(ServerTally(others.bad, others.good), now)
-
-    def _is_permitted(
-        self, service: ServiceRecord, instance: Instance, model: str, now: float
-    ) -> bool:
-        if not service.models or not model:
-            return True
-        version = instance.version(model)
-        return version is not None and self._gate.permits(model, version, now)
-
     # -- engines --------------------------------------------------------------------------------
 
     def _choose_engine(
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -250,7 +250,7 @@
         suspected = {
             instance.name
             for instance in self.instances
-            if self.selector.is_suspected(instance, now)
+            if self.selector.candidates.is_suspected(instance, now)
         }
         for name in sorted(suspected ^ self._suspected):
             self.record.suspicion(name, name in suspected)
