The bound on the wait follows a request's rank

Change: 0.8 of the target for the highest rank, a fifth less for each rank below; a tenant's priority goes before its route's, as at servers.

--- a/src/milletcourse/exchange/engine_load.py
+++ b/src/milletcourse/exchange/engine_load.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.records import RouteRecord, ServiceRecord
+from milletcourse.exchange.records import RouteRecord, ServiceRecord, TenantRecord
+from milletcourse.exchange.reuse_scope import request_rank
 
 PREFILL_TOKENS_PER_SECOND = 40_000.0
 """Speed at which servers read prompts, in the order of what engines do today. Learning it from
@@ -29,10 +30,12 @@
 holds several tokens, and each waits for a piece of a prompt."""
 DISTURBED_SECONDS = 0.03
 """Cost of each stream that a prompt makes late. On a calm day one stream in twenty was late so."""
-MAX_WAIT_SHARE = 0.5
-"""A request is refused when it would wait longer than this share of its route's target latency at
-the best server. Without a bound an overload keeps itself up: with a quarter of 45 servers gone for
-14 s, requests were late until 24 s after its begin, and with the bound until 14 s."""
+MAX_WAIT_SHARE = 0.8
+"""A request of the highest rank is refused when it would wait longer than this share of its route's
+target latency at the best server. Without a bound an overload keeps itself up: with a quarter of 45
+servers gone for 14 s, requests were late until 24 s after its begin, and with one until 14 s."""
+RANK_FACTOR = 0.8
+"""Each rank lower waits for so much less, so that what is less urgent gives way first."""
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
@@ -87,10 +90,12 @@
     return load.requests * DISTURBED_SECONDS
 
 
-def is_worth_sending(route: RouteRecord, seconds: float) -> bool:
-    """Whether a request goes to a server at which it would wait this long, and isn't refused.
+def longest_wait(route: RouteRecord, tenant: TenantRecord | None) -> float:
+    """Longest expected wait at which a request is sent to a server, and not refused.
 
     Routes without a target have no bound.
     """
-    target = route.target_latency_seconds
-    return not target or seconds <= MAX_WAIT_SHARE * target
+    if not route.target_latency_seconds:
+        return float("inf")
+    share = MAX_WAIT_SHARE * RANK_FACTOR ** request_rank(route, tenant)
+    return share * route.target_latency_seconds
--- a/src/milletcourse/exchange/reuse_scope.py
+++ b/src/milletcourse/exchange/reuse_scope.py
@@ -1,4 +1,4 @@
-"""Who may share kept prompt state, and the rank of a request at a server; no input/output."""
+"""Who may share kept prompt state, and the rank of a request; no input/output."""
 
 from __future__ import annotations
 
@@ -31,8 +31,8 @@
     return f"{scope}@{weight_version}"
 
 
-def server_rank(route: RouteRecord, tenant: TenantRecord | None) -> int:
-    """Rank of a request at a server, 0 first; the tenant's goes before the route's."""
+def request_rank(route: RouteRecord, tenant: TenantRecord | None) -> int:
+    """Rank of a request, 0 first; the tenant's goes before the route's."""
     of_tenant = tenant.priority if tenant is not None else 0
     of_route = min(route.priority, PRIORITY_STEP - 1)
     return min(of_tenant * PRIORITY_STEP + of_route, LOWEST_RANK)
--- a/src/milletcourse/gateway/dispatch_builder.py
+++ b/src/milletcourse/gateway/dispatch_builder.py
@@ -7,7 +7,7 @@
 from milletcourse.exchange.messages import Dispatch
 from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
 from milletcourse.exchange.records import ServiceRecord
-from milletcourse.exchange.reuse_scope import cache_salt, server_rank
+from milletcourse.exchange.reuse_scope import cache_salt, request_rank
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.exchange_job import ExchangeJob
 
@@ -51,7 +51,7 @@
         job = self._job
         context = self._context
         if Mechanism.SERVER_RANKS in context.mechanisms:
-            dispatch.priority = server_rank(job.route, job.tenant)
+            dispatch.priority = request_rank(job.route, job.tenant)
         model = job.request.model
         version = self.weight_version = self._instance.version(model)
         if version is None:
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -14,7 +14,7 @@
     Overloaded,
 )
 from milletcourse.exchange.attempt_plan import AttemptPlan, NextStep
-from milletcourse.exchange.engine_load import is_worth_sending
+from milletcourse.exchange.engine_load import longest_wait
 from milletcourse.exchange.instance_selector import Choice
 from milletcourse.exchange.instance_table import Instance
 from milletcourse.exchange.mechanisms import Mechanism
@@ -125,7 +125,8 @@
             self._refuse(NoEngineAvailable("no server may take it", retry_after))
             return None
         wait = choice.wait_seconds
-        if is_worth_sending(self._job.route, wait) or not self._keeps_bound:
+        bound = longest_wait(self._job.route, self._job.tenant)
+        if wait <= bound or not self._keeps_bound:
             return choice.instance
         self._refuse(Overloaded(f"it would wait {wait:.2f} s at the best server", retry_after))
         return None
