--- a/src/milletcourse/exchange/engine_load.py
+++ b/src/milletcourse/exchange/engine_load.py
@@ -32,10 +32,11 @@
 """Cost of each stream that a prompt makes late. On a calm day one stream in twenty was late so."""
 MAX_WAIT_SHARE = 1.25
 """A request of the highest rank is refused when it would wait longer than this share of its route's
-target latency at the best server: its answer would be late, and make others late. Most requests have
-middle ranks, for which it is about the target. Without a bound an overload keeps itself up: with a
-quarter of 45 servers gone for 14 s, requests were late until 24 s, and with 0.4 s until 14 s. A
-small fleet bears less: a day of high load was worth 0.615, 0.634 and 0.661 with 0.8, 1.0 and 1.25."""
+target latency at the best server: its answer would be late, and make others late. Most requests
+have middle ranks, for which it is about the target. Without a bound an overload keeps itself up:
+with a quarter of 45 servers gone for 14 s, requests were late until 24 s, with 0.4 s until 14 s. A
+small fleet bears less: a day of high load was worth 0.615 with 0.8, 0.634 with 1.0, 0.661 with
+1.25."""
 RANK_FACTOR = 0.9
 """Each rank lower waits for so much less, so that what is less urgent gives way first."""
 
