--- a/src/milletcourse/experiments/limit_model.py
+++ b/src/milletcourse/experiments/limit_model.py
@@ -104,11 +104,11 @@
 
 
 class _EqualParts(TenantLimits):
+    members = 1
+
     def _view(self, account: Account, part: float, now: float) -> tuple[float, float]:
         return 0.0, 1.0 / self.members
 
-    members = 1
-
 
 class _PartsByDemand(_EqualParts):
     def _view(self, account: Account, part: float, now: float) -> tuple[float, float]:
