--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -29,13 +29,25 @@
     """Compare routing policies on equal arrivals."""
 
 
+def read_sizes(text: str) -> list[int]:
+    """Numbers of gateways, separated by commas.
+
+    Raises:
+        FailureError: `InvalidObject` when one is no whole number above 0.
+    """
+    sizes = [item.strip() for item in text.split(",")]
+    if not all(size.isdigit() and int(size) > 0 for size in sizes):
+        raise FailureError(InvalidObject(text, None, "gateways", text, "whole numbers above 0"))
+    return [int(size) for size in sizes]
+
+
 @app.command("limits")
 def limits(
     gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "8,79",
     seed: Annotated[int, typer.Option(help="Of the requests, the same for each way.")] = 1,
 ) -> None:
     """Ways to keep a tenant's limit over many gateways, on the same requests."""
-    for figures in compare_ways([int(size) for size in gateways.split(",")], seed):
+    for figures in compare_ways(read_sizes(gateways), seed):
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
 
 
--- a/tests/test_tenant_limits.py
+++ b/tests/test_tenant_limits.py
@@ -20,6 +20,8 @@
     configuration,
     serve_whole,
 )
+from milletcourse.cli.experiment import read_sizes
+from milletcourse.errors import FailureError
 from milletcourse.exchange.load_exchange import TICK_SECONDS, LoadExchange
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.peer_messages import TenantUse, decode_message, encode_message
@@ -367,6 +369,15 @@
     assert message.gateways == 1
 
 
+@pytest.mark.parametrize("text", ["", "8,", "-3", "0", "many", "8;79"])
+def test_sizes_that_are_none_are_refused_with_what_is_allowed(text: str) -> None:
+    """A typed failure, which the command line tells in one line."""
+    with pytest.raises(FailureError) as caught:
+        read_sizes(text)
+    assert caught.value.failure.code == "invalid-object"
+    assert read_sizes("8, 79") == [8, 79]
+
+
 # -- the platform's configuration, and a whole gateway ------------------------------------------
 
 
