--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -140,6 +140,9 @@
         chains = {
             version: prompt_chain(request, cache_salt(scope, version)) for version in versions
         }
+        superseded = {
+            version for version in versions if self._gate.is_superseded(model, version or 0, now)
+        }
         home = self._home(service, request, scope, candidates)
         best = Choice(candidates[0])
         best_cost = float("inf")
@@ -150,7 +153,7 @@
             wait = wait_seconds(service, load, request)
             cost = wait + self._own_cost(instance, request, chain, instance.name == home, now)
             cost += disturbance_seconds(load, request, pause_seconds)
-            if self._gate.is_superseded(model, instance.version(model) or 0, now):
+            if instance.version(model) in superseded:
                 cost += SUPERSEDED_SECONDS
             if instance.name in avoided:
                 cost += AVOIDED_SECONDS
--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/instance_table.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from milletcourse.exchange.peer_messages import instance_key
+from milletcourse.exchange.peer_messages import short_key
 from milletcourse.exchange.records import InstanceRecord
 from milletcourse.exchange.server_health import ServerHealth
 
@@ -40,7 +40,7 @@
 
     def __init__(self, record: InstanceRecord) -> None:
         self.record = record
-        self.key = instance_key(record.name)
+        self.key = short_key(record.name)
         self.health = ServerHealth()
         self.in_flight = 0
         self.in_flight_tokens = 0
--- a/src/milletcourse/exchange/load_exchange.py
+++ b/src/milletcourse/exchange/load_exchange.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from milletcourse.exchange.fleet_load import FleetLoad, fleet_load
 from milletcourse.exchange.keyed_sums import added
 from milletcourse.exchange.load_sums import LoadSums
 from milletcourse.exchange.peer_messages import (
@@ -67,15 +68,11 @@
         self._gateways = LoadSums(STALE_SECONDS)
         self._zones = LoadSums(STALE_SECONDS)
         self._followers: dict[str, float] = {}
-        self._fleet: dict[int, InstanceLoad] = {}
-        self._fleet_failing: frozenset[int] = frozenset()
-        self._fleet_uses: dict[int, TenantUse] = {}
-        self._fleet_gateways = 0
-        self._fleet_sequence = 0
-        self._fleet_at = float("-inf")
+        self._fleet = FleetLoad()
         self._told: list[InstanceLoad] = []
         self._told_by_key: dict[int, InstanceLoad] = {}
         self._told_uses: list[TenantUse] = []
+        self._told_uses_by_key: dict[int, TenantUse] = {}
         self._told_at = float("-inf")
         self._digest_at = float("-inf")
         self._untold: dict[str, None] = {}
@@ -95,7 +92,7 @@
         """What all other gateways have at a server, and how it went lately."""
         nothing = InstanceLoad(key, 0, 0)
         if self._knows_fleet(now):
-            total = self._fleet.get(key)
+            total = self._fleet.loads.get(key)
             mine = self._told_by_key.get(key)
             if total is None or mine is None:
                 return total or nothing
@@ -109,7 +106,7 @@
     def failing(self, now: float) -> Collection[int]:
         """Keys of the servers at which any gateway saw a failure lately."""
         if self._knows_fleet(now):
-            return self._fleet_failing
+            return self._fleet.failing
         loads = (*self._gateways.loads(now), *self._zones.loads(now))
         return {load.key for load in loads if load.bad}
 
@@ -117,18 +114,18 @@
         """What all other gateways spend for a tenant in a second."""
         if not self._knows_fleet(now):
             return self._gateways.use(key, now) + self._zones.use(key, now)
-        total = self._fleet_uses.get(key)
-        mine = next((use.per_second for use in self._told_uses if use.key == key), 0)
-        return (total.per_second if total is not None else 0) - mine
+        total = self._fleet.uses.get(key, TenantUse(key, 0))
+        mine = self._told_uses_by_key.get(key, TenantUse(key, 0))
+        return total.minus(mine).per_second
 
     def heard_gateways(self, now: float) -> int:
         """How many gateways' load and use is known here, this one included."""
         if self._knows_fleet(now):
-            return self._fleet_gateways
+            return self._fleet.gateways
         return 1 + self._gateways.gateways(now) + self._zones.gateways(now)
 
     def _knows_fleet(self, now: float) -> bool:
-        return bool(self._reader) and now - self._fleet_at < STALE_SECONDS
+        return bool(self._reader) and now - self._fleet.heard_at < STALE_SECONDS
 
     # -- hearing --------------------------------------------------------------------------------
 
@@ -146,14 +143,14 @@
             return self._on_fleet(message, now)
         if message.scope is LoadScope.ZONE:
             self._gateways.forget(sender)
-            return self._tell(self._zones, message, now)
+            return self._add_to(self._zones, message, now)
         self._zones.forget(sender)
         if message.follows:
             self._followers[sender] = now
-        return self._tell(self._gateways, message, now)
+        return self._add_to(self._gateways, message, now)
 
     @staticmethod
-    def _tell(sums: LoadSums, message: PeerMessage, now: float) -> bool:
+    def _add_to(sums: LoadSums, message: PeerMessage, now: float) -> bool:
         return sums.on_told(
             message.sender, message.sequence, message.loads, now, message.uses, message.gateways
         )
@@ -161,14 +158,9 @@
     def _on_fleet(self, message: PeerMessage, now: float) -> bool:
         if message.sender != self._reader:
             return False
-        if message.sequence <= self._fleet_sequence and self._knows_fleet(now):
+        if message.sequence <= self._fleet.sequence and self._knows_fleet(now):
             return False
-        self._fleet = {load.key: load for load in message.loads}
-        self._fleet_failing = frozenset(load.key for load in message.loads if load.bad)
-        self._fleet_uses = {use.key: use for use in message.uses}
-        self._fleet_gateways = message.gateways
-        self._fleet_sequence = message.sequence
-        self._fleet_at = now
+        self._fleet = fleet_load(message, now)
         return True
 
     # -- telling --------------------------------------------------------------------------------
@@ -206,6 +198,7 @@
         if due:
             self._told, self._told_uses, self._told_at = own, uses, now
             self._told_by_key = {load.key: load for load in own}
+            self._told_uses_by_key = {use.key: use for use in uses}
             told = self._message(now, LoadScope.GATEWAY, own, uses, follows=True)
             outgoing.append(Outgoing(told, [reader]))
             self._notices.on_told()
@@ -243,6 +236,7 @@
         return [item for item in outgoing if item.receivers]
 
     def _digest_seconds(self) -> float:
+        """Time between two sums."""
         by_size = len(self._told) * ENTRY_SECONDS
         return min(max(DIGEST_SECONDS, by_size), MAX_DIGEST_SECONDS)
 
--- a/src/milletcourse/exchange/peer_messages.py
+++ b/src/milletcourse/exchange/peer_messages.py
@@ -175,11 +175,6 @@
         return None
 
 
-def instance_key(name: str) -> int:
-    """Short identity of a server in messages; a collision only blurs two loads."""
-    return xxhash.xxh32_intdigest(name.encode())
-
-
-def tenant_key(name: str) -> int:
-    """Short identity of a tenant in messages; a collision only lets two share what is told."""
+def short_key(name: str) -> int:
+    """Short identity of a server or a tenant in messages; a collision only blurs what is told."""
     return xxhash.xxh32_intdigest(name.encode())
--- a/src/milletcourse/exchange/tenant_limits.py
+++ b/src/milletcourse/exchange/tenant_limits.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.known_use import KnownUse, UseKnowledge
 from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.peer_messages import TenantUse, tenant_key
+from milletcourse.exchange.peer_messages import TenantUse, short_key
 from milletcourse.exchange.recent_use import RecentUse
 from milletcourse.exchange.records import LimitTolerance, LimitUnit, TenantLimit, TenantRecord
 from milletcourse.exchange.shared_bucket import SharedBucket
@@ -63,8 +63,14 @@
 class TenantLimits:
     """Accounts of all tenants with a limit, at one gateway."""
 
-    def __init__(self, loads: LoadExchange, tolerance: LimitTolerance) -> None:
-        self._loads = loads
+    def __init__(self, knowledge: UseKnowledge, tolerance: LimitTolerance) -> None:
+        """No account yet.
+
+        Args:
+            knowledge: What is known of the others' use.
+            tolerance: How far all gateways together may go beyond a limit.
+        """
+        self._knowledge = knowledge
         self._tolerance = tolerance
         self._accounts: dict[str, Account] = {}
 
@@ -79,7 +85,7 @@
             account = kept.get(tenant.name)
             beyond = granted_beyond(limit, self._tolerance)
             if account is None:
-                account = Account(limit, beyond, tenant_key(tenant.name), now)
+                account = Account(limit, beyond, short_key(tenant.name), now)
             account.bucket.change(limit.per_second, beyond, limit.burst)
             self._accounts[tenant.name] = account
 
@@ -91,9 +97,7 @@
         """Tenants that have a limit."""
         return list(self._accounts)
 
-    def try_spend(
-        self, tenant: TenantRecord, request: ExchangeRequest, part: float, now: float
-    ) -> float | None:
+    def try_spend(self, tenant: TenantRecord, request: ExchangeRequest, now: float) -> float | None:
         """Take what a request uses out of its tenant's bucket.
 
         The last request may use more than is left, so that large ones are not refused for ever.
@@ -101,7 +105,6 @@
         Args:
             tenant: Who asks.
             request: The request.
-            part: Part of all gateways whose spending is known here.
             now: Monotonic time.
 
         Returns:
@@ -111,32 +114,30 @@
         if account is None or tenant.limit is None:
             return None
         units = units_of(tenant.limit, request)
-        others, part = self._view(account, part, now)
-        level = account.bucket.level(now, others, part)
+        known = self._known_use(account, now)
+        level = account.bucket.level(now, known.others_per_second, known.part)
         if level >= 0.0:
             account.bucket.spend(units)
             account.use.add(units, now)
             return None
         account.refused += 1
-        return self._promise(account, units, -level, others, part, now)
+        return self._promise(account, units, -level, known, now)
 
-    def _view(self, account: Account, part: float, now: float) -> tuple[float, float]:
-        """What the others spend in a second, and the part of the rate that it comes out of."""
-        return self._loads.others_use(account.key, now), part
+    def _known_use(self, account: Account, now: float) -> KnownUse:
+        return self._knowledge.known_use(account.key, account.use.per_second(now), now)
 
     def _promise(
         self,
         account: Account,
         units: float,
         debt: float,
-        others_per_second: float,
-        part: float,
+        known: KnownUse,
         now: float,
     ) -> float:
         """When there will be room for a refused request, behind those refused before it here."""
-        income = account.bucket.per_second * part
+        income = account.bucket.per_second * known.part
         own = account.use.per_second(now)
-        all_spend = own + max(others_per_second, 0.0)
+        all_spend = own + max(known.others_per_second, 0.0)
         own_income = income * own / all_spend if own > 0.0 else income
         first = max(now + debt / income, account.promised_until)
         account.promised_until = min(first + units / own_income, now + MAX_WAIT_SECONDS)
@@ -158,34 +159,36 @@
         account.bucket.spend(units)
         account.use.add(units, now)
 
-    def tick(self, part: float, now: float) -> list[TenantUse]:
+    def tick(self, now: float) -> list[TenantUse]:
         """What this gateway spends, for tenants that spend anything.
 
         To be called at each telling: the others' use is counted as it was told meanwhile.
-
-        Args:
-            part: Part of all gateways whose spending is known here.
-            now: Monotonic time.
         """
         uses = []
         for account in self._accounts.values():
-            account.bucket.level(now, *self._view(account, part, now))
+            known = self._known_use(account, now)
+            account.bucket.level(now, known.others_per_second, known.part)
             rate = max(round(account.use.per_second(now)), 0)
             if rate:
                 uses.append(TenantUse(account.key, rate))
         return uses
 
-    def due_notes(self, part: float, now: float) -> list[LimitState]:
+    def due_notes(self, now: float) -> list[LimitState]:
         """States of tenants that were refused, once in a while each."""
         notes = []
         for name, account in self._accounts.items():
             if not account.refused or now - account.noted_at < NOTE_SECONDS:
                 continue
             own = account.use.per_second(now)
-            others = self._loads.others_use(account.key, now)
+            known = self._known_use(account, now)
             notes.append(
                 LimitState(
-                    name, account.bucket.per_second, own + others, own, part, account.refused
+                    tenant=name,
+                    per_second=account.bucket.per_second,
+                    used_per_second=own + known.others_per_second,
+                    own_per_second=own,
+                    known_part=known.part,
+                    refused=account.refused,
                 )
             )
             account.refused = 0
--- a/src/milletcourse/experiments/limit_model.py
+++ b/src/milletcourse/experiments/limit_model.py
@@ -18,7 +18,8 @@
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.peer_messages import encode_message
 from milletcourse.exchange.records import LimitTolerance, LimitUnit, TenantLimit, TenantRecord
-from milletcourse.exchange.tenant_limits import Account, TenantLimits
+from milletcourse.exchange.tenant_limits import TenantLimits
+from milletcourse.experiments.limit_ways import KNOWLEDGE, Way
 
 TENANT = "tenant-1"
 ZONES = 3
@@ -49,19 +50,6 @@
 """A killed gateway is back after this time."""
 
 
-class Way(Enum):
-    """How gateways share a limit."""
-
-    NONE = "none"
-    """Nobody keeps it."""
-    EQUAL = "equal parts"
-    """Each gateway keeps an equal part of it, and needs no messages."""
-    DEMAND = "parts by demand"
-    """Parts follow what gateways spent lately (flow proportional share, in Raghavan's terms)."""
-    SUMMED = "summed use"
-    """What the product does: each drains a copy of the whole bucket by what all tell."""
-
-
 class Trouble(Enum):
     """What happens to the gateways."""
 
@@ -84,51 +72,14 @@
         bytes_a_second: Sent by a gateway on the mean.
     """
 
-    way: str
-    trouble: str
+    way: Way
+    trouble: Trouble
     gateways: int
     over: float
     admitted: float
     bytes_a_second: int
 
 
-class _NoLimit(TenantLimits):
-    def _view(self, account: Account, part: float, now: float) -> tuple[float, float]:
-        return -account.bucket.per_second, 1.0
-
-    def try_spend(
-        self, tenant: TenantRecord, request: ExchangeRequest, part: float, now: float
-    ) -> float | None:
-        super().try_spend(tenant, request, part, now)
-        return None
-
-
-class _EqualParts(TenantLimits):
-    members = 1
-
-    def _view(self, account: Account, part: float, now: float) -> tuple[float, float]:
-        return 0.0, 1.0 / self.members
-
-
-class _PartsByDemand(_EqualParts):
-    def _view(self, account: Account, part: float, now: float) -> tuple[float, float]:
-        own = account.use.per_second(now)
-        others = max(self._loads.others_use(account.key, now), 0.0)
-        # Half by demand, half equal: a gateway without recent demand must admit a first request.
-        by_demand = own / (own + others) if own + others > 0.0 else 1.0 / self.members
-        return 0.0, part * (by_demand + 1.0 / self.members) / 2
-
-
-def _new_limits(way: Way, loads: LoadExchange, members: int) -> TenantLimits:
-    if way is Way.SUMMED:
-        return TenantLimits(loads, TOLERANCE)
-    if way is Way.NONE:
-        return _NoLimit(loads, TOLERANCE)
-    limits = _EqualParts(loads, TOLERANCE) if way is Way.EQUAL else _PartsByDemand(loads, TOLERANCE)
-    limits.members = members
-    return limits
-
-
 class _IdealBucket:
     """One bucket for all gateways, which knows everything at once."""
 
@@ -187,7 +138,8 @@
         others = [other for other in self._names if other != name]
         loads.set_gateways(others, [reader for reader in self._readers if reader != name])
         self._loads[name] = loads
-        self._limits[name] = _new_limits(self._way, loads, len(self._names))
+        knowledge = KNOWLEDGE[self._way](loads, len(self._names))
+        self._limits[name] = TenantLimits(knowledge, TOLERANCE)
         self._limits[name].configure([self._tenant()], now)
 
     def _tenant(self) -> TenantRecord:
@@ -202,14 +154,15 @@
             if now >= QUIET_SECONDS:
                 self._arrivals(now)
             self._tell(now)
+        admitted = sum(tokens for _, tokens in self._admitted)
         usual_bound = LIMIT_PER_SECOND * (WINDOW_SECONDS + 1.0)
         return LimitFigures(
-            self._way.value,
-            self._trouble.value,
-            len(self._names),
-            round(self._most_in_a_window() / usual_bound, 3),
-            round(sum(tokens for _, tokens in self._admitted) / self._ideally_admitted, 3),
-            round(self._bytes / len(self._names) / RUN_SECONDS),
+            way=self._way,
+            trouble=self._trouble,
+            gateways=len(self._names),
+            over=round(self._most_in_a_window() / usual_bound, 3),
+            admitted=round(admitted / self._ideally_admitted, 3),
+            bytes_a_second=round(self._bytes / len(self._names) / RUN_SECONDS),
         )
 
     def _trouble_at(self, now: float) -> None:
@@ -253,21 +206,17 @@
         request = _request(tokens)
         if self._ideal.admits(tokens, now):
             self._ideally_admitted += tokens
-        part = self._part(name, now)
-        wait = self._limits[name].try_spend(self._tenant(), request, part, now)
-        if wait is None:
+        wait = self._limits[name].try_spend(self._tenant(), request, now)
+        if wait is None or self._way is Way.NONE:
             self._admitted.append((now, tokens))
 
-    def _part(self, name: str, now: float) -> float:
-        return min(self._loads[name].heard_gateways(now) / len(self._names), 1.0)
-
     def _tell(self, now: float) -> None:
         for index, name in enumerate(self._names):
             if name in self._down:
                 continue
             reader = self._readers[index % ZONES]
             follows = "" if reader == name else reader
-            uses = self._limits[name].tick(self._part(name, now), now)
+            uses = self._limits[name].tick(now)
             for outgoing in self._loads[name].tick(now, [], follows, uses):
                 size = len(encode_message(outgoing.message))
                 for receiver in outgoing.receivers:
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -14,6 +14,7 @@
 from milletcourse.exchange.freshness import ProofOfFreshness, ReadingTimes, reading_times
 from milletcourse.exchange.instance_selector import InstanceSelector
 from milletcourse.exchange.instance_table import Instance, InstanceTable
+from milletcourse.exchange.known_use import SummedUse
 from milletcourse.exchange.load_exchange import LoadExchange
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages import AttemptResult
@@ -89,7 +90,9 @@
         self.on_instance_ended: Callable[[str], None] | None = None
         self.gate = VersionGate(bounds.version)
         self.loads = LoadExchange(settings.name)
-        self.limits_of_tenants = TenantLimits(self.loads, bounds.limit_tolerance)
+        self.tenant_limits = TenantLimits(
+            SummedUse(self.loads, lambda: self.members), bounds.limit_tolerance
+        )
         self.unreachable_stores: set[str] = set()
         self.on_cache_store_found: Callable[[str, bool], None] | None = None
         self.cache_stores = CacheStorePlan()
@@ -115,7 +118,7 @@
             self._key_bound(settings), bounds.fail_closed, self.reading.calm_age
         )
         self.gate.bound_seconds = bounds.version
-        self.limits_of_tenants.set_tolerance(bounds.limit_tolerance)
+        self.tenant_limits.set_tolerance(bounds.limit_tolerance)
         self._budgets.clear()
 
     @staticmethod
@@ -182,13 +185,9 @@
             )
         return budget
 
-    def heard_part(self) -> float:
-        """Part of all gateways whose spending for tenants is known here."""
-        return min(self.loads.heard_gateways(self.now()) / self.members, 1.0)
-
     def note_limits(self) -> None:
         """Say which tenants were refused over their limits since the last call."""
-        for state in self.limits_of_tenants.due_notes(self.heard_part(), self.now()):
+        for state in self.tenant_limits.due_notes(self.now()):
             self.record.limited(state)
 
     def retry_after(self) -> float:
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -70,7 +70,6 @@
         self._attempt: Attempt | None = None
         self._end_cause: EndCause | None = None
         self._retry_reserved = False
-        self._keeps_bound = Mechanism.WAIT_BOUND in context.mechanisms
 
     # -- attempts -------------------------------------------------------------------------------
 
@@ -92,7 +91,7 @@
     def _settle_limit(self) -> None:
         tenant = self._job.tenant
         if tenant is not None:
-            self._context.limits_of_tenants.settle(
+            self._context.tenant_limits.settle(
                 tenant, self._job.request, self._plan.runs, self._context.now()
             )
 
@@ -125,8 +124,8 @@
             self._refuse(NoEngineAvailable("no server may take it", retry_after))
             return None
         wait = choice.wait_seconds
-        bound = longest_wait(self._job.route, self._job.tenant)
-        if wait <= bound or not self._keeps_bound:
+        has_bound = Mechanism.WAIT_BOUND in self._context.mechanisms
+        if not has_bound or wait <= longest_wait(self._job.route, self._job.tenant):
             return choice.instance
         self._refuse(Overloaded(f"it would wait {wait:.2f} s at the best server", retry_after))
         return None
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/exchange_runner.py
@@ -56,9 +56,7 @@
 
     def _keep_limit(self, tenant: TenantRecord, request: ExchangeRequest) -> None:
         context = self._context
-        wait = context.limits_of_tenants.try_spend(
-            tenant, request, context.heard_part(), context.now()
-        )
+        wait = context.tenant_limits.try_spend(tenant, request, context.now())
         if wait is None:
             return
         detail = f"tenant {tenant.name} has spent its limit"
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/peers.py
@@ -96,7 +96,7 @@
         context = self._context
         reader = context.followed_reader
         now = context.now()
-        uses = context.limits_of_tenants.tick(context.heard_part(), now)
+        uses = context.tenant_limits.tick(now)
         for outgoing in context.loads.tick(now, context.own_loads(), reader, uses):
             self._send(outgoing)
 
--- a/src/milletcourse/gateway/sinks.py
+++ b/src/milletcourse/gateway/sinks.py
@@ -80,7 +80,7 @@
         if current is not None and configuration.version <= current.version:
             return configuration.version == current.version
         self._context.table = RouteTable(configuration)
-        self._context.limits_of_tenants.configure(configuration.tenants, self._context.now())
+        self._context.tenant_limits.configure(configuration.tenants, self._context.now())
         self._context.log.emit(
             "configuration-in-force",
             version=configuration.version,
--- a/tests/gateway_behaviours.py
+++ b/tests/gateway_behaviours.py
@@ -23,15 +23,15 @@
 }
 
 
-def once_then_whole(first: Behaviour) -> Behaviour:
-    """Misbehaves at the first request of all servers that share it, and serves the others."""
+def first_then(first: Behaviour, then: Behaviour) -> Behaviour:
+    """One way at the first request of all servers that share it, another way at the others."""
     used: list[str] = []
 
     async def behave(
         server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
         if used:
-            await serve_whole(server, request, writer)
+            await then(server, request, writer)
             return
         used.append(server.name)
         await first(server, request, writer)
@@ -39,6 +39,11 @@
     return behave
 
 
+def once_then_whole(first: Behaviour) -> Behaviour:
+    """Misbehaves at the first request of all servers that share it, and serves the others."""
+    return first_then(first, serve_whole)
+
+
 async def reset(_: StandinServer, __: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     """The connection ends without an answer."""
     writer.transport.abort()
--- a/tests/test_engine_load.py
+++ b/tests/test_engine_load.py
@@ -28,7 +28,7 @@
     InstanceLoad,
     LoadScope,
     PeerMessage,
-    instance_key,
+    short_key,
 )
 from milletcourse.exchange.records import (
     InstanceRecord,
@@ -74,7 +74,7 @@
 
 
 def _load(name: str, waiting: int = 0, running: int = 0, memory: int = 0) -> InstanceLoad:
-    return InstanceLoad(instance_key(name), waiting, running, 0, 0, memory)
+    return InstanceLoad(short_key(name), waiting, running, 0, 0, memory)
 
 
 @pytest.mark.parametrize(
@@ -90,7 +90,7 @@
     request = _prompt(9_000)
     home = _choice({}, request).instance.name
     full = InstanceLoad(
-        instance_key(home), crowded.waiting_tokens, crowded.running, 0, 0, crowded.memory_tokens
+        short_key(home), crowded.waiting_tokens, crowded.running, 0, 0, crowded.memory_tokens
     )
     assert _choice({home: full}, request).instance.name != home
 
@@ -166,7 +166,7 @@
         node = harness.node
         assert node is not None
         context = node.context
-        full = [InstanceLoad(instance_key("e-1"), 0, 60)]
+        full = [InstanceLoad(short_key("e-1"), 0, 60)]
         context.loads.on_message(PeerMessage("other", 1, full, scope=LoadScope.ZONE), context.now())
         client = await harness.client()
         prompt = {"Model": "model-1", "Token_Usage": "60,10", "Prompt_Prefix": "a1:40,b2:20"}
--- a/tests/test_exchange_cores.py
+++ b/tests/test_exchange_cores.py
@@ -30,7 +30,7 @@
     ServerState,
     decode_message,
     encode_message,
-    instance_key,
+    short_key,
 )
 from milletcourse.exchange.records import (
     ExchangeConfiguration,
@@ -482,7 +482,7 @@
 def test_loads_of_senders_add_up_and_grow_stale() -> None:
     """The latest message of each sender counts, for a while; older ones don't."""
     sums = LoadSums(1.0)
-    key = instance_key("e-1")
+    key = short_key("e-1")
     assert sums.on_told("a", 5, [InstanceLoad(key, 4000, 2, 1, 3)], 1.0)
     assert sums.on_told("b", 1, [InstanceLoad(key, 1000, 1, 0, 1)], 1.2)
     assert not sums.on_told("a", 4, [], 1.3)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -30,7 +30,7 @@
     InstanceLoad,
     LoadScope,
     PeerMessage,
-    instance_key,
+    short_key,
 )
 
 
@@ -313,7 +313,7 @@
         assert harness.node is not None
         context = harness.node.context
         monkeypatch.setattr(context.record, "suspicion", lambda *about: told.append(about))
-        failures = InstanceLoad(instance_key("app-1"), 0, 0, bad=3)
+        failures = InstanceLoad(short_key("app-1"), 0, 0, bad=3)
         sick = PeerMessage("other", 1, [failures], scope=LoadScope.ZONE)
         assert context.loads.on_message(sick, context.now())
         await harness.until(lambda: len(told) == 1)
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -374,3 +374,38 @@
         assert (await client.ask("/safe/", "request-2")).status == 200
 
     run_with_gateway(scenario)
+
+
+def test_ended_incarnations_leave_no_beliefs() -> None:
+    """Servers come and go for months; what they kept is forgotten with them."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("e-1", "engine", stream_of_four, 1)
+        await harness.start()
+        assert harness.node is not None
+        context = harness.node.context
+        await (await harness.client()).ask("/stream/", **PROMPT)
+        assert len(context.selector.holders) > 0
+        harness.store.remove("servers", "e-1")
+        await harness.until(lambda: context.instances.get("e-1") is None)
+        assert len(context.selector.holders) == 0
+
+    run_with_gateway(scenario)
+
+
+def test_a_lease_that_cannot_be_read_does_not_end_the_process() -> None:
+    """It is passed over and said; requests are served on."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("e-1", "engine", stream_of_four, 1)
+        harness.store.put("milletcourse-leases", "roll-out", {"holder": 7})
+        harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 2})
+        await harness.start()
+
+        def lease_calls() -> int:
+            return sum("milletcourse-leases" in call.target for call in harness.store.calls)
+
+        await harness.until(lambda: lease_calls() >= 2)
+        assert (await (await harness.client()).ask("/stream/", **PROMPT)).status == 200
+
+    run_with_gateway(scenario)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -8,6 +8,7 @@
 
 from gateway_behaviours import (
     PROMPT,
+    first_then,
     stream_broken_in_an_event,
     stream_of_four,
 )
@@ -31,24 +32,11 @@
 # -- streams ------------------------------------------------------------------------------------
 
 
-def _broken_then_whole() -> Behaviour:
-    used: list[str] = []
-
-    async def behave(
-        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        behaviour = stream_of_four if used else stream_broken_in_an_event
-        used.append(server.name)
-        await behaviour(server, request, writer)
-
-    return behave
-
-
 def test_resumable_stream_goes_on_after_the_last_whole_event() -> None:
     """At another server, with no piece missing or twice."""
 
     async def scenario(harness: Harness) -> None:
-        behaviour = _broken_then_whole()
+        behaviour = first_then(stream_broken_in_an_event, stream_of_four)
         servers = [await harness.add_server(f"e-{n}", "engine", behaviour, 1) for n in (1, 2)]
         await harness.start()
         got = await (await harness.client()).ask("/stream/", **PROMPT)
@@ -157,7 +145,7 @@
     """One run; the client sees that it is not whole."""
 
     async def scenario(harness: Harness) -> None:
-        behaviour = _broken_then_whole()
+        behaviour = first_then(stream_broken_in_an_event, stream_of_four)
         servers = [await harness.add_server(f"e-{n}", "engine", behaviour, 1) for n in (1, 2)]
         await harness.start()
         got = await (await harness.client()).ask("/single/", **PROMPT)
@@ -235,41 +223,6 @@
     """Serves nothing."""
 
 
-def test_ended_incarnations_leave_no_beliefs() -> None:
-    """Servers come and go for months; what they kept is forgotten with them."""
-
-    async def scenario(harness: Harness) -> None:
-        await harness.add_server("e-1", "engine", stream_of_four, 1)
-        await harness.start()
-        assert harness.node is not None
-        context = harness.node.context
-        await (await harness.client()).ask("/stream/", **PROMPT)
-        assert len(context.selector.holders) > 0
-        harness.store.remove("servers", "e-1")
-        await harness.until(lambda: context.instances.get("e-1") is None)
-        assert len(context.selector.holders) == 0
-
-    run_with_gateway(scenario)
-
-
-def test_a_lease_that_cannot_be_read_does_not_end_the_process() -> None:
-    """It is passed over and said; requests are served on."""
-
-    async def scenario(harness: Harness) -> None:
-        await harness.add_server("e-1", "engine", stream_of_four, 1)
-        harness.store.put("milletcourse-leases", "roll-out", {"holder": 7})
-        harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 2})
-        await harness.start()
-
-        def lease_calls() -> int:
-            return sum("milletcourse-leases" in call.target for call in harness.store.calls)
-
-        await harness.until(lambda: lease_calls() >= 2)
-        assert (await (await harness.client()).ask("/stream/", **PROMPT)).status == 200
-
-    run_with_gateway(scenario)
-
-
 def test_an_attempt_that_was_never_sent_says_nothing_of_its_server() -> None:
     """A client that leaves while the connection comes up is no sign of the server's health."""
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -21,7 +21,7 @@
     PeerMessage,
     ServerNotice,
     ServerState,
-    instance_key,
+    short_key,
 )
 from milletcourse.exchange.records import InstanceRecord, ServiceRecord
 from milletcourse.exchange.server_health import (
@@ -247,7 +247,7 @@
 def test_a_server_that_fails_several_gateways_gets_no_work_from_any() -> None:
     """Each of them saw it fail once; none of them would eject it for that."""
     fleet = Fleet(9, 3)
-    key = instance_key("e00")
+    key = short_key("e00")
     for name in fleet.names[3:6]:
         fleet.loads[name] = [InstanceLoad(key, 0, 0, 1, 0)]
     for name in fleet.names[6:]:
--- a/tests/test_tenant_limits.py
+++ b/tests/test_tenant_limits.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections import deque
+from collections.abc import Callable
 
 import pytest
 from hypothesis import settings
@@ -22,20 +23,21 @@
 )
 from milletcourse.cli.experiment import read_sizes
 from milletcourse.errors import FailureError
+from milletcourse.exchange.known_use import SummedUse, UseKnowledge
 from milletcourse.exchange.load_exchange import TICK_SECONDS, LoadExchange
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.peer_messages import TenantUse, decode_message, encode_message
 from milletcourse.exchange.recent_use import TOLD_SECONDS, RecentUse
 from milletcourse.exchange.records import LimitTolerance, LimitUnit, TenantLimit, TenantRecord
 from milletcourse.exchange.shared_bucket import START_SECONDS
-from milletcourse.exchange.tenant_limits import MAX_WAIT_SECONDS, Account, TenantLimits
+from milletcourse.exchange.tenant_limits import MAX_WAIT_SECONDS, TenantLimits
 from milletcourse.experiments.limit_model import (
     LIMIT_PER_SECOND,
     TOLERANCE,
     LimitModel,
     Trouble,
-    Way,
 )
+from milletcourse.experiments.limit_ways import EqualParts, Way
 from milletcourse.platform.documents import decode_configuration
 
 RATE = 1000.0
@@ -51,8 +53,13 @@
     return TenantRecord("tenant-1", limit=TenantLimit(rate, rate, unit, 200))
 
 
+def _alone() -> SummedUse:
+    """What the only gateway there is knows of others."""
+    return SummedUse(LoadExchange("gateway-1"), lambda: 1)
+
+
 def _limits(tenant: TenantRecord) -> TenantLimits:
-    limits = TenantLimits(LoadExchange("gateway-1"), LimitTolerance())
+    limits = TenantLimits(_alone(), LimitTolerance())
     limits.configure([tenant], 0.0)
     return limits
 
@@ -65,20 +72,20 @@
     tenant = _tenant()
     limits = _limits(tenant)
     for step in range(1, 40):
-        limits.tick(1.0, step * 0.1)
-    assert limits.try_spend(tenant, _request(2500), 1.0, 4.0) is None
-    wait = limits.try_spend(tenant, _request(100), 1.0, 4.0)
+        limits.tick(step * 0.1)
+    assert limits.try_spend(tenant, _request(2500), 4.0) is None
+    wait = limits.try_spend(tenant, _request(100), 4.0)
     assert wait == pytest.approx(1.5)
-    assert limits.try_spend(tenant, _request(100), 1.0, 4.9) is not None
-    assert limits.try_spend(tenant, _request(100), 1.0, 5.6) is None
+    assert limits.try_spend(tenant, _request(100), 4.9) is not None
+    assert limits.try_spend(tenant, _request(100), 5.6) is None
 
 
 def test_refused_requests_are_told_to_come_back_one_after_the_other() -> None:
     """Each behind the use of those before it, and none beyond what a client waits for."""
     tenant = _tenant()
     limits = _limits(tenant)
-    assert limits.try_spend(tenant, _request(2000), 1.0, 1.0) is None
-    waits = [limits.try_spend(tenant, _request(500), 1.0, 1.0) for _ in range(12)]
+    assert limits.try_spend(tenant, _request(2000), 1.0) is None
+    waits = [limits.try_spend(tenant, _request(500), 1.0) for _ in range(12)]
     assert waits[:3] == pytest.approx([1.0, 1.5, 2.0])
     assert max(wait for wait in waits if wait is not None) <= MAX_WAIT_SECONDS
 
@@ -97,8 +104,8 @@
     """Declared tokens, the default for requests that declare none, or one each."""
     tenant = _tenant(unit)
     limits = _limits(tenant)
-    assert limits.try_spend(tenant, _request(700 if declares else 0, declares), 1.0, 5.0) is None
-    assert limits.tick(1.0, 5.0)[0].per_second == units / TOLD_SECONDS
+    assert limits.try_spend(tenant, _request(700 if declares else 0, declares), 5.0) is None
+    assert limits.tick(5.0)[0].per_second == units / TOLD_SECONDS
 
 
 def test_what_no_server_ran_is_given_back_and_each_further_run_counts() -> None:
@@ -107,9 +114,9 @@
     limits = _limits(tenant)
     request = _request(400)
     for runs, left in ((0, 500.0), (1, 100.0), (2, -700.0)):
-        assert limits.try_spend(tenant, request, 1.0, 0.0) is None
+        assert limits.try_spend(tenant, request, 0.0) is None
         limits.settle(tenant, request, runs, 0.0)
-        told = limits.tick(1.0, 0.0)
+        told = limits.tick(0.0)
         assert sum(use.per_second for use in told) * TOLD_SECONDS == START_SECONDS * RATE - left
 
 
@@ -118,12 +125,12 @@
     tenant = _tenant()
     free = TenantRecord("tenant-1")
     limits = _limits(tenant)
-    assert limits.try_spend(tenant, _request(9000), 1.0, 1.0) is None
-    assert limits.try_spend(tenant, _request(1), 1.0, 1.0) is not None
+    assert limits.try_spend(tenant, _request(9000), 1.0) is None
+    assert limits.try_spend(tenant, _request(1), 1.0) is not None
     limits.configure([free], 1.0)
     for _ in range(50):
-        assert limits.try_spend(free, _request(9000), 1.0, 1.0) is None
-    assert limits.tick(1.0, 1.0) == []
+        assert limits.try_spend(free, _request(9000), 1.0) is None
+    assert limits.tick(1.0) == []
 
 
 def test_what_is_told_adds_up_to_what_was_spent() -> None:
@@ -148,16 +155,15 @@
 ) -> None:
     """A tenant a little over its limit is served whole, one far over it keeps to the limit."""
     tenant = _tenant()
-    loads = LoadExchange("gateway-1")
-    limits = TenantLimits(loads, LimitTolerance(WINDOW_SECONDS, OVERAGE, 0.0))
+    limits = TenantLimits(_alone(), LimitTolerance(WINDOW_SECONDS, OVERAGE, 0.0))
     limits.configure([tenant], 0.0)
     asked = admitted = 0.0
     for step in range(4000):
         now = step * 0.01
-        limits.tick(1.0, now)
+        limits.tick(now)
         while asked < factor * RATE * now:
             asked += 100
-            admitted += 100 if limits.try_spend(tenant, _request(100), 1.0, now) is None else 0
+            admitted += 100 if limits.try_spend(tenant, _request(100), now) is None else 0
     assert admitted / (RATE * 40.0) == pytest.approx(min(factor, most), abs=0.04)
 
 
@@ -165,14 +171,14 @@
     """Who, its limit, its use, and how many refusals."""
     tenant = _tenant()
     limits = _limits(tenant)
-    limits.try_spend(tenant, _request(2000), 1.0, 0.0)
+    limits.try_spend(tenant, _request(2000), 0.0)
     for step in range(40):
-        limits.try_spend(tenant, _request(10), 1.0, 0.01 + step * 0.01)
-    (note,) = limits.due_notes(1.0, 0.41)
+        limits.try_spend(tenant, _request(10), 0.01 + step * 0.01)
+    (note,) = limits.due_notes(0.41)
     assert (note.tenant, note.per_second, note.refused) == ("tenant-1", RATE, 40)
-    limits.try_spend(tenant, _request(10), 1.0, 0.6)
-    assert limits.due_notes(1.0, 0.9) == []
-    assert limits.due_notes(1.0, 1.42)[0].refused == 1
+    limits.try_spend(tenant, _request(10), 0.6)
+    assert limits.due_notes(0.9) == []
+    assert limits.due_notes(1.42)[0].refused == 1
 
 
 # -- many gateways ------------------------------------------------------------------------------
@@ -209,17 +215,19 @@
 """Times the limit; what comes within the time that telling takes may go beyond the bound."""
 
 
-class _WholeLimitEach(TenantLimits):
-    """Keeps no account of the others: the mistake that the machine below must find."""
+def _summed(loads: LoadExchange) -> UseKnowledge:
+    return SummedUse(loads, lambda: GATEWAYS)
 
-    def _view(self, account: Account, part: float, now: float) -> tuple[float, float]:
-        return 0.0, 1.0
+
+def _whole_limit_each(loads: LoadExchange) -> UseKnowledge:
+    """Keeps no account of the others: the mistake that the machine below must find."""
+    return EqualParts(1)
 
 
 class BoundMachine(RuleBasedStateMachine):
     """Gateways that join, are cut off, restart, and get other limits, under changing demand."""
 
-    new_limits: type[TenantLimits] = TenantLimits
+    knowledge: Callable[[LoadExchange], UseKnowledge] = staticmethod(_summed)
 
     def __init__(self) -> None:
         super().__init__()
@@ -241,8 +249,8 @@
         loads = LoadExchange(name)
         loads.set_gateways([other for other in self.names if other != name], self.names[:1])
         self.loads[name] = loads
-        self.limits[name] = self.new_limits(
-            loads, LimitTolerance(WINDOW_SECONDS, OVERAGE, SLACK_SECONDS * RATE)
+        self.limits[name] = TenantLimits(
+            self.knowledge(loads), LimitTolerance(WINDOW_SECONDS, OVERAGE, SLACK_SECONDS * RATE)
         )
         self.limits[name].configure([self.tenant], self._clock(name))
 
@@ -262,19 +270,14 @@
             size = self.random.randint(1, MAX_REQUEST)
             tokens -= size
             name = self.random.choice(self.names)
-            spent = self.limits[name].try_spend(
-                self.tenant, _request(size), self._part(name), self._clock(name)
-            )
+            spent = self.limits[name].try_spend(self.tenant, _request(size), self._clock(name))
             if spent is None:
                 self.admitted.append((self.now, size))
 
-    def _part(self, name: str) -> float:
-        return min(self.loads[name].heard_gateways(self._clock(name)) / GATEWAYS, 1.0)
-
     def _tell(self, name: str) -> None:
         clock = self._clock(name)
         reader = "" if name == self.names[0] else self.names[0]
-        uses = self.limits[name].tick(self._part(name), clock)
+        uses = self.limits[name].tick(clock)
         for outgoing in self.loads[name].tick(clock, [], reader, uses):
             for receiver in outgoing.receivers:
                 if not {name, receiver} & self.cut:
@@ -352,7 +355,7 @@
     """Otherwise it would prove nothing."""
 
     class Broken(BoundMachine):
-        new_limits = _WholeLimitEach
+        knowledge = staticmethod(_whole_limit_each)
 
     with pytest.raises(AssertionError, match="over"):
         _play(Broken)
@@ -408,9 +411,14 @@
     assert read.keys == ("key-1",)
 
 
-def _limited(**limit: object) -> dict[str, object]:
+async def _start_limited(harness: Harness, **limit: object) -> None:
+    """Start a gateway, with a limit in force."""
+    await harness.start()
     tenant = {"Name": "tenant-1", "ApiKeys": ["key-1"], "Unit": "tokens", **limit}
-    return configuration(2, Tenants=[tenant])
+    harness.store.put("config", "main", configuration(2, Tenants=[tenant]))
+    node = harness.node
+    assert node is not None
+    await harness.until(lambda: bool(node.context.tenant_limits.names()))
 
 
 def test_over_the_limit_a_gateway_answers_429_and_sends_nothing() -> None:
@@ -418,11 +426,7 @@
 
     async def scenario(harness: Harness) -> None:
         server = await harness.add_server("app-1", "app", serve_whole)
-        await harness.start()
-        harness.store.put("config", "main", _limited(RatePerS=100, Burst=100, UncachedTokens=60))
-        node = harness.node
-        assert node is not None
-        await harness.until(lambda: bool(node.context.limits_of_tenants.names()))
+        await _start_limited(harness, RatePerS=100, Burst=100, UncachedTokens=60)
         client = await harness.client()
         answers = [await client.ask("/safe/", f"id-{number}") for number in range(8)]
         statuses = [answer.status for answer in answers]
@@ -447,11 +451,7 @@
 
     async def scenario(harness: Harness) -> None:
         await harness.add_server("app-1", "app", turn_away)
-        await harness.start()
-        harness.store.put("config", "main", _limited(RatePerS=1, Burst=1, UncachedTokens=500))
-        node = harness.node
-        assert node is not None
-        await harness.until(lambda: bool(node.context.limits_of_tenants.names()))
+        await _start_limited(harness, RatePerS=1, Burst=1, UncachedTokens=500)
         client = await harness.client()
         for number in range(5):
             assert (await client.ask("/safe/", f"id-{number}")).status == 503
