--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -98,6 +98,11 @@
         """Whether the process has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    def has_started(self) -> bool:
+        """Whether the running process has said that it listens."""
+        lines = self.log_lines()
+        return sum(line["event"] == "started" for line in lines) == self.starts
+
     def give_ports_back(self) -> None:
         """It isn't started again."""
         for reservation in self._reservations:
@@ -132,6 +137,7 @@
         self.keys = dict(TENANTS)
         self.ended = False
         self.all_started_at = asyncio.get_running_loop().time()
+        self.stops = 0
         self._numbers = 0
         self._restarts: set[asyncio.Task[None]] = set()
 
