Sight for requests that end without an answer

A request that was read and ends without a whole answer gets a line and a counter by cause (phase, age, defect, stop under way); so do unread bytes at the close of an idle connection, connections that wait at a closing listener, and an event loop that is late. No logic is changed.

--- a/src/milletcourse/gateway/answer_relay.py
+++ b/src/milletcourse/gateway/answer_relay.py
@@ -7,6 +7,7 @@
 from milletcourse.exchange.messages import AnswerHead, ExchangeRequest
 from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.recorder import Recorder
+from milletcourse.gateway.unanswered import RequestPhase
 
 
 class ServerFailure(msgspec.Struct):
@@ -40,6 +41,10 @@
         self._client = client
         self._recorder = recorder
 
+    def note_phase(self, phase: RequestPhase) -> None:
+        """How far the request has come."""
+        self._client.phase = phase
+
     def pass_whole(self, head: AnswerHead, body: bytes) -> None:
         """Pass on a successful answer."""
         self._begin()
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -21,6 +21,7 @@
 from milletcourse.gateway.exchange_job import ExchangeJob
 from milletcourse.gateway.server_connection import LossCause, ServerConnection
 from milletcourse.gateway.silence_timer import SilenceTimer
+from milletcourse.gateway.unanswered import RequestPhase
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest body of an answer that isn't a stream."""
@@ -116,6 +117,7 @@
     async def _connect_and_send(self) -> AttemptResult:
         pool = self._context.pool
         address = self._instance.record.address
+        self._relay.note_phase(RequestPhase.CONNECTING)
         connection = await pool.acquire(address, self._seconds_left())
         if connection is None:
             return AttemptResult.NOT_SENT
@@ -125,6 +127,7 @@
             pool.release(connection)
             return AttemptResult.NOT_SENT
         self.was_sent = True
+        self._relay.note_phase(RequestPhase.AT_SERVER)
         self._connection = connection
         self.sent_at = self._heard_at = self._context.now()
         self._send(connection)
--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/client_connection.py
@@ -24,7 +24,9 @@
 )
 from milletcourse.exchange.messages import HeaderField
 from milletcourse.exchange.records import EdgeLimits
+from milletcourse.gateway.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
 from milletcourse.runtime.clock import elapsed_seconds
+from milletcourse.runtime.sockets import unread_bytes
 
 LINGER_SECONDS = 1.0
 """After an early refusal, bytes are read and dropped this long, so that the answer isn't reset."""
@@ -83,6 +85,12 @@
     def is_stopping(self) -> bool:
         """Whether answers ask clients to leave."""
 
+    def on_unanswered(self, request: UnansweredRequest) -> None:
+        """A request that was read ends without a whole answer."""
+
+    def on_closed_unread(self, unread: int) -> None:
+        """An idle connection was closed while bytes stood unread on it."""
+
 
 Handler = Callable[[ClientRequest, "ClientConnection"], Coroutine[Any, Any, None]]
 RefusalWriter = Callable[["ClientConnection", Failure], None]
@@ -100,6 +108,7 @@
     ) -> None:
         self.on_gone: Callable[[], None] | None = None
         self.gone = False
+        self.phase = RequestPhase.DECIDING
         self._edge = edge
         self._handler = handler
         self._refuse = refuse
@@ -126,6 +135,25 @@
         """Whether no request is being read or served."""
         return self._task is None and not self._queue and self._incoming is None
 
+    def unfinished(self, cause: UnansweredCause) -> list[UnansweredRequest]:
+        """Requests that were read and would end without a whole answer if the connection did."""
+        unfinished = []
+        if self._task is not None and self._current is not None:
+            unfinished.append(self._unanswered(self._current, self._current_phase(), cause))
+        unfinished.extend(
+            self._unanswered(item, RequestPhase.QUEUED, cause) for item in self._queue
+        )
+        return unfinished
+
+    def _current_phase(self) -> RequestPhase:
+        return RequestPhase.ANSWERING if self._answered else self.phase
+
+    @staticmethod
+    def _unanswered(
+        request: ClientRequest, phase: RequestPhase, cause: UnansweredCause, error: str = ""
+    ) -> UnansweredRequest:
+        return UnansweredRequest(request.fields, phase, cause, request.received_at, error)
+
     def check_time(self, now: float) -> None:
         """Apply the bounds on time; called every fraction of a second."""
         if self._task is not None or self._closing:
@@ -141,7 +169,7 @@
             if now - since > bound:
                 self._fail(RequestTimeout("the request came too slowly"))
         elif now - self._idle_since > max(self._idle_limit, limits.idle_timeout_seconds):
-            self.close()
+            self.close_idle()
 
     # -- answers --------------------------------------------------------------------------------
 
@@ -188,6 +216,14 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_idle(self) -> None:
+        """Close while no request is being read or served."""
+        if self._transport is not None and not self._transport.is_closing():
+            unread = unread_bytes(self._transport.get_extra_info("socket"))
+            if unread:
+                self._edge.on_closed_unread(unread)
+        self.close()
+
     def _head_lines(self, status: int, reason: bytes, fields: list[HeaderField]) -> list[bytes]:
         lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason or _reason_of(status))]
         lines.extend(field.name + b": " + field.value + b"\r\n" for field in fields)
@@ -201,6 +237,8 @@
             return
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:
+            for request in self.unfinished(UnansweredCause.SLOW_READER):
+                self._edge.on_unanswered(request)
             self.cut()
 
     # -- asyncio.Protocol -----------------------------------------------------------------------
@@ -341,6 +379,7 @@
         self._current = request
         self._streaming = False
         self._answered = False
+        self.phase = RequestPhase.DECIDING
         if request.failure is not None:
             self._refuse(self, request.failure)
             self._loop.call_later(LINGER_SECONDS, self.close)
@@ -352,11 +391,15 @@
         self._task = None
         self.on_gone = None
         failed = task.cancelled() or task.exception() is not None
+        if failed:
+            self._tell_failed(task)
         if failed or self._streaming or not self._answered:
             self.cut()
         if self.gone:
             return
         if self._closing:
+            for request in self.unfinished(UnansweredCause.CONNECTION_CLOSING):
+                self._edge.on_unanswered(request)
             self.close()
             return
         self._idle_since = elapsed_seconds()
@@ -366,6 +409,15 @@
         if self._queue:
             self._serve_next()
 
+    def _tell_failed(self, task: asyncio.Task[None]) -> None:
+        assert self._current is not None
+        error = "cancelled" if task.cancelled() else repr(task.exception())
+        self._edge.on_unanswered(
+            self._unanswered(
+                self._current, self._current_phase(), UnansweredCause.HANDLER_FAILED, error
+            )
+        )
+
 
 def _reason_of(status: int) -> bytes:
     try:
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -32,6 +32,7 @@
 from milletcourse.gateway.figures import Figures
 from milletcourse.gateway.recorder import Recorder
 from milletcourse.gateway.settings import GatewaySettings
+from milletcourse.gateway.unanswered import UnansweredRequest
 from milletcourse.runtime.clock import SleepDetector, elapsed_seconds
 
 FRESHNESS_MARGIN_SECONDS = 0.4
@@ -188,6 +189,14 @@
         """Whether a planned stop has begun."""
         return self.stopping
 
+    def on_unanswered(self, request: UnansweredRequest) -> None:
+        """A request that was read ends without a whole answer."""
+        self.record.unanswered(request, self.dialect.request_id_of(request.fields), self.stopping)
+
+    def on_closed_unread(self, unread: int) -> None:
+        """An idle connection of a client was closed while bytes stood unread on it."""
+        self.record.closed_unread(unread, self.stopping)
+
     def is_ready(self) -> bool:
         """Whether clients should be sent here."""
         return (
--- a/src/milletcourse/gateway/figures.py
+++ b/src/milletcourse/gateway/figures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from milletcourse.exchange.messages import AttemptResult
+from milletcourse.gateway.unanswered import UnansweredCause
 
 
 class Figures:
@@ -11,6 +12,9 @@
     def on_end(self, outcome: str) -> None:
         """A request has its final outcome."""
 
+    def on_unanswered(self, cause: UnansweredCause) -> None:
+        """A request that was read ended without a whole answer."""
+
     def on_attempt(self, result: AttemptResult) -> None:
         """An attempt ended."""
 
--- a/src/milletcourse/gateway/metrics.py
+++ b/src/milletcourse/gateway/metrics.py
@@ -13,6 +13,7 @@
 
 from milletcourse.exchange.messages import AttemptResult
 from milletcourse.gateway.figures import Figures
+from milletcourse.gateway.unanswered import UnansweredCause
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
@@ -39,6 +40,7 @@
 
     def __init__(self) -> None:
         self._requests: Counter[str] = Counter()
+        self._unanswered: Counter[str] = Counter()
         self._attempts: Counter[str] = Counter()
         self._orders: Counter[str] = Counter()
         self._ejections = 0
@@ -68,6 +70,10 @@
         """See `Figures`."""
         self._requests[outcome] += 1
 
+    def on_unanswered(self, cause: UnansweredCause) -> None:
+        """See `Figures`."""
+        self._unanswered[cause.value] += 1
+
     def on_attempt(self, result: AttemptResult) -> None:
         """See `Figures`."""
         self._attempts[result.value] += 1
@@ -122,6 +128,12 @@
                 "outcome",
                 self._requests,
             ),
+            (
+                "unanswered",
+                "Requests that were read and ended without a whole answer, by cause",
+                "cause",
+                self._unanswered,
+            ),
             ("attempts", "Attempts at servers by result", "result", self._attempts),
             ("weight_orders", "Weight orders by the server's reply", "reply", self._orders),
         ):
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -24,12 +24,16 @@
 from milletcourse.gateway.refusals import refuse
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
+from milletcourse.gateway.unanswered import UnansweredCause
+from milletcourse.runtime.sockets import waiting_connections
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
 
 LISTEN_BACKLOG = 1024
 SWEEP_SECONDS = 0.25
+LATE_SECONDS = 0.25
+"""A loop that is later than this shows in answers; shorter pauses are collections and bursts."""
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
 MAX_LEAVE_SHARE = 0.4
@@ -132,9 +136,12 @@
     async def _sweep(self) -> None:
         """Bounds on time, kept without a timer for each connection."""
         while True:
+            due_at = self.context.now() + SWEEP_SECONDS
             await asyncio.sleep(SWEEP_SECONDS)
             self.context.note_sleep()
             now = self.context.now()
+            if now - due_at > LATE_SECONDS:
+                self.context.record.loop_late(now - due_at)
             for client in list(self._clients):
                 client.check_time(now)
             self.context.pool.sweep()
@@ -164,16 +171,25 @@
         # A request taken later than this might not end within the grace time.
         context.refusing = True
         for listener in self._listeners:
-            listener.close()
+            self._close_listener(listener)
         while self._clients and context.now() < end_at:
             for client in list(self._clients):
                 if client.is_idle:
-                    client.close()
+                    client.close_idle()
             await asyncio.sleep(0.05)
+        for client in self._clients:
+            for request in client.unfinished(UnansweredCause.GRACE_OVER):
+                context.on_unanswered(request)
         context.record.tallied()
         context.log.emit("stopped", unfinished=len(self._clients))
         self.close()
 
+    def _close_listener(self, listener: asyncio.Server) -> None:
+        for sock in listener.sockets:
+            host, port = sock.getsockname()[:2]
+            self.context.record.listener_closed(f"{host}:{port}", waiting_connections(sock))
+        listener.close()
+
     def close(self) -> None:
         """End at once; what is unfinished is cut."""
         for task in list(self._tasks):
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -18,6 +18,7 @@
 from milletcourse.exchange.tenant_limits import LimitState
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.figures import Figures
+from milletcourse.gateway.unanswered import UnansweredRequest
 
 Belief = Callable[[], dict[str, Any]]
 """What the gateway goes by now: fields that are added to the lines of decisions."""
@@ -163,6 +164,31 @@
             **self._about(request),
         )
 
+    def unanswered(self, request: UnansweredRequest, request_id: str, stopping: bool) -> None:
+        """A request that was read ends without a whole answer, and its server isn't why."""
+        self._figures.on_unanswered(request.cause)
+        self._log.emit(
+            "request-unanswered",
+            request_id=request_id,
+            phase=request.phase.value,
+            cause=request.cause.value,
+            error=request.error[:200],
+            stopping=stopping,
+            seconds=round(self.now() - request.received_at, 3),
+        )
+
+    def closed_unread(self, unread: int, stopping: bool) -> None:
+        """An idle connection was closed while bytes stood unread on it."""
+        self._log.emit("closed-unread", unread=unread, stopping=stopping)
+
+    def listener_closed(self, address: str, waiting: int) -> None:
+        """A listener closed; connections that waited to be accepted were reset."""
+        self._log.emit("listener-closed", address=address, waiting=waiting)
+
+    def loop_late(self, seconds: float) -> None:
+        """The event loop ran a timer this much later than it was due."""
+        self._log.emit("loop-late", seconds=round(seconds, 3))
+
     def tallied(self) -> None:
         """Write what was counted since the last time, if it is anything."""
         report = self.tally.take()
