--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/client_connection.py
@@ -12,18 +12,10 @@
 from http import HTTPStatus
 from typing import Any, Protocol, cast
 
-import httptools
-import msgspec
-
-from milletcourse.errors import (
-    BodyTooLarge,
-    Failure,
-    HeadersTooLarge,
-    MalformedRequest,
-    RequestTimeout,
-)
+from milletcourse.errors import Failure, RequestTimeout
 from milletcourse.exchange.messages import HeaderField
 from milletcourse.exchange.records import EdgeLimits
+from milletcourse.gateway.request_reader import ClientRequest, RequestReader
 from milletcourse.gateway.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.sockets import unread_bytes
@@ -32,50 +24,10 @@
 """After an early refusal, bytes are read and dropped this long, so that the answer isn't reset."""
 MAX_QUEUED_REQUESTS = 8
 """Requests that a client may have sent ahead on one connection before reading pauses."""
-FIELD_OVERHEAD_BYTES = 4
-"""Colon, blank and line end of a header field."""
 MAX_UNREAD_ANSWER_BYTES = 4 * 1024 * 1024
 """A client that reads slower than this much behind is cut off."""
 
 
-class ClientRequest(msgspec.Struct):
-    """A whole request as received.
-
-    Attributes:
-        method: HTTP method.
-        target: Raw path and query.
-        fields: All header fields.
-        body: Whole body.
-        received_at: Monotonic time of its first byte.
-        keep_alive: The client wants to keep the connection.
-        failure: Why it can't be served, None for a proper request.
-    """
-
-    method: bytes
-    target: bytes
-    fields: list[HeaderField]
-    body: bytes
-    received_at: float
-    keep_alive: bool
-    failure: Failure | None = None
-
-
-class _Incoming(msgspec.Struct):
-    """A request that is being received."""
-
-    began_at: float = 0.0
-    last_byte_at: float = 0.0
-    target: bytes = b""
-    fields: list[HeaderField] = []
-    body: list[bytes] = []
-    raw_bytes: int = 0
-    head_bytes: int = 0
-    body_bytes: int = 0
-    head_complete: bool = False
-    expects_continue: bool = False
-    failure: Failure | None = None
-
-
 class EdgeState(Protocol):
     """What a connection asks of its node."""
 
@@ -115,7 +67,7 @@
         self._registry = registry
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(edge, self._enqueue, self._on_expects_continue)
         self._queue: deque[ClientRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._current: ClientRequest | None = None
@@ -125,15 +77,13 @@
         self._discarding = False
         self._idle_since = elapsed_seconds()
         self._idle_limit = 0.0
-        self._latest_bytes = 0
-        self._incoming: _Incoming | None = None
 
     # -- state ----------------------------------------------------------------------------------
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or served."""
-        return self._task is None and not self._queue and self._incoming is None
+        return self._task is None and not self._queue and self._reader.incoming is None
 
     def unfinished(self, cause: UnansweredCause) -> list[UnansweredRequest]:
         """Requests that were read and would end without a whole answer if the connection did."""
@@ -159,7 +109,7 @@
         if self._task is not None or self._closing:
             return
         limits = self._edge.limits()
-        incoming = self._incoming
+        incoming = self._reader.incoming
         if incoming is not None:
             bound = limits.header_timeout_seconds
             since = incoming.began_at
@@ -253,40 +203,12 @@
         """See `asyncio.Protocol`."""
         if self._discarding or self._closing:
             return
-        now = elapsed_seconds()
-        incoming = self._incoming
-        if incoming is None:
-            # Also bytes that never become a request are bound in time.
-            incoming = self._incoming = _Incoming(now)
-        incoming.last_byte_at = now
-        incoming.raw_bytes += len(data)
-        self._latest_bytes = len(data)
-        failure = self._parse(data)
+        failure = self._reader.feed(data)
         if failure is not None:
             self._fail(failure)
         elif len(self._queue) > MAX_QUEUED_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
 
-    def _parse(self, data: bytes) -> Failure | None:
-        """Feed the parser; returns why the connection can't go on."""
-        malformed: Failure | None = None
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            malformed = MalformedRequest(f"no HTTP/1.1 request: {type(error).__name__}")
-        incoming = self._incoming
-        if incoming is None:
-            return malformed
-        if incoming.failure is not None:
-            return incoming.failure
-        if malformed is not None:
-            return malformed
-        if incoming.head_complete:
-            return None
-        if incoming.raw_bytes > self._edge.limits().max_header_bytes:
-            return HeadersTooLarge("the head of the request is too large")
-        return None
-
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
         return False
@@ -299,73 +221,14 @@
         if self.on_gone is not None:
             self.on_gone()
 
-    # -- httptools callbacks --------------------------------------------------------------------
-
-    def on_message_begin(self) -> None:
-        """A request begins."""
-        now = elapsed_seconds()
-        self._incoming = _Incoming(now, now, raw_bytes=self._latest_bytes)
-
-    def on_url(self, target: bytes) -> None:
-        """Raw path and query."""
-        incoming = self._incoming
-        assert incoming is not None
-        incoming.target += target
-        incoming.head_bytes += len(target)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """One header field."""
-        incoming = self._incoming
-        assert incoming is not None
-        value = value or b""
-        incoming.head_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
-        incoming.fields.append(HeaderField(name, value))
-        if name.lower() == b"expect" and value.lower() == b"100-continue":
-            incoming.expects_continue = True
-
-    def on_headers_complete(self) -> None:
-        """The head is whole."""
-        incoming = self._incoming
-        assert incoming is not None
-        incoming.head_complete = True
-        if incoming.head_bytes > self._edge.limits().max_header_bytes:
-            incoming.failure = HeadersTooLarge("the head of the request is too large")
-        elif incoming.expects_continue and self._task is None:
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        """A piece of the body."""
-        incoming = self._incoming
-        assert incoming is not None
-        if incoming.failure is not None:
-            return
-        incoming.body_bytes += len(body)
-        if incoming.body_bytes > self._edge.limits().max_body_bytes:
-            incoming.failure = BodyTooLarge("the body of the request is too large")
-            return
-        incoming.body.append(body)
-
-    def on_message_complete(self) -> None:
-        """The request is whole."""
-        incoming = self._incoming
-        assert incoming is not None
-        if incoming.failure is not None:
-            return
-        self._incoming = None
-        request = ClientRequest(
-            method=self._parser.get_method(),
-            target=incoming.target,
-            fields=incoming.fields,
-            body=b"".join(incoming.body),
-            received_at=incoming.began_at,
-            keep_alive=self._parser.should_keep_alive(),
-        )
-        self._enqueue(request)
-
     # -- inside ---------------------------------------------------------------------------------
 
+    def _on_expects_continue(self) -> None:
+        if self._task is None:
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _fail(self, failure: Failure) -> None:
-        self._incoming = None
+        self._reader.incoming = None
         self._discarding = True
         self._enqueue(ClientRequest(b"", b"", [], b"", elapsed_seconds(), False, failure))
 
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/exchange_runner.py
@@ -14,10 +14,11 @@
 from milletcourse.exchange.messages import ExchangeRequest
 from milletcourse.exchange.records import RouteRecord, TenantRecord
 from milletcourse.exchange.route_table import RouteTable
-from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
+from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.exchange import Exchange
 from milletcourse.gateway.refusals import refuse
+from milletcourse.gateway.request_reader import ClientRequest
 
 
 class ExchangeRunner:
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -13,7 +13,7 @@
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.cache_store_probe import CacheStoreProbe
 from milletcourse.gateway.call_client import CallClient
-from milletcourse.gateway.client_connection import ClientConnection, ClientRequest, Handler
+from milletcourse.gateway.client_connection import ClientConnection, Handler
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.exchange_runner import ExchangeRunner
@@ -22,6 +22,7 @@
 from milletcourse.gateway.object_store import ObjectStoreClient
 from milletcourse.gateway.operator_api import OperatorApi, set_gauges
 from milletcourse.gateway.refusals import refuse
+from milletcourse.gateway.request_reader import ClientRequest
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
 from milletcourse.gateway.unanswered import UnansweredCause
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -13,9 +13,10 @@
 from milletcourse.errors import NotFound
 from milletcourse.exchange.messages import HeaderField
 from milletcourse.exchange.request_identity import identity_text
-from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
+from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
 from milletcourse.gateway.refusals import refuse
+from milletcourse.gateway.request_reader import ClientRequest
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
--- /dev/null
+++ b/src/milletcourse/gateway/request_reader.py
@@ -0,0 +1,177 @@
+"""Reads the requests of one client connection, within the bounds on size that are in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+import msgspec
+
+from milletcourse.errors import BodyTooLarge, Failure, HeadersTooLarge, MalformedRequest
+from milletcourse.exchange.messages import HeaderField
+from milletcourse.exchange.records import EdgeLimits
+from milletcourse.runtime.clock import elapsed_seconds
+
+FIELD_OVERHEAD_BYTES = 4
+"""Colon, blank and line end of a header field."""
+
+
+class ClientRequest(msgspec.Struct):
+    """A whole request as received.
+
+    Attributes:
+        method: HTTP method.
+        target: Raw path and query.
+        fields: All header fields.
+        body: Whole body.
+        received_at: Monotonic time of its first byte.
+        keep_alive: The client wants to keep the connection.
+        failure: Why it can't be served, None for a proper request.
+    """
+
+    method: bytes
+    target: bytes
+    fields: list[HeaderField]
+    body: bytes
+    received_at: float
+    keep_alive: bool
+    failure: Failure | None = None
+
+
+class IncomingRequest(msgspec.Struct):
+    """A request that is being received."""
+
+    began_at: float = 0.0
+    last_byte_at: float = 0.0
+    target: bytes = b""
+    fields: list[HeaderField] = []
+    body: list[bytes] = []
+    raw_bytes: int = 0
+    head_bytes: int = 0
+    body_bytes: int = 0
+    head_complete: bool = False
+    expects_continue: bool = False
+    failure: Failure | None = None
+
+
+class LimitSource(Protocol):
+    """Where the bounds come from."""
+
+    def limits(self) -> EdgeLimits:
+        """Bounds in force."""
+
+
+class RequestReader:
+    """Parses bytes into whole requests.
+
+    Attributes:
+        incoming: The request that is being received, None between two.
+    """
+
+    def __init__(
+        self,
+        source: LimitSource,
+        on_request: Callable[[ClientRequest], None],
+        on_expects_continue: Callable[[], None],
+    ) -> None:
+        self.incoming: IncomingRequest | None = None
+        self._source = source
+        self._on_request = on_request
+        self._on_expects_continue = on_expects_continue
+        self._parser = httptools.HttpRequestParser(self)
+        self._latest_bytes = 0
+
+    def feed(self, data: bytes) -> Failure | None:
+        """Take bytes; returns why the connection can't go on."""
+        now = elapsed_seconds()
+        incoming = self.incoming
+        if incoming is None:
+            # Also bytes that never become a request are bound in time.
+            incoming = self.incoming = IncomingRequest(now)
+        incoming.last_byte_at = now
+        incoming.raw_bytes += len(data)
+        self._latest_bytes = len(data)
+        malformed = self._parse(data)
+        incoming = self.incoming
+        if incoming is None:
+            return malformed
+        if incoming.failure is not None:
+            return incoming.failure
+        if malformed is not None:
+            return malformed
+        if incoming.head_complete:
+            return None
+        if incoming.raw_bytes > self._source.limits().max_header_bytes:
+            return HeadersTooLarge("the head of the request is too large")
+        return None
+
+    def _parse(self, data: bytes) -> Failure | None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            return MalformedRequest(f"no HTTP/1.1 request: {type(error).__name__}")
+        return None
+
+    # -- httptools callbacks --------------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        now = elapsed_seconds()
+        self.incoming = IncomingRequest(now, now, raw_bytes=self._latest_bytes)
+
+    def on_url(self, target: bytes) -> None:
+        """Raw path and query."""
+        incoming = self.incoming
+        assert incoming is not None
+        incoming.target += target
+        incoming.head_bytes += len(target)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header field."""
+        incoming = self.incoming
+        assert incoming is not None
+        value = value or b""
+        incoming.head_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        incoming.fields.append(HeaderField(name, value))
+        if name.lower() == b"expect" and value.lower() == b"100-continue":
+            incoming.expects_continue = True
+
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        incoming = self.incoming
+        assert incoming is not None
+        incoming.head_complete = True
+        if incoming.head_bytes > self._source.limits().max_header_bytes:
+            incoming.failure = HeadersTooLarge("the head of the request is too large")
+        elif incoming.expects_continue:
+            self._on_expects_continue()
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body."""
+        incoming = self.incoming
+        assert incoming is not None
+        if incoming.failure is not None:
+            return
+        incoming.body_bytes += len(body)
+        if incoming.body_bytes > self._source.limits().max_body_bytes:
+            incoming.failure = BodyTooLarge("the body of the request is too large")
+            return
+        incoming.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        incoming = self.incoming
+        assert incoming is not None
+        if incoming.failure is not None:
+            return
+        self.incoming = None
+        request = ClientRequest(
+            method=self._parser.get_method(),
+            target=incoming.target,
+            fields=incoming.fields,
+            body=b"".join(incoming.body),
+            received_at=incoming.began_at,
+            keep_alive=self._parser.should_keep_alive(),
+        )
+        self._on_request(request)
--- a/src/milletcourse/gateway/store_feed.py
+++ b/src/milletcourse/gateway/store_feed.py
@@ -13,10 +13,11 @@
     encode_answer,
 )
 from milletcourse.exchange.messages import HeaderField
-from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
+from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.context import GatewayContext
 from milletcourse.gateway.kind_mirror import KindMirror
 from milletcourse.gateway.refusals import refuse
+from milletcourse.gateway.request_reader import ClientRequest
 
 MAX_HOLD_SECONDS = 5.0
 """No question is kept longer, whatever it asks for."""
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -25,9 +25,10 @@
 from milletcourse.exchange import patience
 from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.patience import MIN_SILENCE_SECONDS
-from milletcourse.gateway.client_connection import ClientConnection, ClientRequest
+from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.exchange import Exchange
 from milletcourse.gateway.refusals import refuse
+from milletcourse.gateway.request_reader import ClientRequest
 
 # -- streams ------------------------------------------------------------------------------------
 
