A planned stop closes only what is certain to hold nothing

Cause: the stop judged by what the process had read. Connections that waited at the listener were reset with it; a connection without a request yet, and one whose request stood unread, were closed as idle. Change: the steps of a stop are a core that goes by the clock; a listener closes once it is empty; a connection closes when nothing stands unread on it, a new one not before its first request or a second; what has been read ahead on a connection is answered before the answer that closes it; every last answer lingers, since a close with unread bytes is a reset. Same cause elsewhere: idle connections and slow requests are judged with what stands unread; a failed handler is told to its client; a failed duty ends the process by a planned stop instead of at once; the stop counts from the last moment at which the loop was seen running.

--- /dev/null
+++ b/src/milletcourse/exchange/planned_stop.py
@@ -0,0 +1,77 @@
+"""Steps of a planned stop, and which connections it may close: a core without input and output.
+
+A stop goes by the clock and not by timers, which a starved event loop runs late. It closes only
+what is certain to hold nothing: what the process has read doesn't tell what reached the machine.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+LEAVE_ENTRY_SECONDS = 2.6
+"""After a stop signal: the entry asks each second and takes a node out after two misses."""
+MAX_LEAVE_SHARE = 0.4
+"""Of a short grace time, so that what was taken can end."""
+GRACE_MARGIN_SECONDS = 0.5
+"""All work has ended this long before the kill."""
+FIRST_REQUEST_SECONDS = 1.0
+"""A connection that has just come up gets a request this soon, or was opened ahead of need. It
+spans a lost packet, which is sent again after 0.2 s."""
+
+
+class StopPhase(Enum):
+    """How far a planned stop has come."""
+
+    LEAVING = "leaving"
+    """Not ready; all that comes is served, and answers ask clients to leave."""
+    REFUSING = "refusing"
+    """What comes is refused; connections close when nothing is left on them."""
+    OVER = "over"
+    """What is unfinished is cut."""
+
+
+class ConnectionState(msgspec.Struct, frozen=True):
+    """What a stop goes by when it looks at a connection.
+
+    Attributes:
+        opened_at: Monotonic time at which it came up.
+        requests: Requests that were read on it.
+        is_idle: No request is being read or served, and no answer is on its way out.
+        unread_bytes: Bytes that have arrived and aren't read yet.
+    """
+
+    opened_at: float
+    requests: int
+    is_idle: bool
+    unread_bytes: int
+
+
+class PlannedStop:
+    """One planned stop.
+
+    Attributes:
+        refuses_at: Monotonic time from which new requests are refused.
+        ends_at: Monotonic time at which what is unfinished is cut.
+    """
+
+    def __init__(self, began_at: float, grace_seconds: float) -> None:
+        """A stop that began at a monotonic time, with seconds from the signal to the kill."""
+        leave_seconds = min(LEAVE_ENTRY_SECONDS, grace_seconds * MAX_LEAVE_SHARE)
+        self.refuses_at = began_at + leave_seconds
+        self.ends_at = began_at + grace_seconds - GRACE_MARGIN_SECONDS
+
+    def phase(self, now: float) -> StopPhase:
+        """How far it has come."""
+        if now >= self.ends_at:
+            return StopPhase.OVER
+        return StopPhase.REFUSING if now >= self.refuses_at else StopPhase.LEAVING
+
+    def may_close(self, connection: ConnectionState, now: float) -> bool:
+        """Whether a connection holds no request, also none that hasn't been read yet."""
+        if self.phase(now) is StopPhase.LEAVING:
+            return False
+        if not connection.is_idle or connection.unread_bytes:
+            return False
+        return connection.requests > 0 or now - connection.opened_at >= FIRST_REQUEST_SECONDS
--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/client_connection.py
@@ -12,8 +12,9 @@
 from http import HTTPStatus
 from typing import Any, Protocol, cast
 
-from milletcourse.errors import Failure, RequestTimeout
+from milletcourse.errors import Failure, InternalError, RequestTimeout
 from milletcourse.exchange.messages import HeaderField
+from milletcourse.exchange.planned_stop import ConnectionState
 from milletcourse.exchange.records import EdgeLimits
 from milletcourse.gateway.request_reader import ClientRequest, RequestReader
 from milletcourse.gateway.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
@@ -21,7 +22,8 @@
 from milletcourse.runtime.sockets import unread_bytes
 
 LINGER_SECONDS = 1.0
-"""After an early refusal, bytes are read and dropped this long, so that the answer isn't reset."""
+"""After its last answer a connection waits this long for the client to close, and drops what comes:
+a close with unread bytes is a reset, which destroys an answer that is still on its way."""
 MAX_QUEUED_REQUESTS = 8
 """Requests that a client may have sent ahead on one connection before reading pauses."""
 MAX_UNREAD_ANSWER_BYTES = 4 * 1024 * 1024
@@ -40,9 +42,6 @@
     def on_unanswered(self, request: UnansweredRequest) -> None:
         """A request that was read ends without a whole answer."""
 
-    def on_closed_unread(self, unread: int) -> None:
-        """An idle connection was closed while bytes stood unread on it."""
-
 
 Handler = Callable[[ClientRequest, "ClientConnection"], Coroutine[Any, Any, None]]
 RefusalWriter = Callable[["ClientConnection", Failure], None]
@@ -75,6 +74,9 @@
         self._answered = False
         self._closing = False
         self._discarding = False
+        self._lingers_until: float | None = None
+        self._opened_at = elapsed_seconds()
+        self._requests = 0
         self._idle_since = elapsed_seconds()
         self._idle_limit = 0.0
 
@@ -82,8 +84,21 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or served."""
-        return self._task is None and not self._queue and self._reader.incoming is None
+        """Whether no request is being read or served, and no answer is on its way out."""
+        if self._task is not None or self._queue or self._reader.incoming is not None:
+            return False
+        return self._lingers_until is None
+
+    def state(self) -> ConnectionState:
+        """What a planned stop goes by."""
+        return ConnectionState(
+            self._opened_at, self._requests, self.is_idle, self._count_unread_bytes()
+        )
+
+    def _count_unread_bytes(self) -> int:
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return unread_bytes(self._transport.get_extra_info("socket"))
 
     def unfinished(self, cause: UnansweredCause) -> list[UnansweredRequest]:
         """Requests that were read and would end without a whole answer if the connection did."""
@@ -106,6 +121,8 @@
 
     def check_time(self, now: float) -> None:
         """Apply the bounds on time; called every fraction of a second."""
+        if self._lingers_until is not None and now >= self._lingers_until:
+            self.close()
         if self._task is not None or self._closing:
             return
         limits = self._edge.limits()
@@ -116,10 +133,14 @@
             if incoming.head_complete:
                 bound = max(limits.idle_timeout_seconds, bound)
                 since = incoming.last_byte_at
-            if now - since > bound:
+            if now - since > bound and not self._count_unread_bytes():
                 self._fail(RequestTimeout("the request came too slowly"))
-        elif now - self._idle_since > max(self._idle_limit, limits.idle_timeout_seconds):
-            self.close_idle()
+        elif self._was_idle_for(max(self._idle_limit, limits.idle_timeout_seconds), now):
+            self.close()
+
+    def _was_idle_for(self, seconds: float, now: float) -> bool:
+        """Nothing came for so long; a loop that is late hasn't read yet what came in time."""
+        return now - self._idle_since > seconds and not self._count_unread_bytes()
 
     # -- answers --------------------------------------------------------------------------------
 
@@ -166,22 +187,31 @@
         if self._transport is not None:
             self._transport.close()
 
-    def close_idle(self) -> None:
-        """Close while no request is being read or served."""
-        if self._transport is not None and not self._transport.is_closing():
-            unread = unread_bytes(self._transport.get_extra_info("socket"))
-            if unread:
-                self._edge.on_closed_unread(unread)
-        self.close()
+    def _linger(self) -> None:
+        """Say that nothing more comes, and wait for the client to close."""
+        self._closing = True
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._lingers_until = elapsed_seconds() + LINGER_SECONDS
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        self._transport.write_eof()
 
     def _head_lines(self, status: int, reason: bytes, fields: list[HeaderField]) -> list[bytes]:
         lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason or _reason_of(status))]
         lines.extend(field.name + b": " + field.value + b"\r\n" for field in fields)
-        if self._current is None or not self._current.keep_alive or self._edge.is_stopping():
+        if self._is_last_answer():
             self._closing = True
             lines.append(b"Connection: close\r\n")
         return lines
 
+    def _is_last_answer(self) -> bool:
+        """Whether the connection closes behind this answer: not before what has been read of it."""
+        if self._current is None or not self._current.keep_alive:
+            return True
+        has_more = bool(self._queue) or self._reader.incoming is not None
+        return self._edge.is_stopping() and not has_more
+
     def _write(self, data: bytes) -> None:
         if self.gone or self._transport is None or self._transport.is_closing():
             return
@@ -197,6 +227,7 @@
         """See `asyncio.Protocol`."""
         self._transport = cast(asyncio.Transport, transport)
         self._registry.add(self)
+        self._opened_at = elapsed_seconds()
         self._idle_limit = self._edge.limits().idle_timeout_seconds
 
     def data_received(self, data: bytes) -> None:
@@ -233,6 +264,7 @@
         self._enqueue(ClientRequest(b"", b"", [], b"", elapsed_seconds(), False, failure))
 
     def _enqueue(self, request: ClientRequest) -> None:
+        self._requests += 1
         self._queue.append(request)
         if self._task is None:
             self._serve_next()
@@ -245,7 +277,7 @@
         self.phase = RequestPhase.DECIDING
         if request.failure is not None:
             self._refuse(self, request.failure)
-            self._loop.call_later(LINGER_SECONDS, self.close)
+            self._linger()
             return
         self._task = self._loop.create_task(self._handler(request, self))
         self._task.add_done_callback(self._on_served)
@@ -255,15 +287,15 @@
         self.on_gone = None
         failed = task.cancelled() or task.exception() is not None
         if failed:
-            self._tell_failed(task)
-        if failed or self._streaming or not self._answered:
+            self._end_failed(task)
+        if self._streaming or not self._answered:
             self.cut()
         if self.gone:
             return
         if self._closing:
             for request in self.unfinished(UnansweredCause.CONNECTION_CLOSING):
                 self._edge.on_unanswered(request)
-            self.close()
+            self._linger()
             return
         self._idle_since = elapsed_seconds()
         self._idle_limit = self._edge.limits().idle_timeout_seconds
@@ -272,7 +304,8 @@
         if self._queue:
             self._serve_next()
 
-    def _tell_failed(self, task: asyncio.Task[None]) -> None:
+    def _end_failed(self, task: asyncio.Task[None]) -> None:
+        """The handler failed: say so, to the client as well unless it has a part of an answer."""
         assert self._current is not None
         error = "cancelled" if task.cancelled() else repr(task.exception())
         self._edge.on_unanswered(
@@ -280,6 +313,8 @@
                 self._current, self._current_phase(), UnansweredCause.HANDLER_FAILED, error
             )
         )
+        if not self._answered and not self.gone:
+            self._refuse(self, InternalError("the gateway failed; the request may have run"))
 
 
 def _reason_of(status: int) -> bytes:
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -20,6 +20,7 @@
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages import AttemptResult
 from milletcourse.exchange.peer_messages import InstanceLoad
+from milletcourse.exchange.planned_stop import PlannedStop, StopPhase
 from milletcourse.exchange.records import EdgeLimits, TenantRecord
 from milletcourse.exchange.route_table import RouteTable
 from milletcourse.exchange.server_health import TALLY_HALF_LIFE_SECONDS
@@ -55,6 +56,7 @@
 
     Attributes:
         mechanisms: Those that are switched on.
+        stop: The planned stop that is under way, None before.
         reading: How often the state of the object store is asked for.
         reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
         followed_reader: Name of the gateway that it follows instead; empty for none.
@@ -82,8 +84,7 @@
         self.log = log
         self.record = Recorder(log, figures, self._belief, self.now)
         self.table: RouteTable | None = None
-        self.stopping = False
-        self.refusing = False
+        self.stop: PlannedStop | None = None
         self.loop = asyncio.get_running_loop()
         bounds = settings.bounds
         self.reading = self._reading_times(settings)
@@ -185,6 +186,16 @@
         """Bounds on what clients send; defaults before the first configuration."""
         return self.table.limits if self.table is not None else EdgeLimits()
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stop is not None
+
+    @property
+    def refusing(self) -> bool:
+        """Whether a planned stop has come so far that new requests are refused."""
+        return self.stop is not None and self.stop.phase(self.now()) is not StopPhase.LEAVING
+
     def is_stopping(self) -> bool:
         """Whether a planned stop has begun."""
         return self.stopping
@@ -193,10 +204,6 @@
         """A request that was read ends without a whole answer."""
         self.record.unanswered(request, self.dialect.request_id_of(request.fields), self.stopping)
 
-    def on_closed_unread(self, unread: int) -> None:
-        """An idle connection of a client was closed while bytes stood unread on it."""
-        self.record.closed_unread(unread, self.stopping)
-
     def is_ready(self) -> bool:
         """Whether clients should be sent here."""
         return (
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -9,6 +9,7 @@
 
 from milletcourse.errors import Draining, NotFound
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
+from milletcourse.exchange.planned_stop import PlannedStop, StopPhase
 from milletcourse.exchange.service_tally import TALLY_SECONDS
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.cache_store_probe import CacheStoreProbe
@@ -35,12 +36,10 @@
 SWEEP_SECONDS = 0.25
 LATE_SECONDS = 0.25
 """A loop that is later than this shows in answers; shorter pauses are collections and bursts."""
-LEAVE_ENTRY_SECONDS = 2.6
-"""After a stop signal: the entry asks each second and takes a node out after two misses."""
-MAX_LEAVE_SHARE = 0.4
-"""Of a short grace time, so that what was taken can end."""
-GRACE_MARGIN_SECONDS = 0.5
-"""All work has ended this long before the kill."""
+LOOK_SECONDS = 0.05
+"""Between two looks of a planned stop at its connections."""
+MAX_EMPTYING_SECONDS = 0.5
+"""A listener whose connections come faster than they can be accepted is closed all the same."""
 
 
 class GatewayNode:
@@ -64,6 +63,8 @@
         self._clients: set[ClientConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[asyncio.Server] = []
+        self._seen_running_at = self.context.now()
+        self.duty_failed = asyncio.Event()
         self.readiness_address = settings.readiness
         self.frontend_address = settings.frontend
         self._calls = CallClient(self.context.pool)
@@ -140,7 +141,7 @@
             due_at = self.context.now() + SWEEP_SECONDS
             await asyncio.sleep(SWEEP_SECONDS)
             self.context.note_sleep()
-            now = self.context.now()
+            now = self._seen_running_at = self.context.now()
             if now - due_at > LATE_SECONDS:
                 self.context.record.loop_late(now - due_at)
             for client in list(self._clients):
@@ -163,21 +164,14 @@
     async def stop(self) -> None:
         """Leave the entry, serve what comes meanwhile, end within the grace time."""
         context = self.context
-        context.stopping = True
+        # A loop that was held hears of the signal late: it may have come since the loop was last
+        # seen running, and the kill is counted from there.
+        stop = context.stop = PlannedStop(self._seen_running_at, context.settings.bounds.grace)
         context.log.emit("stopping", connections=len(self._clients))
-        began = context.now()
-        end_at = began + context.settings.bounds.grace - GRACE_MARGIN_SECONDS
-        grace = context.settings.bounds.grace
-        await asyncio.sleep(min(LEAVE_ENTRY_SECONDS, grace * MAX_LEAVE_SHARE))
-        # A request taken later than this might not end within the grace time.
-        context.refusing = True
+        await asyncio.sleep(max(stop.refuses_at - context.now(), 0.0))
         for listener in self._listeners:
-            self._close_listener(listener)
-        while self._clients and context.now() < end_at:
-            for client in list(self._clients):
-                if client.is_idle:
-                    client.close_idle()
-            await asyncio.sleep(0.05)
+            await self._close_emptied(listener)
+        await self._end_connections(stop)
         for client in self._clients:
             for request in client.unfinished(UnansweredCause.GRACE_OVER):
                 context.on_unanswered(request)
@@ -185,11 +179,32 @@
         context.log.emit("stopped", unfinished=len(self._clients))
         self.close()
 
-    def _close_listener(self, listener: asyncio.Server) -> None:
-        for sock in listener.sockets:
-            host, port = sock.getsockname()[:2]
-            self.context.record.listener_closed(f"{host}:{port}", waiting_connections(sock))
+    async def _close_emptied(self, listener: asyncio.Server) -> None:
+        """Close a listener when all that waited there has been accepted: the rest is reset.
+
+        The event loop accepts one connection of a listener each time round.
+        """
+        sock = listener.sockets[0]
+        until = self.context.now() + MAX_EMPTYING_SECONDS
+        while waiting_connections(sock) and self.context.now() < until:
+            await asyncio.sleep(0)
+        host, port = sock.getsockname()[:2]
+        waiting = waiting_connections(sock)
         listener.close()
+        self.context.record.listener_closed(f"{host}:{port}", waiting)
+
+    async def _end_connections(self, stop: PlannedStop) -> None:
+        """Close each connection when nothing is left on it, until all are or the time is over."""
+        while True:
+            # First, since connections that were just accepted aren't registered yet.
+            await asyncio.sleep(LOOK_SECONDS)
+            now = self.context.now()
+            if not self._clients or stop.phase(now) is StopPhase.OVER:
+                return
+            for client in list(self._clients):
+                client.check_time(now)
+                if stop.may_close(client.state(), now):
+                    client.close()
 
     def close(self) -> None:
         """End at once; what is unfinished is cut."""
@@ -213,6 +228,7 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        # A gateway without one of its duties must not go on looking healthy.
+        # A gateway without one of its duties must not go on looking healthy; what it serves is
+        # not the cause, and ends as in any planned stop.
         self.context.log.emit("task-failed", error=repr(task.exception()))
-        raise SystemExit(70) from task.exception()
+        self.duty_failed.set()
--- a/src/milletcourse/gateway/process.py
+++ b/src/milletcourse/gateway/process.py
@@ -21,6 +21,8 @@
     from milletcourse.gateway.metrics import GatewayMetrics
 
 STANDARD_OUTPUT = 1
+DUTY_FAILED_EXIT = 70
+"""Exit code of a gateway that stopped since one of its duties had failed: an internal error."""
 SETTINGS_POLL_SECONDS = 1.0
 COLLECTION_THRESHOLD = 20_000
 """Allocations between garbage collections: fewer pauses, since requests leave no cycles."""
@@ -68,9 +70,19 @@
     if metrics is not None:
         await node.listen_for_operators(metrics_port, metrics_path)
     following = asyncio.create_task(reloader.follow())
-    await stopped.wait()
+    await _first_of(stopped, node.duty_failed)
     following.cancel()
     await node.stop()
+    if node.duty_failed.is_set():
+        raise SystemExit(DUTY_FAILED_EXIT)
+
+
+async def _first_of(*events: asyncio.Event) -> None:
+    """Wait until one of the events is set."""
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
 
 
 def _new_metrics() -> GatewayMetrics:
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -177,10 +177,6 @@
             seconds=round(self.now() - request.received_at, 3),
         )
 
-    def closed_unread(self, unread: int, stopping: bool) -> None:
-        """An idle connection was closed while bytes stood unread on it."""
-        self._log.emit("closed-unread", unread=unread, stopping=stopping)
-
     def listener_closed(self, address: str, waiting: int) -> None:
         """A listener closed; connections that waited to be accepted were reset."""
         self._log.emit("listener-closed", address=address, waiting=waiting)
