The entry is left for as long as before, however late the signal was heard

A stop counted all its steps from the moment at which the loop was last seen running, up to 0.25 s before the signal: the listeners of every machine closed 0.25 s earlier (seen in the log lines of a rolled roster). Only the end and the latest moment at which work is taken are counted from there.

--- a/src/milletcourse/exchange/planned_stop.py
+++ b/src/milletcourse/exchange/planned_stop.py
@@ -12,6 +12,8 @@
 
 LEAVE_ENTRY_SECONDS = 2.6
 """After a stop signal: the entry asks each second and takes a node out after two misses."""
+MAX_TAKE_SECONDS = 2.9
+"""After a stop signal, however late it is heard: a request taken later might not end in time."""
 MAX_LEAVE_SHARE = 0.4
 """Of a short grace time, so that what was taken can end."""
 GRACE_MARGIN_SECONDS = 0.5
@@ -56,11 +58,18 @@
         ends_at: Monotonic time at which what is unfinished is cut.
     """
 
-    def __init__(self, began_at: float, grace_seconds: float) -> None:
-        """A stop that began at a monotonic time, with seconds from the signal to the kill."""
+    def __init__(self, heard_at: float, sent_after: float, grace_seconds: float) -> None:
+        """A stop whose signal was heard at a monotonic time.
+
+        Args:
+            heard_at: The process noticed the signal.
+            sent_after: The latest moment at which it would have noticed one: an event loop that was
+                held hears of it late, and the kill is counted from the signal.
+            grace_seconds: From the signal to the kill.
+        """
         leave_seconds = min(LEAVE_ENTRY_SECONDS, grace_seconds * MAX_LEAVE_SHARE)
-        self.refuses_at = began_at + leave_seconds
-        self.ends_at = began_at + grace_seconds - GRACE_MARGIN_SECONDS
+        self.refuses_at = min(heard_at + leave_seconds, sent_after + MAX_TAKE_SECONDS)
+        self.ends_at = sent_after + grace_seconds - GRACE_MARGIN_SECONDS
 
     def phase(self, now: float) -> StopPhase:
         """How far it has come."""
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -164,9 +164,9 @@
     async def stop(self) -> None:
         """Leave the entry, serve what comes meanwhile, end within the grace time."""
         context = self.context
-        # A loop that was held hears of the signal late: it may have come since the loop was last
-        # seen running, and the kill is counted from there.
-        stop = context.stop = PlannedStop(self._seen_running_at, context.settings.bounds.grace)
+        stop = context.stop = PlannedStop(
+            context.now(), self._seen_running_at, context.settings.bounds.grace
+        )
         context.log.emit("stopping", connections=len(self._clients))
         await asyncio.sleep(max(stop.refuses_at - context.now(), 0.0))
         for listener in self._listeners:
