An offer of another protocol is declined instead of ending the connection

Cause: the parser tells of an offered upgrade by an exception that is not one of its errors. It went through data_received, the event loop closed the connection, and a request that had been read whole got no answer; its body would have been dropped besides. Clients that prefer HTTP/2 offer it on their first request. Found by looking for other ways in which a request that was read ends without an answer.

--- a/src/milletcourse/gateway/request_reader.py
+++ b/src/milletcourse/gateway/request_reader.py
@@ -109,10 +109,30 @@
     def _parse(self, data: bytes) -> Failure | None:
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            return self._decline_upgrade(data[int(offer.args[0]) :])
         except httptools.HttpParserError as error:
             return MalformedRequest(f"no HTTP/1.1 request: {type(error).__name__}")
         return None
 
+    def _decline_upgrade(self, rest: bytes) -> Failure | None:
+        """Go on in HTTP/1.1 where a client offers another protocol (RFC 9110, 7.8).
+
+        The parser takes the head for the end of the request then, and would drop its body. So a new
+        one reads the request from the beginning, without the offer.
+        """
+        incoming = self.incoming
+        method = self._parser.get_method()
+        if incoming is None or method == b"CONNECT":
+            return MalformedRequest("this isn't a proxy: no tunnel is opened here")
+        if incoming.failure is not None:
+            return incoming.failure
+        fields = [field for field in incoming.fields if field.name.lower() != b"upgrade"]
+        lines = [b"%b %b HTTP/1.1\r\n" % (method, incoming.target)]
+        lines.extend(field.name + b": " + field.value + b"\r\n" for field in fields)
+        self._parser = httptools.HttpRequestParser(self)
+        return self._parse(b"".join(lines) + b"\r\n" + rest)
+
     # -- httptools callbacks --------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -144,7 +164,7 @@
         incoming.head_complete = True
         if incoming.head_bytes > self._source.limits().max_header_bytes:
             incoming.failure = HeadersTooLarge("the head of the request is too large")
-        elif incoming.expects_continue:
+        elif incoming.expects_continue and not self._parser.should_upgrade():
             self._on_expects_continue()
 
     def on_body(self, body: bytes) -> None:
@@ -163,7 +183,7 @@
         """The request is whole."""
         incoming = self.incoming
         assert incoming is not None
-        if incoming.failure is not None:
+        if incoming.failure is not None or self._parser.should_upgrade():
             return
         self.incoming = None
         request = ClientRequest(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -225,6 +225,7 @@
         ),
         (b"POST /safe/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
         (b"GET /safe/ HTTP/1.1\r\nHost: a\r\n", 408),
+        (b"CONNECT site.example:80 HTTP/1.1\r\nHost: site.example:80\r\n\r\n", 400),
         (
             b"POST /safe/ HTTP/1.1\r\nHost: a\r\n"
             b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbodyx",
@@ -250,6 +251,32 @@
     run_with_gateway(scenario)
 
 
+@pytest.mark.parametrize("torn", [False, True])
+def test_an_offer_of_another_protocol_is_declined(torn: bool) -> None:
+    """As clients that prefer HTTP/2 send it on their first request: served whole, in HTTP/1.1."""
+
+    async def scenario(harness: Harness) -> None:
+        server = await harness.add_server("app-1", "app", serve_whole)
+        await harness.start()
+        client = await harness.client()
+        raw = (
+            b"POST /safe/ HTTP/1.1\r\nHost: site.example\r\nRequest-Id: id-1\r\nApi-Key: key-1\r\n"
+            b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
+            b"Content-Length: 4\r\n\r\nbody"
+        )
+        for piece in (raw[:60], raw[60:-2], raw[-2:]) if torn else (raw,):
+            client.writer.write(piece)
+            await asyncio.sleep(0.02)
+        got = await client.read_answer()
+        assert got is not None and got.status == 200
+        received = server.received[0]
+        assert received.body == b"body"
+        assert not {"upgrade", "http2-settings"} & set(received.headers)
+        assert (await client.ask("/safe/", "id-2")).status == 200
+
+    run_with_gateway(scenario)
+
+
 def test_pipelined_and_torn_requests_are_answered_in_order() -> None:
     """However the bytes are split."""
 
