A reload that is asked for during the start does not end the process

SIGHUP ended a gateway until its handlers stood, which is after its imports. It is ignored from the first line on, and the settings file is looked at again once the gateway serves: a change between its first reading and then was missed.

--- a/src/milletcourse/gateway/process.py
+++ b/src/milletcourse/gateway/process.py
@@ -56,7 +56,8 @@
     metrics_path: str,
     mechanisms: frozenset[Mechanism],
 ) -> None:
-    settings = adapter.read_settings(settings_path.read_bytes())
+    content = settings_path.read_bytes()
+    settings = adapter.read_settings(content)
     log = EventLog(settings.name, NonBlockingWriter(STANDARD_OUTPUT))
     metrics = _new_metrics() if metrics_port else None
     node = GatewayNode(settings, adapter, random.Random(), log, metrics, mechanisms)
@@ -64,7 +65,7 @@
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
-    reloader = SettingsReloader(settings_path, adapter, node, log)
+    reloader = SettingsReloader(settings_path, content, adapter, node, log)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await node.start()
     if metrics is not None:
@@ -96,13 +97,18 @@
     """Takes changed settings into force while the process serves."""
 
     def __init__(
-        self, path: Path, adapter: PlatformAdapter, node: GatewayNode, log: EventLog
+        self,
+        path: Path,
+        content: bytes,
+        adapter: PlatformAdapter,
+        node: GatewayNode,
+        log: EventLog,
     ) -> None:
         self._path = path
+        self._content = content
         self._adapter = adapter
         self._node = node
         self._log = log
-        self._content = path.read_bytes()
 
     def reload(self) -> None:
         """Read the file; settings that can't be read leave the former ones in force."""
@@ -119,8 +125,8 @@
         self._log.emit("settings-reloaded")
 
     async def follow(self) -> None:
-        """Notice changes of the file that no signal tells of."""
-        seen = self._changed_at()
+        """Notice changes of the file that no signal tells of, also those during the start."""
+        seen = 0
         while True:
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
             changed_at = self._changed_at()
--- a/src/milletcourse/platform/start.py
+++ b/src/milletcourse/platform/start.py
@@ -1,9 +1,8 @@
-"""Starts a gateway on the users' platform: `python3 -m milletcourse.platform`."""
+"""Puts a gateway for the users' platform together and runs it."""
 
 from __future__ import annotations
 
 import os
-import sys
 from pathlib import Path
 
 from milletcourse.exchange.dialect import HeaderDialect
@@ -40,7 +39,7 @@
     )
 
 
-def main(arguments: list[str]) -> None:
+def start(arguments: list[str]) -> None:
     """Start a gateway: [PORT/PATH of its metrics] [--without=MECHANISM[,MECHANISM]]."""
     metrics = [item for item in arguments if not item.startswith(WITHOUT_OPTION)]
     without = [item.removeprefix(WITHOUT_OPTION) for item in arguments if item not in metrics]
@@ -51,7 +50,3 @@
     port, _, path = metrics[0].partition("/") if metrics else ("0", "", "")
     settings_path = Path(os.environ[SETTINGS_VARIABLE])
     run_gateway(settings_path, new_adapter(), int(port), f"/{path}", mechanisms)
-
-
-if __name__ == "__main__":
-    main(sys.argv[1:])
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -16,7 +16,7 @@
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.metrics import GatewayMetrics
 from milletcourse.gateway.node import GatewayNode
-from milletcourse.platform.__main__ import new_adapter
+from milletcourse.platform.start import new_adapter
 
 WAIT_SECONDS = 8.0
 """Bound on waiting for something that must come."""
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -117,7 +117,7 @@
 def test_a_gateway_imports_only_what_it_uses() -> None:
     """Memory and start-up are priced on the users' machines; figures are written out late."""
     code = (
-        "import sys, milletcourse.platform.__main__, milletcourse.gateway.metrics\n"
+        "import sys, milletcourse.platform.start, milletcourse.gateway.metrics\n"
         "milletcourse.gateway.metrics.GatewayMetrics()\n"
         f"print([name for name in {HEAVY_MODULES!r} if name in sys.modules])"
     )
@@ -125,3 +125,28 @@
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     )
     assert result.stdout.strip() == "[]"
+
+
+def test_a_reload_during_the_start_does_not_end_the_process(tmp_path: Path) -> None:
+    """SIGHUP comes while most of a start, importing, is still under way."""
+
+    async def scenario(harness: Harness, gateway: GatewayProcess, path: Path) -> None:
+        status = Path(f"/proc/{gateway.process.pid}/status")
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not ignores_hang_up(status.read_text()):
+                await asyncio.sleep(0)
+        for _ in range(20):
+            gateway.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+        started = await gateway.wait_for("started")
+        await gateway.wait_for("instances-listed")
+        client = await Client.connect(str(started["frontend"]))
+        assert (await client.ask("/safe/", "id-1")).status == 200
+
+    run_with_process(tmp_path, scenario)
+
+
+def ignores_hang_up(status: str) -> bool:
+    """Whether a process ignores SIGHUP, by what the kernel tells of it."""
+    lines = dict(line.split(":", 1) for line in status.splitlines() if ":" in line)
+    return bool(int(lines["SigIgn"], 16) & 1 << (signal.SIGHUP - 1))
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -17,7 +17,7 @@
     UnknownMechanismError,
     mechanisms_without,
 )
-from milletcourse.platform.__main__ import main
+from milletcourse.platform.start import start
 
 SOURCES = Path(__file__).parent.parent / "src" / "milletcourse"
 DEPLOYMENT_WORDS = re.compile(
@@ -40,7 +40,7 @@
     with pytest.raises(UnknownMechanismError, match="store-room"):
         mechanisms_without(["store-rooms"])
     with pytest.raises(SystemExit, match="no mechanism is called 'nothing'"):
-        main(["0/metrics", "--without=store-room,nothing"])
+        start(["0/metrics", "--without=store-room,nothing"])
 
 
 def test_the_command_line_lists_each_with_what_it_does() -> None:
