A kept connection closes a second after its last answer

An answer that began before a stop doesn't say that it is the last one, and its client sends on: a close in the same moment meets the next request on its way.

--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/client_connection.py
@@ -92,7 +92,11 @@
     def state(self) -> ConnectionState:
         """What a planned stop goes by."""
         return ConnectionState(
-            self._opened_at, self._requests, self.is_idle, self._count_unread_bytes()
+            self._opened_at,
+            self._idle_since,
+            self._requests,
+            self.is_idle,
+            self._count_unread_bytes(),
         )
 
     def _count_unread_bytes(self) -> int:
@@ -227,7 +231,7 @@
         """See `asyncio.Protocol`."""
         self._transport = cast(asyncio.Transport, transport)
         self._registry.add(self)
-        self._opened_at = elapsed_seconds()
+        self._opened_at = self._idle_since = elapsed_seconds()
         self._idle_limit = self._edge.limits().idle_timeout_seconds
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -18,8 +18,28 @@
 import socket
 import time
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from gateway_harness import Harness, run_with_gateway
-from gateway_standin import Client, serve_whole
+from gateway_standin import (
+    Client,
+    ReceivedRequest,
+    StandinServer,
+    configuration,
+    serve_whole,
+)
+from milletcourse.exchange.planned_stop import (
+    FIRST_REQUEST_SECONDS,
+    MAX_TAKE_SECONDS,
+    NEXT_REQUEST_SECONDS,
+    ConnectionState,
+    PlannedStop,
+    StopPhase,
+)
+from milletcourse.gateway.exchange import Exchange
+from milletcourse.gateway.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
 
 GRACE_MS = 2500
 """The stop refuses new work after two fifths of it."""
@@ -141,3 +161,170 @@
         await gateway.task
 
     run_with_gateway(scenario)
+
+
+def test_requests_that_were_sent_ahead_are_answered_before_the_last_answer() -> None:
+    """Two requests at once to a stopping gateway: only the second answer closes the connection."""
+
+    async def scenario(harness: Harness) -> None:
+        await start(harness)
+        client = await harness.client()
+        assert harness.node is not None
+        stop = asyncio.create_task(harness.node.stop())
+        await harness.until(lambda: harness.node is not None and harness.node.context.stopping)
+        client.writer.write(request_bytes("one") + request_bytes("two"))
+        first = await client.read_answer()
+        second = await client.read_answer()
+        assert first is not None and second is not None
+        assert (first.status, second.status) == (200, 200)
+        assert "connection" not in first.headers
+        assert second.headers["connection"] == "close"
+        await stop
+
+    run_with_gateway(scenario)
+
+
+def test_an_answer_is_not_reset_by_bytes_that_come_behind_it() -> None:
+    """A client sends on past `Connection: close`; its answer arrives whole, then the end."""
+
+    async def scenario(harness: Harness) -> None:
+        await start(harness)
+        client = await harness.client()
+        last = request_bytes("last").replace(b"Api-Key", b"Connection: close\r\nApi-Key")
+        client.writer.write(last + b"more bytes than anybody reads" * 1000)
+        got = await client.read_answer()
+        assert got is not None and got.whole and got.headers["connection"] == "close"
+        assert await client.reader.read() == b""
+
+    run_with_gateway(scenario)
+
+
+def test_a_late_loop_does_not_take_a_request_for_missing() -> None:
+    """The idle time of a connection runs out while its next request stands unread."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        limits = {**configuration()["Limits"], "IdleTimeoutMs": 400}
+        harness.store.put("config", "main", configuration(Limits=limits))
+        await harness.start_gateway()
+        await harness.until(harness.is_ready)
+        assert harness.node is not None
+        kept = open_socket(harness.node.frontend_address)
+        kept.sendall(request_bytes("first"))
+        await until_readable(kept)
+        assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+        # Due just before a sweep of connections, so that the loop runs both before it reads.
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, kept.sendall, request_bytes("second"))
+        hold_loop_until(time.monotonic() + 1.0)
+        assert await answer_of(kept) == 200
+
+    run_with_gateway(scenario)
+
+
+def test_a_defect_is_told_to_the_client_and_to_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A handler that fails: 500, which promises nothing, and the connection goes on."""
+
+    async def scenario(harness: Harness) -> None:
+        await start(harness)
+        assert harness.node is not None
+        told: list[UnansweredRequest] = []
+        monkeypatch.setattr(harness.node.context, "on_unanswered", told.append)
+        monkeypatch.setattr(Exchange, "run", fail)
+        client = await harness.client()
+        got = await client.ask("/safe/", "broken")
+        assert (got.status, got.whole) == (500, True)
+        assert [item.cause for item in told] == [UnansweredCause.HANDLER_FAILED]
+        assert "defect" in told[0].error
+        monkeypatch.undo()
+        assert (await client.ask("/safe/", "next")).status == 200
+
+    run_with_gateway(scenario)
+
+
+async def fail(_: Exchange) -> None:
+    """A defect."""
+    raise KeyError("defect")
+
+
+def test_what_is_unfinished_at_the_end_is_told() -> None:
+    """A request outlasts the grace time: one line with its phase and cause."""
+
+    async def mute(_: StandinServer, __: ReceivedRequest, ___: asyncio.StreamWriter) -> None:
+        return
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", mute)
+        await harness.start(GraceS=1.0)
+        assert harness.node is not None
+        told: list[UnansweredRequest] = []
+        harness.node.context.on_unanswered = told.append  # type: ignore[method-assign]
+        client = await harness.client()
+        client.send("/unsafe/", "held")
+        await harness.until(lambda: bool(harness.servers["app-1"].received))
+        await harness.node.stop()
+        assert [(item.phase, item.cause) for item in told] == [
+            (RequestPhase.AT_SERVER, UnansweredCause.GRACE_OVER)
+        ]
+
+    run_with_gateway(scenario)
+
+
+def test_a_failed_duty_ends_the_gateway_in_a_planned_way() -> None:
+    """What it serves isn't cut: the process is told to stop, and goes on until it has."""
+
+    async def scenario(harness: Harness) -> None:
+        await start(harness)
+        assert harness.node is not None
+        client = await harness.client()
+        harness.node._spawn(broken_duty())
+        async with asyncio.timeout(2.0):
+            await harness.node.duty_failed.wait()
+        assert (await client.ask("/safe/", "served")).status == 200
+
+    run_with_gateway(scenario)
+
+
+async def broken_duty() -> None:
+    """Background work that fails."""
+    raise ValueError("defect")
+
+
+# -- the core -----------------------------------------------------------------------------------
+
+times = st.floats(min_value=0.0, max_value=10.0)
+connections = st.builds(
+    ConnectionState,
+    opened_at=times,
+    idle_since=times,
+    requests=st.integers(min_value=0, max_value=3),
+    is_idle=st.booleans(),
+    unread_bytes=st.sampled_from([0, 0, 1, 500]),
+)
+
+
+@given(connection=connections, heard=times, held=times, now=times)
+def test_a_stop_never_closes_what_may_hold_a_request(
+    connection: ConnectionState, heard: float, held: float, now: float
+) -> None:
+    """Whatever the signal's way and the loop's lateness."""
+    stop = PlannedStop(heard, heard - held, 8.0)
+    if not stop.may_close(connection, now):
+        return
+    assert connection.is_idle and not connection.unread_bytes
+    assert stop.phase(now) is not StopPhase.LEAVING
+    assert now - connection.idle_since >= min(FIRST_REQUEST_SECONDS, NEXT_REQUEST_SECONDS)
+
+
+@given(heard=times, held=times, grace=st.floats(min_value=1.0, max_value=30.0))
+def test_the_steps_of_a_stop_keep_their_order_and_its_end(
+    heard: float, held: float, grace: float
+) -> None:
+    """It ends before the kill, which is counted from the signal, however late that was heard."""
+    sent_after = heard - held
+    stop = PlannedStop(heard, sent_after, grace)
+    assert stop.ends_at < sent_after + grace
+    assert stop.refuses_at <= sent_after + MAX_TAKE_SECONDS
+    phases = [stop.phase(heard + step / 10) for step in range(300)]
+    order = list(StopPhase)
+    assert phases == sorted(phases, key=order.index)
