--- a/src/milletcourse/reports/loss_report.py
+++ b/src/milletcourse/reports/loss_report.py
@@ -21,6 +21,7 @@
     "weight-order": ("instance", "reply"),
     "request-failed": ("code",),
     "request-refused": ("code",),
+    "request-unanswered": ("cause", "phase"),
     "reader-lost": ("reader", "outcome"),
     "store-lost": ("kind",),
 }
--- a/tests/test_loss_report.py
+++ b/tests/test_loss_report.py
@@ -47,6 +47,21 @@
     assert any("notes" in line and "50" in line for line in table_lines(report))
 
 
+def test_requests_without_an_answer_are_counted_by_cause_and_phase() -> None:
+    """Each is one decision of the gateway, beside the sums of how requests ended."""
+    line = (
+        '{"node": "g-1", "request_id": "9", "phase": "queued", "cause": "connection-closing", '
+        '"error": "", "stopping": true, "seconds": 0.2, "event": "request-unanswered", '
+        '"timestamp": "2026-09-17T23:51:15Z"}'
+    )
+    (found,) = loss_report([line, line]).decisions
+    assert (found.event, found.about, found.count) == (
+        "request-unanswered",
+        ["connection-closing", "queued"],
+        2,
+    )
+
+
 @pytest.mark.parametrize(
     ("line", "field"),
     [
