Soaks judge each request that ends without an answer

Clients of both rigs counted such ends and nobody judged them. One ledger says for each: sent whole or not, sent ahead or not, run at a server or not, gateway killed or frozen meanwhile, servers sound or not; what nothing excuses is a violation. Clients send ahead at times, or open a connection and send a moment later.

--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,4 +1,4 @@
-"""Judges how each request of a soak ended that has only planned work and sound servers."""
+"""Judges how each request of a soak ended: whether a gateway lost it, or why it did not."""
 
 from __future__ import annotations
 
@@ -27,6 +27,12 @@
     """What a request's end says of the gateway."""
 
     ANSWERED = "answered"
+    UNFINISHED = "unfinished"
+    """The soak ended before it."""
+    CUT_BY_SERVER = "cut-by-server"
+    """The answer of a server that misbehaves broke off."""
+    DISTURBED = "disturbed"
+    """Its gateway was killed or frozen meanwhile."""
     NEVER_SENT = "never-sent"
     CLIENT_LEFT = "client-left"
     CROSSED_CLOSE = "crossed-close"
@@ -35,6 +41,8 @@
     """First request on a connection that the gateway's kernel had accepted."""
     LOST_KEPT = "lost-kept"
     """Written whole on a kept connection, long before that was closed."""
+    LOST_AHEAD = "lost-ahead"
+    """Sent at once behind a request that was answered."""
     LOST_AT_SERVER = "lost-at-server"
     """It had been passed on to a server."""
     LOST_SILENT = "lost-silent"
@@ -42,7 +50,13 @@
 
 
 LOST = frozenset(
-    {Verdict.LOST_FIRST, Verdict.LOST_KEPT, Verdict.LOST_AT_SERVER, Verdict.LOST_SILENT}
+    {
+        Verdict.LOST_FIRST,
+        Verdict.LOST_KEPT,
+        Verdict.LOST_AHEAD,
+        Verdict.LOST_AT_SERVER,
+        Verdict.LOST_SILENT,
+    }
 )
 CROSSING_SECONDS = 0.2
 """A close and a request that meet on the way are apart by no more, in one machine's buffers."""
@@ -54,35 +68,62 @@
 
     Attributes:
         request_id: Its identity.
-        gateway: Name of the gateway.
         kind: Route.
+        was_sent_ahead: Sent at once behind another one.
+        gateway: Name of the gateway.
         position: Requests that were sent before it on its connection.
-        sent_at: Seconds at which its last byte was with the kernel.
+        sent_at: Seconds at which its last byte was with the kernel, 0 before.
         ended_at: Seconds at which its end was seen.
-        end: How it ended.
+        end: How it ended, None before.
     """
 
     request_id: str
-    gateway: str
     kind: str
+    was_sent_ahead: bool = False
+    gateway: str = ""
     position: int = 0
     sent_at: float = 0.0
     ended_at: float = 0.0
-    end: End = End.NO_CONNECTION
+    end: End | None = None
+
+
+@dataclass(frozen=True)
+class Circumstances:
+    """What was true beside a request.
+
+    Attributes:
+        runs: How often it began at servers.
+        servers_are_sound: No server broke off or lost an answer by itself.
+        gateway_disturbed: Its gateway was killed or frozen between its send and its end.
+    """
+
+    runs: int = 0
+    servers_are_sound: bool = True
+    gateway_disturbed: bool = False
+
+
+_BY_END = {
+    None: Verdict.UNFINISHED,
+    End.WHOLE: Verdict.ANSWERED,
+    End.LEFT: Verdict.CLIENT_LEFT,
+    End.NO_CONNECTION: Verdict.NEVER_SENT,
+}
 
 
-def judge(asked: Asked, runs: int) -> Verdict:
-    """What a request's end says of the gateway; `runs` of it began at servers."""
-    if asked.end is End.WHOLE:
-        return Verdict.ANSWERED
-    if asked.end is End.LEFT:
-        return Verdict.CLIENT_LEFT
-    if asked.end is End.NO_CONNECTION:
-        return Verdict.NEVER_SENT
+def judge(asked: Asked, beside: Circumstances) -> Verdict:
+    """What a request's end says of its gateway."""
+    if asked.end in _BY_END:
+        return _BY_END[asked.end]
+    if beside.gateway_disturbed:
+        return Verdict.DISTURBED
     if asked.end is End.TOO_LONG:
         return Verdict.LOST_SILENT
-    if runs or asked.end is End.PARTIAL:
+    if asked.end is End.PARTIAL and not beside.servers_are_sound:
+        return Verdict.CUT_BY_SERVER
+    if beside.runs or asked.end is End.PARTIAL:
         return Verdict.LOST_AT_SERVER
+    if asked.was_sent_ahead:
+        return Verdict.LOST_AHEAD
     if asked.position == 0:
         return Verdict.LOST_FIRST
     if asked.ended_at - asked.sent_at < CROSSING_SECONDS:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-
-from gateway_standin import Client
-from soak.ledger import Ledger, SentRequest
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gateway_standin import Client, ClientAnswer
+from soak.answers import Asked, End
+from soak.ledger import SentRequest
 from soak.server import CRASHING_BODY
-from soak.world import SoakWorld
+from soak.world import GatewayProcess, SoakWorld
 
 CRASHING_BODIES = (CRASHING_BODY + b" 1", CRASHING_BODY + b" 2")
 SHORT_PROMPT = {
@@ -15,83 +20,174 @@
     "Token_Usage": "40,8",
     "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20",
 }
+LONG_PROMPT = {
+    "Model": "model-1",
+    "Token_Usage": "900,20",
+    "Prompt_Prefix": "5c1e07a2:800,91bd3f06:100",
+}
 CALM_SECONDS = 2.0
 REPEAT_SECONDS = (0.1, 0.8)
 """Callers whose request ended a server come again after so long."""
 KINDS = ("safe", "unsafe", "stream", "single")
-DEADLINE_SECONDS = 3.0
-PATIENCE_SECONDS = 4.0
-LEAVE_SHARE = 0.05
+PATIENCE_SECONDS = 1.0
+"""Beyond the deadline that a client tells."""
+LEAVE_SECONDS = (0.0, 0.05)
+
+
+@dataclass(frozen=True)
+class Habits:
+    """How a client behaves.
+
+    Attributes:
+        prompt: Header fields of requests to engines.
+        deadline_seconds: How long it waits for an answer.
+        pause_seconds: Least and most time between two requests.
+        last_share: Share of its answers after which it opens a new connection.
+        leave_share: Share of its requests that it leaves unanswered.
+        ahead_share: Share of its requests behind which it sends another one at once.
+        first_seconds: Most time between opening a connection and the first request on it.
+    """
+
+    prompt: dict[str, str]
+    deadline_seconds: float
+    pause_seconds: tuple[float, float]
+    last_share: float
+    leave_share: float = 0.0
+    ahead_share: float = 0.0
+    first_seconds: float = 0.0
+
+
+SOAK_HABITS = Habits(
+    LONG_PROMPT,
+    deadline_seconds=3.0,
+    pause_seconds=(0.005, 0.05),
+    last_share=0.1,
+    leave_share=0.05,
+)
+GatewayChoice = Callable[[], GatewayProcess]
 
 
 class SoakClient:
-    """One client that sends one request after the other."""
-
-    def __init__(self, number: int, world: SoakWorld) -> None:
+    """One client that sends one request after the other, and keeps its connection meanwhile."""
+
+    def __init__(
+        self,
+        number: int,
+        world: SoakWorld,
+        source: random.Random,
+        choose_gateway: GatewayChoice,
+        habits: Habits = SOAK_HABITS,
+    ) -> None:
         self._number = number
         self._world = world
-        self._ledger: Ledger = world.ledger
+        self._random = source
+        self._choose_gateway = choose_gateway
+        self._habits = habits
         self._sent = 0
         self._connection: Client | None = None
-        self._address = ""
+        self._gateway = ""
+        self._position = 0
 
     async def run(self) -> None:
         """Until the soak ends."""
         while not self._world.ended:
             await self._ask()
-            await asyncio.sleep(self._world.random.uniform(0.005, 0.05))
+            await asyncio.sleep(self._random.uniform(*self._habits.pause_seconds))
+        self._leave()
 
     async def _ask(self) -> None:
-        random = self._world.random
+        """One request, or two at once, up to their ends."""
+        asked = [self._new_request()]
+        if self._random.random() < self._habits.ahead_share:
+            asked.append(self._new_request(was_sent_ahead=True))
+        try:
+            async with asyncio.timeout(self._habits.deadline_seconds + PATIENCE_SECONDS):
+                await self._exchange(asked)
+        except TimeoutError:
+            self._end_unanswered(asked, End.TOO_LONG)
+        except OSError:
+            self._end_unanswered(asked, End.NOTHING)
+
+    def _new_request(self, was_sent_ahead: bool = False) -> Asked:
         self._sent += 1
         request_id = f"r-{self._number}-{self._sent}"
-        kind = random.choice(KINDS)
-        key = random.choice(list(self._world.ledger.tenants))
-        try:
-            async with asyncio.timeout(PATIENCE_SECONDS):
-                await self._exchange(request_id, kind, key)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            self._count("no-answer")
-            self._leave()
-
-    async def _exchange(self, request_id: str, kind: str, key: str) -> None:
-        random = self._world.random
-        client = await self._connect()
-        more = {"Deadline_Ms": str(int(DEADLINE_SECONDS * 1000))}
-        if kind in ("stream", "single"):
-            more.update(
-                Model="model-1", Token_Usage="900,20", Prompt_Prefix="5c1e07a2:800,91bd3f06:100"
-            )
-        now = asyncio.get_running_loop().time()
-        self._ledger.on_sent(SentRequest(request_id, now, key, kind))
-        client.send(f"/{kind}/", request_id, key=key, **more)
-        if random.random() < LEAVE_SHARE:
-            await asyncio.sleep(random.uniform(0.0, 0.05))
-            self._count("left")
-            self._leave()
-            return
-        got = await client.read_answer()
-        if got is None:
-            self._count("no-answer")
-            self._leave()
+        asked = Asked(request_id, self._random.choice(KINDS), was_sent_ahead)
+        self._world.asked.append(asked)
+        return asked
+
+    def _end_unanswered(self, asked: list[Asked], end: End) -> None:
+        now = time.monotonic()
+        for item in asked:
+            if item.end is not None:
+                continue
+            item.ended_at = now
+            item.end = end if item.sent_at else End.NO_CONNECTION
+            self._count(item.end.value)
+        self._leave()
+
+    async def _exchange(self, asked: list[Asked]) -> None:
+        client = await self._connected()
+        for item in asked:
+            item.gateway = self._gateway
+            item.position = self._position
+            self._position += 1
+            self._send(client, item)
+        await client.writer.drain()
+        sent_at = time.monotonic()
+        for item in asked:
+            item.sent_at = sent_at
+        if self._random.random() < self._habits.leave_share:
+            await asyncio.sleep(self._random.uniform(*LEAVE_SECONDS))
+            self._end_unanswered(asked, End.LEFT)
             return
-        self._ledger.on_answer(request_id, got.status, got.body, got.whole)
-        if not got.whole or got.headers.get("connection") == "close" or random.random() < 0.1:
+        is_last = False
+        for item in asked:
+            got = await client.read_answer()
+            if got is not None:
+                self._note_answer(item, got)
+                is_last = is_last or got.headers.get("connection") == "close"
+            if got is None or not got.whole:
+                self._end_unanswered(asked, End.NOTHING)
+                return
+        if is_last or self._random.random() < self._habits.last_share:
             self._leave()
 
-    async def _connect(self) -> Client:
+    def _note_answer(self, asked: Asked, got: ClientAnswer) -> None:
+        asked.ended_at = time.monotonic()
+        asked.end = End.WHOLE if got.whole else End.PARTIAL
+        self._world.ledger.on_answer(asked.request_id, got.status, got.body, got.whole)
+
+    async def _connected(self) -> Client:
+        """The connection that is kept, unless the gateway has closed it; else a new one."""
+        client = self._connection
+        if client is not None and (client.reader.at_eof() or client.writer.is_closing()):
+            self._leave()
         if self._connection is None:
-            gateway = self._world.random.choice(self._world.gateways)
+            gateway = self._choose_gateway()
+            self._gateway = gateway.name
+            self._position = 0
             self._connection = await Client.connect(gateway.frontend)
+            await asyncio.sleep(self._random.uniform(0.0, self._habits.first_seconds))
         return self._connection
 
+    def _send(self, client: Client, asked: Asked) -> None:
+        ledger = self._world.ledger
+        key = self._random.choice(list(ledger.tenants))
+        more = {"Deadline_Ms": str(int(self._habits.deadline_seconds * 1000))}
+        if asked.kind in ("stream", "single"):
+            more.update(self._habits.prompt)
+        now = asyncio.get_running_loop().time()
+        ledger.on_sent(SentRequest(asked.request_id, now, key, asked.kind))
+        client.send(f"/{asked.kind}/", asked.request_id, key=key, **more)
+
     def _leave(self) -> None:
         if self._connection is not None:
             self._connection.close()
         self._connection = None
 
     def _count(self, outcome: str) -> None:
-        self._ledger.outcomes[outcome] = self._ledger.outcomes.get(outcome, 0) + 1
+        outcomes = self._world.ledger.outcomes
+        outcomes[outcome] = outcomes.get(outcome, 0) + 1
 
 
 class CrashingCaller:
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -19,115 +19,33 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from gateway_standin import Client
-from soak.answers import LOST, Asked, End, judge
+from soak.answers import LOST
+from soak.clients import SHORT_PROMPT, Habits, SoakClient
 from soak.entry import Entry
-from soak.ledger import SentRequest
-from soak.world import DEFAULT_GATEWAYS, TENANTS, GatewayProcess, SoakWorld
-
-KINDS = ("safe", "unsafe", "stream", "single")
-DEADLINE_SECONDS = 6.0
-PROMPT = {
-    "Model": "model-1",
-    "Token_Usage": "40,8",
-    "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20",
-}
-LAST_ON_CONNECTION_SHARES = (0.05, 1.0)
-"""Share of the answers after which a client opens a new connection: every other client keeps its
-connection long, the others open one for each request."""
+from soak.world import DEFAULT_GATEWAYS, GatewayProcess, SoakWorld
+
+KEPT = Habits(
+    SHORT_PROMPT,
+    deadline_seconds=6.0,
+    pause_seconds=(0.002, 0.04),
+    last_share=0.05,
+    ahead_share=0.1,
+)
+"""Keeps its connection long, and sends ahead on it at times."""
+SINGLE = replace(KEPT, last_share=1.0, ahead_share=0.0, first_seconds=0.02)
+"""Opens a connection for each request, and sends it a moment later."""
+HABITS = (KEPT, SINGLE)
+"""Taken in turn by the clients."""
 DEFAULT_CLIENTS = 40
 READY_SECONDS = 30.0
 CALM_SECONDS = 1.0
 
 
-class PlannedClient:
-    """Sends one request after the other and keeps its connection as long as it may."""
-
-    def __init__(
-        self, number: int, world: SoakWorld, entry: Entry, asked: list[Asked], direct: bool
-    ) -> None:
-        self._number = number
-        self._world = world
-        self._entry = entry
-        self._asked = asked
-        self._direct = direct
-        self._random = random.Random(number)
-        shares = LAST_ON_CONNECTION_SHARES
-        self._leaves_share = shares[number % len(shares)]
-        self._connection: Client | None = None
-        self._gateway: GatewayProcess | None = None
-        self._position = 0
-
-    async def run(self) -> None:
-        """Until the soak ends."""
-        sent = 0
-        while not self._world.ended:
-            sent += 1
-            await self._ask(f"p-{self._number}-{sent}")
-            await asyncio.sleep(self._random.uniform(0.002, 0.04))
-        self._leave()
-
-    async def _ask(self, request_id: str) -> None:
-        asked = Asked(request_id, "", self._random.choice(KINDS))
-        self._asked.append(asked)
-        try:
-            async with asyncio.timeout(DEADLINE_SECONDS + 1.0):
-                client = await self._connected(asked)
-                await self._exchange(client, asked)
-        except TimeoutError:
-            asked.end = End.TOO_LONG
-        except OSError:
-            asked.end = End.NOTHING if asked.sent_at else End.NO_CONNECTION
-        asked.ended_at = time.monotonic()
-        if asked.end is not End.WHOLE:
-            self._leave()
-
-    async def _connected(self, asked: Asked) -> Client:
-        """The connection that is kept, unless the gateway has closed it; else a new one."""
-        client = self._connection
-        if client is not None and (client.reader.at_eof() or client.writer.is_closing()):
-            self._leave()
-        if self._connection is None:
-            self._gateway = (
-                self._random.choice(self._world.gateways) if self._direct else self._entry.choose()
-            )
-            self._position = 0
-            self._connection = await Client.connect(self._gateway.frontend)
-        assert self._gateway is not None
-        asked.gateway = self._gateway.name
-        asked.position = self._position
-        return self._connection
-
-    async def _exchange(self, client: Client, asked: Asked) -> None:
-        key = self._random.choice(list(TENANTS))
-        more = {"Deadline_Ms": str(int(DEADLINE_SECONDS * 1000))}
-        if asked.kind in ("stream", "single"):
-            more.update(PROMPT)
-        now = asyncio.get_running_loop().time()
-        self._world.ledger.on_sent(SentRequest(asked.request_id, now, key, asked.kind))
-        client.send(f"/{asked.kind}/", asked.request_id, key=key, **more)
-        await client.writer.drain()
-        asked.sent_at = time.monotonic()
-        self._position += 1
-        got = await client.read_answer()
-        if got is None:
-            asked.end = End.NOTHING
-            return
-        asked.end = End.WHOLE if got.whole else End.PARTIAL
-        self._world.ledger.on_answer(asked.request_id, got.status, got.body, got.whole)
-        if got.headers.get("connection") == "close" or self._random.random() < self._leaves_share:
-            self._leave()
-
-    def _leave(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-        self._connection = None
-
-
 async def roll_gateways(world: SoakWorld, entry: Entry, at_a_time: int) -> None:
     """SIGTERM to gateways in turn; the next ones when these are back in the entry."""
     while True:
@@ -175,7 +93,6 @@
 ) -> dict[str, object]:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, gateways)
-    asked: list[Asked] = []
     background: list[asyncio.Task[None]] = []
     try:
         await world.start()
@@ -185,7 +102,7 @@
             while not all(entry.is_in(gateway) for gateway in world.gateways):
                 await asyncio.sleep(0.05)
         callers = [
-            asyncio.create_task(PlannedClient(number, world, entry, asked, direct).run())
+            asyncio.create_task(new_client(number, world, entry, direct).run())
             for number in range(clients)
         ]
         background += [asyncio.create_task(work) for work in (world.keep_gateways(),)]
@@ -203,14 +120,24 @@
         for task in background:
             task.cancel()
         await world.stop()
-    return report_of(seed, world, asked)
+    return report_of(seed, world)
+
+
+def new_client(number: int, world: SoakWorld, entry: Entry, direct: bool) -> SoakClient:
+    """A client that goes through the entry, or to any gateway."""
+    source = random.Random(number)
+    habits = HABITS[number % len(HABITS)]
+
+    def any_gateway() -> GatewayProcess:
+        return source.choice(world.gateways)
+
+    return SoakClient(number, world, source, any_gateway if direct else entry.choose, habits)
 
 
-def report_of(seed: int, world: SoakWorld, asked: list[Asked]) -> dict[str, object]:
+def report_of(seed: int, world: SoakWorld) -> dict[str, object]:
     """Counts by verdict, and each lost request."""
-    runs = world.ledger.runs
-    verdicts = {item.request_id: judge(item, len(runs.get(item.request_id, ()))) for item in asked}
-    lost = [item for item in asked if verdicts[item.request_id] in LOST]
+    verdicts = world.verdicts()
+    lost = [item for item in world.asked if verdicts[item.request_id] in LOST]
     for gateway in world.gateways:
         for line in gateway.log_lines():
             if line["event"] == "task-failed":
@@ -218,7 +145,7 @@
     return {
         "seed": seed,
         "stops": world.stops,
-        "requests": len(asked),
+        "requests": len(world.asked),
         "outcomes": dict(sorted(world.ledger.outcomes.items())),
         "verdicts": dict(Counter(verdict.value for verdict in verdicts.values())),
         "lost": [
@@ -226,7 +153,7 @@
                 "id": item.request_id,
                 "gateway": item.gateway,
                 "verdict": verdicts[item.request_id].value,
-                "end": item.end.value,
+                "end": item.end.value if item.end is not None else None,
                 "position": item.position,
                 "waited": round(item.ended_at - item.sent_at, 4),
                 "wall": round(time.time() - time.monotonic() + item.ended_at, 3),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,12 +13,14 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 
 from milletcourse.exchange.request_identity import identity_text, request_identity
+from soak.answers import LOST
 from soak.clients import CRASHING_BODIES, CrashingCaller, SoakClient
 from soak.faults import FAULTS
 from soak.world import DEFAULT_GATEWAYS, TENANTS, SoakWorld
@@ -35,6 +37,7 @@
 async def soak(seed: int, seconds: float, folder: Path, gateways: int) -> dict[str, object]:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, gateways)
+    world.servers_are_sound = False
     try:
         await world.start()
         await asyncio.sleep(1.0)
@@ -43,7 +46,7 @@
             for work in (
                 world.beat(),
                 world.keep_gateways(),
-                *(SoakClient(number, world).run() for number in range(CLIENTS)),
+                *(new_client(number, world).run() for number in range(CLIENTS)),
                 *(CrashingCaller(body, world).run() for body in CRASHING_BODIES),
             )
         ]
@@ -56,6 +59,7 @@
         check_gateways(world)
         check_contained(world)
         world.ledger.check_late()
+        check_lost(world)
         failed = [task for task in background if task.done() and task.exception() is not None]
         for task in failed:
             world.ledger.violate("soak", repr(task.exception()))
@@ -64,6 +68,7 @@
     ledger = world.ledger
     return {
         "seed": seed,
+        "verdicts": dict(Counter(verdict.value for verdict in world.verdicts().values())),
         "requests": len(ledger.sent),
         "runs": sum(len(runs) for runs in ledger.runs.values()),
         "orders": len(ledger.orders),
@@ -109,6 +114,19 @@
                 version = line["version"]
 
 
+def new_client(number: int, world: SoakWorld) -> SoakClient:
+    """A client that comes to any gateway."""
+    return SoakClient(number, world, world.random, lambda: world.random.choice(world.gateways))
+
+
+def check_lost(world: SoakWorld) -> None:
+    """A request that was sent whole ends with a whole answer, unless a fault explains its end."""
+    verdicts = world.verdicts()
+    for asked in world.asked:
+        if verdicts[asked.request_id] in LOST:
+            world.ledger.violate("lost", f"{verdicts[asked.request_id].value}: {asked}")
+
+
 def check_contained(world: SoakWorld) -> None:
     """Only requests that end servers are refused for it."""
     guilty = {
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,16 +4,20 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import signal
 import socket
 import subprocess
 import sys
+import time
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from gateway_standin import StandinStore, configuration
+from soak.answers import Asked, Circumstances, Verdict, judge
 from soak.ledger import Ledger
 from soak.proxy import FaultProxy
 from soak.server import MODEL, SoakServer
@@ -51,6 +55,18 @@
     return reservation
 
 
+@dataclass
+class Disturbance:
+    """A gateway was killed, or frozen up to an end; in monotonic seconds.
+
+    What it had queued when it was frozen may be answered too late for its clients, which give up
+    after seconds, so a disturbance ends after as long.
+    """
+
+    began_at: float
+    ended_at: float = math.inf
+
+
 class GatewayProcess:
     """One gateway on a fixed address, started again when it ends."""
 
@@ -76,10 +92,14 @@
         }
         self._settings.write_text(json.dumps(document))
         self.process: subprocess.Popen[bytes] | None = None
+        self._disturbances: list[Disturbance] = []
 
     def start(self) -> None:
         """Start the process."""
         self.starts += 1
+        if self._disturbances:
+            last = self._disturbances[-1]
+            last.ended_at = min(last.ended_at, time.monotonic())
         environment = {**os.environ, "MILLETCOURSE_SETTINGS": str(self._settings)}
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -91,8 +111,18 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+        if self.process is None or self.process.poll() is not None:
+            return
+        now = time.monotonic()
+        if number in (signal.SIGKILL, signal.SIGSTOP):
+            self._disturbances.append(Disturbance(now))
+        elif number is signal.SIGCONT and self._disturbances:
+            self._disturbances[-1].ended_at = now
+        self.process.send_signal(number)
+
+    def was_disturbed(self, begin: float, end: float) -> bool:
+        """Whether it was killed or frozen at some time of a stretch."""
+        return any(item.began_at <= end and item.ended_at >= begin for item in self._disturbances)
 
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -138,6 +168,8 @@
         self.ended = False
         self.all_started_at = asyncio.get_running_loop().time()
         self.stops = 0
+        self.asked: list[Asked] = []
+        self.servers_are_sound = True
         self._numbers = 0
         self._restarts: set[asyncio.Task[None]] = set()
 
@@ -235,6 +267,21 @@
                 if not gateway.is_running() and not self.ended:
                     gateway.start()
 
+    def verdicts(self) -> dict[str, Verdict]:
+        """What the end of each request says of its gateway."""
+        gateways = {gateway.name: gateway for gateway in self.gateways}
+        found = {}
+        for asked in self.asked:
+            gateway = gateways.get(asked.gateway)
+            beside = Circumstances(
+                runs=len(self.ledger.runs.get(asked.request_id, ())),
+                servers_are_sound=self.servers_are_sound,
+                gateway_disturbed=gateway is not None
+                and gateway.was_disturbed(asked.sent_at, asked.ended_at),
+            )
+            found[asked.request_id] = judge(asked, beside)
+        return found
+
     # -- operator -------------------------------------------------------------------------------
 
     def name_version(self) -> None:
