--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 soak: $(STAMP)
 	$(VENV)/bin/python tests/soak/run.py $(if $(SEEDS),--seeds $(SEEDS)) --seconds $(or $(SECONDS),20)
 
-# The same with fixed seeds, for CI: about a minute.
+# The same with fixed seeds, and planned work alone, for CI: about a minute and a half.
 soak-short: $(STAMP)
 	$(VENV)/bin/python tests/soak/run.py --seeds 1:3 --seconds 12
+	$(VENV)/bin/python tests/soak/planned.py --seeds 1:1 --seconds 15 --at-a-time 3
