--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -27,7 +27,7 @@
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
 from milletcourse.gateway.unanswered import UnansweredCause
-from milletcourse.runtime.sockets import waiting_connections
+from milletcourse.runtime.listeners import close_when_empty
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
@@ -38,8 +38,6 @@
 """A loop that is later than this shows in answers; shorter pauses are collections and bursts."""
 LOOK_SECONDS = 0.05
 """Between two looks of a planned stop at its connections."""
-MAX_EMPTYING_SECONDS = 0.5
-"""A listener whose connections come faster than they can be accepted is closed all the same."""
 
 
 class GatewayNode:
@@ -170,7 +168,7 @@
         context.log.emit("stopping", connections=len(self._clients))
         await asyncio.sleep(max(stop.refuses_at - context.now(), 0.0))
         for listener in self._listeners:
-            await self._close_emptied(listener)
+            await self._close_listener(listener)
         await self._end_connections(stop)
         for client in self._clients:
             for request in client.unfinished(UnansweredCause.GRACE_OVER):
@@ -179,18 +177,9 @@
         context.log.emit("stopped", unfinished=len(self._clients))
         self.close()
 
-    async def _close_emptied(self, listener: asyncio.Server) -> None:
-        """Close a listener when all that waited there has been accepted: the rest is reset.
-
-        The event loop accepts one connection of a listener each time round.
-        """
-        sock = listener.sockets[0]
-        until = self.context.now() + MAX_EMPTYING_SECONDS
-        while waiting_connections(sock) and self.context.now() < until:
-            await asyncio.sleep(0)
-        host, port = sock.getsockname()[:2]
-        waiting = waiting_connections(sock)
-        listener.close()
+    async def _close_listener(self, listener: asyncio.Server) -> None:
+        host, port = listener.sockets[0].getsockname()[:2]
+        waiting = await close_when_empty(listener)
         self.context.record.listener_closed(f"{host}:{port}", waiting)
 
     async def _end_connections(self, stop: PlannedStop) -> None:
--- a/src/milletcourse/runtime/server.py
+++ b/src/milletcourse/runtime/server.py
@@ -10,6 +10,8 @@
 
 import uvicorn
 
+from milletcourse.runtime.listeners import close_when_empty
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -66,7 +68,7 @@
         closes idle connections when it exits, so there is a pause in between.
         """
         for server in self._server.servers:
-            server.close()
+            await close_when_empty(server)
         await asyncio.sleep(ACCEPTED_GRACE_SECONDS)
         self._server.should_exit = True
         if self._task is not None:
