The ledger knows a close that has arrived, and the time of routes

Five streams were cut when the time of their route was over (stream-cut after 3.002 and 3.005 s); they have a verdict of their own. Each verdict has a test.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
+from soak.answers import Asked, Circumstances, End, Verdict, judge
 from soak.ledger import MAX_ENDS, GivenOrder, Ledger, Run, SentRequest, whole_stream
 
 KEYS = {"key-1": "tenant-1", "key-2": "tenant-2"}
@@ -109,6 +112,40 @@
     assert not proper.violations
 
 
+SOUND = Circumstances()
+SICK = Circumstances(servers_are_sound=False)
+
+
+def ended(end: End | None, seconds: float = 0.0, **more: Any) -> Asked:
+    """A request that was sent, and ended so after some seconds."""
+    return Asked("r", "stream", sent_at=1.0, ended_at=1.0 + seconds, end=end, **more)
+
+
+@pytest.mark.parametrize(
+    ("asked", "beside", "verdict"),
+    [
+        (ended(End.WHOLE), SOUND, Verdict.ANSWERED),
+        (ended(End.LEFT), SOUND, Verdict.CLIENT_LEFT),
+        (ended(End.NO_CONNECTION), SOUND, Verdict.NEVER_SENT),
+        (ended(None), SOUND, Verdict.UNFINISHED),
+        (ended(End.NOTHING), SOUND, Verdict.LOST_FIRST),
+        (ended(End.NOTHING), SICK, Verdict.LOST_FIRST),
+        (ended(End.NOTHING, position=2), SOUND, Verdict.CROSSED_CLOSE),
+        (ended(End.NOTHING, 0.3, position=2), SOUND, Verdict.LOST_KEPT),
+        (ended(End.NOTHING, position=2, was_sent_ahead=True), SOUND, Verdict.LOST_AHEAD),
+        (ended(End.NOTHING, position=2), Circumstances(runs=1), Verdict.LOST_AT_SERVER),
+        (ended(End.NOTHING), Circumstances(gateway_disturbed=True), Verdict.DISTURBED),
+        (ended(End.PARTIAL, 0.5), SOUND, Verdict.LOST_AT_SERVER),
+        (ended(End.PARTIAL, 0.5), SICK, Verdict.CUT_BY_SERVER),
+        (ended(End.PARTIAL, 3.05), SOUND, Verdict.TIMED_OUT),
+        (ended(End.TOO_LONG, 7.0), SOUND, Verdict.LOST_SILENT),
+    ],
+)
+def test_each_end_has_its_verdict(asked: Asked, beside: Circumstances, verdict: Verdict) -> None:
+    """What excuses a request without an answer, and what doesn't."""
+    assert judge(asked, beside) is verdict
+
+
 def test_streams_with_gaps_are_seen() -> None:
     """A piece that is missing, and a stream that looks complete too early."""
     body = whole_stream("r")
