What stands behind an answer that broke off is told

Their connection had been cut in the middle of the stream before them, whose route's time was over (stream-cut after 3.003 s).

--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/client_connection.py
@@ -104,24 +104,21 @@
             return 0
         return unread_bytes(self._transport.get_extra_info("socket"))
 
-    def unfinished(self, cause: UnansweredCause) -> list[UnansweredRequest]:
-        """Requests that were read and would end without a whole answer if the connection did."""
-        unfinished = []
-        if self._task is not None and self._current is not None:
-            unfinished.append(self._unanswered(self._current, self._current_phase(), cause))
-        unfinished.extend(
-            self._unanswered(item, RequestPhase.QUEUED, cause) for item in self._queue
-        )
-        return unfinished
-
     def _current_phase(self) -> RequestPhase:
         return RequestPhase.ANSWERING if self._answered else self.phase
 
-    @staticmethod
-    def _unanswered(
-        request: ClientRequest, phase: RequestPhase, cause: UnansweredCause, error: str = ""
-    ) -> UnansweredRequest:
-        return UnansweredRequest(request.fields, phase, cause, request.received_at, error)
+    def _tell(
+        self, request: ClientRequest, phase: RequestPhase, cause: UnansweredCause, error: str = ""
+    ) -> None:
+        """A request that was read ends without a whole answer."""
+        self._edge.on_unanswered(
+            UnansweredRequest(request.fields, phase, cause, request.received_at, error)
+        )
+
+    def _drop_queue(self, cause: UnansweredCause) -> None:
+        """What was sent ahead on this connection can't be answered any more."""
+        while self._queue:
+            self._tell(self._queue.popleft(), RequestPhase.QUEUED, cause)
 
     def check_time(self, now: float) -> None:
         """Apply the bounds on time; called every fraction of a second."""
@@ -181,10 +178,18 @@
 
     def cut(self) -> None:
         """End the connection so that an unfinished answer can't look complete."""
+        self._drop_queue(UnansweredCause.ANSWER_CUT)
         self._closing = True
         if self._transport is not None:
             self._transport.abort()
 
+    def cut_at_end(self) -> None:
+        """The process ends: say what is unfinished, and cut it."""
+        if self._task is not None and self._current is not None:
+            self._tell(self._current, self._current_phase(), UnansweredCause.GRACE_OVER)
+        self._drop_queue(UnansweredCause.GRACE_OVER)
+        self.cut()
+
     def close(self) -> None:
         """Close after everything written has gone out."""
         self._closing = True
@@ -221,8 +226,8 @@
             return
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:
-            for request in self.unfinished(UnansweredCause.SLOW_READER):
-                self._edge.on_unanswered(request)
+            if self._current is not None:
+                self._tell(self._current, RequestPhase.ANSWERING, UnansweredCause.SLOW_READER)
             self.cut()
 
     # -- asyncio.Protocol -----------------------------------------------------------------------
@@ -297,8 +302,7 @@
         if self.gone:
             return
         if self._closing:
-            for request in self.unfinished(UnansweredCause.CONNECTION_CLOSING):
-                self._edge.on_unanswered(request)
+            self._drop_queue(UnansweredCause.CONNECTION_CLOSING)
             self._linger()
             return
         self._idle_since = elapsed_seconds()
@@ -312,11 +316,7 @@
         """The handler failed: say so, to the client as well unless it has a part of an answer."""
         assert self._current is not None
         error = "cancelled" if task.cancelled() else repr(task.exception())
-        self._edge.on_unanswered(
-            self._unanswered(
-                self._current, self._current_phase(), UnansweredCause.HANDLER_FAILED, error
-            )
-        )
+        self._tell(self._current, self._current_phase(), UnansweredCause.HANDLER_FAILED, error)
         if not self._answered and not self.gone:
             self._refuse(self, InternalError("the gateway failed; the request may have run"))
 
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -26,7 +26,6 @@
 from milletcourse.gateway.request_reader import ClientRequest
 from milletcourse.gateway.roll_out_service import RollOutService
 from milletcourse.gateway.settings import GatewaySettings
-from milletcourse.gateway.unanswered import UnansweredCause
 from milletcourse.runtime.listeners import close_when_empty
 
 if TYPE_CHECKING:
@@ -170,9 +169,6 @@
         for listener in self._listeners:
             await self._close_listener(listener)
         await self._end_connections(stop)
-        for client in self._clients:
-            for request in client.unfinished(UnansweredCause.GRACE_OVER):
-                context.on_unanswered(request)
         context.record.tallied()
         context.log.emit("stopped", unfinished=len(self._clients))
         self.close()
@@ -202,7 +198,7 @@
         for listener in self._listeners:
             listener.close()
         for client in list(self._clients):
-            client.cut()
+            client.cut_at_end()
         self._fleet.close()
         self.context.crash_watch.close()
         self.context.pool.close()
--- a/src/milletcourse/gateway/unanswered.py
+++ b/src/milletcourse/gateway/unanswered.py
@@ -30,6 +30,8 @@
     """The grace time of a planned stop was over."""
     CONNECTION_CLOSING = "connection-closing"
     """The answer before it had said that the connection closes."""
+    ANSWER_CUT = "answer-cut"
+    """The answer before it broke off, and its connection with it."""
     SLOW_READER = "slow-reader"
     """Its client was too far behind in reading."""
 
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -31,6 +31,8 @@
     """The soak ended before it."""
     CUT_BY_SERVER = "cut-by-server"
     """The answer of a server that misbehaves broke off."""
+    BEHIND_CUT = "behind-cut"
+    """Sent at once behind a request whose answer broke off, and the connection with it."""
     TIMED_OUT = "timed-out"
     """The time of its route was over in the middle of the answer."""
     DISTURBED = "disturbed"
@@ -76,6 +78,7 @@
         request_id: Its identity.
         kind: Route.
         was_sent_ahead: Sent at once behind another one.
+        is_behind_cut: The answer of that one broke off.
         gateway: Name of the gateway.
         position: Requests that were sent before it on its connection.
         sent_at: Seconds at which its last byte was with the kernel, 0 before.
@@ -86,6 +89,7 @@
     request_id: str
     kind: str
     was_sent_ahead: bool = False
+    is_behind_cut: bool = False
     gateway: str = ""
     position: int = 0
     sent_at: float = 0.0
@@ -124,6 +128,8 @@
         return Verdict.DISTURBED
     if asked.end is End.TOO_LONG:
         return Verdict.LOST_SILENT
+    if asked.is_behind_cut:
+        return Verdict.BEHIND_CUT
     seconds = asked.ended_at - asked.sent_at
     if asked.end is End.PARTIAL and seconds >= ROUTE_SECONDS - SEND_SLACK_SECONDS:
         return Verdict.TIMED_OUT
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -162,6 +162,8 @@
                 self._note_answer(item, got)
                 is_last = is_last or got.headers.get("connection") == "close"
             if got is None or not got.whole:
+                for later in asked[asked.index(item) + 1 :]:
+                    later.is_behind_cut = got is not None
                 self._end_unanswered(asked, End.NOTHING)
                 return
         if is_last or self._random.random() < self._habits.last_share:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -133,6 +133,11 @@
         (ended(End.NOTHING, position=2), SOUND, Verdict.CROSSED_CLOSE),
         (ended(End.NOTHING, 0.3, position=2), SOUND, Verdict.LOST_KEPT),
         (ended(End.NOTHING, position=2, was_sent_ahead=True), SOUND, Verdict.LOST_AHEAD),
+        (
+            ended(End.NOTHING, 3.1, was_sent_ahead=True, is_behind_cut=True),
+            SOUND,
+            Verdict.BEHIND_CUT,
+        ),
         (ended(End.NOTHING, position=2), Circumstances(runs=1), Verdict.LOST_AT_SERVER),
         (ended(End.NOTHING), Circumstances(gateway_disturbed=True), Verdict.DISTURBED),
         (ended(End.PARTIAL, 0.5), SOUND, Verdict.LOST_AT_SERVER),
