A stopping gateway looks at unread bytes before its last answer as well

A refusal is written in the moment in which its request is read, while a second one that was sent with it stands in the kernel.

--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/client_connection.py
@@ -215,11 +215,13 @@
         return lines
 
     def _is_last_answer(self) -> bool:
-        """Whether the connection closes behind this answer: not before what has been read of it."""
+        """Whether the connection closes behind this answer: not while it holds another request."""
         if self._current is None or not self._current.keep_alive:
             return True
-        has_more = bool(self._queue) or self._reader.incoming is not None
-        return self._edge.is_stopping() and not has_more
+        if not self._edge.is_stopping():
+            return False
+        has_read_more = bool(self._queue) or self._reader.incoming is not None
+        return not has_read_more and not self._count_unread_bytes()
 
     def _write(self, data: bytes) -> None:
         if self.gone or self._transport is None or self._transport.is_closing():
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -428,6 +428,18 @@
         **headers: str,
     ) -> None:
         """Write a request."""
+        self.writer.write(self.request_bytes(path, request_id, method, body, key, **headers))
+
+    @staticmethod
+    def request_bytes(
+        path: str,
+        request_id: str = "request-1",
+        method: str = "POST",
+        body: bytes = b"body",
+        key: str = "key-1",
+        **headers: str,
+    ) -> bytes:
+        """A whole request as it goes over the wire."""
         fields = {
             "Host": "site.example",
             "Request-Id": request_id,
@@ -438,7 +450,7 @@
             fields["Content-Length"] = str(len(body))
         lines = [f"{method} {path} HTTP/1.1"]
         lines.extend(f"{name}: {value}" for name, value in fields.items() if value)
-        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
     async def read_answer(self) -> ClientAnswer | None:
         """Read one answer, None when the connection ends before one."""
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -146,7 +146,8 @@
             item.gateway = self._gateway
             item.position = self._position
             self._position += 1
-            self._send(client, item)
+        # In one write, so that the kernel has all of them at once.
+        client.writer.write(b"".join(self._request_bytes(item) for item in asked))
         await client.writer.drain()
         sent_at = time.monotonic()
         for item in asked:
@@ -185,7 +186,7 @@
             await asyncio.sleep(self._random.uniform(0.0, self._habits.first_seconds))
         return self._connection
 
-    def _send(self, client: Client, asked: Asked) -> None:
+    def _request_bytes(self, asked: Asked) -> bytes:
         ledger = self._world.ledger
         key = self._random.choice(list(ledger.tenants))
         more = {"Deadline_Ms": str(int(self._habits.deadline_seconds * 1000))}
@@ -193,7 +194,7 @@
             more.update(self._habits.prompt)
         now = asyncio.get_running_loop().time()
         ledger.on_sent(SentRequest(asked.request_id, now, key, asked.kind))
-        client.send(f"/{asked.kind}/", asked.request_id, key=key, **more)
+        return Client.request_bytes(f"/{asked.kind}/", asked.request_id, key=key, **more)
 
     def _leave(self) -> None:
         if self._connection is not None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -31,6 +31,7 @@
     configuration,
     serve_whole,
 )
+from milletcourse.errors import NoEngineAvailable
 from milletcourse.exchange.planned_stop import (
     FIRST_REQUEST_SECONDS,
     MAX_TAKE_SECONDS,
@@ -185,6 +186,34 @@
     run_with_gateway(scenario)
 
 
+def test_a_request_that_stands_unread_is_answered_before_the_last_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The second of two requests reaches the machine while the first is being answered."""
+
+    async def scenario(harness: Harness) -> None:
+        await start(harness)
+        assert harness.node is not None
+        sock = open_socket(harness.node.frontend_address)
+        answered = Exchange.run
+
+        async def send_ahead_and_refuse(exchange: Exchange) -> None:
+            monkeypatch.setattr(Exchange, "run", answered)
+            sock.sendall(request_bytes("second"))
+            exchange._refuse(NoEngineAvailable("refused at once"))
+
+        monkeypatch.setattr(Exchange, "run", send_ahead_and_refuse)
+        stop = asyncio.create_task(harness.node.stop())
+        await harness.until(lambda: harness.node is not None and harness.node.context.stopping)
+        sock.sendall(request_bytes("first"))
+        client = Client(*await asyncio.open_connection(sock=sock))
+        answers = [await client.read_answer(), await client.read_answer()]
+        assert [got.status if got else 0 for got in answers] == [503, 200]
+        await stop
+
+    run_with_gateway(scenario)
+
+
 def test_an_answer_is_not_reset_by_bytes_that_come_behind_it() -> None:
     """A client sends on past `Connection: close`; its answer arrives whole, then the end."""
 
