--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -395,6 +395,12 @@
     }
 
 
+def open_socket(address: str) -> socket.socket:
+    """A connection that comes up in the kernel, whatever event loops do meanwhile."""
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)))
+
+
 @dataclass
 class ClientAnswer:
     """An answer as a client got it; `whole` is false when it was cut."""
--- a/tests/test_client_edges.py
+++ b/tests/test_client_edges.py
@@ -16,6 +16,7 @@
     StandinServer,
     chunk,
     configuration,
+    open_socket,
     serve_whole,
     stream_head,
 )
@@ -27,19 +28,6 @@
 EVENT_BYTES = 4000
 
 
-def request_bytes(request_id: str, **more: str) -> bytes:
-    """A whole request as it goes over the wire."""
-    fields = {"Host": "site.example", "Request-Id": request_id, "Api-Key": "key-1", **more}
-    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    return f"POST /safe/ HTTP/1.1\r\n{head}Content-Length: 4\r\n\r\nbody".encode()
-
-
-def open_socket(address: str) -> socket.socket:
-    """A connection whose bytes nobody reads by themselves."""
-    host, _, port = address.rpartition(":")
-    return socket.create_connection((host, int(port)))
-
-
 def test_silent_clients_hold_no_stop_and_take_no_answer() -> None:
     """Hundreds of connections without a request; another client is served in the stop."""
 
@@ -79,8 +67,7 @@
         await harness.start(GraceS=GRACE_SECONDS)
         assert harness.node is not None
         deaf = open_socket(harness.node.frontend_address)
-        fields = {name.replace("_", "-"): value for name, value in PROMPT.items()}
-        deaf.sendall(request_bytes("deaf", **fields).replace(b"/safe/", b"/single/"))
+        deaf.sendall(Client.request_bytes("/single/", "deaf", **PROMPT))
         await harness.until(lambda: bool(harness.servers["engine-1"].received))
         stop = asyncio.create_task(harness.node.stop())
         assert (await (await harness.client()).ask("/safe/", "beside")).status == 200
@@ -102,7 +89,7 @@
         await harness.start()
         assert harness.node is not None
         sock = open_socket(harness.node.frontend_address)
-        sock.sendall(request_bytes("half").replace(b"/safe/", b"/held/"))
+        sock.sendall(Client.request_bytes("/held/", "half"))
         await harness.until(lambda: bool(server.received))
         sock.shutdown(socket.SHUT_WR)
         await harness.until(lambda: bool(server.closed))
@@ -119,7 +106,7 @@
         await harness.start()
         assert harness.node is not None
         client = await harness.client()
-        whole = request_bytes("reset")
+        whole = Client.request_bytes("/safe/", "reset")
         for number, sent in enumerate((b"", whole[:40], whole[:-2], whole, whole * 3) * 4):
             sock = open_socket(harness.node.frontend_address)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
@@ -159,7 +146,7 @@
         gateway.process.send_signal(signal.SIGTERM)
         await gateway.wait_for("stopping")
         gateway.process.send_signal(signal.SIGSTOP)
-        sock.sendall(request_bytes("while-it-stood-still"))
+        sock.sendall(Client.request_bytes("/safe/", "while-it-stood-still"))
         await asyncio.sleep(4.0)
         gateway.process.send_signal(signal.SIGCONT)
         client = Client(*await asyncio.open_connection(sock=sock))
@@ -215,8 +202,8 @@
         await harness.start_gateway()
         await harness.until(harness.is_ready)
         client = await harness.client()
-        waiting = request_bytes("second", Expect="100-continue")
-        client.writer.write(request_bytes("first") + waiting[:-4])
+        waiting = Client.request_bytes("/safe/", "second", Expect="100-continue")
+        client.writer.write(Client.request_bytes("/safe/", "first") + waiting[:-4])
         first = await client.read_answer()
         assert first is not None and first.status == 200
         client.writer.write(b"body")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -29,6 +29,7 @@
     ReceivedRequest,
     StandinServer,
     configuration,
+    open_socket,
     serve_whole,
 )
 from milletcourse.errors import NoEngineAvailable
@@ -51,16 +52,7 @@
 
 def request_bytes(request_id: str) -> bytes:
     """A whole request as it goes over the wire."""
-    return (
-        f"POST /safe/ HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {request_id}\r\n"
-        "Api-Key: key-1\r\nContent-Length: 4\r\n\r\nbody"
-    ).encode()
-
-
-def open_socket(address: str) -> socket.socket:
-    """A connection that comes up in the kernel, whatever the gateway's event loop does."""
-    host, _, port = address.rpartition(":")
-    return socket.create_connection((host, int(port)))
+    return Client.request_bytes("/safe/", request_id)
 
 
 async def until_readable(sock: socket.socket) -> None:
