--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -11,12 +11,9 @@
 
 import argparse
 import asyncio
-import json
-import logging
 import random
 import signal
 import sys
-import tempfile
 import time
 from collections import Counter
 from dataclasses import dataclass, replace
@@ -27,6 +24,7 @@
 from soak.answers import LOST
 from soak.clients import SHORT_PROMPT, Habits, SoakClient
 from soak.entry import Entry
+from soak.seeds import Report, play_seeds
 from soak.world import DEFAULT_GATEWAYS, GATEWAY_PROGRAM, GatewayProcess, SoakWorld
 
 KEPT = Habits(
@@ -109,7 +107,7 @@
         return (str(MUTANTS_FILE), self.mutant) if self.mutant else GATEWAY_PROGRAM
 
 
-async def planned_soak(seed: int, folder: Path, run: PlannedRun) -> dict[str, object]:
+async def planned_soak(seed: int, folder: Path, run: PlannedRun) -> Report:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, run.gateways, run.program)
     background: list[asyncio.Task[None]] = []
@@ -153,7 +151,7 @@
     return SoakClient(number, world, source, any_gateway if direct else entry.choose, habits)
 
 
-def report_of(seed: int, world: SoakWorld) -> dict[str, object]:
+def report_of(seed: int, world: SoakWorld) -> Report:
     """Counts by verdict, and each lost request."""
     verdicts = world.verdicts()
     lost = [item for item in world.asked if verdicts[item.request_id] in LOST]
@@ -195,8 +193,6 @@
     parser.add_argument("--mutant", default="", help="a known defect, see soak/mutants.py")
     parser.add_argument("--keep", type=Path, help="folder that keeps the gateways' logs")
     arguments = parser.parse_args()
-    first, _, last = (arguments.seeds or str(int(time.time()))).partition(":")
-    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     run = PlannedRun(
         arguments.gateways,
         arguments.clients,
@@ -205,17 +201,9 @@
         arguments.direct,
         arguments.mutant,
     )
-    failed = 0
-    for seed in range(int(first), int(last or first) + 1):
-        with tempfile.TemporaryDirectory() as temporary:
-            folder = Path(temporary)
-            if arguments.keep:
-                folder = arguments.keep / str(seed)
-                folder.mkdir(parents=True, exist_ok=True)
-            report = asyncio.run(planned_soak(seed, folder, run))
-        failed += bool(report["lost"] or report["violations"])
-        print(json.dumps(report), flush=True)
-    return 1 if failed else 0
+    return play_seeds(
+        arguments.seeds, arguments.keep, lambda seed, folder: planned_soak(seed, folder, run)
+    )
 
 
 if __name__ == "__main__":
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,13 +8,11 @@
 
 import argparse
 import asyncio
-import json
-import logging
 import sys
-import tempfile
-import time
 from collections import Counter
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
@@ -23,6 +21,7 @@
 from soak.answers import LOST
 from soak.clients import CRASHING_BODIES, CrashingCaller, SoakClient
 from soak.faults import FAULTS
+from soak.seeds import Report, play_seeds
 from soak.world import DEFAULT_GATEWAYS, TENANTS, SoakWorld
 
 CLIENTS = 12
@@ -34,7 +33,7 @@
 READY_TIMEOUT_SECONDS = 10.0
 
 
-async def soak(seed: int, seconds: float, folder: Path, gateways: int) -> dict[str, object]:
+async def soak(seed: int, seconds: float, folder: Path, gateways: int) -> Report:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, gateways)
     world.servers_are_sound = False
@@ -148,20 +147,11 @@
     parser.add_argument("--gateways", type=int, default=DEFAULT_GATEWAYS, help="processes")
     parser.add_argument("--keep", type=Path, help="folder that keeps the logs of failed seeds")
     arguments = parser.parse_args()
-    first, _, last = (arguments.seeds or str(int(time.time()))).partition(":")
-    # Stand-ins write to connections that a fault has closed.
-    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
-    failed = 0
-    for seed in range(int(first), int(last or first) + 1):
-        with tempfile.TemporaryDirectory() as temporary:
-            folder = Path(temporary)
-            if arguments.keep:
-                folder = arguments.keep / str(seed)
-                folder.mkdir(parents=True, exist_ok=True)
-            report = asyncio.run(soak(seed, arguments.seconds, folder, arguments.gateways))
-        failed += bool(report["violations"])
-        print(json.dumps(report), flush=True)
-    return 1 if failed else 0
+
+    def play(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
+        return soak(seed, arguments.seconds, folder, arguments.gateways)
+
+    return play_seeds(arguments.seeds, arguments.keep, play)
 
 
 if __name__ == "__main__":
