--- /dev/null
+++ b/tests/test_stop_machine.py
@@ -0,0 +1,132 @@
+"""A state machine of a planned stop: clients, the kernel, a late loop, and the stop's looks.
+
+What a client writes stands in the kernel until the loop reads it; a look of the stop may come at
+any moment in between. Whatever the order, no connection is closed that holds a request.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from milletcourse.exchange.planned_stop import ConnectionState, PlannedStop, StopPhase
+
+GRACE_SECONDS = 8.0
+MAX_CONNECTIONS = 2
+SEARCH = settings(max_examples=500, stateful_step_count=30)
+REQUEST_BYTES = 150
+MayClose = Callable[[PlannedStop, ConnectionState, float], bool]
+
+
+@dataclass
+class ModelConnection:
+    """A connection as the kernel and the process hold it; counts are requests."""
+
+    is_accepted: bool = False
+    is_closed: bool = False
+    unread: int = 0
+    unanswered: int = 0
+    read: int = 0
+    idle_since: float = 0.0
+
+    def state(self) -> ConnectionState:
+        """What the stop goes by."""
+        return ConnectionState(
+            self.idle_since, self.read, self.unanswered == 0, self.unread * REQUEST_BYTES
+        )
+
+
+class StopMachine(RuleBasedStateMachine):
+    """The stop as it is."""
+
+    may_close: MayClose = staticmethod(PlannedStop.may_close)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.stop: PlannedStop | None = None
+        self.connections: list[ModelConnection] = []
+        self.lost = 0
+
+    @rule()
+    def client_connects(self) -> None:
+        """It comes up in the kernel; the listener closes only when nothing waits there."""
+        is_open = self.stop is None or self.stop.phase(self.now) is StopPhase.LEAVING
+        if is_open and len(self.connections) < MAX_CONNECTIONS:
+            self.connections.append(ModelConnection())
+
+    @rule(number=st.integers(min_value=0, max_value=MAX_CONNECTIONS - 1))
+    def client_sends(self, number: int) -> None:
+        """On a connection that it hasn't seen closed, whenever the last one came up or answered."""
+        if number < len(self.connections) and not self.connections[number].is_closed:
+            self.connections[number].unread += 1
+
+    @rule()
+    def loop_reads(self) -> None:
+        """All that has arrived is accepted and read."""
+        for connection in self.connections:
+            if not connection.is_accepted:
+                connection.is_accepted = True
+                connection.idle_since = self.now
+            connection.unanswered += connection.unread
+            connection.read += connection.unread
+            connection.unread = 0
+
+    @rule()
+    def servers_answer(self) -> None:
+        """One answer for each connection that waits for one."""
+        for connection in self.connections:
+            if connection.unanswered:
+                connection.unanswered -= 1
+                connection.idle_since = self.now
+
+    @rule(held=st.floats(min_value=0.0, max_value=3.0))
+    def signal_is_heard(self, held: float) -> None:
+        """So long after the loop was last seen running."""
+        if self.stop is None:
+            self.stop = PlannedStop(self.now, self.now - held, GRACE_SECONDS)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 2.7]))
+    def time_passes(self, seconds: float) -> None:
+        """The loop is held, or idle."""
+        self.now += seconds
+
+    @rule()
+    def stop_looks(self) -> None:
+        """The stop closes what it may."""
+        if self.stop is None or self.stop.phase(self.now) is StopPhase.OVER:
+            return
+        for connection in self.connections:
+            if not connection.is_accepted or connection.is_closed:
+                continue
+            if self.may_close(self.stop, connection.state(), self.now):
+                connection.is_closed = True
+                self.lost += connection.unread + connection.unanswered
+
+    @invariant()
+    def nothing_is_lost(self) -> None:
+        """Before the grace time is over."""
+        assert self.lost == 0
+
+
+class CarelessMachine(StopMachine):
+    """Goes by what has been read."""
+
+    @staticmethod
+    def may_close(stop: PlannedStop, connection: ConnectionState, now: float) -> bool:
+        """Closes what looks idle."""
+        return stop.phase(now) is not StopPhase.LEAVING and connection.is_idle
+
+
+TestStopMachine = StopMachine.TestCase
+
+
+def test_a_stop_that_goes_by_what_was_read_is_found() -> None:
+    """The machine is sharp enough."""
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(CarelessMachine, settings=SEARCH)
