Callers whose request ends servers wait four seconds again

The constant that bounded them had become the patience beyond a deadline, one second, when clients of both rigs were put together: a caller that leaves before its server ends leaves no evidence, so the soak was easier than meant. Found by reading the change.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -34,6 +34,9 @@
 PATIENCE_SECONDS = 1.0
 """Beyond the deadline that a client tells."""
 LEAVE_SECONDS = (0.0, 0.05)
+CRASHING_PATIENCE_SECONDS = 4.0
+"""Callers whose request ends servers wait longer than any route allows: one that leaves before its
+server ends leaves no evidence."""
 
 
 @dataclass(frozen=True)
@@ -220,7 +223,7 @@
         while not self._world.ended:
             await self._until_work_was_answered()
             try:
-                async with asyncio.timeout(PATIENCE_SECONDS):
+                async with asyncio.timeout(CRASHING_PATIENCE_SECONDS):
                     await self._ask()
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 pass
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -59,11 +59,7 @@
 
 @dataclass
 class Disturbance:
-    """A gateway was killed, or frozen up to an end; in monotonic seconds.
-
-    What it had queued when it was frozen may be answered too late for its clients, which give up
-    after seconds, so a disturbance ends after as long.
-    """
+    """A gateway was killed until it starts again, or frozen; in monotonic seconds."""
 
     began_at: float
     ended_at: float = math.inf
