Sight: gateways read the limit of requests that a server names, and log it; sends to such servers are counted

The logs of the incident can't tell whether an answer carried a limit, which gateway saw it first, and how much was sent to the server after that. Now: server-limit-named, -changed, -ended, -unreadable (once until the server says something else), and limited_sends in service-tally. No decision changes.

--- a/src/milletcourse/exchange/dialect.py
+++ b/src/milletcourse/exchange/dialect.py
@@ -19,6 +19,7 @@
     HeaderField,
     PromptPart,
 )
+from milletcourse.exchange.server_limit import NO_LIMIT, LimitReading, read_limit
 
 CONNECTION_FIELDS = frozenset(
     {
@@ -65,6 +66,8 @@
     not_executed: str = "Milletcourse-Not-Executed"
     answer_instance: str = "Milletcourse-Answer-Instance"
     answer_weight_version: str = "Milletcourse-Answer-Weight-Version"
+    request_limit: str = "Milletcourse-Request-Limit"
+    """Requests a second that a server takes from all gateways together, in its answers."""
     router_only: tuple[str, ...] = ()
     """Further fields that only a router may set; dropped from what a client sends."""
 
@@ -85,6 +88,7 @@
         self._not_executed = names.not_executed.lower().encode()
         self._answer_instance = names.answer_instance.lower().encode()
         self._answer_version = names.answer_weight_version.lower().encode()
+        self._request_limit = names.request_limit.lower().encode()
         set_by_router = (
             names.key,
             names.tenant,
@@ -237,8 +241,15 @@
             closing=b"close" in options,
             encoded=b"content-encoding" in values,
             event_stream=values.get(b"content-type", b"").lower().startswith(b"text/event-stream"),
+            limit=self._read_limit(values, fields),
         )
 
+    def _read_limit(self, values: dict[bytes, bytes], fields: list[HeaderField]) -> LimitReading:
+        if self._request_limit not in values:
+            return NO_LIMIT
+        named = [field.value for field in fields if field.name.lower() == self._request_limit]
+        return read_limit(named)
+
 
 def _single_values(fields: list[HeaderField]) -> dict[bytes, bytes]:
     values: dict[bytes, bytes] = {}
--- a/src/milletcourse/exchange/messages.py
+++ b/src/milletcourse/exchange/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from milletcourse.exchange.server_limit import NO_LIMIT, LimitReading
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """One declared part of a prompt, in its order; parts are shared between requests.
@@ -121,6 +123,7 @@
         closing: The server closes the connection after it.
         encoded: The body has a content encoding, so it isn't the server's own.
         event_stream: The body is a series of events.
+        limit: Requests a second that the server takes, as it says now.
     """
 
     status: int
@@ -137,6 +140,7 @@
     closing: bool
     encoded: bool
     event_stream: bool
+    limit: LimitReading = NO_LIMIT
 
     @property
     def framed(self) -> bool:
--- a/src/milletcourse/exchange/service_tally.py
+++ b/src/milletcourse/exchange/service_tally.py
@@ -44,6 +44,7 @@
         connections: New connections to servers.
         store_calls: Kind of objects -> calls to the object store.
         store_failures: Kind of objects -> calls that gave nothing.
+        limited_sends: Server that names a limit -> requests sent to it meanwhile.
     """
 
     ends: dict[str, dict[str, int]]
@@ -52,6 +53,7 @@
     connections: int
     store_calls: dict[str, int]
     store_failures: dict[str, int]
+    limited_sends: dict[str, int] = {}
 
 
 class ServiceTally:
@@ -67,6 +69,7 @@
         self._connections = 0
         self._store_calls: Counter[str] = Counter()
         self._store_failures: Counter[str] = Counter()
+        self._limited_sends: Counter[str] = Counter()
 
     def on_end(self, route: str, outcome: Outcome) -> None:
         """A routed request ended."""
@@ -80,6 +83,10 @@
         """A request was sent to another server."""
         self._sent_again[route] += 1
 
+    def on_limited_send(self, instance: str) -> None:
+        """A request was sent to a server that names a limit."""
+        self._limited_sends[instance] += 1
+
     def on_connection(self) -> None:
         """A connection to a server was opened."""
         self._connections += 1
@@ -102,6 +109,7 @@
             self._connections,
             dict(self._store_calls),
             dict(self._store_failures),
+            dict(self._limited_sends),
         )
         self._reset()
         return report
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -176,6 +176,8 @@
         self._connection = connection
         self.sent_at = self._context.now()
         self._note_heard()
+        if self._context.server_limits.per_second(self._instance.key) is not None:
+            self._context.record.tally.on_limited_send(self._instance.name)
         self._send(connection)
         self._listener.on_sent(self)
         try:
@@ -227,6 +229,8 @@
             return self._lost(connection, event.lost)
         head = event.head
         self._answer_begun = True
+        if head.instance in ("", self._instance.name):
+            self._context.note_limit(self._instance, head.limit, self.sent_at)
         if head.weight_version is not None and self._job.request.model:
             self._instance.note_version(self._job.request.model, head.weight_version)
         if head.successful and head.event_stream and self._job.route.streaming:
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/context.py
@@ -24,6 +24,7 @@
 from milletcourse.exchange.records import EdgeLimits, TenantRecord
 from milletcourse.exchange.route_table import RouteTable
 from milletcourse.exchange.server_health import TALLY_HALF_LIFE_SECONDS
+from milletcourse.exchange.server_limit import LimitReading, ServerLimits
 from milletcourse.exchange.tenant_limits import TenantLimits
 from milletcourse.exchange.version_gate import VersionGate
 from milletcourse.exchange.weighted_choice import WeightedChoice
@@ -104,6 +105,7 @@
         self._sleep_detector = SleepDetector()
         self.attended = AttendedClock()
         self.crash_listeners: list[Callable[[], None]] = []
+        self.server_limits = ServerLimits()
         self.gate = VersionGate(bounds.version)
         self.crash_evidence = CrashEvidence()
         self.loads = LoadExchange(settings.name, self.crash_evidence)
@@ -255,6 +257,22 @@
         elif was_ejected and not is_ejected:
             self.record.return_of(instance.name, result)
 
+    def note_limit(self, instance: Instance, reading: LimitReading, sent_at: float) -> None:
+        """The head of an answer says how many requests its server takes.
+
+        Args:
+            instance: The server.
+            reading: What it says.
+            sent_at: Monotonic time of the request's send.
+        """
+        if reading.unreadable:
+            # What it said before holds on.
+            self.record.limit_unreadable(instance.name, reading.unreadable)
+            return
+        change = self.server_limits.on_answer(instance.key, reading.per_second, sent_at, self.now())
+        if change is not None:
+            self.record.server_limit(instance.name, change, reading.per_second, "answer")
+
     def note_successor(self, instance: Instance, successor: str) -> None:
         """Another server answered at the address of one, so that incarnation has ended."""
         is_news = self.end_instance(instance.name, successor, instance.record.started_ms)
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -14,12 +14,15 @@
 from milletcourse.exchange.records import RouteRecord
 from milletcourse.exchange.request_identity import identity_text
 from milletcourse.exchange.roll_out import OrderReply, WeightOrder
+from milletcourse.exchange.server_limit import LimitChange
 from milletcourse.exchange.service_tally import Outcome, ServiceTally, served_outcome
 from milletcourse.exchange.tenant_limits import LimitState
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.figures import Figures
 from milletcourse.gateway.unanswered import UnansweredRequest
 
+MAX_UNREADABLE_LIMITS = 100
+"""Servers whose unreadable limits are remembered, so that each is told once."""
 Belief = Callable[[], dict[str, Any]]
 """What the gateway goes by now: fields that are added to the lines of decisions."""
 
@@ -91,6 +94,7 @@
         self._belief = belief
         self.now = now
         self._reachable: dict[str, bool] = {}
+        self._unreadable_limits: dict[str, str] = {}
         self.tally = ServiceTally()
 
     # -- requests -------------------------------------------------------------------------------
@@ -251,6 +255,33 @@
         """A server has started again under its name: nothing of what was known of it holds."""
         self._log.emit("instance-restarted", instance=instance)
 
+    def server_limit(
+        self, instance: str, change: LimitChange, per_second: float | None, told_by: str
+    ) -> None:
+        """A server names a limit of requests, another one than before, or none any more.
+
+        Args:
+            instance: The server.
+            change: What is new.
+            per_second: Requests a second that it takes, None for no limit.
+            told_by: `answer` when it said so here, `peer` when another gateway told it.
+        """
+        self._log.emit(
+            f"server-limit-{change.value}",
+            instance=instance,
+            per_second=per_second,
+            told_by=told_by,
+        )
+
+    def limit_unreadable(self, instance: str, shown: str) -> None:
+        """A server names a limit that is no number; told once until it says something else."""
+        if self._unreadable_limits.get(instance) == shown:
+            return
+        if len(self._unreadable_limits) >= MAX_UNREADABLE_LIMITS:
+            self._unreadable_limits.clear()
+        self._unreadable_limits[instance] = shown
+        self._log.emit("server-limit-unreadable", instance=instance, shown=shown)
+
     def peer_message_refused(self, sender: str) -> None:
         """A datagram that no gateway of this release sends, or one with absurd figures."""
         self._figures.on_peer_message_refused()
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -24,6 +24,7 @@
     not_executed="Not-Executed",
     answer_instance="Instance-Id",
     answer_weight_version="Weight-Versions",
+    request_limit="Server-Limit",
     router_only=("Kv-From", "Kv-Backup", "Hold", "Pin-Ms"),
 )
 KINDS = ObjectKinds(
