--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -9,9 +9,9 @@
 the word stood nowhere in the code. On three gateways that read and log it but do no more, a server
 that names 2 a second gets 835 to 866 requests in 4 s in five runs, where 17 are borne.
 
-Cause: what a server says of its own need was not read. Reading it at each gateway would not have been
-enough: a seventh of one request a second is no allowance that a gateway could keep by itself. One
-gateway lends each server's requests now, and each send asks it.
+Cause: what a server says of its own need was not read. Reading it at each gateway would not have
+been enough: a seventh of one request a second is no allowance that a gateway could keep by itself.
+One gateway lends each server's requests now, and each send asks it.
 """
 
 from __future__ import annotations
