Rig: servers that limit their requests, beside stops, holds and many gateways; two known defects

Gateways that read no limit, and gateways that each keep it alone, are found; a third defect of ours (units saved up) can't show under steady demand and is left to the test of the core.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -10,6 +10,8 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from soak.limit_ledger import LimitLedger
+
 MAX_ENDS = 5
 """Servers that may end under one request between two losses of all gateways: three, and two by
 gateways that were frozen or cut off and don't know it yet. Without containment a soak of twenty
@@ -97,6 +99,7 @@
     pauses: int = 0
     """Streams that stood still midway at their server."""
     works: dict[str, list[Work]] = field(default_factory=dict)
+    limits: LimitLedger = field(default_factory=LimitLedger)
     now: Callable[[], float] = time.monotonic
     """Clock of the servers' work: of the process that they all run in."""
 
@@ -104,6 +107,21 @@
         """A promise was broken."""
         self.violations.append(f"{promise}: {detail}")
 
+    # -- limits ---------------------------------------------------------------------------------
+
+    def on_arrival(self, server: str) -> None:
+        """A request reaches a server, whatever becomes of it."""
+        self.limits.on_arrival(server, time.monotonic())
+
+    def on_limit(self, server: str, per_second: float | None) -> None:
+        """A server names a limit from now on, or none any more."""
+        self.limits.on_limit(server, per_second, time.monotonic())
+
+    def check_limits(self) -> None:
+        """No server got more than it bears."""
+        for over in self.limits.over():
+            self.violate("limit", over)
+
     # -- servers --------------------------------------------------------------------------------
 
     @contextmanager
--- /dev/null
+++ b/tests/soak/limit_ledger.py
@@ -0,0 +1,87 @@
+"""What servers that limit their requests got, and how much of it they bear."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_left
+from dataclasses import dataclass, field
+
+WINDOW_SECONDS = 4.0
+BORNE_SHARE = 1.5
+BORNE_BESIDE = 5
+KNOWN_AFTER_SECONDS = 3.0
+"""Gateways that are in touch have heard of a limit by then."""
+
+
+@dataclass
+class LimitStretch:
+    """A time in which a server named one limit."""
+
+    per_second: float
+    began_at: float
+    ended_at: float = math.inf
+
+
+@dataclass(frozen=True)
+class LimitUse:
+    """How a stretch was kept, from the moment at which it is known.
+
+    Attributes:
+        most: Most requests in a window.
+        borne: What the server bears in one.
+        used: Requests in all, as a share of what it takes.
+    """
+
+    most: int
+    borne: float
+    used: float
+
+
+@dataclass
+class LimitLedger:
+    """Arrivals at all servers, and the limits that they named."""
+
+    arrivals: dict[str, list[float]] = field(default_factory=dict)
+    stretches: dict[str, list[LimitStretch]] = field(default_factory=dict)
+
+    def on_arrival(self, server: str, at: float) -> None:
+        """A request reaches a server."""
+        self.arrivals.setdefault(server, []).append(at)
+
+    def on_limit(self, server: str, per_second: float | None, at: float) -> None:
+        """A server names a limit from now on, or none any more."""
+        known = self.stretches.setdefault(server, [])
+        if known:
+            known[-1].ended_at = min(known[-1].ended_at, at)
+        if per_second is not None:
+            known.append(LimitStretch(per_second, at))
+
+    def uses(self, now: float) -> dict[str, list[LimitUse]]:
+        """Every stretch that lasted for a window and more."""
+        found: dict[str, list[LimitUse]] = {}
+        for server, stretches in self.stretches.items():
+            for stretch in stretches:
+                first = stretch.began_at + KNOWN_AFTER_SECONDS
+                last = min(stretch.ended_at, now)
+                if last - first >= WINDOW_SECONDS:
+                    use = self._use(server, stretch.per_second, first, last)
+                    found.setdefault(server, []).append(use)
+        return found
+
+    def _use(self, server: str, per_second: float, first: float, last: float) -> LimitUse:
+        times = [at for at in self.arrivals.get(server, ()) if first <= at < last]
+        most = max(
+            (bisect_left(times, at + WINDOW_SECONDS) - number for number, at in enumerate(times)),
+            default=0,
+        )
+        borne = BORNE_SHARE * per_second * WINDOW_SECONDS + BORNE_BESIDE
+        return LimitUse(most, borne, len(times) / (per_second * (last - first)))
+
+    def over(self) -> list[str]:
+        """Servers that got more than they bear."""
+        return [
+            f"{server} got {use.most} in {WINDOW_SECONDS:g} s and bears {use.borne:g}"
+            for server, uses in self.uses(math.inf).items()
+            for use in uses
+            if use.most > use.borne
+        ]
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -8,11 +8,15 @@
 import sys
 from collections.abc import Callable
 
+from milletcourse.exchange.allowance_homes import AllowanceHomes, ChosenLender
+from milletcourse.exchange.allowance_lender import Standing
+from milletcourse.exchange.instance_table import Instance
 from milletcourse.exchange.messages import LeaveCause
 from milletcourse.exchange.planned_stop import ConnectionState, PlannedStop, StopPhase
 from milletcourse.gateway.answer_relay import AnswerRelay
 from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.node import GatewayNode
+from milletcourse.gateway.server_permits import Permit, ServerPermits
 from milletcourse.gateway.stream_handover import StreamHandover
 from milletcourse.platform.start import start
 from milletcourse.runtime import attended_timer
@@ -83,6 +87,25 @@
     attended_timer.SECOND_LOOK_SECONDS = 0.0
 
 
+def read_no_limit() -> None:
+    """Servers are chosen as if they had named no limit."""
+
+    async def take(permits: ServerPermits, instance: Instance, _: int) -> Permit:
+        return permits.without_limit(instance)
+
+    ServerPermits.take = take  # type: ignore[method-assign]
+    ServerPermits.may_send = lambda *_: True  # type: ignore[method-assign]
+
+
+def keep_limits_alone() -> None:
+    """Each gateway keeps to the limits of servers, and none asks another one."""
+
+    def lender(homes: AllowanceHomes, *_: object) -> ChosenLender:
+        return ChosenLender(homes._own_name, Standing.HOME)
+
+    AllowanceHomes.lender = lender  # type: ignore[method-assign]
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "cut-at-the-signal": cut_at_the_signal,
     "drop-what-was-sent-ahead": drop_what_was_sent_ahead,
@@ -95,7 +118,12 @@
     "take-a-pause-for-silence": take_a_pause_for_silence,
 }
 """Defects that it takes silent and full servers, or held gateways, to find."""
+LIMIT_MUTANTS: dict[str, Callable[[], None]] = {
+    "read-no-limit": read_no_limit,
+    "keep-limits-alone": keep_limits_alone,
+}
+"""Defects that it takes servers that limit their requests to find."""
 
 if __name__ == "__main__":
-    (MUTANTS | SILENCE_MUTANTS)[sys.argv[1]]()
+    (MUTANTS | SILENCE_MUTANTS | LIMIT_MUTANTS)[sys.argv[1]]()
     start([])
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -46,6 +46,10 @@
 READY_SECONDS = 30.0
 CALM_SECONDS = 1.0
 HOLD_PAUSE_SECONDS = 1.0
+LIMITED_SECONDS = (8.0, 14.0)
+UNLIMITED_SECONDS = (0.5, 2.0)
+ALL_LIMITED = 0.3
+"""Chance that all servers limit their requests at once."""
 MAX_OWN_ABSENCE_SECONDS = 0.3
 """With less standing still of this process in all, no server in it was silent for a second."""
 JUDGEMENTS = ("left", "instance-ejected", "instance-suspected", "stream-cut")
@@ -105,6 +109,22 @@
         world.holds += 1
 
 
+async def limit_servers(world: SoakWorld, share: float, limit: float) -> None:
+    """Some servers limit their requests for a while, others after them; at times all do."""
+    while True:
+        servers = list(world.servers.values())
+        count = max(round(share * len(servers)), 1)
+        chosen = servers
+        if world.random.random() >= ALL_LIMITED:
+            chosen = world.random.sample(servers, count)
+        for server in chosen:
+            server.name_limit(round(limit * world.random.uniform(0.5, 1.5), 2))
+        await asyncio.sleep(world.random.uniform(*LIMITED_SECONDS))
+        for server in chosen:
+            server.name_limit(None)
+        await asyncio.sleep(world.random.uniform(*UNLIMITED_SECONDS))
+
+
 @dataclass(frozen=True)
 class PlannedRun:
     """One run of planned work.
@@ -120,6 +140,8 @@
         full: Share of sends that meet a full server.
         hold_seconds: How long gateways are held, one after the other; 0 for never.
         stops: Whether gateways stop and start again.
+        limited: Share of the servers that limit their requests, by turns.
+        limit: Requests a second that they take, more or less.
     """
 
     gateways: int = DEFAULT_GATEWAYS
@@ -132,6 +154,8 @@
     full: float = 0.0
     hold_seconds: float = 0.0
     stops: bool = True
+    limited: float = 0.0
+    limit: float = 1.0
 
     @property
     def program(self) -> tuple[str, ...]:
@@ -165,6 +189,8 @@
             work.append(asyncio.create_task(roll_gateways(world, entry, run.at_a_time)))
         if run.hold_seconds:
             work.append(asyncio.create_task(hold_gateways(world, run.hold_seconds)))
+        if run.limited:
+            work.append(asyncio.create_task(limit_servers(world, run.limited, run.limit)))
         await asyncio.sleep(run.seconds)
         for task in work:
             task.cancel()
@@ -177,6 +203,7 @@
     if not run.hold_seconds:
         # A gateway that stands still can't end a run.
         world.ledger.check_overlaps()
+    world.ledger.check_limits()
     return report_of(seed, world, servers_are_silent=run.pauses > 0.0)
 
 
@@ -214,6 +241,7 @@
         "holds": world.holds,
         "own_absence": round(world.clock.absent_seconds, 2),
         "judged": {name: events[name] for name in JUDGEMENTS if events[name]},
+        "limits": limit_figures(world),
         "outcomes": dict(sorted(world.ledger.outcomes.items())),
         "verdicts": dict(Counter(verdict.value for verdict in verdicts.values())),
         "lost": [
@@ -232,6 +260,18 @@
     }
 
 
+def limit_figures(world: SoakWorld) -> dict[str, float]:
+    """How limits of servers were kept: stretches, most against what is borne, share used."""
+    uses = [use for kept in world.ledger.limits.uses(time.monotonic()).values() for use in kept]
+    if not uses:
+        return {}
+    return {
+        "stretches": len(uses),
+        "most_of_borne": round(max(use.most / use.borne for use in uses), 3),
+        "used": round(sum(use.used for use in uses) / len(uses), 3),
+    }
+
+
 def is_blame(line: dict[str, Any]) -> bool:
     """Whether a gateway left, or judged, a server for its silence."""
     if line["event"] == "instance-ejected":
@@ -254,6 +294,8 @@
     parser.add_argument("--full", type=float, default=0.0, help="share of sends turned away")
     parser.add_argument("--hold", type=float, default=0.0, help="seconds that gateways are held")
     parser.add_argument("--no-stops", action="store_true", help="no gateway stops")
+    parser.add_argument("--limited", type=float, default=0.0, help="share of servers with limits")
+    parser.add_argument("--limit", type=float, default=1.0, help="requests a second that they take")
     arguments = parser.parse_args()
     run = PlannedRun(
         arguments.gateways,
@@ -266,6 +308,8 @@
         arguments.full,
         arguments.hold,
         not arguments.no_stops,
+        arguments.limited,
+        arguments.limit,
     )
     return play_seeds(
         arguments.seeds, arguments.keep, lambda seed, folder: planned_soak(seed, folder, run)
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -54,6 +54,8 @@
     address: str = ""
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     on_end: Callable[[str], None] = lambda name: None
+    limit: float | None = None
+    """Requests a second that it names in its answers, None for none."""
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -103,7 +105,13 @@
             writer.close()
 
     async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-        fields = {"Request-Id": request.request_id, "Instance-Id": self.name}
+        if not request.target.startswith("/milletcourse/"):
+            self.ledger.on_arrival(self.name)
+        fields = {
+            "Request-Id": request.request_id,
+            "Instance-Id": self.name,
+            **self._limit_field(),
+        }
         expected = request.headers.get("expected-instance")
         if expected is not None and expected != self.name:
             writer.write(answer(421, b"", fields))
@@ -118,6 +126,14 @@
         else:
             await self._run(request, writer)
 
+    def _limit_field(self) -> dict[str, str]:
+        return {} if self.limit is None else {"Server-Limit": f"{self.limit:g}"}
+
+    def name_limit(self, limit: float | None) -> None:
+        """Name a limit in all answers from now on, or none any more."""
+        self.limit = limit
+        self.ledger.on_limit(self.name, limit)
+
     def _ends_under(self, request: ReceivedRequest) -> bool:
         """Whether the request ends the server that runs it."""
         return request.body.startswith(CRASHING_BODY)
@@ -187,7 +203,11 @@
         if self._happens(mood.reset_after):
             writer.transport.abort()
             return
-        fields = {"Request-Id": request.request_id, "Server-Signature": f"s-{self.name}"}
+        fields = {
+            "Request-Id": request.request_id,
+            "Server-Signature": f"s-{self.name}",
+            **self._limit_field(),
+        }
         if self._happens(mood.garble):
             writer.write(b"HTTP/9.9 garbled\r\n\r\n")
             return
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from soak.mutants import MUTANTS, SILENCE_MUTANTS
+from soak.mutants import LIMIT_MUTANTS, MUTANTS, SILENCE_MUTANTS
 from soak.planned import PlannedRun, planned_soak
 from soak.seeds import Report
 
@@ -24,6 +24,9 @@
     "end-the-running-answer-first": replace(SILENT_RUN, pauses=0.3, full=0.5),
     "take-a-pause-for-silence": replace(SILENT_RUN, hold_seconds=1.6),
 }
+LIMITED_RUN = PlannedRun(
+    gateways=4, clients=CLIENTS, seconds=12.0, stops=False, limited=1.0, limit=1.0
+)
 
 
 def play(folder: Path, mutant: str, seed: int) -> Report:
@@ -55,6 +58,25 @@
     assert any(is_found(seed) for seed in SEEDS)
 
 
+@pytest.mark.parametrize("mutant", LIMIT_MUTANTS)
+def test_a_defect_in_keeping_limits_is_found(tmp_path: Path, mutant: str) -> None:
+    """A server gets more than it bears."""
+
+    def is_found(seed: int) -> bool:
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        report = asyncio.run(planned_soak(seed, folder, replace(LIMITED_RUN, mutant=mutant)))
+        return any(item.startswith("limit: ") for item in report["violations"])
+
+    assert any(is_found(seed) for seed in SEEDS)
+
+
+def test_sound_gateways_keep_limits_and_lose_nothing(tmp_path: Path) -> None:
+    """The same run without a defect, beside stops."""
+    report = asyncio.run(planned_soak(1, tmp_path, replace(LIMITED_RUN, stops=True)))
+    assert report["limits"] and not report["lost"] and not report["violations"]
+
+
 @pytest.mark.parametrize("mutant", SILENCE_MUTANTS)
 def test_a_sound_gateway_hands_streams_on_and_blames_nobody(tmp_path: Path, mutant: str) -> None:
     """The same runs without the defect."""
