What a server says with a refusal is heeded: for how long it wants no more

Callers saw: servers that all turn requests away and say "in 2.5 s" led to a refusal that said 0.5 s, and were asked again after 0.15 s. Change: Retry-After of a refusal that has not run keeps its server at the end of the choice for that long (5 s at most), and callers are told the soonest of their servers' times. Both tests fail on the code before. Other gateways aren't told: each learns it by one request.

--- a/src/milletcourse/exchange/dialect.py
+++ b/src/milletcourse/exchange/dialect.py
@@ -242,6 +242,7 @@
             encoded=b"content-encoding" in values,
             event_stream=values.get(b"content-type", b"").lower().startswith(b"text/event-stream"),
             limit=self._read_limit(values, fields),
+            retry_after_seconds=_retry_after_seconds(values.get(b"retry-after")),
         )
 
     def _read_limit(self, values: dict[bytes, bytes], fields: list[HeaderField]) -> LimitReading:
@@ -273,6 +274,15 @@
     return None
 
 
+def _retry_after_seconds(value: bytes | None) -> float | None:
+    """Seconds, with fractions or without; dates are no use between clocks that differ."""
+    try:
+        seconds = float(value) if value is not None else math.nan
+    except ValueError:
+        return None
+    return seconds if 0.0 <= seconds <= MAX_DEADLINE_SECONDS else None
+
+
 def _is_hexadecimal(name: bytes) -> bool:
     try:
         int(name, 16)
--- a/src/milletcourse/exchange/messages.py
+++ b/src/milletcourse/exchange/messages.py
@@ -124,6 +124,7 @@
         encoded: The body has a content encoding, so it isn't the server's own.
         event_stream: The body is a series of events.
         limit: Requests a second that the server takes, as it says now.
+        retry_after_seconds: Time for which the server wants no more, None when not told.
     """
 
     status: int
@@ -141,6 +142,7 @@
     encoded: bool
     event_stream: bool
     limit: LimitReading = NO_LIMIT
+    retry_after_seconds: float | None = None
 
     @property
     def framed(self) -> bool:
--- a/src/milletcourse/exchange/server_health.py
+++ b/src/milletcourse/exchange/server_health.py
@@ -17,6 +17,9 @@
 """Part of the penalty that is left after an answer."""
 BUSY_PAUSE_SECONDS = 0.15
 """A server that turned a request away is passed over this long when others are free."""
+MAX_TOLD_WAIT_SECONDS = 5.0
+"""A server that wants nothing for longer is looked at again after this: it may have said so before
+a change that it can't tell of."""
 TALLY_HALF_LIFE_SECONDS = 1.5
 """What is told to other gateways counts half after this time."""
 MAX_TOLD_BAD = 2
@@ -68,7 +71,7 @@
                 self._pause_seconds = FIRST_EJECTION_SECONDS
             return
         if result is AttemptResult.TURNED_AWAY:
-            self._busy_until = now + BUSY_PAUSE_SECONDS
+            self._busy_until = max(self._busy_until, now + BUSY_PAUSE_SECONDS)
             return
         weight = _WEIGHTS.get(result, 0.0)
         if weight == 0.0:
@@ -96,6 +99,11 @@
         """An attempt was given up for reasons that say nothing about the server."""
         self._trial_running = False
 
+    def on_told_to_wait(self, seconds: float, now: float) -> None:
+        """It turned a request away and said for how long it wants no more."""
+        until = now + min(seconds, MAX_TOLD_WAIT_SECONDS)
+        self._busy_until = max(self._busy_until, until)
+
     def on_order(self, until: float) -> None:
         """The server is taking new weights until about this time."""
         self._busy_until = max(self._busy_until, until)
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/attempt.py
@@ -65,6 +65,8 @@
         left: Why this gateway gave it up, None when it didn't.
         silence: How long the server had been silent when it was given up.
         sent_at: Monotonic time of the send.
+        told_wait_seconds: Time for which the server that turned it away wants no more, None when it
+            didn't say.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         self.loss: LossCause | None = None
         self.left: LeaveCause | None = None
         self.silence = Silence()
+        self.told_wait_seconds: float | None = None
         self._listener = listener
         self._context = context
         self._job = job
@@ -265,6 +268,9 @@
 
     def _judge_whole(self, head: AnswerHead, body: bytes) -> AttemptResult:
         result = judge_answer(head, self._instance.name, self._dispatch.weight_version)
+        if result is AttemptResult.TURNED_AWAY and head.retry_after_seconds is not None:
+            self.told_wait_seconds = head.retry_after_seconds
+            self._instance.health.on_told_to_wait(head.retry_after_seconds, self._context.now())
         if result is AttemptResult.WRONG_INSTANCE and head.instance not in (
             "",
             self._instance.name,
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -89,6 +89,8 @@
         self._denied: set[str] = set()
         """Servers whose own limit left no room for it."""
         self._handover = StreamHandover(context, self._open_successor, self._on_failed_offer)
+        self._told_waits: list[float] = []
+        """For how long the servers that turned it away want no more."""
         self._end_cause: LeaveCause | None = None
         self._servers: list[VisitedServer] = []
         self._end_timer: asyncio.TimerHandle | None = None
@@ -204,6 +206,8 @@
             self._plan.on_send()
         if result not in (AttemptResult.ANSWERED, AttemptResult.WRONG_VERSION):
             self._tried.add(visit.instance.name)
+        if visit.attempt.told_wait_seconds is not None:
+            self._told_waits.append(visit.attempt.told_wait_seconds)
         self._plan.on_result(result)
 
     def _record_end(self, visit: Visit, result: AttemptResult, step: NextStep) -> None:
@@ -391,7 +395,8 @@
             return DeadlineUnreachable("no server took it in time", retry_after)
         if self._denied:
             return self._no_server()
-        return Overloaded("servers turned it away", retry_after)
+        soonest = min(self._told_waits, default=0.0)
+        return Overloaded("servers turned it away", max(retry_after, soonest))
 
     def _refuse(self, failure: Failure) -> None:
         self._context.record.failure(failure, self._job.request, self._job.route)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -23,6 +23,7 @@
 from gateway_behaviours import PROMPT
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
+    Behaviour,
     Client,
     ClientAnswer,
     ReceivedRequest,
@@ -30,6 +31,7 @@
     answer,
     chunk,
     event,
+    serve_whole,
     signed,
     stream_head,
 )
@@ -322,3 +324,54 @@
         assert began == [began[0]]
 
     run_with_gateway(scenario)
+
+
+def _turning_away(seconds: str) -> Behaviour:
+    """A server that takes nothing now, and says for how long."""
+
+    async def behave(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        fields = {"Request-Id": request.request_id, "Not-Executed": "1", "Retry-After": seconds}
+        writer.write(answer(503, b"", fields))
+
+    return behave
+
+
+async def _slowly(
+    server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await asyncio.sleep(2 * SLOWER_SECONDS)
+    await serve_whole(server, request, writer)
+
+
+def test_a_server_that_says_when_it_takes_more_is_not_asked_before() -> None:
+    """It was asked again after 0.15 s, however long it had said."""
+
+    async def scenario(harness: Harness) -> None:
+        busy = await harness.add_server("s-1", "app", _turning_away("2.5"))
+        await harness.add_server("s-2", "app", _slowly)
+        await harness.start()
+        client = await harness.client()
+        ends_at = asyncio.get_running_loop().time() + 1.5
+        while asyncio.get_running_loop().time() < ends_at:
+            assert (await client.ask("/safe/")).status == 200
+            await asyncio.sleep(0.01)
+        assert len(busy.received) <= 1
+
+    run_with_gateway(scenario)
+
+
+def test_callers_are_told_the_soonest_time_that_servers_said() -> None:
+    """A time that is none, or a date, says nothing."""
+
+    async def scenario(harness: Harness) -> None:
+        for name, seconds in (("s-1", "2.5"), ("s-2", "3"), ("s-3", "soon")):
+            await harness.add_server(name, "app", _turning_away(seconds))
+        await harness.start()
+        client = await harness.client()
+        result = await client.ask("/safe/")
+        assert result.status == 503
+        assert float(result.headers["retry-after"]) >= 2.5
+
+    run_with_gateway(scenario)
