--- a/src/milletcourse/cli/main.py
+++ b/src/milletcourse/cli/main.py
@@ -17,6 +17,7 @@
     explain,
     explain_losses,
     explain_request,
+    limits,
     mechanisms,
     router,
     simulate,
@@ -41,6 +42,7 @@
 app.command("demo")(demo.run_demo)
 app.add_typer(configuration.app, name="config")
 app.add_typer(contained.app, name="contained")
+app.command("limits")(limits.list_limits)
 app.command("explain")(explain.run_explain)
 app.command("mechanisms")(mechanisms.list_mechanisms)
 app.command("explain-losses")(explain_losses.explain_losses)
--- a/src/milletcourse/exchange/tenant_limits.py
+++ b/src/milletcourse/exchange/tenant_limits.py
@@ -175,28 +175,33 @@
                 uses.append(TenantUse(account.key, rate))
         return uses
 
+    def states(self, now: float) -> list[LimitState]:
+        """What is known of all tenants with a limit."""
+        return [self._state(name, account, now) for name, account in self._accounts.items()]
+
     def due_notes(self, now: float) -> list[LimitState]:
         """States of tenants that were refused, once in a while each."""
         notes = []
         for name, account in self._accounts.items():
             if not account.refused or now - account.noted_at < NOTE_SECONDS:
                 continue
-            own = account.use.per_second(now)
-            known = self._known_use(account, now)
-            notes.append(
-                LimitState(
-                    tenant=name,
-                    per_second=account.bucket.per_second,
-                    used_per_second=own + known.others_per_second,
-                    own_per_second=own,
-                    known_part=known.part,
-                    refused=account.refused,
-                )
-            )
+            notes.append(self._state(name, account, now))
             account.refused = 0
             account.noted_at = now
         return notes
 
+    def _state(self, name: str, account: Account, now: float) -> LimitState:
+        own = account.use.per_second(now)
+        known = self._known_use(account, now)
+        return LimitState(
+            tenant=name,
+            per_second=account.bucket.per_second,
+            used_per_second=own + known.others_per_second,
+            own_per_second=own,
+            known_part=known.part,
+            refused=account.refused,
+        )
+
 
 def granted_beyond(limit: TenantLimit, tolerance: LimitTolerance) -> float:
     """The rate that is granted beside the limit's: a part of the tolerance over its window."""
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/exchange.py
@@ -283,6 +283,9 @@
             if permit is not None:
                 return Destination(choice.instance, permit)
             self._denied.add(choice.instance.name)
+            state = context.permits.state(choice.instance)
+            if state is not None:
+                context.record.at_limit(state, self._job.request)
             choice = self._select()
         return self._no_server()
 
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -1,4 +1,4 @@
-"""What operators may ask of one gateway: its figures, and the requests that it doesn't send.
+"""What operators may ask of one gateway: figures, limits, and requests that it does not send.
 
 It listens on a port of the machine that clients don't reach.
 """
@@ -13,10 +13,12 @@
 from milletcourse.errors import NotFound
 from milletcourse.exchange.messages import HeaderField
 from milletcourse.exchange.request_identity import identity_text
+from milletcourse.exchange.tenant_limits import LimitState
 from milletcourse.gateway.client_connection import ClientConnection
 from milletcourse.gateway.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
 from milletcourse.gateway.refusals import refuse
 from milletcourse.gateway.request_reader import ClientRequest
+from milletcourse.gateway.server_permits import ServerLimitState
 
 if TYPE_CHECKING:
     from milletcourse.gateway.metrics import GatewayMetrics
@@ -24,6 +26,7 @@
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4"
 JSON_CONTENT_TYPE = b"application/json"
 CONTAINED_PATH = "/contained"
+LIMITS_PATH = "/limits"
 
 
 class ShownContainment(msgspec.Struct, frozen=True):
@@ -42,6 +45,18 @@
     seconds_left: float
 
 
+class ShownLimits(msgspec.Struct, frozen=True):
+    """All bounds that gateways keep together, as one of them knows them.
+
+    Attributes:
+        servers: Servers that limit their requests.
+        tenants: Tenants with a limit; `refused` counts since the latest line about it.
+    """
+
+    servers: list[ServerLimitState]
+    tenants: list[LimitState]
+
+
 class OperatorApi:
     """Answers on the operators' port."""
 
@@ -73,10 +88,12 @@
             _answer(client, METRICS_CONTENT_TYPE, self._metrics.render())
         elif request.method == b"GET" and path == CONTAINED_PATH:
             _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(self._contained()))
+        elif request.method == b"GET" and path == LIMITS_PATH:
+            _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(self._limits()))
         elif request.method == b"DELETE" and path.startswith(CONTAINED_PATH + "/"):
             self._release(path.removeprefix(CONTAINED_PATH + "/"), client)
         else:
-            refuse(client, NotFound("figures, contained requests, and nothing else"))
+            refuse(client, NotFound("figures, limits, contained requests, and nothing else"))
 
     def _contained(self) -> list[ShownContainment]:
         now = self._context.now()
@@ -90,6 +107,14 @@
             for item in self._context.crash_evidence.containments(now)
         ]
 
+    def _limits(self) -> ShownLimits:
+        context = self._context
+        servers = (context.permits.state(instance) for instance in context.instances)
+        return ShownLimits(
+            sorted((item for item in servers if item is not None), key=lambda item: item.instance),
+            context.tenant_limits.states(context.now()),
+        )
+
     def _release(self, content: str, client: ClientConnection) -> None:
         """Send a request again, at all gateways: they are told as of an answer to it."""
         if content not in {item.content for item in self._contained()}:
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/recorder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 import msgspec
@@ -19,6 +20,7 @@
 from milletcourse.exchange.tenant_limits import LimitState
 from milletcourse.gateway.event_log import EventLog
 from milletcourse.gateway.figures import Figures
+from milletcourse.gateway.server_permits import ServerLimitState
 from milletcourse.gateway.unanswered import UnansweredRequest
 
 MAX_UNREADABLE_LIMITS = 100
@@ -273,6 +275,10 @@
             told_by=told_by,
         )
 
+    def at_limit(self, state: ServerLimitState, request: ExchangeRequest) -> None:
+        """A request wasn't sent to a server, which has got what it takes."""
+        self._log.emit("server-at-limit", **asdict(state), request_id=request.request_id)
+
     def limit_unreadable(self, instance: str, shown: str) -> None:
         """A server names a limit that is no number; told once until it says something else."""
         if self._unreadable_limits.get(instance) == shown:
--- a/src/milletcourse/gateway/server_permits.py
+++ b/src/milletcourse/gateway/server_permits.py
@@ -43,6 +43,25 @@
     valid_until: float
 
 
+@dataclass(frozen=True)
+class ServerLimitState:
+    """What a gateway knows of a server's limit, for operators.
+
+    Attributes:
+        instance: The server.
+        per_second: Requests a second that it takes from all gateways together.
+        said: Seconds since an answer, here or at another gateway, said so last.
+        lender: Gateway that is asked for each request to it.
+        standing: As what that one lends: home, deputy or alone.
+    """
+
+    instance: str
+    per_second: float
+    said: float
+    lender: str
+    standing: str
+
+
 SendMessage = Callable[[str, UnitMessage], None]
 """Sends a message to a gateway by name."""
 
@@ -128,6 +147,16 @@
         """Whether a server names a limit."""
         return self._limits.per_second(instance.key) is not None
 
+    def state(self, instance: Instance) -> ServerLimitState | None:
+        """What is known of a server's limit, None when it names none."""
+        per_second = self._limits.per_second(instance.key)
+        if per_second is None:
+            return None
+        now = self._now()
+        lender = self.homes.lender(instance.key, now)
+        said = round(self._limits.age(instance.key, now), 3)
+        return ServerLimitState(instance.name, per_second, said, lender.name, lender.standing.value)
+
     def promise(self, instances: Iterable[Instance]) -> float | None:
         """Seconds after which a refused caller may be served by one of these servers.
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -20,6 +20,9 @@
 import json
 from typing import Any
 
+from click.testing import Result
+from typer.testing import CliRunner
+
 from gateway_behaviours import PROMPT
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
@@ -35,6 +38,7 @@
     signed,
     stream_head,
 )
+from milletcourse.cli.main import app
 from milletcourse.exchange.instance_table import Instance
 from milletcourse.gateway.node import GatewayNode
 from milletcourse.gateway.server_connection import ServerConnection
@@ -375,3 +379,31 @@
         assert float(result.headers["retry-after"]) >= 2.5
 
     run_with_gateway(scenario)
+
+
+def test_operators_see_limits_and_which_request_met_one() -> None:
+    """By the command at any gateway, and from a request's id."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = LimitedFleet(harness)
+        await fleet.start({"s-1": "1"})
+        met: list[dict[str, Any]] = []
+        for node in fleet.nodes:
+
+            def emit(event: str, **fields: Any) -> None:
+                if event == "server-at-limit":
+                    met.append(fields)
+
+            setattr(node.context.record._log, "emit", emit)  # noqa: B010
+        await fleet.load(0.5)
+        port = await fleet.nodes[1].listen_for_operators(0, "/metrics")
+        listed: Result = await asyncio.to_thread(
+            CliRunner().invoke, app, ["limits", "--gateway", port]
+        )
+        [shown] = [json.loads(line) for line in listed.output.splitlines()]
+        assert (shown["instance"], shown["per_second"]) == ("s-1", 1.0)
+        assert shown["lender"] in {node.context.settings.name for node in fleet.nodes}
+        assert met and met[0]["request_id"].startswith("request-")
+        assert met[0]["instance"] == "s-1" and met[0]["said"] < 2.0
+
+    run_with_gateway(scenario)
