--- a/src/milletcourse/exchange/dialect.py
+++ b/src/milletcourse/exchange/dialect.py
@@ -59,9 +59,7 @@
     cache_target: str = "Milletcourse-Cache-Target"
     priority: str = "Milletcourse-Priority"
     """Dropped from what clients send, and never set: a server that knows ranks lets urgent requests
-    displace running ones, which are then read anew. With a quarter of 45 servers gone 1,075 of some
-    8,000 requests were displaced, and without ranks none (simulated, 34 s). What is less urgent is
-    refused sooner instead."""
+    displace running ones, which are then read anew. What is less urgent is refused sooner."""
     signature: str = "Milletcourse-Signature"
     not_executed: str = "Milletcourse-Not-Executed"
     answer_instance: str = "Milletcourse-Answer-Instance"
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/instance_selector.py
@@ -48,18 +48,16 @@
 FAR_SAMPLE = 2
 """Servers of other zones that are compared."""
 BELIEVED_SECONDS = 4.0
-"""What a gateway sent to a server longer ago may have given way to what others sent: engines keep a
-part some ten seconds after its last use on a busy day. 4 s and 10 s served alike (trial E3)."""
+"""What a gateway sent to a server longer ago may have given way to what others sent."""
 MAX_HOLDERS = 4
 """Servers believed to hold a prompt that are compared."""
 AVOIDED_SECONDS = 0.15
 """Cost of running a long prompt beside streams, or a stream beside long prompts: as much as a few
-pieces of a prompt that is read take. Played at this value only (docs/POLICY.md, round L5)."""
+pieces of a prompt that is read take."""
 SUPERSEDED_SECONDS = 0.08
 """Cost of a server whose weights are superseded for longer than the grace time, while others have
-newer ones. An answer by them loses a fifth of its worth, and what still runs when the server takes
-new weights loses more: with five names in 34 s both took 0.076 of all worth from 45 servers'
-requests, and with this 0.039 (simulated)."""
+newer ones: an answer by them is worth less, and what still runs when the server takes new weights
+less again."""
 JITTER_SHARE = 0.25
 """Random part of an application server's cost, so that gateways don't choose alike."""
 
--- a/src/milletcourse/exchange/load_exchange.py
+++ b/src/milletcourse/exchange/load_exchange.py
@@ -32,11 +32,10 @@
 TICK_SECONDS = 0.05
 """A changed load is told this often."""
 DIGEST_SECONDS = 0.1
-"""Sums are told this often: some 5 KB a second to each gateway, at 45 servers under load."""
+"""Sums are told this often."""
 ENTRY_SECONDS = 0.0003
-"""Sums of many servers are told less often, by this time for each server with load. At 3,001
-servers the busiest reader sent 7.6 MB a second with ten sums a second, 6.8 with this, and the same
-processor time reached 20.8 s of a simulated day instead of 17.0. Up to 333 nothing changes."""
+"""Sums of many servers are told less often, by this time for each server with load, so that what a
+reader sends doesn't grow with the square of the fleet."""
 MAX_DIGEST_SECONDS = 0.4
 """But at least this often, so that a lost message doesn't make what is known stale."""
 REPEAT_SECONDS = 0.4
@@ -51,8 +50,8 @@
 """A reader tells requests that are suspected to end servers again after this time, so that a
 gateway that has just started or was cut off knows them about a second later."""
 FOLLOWER_RETELLS_SECONDS = 5.0
-"""A follower does so for a reader that has started since: 20 requests told by 420 followers come to
-100 KB a second at a reader."""
+"""A follower does so for a reader that has started since; less often, as readers have many
+followers."""
 
 
 class Outgoing(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/tenant_limits.py
+++ b/src/milletcourse/exchange/tenant_limits.py
@@ -22,10 +22,7 @@
 OVERAGE_USED = 0.6
 SLACK_USED = 0.8
 """Parts of the tolerance that are granted, since a refusal within it is lost to the caller. What is
-left is for what gateways spend before the others hear of it. With 0.8 and 0.95, a tenant at 4.9
-times its usual had 1.01 of what is allowed run in a window, on one of four simulated days of 79
-gateways; in the model a hot one comes to 1.00 of its limit, not 1.05 (`milletcourse experiment
-limits`)."""
+left is for what gateways spend before the others hear of it."""
 NOTE_SECONDS = 1.0
 """The refusals of a tenant are told to operators once in this time."""
 
