--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -10,6 +10,7 @@
 import typer
 
 from milletcourse.errors import FailureError, InvalidObject
+from milletcourse.experiments.allowance_model import compare_allowances
 from milletcourse.experiments.cluster_model import FarImports
 from milletcourse.experiments.containment_model import compare_containment
 from milletcourse.experiments.faults import PLANS
@@ -52,6 +53,17 @@
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
 
 
+@app.command("allowances")
+def allowances(
+    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5,79",
+    per_second: Annotated[str, typer.Option(help="Limits in requests a second.")] = "1,8",
+    seed: Annotated[int, typer.Option(help="Of the requests, the same for each way.")] = 1,
+) -> None:
+    """Ways to keep to the limit that a server names, on the same requests."""
+    for figures in compare_allowances(read_sizes(gateways), read_sizes(per_second), seed):
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+
+
 @app.command("containment")
 def containment(
     gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "8,79",
--- /dev/null
+++ b/src/milletcourse/experiments/allowance_model.py
@@ -0,0 +1,209 @@
+"""Compares ways in which many gateways keep to the limit that a server names, in a small model.
+
+Requests come at random to gateways that have uneven parts of them. What is lent is decided by the
+product's own cores; only requests, delays and troubles are made up.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from enum import Enum
+
+import msgspec
+
+from milletcourse.experiments.allowance_ways import (
+    BURST_UNITS,
+    Borrower,
+    EqualPart,
+    Spender,
+    ToldNews,
+    ToldUse,
+    Way,
+    spenders_of,
+)
+
+WINDOW_SECONDS = 4.0
+BORNE_SHARE = 1.5
+BORNE_BESIDE = 5.0
+"""A server bears one and a half times its limit in a window, and this many requests beside."""
+RUN_SECONDS = 60.0
+EVENT_SECONDS = 20.0
+"""When a trouble begins."""
+TROUBLE_SECONDS = 15.0
+USUAL_DEMAND = 1.5
+"""Requests that want to go to the server, against its limit."""
+HOT_DEMAND = 20.0
+
+
+class Trouble(Enum):
+    """What happens to the gateways."""
+
+    USUAL = "demand of 1.5"
+    HOT = "demand of 20"
+    ONE_SIDED = "one gateway has nine tenths of a demand of 1.5"
+    QUIET_THEN_HOT = "no demand, then one of 20"
+    CUT = "demand of 20, a third cut off"
+    RESTARTED = "demand of 20, all restart"
+    VIEWS = "demand of 20, lists that lack a fifth of the gateways"
+
+
+class AllowanceFigures(msgspec.Struct, frozen=True):
+    """What one play gave.
+
+    Attributes:
+        way: How the limit was shared.
+        trouble: What happened.
+        gateways: How many.
+        per_second: The limit.
+        most_of_borne: Most requests in a window, as a share of what the server bears.
+        windows_over: Requests whose window held more than that.
+        used: Requests sent, as a share of the limit.
+        messages_a_second: Sent by all gateways together.
+    """
+
+    way: Way
+    trouble: Trouble
+    gateways: int
+    per_second: float
+    most_of_borne: float
+    windows_over: int
+    used: float
+    messages_a_second: float
+
+
+class AllowanceModel:
+    """One server's limit at many gateways."""
+
+    def __init__(
+        self, way: Way, trouble: Trouble, gateways: int, per_second: float, seed: int
+    ) -> None:
+        """A play.
+
+        Args:
+            way: How the limit is shared.
+            trouble: What happens.
+            gateways: How many gateways.
+            per_second: The limit.
+            seed: Of all that is random; the same requests for each way.
+        """
+        self._way = way
+        self._trouble = trouble
+        self._per_second = per_second
+        self._random = random.Random(seed)
+        self._names = [f"gateway-{number:03}" for number in range(gateways)]
+        self._cut: set[str] = set()
+        self._news = ToldNews()
+        self._spenders: dict[str, Spender] = {}
+        self._borrowers: dict[str, Borrower] = {}
+        self._messages = 0
+        self._sent: list[float] = []
+        self._start_all(0.0)
+
+    def _start_all(self, now: float) -> None:
+        self._messages += sum(spender.messages for spender in self._spenders.values())
+        # Of its own, so that each way gets the same requests.
+        source = random.Random(len(self._names))
+        for number, name in enumerate(self._names):
+            self._spenders[name] = self._start(number, name, now, source)
+
+    def _start(self, number: int, name: str, now: float, source: random.Random) -> Spender:
+        count = len(self._names)
+        if self._way is Way.PARTS:
+            return EqualPart(self._per_second / count, 1.0, now)
+        if self._way is Way.FEW:
+            spenders = spenders_of(self._per_second, count)
+            part = self._per_second / spenders if number < spenders else 0.0
+            return EqualPart(part, max(BURST_UNITS / spenders, 1.0), now)
+        if self._way is Way.TOLD:
+            return ToldUse(self._per_second, lambda at: self._news.on_send(name, at), now)
+        others = [other for other in self._names if other != name]
+        if self._trouble is Trouble.VIEWS:
+            others = [other for other in others if source.random() > 0.2]
+        borrower = Borrower(name, others, self._per_second, self._borrowers, self._reaches, source)
+        self._borrowers[name] = borrower
+        return borrower
+
+    def _reaches(self, sender: str, receiver: str) -> bool:
+        return (sender in self._cut) == (receiver in self._cut)
+
+    def run(self) -> AllowanceFigures:
+        """Play it, and judge what was sent."""
+        weights = self._weights()
+        now = 0.0
+        has_restarted = False
+        while now < RUN_SECONDS:
+            now += self._random.expovariate(HOT_DEMAND * self._per_second)
+            is_wanted = self._random.random() < self._demand(now) / HOT_DEMAND
+            name = self._random.choices(self._names, weights)[0]
+            if self._trouble is Trouble.CUT:
+                is_on = EVENT_SECONDS <= now < EVENT_SECONDS + TROUBLE_SECONDS
+                self._cut = set(self._names[::3]) if is_on else set()
+            if self._trouble is Trouble.RESTARTED and now >= EVENT_SECONDS and not has_restarted:
+                has_restarted = True
+                self._start_all(now)
+            self._tell(now)
+            if is_wanted and self._spenders[name].may_send(now):
+                self._sent.append(now)
+        return self._figures()
+
+    def _weights(self) -> list[float]:
+        weights = [self._random.random() + 0.05 for _ in self._names]
+        if self._trouble is Trouble.ONE_SIDED:
+            weights[-1] = 9.0 * sum(weights[:-1]) if len(weights) > 1 else 1.0
+        return weights
+
+    def _demand(self, now: float) -> float:
+        if self._trouble in (Trouble.USUAL, Trouble.ONE_SIDED):
+            return USUAL_DEMAND
+        if self._trouble is Trouble.QUIET_THEN_HOT and now < EVENT_SECONDS:
+            return 0.0
+        return HOT_DEMAND
+
+    def _tell(self, now: float) -> None:
+        for at, sender in self._news.due(now):
+            for name, spender in self._spenders.items():
+                if name != sender and self._reaches(sender, name):
+                    spender.hear(at)
+
+    def _figures(self) -> AllowanceFigures:
+        borne = BORNE_SHARE * self._per_second * WINDOW_SECONDS + BORNE_BESIDE
+        window: deque[float] = deque()
+        most = over = 0
+        for at in self._sent:
+            window.append(at)
+            while at - window[0] > WINDOW_SECONDS:
+                window.popleft()
+            most = max(most, len(window))
+            over += len(window) > borne
+        seconds = RUN_SECONDS
+        if self._trouble is Trouble.QUIET_THEN_HOT:
+            seconds -= EVENT_SECONDS
+        messages = self._messages + sum(item.messages for item in self._spenders.values())
+        return AllowanceFigures(
+            way=self._way,
+            trouble=self._trouble,
+            gateways=len(self._names),
+            per_second=self._per_second,
+            most_of_borne=round(most / borne, 3),
+            windows_over=over,
+            used=round(len(self._sent) / (self._per_second * seconds), 3),
+            messages_a_second=round(messages / RUN_SECONDS, 1),
+        )
+
+
+def compare_allowances(sizes: list[int], limits: list[int], seed: int) -> list[AllowanceFigures]:
+    """Figures of each way under each trouble.
+
+    Args:
+        sizes: Numbers of gateways.
+        limits: Requests a second that the server takes.
+        seed: Of all that is random.
+    """
+    return [
+        AllowanceModel(way, trouble, size, float(limit), seed).run()
+        for size in sizes
+        for limit in limits
+        for trouble in Trouble
+        for way in Way
+    ]
