--- a/Makefile
+++ b/Makefile
@@ -36,4 +36,5 @@
 # The same with fixed seeds, and planned work alone, for CI: about a minute and a half.
 soak-short: $(STAMP)
 	$(VENV)/bin/python tests/soak/run.py --seeds 1:3 --seconds 12
+	$(VENV)/bin/python tests/soak/run.py --seeds 4:4 --seconds 15 --limits
 	$(VENV)/bin/python tests/soak/planned.py --seeds 1:1 --seconds 15 --at-a-time 3
--- a/tests/soak/limit_ledger.py
+++ b/tests/soak/limit_ledger.py
@@ -77,6 +77,17 @@
         borne = BORNE_SHARE * per_second * WINDOW_SECONDS + BORNE_BESIDE
         return LimitUse(most, borne, len(times) / (per_second * (last - first)))
 
+    def figures(self, now: float) -> dict[str, float]:
+        """How limits were kept: stretches, most against what is borne, share used."""
+        uses = [use for kept in self.uses(now).values() for use in kept]
+        if not uses:
+            return {}
+        return {
+            "stretches": len(uses),
+            "most_of_borne": round(max(use.most / use.borne for use in uses), 3),
+            "used": round(sum(use.used for use in uses) / len(uses), 3),
+        }
+
     def over(self) -> list[str]:
         """Servers that got more than they bear."""
         return [
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -27,6 +27,7 @@
 from soak.answers import LOST
 from soak.clients import SHORT_PROMPT, Habits, SoakClient
 from soak.entry import Entry
+from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
 from soak.world import DEFAULT_GATEWAYS, GATEWAY_PROGRAM, GatewayProcess, SoakWorld
 
@@ -46,10 +47,6 @@
 READY_SECONDS = 30.0
 CALM_SECONDS = 1.0
 HOLD_PAUSE_SECONDS = 1.0
-LIMITED_SECONDS = (8.0, 14.0)
-UNLIMITED_SECONDS = (0.5, 2.0)
-ALL_LIMITED = 0.3
-"""Chance that all servers limit their requests at once."""
 MAX_OWN_ABSENCE_SECONDS = 0.3
 """With less standing still of this process in all, no server in it was silent for a second."""
 JUDGEMENTS = ("left", "instance-ejected", "instance-suspected", "stream-cut")
@@ -109,22 +106,6 @@
         world.holds += 1
 
 
-async def limit_servers(world: SoakWorld, share: float, limit: float) -> None:
-    """Some servers limit their requests for a while, others after them; at times all do."""
-    while True:
-        servers = list(world.servers.values())
-        count = max(round(share * len(servers)), 1)
-        chosen = servers
-        if world.random.random() >= ALL_LIMITED:
-            chosen = world.random.sample(servers, count)
-        for server in chosen:
-            server.name_limit(round(limit * world.random.uniform(0.5, 1.5), 2))
-        await asyncio.sleep(world.random.uniform(*LIMITED_SECONDS))
-        for server in chosen:
-            server.name_limit(None)
-        await asyncio.sleep(world.random.uniform(*UNLIMITED_SECONDS))
-
-
 @dataclass(frozen=True)
 class PlannedRun:
     """One run of planned work.
@@ -244,7 +225,7 @@
         "holds": world.holds,
         "own_absence": round(world.clock.absent_seconds, 2),
         "judged": {name: events[name] for name in JUDGEMENTS if events[name]},
-        "limits": limit_figures(world),
+        "limits": world.ledger.limits.figures(time.monotonic()),
         "outcomes": dict(sorted(world.ledger.outcomes.items())),
         "verdicts": dict(Counter(verdict.value for verdict in verdicts.values())),
         "lost": [
@@ -263,18 +244,6 @@
     }
 
 
-def limit_figures(world: SoakWorld) -> dict[str, float]:
-    """How limits of servers were kept: stretches, most against what is borne, share used."""
-    uses = [use for kept in world.ledger.limits.uses(time.monotonic()).values() for use in kept]
-    if not uses:
-        return {}
-    return {
-        "stretches": len(uses),
-        "most_of_borne": round(max(use.most / use.borne for use in uses), 3),
-        "used": round(sum(use.used for use in uses) / len(uses), 3),
-    }
-
-
 def is_blame(line: dict[str, Any]) -> bool:
     """Whether a gateway left, or judged, a server for its silence."""
     if line["event"] == "instance-ejected":
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import sys
+import time
 from collections import Counter
 from collections.abc import Coroutine
 from pathlib import Path
@@ -21,11 +22,16 @@
 from soak.answers import LOST
 from soak.clients import CRASHING_BODIES, CrashingCaller, SoakClient
 from soak.faults import FAULTS
+from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
 from soak.world import DEFAULT_GATEWAYS, TENANTS, SoakWorld
 from soak.writers import restart_servers, write_strange_entries
 
 CLIENTS = 12
+LIMITED = 0.5
+"""Share of the servers that limit their requests on demand."""
+LIMIT = 2.0
+"""Requests a second that they take, more or less."""
 SETTLE_SECONDS = 3.0
 """Calm at the end, before recovery is judged."""
 JUDGED_SECONDS = 3.0
@@ -35,7 +41,12 @@
 
 
 async def soak(
-    seed: int, seconds: float, folder: Path, gateways: int, writers: bool = False
+    seed: int,
+    seconds: float,
+    folder: Path,
+    gateways: int,
+    writers: bool = False,
+    limits: bool = False,
 ) -> Report:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, gateways)
@@ -53,8 +64,11 @@
                 *((restart_servers(world), write_strange_entries(world)) if writers else ()),
             )
         ]
+        limiting = asyncio.create_task(limit_servers(world, LIMITED, LIMIT)) if limits else None
         running = await draw_faults(world, seconds)
         await asyncio.gather(*running)
+        if limiting is not None:
+            limiting.cancel()
         await asyncio.sleep(SETTLE_SECONDS)
         before = dict(world.ledger.outcomes)
         await asyncio.sleep(JUDGED_SECONDS)
@@ -63,6 +77,7 @@
         check_contained(world)
         world.ledger.check_late()
         check_lost(world)
+        world.ledger.check_limits()
         failed = [task for task in background if task.done() and task.exception() is not None]
         for task in failed:
             world.ledger.violate("soak", repr(task.exception()))
@@ -78,6 +93,7 @@
         "starts": sum(gateway.starts for gateway in world.gateways),
         "ends": sorted(ledger.ends.values()),
         "outcomes": dict(sorted(ledger.outcomes.items())),
+        "limits": ledger.limits.figures(time.monotonic()),
         "violations": ledger.violations[:20],
     }
 
@@ -155,10 +171,18 @@
         action="store_true",
         help="servers start again under their names, and strange entries are written",
     )
+    parser.add_argument("--limits", action="store_true", help="servers limit their requests")
     arguments = parser.parse_args()
 
     def play(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
-        return soak(seed, arguments.seconds, folder, arguments.gateways, arguments.other_writers)
+        return soak(
+            seed,
+            arguments.seconds,
+            folder,
+            arguments.gateways,
+            arguments.other_writers,
+            arguments.limits,
+        )
 
     return play_seeds(arguments.seeds, arguments.keep, play)
 
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -65,6 +65,8 @@
 
     async def crash(self) -> None:
         """End at once; connections break."""
+        if self.limit is not None:
+            self.name_limit(None)
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
