What servers said that are gone is forgotten, and pauses that are over

Found by reading: the limit of a server that ended while it named one was kept and told each second for ever (64 in a message at most), and its pause too.

--- a/src/milletcourse/exchange/limits/ask_pauses.py
+++ b/src/milletcourse/exchange/limits/ask_pauses.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -48,10 +48,24 @@
         pause = self._pauses.get(key)
         return pause is not None and now < pause.until
 
+    def paused(self, now: float) -> Collection[int]:
+        """Allowances for which asking would be in vain; mostly none, which costs nothing."""
+        if not self._pauses:
+            return ()
+        return {key for key in self._pauses if self.is_paused(key, now)}
+
     def end(self, key: int) -> None:
         """The allowance has changed, or is none any more."""
         self._pauses.pop(key, None)
 
+    def expire(self, now: float) -> None:
+        """Forget pauses that are over, and what was promised in them."""
+        over = [
+            key for key, pause in self._pauses.items() if now >= max(pause.until, pause.promised_at)
+        ]
+        for key in over:
+            del self._pauses[key]
+
     def promise(self, keys: Iterable[int], now: float) -> float | None:
         """Seconds after which a refused caller may be served; None when none of them is paused.
 
--- a/src/milletcourse/exchange/load/server_limits.py
+++ b/src/milletcourse/exchange/load/server_limits.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 
 import msgspec
@@ -18,7 +18,8 @@
 MAX_TOLD = 64
 """Words in one message; a datagram holds some thousand bytes."""
 ENDED_SECONDS = 60.0
-"""That a limit has ended is remembered this long, so that older words of it don't bring it back."""
+"""That a limit has ended, or what a server that is gone said, is remembered this long, so that
+older words don't bring it back."""
 WORD_SECONDS = 20.0
 """A server that takes nothing is still asked once in this time: only its answers tell that it takes
 requests again."""
@@ -167,16 +168,18 @@
             return LimitChange.NAMED
         return LimitChange.ENDED if per_second is None else LimitChange.CHANGED
 
-    def forget(self, key: int) -> None:
-        """The incarnation has ended."""
-        self._known.pop(key, None)
+    def expire(self, now: float, servers: Collection[int]) -> None:
+        """Forget limits that ended long ago, and those of servers that are gone.
 
-    def expire(self, now: float) -> None:
-        """Forget limits that ended long ago."""
+        Args:
+            now: Monotonic time.
+            servers: Identities of the incarnations that there are.
+        """
         over = [
             key
             for key, known in self._known.items()
-            if known.per_second is None and now - known.said_at > ENDED_SECONDS
+            if now - known.said_at > ENDED_SECONDS
+            and (known.per_second is None or key not in servers)
         ]
         for key in over:
             del self._known[key]
--- a/src/milletcourse/exchange/placement/server_candidates.py
+++ b/src/milletcourse/exchange/placement/server_candidates.py
@@ -64,12 +64,13 @@
     def _permitted(
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
     ) -> list[Instance]:
+        paused = self._pauses.paused(now)
         instances = [
             instance
             for instance in self._table.of_service(service.name).values()
             if not instance.record.draining
             and instance.name not in tried
-            and not self._pauses.is_paused(instance.key, now)
+            and instance.key not in paused
         ]
         if not service.models or not model:
             return instances
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -166,7 +166,7 @@
             self.context.note_suspicions()
             self.context.note_limits()
             self.context.crash_watch.sweep()
-            self.context.permits.sweep()
+            self.context.permits.sweep({item.key for item in self.context.instances})
 
     async def _tally(self) -> None:
         """Sums for the log, at a bounded rate."""
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from itertools import count
 
@@ -225,7 +225,13 @@
             key, per_second, standing, self._members(), asker, rank, self._now()
         )
 
-    def sweep(self) -> None:
-        """Forget what is over."""
-        self._lender.drop_idle(self._now())
-        self._limits.expire(self._now())
+    def sweep(self, servers: Collection[int]) -> None:
+        """Forget what is over.
+
+        Args:
+            servers: Identities of the servers' incarnations that there are.
+        """
+        now = self._now()
+        self._lender.drop_idle(now)
+        self._limits.expire(now, servers)
+        self.pauses.expire(now)
--- a/tests/exchange/limits/test_allowances.py
+++ b/tests/exchange/limits/test_allowances.py
@@ -176,10 +176,22 @@
     limits.on_answer(KEY, None, 1.0, 1.0)
     limits.merge([LimitWord(KEY, 2.0, 1500)], 2.0, passes_on=False)
     assert limits.per_second(KEY) is None
-    limits.expire(ENDED_SECONDS + 2.0)
+    limits.expire(ENDED_SECONDS + 2.0, {KEY})
     assert not limits.to_tell(ENDED_SECONDS + 2.0, 0.0)
 
 
+def test_what_servers_said_that_are_gone_is_forgotten() -> None:
+    """It was told each second for ever; a server that nobody asks keeps its limit."""
+    limits = ServerLimits()
+    limits.on_answer(KEY, 2.0, 0.0, 0.0)
+    limits.on_answer(KEY + 1, 2.0, 0.0, 0.0)
+    limits.expire(ENDED_SECONDS - 1.0, ())
+    assert limits.per_second(KEY) == 2.0
+    limits.expire(ENDED_SECONDS + 1.0, {KEY + 1})
+    assert limits.per_second(KEY) is None
+    assert limits.per_second(KEY + 1) == 2.0
+
+
 def test_what_is_known_and_told_is_bounded() -> None:
     """However many servers peers make up."""
     limits = ServerLimits()
@@ -393,5 +405,11 @@
     assert promised[:3] == [0.5, 1.0, 1.5]
     assert promised[-1] == MAX_PROMISE_SECONDS
     assert pauses.is_paused(KEY, 0.6) and not pauses.is_paused(KEY, 0.8)
+    assert set(pauses.paused(0.6)) == {KEY} and not pauses.paused(0.8)
+    pauses.expire(0.8)
+    assert pauses.promise([KEY], 0.6) == pytest.approx(MAX_PROMISE_SECONDS - 0.6)
+    pauses.expire(6.0)
+    assert pauses.promise([KEY], 0.6) is None
+    pauses.on_denied(KEY, UnitReply(False, 0.5, 0.7, 2), 4.0, 0.0)
     pauses.end(KEY)
     assert not pauses.is_paused(KEY, 0.1)
