--- a/src/milletcourse/exchange/load/server_limits.py
+++ b/src/milletcourse/exchange/load/server_limits.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
 import msgspec
@@ -168,21 +168,20 @@
             return LimitChange.NAMED
         return LimitChange.ENDED if per_second is None else LimitChange.CHANGED
 
-    def expire(self, now: float, servers: Collection[int]) -> None:
+    def expire(self, now: float, servers: Callable[[], Collection[int]]) -> None:
         """Forget limits that ended long ago, and those of servers that are gone.
 
         Args:
             now: Monotonic time.
-            servers: Identities of the incarnations that there are.
+            servers: Tells the identities of the incarnations that there are.
         """
-        over = [
-            key
-            for key, known in self._known.items()
-            if now - known.said_at > ENDED_SECONDS
-            and (known.per_second is None or key not in servers)
-        ]
-        for key in over:
-            del self._known[key]
+        old = [key for key, known in self._known.items() if now - known.said_at > ENDED_SECONDS]
+        if not old:
+            return
+        present = servers()
+        for key in old:
+            if self._known[key].per_second is None or key not in present:
+                del self._known[key]
 
     # -- what gateways tell each other ----------------------------------------------------------
 
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -166,7 +166,10 @@
             self.context.note_suspicions()
             self.context.note_limits()
             self.context.crash_watch.sweep()
-            self.context.permits.sweep({item.key for item in self.context.instances})
+            self.context.permits.sweep(self._server_keys)
+
+    def _server_keys(self) -> set[int]:
+        return {instance.key for instance in self.context.instances}
 
     async def _tally(self) -> None:
         """Sums for the log, at a bounded rate."""
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -45,6 +45,7 @@
 
 SendMessage = Callable[[str, UnitMessage], None]
 """Sends a message to a gateway by name."""
+TakeWords = Callable[[Iterable[LimitWord], bool], None]
 
 
 class ServerPermits:
@@ -54,6 +55,8 @@
         homes: Which gateway lends which limit.
         pauses: Servers whose lender had no unit lately.
         send: Sends messages; what is sent before it is set is lost.
+        on_words: Takes what other gateways know of servers' limits, and whether others have to hear
+            of it from here.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         self.homes = AllowanceHomes(own_name)
         self.pauses = AskPauses()
         self.send: SendMessage = lambda name, message: None
+        self.on_words: TakeWords = lambda words, passes_on: None
         self._own_name = own_name
         self._limits = limits
         self._lender = AllowanceLender(random_source)
@@ -88,7 +92,8 @@
         self._members = members
         self._figures = figures
         self._numbers = count(1)
-        self._waiting: dict[int, asyncio.Future[UnitMessage]] = {}
+        self._waiting: dict[tuple[str, int], asyncio.Future[UnitMessage]] = {}
+        """Replies that requests wait for, by lender and number."""
 
     # -- sends ----------------------------------------------------------------------------------
 
@@ -161,7 +166,7 @@
     async def _ask_lender(self, chosen: ChosenLender, key: int, rank: int) -> UnitReply | None:
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
-        self._waiting[number] = future
+        self._waiting[chosen.name, number] = future
         self.send(
             chosen.name,
             UnitMessage(
@@ -180,7 +185,7 @@
         except TimeoutError:
             return None
         finally:
-            del self._waiting[number]
+            del self._waiting[chosen.name, number]
         if message.step is UnitStep.GRANT:
             return GRANTED
         return UnitReply(False, message.unit_ms / 1000.0, message.pause_ms / 1000.0, message.askers)
@@ -192,14 +197,13 @@
         if message.step is UnitStep.ASK:
             self._on_ask(message)
             return
-        waiting = self._waiting.get(message.number)
+        waiting = self._waiting.get((message.sender, message.number))
         if waiting is not None and not waiting.done():
             waiting.set_result(message)
 
     def _on_ask(self, ask: UnitMessage) -> None:
         if ask.per_second is not None:
-            word = LimitWord(ask.key, ask.per_second, ask.said_ms)
-            self._limits.merge([word], self._now(), passes_on=False)
+            self.on_words([LimitWord(ask.key, ask.per_second, ask.said_ms)], False)
         per_second = self._limits.income(ask.key)
         reply = GRANTED
         if per_second is not None:
@@ -225,11 +229,11 @@
             key, per_second, standing, self._members(), asker, rank, self._now()
         )
 
-    def sweep(self, servers: Collection[int]) -> None:
+    def sweep(self, servers: Callable[[], Collection[int]]) -> None:
         """Forget what is over.
 
         Args:
-            servers: Identities of the servers' incarnations that there are.
+            servers: Tells the identities of the servers' incarnations that there are.
         """
         now = self._now()
         self._lender.drop_idle(now)
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -125,6 +125,7 @@
         self.limit_watch = LimitWatch(
             self.server_limits, self.permits.pauses, self.instances, self.record, self._on_news
         )
+        self.permits.on_words = self.limit_watch.on_words
         self.gate = VersionGate(bounds.version)
         self.crash_evidence = CrashEvidence()
         self.loads = LoadExchange(settings.name, self.crash_evidence, self.server_limits)
--- a/tests/exchange/limits/test_allowances.py
+++ b/tests/exchange/limits/test_allowances.py
@@ -176,7 +176,7 @@
     limits.on_answer(KEY, None, 1.0, 1.0)
     limits.merge([LimitWord(KEY, 2.0, 1500)], 2.0, passes_on=False)
     assert limits.per_second(KEY) is None
-    limits.expire(ENDED_SECONDS + 2.0, {KEY})
+    limits.expire(ENDED_SECONDS + 2.0, lambda: {KEY})
     assert not limits.to_tell(ENDED_SECONDS + 2.0, 0.0)
 
 
@@ -185,9 +185,9 @@
     limits = ServerLimits()
     limits.on_answer(KEY, 2.0, 0.0, 0.0)
     limits.on_answer(KEY + 1, 2.0, 0.0, 0.0)
-    limits.expire(ENDED_SECONDS - 1.0, ())
+    limits.expire(ENDED_SECONDS - 1.0, set)
     assert limits.per_second(KEY) == 2.0
-    limits.expire(ENDED_SECONDS + 1.0, {KEY + 1})
+    limits.expire(ENDED_SECONDS + 1.0, lambda: {KEY + 1})
     assert limits.per_second(KEY) is None
     assert limits.per_second(KEY + 1) == 2.0
 
