--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -169,7 +169,7 @@
     OVERLAP_OVER = "overlap-over"
     """It was asked to go on with a stream, and didn't begin soon enough."""
     SERVER_LIMIT = "server-limit"
-    """The server named a limit, or the leave to send became old, before the request went out."""
+    """The server named a limit, or the permit became old, before the request went out."""
     OWN_MEANS = "own-means"
     """This gateway has no descriptor for a connection."""
     VERSION_BOUND = "version-bound"
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True)
 class Destination:
-    """A server that is to get a request, and the leave to send to it."""
+    """A server that is to get a request, and the permit to send to it."""
 
     instance: Instance
     permit: Permit
@@ -276,7 +276,7 @@
     async def _destination(
         self, choice: Choice | None, longest_wait_seconds: float = float("inf")
     ) -> Destination | Failure:
-        """The best server that may be sent to, with the leave to do so.
+        """The best server that may be sent to, with the permit to do so.
 
         Args:
             choice: The best server by its cost, None when there is none.
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -1,4 +1,4 @@
-"""Leave to send to servers that limit their requests: the one place that each send passes."""
+"""Permits to send to servers that limit their requests: the one place that each send passes."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True)
 class Permit:
-    """Leave to send one request to one server.
+    """Permission to send one request to one server.
 
     Attributes:
         key: Identity of the server's incarnation.
@@ -98,7 +98,7 @@
     # -- sends ----------------------------------------------------------------------------------
 
     async def take(self, instance: Instance, rank: int) -> Permit | None:
-        """Leave to send a request to a server; None when it has what it takes.
+        """A permit to send a request to a server; None when it has what it takes.
 
         Args:
             instance: The server.
@@ -116,7 +116,7 @@
         return None
 
     def without_limit(self, instance: Instance) -> Permit:
-        """Leave that is good until the server names a limit."""
+        """A permit that is good until the server names a limit."""
         return Permit(instance.key, float("-inf"))
 
     def may_send(self, permit: Permit, instance: Instance) -> bool:
