Clean-up: the search for a request's servers, containments and windows each stand in one place

No change of behaviour. exchange.py (440 lines) had two jobs: the search for servers with their permits is server_search.py now; what context.py (405) did for contained requests is done by the crash watch, as the limit watch does for limits; permits get all that they need when they are made. The sliding window was written four times and the bound of what a server bears three times: one copy each in experiments/, used by both models, the rig and the tests (closed windows in all, as strict or stricter).

--- a/src/milletcourse/exchange/load/load_exchange.py
+++ b/src/milletcourse/exchange/load/load_exchange.py
@@ -22,7 +22,7 @@
 from milletcourse.exchange.messages.peer_messages import (
     CrashReport,
     InstanceLoad,
-    LimitWord,
+    LimitReport,
     LoadScope,
     PeerMessage,
     ServerNotice,
@@ -342,7 +342,7 @@
         follows: bool = False,
         gateways: int = 1,
         crashes: Sequence[CrashReport] = (),
-        limits: Sequence[LimitWord] = (),
+        limits: Sequence[LimitReport] = (),
     ) -> PeerMessage:
         # Above that of an earlier process on this machine, whose clock was the same.
         self._sequence = max(self._sequence + 1, int(now * 1000))
--- a/src/milletcourse/exchange/load/server_limits.py
+++ b/src/milletcourse/exchange/load/server_limits.py
@@ -1,7 +1,7 @@
 """The limits that servers name, merged from answers here and what other gateways tell; no I/O.
 
-The newest word of a server holds: its limit, or that it names none any more. Words are told with
-the messages about load, so that gateways which don't use a server know its limit before they do.
+What a server said last holds: its limit, or that it names none any more. Reports of it are told
+with the messages about load, so that a gateway knows the limit of a server that it hasn't used yet.
 """
 
 from __future__ import annotations
@@ -11,23 +11,23 @@
 
 import msgspec
 
-from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, LimitWord
+from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, LimitReport
 
 TOLD_TIMES = 3
-"""A changed word is told so often, against loss."""
+"""A changed limit is told so often, against loss."""
 MAX_TOLD = 64
-"""Words in one message; a datagram holds some thousand bytes."""
+"""Reports in one message; a datagram holds some thousand bytes."""
 ENDED_SECONDS = 60.0
 """That a limit has ended, or what a server that is gone said, is remembered this long, so that
-older words don't bring it back."""
-WORD_SECONDS = 20.0
+older reports don't bring it back."""
+PROBE_SECONDS = 20.0
 """A server that takes nothing is still asked once in this time: only its answers tell that it takes
 requests again."""
 MAX_KNOWN = 4096
 
 
 class LimitChange(Enum):
-    """What a word of a server, or of another gateway about it, changes here."""
+    """What an answer of a server, or another gateway's report of one, changes here."""
 
     NAMED = "named"
     CHANGED = "changed"
@@ -49,7 +49,7 @@
 
 
 class KnownLimit(msgspec.Struct):
-    """The newest word of one server.
+    """What one server said last.
 
     Attributes:
         per_second: Its limit, None once it names none any more.
@@ -101,7 +101,7 @@
     def income(self, key: int) -> float | None:
         """Requests a second that may be sent to a server; None for as many as there are."""
         per_second = self.per_second(key)
-        return None if per_second is None else max(per_second, 1.0 / WORD_SECONDS)
+        return None if per_second is None else max(per_second, 1.0 / PROBE_SECONDS)
 
     def age(self, key: int, now: float) -> float:
         """Seconds since the server said so; infinite when it said nothing."""
@@ -131,23 +131,25 @@
             return None
         return self._take(key, per_second, now, passes_on=True)
 
-    def merge(self, words: Iterable[LimitWord], now: float, passes_on: bool) -> list[ChangedLimit]:
+    def merge(
+        self, reports: Iterable[LimitReport], now: float, passes_on: bool
+    ) -> list[ChangedLimit]:
         """Take what another gateway tells; what that changes.
 
         Args:
-            words: Its words of servers.
+            reports: What it heard of servers.
             now: Monotonic time.
             passes_on: Others depend on this gateway to hear of it.
         """
         changes = []
-        for word in words:
-            said_at = now - word.said_ms / 1000.0
-            known = self._known.get(word.key)
+        for report in reports:
+            said_at = now - report.said_ms / 1000.0
+            known = self._known.get(report.key)
             if known is not None and said_at <= known.said_at:
                 continue
-            change = self._take(word.key, word.per_second, said_at, passes_on)
+            change = self._take(report.key, report.per_second, said_at, passes_on)
             if change is not None:
-                changes.append(ChangedLimit(word.key, change, word.per_second))
+                changes.append(ChangedLimit(report.key, change, report.per_second))
         return changes
 
     def _take(
@@ -190,7 +192,7 @@
         """Whether something is to be told that others may not know."""
         return self._has_news
 
-    def to_tell(self, now: float, retell_seconds: float) -> list[LimitWord]:
+    def to_tell(self, now: float, retell_seconds: float) -> list[LimitReport]:
         """What belongs in a message now: changes, and from time to time what holds.
 
         Args:
@@ -210,19 +212,19 @@
             known.tells_left = max(known.tells_left - 1, 0)
             known.told_at = now
         self._has_news = any(known.tells_left for known in self._known.values())
-        return [_word(key, known, now) for key, known in due[:MAX_TOLD]]
+        return [_report(key, known, now) for key, known in due[:MAX_TOLD]]
 
     def tell_again(self) -> None:
         """Somebody has come who may know nothing."""
         for known in self._known.values():
             known.told_at = float("-inf")
 
-    def newest(self, now: float) -> list[LimitWord]:
-        """The words that were heard last."""
+    def newest(self, now: float) -> list[LimitReport]:
+        """What was said last, of all servers."""
         known = sorted(self._known.items(), key=lambda item: (-item[1].said_at, item[0]))
-        return [_word(key, limit, now) for key, limit in known[:MAX_TOLD]]
+        return [_report(key, limit, now) for key, limit in known[:MAX_TOLD]]
 
 
-def _word(key: int, known: KnownLimit, now: float) -> LimitWord:
+def _report(key: int, known: KnownLimit, now: float) -> LimitReport:
     age_ms = min(max(round((now - known.said_at) * 1000.0), 0), MAX_AGE_MS)
-    return LimitWord(key, known.per_second, age_ms)
+    return LimitReport(key, known.per_second, age_ms)
--- a/src/milletcourse/exchange/messages/peer_messages.py
+++ b/src/milletcourse/exchange/messages/peer_messages.py
@@ -174,7 +174,7 @@
     cleared_ms: Age | None = None
 
 
-class LimitWord(msgspec.Struct, array_like=True, frozen=True):
+class LimitReport(msgspec.Struct, array_like=True, frozen=True):
     """What a server said of the requests that it takes.
 
     Attributes:
@@ -201,7 +201,7 @@
         uses: What is spent for tenants with a limit; nothing for others.
         gateways: How many gateways' load and use it tells.
         crashes: Requests under which servers ended.
-        limits: Words of servers that name a limit of requests, or named one lately.
+        limits: What servers said that name a limit of requests, or named one lately.
     """
 
     sender: str
@@ -213,7 +213,7 @@
     uses: list[TenantUse] = []
     gateways: int = 1
     crashes: list[CrashReport] = []
-    limits: list[LimitWord] = []
+    limits: list[LimitReport] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/milletcourse/exchange/messages/server_limit.py
+++ b/src/milletcourse/exchange/messages/server_limit.py
@@ -37,13 +37,12 @@
     Args:
         values: Values of all fields of that name; servers that agree with themselves send one.
     """
-    words = {value.strip() for value in values}
-    if not words:
+    distinct = sorted({value.strip() for value in values})
+    if not distinct:
         return NO_LIMIT
-    if len(words) == 1:
-        word = words.pop()
-        if len(word) <= MAX_LIMIT_CHARACTERS and _DECIMAL.fullmatch(word):
-            return LimitReading(min(float(word), MAX_LIMIT_PER_SECOND))
-        words = {word}
-    shown = b", ".join(sorted(words))[:MAX_SHOWN_BYTES]
+    named = distinct[0]
+    is_number = len(named) <= MAX_LIMIT_CHARACTERS and _DECIMAL.fullmatch(named)
+    if len(distinct) == 1 and is_number:
+        return LimitReading(min(float(named), MAX_LIMIT_PER_SECOND))
+    shown = b", ".join(distinct)[:MAX_SHOWN_BYTES]
     return LimitReading(unreadable=shown.decode("latin-1") or "(empty)")
--- a/src/milletcourse/experiments/allowance_model.py
+++ b/src/milletcourse/experiments/allowance_model.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from enum import Enum
 
 import msgspec
@@ -22,6 +21,7 @@
     Way,
     spenders_of,
 )
+from milletcourse.experiments.sliding_window import window_sums
 
 WINDOW_SECONDS = 4.0
 BORNE_SHARE = 1.5
@@ -167,15 +167,9 @@
                     spender.hear(at)
 
     def _figures(self) -> AllowanceFigures:
-        borne = BORNE_SHARE * self._per_second * WINDOW_SECONDS + BORNE_BESIDE
-        window: deque[float] = deque()
-        most = over = 0
-        for at in self._sent:
-            window.append(at)
-            while at - window[0] > WINDOW_SECONDS:
-                window.popleft()
-            most = max(most, len(window))
-            over += len(window) > borne
+        borne = borne_in_window(self._per_second)
+        windows = list(window_sums(((at, 1.0) for at in self._sent), WINDOW_SECONDS))
+        most = max(windows, default=0.0)
         seconds = RUN_SECONDS
         if self._trouble is Trouble.QUIET_THEN_HOT:
             seconds -= EVENT_SECONDS
@@ -186,12 +180,17 @@
             gateways=len(self._names),
             per_second=self._per_second,
             most_of_borne=round(most / borne, 3),
-            windows_over=over,
+            windows_over=sum(count > borne for count in windows),
             used=round(len(self._sent) / (self._per_second * seconds), 3),
             messages_a_second=round(messages / RUN_SECONDS, 1),
         )
 
 
+def borne_in_window(per_second: float) -> float:
+    """Requests that a server with a limit bears in a window."""
+    return BORNE_SHARE * per_second * WINDOW_SECONDS + BORNE_BESIDE
+
+
 def compare_allowances(sizes: list[int], limits: list[int], seed: int) -> list[AllowanceFigures]:
     """Figures of each way under each trouble.
 
--- a/src/milletcourse/experiments/limit_model.py
+++ b/src/milletcourse/experiments/limit_model.py
@@ -9,7 +9,6 @@
 
 import random
 from bisect import bisect_left
-from collections import deque
 from enum import Enum
 
 import msgspec
@@ -25,6 +24,7 @@
     TenantRecord,
 )
 from milletcourse.experiments.limit_ways import KNOWLEDGE, Way
+from milletcourse.experiments.sliding_window import window_sums
 
 TENANT = "tenant-1"
 ZONES = 3
@@ -235,14 +235,7 @@
         lowered = self._trouble is Trouble.LOWERED
         # A lower limit binds one window later.
         first = bisect_left(times, EVENT_SECONDS + WINDOW_SECONDS) if lowered else 0
-        most = total = 0.0
-        window: deque[tuple[float, float]] = deque()
-        for at, tokens in self._admitted[first:]:
-            window.append((at, tokens))
-            total += tokens
-            while at - window[0][0] > WINDOW_SECONDS:
-                total -= window.popleft()[1]
-            most = max(most, total)
+        most = max(window_sums(self._admitted[first:], WINDOW_SECONDS), default=0.0)
         return most * (3.0 if lowered else 1.0)
 
 
--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -64,11 +64,11 @@
             return
         if addr not in self._addresses:
             return
-        self._context.limit_watch.on_words(message.limits, message.scope is not LoadScope.FLEET)
+        self._context.limit_watch.on_reports(message.limits, message.scope is not LoadScope.FLEET)
         now = self._context.now()
         is_newest = self._context.loads.on_message(message, now)
         if message.crashes:
-            self._context.note_containments()
+            self._context.crash_watch.note_contained()
         if not is_newest:
             return
         for notice in message.notices:
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -94,7 +94,7 @@
             lambda found: self._on_contained(found, True),
         )
         self._spawn(registration.run())
-        self._context.crash_listeners.append(registration.on_news)
+        self._context.crash_watch.listeners.append(registration.on_news)
 
     def _contained_here(self) -> list[ContainedRequest]:
         reports = self._context.crash_evidence.contained_here(self._context.now())
@@ -110,7 +110,7 @@
             return
         age_seconds = max(wall_seconds() - entry.contained_at, 0.0)
         context.crash_evidence.restore(reports, age_seconds, context.now(), is_own)
-        context.note_containments()
+        context.crash_watch.note_contained()
 
     def _on_gateways(self, others: list[GatewayRecord]) -> None:
         own_name = self._context.settings.name
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -120,7 +120,7 @@
         if content not in {item.content for item in self._contained()}:
             refuse(client, NotFound("no contained request has this content"))
             return
-        self._context.release(int(content, 16))
+        self._context.crash_watch.release(int(content, 16))
         client.send_whole(204, b"", [], b"")
 
 
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from milletcourse.errors import (
     AnswerLate,
@@ -12,9 +11,7 @@
     DeadlineUnreachable,
     Failure,
     GatewayExhausted,
-    NoEngineAvailable,
     Overloaded,
-    ServersAtLimit,
 )
 from milletcourse.exchange.attempts.attempt_plan import AttemptPlan, NextStep
 from milletcourse.exchange.evidence.crash_evidence import Containment
@@ -27,8 +24,7 @@
     TenantRecord,
 )
 from milletcourse.exchange.placement.engine_load import longest_wait
-from milletcourse.exchange.placement.instance_selector import Choice
-from milletcourse.exchange.placement.reuse_scope import request_rank, reuse_scope
+from milletcourse.exchange.placement.reuse_scope import reuse_scope
 from milletcourse.exchange.placement.route_table import RouteTable
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.clients.client_connection import ClientConnection
@@ -36,10 +32,10 @@
 from milletcourse.gateway.requests.answer_relay import AnswerRelay
 from milletcourse.gateway.requests.attempt import Attempt
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.requests.server_search import Destination, ServerSearch
 from milletcourse.gateway.requests.stream_handover import StreamHandover
 from milletcourse.gateway.requests.visit import Visit
 from milletcourse.gateway.servers.server_connection import LossCause
-from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telling.recorder import StreamCut, VisitedServer
 from milletcourse.runtime.attended_clock import ABSENCE_SECONDS
@@ -52,17 +48,6 @@
 listens there then, which shows within a round trip."""
 DEFAULT_DEADLINE_SECONDS = 30.0
 """For clients that don't say how long they wait."""
-MAX_DENIALS = 3
-"""Servers whose limit leaves no room that a request meets one after the other: each costs a round
-trip to another gateway."""
-
-
-@dataclass(frozen=True)
-class Destination:
-    """A server that is to get a request, and the permit to send to it."""
-
-    instance: Instance
-    permit: Permit
 
 
 class Exchange:
@@ -91,9 +76,7 @@
         self._client = client
         self._relay = AnswerRelay(request, client, context.record)
         self._plan = AttemptPlan(route.repeatable, route.max_attempts)
-        self._tried: set[str] = set()
-        self._denied: set[str] = set()
-        """Servers whose own limit left no room for it."""
+        self._search = ServerSearch(context, self._job)
         self._handover = StreamHandover(context, self._open_successor, self._on_failed_offer)
         self._told_waits: list[float] = []
         """For how long the servers that turned it away want no more."""
@@ -188,16 +171,14 @@
         return Visit(destination.instance, attempt)
 
     def _open_successor(self, first: Instance) -> Visit | None:
-        """Another server that may go on with the stream; takes a retry from the budget.
-
-        None that limits its requests: a server in need is no place for a second run.
-        """
-        choice = self._other_choice(self._plan.may_hand_over, first.name, *self._limited())
-        if choice is None or not self._try_retry():
+        """Another server that may go on with the stream; takes a retry from the budget."""
+        if not self._may_go_on(self._plan.may_hand_over):
+            return None
+        destination = self._search.best_beside(first)
+        if destination is None or not self._try_retry():
             return None
         self._context.record.tally.on_sent_again(self._job.route.name)
-        permit = self._context.permits.without_limit(choice.instance)
-        return self._open(Destination(choice.instance, permit))
+        return self._open(destination)
 
     def _on_failed_offer(self, visit: Visit, result: AttemptResult) -> None:
         """Another server didn't go on with the stream; the first one still has it."""
@@ -212,7 +193,7 @@
         if visit.attempt.was_sent:
             self._plan.on_send()
         if result not in (AttemptResult.ANSWERED, AttemptResult.WRONG_VERSION):
-            self._tried.add(visit.instance.name)
+            self._search.on_tried(visit.instance)
         if visit.attempt.left is LeaveCause.OWN_MEANS:
             self._lacks_means = True
         if visit.attempt.told_wait_seconds is not None:
@@ -267,82 +248,17 @@
             return None
         has_bound = Mechanism.WAIT_BOUND in self._context.mechanisms
         bound = longest_wait(self._job.route, self._job.tenant) if has_bound else float("inf")
-        found = await self._destination(self._select(), bound)
+        found = await self._search.reserve(self._search.best(), bound)
         if isinstance(found, Destination):
             return found
         self._refuse(found)
         return None
 
-    async def _destination(
-        self, choice: Choice | None, longest_wait_seconds: float = float("inf")
-    ) -> Destination | Failure:
-        """The best server that may be sent to, with the permit to do so.
-
-        Args:
-            choice: The best server by its cost, None when there is none.
-            longest_wait_seconds: Longest expected wait at which the request is sent.
-        """
-        context = self._context
-        while choice is not None:
-            wait = choice.wait_seconds
-            if wait > longest_wait_seconds:
-                detail = f"it would wait {wait:.2f} s at the best server"
-                return Overloaded(detail, context.retry_after())
-            permit = await context.permits.take(choice.instance, self._rank)
-            if permit is not None:
-                return Destination(choice.instance, permit)
-            self._denied.add(choice.instance.name)
-            state = context.permits.state(choice.instance)
-            if state is not None:
-                context.record.at_limit(state, self._job.request)
-            choice = self._select()
-        return self._no_server()
-
-    def _no_server(self) -> Failure:
-        """Why no server may take it now."""
-        context = self._context
-        retry_after = context.retry_after()
-        seconds = context.permits.promise(
-            context.instances.of_service(self._job.service.name).values()
-        )
-        if seconds is None:
-            return NoEngineAvailable("no server may take it", retry_after)
-        detail = "its servers limit their requests, and have what they take"
-        return ServersAtLimit(detail, retry_after + seconds)
-
-    @property
-    def _rank(self) -> int:
-        return request_rank(self._job.route, self._job.tenant)
-
-    def _limited(self) -> list[str]:
-        """Servers of its service that limit their requests."""
-        servers = self._context.instances.of_service(self._job.service.name).values()
-        is_limited = self._context.permits.is_limited
-        return [instance.name for instance in servers if is_limited(instance)]
-
-    def _select(self, *passed_over: str) -> Choice | None:
-        job = self._job
-        tried = self._tried.union(passed_over, self._denied)
-        if len(self._denied) >= MAX_DENIALS:
-            tried.update(self._limited())
-        return self._context.selector.choose(
-            job.service,
-            job.request,
-            job.scope,
-            tried,
-            self._context.now(),
-            job.route.gap_seconds,
-        )
-
-    def _other_choice(
-        self, plan_allows: Callable[[float], bool], *passed_over: str
-    ) -> Choice | None:
-        """Another server, if the request may still be sent on."""
+    def _may_go_on(self, plan_allows: Callable[[float], bool]) -> bool:
+        """Whether the request may still be sent on, as far as its plan allows it."""
         if self._end_cause is not None or not plan_allows(self._seconds_left()):
-            return None
-        if not self._context.may_use_keys(self._job.tenant) or self._containment() is not None:
-            return None
-        return self._select(*passed_over)
+            return False
+        return self._context.may_use_keys(self._job.tenant) and self._containment() is None
 
     def _try_retry(self) -> bool:
         budget = self._context.budget(self._job.service.name)
@@ -363,14 +279,14 @@
 
     async def _next_destination(self) -> Destination | None:
         """Another server for the request, within the shared retry budget."""
-        if self._lacks_means:
-            # At no other server would it be otherwise.
+        # Without means of its own this gateway reaches no other server either.
+        if self._lacks_means or not self._may_go_on(self._plan.may_send_again):
             return None
-        choice = self._other_choice(self._plan.may_send_again)
+        choice = self._search.best()
         # What no server has got yet costs nothing of the budget.
         if choice is None or (self._plan.sends and not self._try_retry()):
             return None
-        found = await self._destination(choice)
+        found = await self._search.reserve(choice)
         return found if isinstance(found, Destination) else None
 
     # -- ends -----------------------------------------------------------------------------------
@@ -410,8 +326,8 @@
             return DeadlineUnreachable("no server took it in time", retry_after)
         if self._lacks_means:
             return GatewayExhausted("this gateway has no descriptor left", retry_after)
-        if self._denied:
-            return self._no_server()
+        if self._search.met_limit:
+            return self._search.failure()
         soonest = min(self._told_waits, default=0.0)
         return Overloaded("servers turned it away", max(retry_after, soonest))
 
--- a/src/milletcourse/gateway/requests/exchange_job.py
+++ b/src/milletcourse/gateway/requests/exchange_job.py
@@ -8,6 +8,7 @@
 from milletcourse.exchange.evidence.request_identity import request_identity
 from milletcourse.exchange.messages.messages import ExchangeRequest
 from milletcourse.exchange.messages.records import RouteRecord, ServiceRecord, TenantRecord
+from milletcourse.exchange.placement.reuse_scope import request_rank
 from milletcourse.exchange.placement.route_table import RouteTable
 
 
@@ -33,6 +34,11 @@
     table: RouteTable
     end_at: float
 
+    @property
+    def rank(self) -> int:
+        """Its rank, 0 for the most urgent."""
+        return request_rank(self.route, self.tenant)
+
     @cached_property
     def identity(self) -> int:
         """Identity of its content; worked out when it is first asked for."""
--- /dev/null
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -0,0 +1,125 @@
+"""Finds the servers that one request goes to, one after the other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from milletcourse.errors import Failure, NoEngineAvailable, Overloaded, ServersAtLimit
+from milletcourse.exchange.placement.instance_selector import Choice
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.servers.server_permits import Permit
+from milletcourse.gateway.state.context import GatewayContext
+
+MAX_DENIALS = 3
+"""Servers whose limit leaves no room that a request meets one after the other: each costs a round
+trip to another gateway."""
+
+
+@dataclass(frozen=True)
+class Destination:
+    """A server that is to get a request, and the permit to send to it."""
+
+    instance: Instance
+    permit: Permit
+
+
+class ServerSearch:
+    """Chooses among the servers that a request may still go to, and asks for permits."""
+
+    def __init__(self, context: GatewayContext, job: ExchangeJob) -> None:
+        """No server tried yet.
+
+        Args:
+            context: What all parts of the gateway share.
+            job: The request.
+        """
+        self._context = context
+        self._job = job
+        self._tried: set[str] = set()
+        self._denied: set[str] = set()
+        """Servers whose own limit left no room for it."""
+
+    @property
+    def met_limit(self) -> bool:
+        """Whether a server's own limit left no room for it."""
+        return bool(self._denied)
+
+    def on_tried(self, instance: Instance) -> None:
+        """The server had it, and won't get it again."""
+        self._tried.add(instance.name)
+
+    def best(self) -> Choice | None:
+        """The best server that hasn't had it, None when there is none."""
+        left_out = self._tried | self._denied
+        if len(self._denied) >= MAX_DENIALS:
+            left_out.update(self._limited())
+        return self._choose(left_out)
+
+    def best_beside(self, first: Instance) -> Destination | None:
+        """The best server for a second run beside a running one.
+
+        None that limits its requests: a server in need is no place for a second run.
+
+        Args:
+            first: The server that runs it.
+        """
+        choice = self._choose({*self._tried, *self._denied, *self._limited(), first.name})
+        if choice is None:
+            return None
+        permit = self._context.permits.without_limit(choice.instance)
+        return Destination(choice.instance, permit)
+
+    async def reserve(
+        self, choice: Choice | None, longest_wait_seconds: float = float("inf")
+    ) -> Destination | Failure:
+        """The best server that may be sent to, with the permit to do so.
+
+        Args:
+            choice: The best server by its cost, None when there is none.
+            longest_wait_seconds: Longest expected wait at which the request is sent.
+        """
+        context = self._context
+        while choice is not None:
+            wait = choice.wait_seconds
+            if wait > longest_wait_seconds:
+                detail = f"it would wait {wait:.2f} s at the best server"
+                return Overloaded(detail, context.retry_after())
+            permit = await context.permits.take(choice.instance, self._job.rank)
+            if permit is not None:
+                return Destination(choice.instance, permit)
+            self._denied.add(choice.instance.name)
+            state = context.permits.state(choice.instance)
+            if state is not None:
+                context.record.at_limit(state, self._job.request)
+            choice = self.best()
+        return self.failure()
+
+    def failure(self) -> Failure:
+        """Why no server may take it now."""
+        retry_after = self._context.retry_after()
+        seconds = self._context.permits.promise(self._servers())
+        if seconds is None:
+            return NoEngineAvailable("no server may take it", retry_after)
+        detail = "its servers limit their requests, and have what they take"
+        return ServersAtLimit(detail, retry_after + seconds)
+
+    def _choose(self, left_out: set[str]) -> Choice | None:
+        job = self._job
+        return self._context.selector.choose(
+            job.service,
+            job.request,
+            job.scope,
+            left_out,
+            self._context.now(),
+            job.route.gap_seconds,
+        )
+
+    def _servers(self) -> Iterable[Instance]:
+        return self._context.instances.of_service(self._job.service.name).values()
+
+    def _limited(self) -> list[str]:
+        """Servers of its service that limit their requests."""
+        is_limited = self._context.permits.is_limited
+        return [instance.name for instance in self._servers() if is_limited(instance)]
--- a/src/milletcourse/gateway/servers/crash_watch.py
+++ b/src/milletcourse/gateway/servers/crash_watch.py
@@ -15,6 +15,7 @@
 from milletcourse.exchange.evidence.crash_evidence import Containment, CrashEvidence
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
+from milletcourse.gateway.telling.recorder import Recorder
 
 DOUBT_SECONDS = 5.0
 """A loss counts if its server turns out to have ended within this time: entries of servers that
@@ -34,13 +35,17 @@
 
 
 class CrashWatch:
-    """Turns lost connections into evidence against requests."""
+    """Turns lost connections into evidence against requests, and says what is contained.
+
+    Attributes:
+        listeners: Called when there is evidence that may have to be kept.
+    """
 
     def __init__(
         self,
         evidence: CrashEvidence,
         pool: ConnectionPool,
-        now: Callable[[], float],
+        record: Recorder,
         on_news: Callable[[], None],
     ) -> None:
         """No loss yet.
@@ -48,13 +53,15 @@
         Args:
             evidence: Where ends of servers are noted.
             pool: Connections to servers.
-            now: Monotonic clock.
+            record: Where containments are told to operators; its clock counts.
             on_news: Called when there is evidence that the other gateways should hear of.
         """
+        self.listeners: list[Callable[[], None]] = []
         self._evidence = evidence
         self._pool = pool
-        self._now = now
-        self._on_news = on_news
+        self._record = record
+        self._now = record.now
+        self._tell_gateways = on_news
         self._doubtful: list[_Loss] = []
         self._checks: dict[str, asyncio.Task[None]] = {}
 
@@ -104,6 +111,23 @@
             self._evidence.on_end(loss.identity, loss.server, loss.sent_at, loss.lost_at)
         self._on_news()
 
+    def release(self, identity: int) -> None:
+        """An operator wants a contained request sent again."""
+        self._evidence.release(identity, self._now())
+        self._record.released(identity)
+        self._on_news()
+
+    def note_contained(self) -> None:
+        """Say which requests aren't sent to servers any more, since the last call."""
+        for containment in self._evidence.take_newly_contained(self._now()):
+            self._record.contained(containment)
+
+    def _on_news(self) -> None:
+        self.note_contained()
+        for listener in self.listeners:
+            listener()
+        self._tell_gateways()
+
     def sweep(self) -> None:
         """Forget what is too old."""
         now = self._now()
--- a/src/milletcourse/gateway/servers/limit_watch.py
+++ b/src/milletcourse/gateway/servers/limit_watch.py
@@ -6,7 +6,7 @@
 
 from milletcourse.exchange.limits.ask_pauses import AskPauses
 from milletcourse.exchange.load.server_limits import LimitChange, ServerLimits
-from milletcourse.exchange.messages.peer_messages import LimitWord
+from milletcourse.exchange.messages.peer_messages import LimitReport
 from milletcourse.exchange.messages.server_limit import LimitReading
 from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
 from milletcourse.gateway.telling.recorder import Recorder
@@ -56,14 +56,14 @@
             self._on_change(instance, change, reading.per_second, "answer")
             self._on_news()
 
-    def on_words(self, words: Iterable[LimitWord], passes_on: bool) -> None:
+    def on_reports(self, reports: Iterable[LimitReport], passes_on: bool) -> None:
         """Another gateway tells what servers said.
 
         Args:
-            words: What they said.
+            reports: What they said.
             passes_on: Others depend on this gateway to hear of it.
         """
-        changes = self._limits.merge(words, self._record.now(), passes_on)
+        changes = self._limits.merge(reports, self._record.now(), passes_on)
         if not changes:
             return
         by_key = {instance.key: instance for instance in self._instances}
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -18,7 +18,7 @@
 from milletcourse.exchange.limits.ask_pauses import AskPauses
 from milletcourse.exchange.load.server_limits import ServerLimits, ServerLimitState
 from milletcourse.exchange.messages.allowance_messages import UnitMessage, UnitStep, told_ms
-from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, LimitWord
+from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, LimitReport
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.telling.figures import Figures
 from milletcourse.runtime.attended_clock import AttendedClock
@@ -45,7 +45,8 @@
 
 SendMessage = Callable[[str, UnitMessage], None]
 """Sends a message to a gateway by name."""
-TakeWords = Callable[[Iterable[LimitWord], bool], None]
+TakeReports = Callable[[Iterable[LimitReport], bool], None]
+"""Takes what another gateway knows, and whether others have to hear of it from here."""
 
 
 class ServerPermits:
@@ -55,14 +56,14 @@
         homes: Which gateway lends which limit.
         pauses: Servers whose lender had no unit lately.
         send: Sends messages; what is sent before it is set is lost.
-        on_words: Takes what other gateways know of servers' limits, and whether others have to hear
-            of it from here.
     """
 
     def __init__(
         self,
         own_name: str,
         limits: ServerLimits,
+        pauses: AskPauses,
+        on_reports: TakeReports,
         random_source: random.Random,
         clock: AttendedClock,
         now: Callable[[], float],
@@ -74,6 +75,8 @@
         Args:
             own_name: Name of this gateway.
             limits: What servers say that they take.
+            pauses: Servers that aren't asked for room now.
+            on_reports: Takes what an asker knows of a server's limit.
             random_source: Spreads asks.
             clock: Time by which the silence of lenders is judged.
             now: Monotonic time.
@@ -81,11 +84,11 @@
             figures: Counts what is asked.
         """
         self.homes = AllowanceHomes(own_name)
-        self.pauses = AskPauses()
+        self.pauses = pauses
         self.send: SendMessage = lambda name, message: None
-        self.on_words: TakeWords = lambda words, passes_on: None
         self._own_name = own_name
         self._limits = limits
+        self._on_reports = on_reports
         self._lender = AllowanceLender(random_source)
         self._clock = clock
         self._now = now
@@ -203,7 +206,7 @@
 
     def _on_ask(self, ask: UnitMessage) -> None:
         if ask.per_second is not None:
-            self.on_words([LimitWord(ask.key, ask.per_second, ask.said_ms)], False)
+            self._on_reports([LimitReport(ask.key, ask.per_second, ask.said_ms)], False)
         per_second = self._limits.income(ask.key)
         reply = GRANTED
         if per_second is not None:
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -12,6 +12,7 @@
 from milletcourse.exchange.attempts.planned_stop import PlannedStop, StopPhase
 from milletcourse.exchange.counting.weighted_choice import WeightedChoice
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
+from milletcourse.exchange.limits.ask_pauses import AskPauses
 from milletcourse.exchange.limits.known_use import SummedUse
 from milletcourse.exchange.limits.tenant_limits import TenantLimits
 from milletcourse.exchange.load.load_exchange import LoadExchange
@@ -74,7 +75,6 @@
         on_instance_ended: Called when an answer showed that an incarnation has ended.
         restart_listeners: Called with the incarnation before when a server has started again.
         wake_listeners: Called when the machine has woken from a suspension.
-        crash_listeners: Called when there is news of requests that end servers.
         news_listeners: Called when there is news that the other gateways need at once.
     """
 
@@ -111,21 +111,22 @@
         self._sleep_detector = SleepDetector()
         self.attended = AttendedClock()
         self.news_listeners: list[Callable[[], None]] = []
-        self.crash_listeners: list[Callable[[], None]] = []
         self.server_limits = ServerLimits()
+        pauses = AskPauses()
+        self.limit_watch = LimitWatch(
+            self.server_limits, pauses, self.instances, self.record, self._on_news
+        )
         self.permits = ServerPermits(
             settings.name,
             self.server_limits,
+            pauses,
+            self.limit_watch.on_reports,
             random_source,
             self.attended,
             self.now,
             lambda: self.members,
             figures,
         )
-        self.limit_watch = LimitWatch(
-            self.server_limits, self.permits.pauses, self.instances, self.record, self._on_news
-        )
-        self.permits.on_words = self.limit_watch.on_words
         self.gate = VersionGate(bounds.version)
         self.crash_evidence = CrashEvidence()
         self.loads = LoadExchange(settings.name, self.crash_evidence, self.server_limits)
@@ -142,7 +143,7 @@
             settings.zone,
             random_source,
             mechanisms,
-            self.permits.pauses,
+            pauses,
         )
         self.weights = WeightedChoice(random_source)
         self.short_of_room_until = float("-inf")
@@ -150,7 +151,7 @@
         self.pool = ConnectionPool(
             dialect, self._on_opened, self.attended, self.descriptors.idle_servers
         )
-        self.crash_watch = CrashWatch(self.crash_evidence, self.pool, self.now, self._on_crash_news)
+        self.crash_watch = CrashWatch(self.crash_evidence, self.pool, self.record, self._on_news)
         self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
         self._suspected: set[str] = set()
@@ -318,29 +319,12 @@
         self.crash_watch.on_instance_ended(name)
         return True
 
-    def _on_crash_news(self) -> None:
-        self.note_containments()
-        for listener in self.crash_listeners:
-            listener()
-        self._on_news()
-
     def _on_news(self) -> None:
         """Let the other gateways know at once."""
         self.loads.on_news()
         for listener in self.news_listeners:
             listener()
 
-    def release(self, identity: int) -> None:
-        """An operator wants a contained request sent again."""
-        self.crash_evidence.release(identity, self.now())
-        self.record.released(identity)
-        self._on_crash_news()
-
-    def note_containments(self) -> None:
-        """Say which requests aren't sent to servers any more, since the last call."""
-        for containment in self.crash_evidence.take_newly_contained(self.now()):
-            self.record.contained(containment)
-
     def note_cache_store(self, address: str, reachable: bool) -> None:
         """This gateway asked a store of kept prompt state for a sign of life.
 
--- a/tests/exchange/limits/test_allowances.py
+++ b/tests/exchange/limits/test_allowances.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 
 import pytest
 from hypothesis import settings
@@ -28,8 +27,8 @@
     ENDED_SECONDS,
     MAX_KNOWN,
     MAX_TOLD,
+    PROBE_SECONDS,
     TOLD_TIMES,
-    WORD_SECONDS,
     LimitChange,
     ServerLimits,
 )
@@ -41,7 +40,7 @@
     is_unit_message,
 )
 from milletcourse.exchange.messages.peer_messages import (
-    LimitWord,
+    LimitReport,
     PeerMessage,
     decode_message,
     encode_message,
@@ -52,8 +51,9 @@
     NO_LIMIT,
     read_limit,
 )
+from milletcourse.experiments.allowance_model import WINDOW_SECONDS
+from milletcourse.experiments.sliding_window import most_in_window
 
-WINDOW_SECONDS = 4.0
 KEY = 7
 
 
@@ -139,7 +139,7 @@
     @rule(per_second=st.one_of(st.none(), st.floats(0.0, 50.0)), ms=st.integers(0, 9000))
     def told(self, per_second: float | None, ms: int) -> None:
         """Another gateway tells what it heard some time ago."""
-        self.limits.merge([LimitWord(KEY, per_second, ms)], self.now, passes_on=True)
+        self.limits.merge([LimitReport(KEY, per_second, ms)], self.now, passes_on=True)
         said_at = self.now - ms / 1000.0
         if self.newest is None or said_at > self.newest[0]:
             self.newest = (said_at, per_second)
@@ -162,7 +162,7 @@
     told = [limits.to_tell(0.1 * number, 1.0) for number in range(TOLD_TIMES + 1)]
     assert [len(words) for words in told] == [1] * TOLD_TIMES + [0]
     assert not limits.has_news
-    assert limits.to_tell(1.3, 1.0) == [LimitWord(KEY, 2.0, 1300)]
+    assert limits.to_tell(1.3, 1.0) == [LimitReport(KEY, 2.0, 1300)]
     limits.on_answer(KEY, 2.0, 1.4, 1.4)
     assert not limits.has_news
     assert limits.on_answer(KEY, None, 1.5, 1.5) is LimitChange.ENDED
@@ -174,7 +174,7 @@
     limits = ServerLimits()
     limits.on_answer(KEY, 2.0, 0.0, 0.0)
     limits.on_answer(KEY, None, 1.0, 1.0)
-    limits.merge([LimitWord(KEY, 2.0, 1500)], 2.0, passes_on=False)
+    limits.merge([LimitReport(KEY, 2.0, 1500)], 2.0, passes_on=False)
     assert limits.per_second(KEY) is None
     limits.expire(ENDED_SECONDS + 2.0, lambda: {KEY})
     assert not limits.to_tell(ENDED_SECONDS + 2.0, 0.0)
@@ -195,7 +195,7 @@
 def test_what_is_known_and_told_is_bounded() -> None:
     """However many servers peers make up."""
     limits = ServerLimits()
-    words = [LimitWord(key, 1.0, 0) for key in range(MAX_KNOWN + 100)]
+    words = [LimitReport(key, 1.0, 0) for key in range(MAX_KNOWN + 100)]
     limits.merge(words, 10.0, passes_on=True)
     assert len(limits.limited()) == MAX_KNOWN
     assert len(limits.to_tell(10.0, 1.0)) == MAX_TOLD
@@ -206,13 +206,13 @@
     """Nothing but its answers tells that it takes requests again."""
     limits = ServerLimits()
     limits.on_answer(KEY, 0.0, 0.0, 0.0)
-    assert limits.income(KEY) == 1.0 / WORD_SECONDS
+    assert limits.income(KEY) == 1.0 / PROBE_SECONDS
 
 
 @pytest.mark.parametrize("per_second", [-1.0, 1e300])
 def test_absurd_words_of_peers_are_refused(per_second: float) -> None:
     """As bytes that are no message."""
-    message = PeerMessage("g1", 1, limits=[LimitWord(KEY, per_second, 0)])
+    message = PeerMessage("g1", 1, limits=[LimitReport(KEY, per_second, 0)])
     assert decode_message(encode_message(message)) is None
 
 
@@ -252,17 +252,6 @@
         else:
             self.pauses[name].on_denied(KEY, reply, self.per_second, now)
 
-    def most_in_window(self) -> int:
-        """Most units lent in a window."""
-        window: deque[float] = deque()
-        most = 0
-        for at in self.granted:
-            window.append(at)
-            while at - window[0] > WINDOW_SECONDS:
-                window.popleft()
-            most = max(most, len(window))
-        return most
-
 
 @pytest.mark.parametrize("gateways", [1, 5, 79, 420])
 @pytest.mark.parametrize("per_second", [0.3, 1.0, 1.1, 8.0, 40.0])
@@ -272,7 +261,8 @@
         seconds = 60.0 + 30.0 / per_second
         asking = AskingGateways(per_second, gateways, factor * per_second, seed=gateways)
         asking.run(seconds)
-        assert asking.most_in_window() <= per_second * WINDOW_SECONDS + BURST_UNITS + 1
+        most = most_in_window(asking.granted, WINDOW_SECONDS)
+        assert most <= per_second * WINDOW_SECONDS + BURST_UNITS + 1
         assert len(asking.granted) >= 0.85 * per_second * seconds, factor
 
 
--- a/tests/gateway/servers/test_server_limits.py
+++ b/tests/gateway/servers/test_server_limits.py
@@ -40,14 +40,12 @@
 )
 from milletcourse.cli.main import app
 from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.experiments.allowance_model import WINDOW_SECONDS, borne_in_window
+from milletcourse.experiments.sliding_window import most_in_window
 from milletcourse.gateway.node import GatewayNode
 from milletcourse.gateway.servers.server_connection import ServerConnection
 
 GATEWAYS = 3
-WINDOW_SECONDS = 4.0
-BORNE_SHARE = 1.5
-BORNE_BESIDE = 5
-"""Requests that a server bears in a window beyond one and a half times its limit."""
 KNOWN_AFTER_SECONDS = 1.0
 PAUSE_SECONDS = 0.01
 SLOWER_SECONDS = 0.05
@@ -123,16 +121,7 @@
 
     def most_in_window(self, name: str, since: float) -> int:
         """Most requests that a server got in a window."""
-        times = [at for at in self.arrivals[name] if at >= since]
-        return max(
-            (sum(1 for at in times if first <= at < first + WINDOW_SECONDS) for first in times),
-            default=0,
-        )
-
-
-def borne(per_second: float) -> float:
-    """Requests that a server with a limit bears in a window."""
-    return BORNE_SHARE * per_second * WINDOW_SECONDS + BORNE_BESIDE
+        return most_in_window((at for at in self.arrivals[name] if at >= since), WINDOW_SECONDS)
 
 
 def test_gateways_together_keep_to_a_limit_that_a_server_names() -> None:
@@ -145,7 +134,7 @@
         since = asyncio.get_running_loop().time()
         await fleet.load(WINDOW_SECONDS + 1.0)
         most = {name: fleet.most_in_window(name, since) for name in ("s-1", "s-2")}
-        assert all(count <= borne(2.0) for count in most.values()), most
+        assert all(count <= borne_in_window(2.0) for count in most.values()), most
         assert {result.status for result in fleet.answers} == {200}
 
     run_with_gateway(scenario)
@@ -162,7 +151,7 @@
         fleet.answers.clear()
         await fleet.load(WINDOW_SECONDS + 1.0)
         for name in ("s-1", "s-2"):
-            assert fleet.most_in_window(name, since) <= borne(4.0)
+            assert fleet.most_in_window(name, since) <= borne_in_window(4.0)
         refused = [result for result in fleet.answers if result.status != 200]
         assert {result.status for result in refused} == {503}
         codes = {json.loads(result.body)["type"].rpartition(":")[2] for result in refused}
@@ -187,7 +176,7 @@
         assert [fleet.limit_at(node, "s-1") for node in fleet.nodes] == [None] * GATEWAYS
         fleet.arrivals["s-1"].clear()
         await fleet.load(1.0)
-        assert len(fleet.arrivals["s-1"]) > borne(2.0)
+        assert len(fleet.arrivals["s-1"]) > borne_in_window(2.0)
 
     run_with_gateway(scenario)
 
@@ -223,7 +212,7 @@
         fleet.nodes.remove(gone)
         since = asyncio.get_running_loop().time()
         await fleet.load(WINDOW_SECONDS + 2.0)
-        assert 3 <= fleet.most_in_window("s-1", since) <= borne(2.0)
+        assert 3 <= fleet.most_in_window("s-1", since) <= borne_in_window(2.0)
 
     run_with_gateway(scenario)
 
@@ -239,7 +228,7 @@
         for limit in ("3", "1", "2.5", "0", "3"):
             fleet.limits["s-1"] = limit
             await fleet.load(1.0)
-        assert fleet.most_in_window("s-1", since) <= borne(3.0)
+        assert fleet.most_in_window("s-1", since) <= borne_in_window(3.0)
 
     run_with_gateway(scenario)
 
--- a/tests/soak/limit_ledger.py
+++ b/tests/soak/limit_ledger.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left
 from dataclasses import dataclass, field
 
-WINDOW_SECONDS = 4.0
-BORNE_SHARE = 1.5
-BORNE_BESIDE = 5
+from milletcourse.experiments.allowance_model import WINDOW_SECONDS, borne_in_window
+from milletcourse.experiments.sliding_window import most_in_window
+
 KNOWN_AFTER_SECONDS = 3.0
 """Gateways that are in touch have heard of a limit by then."""
 
@@ -70,11 +69,8 @@
 
     def _use(self, server: str, per_second: float, first: float, last: float) -> LimitUse:
         times = [at for at in self.arrivals.get(server, ()) if first <= at < last]
-        most = max(
-            (bisect_left(times, at + WINDOW_SECONDS) - number for number, at in enumerate(times)),
-            default=0,
-        )
-        borne = BORNE_SHARE * per_second * WINDOW_SECONDS + BORNE_BESIDE
+        most = most_in_window(times, WINDOW_SECONDS)
+        borne = borne_in_window(per_second)
         return LimitUse(most, borne, len(times) / (per_second * (last - first)))
 
     def figures(self, now: float) -> dict[str, float]:
