A refusal for servers' limits says so, also when the pause has just ended or the lender is silent

Callers saw: no-engine-available and a time by no limit, though only limits kept the request from its servers. Cause: servers are left out as of one look at the clock, and the reason was asked as of a later one. Change: the reason counts as of the look, and a denied request always names the limit.

--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -40,6 +40,7 @@
         self._tried: set[str] = set()
         self._denied: set[str] = set()
         """Servers whose own limit left no room for it."""
+        self._looked_at = float("-inf")
 
     @property
     def met_limit(self) -> bool:
@@ -99,20 +100,22 @@
     def failure(self) -> Failure:
         """Why no server may take it now."""
         retry_after = self._context.retry_after()
-        seconds = self._context.permits.promise(self._servers())
-        if seconds is None:
+        # As of the look that found none: a pause that ended since is still the reason.
+        seconds = self._context.permits.promise(self._servers(), self._looked_at)
+        if seconds is None and not self.met_limit:
             return NoEngineAvailable("no server may take it", retry_after)
         detail = "its servers limit their requests, and have what they take"
-        return ServersAtLimit(detail, retry_after + seconds)
+        return ServersAtLimit(detail, retry_after + (seconds or 0.0))
 
     def _choose(self, left_out: set[str]) -> Choice | None:
         job = self._job
+        self._looked_at = self._context.now()
         return self._context.selector.choose(
             job.service,
             job.request,
             job.scope,
             left_out,
-            self._context.now(),
+            self._looked_at,
             job.route.gap_seconds,
         )
 
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -146,12 +146,16 @@
         said = round(self._limits.age(instance.key, now), 3)
         return ServerLimitState(instance.name, per_second, said, lender.name, lender.standing.value)
 
-    def promise(self, instances: Iterable[Instance]) -> float | None:
+    def promise(self, instances: Iterable[Instance], now: float) -> float | None:
         """Seconds after which a refused caller may be served by one of these servers.
 
         None when none of them was passed over for its limit.
+
+        Args:
+            instances: The servers.
+            now: Monotonic time at which they were passed over.
         """
-        return self.pauses.promise([instance.key for instance in instances], self._now())
+        return self.pauses.promise([instance.key for instance in instances], now)
 
     async def _ask(self, key: int, per_second: float, rank: int) -> UnitReply:
         chosen = self.homes.lender(key, self._now())
--- a/tests/gateway/servers/test_server_limits.py
+++ b/tests/gateway/servers/test_server_limits.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import json
+import time
 from typing import Any
 
 from click.testing import Result
@@ -39,6 +40,7 @@
     stream_head,
 )
 from milletcourse.cli.main import app
+from milletcourse.exchange.limits.allowance_lender import UnitReply
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.experiments.allowance_model import WINDOW_SECONDS, borne_in_window
 from milletcourse.experiments.sliding_window import most_in_window
@@ -154,7 +156,7 @@
             assert fleet.most_in_window(name, since) <= borne_in_window(4.0)
         refused = [result for result in fleet.answers if result.status != 200]
         assert {result.status for result in refused} == {503}
-        codes = {json.loads(result.body)["type"].rpartition(":")[2] for result in refused}
+        codes = {_code(result) for result in refused}
         assert codes == {"servers-at-limit"}
         assert all(0.0 < float(result.headers["retry-after"]) < 7.0 for result in refused)
         served = len(fleet.answers) - len(refused)
@@ -396,3 +398,54 @@
         assert met[0]["instance"] == "s-1" and met[0]["said"] < 2.0
 
     run_with_gateway(scenario)
+
+
+def _code(result: ClientAnswer) -> str:
+    return str(json.loads(result.body)["type"]).rpartition(":")[2]
+
+
+def test_a_refusal_for_a_limit_says_so_when_the_pause_ends_meanwhile() -> None:
+    """Callers were told that no server may take it, and to come back by no limit.
+
+    The servers were left out for their pauses, and the reason was looked up a moment later: on a
+    busy machine 0.05 s, when the pauses had just ended.
+    """
+
+    async def scenario(harness: Harness) -> None:
+        fleet = LimitedFleet(harness)
+        await fleet.start({"s-1": "2"}, gateways=1)
+        await fleet.load(0.2)
+        context = fleet.nodes[0].context
+        key = fleet.instance(fleet.nodes[0], "s-1").key
+        choose = context.selector.choose
+
+        def choose_slowly(*arguments: Any) -> Any:
+            context.permits.pauses.on_denied(key, UnitReply(False, 0.0, 0.05), 2.0, context.now())
+            choice = choose(*arguments)
+            time.sleep(0.1)
+            return choice
+
+        setattr(context.selector, "choose", choose_slowly)  # noqa: B010
+        result = await (await harness.client()).ask("/safe/", "held-up")
+        assert (result.status, _code(result)) == (503, "servers-at-limit")
+
+    run_with_gateway(scenario)
+
+
+def test_a_refusal_for_a_silent_lender_names_the_limit() -> None:
+    """The server is sound, and only its limit keeps the request from it."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = LimitedFleet(harness)
+        await fleet.start({"s-1": "2"})
+        await fleet.load(KNOWN_AFTER_SECONDS)
+        key = fleet.instance(fleet.nodes[0], "s-1").key
+        home = fleet.nodes[0].context.permits.homes.lender(key, 0.0).name
+        asker = next(node for node in fleet.nodes if node.context.settings.name != home)
+        asker.context.permits.pauses.end(key)
+        asker.context.permits.send = lambda name, message: None
+        client = await Client.connect(asker.frontend_address)
+        result = await client.ask("/safe/", "unheard")
+        assert (result.status, _code(result)) == (503, "servers-at-limit")
+
+    run_with_gateway(scenario)
