--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(VENV)/bin/ruff format --check src tests scripts
 	$(VENV)/bin/ruff check src tests scripts
 	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports --no-logo
 
 test: check
 	PYTHONHASHSEED=0 $(VENV)/bin/python -m pytest -n 6
--- a/src/milletcourse/exchange/answer_rules.py
+++ b/src/milletcourse/exchange/attempts/answer_rules.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.messages import AnswerHead, AttemptResult
+from milletcourse.exchange.messages.messages import AnswerHead, AttemptResult
 
 MISDIRECTED = 421
 PROMISES = frozenset({408, 429, 503})
--- a/src/milletcourse/exchange/attempt_plan.py
+++ b/src/milletcourse/exchange/attempts/attempt_plan.py
@@ -8,7 +8,7 @@
 
 from enum import Enum
 
-from milletcourse.exchange.messages import AttemptResult
+from milletcourse.exchange.messages.messages import AttemptResult
 
 MIN_USEFUL_SECONDS = 0.02
 """With less time than this left, another attempt could not answer in time."""
--- a/src/milletcourse/exchange/patience.py
+++ b/src/milletcourse/exchange/attempts/patience.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.records import RouteRecord
+from milletcourse.exchange.messages.records import RouteRecord
 
 FIRST_EVENT_TARGETS = 2.5
 """A repeatable request leaves a server that is silent for this many target latencies."""
--- a/src/milletcourse/exchange/service_tally.py
+++ b/src/milletcourse/exchange/counting/service_tally.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from milletcourse.exchange.records import RouteRecord
+from milletcourse.exchange.messages.records import RouteRecord
 
 TALLY_SECONDS = 5.0
 """A tally is logged this often, so that its volume doesn't grow with the traffic."""
--- a/src/milletcourse/exchange/weighted_choice.py
+++ b/src/milletcourse/exchange/counting/weighted_choice.py
@@ -4,7 +4,7 @@
 
 import random
 
-from milletcourse.exchange.records import RouteRecord, WeightedService
+from milletcourse.exchange.messages.records import RouteRecord, WeightedService
 
 
 class _RouteShares:
--- a/src/milletcourse/exchange/crash_evidence.py
+++ b/src/milletcourse/exchange/evidence/crash_evidence.py
@@ -13,15 +13,15 @@
 import msgspec
 
 from milletcourse.errors import RequestContained
-from milletcourse.exchange.crash_record import (
+from milletcourse.exchange.evidence.crash_record import (
     CONTAINED_SECONDS,
     CrashRecord,
     ProofRule,
     ServerEnd,
     ended_in_turn,
 )
-from milletcourse.exchange.peer_messages import CrashEnd, CrashReport
-from milletcourse.exchange.request_identity import identity_text
+from milletcourse.exchange.evidence.request_identity import identity_text
+from milletcourse.exchange.messages.peer_messages import CrashEnd, CrashReport
 
 MAX_ANSWERED = 1024
 """Requests whose latest answer is remembered although no server ended under them: an answer speaks
--- a/src/milletcourse/exchange/crash_record.py
+++ b/src/milletcourse/exchange/evidence/crash_record.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from milletcourse.exchange.peer_messages import MAX_TOLD_ENDS
+from milletcourse.exchange.messages.peer_messages import MAX_TOLD_ENDS
 
 CONTAINING_ENDS = 3
 """Servers that must have ended under a request before it is contained. With two, work that is sent
--- a/src/milletcourse/exchange/known_use.py
+++ b/src/milletcourse/exchange/limits/known_use.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.load.load_exchange import LoadExchange
 
 
 class KnownUse(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/tenant_limits.py
+++ b/src/milletcourse/exchange/limits/tenant_limits.py
@@ -10,12 +10,17 @@
 
 import msgspec
 
-from milletcourse.exchange.known_use import KnownUse, UseKnowledge
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.peer_messages import TenantUse, short_key
-from milletcourse.exchange.recent_use import RecentUse
-from milletcourse.exchange.records import LimitTolerance, LimitUnit, TenantLimit, TenantRecord
-from milletcourse.exchange.shared_bucket import SharedBucket
+from milletcourse.exchange.counting.recent_use import RecentUse
+from milletcourse.exchange.limits.known_use import KnownUse, UseKnowledge
+from milletcourse.exchange.limits.shared_bucket import SharedBucket
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.messages.peer_messages import TenantUse, short_key
+from milletcourse.exchange.messages.records import (
+    LimitTolerance,
+    LimitUnit,
+    TenantLimit,
+    TenantRecord,
+)
 
 MAX_WAIT_SECONDS = 5.0
 """Longest time after which a refused client is told to come back: few wait longer for an answer."""
--- a/src/milletcourse/exchange/fleet_load.py
+++ b/src/milletcourse/exchange/load/fleet_load.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from milletcourse.exchange.peer_messages import InstanceLoad, PeerMessage, TenantUse
+from milletcourse.exchange.messages.peer_messages import InstanceLoad, PeerMessage, TenantUse
 
 
 class FleetLoad(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/load_exchange.py
+++ b/src/milletcourse/exchange/load/load_exchange.py
@@ -13,11 +13,13 @@
 
 import msgspec
 
-from milletcourse.exchange.crash_evidence import CrashEvidence
-from milletcourse.exchange.fleet_load import FleetLoad, fleet_load
-from milletcourse.exchange.keyed_sums import added
-from milletcourse.exchange.load_sums import LoadSums
-from milletcourse.exchange.peer_messages import (
+from milletcourse.exchange.counting.keyed_sums import added
+from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
+from milletcourse.exchange.load.fleet_load import FleetLoad, fleet_load
+from milletcourse.exchange.load.load_sums import LoadSums
+from milletcourse.exchange.load.server_limits import ServerLimits
+from milletcourse.exchange.load.server_notices import ServerNotices
+from milletcourse.exchange.messages.peer_messages import (
     CrashReport,
     InstanceLoad,
     LimitWord,
@@ -26,8 +28,6 @@
     ServerNotice,
     TenantUse,
 )
-from milletcourse.exchange.server_limits import ServerLimits
-from milletcourse.exchange.server_notices import ServerNotices
 
 TICK_SECONDS = 0.05
 """A changed load is told this often."""
--- a/src/milletcourse/exchange/load_sums.py
+++ b/src/milletcourse/exchange/load/load_sums.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from milletcourse.exchange.keyed_sums import KeyedSums
-from milletcourse.exchange.peer_messages import InstanceLoad, TenantUse
+from milletcourse.exchange.counting.keyed_sums import KeyedSums
+from milletcourse.exchange.messages.peer_messages import InstanceLoad, TenantUse
 
 
 class _Told(msgspec.Struct):
--- a/src/milletcourse/exchange/server_limits.py
+++ b/src/milletcourse/exchange/load/server_limits.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from milletcourse.exchange.peer_messages import MAX_AGE_MS, LimitWord
+from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, LimitWord
 
 TOLD_TIMES = 3
 """A changed word is told so often, against loss."""
@@ -63,6 +63,24 @@
     told_at: float = float("-inf")
 
 
+class ServerLimitState(msgspec.Struct, frozen=True):
+    """What a gateway knows of a server's limit, for operators.
+
+    Attributes:
+        instance: The server.
+        per_second: Requests a second that it takes from all gateways together.
+        said: Seconds since an answer, here or at another gateway, said so last.
+        lender: Gateway that is asked for each request to it.
+        standing: As what that one lends: home, deputy or alone.
+    """
+
+    instance: str
+    per_second: float
+    said: float
+    lender: str
+    standing: str
+
+
 class ServerLimits:
     """The limits of all servers that name one, or named one lately."""
 
--- a/src/milletcourse/exchange/server_notices.py
+++ b/src/milletcourse/exchange/load/server_notices.py
@@ -9,7 +9,12 @@
 
 import msgspec
 
-from milletcourse.exchange.peer_messages import NOTICE_REPEATS, LoadScope, PeerMessage, ServerNotice
+from milletcourse.exchange.messages.peer_messages import (
+    NOTICE_REPEATS,
+    LoadScope,
+    PeerMessage,
+    ServerNotice,
+)
 
 PASSED_ON_SECONDS = 2.0
 """A notice that was passed on isn't passed on again this long: its repetitions are over by then."""
--- a/src/milletcourse/exchange/dialect.py
+++ b/src/milletcourse/exchange/messages/dialect.py
@@ -12,14 +12,14 @@
 import msgspec
 
 from milletcourse.errors import FailureError, MalformedRequest
-from milletcourse.exchange.messages import (
+from milletcourse.exchange.messages.messages import (
     AnswerHead,
     Dispatch,
     ExchangeRequest,
     HeaderField,
     PromptPart,
 )
-from milletcourse.exchange.server_limit import NO_LIMIT, LimitReading, read_limit
+from milletcourse.exchange.messages.server_limit import NO_LIMIT, LimitReading, read_limit
 
 CONNECTION_FIELDS = frozenset(
     {
--- a/src/milletcourse/exchange/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from milletcourse.exchange.server_limit import NO_LIMIT, LimitReading
+from milletcourse.exchange.messages.server_limit import NO_LIMIT, LimitReading
 
 
 class PromptPart(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/cache_store_plan.py
+++ b/src/milletcourse/exchange/placement/cache_store_plan.py
@@ -12,9 +12,9 @@
 import math
 from collections import OrderedDict
 
-from milletcourse.exchange.decaying_count import DecayingCount
-from milletcourse.exchange.prompt_chain import PromptChain
-from milletcourse.exchange.records import ServiceRecord
+from milletcourse.exchange.counting.decaying_count import DecayingCount
+from milletcourse.exchange.messages.records import ServiceRecord
+from milletcourse.exchange.placement.prompt_chain import PromptChain
 
 LITTLE_SAVED_SHARE = 0.5
 """A prompt whose shared parts are less than this much of it saves little."""
--- a/src/milletcourse/exchange/engine_load.py
+++ b/src/milletcourse/exchange/placement/engine_load.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.records import RouteRecord, ServiceRecord, TenantRecord
-from milletcourse.exchange.reuse_scope import request_rank
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.messages.records import RouteRecord, ServiceRecord, TenantRecord
+from milletcourse.exchange.placement.reuse_scope import request_rank
 
 PREFILL_TOKENS_PER_SECOND = 40_000.0
 """Speed at which servers read prompts, in the order of what engines do today. Learning it from
--- a/src/milletcourse/exchange/instance_selector.py
+++ b/src/milletcourse/exchange/placement/instance_selector.py
@@ -12,25 +12,25 @@
 
 import msgspec
 
-from milletcourse.exchange.ask_pauses import AskPauses
-from milletcourse.exchange.engine_load import (
+from milletcourse.exchange.limits.ask_pauses import AskPauses
+from milletcourse.exchange.load.load_exchange import LoadExchange
+from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.messages.records import ServiceRecord
+from milletcourse.exchange.placement.engine_load import (
     PREFILL_TOKENS_PER_SECOND,
     ServerLoad,
     disturbance_seconds,
     wait_seconds,
 )
-from milletcourse.exchange.instance_table import Instance, InstanceTable
-from milletcourse.exchange.load_exchange import LoadExchange
-from milletcourse.exchange.long_prompt_servers import is_long, mostly_generates
-from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
-from milletcourse.exchange.prompt_homes import PromptHomes
-from milletcourse.exchange.recent_holders import RecentHolders
-from milletcourse.exchange.records import ServiceRecord
-from milletcourse.exchange.reuse_scope import cache_salt
-from milletcourse.exchange.server_candidates import ServerCandidates
-from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.exchange.placement.long_prompt_servers import is_long, mostly_generates
+from milletcourse.exchange.placement.prompt_chain import PromptChain, prompt_chain
+from milletcourse.exchange.placement.prompt_homes import PromptHomes
+from milletcourse.exchange.placement.recent_holders import RecentHolders
+from milletcourse.exchange.placement.reuse_scope import cache_salt
+from milletcourse.exchange.placement.server_candidates import ServerCandidates
+from milletcourse.exchange.rollout.version_gate import VersionGate
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
 
 STORE_READ_SHARE = 0.7
 """Time to take kept state from a store, as a share of reading it again."""
--- a/src/milletcourse/exchange/long_prompt_servers.py
+++ b/src/milletcourse/exchange/placement/long_prompt_servers.py
@@ -14,8 +14,8 @@
 
 import xxhash
 
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.servers.instance_table import Instance
 
 ZONE_SHARE = 1 / 6
 """Share of a zone's servers. Where own parts of prompts are spread widely, a tenth of the prompts
--- a/src/milletcourse/exchange/prompt_chain.py
+++ b/src/milletcourse/exchange/placement/prompt_chain.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from milletcourse.exchange.messages import ExchangeRequest
+from milletcourse.exchange.messages.messages import ExchangeRequest
 
 
 class PromptChain(msgspec.Struct):
--- a/src/milletcourse/exchange/prompt_homes.py
+++ b/src/milletcourse/exchange/placement/prompt_homes.py
@@ -10,11 +10,11 @@
 
 import msgspec
 
-from milletcourse.exchange.instance_table import InstanceTable
-from milletcourse.exchange.long_prompt_servers import long_prompt_servers
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.prompt_chain import prompt_chain
-from milletcourse.exchange.reuse_scope import is_of_one_tenant
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.placement.long_prompt_servers import long_prompt_servers
+from milletcourse.exchange.placement.prompt_chain import prompt_chain
+from milletcourse.exchange.placement.reuse_scope import is_of_one_tenant
+from milletcourse.exchange.servers.instance_table import InstanceTable
 from milletcourse.routing.home_ring import HomeRing
 
 
--- a/src/milletcourse/exchange/reuse_scope.py
+++ b/src/milletcourse/exchange/placement/reuse_scope.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.records import RouteRecord, TenantRecord
+from milletcourse.exchange.messages.records import RouteRecord, TenantRecord
 
 PRIORITY_STEP = 3
 """Ranks of a route within one rank of a tenant."""
--- a/src/milletcourse/exchange/route_table.py
+++ b/src/milletcourse/exchange/placement/route_table.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from milletcourse.exchange.records import (
+from milletcourse.exchange.messages.records import (
     ExchangeConfiguration,
     RouteRecord,
     ServiceRecord,
--- a/src/milletcourse/exchange/server_candidates.py
+++ b/src/milletcourse/exchange/placement/server_candidates.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Collection
 
-from milletcourse.exchange.ask_pauses import AskPauses
-from milletcourse.exchange.instance_table import Instance, InstanceTable
-from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.limits.ask_pauses import AskPauses
+from milletcourse.exchange.load.load_exchange import LoadExchange
 from milletcourse.exchange.mechanisms import Mechanism
-from milletcourse.exchange.records import ServiceRecord
-from milletcourse.exchange.server_health import ServerTally
-from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.exchange.messages.records import ServiceRecord
+from milletcourse.exchange.rollout.version_gate import VersionGate
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
+from milletcourse.exchange.servers.server_health import ServerTally
 
 
 class ServerCandidates:
--- a/src/milletcourse/exchange/roll_out.py
+++ b/src/milletcourse/exchange/rollout/roll_out.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.load_window import LoadWindow
-from milletcourse.exchange.roll_out_timing import is_worth_loading
-from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.exchange.counting.load_window import LoadWindow
+from milletcourse.exchange.rollout.roll_out_timing import is_worth_loading
+from milletcourse.exchange.rollout.version_gate import VersionGate
+from milletcourse.exchange.servers.instance_table import Instance
 
 SAFETY_SECONDS = 1.6
 """The last load is planned to end this long before the bound."""
--- a/src/milletcourse/exchange/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from milletcourse.exchange.peer_messages import incarnation_key
-from milletcourse.exchange.records import InstanceRecord
-from milletcourse.exchange.server_health import ServerHealth
+from milletcourse.exchange.messages.peer_messages import incarnation_key
+from milletcourse.exchange.messages.records import InstanceRecord
+from milletcourse.exchange.servers.server_health import ServerHealth
 
 BACK_SECONDS = 2.3
 """An entry that lapsed while the store was away is kept this long after its return: servers that
--- a/src/milletcourse/exchange/server_health.py
+++ b/src/milletcourse/exchange/servers/server_health.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from milletcourse.exchange.decaying_count import DecayingCount
-from milletcourse.exchange.messages import AttemptResult
+from milletcourse.exchange.counting.decaying_count import DecayingCount
+from milletcourse.exchange.messages.messages import AttemptResult
 
 HALF_LIFE_SECONDS = 3.0
 """Failures count half after this time."""
--- a/src/milletcourse/experiments/containment_model.py
+++ b/src/milletcourse/experiments/containment_model.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from milletcourse.exchange.crash_evidence import CrashEvidence
-from milletcourse.exchange.load_exchange import TICK_SECONDS, LoadExchange
+from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
+from milletcourse.exchange.load.load_exchange import TICK_SECONDS, LoadExchange
 from milletcourse.experiments.containment_ways import Way, rule_of
 
 ZONES = 3
--- a/src/milletcourse/experiments/containment_ways.py
+++ b/src/milletcourse/experiments/containment_ways.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 from enum import Enum
 
-from milletcourse.exchange.crash_record import (
+from milletcourse.exchange.evidence.crash_record import (
     CONTAINING_ENDS,
     ProofRule,
     ServerEnd,
--- a/src/milletcourse/experiments/limit_model.py
+++ b/src/milletcourse/experiments/limit_model.py
@@ -14,11 +14,16 @@
 
 import msgspec
 
-from milletcourse.exchange.load_exchange import TICK_SECONDS, LoadExchange
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.peer_messages import encode_message
-from milletcourse.exchange.records import LimitTolerance, LimitUnit, TenantLimit, TenantRecord
-from milletcourse.exchange.tenant_limits import TenantLimits
+from milletcourse.exchange.limits.tenant_limits import TenantLimits
+from milletcourse.exchange.load.load_exchange import TICK_SECONDS, LoadExchange
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.messages.peer_messages import encode_message
+from milletcourse.exchange.messages.records import (
+    LimitTolerance,
+    LimitUnit,
+    TenantLimit,
+    TenantRecord,
+)
 from milletcourse.experiments.limit_ways import KNOWLEDGE, Way
 
 TENANT = "tenant-1"
--- a/src/milletcourse/experiments/limit_ways.py
+++ b/src/milletcourse/experiments/limit_ways.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from enum import Enum
 
-from milletcourse.exchange.known_use import KnownUse, SummedUse, UseKnowledge
-from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.limits.known_use import KnownUse, SummedUse, UseKnowledge
+from milletcourse.exchange.load.load_exchange import LoadExchange
 
 UNLIMITED_PER_SECOND = 1e9
 """What comes into a bucket that is full at each tick: a thousand times what a tenant sends here."""
--- a/src/milletcourse/gateway/adapter.py
+++ b/src/milletcourse/gateway/adapter.py
@@ -5,12 +5,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from milletcourse.exchange.dialect import HeaderDialect
-from milletcourse.exchange.records import ExchangeConfiguration, InstanceRecord, ModelTarget
-from milletcourse.gateway.cache_store_probe import CacheStoreDialect
-from milletcourse.gateway.object_store import StoreDialect
-from milletcourse.gateway.roll_out_service import OrderDialect
-from milletcourse.gateway.settings import GatewaySettings
+from milletcourse.exchange.messages.dialect import HeaderDialect
+from milletcourse.exchange.messages.records import (
+    ExchangeConfiguration,
+    InstanceRecord,
+    ModelTarget,
+)
+from milletcourse.gateway.fleet.cache_store_probe import CacheStoreDialect
+from milletcourse.gateway.fleet.roll_out_service import OrderDialect
+from milletcourse.gateway.state.settings import GatewaySettings
+from milletcourse.gateway.store.object_store import StoreDialect
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/milletcourse/gateway/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -13,11 +13,11 @@
 from typing import Any, Protocol, cast
 
 from milletcourse.errors import Failure, InternalError, RequestTimeout
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.exchange.planned_stop import ConnectionState
-from milletcourse.exchange.records import EdgeLimits
-from milletcourse.gateway.request_reader import ClientRequest, RequestReader
-from milletcourse.gateway.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
+from milletcourse.exchange.attempts.planned_stop import ConnectionState
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.exchange.messages.records import EdgeLimits
+from milletcourse.gateway.clients.request_reader import ClientRequest, RequestReader
+from milletcourse.gateway.telling.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.sockets import unread_bytes
 
--- a/src/milletcourse/gateway/client_gate.py
+++ b/src/milletcourse/gateway/clients/client_gate.py
@@ -4,8 +4,8 @@
 
 import socket
 
-from milletcourse.gateway.client_connection import ClientConnection
-from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.runtime.sockets import waiting_connections
 
 SHORT_SECONDS = 0.1
--- a/src/milletcourse/gateway/refusals.py
+++ b/src/milletcourse/gateway/clients/refusals.py
@@ -4,8 +4,8 @@
 
 from milletcourse.edge.problems import PROBLEM_CONTENT_TYPE, problem_body
 from milletcourse.errors import Failure
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.gateway.client_connection import ClientConnection
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.gateway.clients.client_connection import ClientConnection
 
 
 def refuse(client: ClientConnection, failure: Failure) -> None:
--- a/src/milletcourse/gateway/request_reader.py
+++ b/src/milletcourse/gateway/clients/request_reader.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from milletcourse.errors import BodyTooLarge, Failure, HeadersTooLarge, MalformedRequest
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.exchange.records import EdgeLimits
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.exchange.messages.records import EdgeLimits
 from milletcourse.runtime.clock import elapsed_seconds
 
 FIELD_OVERHEAD_BYTES = 4
--- a/src/milletcourse/gateway/cache_store_probe.py
+++ b/src/milletcourse/gateway/fleet/cache_store_probe.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from milletcourse.gateway.call_client import Call, Reply
-from milletcourse.gateway.context import GatewayContext
+from milletcourse.gateway.servers.call_client import Call, Reply
+from milletcourse.gateway.state.context import GatewayContext
 
 WAIT_SECONDS = 0.25
 """A call is held this long at most; shorter ones are priced as probes."""
--- a/src/milletcourse/gateway/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -5,24 +5,24 @@
 import asyncio
 from typing import cast
 
-from milletcourse.exchange.allowance_messages import (
+from milletcourse.exchange.load.load_exchange import TICK_SECONDS, Outgoing
+from milletcourse.exchange.messages.allowance_messages import (
     UnitMessage,
     decode_unit_message,
     encode_unit_message,
     is_unit_message,
 )
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.load_exchange import TICK_SECONDS, Outgoing
-from milletcourse.exchange.peer_messages import (
+from milletcourse.exchange.messages.peer_messages import (
     LoadScope,
     ServerNotice,
     ServerState,
     decode_message,
     encode_message,
 )
-from milletcourse.exchange.roll_out import INITIAL_LOAD_SECONDS
-from milletcourse.exchange.store_reading import GatewayRecord
-from milletcourse.gateway.context import GatewayContext
+from milletcourse.exchange.reading.store_reading import GatewayRecord
+from milletcourse.exchange.rollout.roll_out import INITIAL_LOAD_SECONDS
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.state.context import GatewayContext
 
 
 class PeerExchange(asyncio.DatagramProtocol):
--- a/src/milletcourse/gateway/roll_out_service.py
+++ b/src/milletcourse/gateway/fleet/roll_out_service.py
@@ -9,13 +9,13 @@
 import msgspec
 
 from milletcourse.control.lease import LeaseClaim, LeaseSpec, LeaseTracker
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.peer_messages import ServerNotice, ServerState
-from milletcourse.exchange.roll_out import OrderReply, RollOut, ServerReport, WeightOrder
-from milletcourse.gateway.call_client import Call, CallClient, Reply
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.object_store import ObjectStoreClient, StoredObject, StoreError
-from milletcourse.gateway.peers import PeerExchange
+from milletcourse.exchange.messages.peer_messages import ServerNotice, ServerState
+from milletcourse.exchange.rollout.roll_out import OrderReply, RollOut, ServerReport, WeightOrder
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.fleet.peers import PeerExchange
+from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.store.object_store import ObjectStoreClient, StoredObject, StoreError
 
 TICK_SECONDS = 0.1
 MAX_RENEW_SECONDS = 0.9
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -6,20 +6,20 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from milletcourse.exchange.crash_evidence import MAX_TOLD
-from milletcourse.exchange.store_reading import GatewayRecord, ReadingPlan
+from milletcourse.exchange.evidence.crash_evidence import MAX_TOLD
+from milletcourse.exchange.reading.store_reading import GatewayRecord, ReadingPlan
 from milletcourse.gateway.adapter import PlatformAdapter
-from milletcourse.gateway.call_client import CallClient
-from milletcourse.gateway.client_connection import Handler
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.directory import ContainedRequest, GatewayDirectory, GatewayEntry
-from milletcourse.gateway.kind_mirror import KindMirror
-from milletcourse.gateway.object_store import ObjectStoreClient
-from milletcourse.gateway.peers import PeerExchange
-from milletcourse.gateway.registration import Registration
-from milletcourse.gateway.sinks import ConfigurationSink, InstanceSink, TargetSink
-from milletcourse.gateway.store_feed import StoreFeed
-from milletcourse.gateway.store_sync import StoreSync, WatchedKind
+from milletcourse.gateway.clients.client_connection import Handler
+from milletcourse.gateway.fleet.peers import PeerExchange
+from milletcourse.gateway.servers.call_client import CallClient
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.store.directory import ContainedRequest, GatewayDirectory, GatewayEntry
+from milletcourse.gateway.store.kind_mirror import KindMirror
+from milletcourse.gateway.store.object_store import ObjectStoreClient
+from milletcourse.gateway.store.registration import Registration
+from milletcourse.gateway.store.sinks import ConfigurationSink, InstanceSink, TargetSink
+from milletcourse.gateway.store.store_feed import StoreFeed
+from milletcourse.gateway.store.store_sync import StoreSync, WatchedKind
 from milletcourse.runtime.clock import wall_seconds
 
 INSTANCE_WAIT_SECONDS = 1.5
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -8,30 +8,30 @@
 from typing import TYPE_CHECKING, Any
 
 from milletcourse.errors import Draining, NotFound
+from milletcourse.exchange.attempts.planned_stop import PlannedStop, StopPhase
+from milletcourse.exchange.counting.service_tally import TALLY_SECONDS
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
-from milletcourse.exchange.planned_stop import PlannedStop, StopPhase
-from milletcourse.exchange.service_tally import TALLY_SECONDS
 from milletcourse.gateway.adapter import PlatformAdapter
-from milletcourse.gateway.cache_store_probe import CacheStoreProbe
-from milletcourse.gateway.call_client import CallClient
-from milletcourse.gateway.client_connection import ClientConnection, Handler
-from milletcourse.gateway.client_gate import ClientGate
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.event_log import EventLog
-from milletcourse.gateway.exchange_runner import ExchangeRunner
-from milletcourse.gateway.figures import Figures
+from milletcourse.gateway.clients.client_connection import ClientConnection, Handler
+from milletcourse.gateway.clients.client_gate import ClientGate
+from milletcourse.gateway.clients.refusals import refuse
+from milletcourse.gateway.clients.request_reader import ClientRequest
+from milletcourse.gateway.fleet.cache_store_probe import CacheStoreProbe
+from milletcourse.gateway.fleet.roll_out_service import RollOutService
 from milletcourse.gateway.fleet_member import FleetMember
-from milletcourse.gateway.object_store import ObjectStoreClient
 from milletcourse.gateway.operator_api import OperatorApi, set_gauges
-from milletcourse.gateway.refusals import refuse
-from milletcourse.gateway.request_reader import ClientRequest
-from milletcourse.gateway.roll_out_service import RollOutService
-from milletcourse.gateway.settings import GatewaySettings
+from milletcourse.gateway.requests.exchange_runner import ExchangeRunner
+from milletcourse.gateway.servers.call_client import CallClient
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.state.settings import GatewaySettings
+from milletcourse.gateway.store.object_store import ObjectStoreClient
+from milletcourse.gateway.telling.event_log import EventLog
+from milletcourse.gateway.telling.figures import Figures
 from milletcourse.runtime.acceptor import Acceptor, listening_socket
 from milletcourse.runtime.listeners import close_when_empty
 
 if TYPE_CHECKING:
-    from milletcourse.gateway.metrics import GatewayMetrics
+    from milletcourse.gateway.telling.metrics import GatewayMetrics
 
 LISTEN_BACKLOG = 1024
 SWEEP_SECONDS = 0.25
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -11,17 +11,17 @@
 import msgspec
 
 from milletcourse.errors import NotFound
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.exchange.request_identity import identity_text
-from milletcourse.exchange.tenant_limits import LimitState
-from milletcourse.gateway.client_connection import ClientConnection
-from milletcourse.gateway.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
-from milletcourse.gateway.refusals import refuse
-from milletcourse.gateway.request_reader import ClientRequest
-from milletcourse.gateway.server_permits import ServerLimitState
+from milletcourse.exchange.evidence.request_identity import identity_text
+from milletcourse.exchange.limits.tenant_limits import LimitState
+from milletcourse.exchange.load.server_limits import ServerLimitState
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.clients.refusals import refuse
+from milletcourse.gateway.clients.request_reader import ClientRequest
+from milletcourse.gateway.state.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
 
 if TYPE_CHECKING:
-    from milletcourse.gateway.metrics import GatewayMetrics
+    from milletcourse.gateway.telling.metrics import GatewayMetrics
 
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4"
 JSON_CONTENT_TYPE = b"application/json"
--- a/src/milletcourse/gateway/answer_relay.py
+++ b/src/milletcourse/gateway/requests/answer_relay.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from milletcourse.exchange.messages import AnswerHead, ExchangeRequest
-from milletcourse.gateway.client_connection import ClientConnection
-from milletcourse.gateway.recorder import Recorder
-from milletcourse.gateway.unanswered import RequestPhase
+from milletcourse.exchange.messages.messages import AnswerHead, ExchangeRequest
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.telling.recorder import Recorder
+from milletcourse.gateway.telling.unanswered import RequestPhase
 
 
 class ServerFailure(msgspec.Struct):
--- a/src/milletcourse/gateway/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -5,25 +5,25 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from milletcourse.exchange.answer_rules import judge_answer
-from milletcourse.exchange.engine_load import memory_tokens
-from milletcourse.exchange.event_stream import EventSplitter
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.messages import AnswerHead, AttemptResult, LeaveCause
-from milletcourse.exchange.patience import (
+from milletcourse.exchange.attempts.answer_rules import judge_answer
+from milletcourse.exchange.attempts.patience import (
     MIN_SILENCE_SECONDS,
     first_event_seconds,
     gap_seconds,
     patience_left,
 )
-from milletcourse.gateway.answer_relay import AnswerRelay, ServerFailure
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.descriptors import OwnMeansError
-from milletcourse.gateway.dispatch_builder import DispatchBuilder
-from milletcourse.gateway.exchange_job import ExchangeJob
-from milletcourse.gateway.server_connection import LossCause, ServerConnection
-from milletcourse.gateway.server_permits import Permit
-from milletcourse.gateway.unanswered import RequestPhase
+from milletcourse.exchange.messages.event_stream import EventSplitter
+from milletcourse.exchange.messages.messages import AnswerHead, AttemptResult, LeaveCause
+from milletcourse.exchange.placement.engine_load import memory_tokens
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.requests.answer_relay import AnswerRelay, ServerFailure
+from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
+from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.servers.descriptors import OwnMeansError
+from milletcourse.gateway.servers.server_connection import LossCause, ServerConnection
+from milletcourse.gateway.servers.server_permits import Permit
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.telling.unanswered import RequestPhase
 from milletcourse.runtime.attended_timer import AttendedTimer
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
--- a/src/milletcourse/gateway/dispatch_builder.py
+++ b/src/milletcourse/gateway/requests/dispatch_builder.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.instance_table import Instance
 from milletcourse.exchange.mechanisms import Mechanism
-from milletcourse.exchange.messages import Dispatch
-from milletcourse.exchange.prompt_chain import PromptChain, prompt_chain
-from milletcourse.exchange.records import ServiceRecord
-from milletcourse.exchange.reuse_scope import cache_salt
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.exchange_job import ExchangeJob
+from milletcourse.exchange.messages.messages import Dispatch
+from milletcourse.exchange.messages.records import ServiceRecord
+from milletcourse.exchange.placement.prompt_chain import PromptChain, prompt_chain
+from milletcourse.exchange.placement.reuse_scope import cache_salt
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.state.context import GatewayContext
 
 MOVED_MIN_SHARED_TOKENS = 32
 """Shorter shared parts are read again rather than moved: servers keep blocks of 16 tokens."""
--- a/src/milletcourse/gateway/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -16,27 +16,32 @@
     Overloaded,
     ServersAtLimit,
 )
-from milletcourse.exchange.attempt_plan import AttemptPlan, NextStep
-from milletcourse.exchange.crash_evidence import Containment
-from milletcourse.exchange.engine_load import longest_wait
-from milletcourse.exchange.instance_selector import Choice
-from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.attempts.attempt_plan import AttemptPlan, NextStep
+from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.exchange.mechanisms import Mechanism
-from milletcourse.exchange.messages import AttemptResult, ExchangeRequest, LeaveCause
-from milletcourse.exchange.records import RouteKind, RouteRecord, ServiceRecord, TenantRecord
-from milletcourse.exchange.reuse_scope import request_rank, reuse_scope
-from milletcourse.exchange.route_table import RouteTable
-from milletcourse.gateway.answer_relay import AnswerRelay
-from milletcourse.gateway.attempt import Attempt
-from milletcourse.gateway.client_connection import ClientConnection
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.exchange_job import ExchangeJob
-from milletcourse.gateway.recorder import StreamCut, VisitedServer
-from milletcourse.gateway.refusals import refuse
-from milletcourse.gateway.server_connection import LossCause
-from milletcourse.gateway.server_permits import Permit
-from milletcourse.gateway.stream_handover import StreamHandover
-from milletcourse.gateway.visit import Visit
+from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest, LeaveCause
+from milletcourse.exchange.messages.records import (
+    RouteKind,
+    RouteRecord,
+    ServiceRecord,
+    TenantRecord,
+)
+from milletcourse.exchange.placement.engine_load import longest_wait
+from milletcourse.exchange.placement.instance_selector import Choice
+from milletcourse.exchange.placement.reuse_scope import request_rank, reuse_scope
+from milletcourse.exchange.placement.route_table import RouteTable
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.clients.refusals import refuse
+from milletcourse.gateway.requests.answer_relay import AnswerRelay
+from milletcourse.gateway.requests.attempt import Attempt
+from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.requests.stream_handover import StreamHandover
+from milletcourse.gateway.requests.visit import Visit
+from milletcourse.gateway.servers.server_connection import LossCause
+from milletcourse.gateway.servers.server_permits import Permit
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.telling.recorder import StreamCut, VisitedServer
 from milletcourse.runtime.attended_clock import ABSENCE_SECONDS
 from milletcourse.runtime.attended_timer import SECOND_LOOK_SECONDS
 
--- a/src/milletcourse/gateway/exchange_job.py
+++ b/src/milletcourse/gateway/requests/exchange_job.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from functools import cached_property
 
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.records import RouteRecord, ServiceRecord, TenantRecord
-from milletcourse.exchange.request_identity import request_identity
-from milletcourse.exchange.route_table import RouteTable
+from milletcourse.exchange.evidence.request_identity import request_identity
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.messages.records import RouteRecord, ServiceRecord, TenantRecord
+from milletcourse.exchange.placement.route_table import RouteTable
 
 
 @dataclass(frozen=True)
--- a/src/milletcourse/gateway/exchange_runner.py
+++ b/src/milletcourse/gateway/requests/exchange_runner.py
@@ -11,14 +11,14 @@
     TenantLimitExceeded,
     Unauthenticated,
 )
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.records import RouteRecord, TenantRecord
-from milletcourse.exchange.route_table import RouteTable
-from milletcourse.gateway.client_connection import ClientConnection
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.exchange import Exchange
-from milletcourse.gateway.refusals import refuse
-from milletcourse.gateway.request_reader import ClientRequest
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.messages.records import RouteRecord, TenantRecord
+from milletcourse.exchange.placement.route_table import RouteTable
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.clients.refusals import refuse
+from milletcourse.gateway.clients.request_reader import ClientRequest
+from milletcourse.gateway.requests.exchange import Exchange
+from milletcourse.gateway.state.context import GatewayContext
 
 
 class ExchangeRunner:
--- a/src/milletcourse/gateway/stream_handover.py
+++ b/src/milletcourse/gateway/requests/stream_handover.py
@@ -5,18 +5,18 @@
 import asyncio
 from collections.abc import Callable
 
-from milletcourse.exchange.handover import (
+from milletcourse.exchange.attempts.handover import (
     MAX_OVERLAP_SECONDS,
     Handover,
     HandoverState,
     HandoverStep,
     Runner,
 )
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.messages import AttemptResult, LeaveCause
-from milletcourse.gateway.attempt import Attempt
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.visit import Visit
+from milletcourse.exchange.messages.messages import AttemptResult, LeaveCause
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.requests.attempt import Attempt
+from milletcourse.gateway.requests.visit import Visit
+from milletcourse.gateway.state.context import GatewayContext
 
 
 class StreamHandover:
--- a/src/milletcourse/gateway/visit.py
+++ b/src/milletcourse/gateway/requests/visit.py
@@ -5,10 +5,10 @@
 import asyncio
 from dataclasses import dataclass
 
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.messages import AttemptResult
-from milletcourse.gateway.attempt import Attempt
-from milletcourse.gateway.recorder import FailedAttempt, VisitedServer
+from milletcourse.exchange.messages.messages import AttemptResult
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.requests.attempt import Attempt
+from milletcourse.gateway.telling.recorder import FailedAttempt, VisitedServer
 
 
 @dataclass
--- a/src/milletcourse/gateway/call_client.py
+++ b/src/milletcourse/gateway/servers/call_client.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.gateway.connection_pool import ConnectionPool
-from milletcourse.gateway.descriptors import OwnMeansError
-from milletcourse.gateway.server_connection import ServerConnection
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.gateway.servers.connection_pool import ConnectionPool
+from milletcourse.gateway.servers.descriptors import OwnMeansError
+from milletcourse.gateway.servers.server_connection import ServerConnection
 from milletcourse.runtime.attended_timer import AttendedTimer
 from milletcourse.runtime.clock import elapsed_seconds
 
--- a/src/milletcourse/gateway/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -6,9 +6,9 @@
 from collections import deque
 from collections.abc import Callable
 
-from milletcourse.exchange.dialect import HeaderDialect
-from milletcourse.gateway.descriptors import OwnMeansError
-from milletcourse.gateway.server_connection import (
+from milletcourse.exchange.messages.dialect import HeaderDialect
+from milletcourse.gateway.servers.descriptors import OwnMeansError
+from milletcourse.gateway.servers.server_connection import (
     CONNECT_TIMEOUT_SECONDS,
     ServerConnection,
     connect,
--- a/src/milletcourse/gateway/crash_watch.py
+++ b/src/milletcourse/gateway/servers/crash_watch.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from milletcourse.exchange.crash_evidence import Containment, CrashEvidence
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.gateway.connection_pool import ConnectionPool
+from milletcourse.exchange.evidence.crash_evidence import Containment, CrashEvidence
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.servers.connection_pool import ConnectionPool
 
 DOUBT_SECONDS = 5.0
 """A loss counts if its server turns out to have ended within this time: entries of servers that
--- a/src/milletcourse/gateway/limit_watch.py
+++ b/src/milletcourse/gateway/servers/limit_watch.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable, Iterable
 
-from milletcourse.exchange.ask_pauses import AskPauses
-from milletcourse.exchange.instance_table import Instance, InstanceTable
-from milletcourse.exchange.peer_messages import LimitWord
-from milletcourse.exchange.server_limit import LimitReading
-from milletcourse.exchange.server_limits import LimitChange, ServerLimits
-from milletcourse.gateway.recorder import Recorder
+from milletcourse.exchange.limits.ask_pauses import AskPauses
+from milletcourse.exchange.load.server_limits import LimitChange, ServerLimits
+from milletcourse.exchange.messages.peer_messages import LimitWord
+from milletcourse.exchange.messages.server_limit import LimitReading
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
+from milletcourse.gateway.telling.recorder import Recorder
 
 
 class LimitWatch:
--- a/src/milletcourse/gateway/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -14,9 +14,9 @@
 import httptools
 import msgspec
 
-from milletcourse.exchange.dialect import HeaderDialect
-from milletcourse.exchange.messages import AnswerHead, HeaderField
-from milletcourse.gateway.descriptors import OWN_LACK, OwnMeansError
+from milletcourse.exchange.messages.dialect import HeaderDialect
+from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
+from milletcourse.gateway.servers.descriptors import OWN_LACK, OwnMeansError
 from milletcourse.runtime.addresses import split_address
 from milletcourse.runtime.attended_clock import AttendedClock
 from milletcourse.runtime.attended_timer import attended_timeout
--- a/src/milletcourse/gateway/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -8,19 +8,19 @@
 from dataclasses import dataclass
 from itertools import count
 
-from milletcourse.exchange.allowance_homes import AllowanceHomes, ChosenLender
-from milletcourse.exchange.allowance_lender import (
+from milletcourse.exchange.limits.allowance_homes import AllowanceHomes, ChosenLender
+from milletcourse.exchange.limits.allowance_lender import (
     GRANTED,
     AllowanceLender,
     Standing,
     UnitReply,
 )
-from milletcourse.exchange.allowance_messages import UnitMessage, UnitStep, told_ms
-from milletcourse.exchange.ask_pauses import AskPauses
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.peer_messages import MAX_AGE_MS, LimitWord
-from milletcourse.exchange.server_limits import ServerLimits
-from milletcourse.gateway.figures import Figures
+from milletcourse.exchange.limits.ask_pauses import AskPauses
+from milletcourse.exchange.load.server_limits import ServerLimits, ServerLimitState
+from milletcourse.exchange.messages.allowance_messages import UnitMessage, UnitStep, told_ms
+from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, LimitWord
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.telling.figures import Figures
 from milletcourse.runtime.attended_clock import AttendedClock
 from milletcourse.runtime.attended_timer import attended_timeout
 
@@ -43,25 +43,6 @@
     valid_until: float
 
 
-@dataclass(frozen=True)
-class ServerLimitState:
-    """What a gateway knows of a server's limit, for operators.
-
-    Attributes:
-        instance: The server.
-        per_second: Requests a second that it takes from all gateways together.
-        said: Seconds since an answer, here or at another gateway, said so last.
-        lender: Gateway that is asked for each request to it.
-        standing: As what that one lends: home, deputy or alone.
-    """
-
-    instance: str
-    per_second: float
-    said: float
-    lender: str
-    standing: str
-
-
 SendMessage = Callable[[str, UnitMessage], None]
 """Sends a message to a gateway by name."""
 
--- a/src/milletcourse/gateway/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -9,35 +9,35 @@
 from typing import Any
 
 from milletcourse.admission.retry_budget import RetryBudget, shared_retry_budget
-from milletcourse.exchange.cache_store_plan import CacheStorePlan
-from milletcourse.exchange.crash_evidence import CrashEvidence
-from milletcourse.exchange.dialect import HeaderDialect
-from milletcourse.exchange.freshness import ProofOfFreshness, ReadingTimes, reading_times
-from milletcourse.exchange.instance_selector import InstanceSelector
-from milletcourse.exchange.instance_table import Instance, InstanceTable
-from milletcourse.exchange.known_use import SummedUse
-from milletcourse.exchange.load_exchange import LoadExchange
+from milletcourse.exchange.attempts.planned_stop import PlannedStop, StopPhase
+from milletcourse.exchange.counting.weighted_choice import WeightedChoice
+from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
+from milletcourse.exchange.limits.known_use import SummedUse
+from milletcourse.exchange.limits.tenant_limits import TenantLimits
+from milletcourse.exchange.load.load_exchange import LoadExchange
+from milletcourse.exchange.load.server_limits import ServerLimits
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
-from milletcourse.exchange.messages import AttemptResult
-from milletcourse.exchange.peer_messages import InstanceLoad
-from milletcourse.exchange.planned_stop import PlannedStop, StopPhase
-from milletcourse.exchange.records import EdgeLimits, TenantRecord
-from milletcourse.exchange.route_table import RouteTable
-from milletcourse.exchange.server_health import TALLY_HALF_LIFE_SECONDS
-from milletcourse.exchange.server_limits import ServerLimits
-from milletcourse.exchange.tenant_limits import TenantLimits
-from milletcourse.exchange.version_gate import VersionGate
-from milletcourse.exchange.weighted_choice import WeightedChoice
-from milletcourse.gateway.connection_pool import ConnectionPool
-from milletcourse.gateway.crash_watch import CrashWatch
-from milletcourse.gateway.descriptors import descriptor_plan
-from milletcourse.gateway.event_log import EventLog
-from milletcourse.gateway.figures import Figures
-from milletcourse.gateway.limit_watch import LimitWatch
-from milletcourse.gateway.recorder import Recorder
-from milletcourse.gateway.server_permits import ServerPermits
-from milletcourse.gateway.settings import GatewaySettings
-from milletcourse.gateway.unanswered import UnansweredRequest
+from milletcourse.exchange.messages.dialect import HeaderDialect
+from milletcourse.exchange.messages.messages import AttemptResult
+from milletcourse.exchange.messages.peer_messages import InstanceLoad
+from milletcourse.exchange.messages.records import EdgeLimits, TenantRecord
+from milletcourse.exchange.placement.cache_store_plan import CacheStorePlan
+from milletcourse.exchange.placement.instance_selector import InstanceSelector
+from milletcourse.exchange.placement.route_table import RouteTable
+from milletcourse.exchange.reading.freshness import ProofOfFreshness, ReadingTimes, reading_times
+from milletcourse.exchange.rollout.version_gate import VersionGate
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
+from milletcourse.exchange.servers.server_health import TALLY_HALF_LIFE_SECONDS
+from milletcourse.gateway.servers.connection_pool import ConnectionPool
+from milletcourse.gateway.servers.crash_watch import CrashWatch
+from milletcourse.gateway.servers.descriptors import descriptor_plan
+from milletcourse.gateway.servers.limit_watch import LimitWatch
+from milletcourse.gateway.servers.server_permits import ServerPermits
+from milletcourse.gateway.state.settings import GatewaySettings
+from milletcourse.gateway.telling.event_log import EventLog
+from milletcourse.gateway.telling.figures import Figures
+from milletcourse.gateway.telling.recorder import Recorder
+from milletcourse.gateway.telling.unanswered import UnansweredRequest
 from milletcourse.runtime.attended_clock import AttendedClock
 from milletcourse.runtime.clock import SleepDetector, elapsed_seconds
 
--- a/src/milletcourse/gateway/settings.py
+++ b/src/milletcourse/gateway/state/settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from milletcourse.exchange.records import LimitTolerance
+from milletcourse.exchange.messages.records import LimitTolerance
 
 
 class GatewayBounds(msgspec.Struct, frozen=True):
--- a/src/milletcourse/gateway/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from milletcourse.exchange.peer_messages import CrashEnd, CrashReport
-from milletcourse.exchange.request_identity import identity_text
-from milletcourse.exchange.store_reading import GatewayRecord
-from milletcourse.gateway.event_log import EventLog
-from milletcourse.gateway.object_store import UNREADABLE, ObjectChange, StoredObject
+from milletcourse.exchange.evidence.request_identity import identity_text
+from milletcourse.exchange.messages.peer_messages import CrashEnd, CrashReport
+from milletcourse.exchange.reading.store_reading import GatewayRecord
+from milletcourse.gateway.store.object_store import UNREADABLE, ObjectChange, StoredObject
+from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.runtime.addresses import split_address
 
 MAX_IDENTITY = 2**64 - 1
--- a/src/milletcourse/gateway/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from milletcourse.exchange.feed_messages import FedKind, FedObject
-from milletcourse.gateway.object_store import ObjectChange, ObjectChanges, StoredObject
+from milletcourse.exchange.messages.feed_messages import FedKind, FedObject
+from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 
 MAX_LOGGED_CHANGES = 2048
 """A follower that is further behind is told all objects."""
--- a/src/milletcourse/gateway/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -5,8 +5,8 @@
 import asyncio
 import random
 
-from milletcourse.gateway.kind_mirror import KindMirror
-from milletcourse.gateway.object_store import (
+from milletcourse.gateway.store.kind_mirror import KindMirror
+from milletcourse.gateway.store.object_store import (
     ObjectChanges,
     ObjectStoreClient,
     StoredObject,
--- a/src/milletcourse/gateway/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from milletcourse.gateway.call_client import Call, CallClient, Reply
+from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
 
 CALL_TIMEOUT_SECONDS = 1.0
 PAGE_ATTEMPTS = 4
--- a/src/milletcourse/gateway/registration.py
+++ b/src/milletcourse/gateway/store/registration.py
@@ -12,13 +12,13 @@
 
 import msgspec
 
-from milletcourse.gateway.directory import (
+from milletcourse.gateway.store.directory import (
     ContainedRequest,
     GatewayDirectory,
     GatewayEntry,
     decode_entry,
 )
-from milletcourse.gateway.object_store import (
+from milletcourse.gateway.store.object_store import (
     ObjectStoreClient,
     StoredObject,
     StoreError,
--- a/src/milletcourse/gateway/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -4,10 +4,14 @@
 
 from collections.abc import Callable, Iterable
 
-from milletcourse.exchange.records import ExchangeConfiguration, InstanceRecord, ModelTarget
-from milletcourse.exchange.route_table import RouteTable
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.object_store import UNREADABLE, ObjectChange, StoredObject
+from milletcourse.exchange.messages.records import (
+    ExchangeConfiguration,
+    InstanceRecord,
+    ModelTarget,
+)
+from milletcourse.exchange.placement.route_table import RouteTable
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.store.object_store import UNREADABLE, ObjectChange, StoredObject
 
 
 class _Sink:
--- a/src/milletcourse/gateway/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -6,18 +6,18 @@
 from collections.abc import Sequence
 
 from milletcourse.errors import MalformedRequest, NotReady
-from milletcourse.exchange.feed_messages import (
+from milletcourse.exchange.messages.feed_messages import (
     FeedAnswer,
     FeedQuestion,
     decode_question,
     encode_answer,
 )
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.gateway.client_connection import ClientConnection
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.kind_mirror import KindMirror
-from milletcourse.gateway.refusals import refuse
-from milletcourse.gateway.request_reader import ClientRequest
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.clients.refusals import refuse
+from milletcourse.gateway.clients.request_reader import ClientRequest
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.store.kind_mirror import KindMirror
 
 MAX_HOLD_SECONDS = 5.0
 """No question is kept longer, whatever it asks for."""
--- a/src/milletcourse/gateway/store_sync.py
+++ b/src/milletcourse/gateway/store/store_sync.py
@@ -9,25 +9,25 @@
 
 import msgspec
 
-from milletcourse.exchange.feed_messages import (
+from milletcourse.exchange.mechanisms import Mechanism
+from milletcourse.exchange.messages.feed_messages import (
     FeedAnswer,
     FeedPosition,
     FeedQuestion,
     decode_answer,
     encode_question,
 )
-from milletcourse.exchange.mechanisms import Mechanism
-from milletcourse.exchange.store_reading import GatewayRecord, ReadingPlan
-from milletcourse.gateway.call_client import Call, CallClient
-from milletcourse.gateway.context import GatewayContext
-from milletcourse.gateway.kind_mirror import KindMirror
-from milletcourse.gateway.kind_watch import (
+from milletcourse.exchange.reading.store_reading import GatewayRecord, ReadingPlan
+from milletcourse.gateway.servers.call_client import Call, CallClient
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.store.kind_mirror import KindMirror
+from milletcourse.gateway.store.kind_watch import (
     MAX_FOLLOWER_PAUSE_SECONDS,
     MAX_PAUSE_SECONDS,
     KindWatch,
     list_as_of_now,
 )
-from milletcourse.gateway.object_store import ObjectStoreClient, StoreError
+from milletcourse.gateway.store.object_store import ObjectStoreClient, StoreError
 from milletcourse.runtime.attended_timer import attended_timeout
 
 FEED_PATH = "/feed"
--- a/src/milletcourse/gateway/figures.py
+++ b/src/milletcourse/gateway/telling/figures.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.messages import AttemptResult
-from milletcourse.gateway.unanswered import UnansweredCause
+from milletcourse.exchange.messages.messages import AttemptResult
+from milletcourse.gateway.telling.unanswered import UnansweredCause
 
 
 class Figures:
--- a/src/milletcourse/gateway/metrics.py
+++ b/src/milletcourse/gateway/telling/metrics.py
@@ -11,9 +11,9 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from milletcourse.exchange.messages import AttemptResult
-from milletcourse.gateway.figures import Figures
-from milletcourse.gateway.unanswered import UnansweredCause
+from milletcourse.exchange.messages.messages import AttemptResult
+from milletcourse.gateway.telling.figures import Figures
+from milletcourse.gateway.telling.unanswered import UnansweredCause
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
--- a/src/milletcourse/gateway/recorder.py
+++ b/src/milletcourse/gateway/telling/recorder.py
@@ -3,25 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import asdict
 from typing import Any
 
 import msgspec
 
 from milletcourse.errors import Failure, RunState
-from milletcourse.exchange.attempt_plan import NextStep
-from milletcourse.exchange.crash_evidence import Containment
-from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
-from milletcourse.exchange.records import RouteRecord
-from milletcourse.exchange.request_identity import identity_text
-from milletcourse.exchange.roll_out import OrderReply, WeightOrder
-from milletcourse.exchange.server_limits import LimitChange
-from milletcourse.exchange.service_tally import Outcome, ServiceTally, served_outcome
-from milletcourse.exchange.tenant_limits import LimitState
-from milletcourse.gateway.event_log import EventLog
-from milletcourse.gateway.figures import Figures
-from milletcourse.gateway.server_permits import ServerLimitState
-from milletcourse.gateway.unanswered import UnansweredRequest
+from milletcourse.exchange.attempts.attempt_plan import NextStep
+from milletcourse.exchange.counting.service_tally import Outcome, ServiceTally, served_outcome
+from milletcourse.exchange.evidence.crash_evidence import Containment
+from milletcourse.exchange.evidence.request_identity import identity_text
+from milletcourse.exchange.limits.tenant_limits import LimitState
+from milletcourse.exchange.load.server_limits import LimitChange, ServerLimitState
+from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
+from milletcourse.exchange.messages.records import RouteRecord
+from milletcourse.exchange.rollout.roll_out import OrderReply, WeightOrder
+from milletcourse.gateway.telling.event_log import EventLog
+from milletcourse.gateway.telling.figures import Figures
+from milletcourse.gateway.telling.unanswered import UnansweredRequest
 
 MAX_UNREADABLE_LIMITS = 100
 """Servers whose unreadable limits are remembered, so that each is told once."""
@@ -286,7 +284,9 @@
 
     def at_limit(self, state: ServerLimitState, request: ExchangeRequest) -> None:
         """A request wasn't sent to a server, which has got what it takes."""
-        self._log.emit("server-at-limit", **asdict(state), request_id=request.request_id)
+        self._log.emit(
+            "server-at-limit", **msgspec.structs.asdict(state), request_id=request.request_id
+        )
 
     def limit_unreadable(self, instance: str, shown: str) -> None:
         """A server names a limit that is no number; told once until it says something else."""
--- a/src/milletcourse/gateway/unanswered.py
+++ b/src/milletcourse/gateway/telling/unanswered.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from milletcourse.exchange.messages import HeaderField
+from milletcourse.exchange.messages.messages import HeaderField
 
 
 class RequestPhase(Enum):
--- a/src/milletcourse/platform/cache_events.py
+++ b/src/milletcourse/platform/cache_events.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.gateway.cache_store_probe import SignOfLife
-from milletcourse.gateway.call_client import Call, Reply
-from milletcourse.gateway.object_store import UNREADABLE
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.gateway.fleet.cache_store_probe import SignOfLife
+from milletcourse.gateway.servers.call_client import Call, Reply
+from milletcourse.gateway.store.object_store import UNREADABLE
 
 _EVENTS_PATH = "/milletcourse/kv-events"
 
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from milletcourse.exchange.records import (
+from milletcourse.exchange.messages.records import (
     EdgeLimits,
     ExchangeConfiguration,
     InstanceRecord,
@@ -19,7 +19,7 @@
     TenantRecord,
     WeightedService,
 )
-from milletcourse.gateway.settings import GatewayBounds, GatewaySettings
+from milletcourse.gateway.state.settings import GatewayBounds, GatewaySettings
 from milletcourse.runtime.addresses import split_address
 
 MILLISECOND = 0.001
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.dialect import HeaderNames
+from milletcourse.exchange.messages.dialect import HeaderNames
 from milletcourse.gateway.adapter import ObjectKinds
 
 HEADER_NAMES = HeaderNames(
--- a/src/milletcourse/platform/object_store.py
+++ b/src/milletcourse/platform/object_store.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from milletcourse.gateway.call_client import Call, Reply
-from milletcourse.gateway.object_store import (
+from milletcourse.gateway.servers.call_client import Call, Reply
+from milletcourse.gateway.store.object_store import (
     UNREADABLE,
     ObjectChange,
     ObjectChanges,
--- a/src/milletcourse/platform/orders.py
+++ b/src/milletcourse/platform/orders.py
@@ -4,9 +4,14 @@
 
 import msgspec
 
-from milletcourse.exchange.messages import HeaderField
-from milletcourse.exchange.roll_out import OrderReply, RunningWork, ServerReport, WeightOrder
-from milletcourse.gateway.call_client import Call, Reply
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.exchange.rollout.roll_out import (
+    OrderReply,
+    RunningWork,
+    ServerReport,
+    WeightOrder,
+)
+from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.platform.names import HEADER_NAMES, ORDER_PATH, REPORT_PATH
 
 _MANNERS = {
--- a/src/milletcourse/platform/start.py
+++ b/src/milletcourse/platform/start.py
@@ -5,8 +5,8 @@
 import os
 from pathlib import Path
 
-from milletcourse.exchange.dialect import HeaderDialect
 from milletcourse.exchange.mechanisms import UnknownMechanismError, mechanisms_without
+from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.process import run_gateway
 from milletcourse.platform.cache_events import PlatformCacheEvents
--- a/src/milletcourse/reports/loss_report.py
+++ b/src/milletcourse/reports/loss_report.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from milletcourse.exchange.service_tally import TALLY_SECONDS, Outcome, TallyReport
+from milletcourse.exchange.counting.service_tally import TALLY_SECONDS, Outcome, TallyReport
 from milletcourse.reports.log_lines import SkippedLines, read_documents
 
 TALLY_EVENT = "service-tally"
--- a/src/milletcourse/simulation/scenarios/crashes.py
+++ b/src/milletcourse/simulation/scenarios/crashes.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 
-from milletcourse.exchange.crash_record import CONTAINING_ENDS
+from milletcourse.exchange.evidence.crash_record import CONTAINING_ENDS
 from milletcourse.simulation.clients import SimulatedClients
 from milletcourse.simulation.cluster_records import SimulatedRouter
 from milletcourse.simulation.runner import Scenario
--- a/src/milletcourse/streams/crash_guard.py
+++ b/src/milletcourse/streams/crash_guard.py
@@ -7,9 +7,9 @@
 
 from milletcourse.backends.engine_client import EngineClient
 from milletcourse.errors import BackendUnreachable, FailureError
-from milletcourse.exchange.crash_evidence import CrashEvidence
-from milletcourse.exchange.peer_messages import short_key
-from milletcourse.exchange.request_identity import request_identity
+from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
+from milletcourse.exchange.evidence.request_identity import request_identity
+from milletcourse.exchange.messages.peer_messages import short_key
 from milletcourse.runtime.clock import Clock
 from milletcourse.streams.attempt_planner import Attempt, InferenceRequest
 
--- a/tests/test_stop_machine.py
+++ b/tests/exchange/attempts/test_stop_machine.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from milletcourse.exchange.planned_stop import ConnectionState, PlannedStop, StopPhase
+from milletcourse.exchange.attempts.planned_stop import ConnectionState, PlannedStop, StopPhase
 
 GRACE_SECONDS = 8.0
 MAX_CONNECTIONS = 2
--- a/tests/test_crash_evidence.py
+++ b/tests/exchange/evidence/test_crash_evidence.py
@@ -9,9 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from milletcourse.exchange.crash_evidence import MAX_RECORDS, CrashEvidence
-from milletcourse.exchange.crash_record import CONTAINED_SECONDS
-from milletcourse.exchange.peer_messages import (
+from load_fleet import Fleet
+from milletcourse.exchange.evidence.crash_evidence import MAX_RECORDS, CrashEvidence
+from milletcourse.exchange.evidence.crash_record import CONTAINED_SECONDS
+from milletcourse.exchange.evidence.request_identity import request_identity
+from milletcourse.exchange.messages.peer_messages import (
     MAX_AGE_MS,
     CrashEnd,
     CrashReport,
@@ -19,8 +21,6 @@
     decode_message,
     encode_message,
 )
-from milletcourse.exchange.request_identity import request_identity
-from test_load_exchange import Fleet
 
 CRASHING = 7
 NOW = 1000.0
--- a/tests/test_crash_machine.py
+++ b/tests/exchange/evidence/test_crash_machine.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from test_load_exchange import Fleet
+from load_fleet import Fleet
 
 CRASHING = 7
 POPULAR = 8
--- a/tests/test_allowances.py
+++ b/tests/exchange/limits/test_allowances.py
@@ -10,12 +10,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from milletcourse.exchange.allowance_homes import (
+from milletcourse.exchange.limits.allowance_homes import (
     FIRST_SILENCE_SECONDS,
     MAX_SILENCE_SECONDS,
     AllowanceHomes,
 )
-from milletcourse.exchange.allowance_lender import (
+from milletcourse.exchange.limits.allowance_lender import (
     BURST_UNITS,
     DEPUTY_BURST_UNITS,
     MAX_ACCOUNTS,
@@ -23,35 +23,35 @@
     Standing,
     UnitReply,
 )
-from milletcourse.exchange.allowance_messages import (
+from milletcourse.exchange.limits.ask_pauses import MAX_PROMISE_SECONDS, AskPauses
+from milletcourse.exchange.load.server_limits import (
+    ENDED_SECONDS,
+    MAX_KNOWN,
+    MAX_TOLD,
+    TOLD_TIMES,
+    WORD_SECONDS,
+    LimitChange,
+    ServerLimits,
+)
+from milletcourse.exchange.messages.allowance_messages import (
     UnitMessage,
     UnitStep,
     decode_unit_message,
     encode_unit_message,
     is_unit_message,
 )
-from milletcourse.exchange.ask_pauses import MAX_PROMISE_SECONDS, AskPauses
-from milletcourse.exchange.peer_messages import (
+from milletcourse.exchange.messages.peer_messages import (
     LimitWord,
     PeerMessage,
     decode_message,
     encode_message,
 )
-from milletcourse.exchange.server_limit import (
+from milletcourse.exchange.messages.server_limit import (
     MAX_LIMIT_PER_SECOND,
     MAX_SHOWN_BYTES,
     NO_LIMIT,
     read_limit,
 )
-from milletcourse.exchange.server_limits import (
-    ENDED_SECONDS,
-    MAX_KNOWN,
-    MAX_TOLD,
-    TOLD_TIMES,
-    WORD_SECONDS,
-    LimitChange,
-    ServerLimits,
-)
 
 WINDOW_SECONDS = 4.0
 KEY = 7
--- a/tests/test_tenant_limits.py
+++ b/tests/exchange/limits/test_tenant_limits.py
@@ -23,14 +23,19 @@
 )
 from milletcourse.cli.experiment import read_sizes
 from milletcourse.errors import FailureError
-from milletcourse.exchange.known_use import SummedUse, UseKnowledge
-from milletcourse.exchange.load_exchange import TICK_SECONDS, LoadExchange
-from milletcourse.exchange.messages import ExchangeRequest
-from milletcourse.exchange.peer_messages import TenantUse, decode_message, encode_message
-from milletcourse.exchange.recent_use import TOLD_SECONDS, RecentUse
-from milletcourse.exchange.records import LimitTolerance, LimitUnit, TenantLimit, TenantRecord
-from milletcourse.exchange.shared_bucket import START_SECONDS
-from milletcourse.exchange.tenant_limits import MAX_WAIT_SECONDS, TenantLimits
+from milletcourse.exchange.counting.recent_use import TOLD_SECONDS, RecentUse
+from milletcourse.exchange.limits.known_use import SummedUse, UseKnowledge
+from milletcourse.exchange.limits.shared_bucket import START_SECONDS
+from milletcourse.exchange.limits.tenant_limits import MAX_WAIT_SECONDS, TenantLimits
+from milletcourse.exchange.load.load_exchange import TICK_SECONDS, LoadExchange
+from milletcourse.exchange.messages.messages import ExchangeRequest
+from milletcourse.exchange.messages.peer_messages import TenantUse, decode_message, encode_message
+from milletcourse.exchange.messages.records import (
+    LimitTolerance,
+    LimitUnit,
+    TenantLimit,
+    TenantRecord,
+)
 from milletcourse.experiments.limit_model import (
     LIMIT_PER_SECOND,
     TOLERANCE,
--- a/tests/test_cache_store_plan.py
+++ b/tests/exchange/placement/test_cache_store_plan.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from milletcourse.exchange.cache_store_plan import CacheStorePlan
-from milletcourse.exchange.prompt_chain import PromptChain
-from milletcourse.exchange.records import ServiceRecord
+from milletcourse.exchange.messages.records import ServiceRecord
+from milletcourse.exchange.placement.cache_store_plan import CacheStorePlan
+from milletcourse.exchange.placement.prompt_chain import PromptChain
 
 STORE = ServiceRecord("store", store_address="10.0.0.1:1", zone="a", capacity_tokens=40_000)
 REUSE_SECONDS = 10.0
--- a/tests/test_engine_load.py
+++ b/tests/exchange/placement/test_engine_load.py
@@ -11,26 +11,15 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import serve_whole
-from milletcourse.exchange.engine_load import (
-    MAX_WAIT_SHARE,
-    SLOT_SECONDS,
-    ServerLoad,
-    disturbance_seconds,
-    longest_wait,
-    memory_tokens,
-    wait_seconds,
-)
-from milletcourse.exchange.instance_selector import Choice, InstanceSelector
-from milletcourse.exchange.instance_table import InstanceTable
-from milletcourse.exchange.load_exchange import LoadExchange
-from milletcourse.exchange.messages import ExchangeRequest, PromptPart
-from milletcourse.exchange.peer_messages import (
+from milletcourse.exchange.load.load_exchange import LoadExchange
+from milletcourse.exchange.messages.messages import ExchangeRequest, PromptPart
+from milletcourse.exchange.messages.peer_messages import (
     InstanceLoad,
     LoadScope,
     PeerMessage,
     short_key,
 )
-from milletcourse.exchange.records import (
+from milletcourse.exchange.messages.records import (
     InstanceRecord,
     RouteKind,
     RouteRecord,
@@ -38,7 +27,18 @@
     TenantRecord,
     WeightedService,
 )
-from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.exchange.placement.engine_load import (
+    MAX_WAIT_SHARE,
+    SLOT_SECONDS,
+    ServerLoad,
+    disturbance_seconds,
+    longest_wait,
+    memory_tokens,
+    wait_seconds,
+)
+from milletcourse.exchange.placement.instance_selector import Choice, InstanceSelector
+from milletcourse.exchange.rollout.version_gate import VersionGate
+from milletcourse.exchange.servers.instance_table import InstanceTable
 
 SLOTS = 16
 MEMORY = 80_000
--- a/tests/test_placement.py
+++ b/tests/exchange/placement/test_placement.py
@@ -10,33 +10,33 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from milletcourse.exchange.instance_selector import (
+from milletcourse.exchange.load.load_exchange import LoadExchange
+from milletcourse.exchange.mechanisms import mechanisms_without
+from milletcourse.exchange.messages.messages import ExchangeRequest, PromptPart
+from milletcourse.exchange.messages.records import (
+    ExchangeConfiguration,
+    InstanceRecord,
+    ModelTarget,
+    ServiceRecord,
+    TenantRecord,
+)
+from milletcourse.exchange.placement.instance_selector import (
     PREFILL_TOKENS_PER_SECOND,
     InstanceSelector,
 )
-from milletcourse.exchange.instance_table import Instance, InstanceTable
-from milletcourse.exchange.load_exchange import LoadExchange
-from milletcourse.exchange.long_prompt_servers import (
+from milletcourse.exchange.placement.long_prompt_servers import (
     MIN_ZONE_SERVERS,
     ZONE_SHARE,
     is_long,
     long_prompt_servers,
     mostly_generates,
 )
-from milletcourse.exchange.mechanisms import mechanisms_without
-from milletcourse.exchange.messages import ExchangeRequest, PromptPart
-from milletcourse.exchange.recent_holders import MAX_PARTS, RecentHolders
-from milletcourse.exchange.records import (
-    ExchangeConfiguration,
-    InstanceRecord,
-    ModelTarget,
-    ServiceRecord,
-    TenantRecord,
-)
-from milletcourse.exchange.reuse_scope import reuse_scope
-from milletcourse.exchange.roll_out_timing import GRACE_SECONDS
-from milletcourse.exchange.route_table import RouteTable
-from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.exchange.placement.recent_holders import MAX_PARTS, RecentHolders
+from milletcourse.exchange.placement.reuse_scope import reuse_scope
+from milletcourse.exchange.placement.route_table import RouteTable
+from milletcourse.exchange.rollout.roll_out_timing import GRACE_SECONDS
+from milletcourse.exchange.rollout.version_gate import VersionGate
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
 
 SERVICE = ServiceRecord("s", ("m",))
 ZONES = 5
--- a/tests/test_roll_out_timing.py
+++ b/tests/exchange/rollout/test_roll_out_timing.py
@@ -8,9 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from milletcourse.exchange.records import ModelTarget
-from milletcourse.exchange.roll_out_timing import GRACE_SECONDS, NamingRhythm, is_worth_loading
-from milletcourse.exchange.version_gate import VersionGate
+from milletcourse.exchange.messages.records import ModelTarget
+from milletcourse.exchange.rollout.roll_out_timing import (
+    GRACE_SECONDS,
+    NamingRhythm,
+    is_worth_loading,
+)
+from milletcourse.exchange.rollout.version_gate import VersionGate
 
 USUAL = 10.0
 LOAD = 0.8
--- a/tests/test_client_edges.py
+++ b/tests/gateway/clients/test_client_edges.py
@@ -10,6 +10,7 @@
 
 from gateway_behaviours import PROMPT
 from gateway_harness import Harness, run_with_gateway
+from gateway_process import GatewayProcess, run_with_process
 from gateway_standin import (
     Client,
     ReceivedRequest,
@@ -20,7 +21,6 @@
     serve_whole,
     stream_head,
 )
-from test_gateway_process import GatewayProcess, run_with_process
 
 GRACE_SECONDS = 5.0
 SILENT_CLIENTS = 300
--- a/tests/test_cache_store_probe.py
+++ b/tests/gateway/fleet/test_cache_store_probe.py
@@ -6,14 +6,14 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import configuration
-from milletcourse.gateway.cache_store_probe import (
+from milletcourse.gateway.fleet.cache_store_probe import (
     CALLS_AT_ONCE,
     PAUSE_SECONDS,
     WAIT_SECONDS,
     CacheStoreProbe,
 )
-from milletcourse.gateway.call_client import Call, Reply
 from milletcourse.gateway.node import GatewayNode
+from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.platform.cache_events import PlatformCacheEvents
 
 STORE = "127.0.0.1:1"
--- a/tests/test_gateway_streams.py
+++ b/tests/gateway/requests/test_gateway_streams.py
@@ -21,13 +21,13 @@
     event,
     serve_whole,
 )
-from milletcourse.exchange import patience
-from milletcourse.exchange.messages import AttemptResult, ExchangeRequest
-from milletcourse.exchange.patience import MIN_SILENCE_SECONDS
-from milletcourse.gateway.client_connection import ClientConnection
-from milletcourse.gateway.exchange import Exchange
-from milletcourse.gateway.refusals import refuse
-from milletcourse.gateway.request_reader import ClientRequest
+from milletcourse.exchange.attempts import patience
+from milletcourse.exchange.attempts.patience import MIN_SILENCE_SECONDS
+from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.clients.refusals import refuse
+from milletcourse.gateway.clients.request_reader import ClientRequest
+from milletcourse.gateway.requests.exchange import Exchange
 
 # -- streams ------------------------------------------------------------------------------------
 
--- a/tests/test_handing_over.py
+++ b/tests/gateway/requests/test_handing_over.py
@@ -39,7 +39,7 @@
     serve_whole,
     stream_head,
 )
-from milletcourse.gateway.call_client import Call, CallClient
+from milletcourse.gateway.servers.call_client import Call, CallClient
 
 SILENT_SECONDS = 1.7
 """Longer than a silent server is waited for while another one might go on."""
--- a/tests/test_stream_handover.py
+++ b/tests/gateway/requests/test_stream_handover.py
@@ -22,7 +22,7 @@
     ReceivedRequest,
     StandinServer,
 )
-from milletcourse.exchange.handover import (
+from milletcourse.exchange.attempts.handover import (
     MAX_OVERLAP_SECONDS,
     Handover,
     HandoverState,
--- a/tests/test_stream_handover_machine.py
+++ b/tests/gateway/requests/test_stream_handover_machine.py
@@ -10,9 +10,9 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from milletcourse.exchange.messages import AttemptResult, LeaveCause
-from milletcourse.gateway.stream_handover import StreamHandover
-from milletcourse.gateway.visit import Visit
+from milletcourse.exchange.messages.messages import AttemptResult, LeaveCause
+from milletcourse.gateway.requests.stream_handover import StreamHandover
+from milletcourse.gateway.requests.visit import Visit
 
 
 class FakeAttempt:
--- a/tests/test_crashing_requests.py
+++ b/tests/gateway/servers/test_crashing_requests.py
@@ -39,7 +39,7 @@
     stream_head,
 )
 from milletcourse.cli.main import app
-from milletcourse.exchange.crash_evidence import Containment
+from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.gateway.node import GatewayNode
 
 CRASHING_BODY = b"ends each server that runs it"
--- a/tests/test_descriptors.py
+++ b/tests/gateway/servers/test_descriptors.py
@@ -18,8 +18,8 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import Client, open_socket, serve_whole
-from milletcourse.gateway import connection_pool, descriptors
-from milletcourse.gateway.descriptors import OwnMeansError, descriptor_plan
+from milletcourse.gateway.servers import connection_pool, descriptors
+from milletcourse.gateway.servers.descriptors import OwnMeansError, descriptor_plan
 from milletcourse.runtime.acceptor import Acceptor, listening_socket
 from soak.planned import PlannedRun, planned_soak
 
--- a/tests/test_server_limits.py
+++ b/tests/gateway/servers/test_server_limits.py
@@ -39,9 +39,9 @@
     stream_head,
 )
 from milletcourse.cli.main import app
-from milletcourse.exchange.instance_table import Instance
+from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.node import GatewayNode
-from milletcourse.gateway.server_connection import ServerConnection
+from milletcourse.gateway.servers.server_connection import ServerConnection
 
 GATEWAYS = 3
 WINDOW_SECONDS = 4.0
--- a/tests/test_entries_of_other_writers.py
+++ b/tests/gateway/store/test_entries_of_other_writers.py
@@ -17,9 +17,9 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import serve_whole
-from milletcourse.gateway.call_client import Reply
-from milletcourse.gateway.directory import decode_entry
-from milletcourse.gateway.object_store import UNREADABLE, StoreError
+from milletcourse.gateway.servers.call_client import Reply
+from milletcourse.gateway.store.directory import decode_entry
+from milletcourse.gateway.store.object_store import UNREADABLE, StoreError
 from milletcourse.platform.documents import (
     decode_configuration,
     decode_instance,
--- a/tests/test_restarts_under_one_name.py
+++ b/tests/gateway/store/test_restarts_under_one_name.py
@@ -18,16 +18,16 @@
     configuration,
     serve_whole,
 )
-from milletcourse.exchange.instance_table import Instance, InstanceTable
-from milletcourse.exchange.messages import AttemptResult
-from milletcourse.exchange.peer_messages import (
+from milletcourse.exchange.messages.messages import AttemptResult
+from milletcourse.exchange.messages.peer_messages import (
     ServerNotice,
     ServerState,
     incarnation_key,
 )
-from milletcourse.exchange.records import InstanceRecord
-from milletcourse.gateway.cache_store_probe import CacheStoreProbe
-from milletcourse.gateway.call_client import Call, Reply
+from milletcourse.exchange.messages.records import InstanceRecord
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
+from milletcourse.gateway.fleet.cache_store_probe import CacheStoreProbe
+from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.platform.cache_events import PlatformCacheEvents
 
 MODEL = "model-1"
--- a/tests/test_store_feed.py
+++ b/tests/gateway/store/test_store_feed.py
@@ -9,15 +9,15 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import configuration, serve_whole
-from milletcourse.exchange.store_reading import (
+from milletcourse.exchange.reading.store_reading import (
     MAX_STARTING_SECONDS,
     SET_ASIDE_SECONDS,
     GatewayRecord,
     ReadingPlan,
 )
-from milletcourse.gateway.kind_mirror import KindMirror
 from milletcourse.gateway.node import GatewayNode
-from milletcourse.gateway.object_store import ObjectChange, ObjectChanges, StoredObject
+from milletcourse.gateway.store.kind_mirror import KindMirror
+from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 from soak.proxy import FaultProxy
 
 NAMES = [f"front-{number}" for number in range(1, 13)]
--- a/tests/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -26,7 +26,7 @@
     serve_whole,
 )
 from milletcourse.cli.explain_request import explain_lines
-from milletcourse.exchange.peer_messages import (
+from milletcourse.exchange.messages.peer_messages import (
     InstanceLoad,
     LoadScope,
     PeerMessage,
--- a/tests/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -33,15 +33,15 @@
     serve_whole,
 )
 from milletcourse.errors import NoEngineAvailable
-from milletcourse.exchange.planned_stop import (
+from milletcourse.exchange.attempts.planned_stop import (
     MAX_TAKE_SECONDS,
     QUIET_SECONDS,
     ConnectionState,
     PlannedStop,
     StopPhase,
 )
-from milletcourse.gateway.exchange import Exchange
-from milletcourse.gateway.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
+from milletcourse.gateway.requests.exchange import Exchange
+from milletcourse.gateway.telling.unanswered import RequestPhase, UnansweredCause, UnansweredRequest
 
 GRACE_MS = 5000
 """The stop refuses new work after two fifths of it."""
--- a/tests/test_sleep_machines.py
+++ b/tests/gateway/test_sleep_machines.py
@@ -12,8 +12,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from milletcourse.control.lease import LeaseSpec, LeaseTracker
-from milletcourse.exchange.freshness import ProofOfFreshness
-from milletcourse.exchange.shared_bucket import MAX_STEP_SECONDS, SharedBucket
+from milletcourse.exchange.limits.shared_bucket import MAX_STEP_SECONDS, SharedBucket
+from milletcourse.exchange.reading.freshness import ProofOfFreshness
 
 LEASE_SECONDS = 3.0
 MARGIN_SECONDS = 1.0
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -8,16 +8,16 @@
 import sys
 from collections.abc import Callable
 
-from milletcourse.exchange.allowance_homes import AllowanceHomes, ChosenLender
-from milletcourse.exchange.allowance_lender import Standing
-from milletcourse.exchange.instance_table import Instance
-from milletcourse.exchange.messages import LeaveCause
-from milletcourse.exchange.planned_stop import ConnectionState, PlannedStop, StopPhase
-from milletcourse.gateway.answer_relay import AnswerRelay
-from milletcourse.gateway.client_connection import ClientConnection
+from milletcourse.exchange.attempts.planned_stop import ConnectionState, PlannedStop, StopPhase
+from milletcourse.exchange.limits.allowance_homes import AllowanceHomes, ChosenLender
+from milletcourse.exchange.limits.allowance_lender import Standing
+from milletcourse.exchange.messages.messages import LeaveCause
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.node import GatewayNode
-from milletcourse.gateway.server_permits import Permit, ServerPermits
-from milletcourse.gateway.stream_handover import StreamHandover
+from milletcourse.gateway.requests.answer_relay import AnswerRelay
+from milletcourse.gateway.requests.stream_handover import StreamHandover
+from milletcourse.gateway.servers.server_permits import Permit, ServerPermits
 from milletcourse.platform.start import start
 from milletcourse.runtime import attended_timer
 from milletcourse.runtime.attended_clock import AttendedClock
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 
-from milletcourse.exchange.request_identity import identity_text, request_identity
+from milletcourse.exchange.evidence.request_identity import identity_text, request_identity
 from soak.answers import LOST
 from soak.clients import CRASHING_BODIES, CrashingCaller, SoakClient
 from soak.faults import FAULTS
--- a/tests/test_loss_report.py
+++ b/tests/test_loss_report.py
@@ -10,8 +10,8 @@
 from typer.testing import CliRunner
 
 from milletcourse.cli.main import app
-from milletcourse.exchange.records import RouteKind, RouteRecord, WeightedService
-from milletcourse.exchange.service_tally import Outcome, ServiceTally, served_outcome
+from milletcourse.exchange.counting.service_tally import Outcome, ServiceTally, served_outcome
+from milletcourse.exchange.messages.records import RouteKind, RouteRecord, WeightedService
 from milletcourse.reports.loss_report import loss_report, table_lines
 
 RECORDED = [
