What servers say of themselves is read, kept in one record and told to operators; nothing is decided by it yet

Read now from the heads of answers: the limit (as before), leaving, and the rest that a refusal asks for; kept by incarnation beside the limits, told to the other gateways where it is a fact of the server. Lines server-leaving, server-resting, server-leaving-unreadable, server-rest-unreadable; leaving_sends and resting_sends in service-tally. An answer that names another server, or a misdirected one that names none, says nothing of the one that was asked. A server whose start becomes known later keeps what it said.

--- a/src/milletcourse/exchange/counting/service_tally.py
+++ b/src/milletcourse/exchange/counting/service_tally.py
@@ -45,6 +45,8 @@
         store_calls: Kind of objects -> calls to the object store.
         store_failures: Kind of objects -> calls that gave nothing.
         limited_sends: Server that names a limit -> requests sent to it meanwhile.
+        leaving_sends: Server that said that it leaves -> requests sent to it after that.
+        resting_sends: Server that asked for rest -> requests sent to it in its rest.
     """
 
     ends: dict[str, dict[str, int]]
@@ -54,6 +56,8 @@
     store_calls: dict[str, int]
     store_failures: dict[str, int]
     limited_sends: dict[str, int] = {}
+    leaving_sends: dict[str, int] = {}
+    resting_sends: dict[str, int] = {}
 
 
 class ServiceTally:
@@ -70,6 +74,8 @@
         self._store_calls: Counter[str] = Counter()
         self._store_failures: Counter[str] = Counter()
         self._limited_sends: Counter[str] = Counter()
+        self._leaving_sends: Counter[str] = Counter()
+        self._resting_sends: Counter[str] = Counter()
 
     def on_end(self, route: str, outcome: Outcome) -> None:
         """A routed request ended."""
@@ -87,6 +93,14 @@
         """A request was sent to a server that names a limit."""
         self._limited_sends[instance] += 1
 
+    def on_leaving_send(self, instance: str) -> None:
+        """A request was sent to a server that said that it leaves."""
+        self._leaving_sends[instance] += 1
+
+    def on_resting_send(self, instance: str) -> None:
+        """A request was sent to a server in the rest that it asked for."""
+        self._resting_sends[instance] += 1
+
     def on_connection(self) -> None:
         """A connection to a server was opened."""
         self._connections += 1
@@ -110,6 +124,8 @@
             dict(self._store_calls),
             dict(self._store_failures),
             dict(self._limited_sends),
+            dict(self._leaving_sends),
+            dict(self._resting_sends),
         )
         self._reset()
         return report
--- a/src/milletcourse/exchange/load/load_exchange.py
+++ b/src/milletcourse/exchange/load/load_exchange.py
@@ -17,15 +17,15 @@
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
 from milletcourse.exchange.load.fleet_load import FleetLoad, fleet_load
 from milletcourse.exchange.load.load_sums import LoadSums
-from milletcourse.exchange.load.server_limits import ServerLimits
 from milletcourse.exchange.load.server_notices import ServerNotices
+from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.messages.peer_messages import (
     CrashReport,
     InstanceLoad,
-    LimitReport,
     LoadScope,
     PeerMessage,
     ServerNotice,
+    SignalReport,
     TenantUse,
 )
 
@@ -69,24 +69,24 @@
 
     Attributes:
         evidence: What is known of requests that end servers; it is told with the loads.
-        limits: What is known of the limits that servers name; so is it.
+        signals: What servers say of themselves; so is it.
     """
 
     def __init__(
         self,
         own_name: str,
         evidence: CrashEvidence | None = None,
-        limits: ServerLimits | None = None,
+        signals: ServerSignals | None = None,
     ) -> None:
         """Nothing told and nothing heard yet.
 
         Args:
             own_name: This gateway's name.
             evidence: What is known of requests that end servers.
-            limits: What is known of the limits that servers name.
+            signals: What servers say of themselves.
         """
         self._own_name = own_name
-        self.limits = limits if limits is not None else ServerLimits()
+        self.signals = signals if signals is not None else ServerSignals()
         self.evidence = evidence if evidence is not None else CrashEvidence()
         self._others: list[str] = []
         self._readers: list[str] = []
@@ -171,7 +171,7 @@
         return True
 
     def on_news(self) -> None:
-        """Servers ended under a request, one was answered, or a limit changed: tell it soon."""
+        """Servers ended under a request, or one said something new of itself: tell it soon."""
         self._digest_at = float("-inf")
 
     def _take_loads(self, message: PeerMessage, now: float) -> bool:
@@ -185,7 +185,7 @@
         if message.follows:
             if sender not in self._followers:
                 self.evidence.tell_again()
-                self.limits.tell_again()
+                self.signals.tell_again()
             self._followers[sender] = now
         return self._add_to(self._gateways, message, now)
 
@@ -246,7 +246,7 @@
                 uses,
                 follows=True,
                 crashes=self.evidence.to_tell(now, FOLLOWER_RETELLS_SECONDS),
-                limits=self.limits.to_tell(now, FOLLOWER_RETELLS_SECONDS),
+                signals=self.signals.to_tell(now, FOLLOWER_RETELLS_SECONDS),
             )
             outgoing.append(Outgoing(told, [reader]))
             self._notices.on_told()
@@ -256,7 +256,7 @@
 
     def _has_news(self) -> bool:
         """Whether something is to be told besides loads and use."""
-        return bool(self._notices) or self.evidence.has_news or self.limits.has_news
+        return bool(self._notices) or self.evidence.has_news or self.signals.has_news
 
     def _digests(
         self, now: float, own: list[InstanceLoad], own_uses: list[TenantUse]
@@ -279,7 +279,7 @@
             self._told, self._told_uses, self._told_at = fleet, fleet_uses, now
             zone_gateways = 1 + self._gateways.gateways(now)
             crashes = self.evidence.to_tell(now, READER_RETELLS_SECONDS)
-            limits = self.limits.to_tell(now, READER_RETELLS_SECONDS)
+            signals = self.signals.to_tell(now, READER_RETELLS_SECONDS)
             to_readers = self._message(
                 now,
                 LoadScope.ZONE,
@@ -287,7 +287,7 @@
                 zone_uses,
                 gateways=zone_gateways,
                 crashes=crashes,
-                limits=limits,
+                signals=signals,
             )
             to_followers = self._message(
                 now,
@@ -296,7 +296,7 @@
                 fleet_uses,
                 gateways=self.heard_gateways(now),
                 crashes=crashes,
-                limits=limits,
+                signals=signals,
             )
             outgoing.append(Outgoing(to_readers, readers))
             outgoing.append(Outgoing(to_followers, list(self._followers)))
@@ -329,7 +329,7 @@
             own,
             own_uses,
             crashes=self.evidence.gravest(now),
-            limits=self.limits.newest(now),
+            signals=self.signals.newest(now),
         )
         return [Outgoing(told, receivers)]
 
@@ -342,7 +342,7 @@
         follows: bool = False,
         gateways: int = 1,
         crashes: Sequence[CrashReport] = (),
-        limits: Sequence[LimitReport] = (),
+        signals: Sequence[SignalReport] = (),
     ) -> PeerMessage:
         # Above that of an earlier process on this machine, whose clock was the same.
         self._sequence = max(self._sequence + 1, int(now * 1000))
@@ -357,5 +357,5 @@
             uses,
             gateways,
             list(crashes),
-            list(limits),
+            list(signals),
         )
--- a/src/milletcourse/exchange/messages/dialect.py
+++ b/src/milletcourse/exchange/messages/dialect.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -19,7 +19,13 @@
     HeaderField,
     PromptPart,
 )
-from milletcourse.exchange.messages.server_limit import NO_LIMIT, LimitReading, read_limit
+from milletcourse.exchange.messages.server_signals import (
+    NO_REST,
+    RestReading,
+    read_leaving,
+    read_limit,
+    read_rest,
+)
 
 CONNECTION_FIELDS = frozenset(
     {
@@ -37,6 +43,9 @@
     }
 )
 """Fields that concern one connection only (RFC 9110, 7.6.1), and the body's framing."""
+RETRY_AFTER = b"retry-after"
+ASKS_FOR_REST = frozenset({429, 503})
+"""Statuses with which a server that refuses may say for how long it wants nothing more."""
 MAX_PROMPT_PARTS = 256
 MAX_DEADLINE_SECONDS = 24 * 3600.0
 
@@ -66,6 +75,8 @@
     answer_weight_version: str = "Milletcourse-Answer-Weight-Version"
     request_limit: str = "Milletcourse-Request-Limit"
     """Requests a second that a server takes from all gateways together, in its answers."""
+    leaving: str = "Milletcourse-Leaving"
+    """Whether a server is about to end, in its answers."""
     router_only: tuple[str, ...] = ()
     """Further fields that only a router may set; dropped from what a client sends."""
 
@@ -87,6 +98,7 @@
         self._answer_instance = names.answer_instance.lower().encode()
         self._answer_version = names.answer_weight_version.lower().encode()
         self._request_limit = names.request_limit.lower().encode()
+        self._leaving = names.leaving.lower().encode()
         set_by_router = (
             names.key,
             names.tenant,
@@ -239,16 +251,11 @@
             closing=b"close" in options,
             encoded=b"content-encoding" in values,
             event_stream=values.get(b"content-type", b"").lower().startswith(b"text/event-stream"),
-            limit=self._read_limit(values, fields),
-            retry_after_seconds=_retry_after_seconds(values.get(b"retry-after")),
+            limit=read_limit(_all_values(self._request_limit, values, fields)),
+            leaving=read_leaving(_all_values(self._leaving, values, fields)),
+            rest=_read_rest(status, values, fields),
         )
 
-    def _read_limit(self, values: dict[bytes, bytes], fields: list[HeaderField]) -> LimitReading:
-        if self._request_limit not in values:
-            return NO_LIMIT
-        named = [field.value for field in fields if field.name.lower() == self._request_limit]
-        return read_limit(named)
-
 
 def _single_values(fields: list[HeaderField]) -> dict[bytes, bytes]:
     values: dict[bytes, bytes] = {}
@@ -272,13 +279,19 @@
     return None
 
 
-def _retry_after_seconds(value: bytes | None) -> float | None:
-    """Seconds, with fractions or without; dates are no use between clocks that differ."""
-    try:
-        seconds = float(value) if value is not None else math.nan
-    except ValueError:
-        return None
-    return seconds if 0.0 <= seconds <= MAX_DEADLINE_SECONDS else None
+def _all_values(
+    name: bytes, values: dict[bytes, bytes], fields: list[HeaderField]
+) -> Sequence[bytes]:
+    """Values of all fields of a name, which most answers don't have."""
+    if name not in values:
+        return ()
+    return [field.value for field in fields if field.name.lower() == name]
+
+
+def _read_rest(status: int, values: dict[bytes, bytes], fields: list[HeaderField]) -> RestReading:
+    if status not in ASKS_FOR_REST:
+        return NO_REST
+    return read_rest(_all_values(RETRY_AFTER, values, fields))
 
 
 def _is_hexadecimal(name: bytes) -> bool:
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-from milletcourse.exchange.messages.server_limit import NO_LIMIT, LimitReading
+from milletcourse.exchange.messages.server_signals import (
+    NO_LIMIT,
+    NO_REST,
+    NOT_LEAVING,
+    LeavingReading,
+    LimitReading,
+    RestReading,
+)
 
 
 class PromptPart(msgspec.Struct, frozen=True):
@@ -124,7 +131,8 @@
         encoded: The body has a content encoding, so it isn't the server's own.
         event_stream: The body is a series of events.
         limit: Requests a second that the server takes, as it says now.
-        retry_after_seconds: Time for which the server wants no more, None when not told.
+        leaving: Whether the server leaves, as it says.
+        rest: Time for which a server that refuses wants no more.
     """
 
     status: int
@@ -142,7 +150,8 @@
     encoded: bool
     event_stream: bool
     limit: LimitReading = NO_LIMIT
-    retry_after_seconds: float | None = None
+    leaving: LeavingReading = NOT_LEAVING
+    rest: RestReading = NO_REST
 
     @property
     def framed(self) -> bool:
@@ -170,6 +179,10 @@
     """It was asked to go on with a stream, and didn't begin soon enough."""
     SERVER_LIMIT = "server-limit"
     """The server named a limit, or the permit became old, before the request went out."""
+    SERVER_LEAVING = "server-leaving"
+    """The server said that it leaves before the request went out."""
+    SERVER_RESTING = "server-resting"
+    """The server asked for rest before the request went out."""
     OWN_MEANS = "own-means"
     """This gateway has no descriptor for a connection."""
     VERSION_BOUND = "version-bound"
--- a/src/milletcourse/exchange/messages/peer_messages.py
+++ b/src/milletcourse/exchange/messages/peer_messages.py
@@ -13,7 +13,7 @@
 import msgspec
 import xxhash
 
-from milletcourse.exchange.messages.server_limit import MAX_LIMIT_PER_SECOND
+from milletcourse.exchange.messages.server_signals import MAX_LIMIT_PER_SECOND
 
 NOTICE_REPEATS = 3
 """Times that a notice is sent, against loss."""
@@ -174,18 +174,20 @@
     cleared_ms: Age | None = None
 
 
-class LimitReport(msgspec.Struct, array_like=True, frozen=True):
-    """What a server said of the requests that it takes.
+class SignalReport(msgspec.Struct, array_like=True, frozen=True):
+    """What a server said of itself.
 
     Attributes:
         key: Key of the incarnation.
         per_second: Requests a second that it takes from all gateways together, None for no limit.
         said_ms: Age of the answer that said so.
+        leaving_ms: Age of the first answer that said that it leaves, None when none did.
     """
 
     key: int
     per_second: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_LIMIT_PER_SECOND)] | None
     said_ms: Age
+    leaving_ms: Age | None = None
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -201,7 +203,7 @@
         uses: What is spent for tenants with a limit; nothing for others.
         gateways: How many gateways' load and use it tells.
         crashes: Requests under which servers ended.
-        limits: What servers said that name a limit of requests, or named one lately.
+        signals: What servers say of themselves, or said lately.
     """
 
     sender: str
@@ -213,7 +215,7 @@
     uses: list[TenantUse] = []
     gateways: int = 1
     crashes: list[CrashReport] = []
-    limits: list[LimitReport] = []
+    signals: list[SignalReport] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -109,6 +109,8 @@
         self.on_forgotten: Callable[[str], None] | None = None
         self.on_restarted: Callable[[Instance], None] | None = None
         """Told of the incarnation before."""
+        self.on_renamed: Callable[[int, int], None] | None = None
+        """Told of the key before and the one now when an incarnation's start becomes known."""
 
     def __iter__(self) -> Iterator[Instance]:
         """All incarnations that aren't known to have ended."""
@@ -153,7 +155,7 @@
             return
         if known is not None and _is_same(known.record, record):
             is_news = known.record != record
-            known.update(record)
+            self._update(known, record)
             if known.ended and is_news:
                 known.ended = False
                 self._add_to_service(known)
@@ -183,7 +185,7 @@
             return False
         if not known.record.started_ms:
             # Its start wasn't known; nothing tells that there was another one before.
-            known.update(msgspec.structs.replace(known.record, started_ms=started_ms))
+            self._update(known, msgspec.structs.replace(known.record, started_ms=started_ms))
             return False
         self.upsert(
             msgspec.structs.replace(
@@ -192,6 +194,12 @@
         )
         return True
 
+    def _update(self, known: Instance, record: InstanceRecord) -> None:
+        before = known.key
+        known.update(record)
+        if known.key != before and self.on_renamed is not None:
+            self.on_renamed(before, known.key)
+
     def end(self, name: str) -> bool:
         """Another incarnation answers at its address: it gets no work and no orders any more.
 
--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -64,7 +64,7 @@
             return
         if addr not in self._addresses:
             return
-        self._context.limit_watch.on_reports(message.limits, message.scope is not LoadScope.FLEET)
+        self._context.signal_watch.on_reports(message.signals, message.scope is not LoadScope.FLEET)
         now = self._context.now()
         is_newest = self._context.loads.on_message(message, now)
         if message.crashes:
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -13,7 +13,7 @@
 from milletcourse.errors import NotFound
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.load.server_limits import ServerLimitState
+from milletcourse.exchange.load.server_signals import ServerLimitState
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
@@ -133,7 +133,7 @@
     metrics.instances.set(len(list(context.instances)))
     metrics.reads_store.set(context.reads_store)
     metrics.contained.set(len(context.crash_evidence.containments(now)))
-    metrics.limited_servers.set(len(context.server_limits.limited()))
+    metrics.limited_servers.set(len(context.server_signals.limited()))
     metrics.log_lines_left_out.set(context.log.left_out)
 
 
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -190,8 +190,7 @@
         self._connection = connection
         self.sent_at = self._context.now()
         self._note_heard()
-        if self._context.permits.is_limited(self._instance):
-            self._context.record.tally.on_limited_send(self._instance.name)
+        self._context.note_signalled_send(self._instance)
         self._send(connection)
         self._listener.on_sent(self)
         try:
@@ -246,8 +245,7 @@
             return self._lost(connection, event.lost)
         head = event.head
         self._answer_begun = True
-        if head.instance in ("", self._instance.name):
-            self._context.limit_watch.on_answer(self._instance, head.limit, self.sent_at)
+        self._context.signal_watch.on_answer(self._instance, head, self.sent_at)
         if head.weight_version is not None and self._job.request.model:
             self._instance.note_version(self._job.request.model, head.weight_version)
         if head.successful and head.event_stream and self._job.route.streaming:
@@ -276,9 +274,9 @@
 
     def _judge_whole(self, head: AnswerHead, body: bytes) -> AttemptResult:
         result = judge_answer(head, self._instance.name, self._dispatch.weight_version)
-        if result is AttemptResult.TURNED_AWAY and head.retry_after_seconds is not None:
-            self.told_wait_seconds = head.retry_after_seconds
-            self._instance.health.on_told_to_wait(head.retry_after_seconds, self._context.now())
+        if result is AttemptResult.TURNED_AWAY and head.rest.seconds is not None:
+            self.told_wait_seconds = head.rest.seconds
+            self._instance.health.on_told_to_wait(head.rest.seconds, self._context.now())
         if result is AttemptResult.WRONG_INSTANCE and head.instance not in (
             "",
             self._instance.name,
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -16,9 +16,9 @@
     UnitReply,
 )
 from milletcourse.exchange.limits.ask_pauses import AskPauses
-from milletcourse.exchange.load.server_limits import ServerLimits, ServerLimitState
+from milletcourse.exchange.load.server_signals import ServerLimitState, ServerSignals
 from milletcourse.exchange.messages.allowance_messages import UnitMessage, UnitStep, told_ms
-from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, LimitReport
+from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, SignalReport
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.telling.figures import Figures
 from milletcourse.runtime.attended_clock import AttendedClock
@@ -45,7 +45,7 @@
 
 SendMessage = Callable[[str, UnitMessage], None]
 """Sends a message to a gateway by name."""
-TakeReports = Callable[[Iterable[LimitReport], bool], None]
+TakeReports = Callable[[Iterable[SignalReport], bool], None]
 """Takes what another gateway knows, and whether others have to hear of it from here."""
 
 
@@ -61,7 +61,7 @@
     def __init__(
         self,
         own_name: str,
-        limits: ServerLimits,
+        limits: ServerSignals,
         pauses: AskPauses,
         on_reports: TakeReports,
         random_source: random.Random,
@@ -210,7 +210,7 @@
 
     def _on_ask(self, ask: UnitMessage) -> None:
         if ask.per_second is not None:
-            self._on_reports([LimitReport(ask.key, ask.per_second, ask.said_ms)], False)
+            self._on_reports([SignalReport(ask.key, ask.per_second, ask.said_ms)], False)
         per_second = self._limits.income(ask.key)
         reply = GRANTED
         if per_second is not None:
--- /dev/null
+++ b/src/milletcourse/gateway/servers/signal_watch.py
@@ -0,0 +1,124 @@
+"""Takes what answers and other gateways tell of what servers say, and tells what changed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from milletcourse.exchange.limits.ask_pauses import AskPauses
+from milletcourse.exchange.load.server_signals import LimitChange, ServerSignals
+from milletcourse.exchange.messages.messages import AnswerHead
+from milletcourse.exchange.messages.peer_messages import SignalReport
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
+from milletcourse.gateway.telling.recorder import Recorder
+
+MISDIRECTED = 421
+
+
+class SignalWatch:
+    """Keeps what servers say of themselves as it is now."""
+
+    def __init__(
+        self,
+        signals: ServerSignals,
+        pauses: AskPauses,
+        instances: InstanceTable,
+        record: Recorder,
+        on_news: Callable[[], None],
+    ) -> None:
+        """Nothing heard yet.
+
+        Args:
+            signals: Where it is kept.
+            pauses: Servers that aren't asked for room now: a changed limit ends that.
+            instances: The servers.
+            record: Where changes are told to operators.
+            on_news: Called when there is news that the other gateways need at once.
+        """
+        self._signals = signals
+        self._pauses = pauses
+        self._instances = instances
+        self._record = record
+        self._on_news = on_news
+        instances.on_renamed = signals.on_renamed
+
+    def on_answer(self, instance: Instance, head: AnswerHead, sent_at: float) -> None:
+        """The head of an answer says something of its server.
+
+        Args:
+            instance: The server that was asked.
+            head: Head of the answer.
+            sent_at: Monotonic time of the request's send.
+        """
+        if not _is_from(head, instance):
+            return
+        self._take_limit(instance, head, sent_at)
+        self._take_leaving(instance, head)
+        self._take_rest(instance, head)
+
+    def on_reports(self, reports: Iterable[SignalReport], passes_on: bool) -> None:
+        """Another gateway tells what servers said.
+
+        Args:
+            reports: What they said.
+            passes_on: Others depend on this gateway to hear of it.
+        """
+        changes = self._signals.merge(reports, self._record.now(), passes_on)
+        if not changes:
+            return
+        by_key = {instance.key: instance for instance in self._instances}
+        for item in changes:
+            instance = by_key.get(item.key)
+            if instance is None:
+                continue
+            if item.change is not None:
+                self._on_limit_change(instance, item.change, item.per_second, "peer")
+            if item.leaves:
+                self._record.server_leaving(instance.name, "peer")
+        if passes_on:
+            self._on_news()
+
+    # -- inside ---------------------------------------------------------------------------------
+
+    def _take_limit(self, instance: Instance, head: AnswerHead, sent_at: float) -> None:
+        if head.limit.unreadable:
+            # What it said before holds on.
+            self._record.signal_unreadable(instance.name, "limit", head.limit.unreadable)
+            return
+        now = self._record.now()
+        per_second = head.limit.per_second
+        change = self._signals.on_answer(instance.key, per_second, sent_at, now)
+        if change is not None:
+            self._on_limit_change(instance, change, per_second, "answer")
+            self._on_news()
+
+    def _take_leaving(self, instance: Instance, head: AnswerHead) -> None:
+        if head.leaving.unreadable:
+            self._record.signal_unreadable(instance.name, "leaving", head.leaving.unreadable)
+        if head.leaving.leaves and self._signals.on_leaving(instance.key, self._record.now()):
+            self._record.server_leaving(instance.name, "answer")
+            self._on_news()
+
+    def _take_rest(self, instance: Instance, head: AnswerHead) -> None:
+        if head.rest.unreadable:
+            self._record.signal_unreadable(instance.name, "rest", head.rest.unreadable)
+        if not head.rest.seconds:
+            return
+        if self._signals.on_rest(instance.key, head.rest.seconds, self._record.now()):
+            self._record.server_resting(instance.name, head.rest.seconds)
+
+    def _on_limit_change(
+        self, instance: Instance, change: LimitChange, per_second: float | None, told_by: str
+    ) -> None:
+        self._pauses.end(instance.key)
+        self._record.server_limit(instance.name, change, per_second, told_by)
+
+
+def _is_from(head: AnswerHead, instance: Instance) -> bool:
+    """Whether an answer is of the server that was asked, and not of one that has its address now.
+
+    Servers that run a request are the one that it names; whoever answers that it is misdirected may
+    be any.
+    """
+    if not head.instance:
+        return head.status != MISDIRECTED
+    return head.instance == instance.name
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -16,7 +16,7 @@
 from milletcourse.exchange.limits.known_use import SummedUse
 from milletcourse.exchange.limits.tenant_limits import TenantLimits
 from milletcourse.exchange.load.load_exchange import LoadExchange
-from milletcourse.exchange.load.server_limits import ServerLimits
+from milletcourse.exchange.load.server_signals import ServerSignals, Signal
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.messages import AttemptResult
@@ -32,8 +32,8 @@
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.gateway.servers.crash_watch import CrashWatch
 from milletcourse.gateway.servers.descriptors import descriptor_plan
-from milletcourse.gateway.servers.limit_watch import LimitWatch
 from milletcourse.gateway.servers.server_permits import ServerPermits
+from milletcourse.gateway.servers.signal_watch import SignalWatch
 from milletcourse.gateway.state.settings import GatewaySettings
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.gateway.telling.figures import Figures
@@ -111,16 +111,16 @@
         self._sleep_detector = SleepDetector()
         self.attended = AttendedClock()
         self.news_listeners: list[Callable[[], None]] = []
-        self.server_limits = ServerLimits()
+        self.server_signals = ServerSignals()
         pauses = AskPauses()
-        self.limit_watch = LimitWatch(
-            self.server_limits, pauses, self.instances, self.record, self._on_news
+        self.signal_watch = SignalWatch(
+            self.server_signals, pauses, self.instances, self.record, self._on_news
         )
         self.permits = ServerPermits(
             settings.name,
-            self.server_limits,
+            self.server_signals,
             pauses,
-            self.limit_watch.on_reports,
+            self.signal_watch.on_reports,
             random_source,
             self.attended,
             self.now,
@@ -129,7 +129,7 @@
         )
         self.gate = VersionGate(bounds.version)
         self.crash_evidence = CrashEvidence()
-        self.loads = LoadExchange(settings.name, self.crash_evidence, self.server_limits)
+        self.loads = LoadExchange(settings.name, self.crash_evidence, self.server_signals)
         self.tenant_limits = TenantLimits(
             SummedUse(self.loads, lambda: self.members), bounds.limit_tolerance
         )
@@ -288,6 +288,17 @@
         elif was_ejected and not is_ejected:
             self.record.return_of(instance.name, result)
 
+    def note_signalled_send(self, instance: Instance) -> None:
+        """A request goes to a server: count it when the server said something that bounds that."""
+        tally = self.record.tally
+        if self.permits.is_limited(instance):
+            tally.on_limited_send(instance.name)
+        signal = self.server_signals.signal(instance.key, self.now())
+        if signal is Signal.LEAVING:
+            tally.on_leaving_send(instance.name)
+        elif signal is Signal.RESTING:
+            tally.on_resting_send(instance.name)
+
     def note_successor(self, instance: Instance, successor: str) -> None:
         """Another server answered at the address of one, so that incarnation has ended."""
         is_news = self.end_instance(instance.name, successor, instance.record.started_ms)
--- a/src/milletcourse/gateway/telling/recorder.py
+++ b/src/milletcourse/gateway/telling/recorder.py
@@ -13,7 +13,7 @@
 from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.load.server_limits import LimitChange, ServerLimitState
+from milletcourse.exchange.load.server_signals import LimitChange, ServerLimitState
 from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.messages.records import RouteRecord
 from milletcourse.exchange.rollout.roll_out import OrderReply, WeightOrder
@@ -21,8 +21,8 @@
 from milletcourse.gateway.telling.figures import Figures
 from milletcourse.gateway.telling.unanswered import UnansweredRequest
 
-MAX_UNREADABLE_LIMITS = 100
-"""Servers whose unreadable limits are remembered, so that each is told once."""
+MAX_UNREADABLE_SIGNALS = 100
+"""Unreadable fields of servers that are remembered, so that each is told once."""
 Belief = Callable[[], dict[str, Any]]
 """What the gateway goes by now: fields that are added to the lines of decisions."""
 
@@ -94,7 +94,7 @@
         self._belief = belief
         self.now = now
         self._reachable: dict[str, bool] = {}
-        self._unreadable_limits: dict[str, str] = {}
+        self._unreadable_signals: dict[tuple[str, str], str] = {}
         self.tally = ServiceTally()
 
     # -- requests -------------------------------------------------------------------------------
@@ -288,14 +288,28 @@
             "server-at-limit", **msgspec.structs.asdict(state), request_id=request.request_id
         )
 
-    def limit_unreadable(self, instance: str, shown: str) -> None:
-        """A server names a limit that is no number; told once until it says something else."""
-        if self._unreadable_limits.get(instance) == shown:
+    def server_leaving(self, instance: str, told_by: str) -> None:
+        """A server says that it leaves: `answer` when it said so here, `peer` when told so."""
+        self._log.emit("server-leaving", instance=instance, told_by=told_by)
+
+    def server_resting(self, instance: str, seconds: float) -> None:
+        """A server that turned a request away wants nothing from here for so long."""
+        self._log.emit("server-resting", instance=instance, rest=round(seconds, 3))
+
+    def signal_unreadable(self, instance: str, field: str, shown: str) -> None:
+        """A server says something of itself that can't be read; once until it says another thing.
+
+        Args:
+            instance: The server.
+            field: What it speaks of: its limit, its leaving, its rest.
+            shown: What it says.
+        """
+        if self._unreadable_signals.get((instance, field)) == shown:
             return
-        if len(self._unreadable_limits) >= MAX_UNREADABLE_LIMITS:
-            self._unreadable_limits.clear()
-        self._unreadable_limits[instance] = shown
-        self._log.emit("server-limit-unreadable", instance=instance, shown=shown)
+        if len(self._unreadable_signals) >= MAX_UNREADABLE_SIGNALS:
+            self._unreadable_signals.clear()
+        self._unreadable_signals[instance, field] = shown
+        self._log.emit(f"server-{field}-unreadable", instance=instance, shown=shown)
 
     def peer_message_refused(self, sender: str) -> None:
         """A datagram that no gateway of this release sends, or one with absurd figures."""
--- a/tests/exchange/limits/test_allowances.py
+++ b/tests/exchange/limits/test_allowances.py
@@ -23,14 +23,14 @@
     UnitReply,
 )
 from milletcourse.exchange.limits.ask_pauses import MAX_PROMISE_SECONDS, AskPauses
-from milletcourse.exchange.load.server_limits import (
+from milletcourse.exchange.load.server_signals import (
     ENDED_SECONDS,
     MAX_KNOWN,
     MAX_TOLD,
     PROBE_SECONDS,
     TOLD_TIMES,
     LimitChange,
-    ServerLimits,
+    ServerSignals,
 )
 from milletcourse.exchange.messages.allowance_messages import (
     UnitMessage,
@@ -40,12 +40,12 @@
     is_unit_message,
 )
 from milletcourse.exchange.messages.peer_messages import (
-    LimitReport,
     PeerMessage,
+    SignalReport,
     decode_message,
     encode_message,
 )
-from milletcourse.exchange.messages.server_limit import (
+from milletcourse.exchange.messages.server_signals import (
     MAX_LIMIT_PER_SECOND,
     MAX_SHOWN_BYTES,
     NO_LIMIT,
@@ -113,7 +113,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 100.0
-        self.limits = ServerLimits()
+        self.limits = ServerSignals()
         self.newest: tuple[float, float | None] | None = None
         self.words: list[tuple[float, float | None]] = []
 
@@ -139,7 +139,7 @@
     @rule(per_second=st.one_of(st.none(), st.floats(0.0, 50.0)), ms=st.integers(0, 9000))
     def told(self, per_second: float | None, ms: int) -> None:
         """Another gateway tells what it heard some time ago."""
-        self.limits.merge([LimitReport(KEY, per_second, ms)], self.now, passes_on=True)
+        self.limits.merge([SignalReport(KEY, per_second, ms)], self.now, passes_on=True)
         said_at = self.now - ms / 1000.0
         if self.newest is None or said_at > self.newest[0]:
             self.newest = (said_at, per_second)
@@ -157,12 +157,12 @@
 
 def test_changes_are_told_some_times_and_what_holds_again_later() -> None:
     """Gateways that start later hear it too."""
-    limits = ServerLimits()
+    limits = ServerSignals()
     assert limits.on_answer(KEY, 2.0, 0.0, 0.0) is LimitChange.NAMED
     told = [limits.to_tell(0.1 * number, 1.0) for number in range(TOLD_TIMES + 1)]
     assert [len(words) for words in told] == [1] * TOLD_TIMES + [0]
     assert not limits.has_news
-    assert limits.to_tell(1.3, 1.0) == [LimitReport(KEY, 2.0, 1300)]
+    assert limits.to_tell(1.3, 1.0) == [SignalReport(KEY, 2.0, 1300)]
     limits.on_answer(KEY, 2.0, 1.4, 1.4)
     assert not limits.has_news
     assert limits.on_answer(KEY, None, 1.5, 1.5) is LimitChange.ENDED
@@ -171,10 +171,10 @@
 
 def test_an_end_is_remembered_for_a_while_only() -> None:
     """Older words of it don't bring it back; after that it costs no memory."""
-    limits = ServerLimits()
+    limits = ServerSignals()
     limits.on_answer(KEY, 2.0, 0.0, 0.0)
     limits.on_answer(KEY, None, 1.0, 1.0)
-    limits.merge([LimitReport(KEY, 2.0, 1500)], 2.0, passes_on=False)
+    limits.merge([SignalReport(KEY, 2.0, 1500)], 2.0, passes_on=False)
     assert limits.per_second(KEY) is None
     limits.expire(ENDED_SECONDS + 2.0, lambda: {KEY})
     assert not limits.to_tell(ENDED_SECONDS + 2.0, 0.0)
@@ -182,7 +182,7 @@
 
 def test_what_servers_said_that_are_gone_is_forgotten() -> None:
     """It was told each second for ever; a server that nobody asks keeps its limit."""
-    limits = ServerLimits()
+    limits = ServerSignals()
     limits.on_answer(KEY, 2.0, 0.0, 0.0)
     limits.on_answer(KEY + 1, 2.0, 0.0, 0.0)
     limits.expire(ENDED_SECONDS - 1.0, set)
@@ -194,8 +194,8 @@
 
 def test_what_is_known_and_told_is_bounded() -> None:
     """However many servers peers make up."""
-    limits = ServerLimits()
-    words = [LimitReport(key, 1.0, 0) for key in range(MAX_KNOWN + 100)]
+    limits = ServerSignals()
+    words = [SignalReport(key, 1.0, 0) for key in range(MAX_KNOWN + 100)]
     limits.merge(words, 10.0, passes_on=True)
     assert len(limits.limited()) == MAX_KNOWN
     assert len(limits.to_tell(10.0, 1.0)) == MAX_TOLD
@@ -204,7 +204,7 @@
 
 def test_a_server_that_takes_nothing_is_asked_once_in_a_while() -> None:
     """Nothing but its answers tells that it takes requests again."""
-    limits = ServerLimits()
+    limits = ServerSignals()
     limits.on_answer(KEY, 0.0, 0.0, 0.0)
     assert limits.income(KEY) == 1.0 / PROBE_SECONDS
 
@@ -212,7 +212,7 @@
 @pytest.mark.parametrize("per_second", [-1.0, 1e300])
 def test_absurd_words_of_peers_are_refused(per_second: float) -> None:
     """As bytes that are no message."""
-    message = PeerMessage("g1", 1, limits=[LimitReport(KEY, per_second, 0)])
+    message = PeerMessage("g1", 1, signals=[SignalReport(KEY, per_second, 0)])
     assert decode_message(encode_message(message)) is None
 
 
--- a/tests/gateway/servers/test_server_limits.py
+++ b/tests/gateway/servers/test_server_limits.py
@@ -119,7 +119,7 @@
 
     def limit_at(self, node: GatewayNode, name: str) -> float | None:
         """A server's limit as a gateway knows it."""
-        return node.context.server_limits.per_second(self.instance(node, name).key)
+        return node.context.server_signals.per_second(self.instance(node, name).key)
 
     def most_in_window(self, name: str, since: float) -> int:
         """Most requests that a server got in a window."""
@@ -275,7 +275,7 @@
                 name = by_address[address]
                 met.append(name)
                 key = fleet.instance(fleet.nodes[0], name).key
-                context.server_limits.on_answer(key, 1.0, context.now(), context.now())
+                context.server_signals.on_answer(key, 1.0, context.now(), context.now())
             return await acquire(address, seconds)
 
         setattr(context.pool, "acquire", slow_acquire)  # noqa: B010
@@ -313,7 +313,7 @@
         other = next(name for name in ("e-1", "e-2") if name not in began)
         instance = context.instances.get(other)
         assert instance is not None
-        context.server_limits.on_answer(instance.key, 50.0, context.now(), context.now())
+        context.server_signals.on_answer(instance.key, 50.0, context.now(), context.now())
         result = await client.read_answer()
         assert result is not None and result.whole
         assert began == [began[0]]
