--- /dev/null
+++ b/tests/gateway/servers/test_resting_servers.py
@@ -0,0 +1,120 @@
+"""Servers that turn requests away and say for how long they want nothing more."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import Client
+from milletcourse.exchange.messages.messages import AttemptResult
+from milletcourse.exchange.messages.records import InstanceRecord
+from milletcourse.exchange.servers.instance_table import Instance
+from signalling_fleet import MOST_IN_A_REST, Mood, SignallingFleet
+
+REST = "2"
+REST_SECONDS = float(REST)
+
+
+@pytest.mark.parametrize(("service", "path"), [("app", "/safe/"), ("engine", "/stream/")])
+def test_servers_are_not_asked_in_their_rest_when_all_of_them_rest(service: str, path: str) -> None:
+    """Each request was sent to two of them, and turned away."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness, service)
+        await fleet.start({"s-1": Mood(rest=REST), "s-2": Mood(rest=REST)})
+        await fleet.load(1.5 * REST_SECONDS, path)
+        most = {name: each.most_in_a_rest() for name, each in fleet.arrivals.items()}
+        assert max(most.values()) <= MOST_IN_A_REST, most
+        assert set(fleet.statuses()) == {503}
+
+    run_with_gateway(scenario)
+
+
+def test_callers_are_told_the_end_of_the_rest() -> None:
+    """What can't be served now can be served then."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(rest="4"), "s-2": Mood(rest="6")}, gateways=1)
+        await fleet.load(0.5)
+        node = fleet.nodes[0]
+        client = await Client.connect(node.frontend_address)
+        result = await fleet.ask(client, node, "/safe/")
+        assert result.status == 503
+        assert 3.0 < float(result.headers["retry-after"]) < 8.0
+
+    run_with_gateway(scenario)
+
+
+def test_requests_are_served_again_when_the_rest_is_over() -> None:
+    """Nothing else is needed for it."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(rest="1"), "s-2": Mood(rest="1")}, gateways=1)
+        await fleet.load(0.3)
+        for mood in fleet.moods.values():
+            mood.rest = ""
+        await asyncio.sleep(1.0)
+        fleet.answers.clear()
+        await fleet.load(0.3)
+        assert set(fleet.statuses()) == {200}
+
+    run_with_gateway(scenario)
+
+
+def test_a_rest_holds_when_the_server_has_new_weights() -> None:
+    """The end of an order was taken for the end of all that kept work away."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness, "engine")
+        await fleet.start({"s-1": Mood(), "s-2": Mood()}, gateways=1)
+        resting = await fleet.most_asked("/stream/")
+        await _until_it_rests(fleet, resting, "60", "/stream/")
+        assert resting not in _candidates(fleet, "engine", 0.0)
+        fleet.instance(fleet.nodes[0], resting).note_version("model-1", 2)
+        assert resting not in _candidates(fleet, "engine", 0.0)
+
+    run_with_gateway(scenario)
+
+
+def test_a_rest_of_ten_seconds_lasts_ten_seconds() -> None:
+    """It was cut to five."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(), "s-2": Mood()}, gateways=1)
+        await _until_it_rests(fleet, "s-1", "10", "/safe/")
+        assert _candidates(fleet, "app", 9.0) == {"s-2"}
+        assert _candidates(fleet, "app", 10.1) == {"s-1", "s-2"}
+
+    run_with_gateway(scenario)
+
+
+async def _until_it_rests(fleet: SignallingFleet, name: str, rest: str, path: str) -> None:
+    """Send until a server has asked for rest."""
+    fleet.moods[name].rest = rest
+    while not fleet.arrivals[name].refused_at:
+        await fleet.load(0.05, path)
+
+
+def _candidates(fleet: SignallingFleet, service_name: str, later: float) -> set[str]:
+    """Servers that may get a request some seconds from now."""
+    context = fleet.nodes[0].context
+    assert context.table is not None
+    service = context.table.service(service_name)
+    assert service is not None
+    found = context.selector.candidates.of_service(service, "", (), context.now() + later)
+    return {instance.name for instance in found}
+
+
+def test_the_end_of_an_order_says_nothing_of_refusals() -> None:
+    """A server that has its weights may still be full."""
+    instance = Instance(InstanceRecord("s-1", "engine", "127.0.0.1:1"))
+    instance.health.on_order(5.0)
+    instance.health.on_result(AttemptResult.TURNED_AWAY, 1.0)
+    instance.health.on_ready()
+    assert instance.health.is_busy(1.1)
+    assert not instance.health.is_busy(1.2)
--- /dev/null
+++ b/tests/signalling_fleet.py
@@ -0,0 +1,171 @@
+"""Servers that say something of themselves, gateways before them, and clients of all of these."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from gateway_behaviours import PROMPT
+from gateway_harness import Harness
+from gateway_standin import (
+    Client,
+    ClientAnswer,
+    ReceivedRequest,
+    StandinServer,
+    answer,
+    chunk,
+    event,
+    signed,
+    stream_head,
+)
+from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.node import GatewayNode
+
+GATEWAYS = 3
+PAUSE_SECONDS = 0.01
+SLOWER_SECONDS = 0.05
+REST_SLACK_SECONDS = 0.5
+"""What arrives so soon after a server asked for rest may have been on its way."""
+MOST_IN_A_REST = 2
+
+
+@dataclass
+class Mood:
+    """What a server says of itself now.
+
+    Attributes:
+        leaves: It says in all its answers that it leaves.
+        rest: It turns all requests away, and wants nothing for so many seconds; empty for not.
+    """
+
+    leaves: bool = False
+    rest: str = ""
+
+
+@dataclass
+class Arrivals:
+    """What one server got.
+
+    Attributes:
+        by_gateway: Monotonic times of requests, by the gateway that sent them.
+        refused_at: Times at which it asked a gateway for rest, with how long.
+    """
+
+    by_gateway: dict[str, list[float]] = field(default_factory=dict)
+    refused_at: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+
+    def count_since(self, since: float) -> int:
+        """Requests from that time on."""
+        return sum(at >= since for times in self.by_gateway.values() for at in times)
+
+    def most_in_a_rest(self) -> int:
+        """Most requests that one gateway sent in one rest that the server had asked it for."""
+        return max(
+            (
+                sum(start + REST_SLACK_SECONDS < at < start + seconds for at in times)
+                for name, times in self.by_gateway.items()
+                for start, seconds in self.refused_at.get(name, ())
+            ),
+            default=0,
+        )
+
+
+class SignallingFleet:
+    """Servers with moods, gateways, and clients that send to all of these in turn."""
+
+    def __init__(self, harness: Harness, service: str = "app") -> None:
+        self.harness = harness
+        self.service = service
+        self.moods: dict[str, Mood] = {}
+        self.arrivals: dict[str, Arrivals] = {}
+        self.nodes: list[GatewayNode] = []
+        self.answers: list[ClientAnswer] = []
+        self._number = 0
+
+    async def start(self, moods: dict[str, Mood], gateways: int = GATEWAYS) -> None:
+        """Start servers and gateways, and wait until all know each other."""
+        harness = self.harness
+        self.moods = moods
+        harness.internal_ports = harness.free_ports()
+        for name in moods:
+            self.arrivals[name] = Arrivals()
+            version = 1 if self.service == "engine" else None
+            await harness.add_server(name, self.service, self._behave, version)
+        if self.service == "engine":
+            harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
+        await harness.start()
+        assert harness.node is not None
+        self.nodes = [harness.node]
+        for number in range(1, gateways):
+            self.nodes.append(await harness.add_gateway(f"front-{number + 1}"))
+        for node in self.nodes:
+            await harness.until(lambda node=node: self.knows_all(node, gateways))
+
+    def knows_all(self, node: GatewayNode, gateways: int) -> bool:
+        """Whether a gateway knows the servers, the others, and which loads these tell."""
+        known = {instance.name for instance in node.context.instances}
+        is_ready = node.context.is_ready() and known >= set(self.harness.servers)
+        return is_ready and node.context.gateways == gateways
+
+    async def _behave(
+        self, server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if not request.request_id:
+            writer.write(answer(404))
+            return
+        mood = self.moods[server.name]
+        arrivals = self.arrivals[server.name]
+        gateway = request.headers.get("sent-through", "")
+        now = asyncio.get_running_loop().time()
+        arrivals.by_gateway.setdefault(gateway, []).append(now)
+        fields = signed(request, **({"Server-Leaving": "1"} if mood.leaves else {}))
+        if mood.rest:
+            arrivals.refused_at.setdefault(gateway, []).append((now, float(mood.rest)))
+            refusal = {**fields, "Not-Executed": "1", "Retry-After": mood.rest}
+            writer.write(answer(503, b"", refusal))
+        elif request.target.startswith("/stream/"):
+            head = stream_head(request)
+            if mood.leaves:
+                head = head.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n", 1)
+            writer.write(head + chunk(event(1)) + chunk(event(2)) + b"0\r\n\r\n")
+        else:
+            if not mood.leaves:
+                # Those that leave look like the better choice.
+                await asyncio.sleep(SLOWER_SECONDS)
+            writer.write(answer(200, server.name.encode(), fields))
+
+    async def load(self, seconds: float, path: str = "/safe/") -> None:
+        """One client at each gateway sends for a while."""
+        ends_at = asyncio.get_running_loop().time() + seconds
+        await asyncio.gather(*(self._send(node, ends_at, path) for node in self.nodes))
+
+    async def _send(self, node: GatewayNode, ends_at: float, path: str) -> None:
+        client = await Client.connect(node.frontend_address)
+        while asyncio.get_running_loop().time() < ends_at:
+            self.answers.append(await self.ask(client, node, path))
+            await asyncio.sleep(PAUSE_SECONDS)
+        client.close()
+
+    async def ask(self, client: Client, node: GatewayNode, path: str) -> ClientAnswer:
+        """One request through one gateway; its servers see through which."""
+        self._number += 1
+        more = {"Sent_Through": node.context.settings.name}
+        if path.startswith("/stream/"):
+            more.update(PROMPT)
+        return await client.ask(path, f"request-{self._number}", **more)
+
+    async def most_asked(self, path: str = "/safe/") -> str:
+        """Name of the server that clients' requests go to most."""
+        await self.load(0.3, path)
+        return max(self.arrivals, key=lambda name: self.arrivals[name].count_since(0.0))
+
+    def statuses(self) -> Counter[int]:
+        """How often clients got which status."""
+        return Counter(result.status for result in self.answers)
+
+    def instance(self, node: GatewayNode, name: str) -> Instance:
+        """A server as a gateway knows it."""
+        instance = node.context.instances.get(name)
+        assert instance is not None
+        return instance
