A server that says in an answer that it leaves gets no more requests from any gateway

Cause: only the entry in the store was read, which doesn't change while the store is away; the word in answers was read by nobody, and an entry's word was forgotten when an older list was read. Ruled out: the word's being cleared (nothing kept it), another way past a check (there was none).

Now the word stands in the record by incarnation, whoever said it: an answer, the entry, another gateway. It is looked at where candidates are chosen (so homes, holders and successors move at once) and last before each send's bytes go out, so that a connection that came up meanwhile doesn't slip past. It has no end but another start. Kept connections to the server are closed, and it takes no new weights. An entry whose state isn't known names no server, as before, but now as an entry that can't be read: it doesn't make a server leave for good. A mutant replaces the renamed check.

--- a/src/milletcourse/cli/explain_request.py
+++ b/src/milletcourse/cli/explain_request.py
@@ -16,7 +16,7 @@
         "configuration-in-force",
         "store-lost",
         "store-reached",
-        "instance-draining",
+        "server-leaving",
         "instance-gone",
         "instance-ejected",
         "instance-back",
--- a/src/milletcourse/errors/requests.py
+++ b/src/milletcourse/errors/requests.py
@@ -97,6 +97,14 @@
     run_state = RunState.NOT_RUN
 
 
+class ServersLeaving(Failure, frozen=True):
+    """All servers that may take it said that they are about to end."""
+
+    code = "servers-leaving"
+    status = 503
+    run_state = RunState.NOT_RUN
+
+
 class RequestContained(Failure, frozen=True):
     """Servers ended under this request, one after the other, so it isn't sent to another one."""
 
--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -242,6 +242,10 @@
             if (signal := _signal(known, now)) is not None
         }
 
+    def leaving(self, now: float) -> Collection[int]:
+        """Servers that said that they leave."""
+        return {key for key, signal in self.in_force(now).items() if signal is Signal.LEAVING}
+
     def signal(self, key: int, now: float) -> Signal | None:
         """What a server said that keeps requests from it now, None for nothing."""
         known = self._known.get(key)
--- a/src/milletcourse/exchange/placement/server_candidates.py
+++ b/src/milletcourse/exchange/placement/server_candidates.py
@@ -35,7 +35,8 @@
     ) -> list[Instance]:
         """Servers that are permitted; the sick and the busy ones only while there are no others.
 
-        Those that limit their requests and have what they take are none of them.
+        Those that want none by their own word are none of them: they leave, or limit their requests
+        and have what they take.
 
         Args:
             service: Service that the request goes to.
@@ -65,12 +66,13 @@
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
     ) -> list[Instance]:
         paused = self._pauses.paused(now)
+        leaving = self._loads.signals.leaving(now)
         instances = [
             instance
             for instance in self._table.of_service(service.name).values()
-            if not instance.record.draining
-            and instance.name not in tried
+            if instance.name not in tried
             and instance.key not in paused
+            and instance.key not in leaving
         ]
         if not service.models or not model:
             return instances
--- a/src/milletcourse/exchange/rollout/roll_out.py
+++ b/src/milletcourse/exchange/rollout/roll_out.py
@@ -135,7 +135,17 @@
 class RollOut:
     """Plans the orders of the lease holder."""
 
-    def __init__(self, gate: VersionGate, request_rate: RequestRate) -> None:
+    def __init__(
+        self, gate: VersionGate, request_rate: RequestRate, is_leaving: Callable[[Instance], bool]
+    ) -> None:
+        """No load under way.
+
+        Args:
+            gate: What versions are named.
+            request_rate: Tells what a server is worth while others load.
+            is_leaving: Whether a server is about to end, so that it needs no weights.
+        """
+        self._is_leaving = is_leaving
         self._gate = gate
         self._request_rate = request_rate
         self._loads: dict[str, _Load] = {}
@@ -177,7 +187,7 @@
         waiting = []
         for instance in instances:
             model = self._pending_model(instance)
-            if model is None or instance.name in self._loads or instance.record.draining:
+            if model is None or instance.name in self._loads or self._is_leaving(instance):
                 continue
             if now < self._not_before.get(instance.name, float("-inf")):
                 continue
--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -109,6 +109,8 @@
         self.on_forgotten: Callable[[str], None] | None = None
         self.on_restarted: Callable[[Instance], None] | None = None
         """Told of the incarnation before."""
+        self.on_draining: Callable[[Instance], None] | None = None
+        """Told of an incarnation whose entry says that it leaves."""
         self.on_renamed: Callable[[int, int], None] | None = None
         """Told of the key before and the one now when an incarnation's start becomes known."""
 
@@ -153,6 +155,11 @@
             record = msgspec.structs.replace(record, started_ms=known.record.started_ms)
         if known is not None and record.started_ms < known.record.started_ms:
             return
+        self._take(known, record)
+        if record.draining and self.on_draining is not None:
+            self.on_draining(self._instances[record.name])
+
+    def _take(self, known: Instance | None, record: InstanceRecord) -> None:
         if known is not None and _is_same(known.record, record):
             is_news = known.record != record
             self._update(known, record)
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -216,8 +216,8 @@
         """Whether nothing has come up against it while the connection did."""
         if self._ended or not self._context.may_use_keys(self._job.tenant):
             return False
-        if not self._context.permits.may_send(self._permit, self._instance):
-            self.left = LeaveCause.SERVER_LIMIT
+        self.left = self._context.permits.obstacle(self._permit, self._instance)
+        if self.left is not None:
             return False
         return self._context.crash_watch.containment(lambda: self._job.identity) is None
 
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -5,7 +5,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from milletcourse.errors import Failure, NoEngineAvailable, Overloaded, ServersAtLimit
+from milletcourse.errors import (
+    Failure,
+    NoEngineAvailable,
+    Overloaded,
+    ServersAtLimit,
+    ServersLeaving,
+)
+from milletcourse.exchange.load.server_signals import Signal
 from milletcourse.exchange.placement.instance_selector import Choice
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
@@ -103,10 +110,17 @@
         # As of the look that found none: a pause that ended since is still the reason.
         seconds = self._context.permits.promise(self._servers(), self._looked_at)
         if seconds is None and not self.met_limit:
-            return NoEngineAvailable("no server may take it", retry_after)
+            return self._unavailable(retry_after)
         detail = "its servers limit their requests, and have what they take"
         return ServersAtLimit(detail, retry_after + (seconds or 0.0))
 
+    def _unavailable(self, retry_after: float) -> Failure:
+        in_force = self._context.server_signals.in_force(self._looked_at)
+        signals = {in_force.get(instance.key) for instance in self._servers()}
+        if signals == {Signal.LEAVING}:
+            return ServersLeaving("its servers are about to end", retry_after)
+        return NoEngineAvailable("no server may take it", retry_after)
+
     def _choose(self, left_out: set[str]) -> Choice | None:
         job = self._job
         self._looked_at = self._context.now()
--- a/src/milletcourse/gateway/servers/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -117,6 +117,11 @@
             else:
                 del self._idle[address]
 
+    def close_to(self, address: str) -> None:
+        """Close the idle connections to one server."""
+        for connection in self._idle.pop(address, ()):
+            connection.abort()
+
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -1,4 +1,7 @@
-"""Permits to send to servers that limit their requests: the one place that each send passes."""
+"""Permits to send to servers: the one place that each send passes, asked last before it goes out.
+
+What a server says of itself is asked there: that it leaves, that it rests, how much it takes.
+"""
 
 from __future__ import annotations
 
@@ -16,8 +19,9 @@
     UnitReply,
 )
 from milletcourse.exchange.limits.ask_pauses import AskPauses
-from milletcourse.exchange.load.server_signals import ServerLimitState, ServerSignals
+from milletcourse.exchange.load.server_signals import ServerLimitState, ServerSignals, Signal
 from milletcourse.exchange.messages.allowance_messages import UnitMessage, UnitStep, told_ms
+from milletcourse.exchange.messages.messages import LeaveCause
 from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, SignalReport
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.telling.figures import Figures
@@ -61,7 +65,7 @@
     def __init__(
         self,
         own_name: str,
-        limits: ServerSignals,
+        signals: ServerSignals,
         pauses: AskPauses,
         on_reports: TakeReports,
         random_source: random.Random,
@@ -74,7 +78,7 @@
 
         Args:
             own_name: Name of this gateway.
-            limits: What servers say that they take.
+            signals: What servers say of themselves.
             pauses: Servers that aren't asked for room now.
             on_reports: Takes what an asker knows of a server's limit.
             random_source: Spreads asks.
@@ -87,7 +91,7 @@
         self.pauses = pauses
         self.send: SendMessage = lambda name, message: None
         self._own_name = own_name
-        self._limits = limits
+        self._signals = signals
         self._on_reports = on_reports
         self._lender = AllowanceLender(random_source)
         self._clock = clock
@@ -108,7 +112,7 @@
             rank: Rank of the request, 0 for the most urgent.
         """
         key = instance.key
-        per_second = self._limits.income(key)
+        per_second = self._signals.income(key)
         if per_second is None:
             return self.without_limit(instance)
         reply = await self._ask(key, per_second, rank)
@@ -122,28 +126,31 @@
         """A permit that is good until the server names a limit."""
         return Permit(instance.key, float("-inf"))
 
-    def may_send(self, permit: Permit, instance: Instance) -> bool:
-        """Whether a request may go out now: asked last before it does.
+    def obstacle(self, permit: Permit, instance: Instance) -> LeaveCause | None:
+        """Why a request may not go out now, None when it may: asked last before it does.
 
-        The server may have named a limit while the connection to it came up, or its permit may have
-        become old.
+        The server may have said something of itself while the connection to it came up, or its
+        permit may have become old.
         """
-        if self._limits.per_second(instance.key) is None:
-            return True
-        return permit.key == instance.key and self._now() < permit.valid_until
+        if self._signals.signal(instance.key, self._now()) is Signal.LEAVING:
+            return LeaveCause.SERVER_LEAVING
+        if self._signals.per_second(instance.key) is None:
+            return None
+        is_valid = permit.key == instance.key and self._now() < permit.valid_until
+        return None if is_valid else LeaveCause.SERVER_LIMIT
 
     def is_limited(self, instance: Instance) -> bool:
         """Whether a server names a limit."""
-        return self._limits.per_second(instance.key) is not None
+        return self._signals.per_second(instance.key) is not None
 
     def state(self, instance: Instance) -> ServerLimitState | None:
         """What is known of a server's limit, None when it names none."""
-        per_second = self._limits.per_second(instance.key)
+        per_second = self._signals.per_second(instance.key)
         if per_second is None:
             return None
         now = self._now()
         lender = self.homes.lender(instance.key, now)
-        said = round(self._limits.age(instance.key, now), 3)
+        said = round(self._signals.age(instance.key, now), 3)
         return ServerLimitState(instance.name, per_second, said, lender.name, lender.standing.value)
 
     def promise(self, instances: Iterable[Instance], now: float) -> float | None:
@@ -181,8 +188,8 @@
                 self._own_name,
                 key,
                 number,
-                self._limits.per_second(key),
-                min(round(self._limits.age(key, self._now()) * 1000.0), MAX_AGE_MS),
+                self._signals.per_second(key),
+                min(round(self._signals.age(key, self._now()) * 1000.0), MAX_AGE_MS),
                 rank,
             ),
         )
@@ -211,7 +218,7 @@
     def _on_ask(self, ask: UnitMessage) -> None:
         if ask.per_second is not None:
             self._on_reports([SignalReport(ask.key, ask.per_second, ask.said_ms)], False)
-        per_second = self._limits.income(ask.key)
+        per_second = self._signals.income(ask.key)
         reply = GRANTED
         if per_second is not None:
             standing = self.homes.own_standing(ask.key)
@@ -244,5 +251,5 @@
         """
         now = self._now()
         self._lender.drop_idle(now)
-        self._limits.expire(now, servers)
+        self._signals.expire(now, servers)
         self.pauses.expire(now)
--- a/src/milletcourse/gateway/servers/signal_watch.py
+++ b/src/milletcourse/gateway/servers/signal_watch.py
@@ -24,6 +24,7 @@
         instances: InstanceTable,
         record: Recorder,
         on_news: Callable[[], None],
+        on_leaving: Callable[[Instance], None],
     ) -> None:
         """Nothing heard yet.
 
@@ -33,13 +34,16 @@
             instances: The servers.
             record: Where changes are told to operators.
             on_news: Called when there is news that the other gateways need at once.
+            on_leaving: Called when a server is first heard to leave.
         """
         self._signals = signals
         self._pauses = pauses
         self._instances = instances
         self._record = record
         self._on_news = on_news
+        self._on_leaving = on_leaving
         instances.on_renamed = signals.on_renamed
+        instances.on_draining = self._on_draining
 
     def on_answer(self, instance: Instance, head: AnswerHead, sent_at: float) -> None:
         """The head of an answer says something of its server.
@@ -73,7 +77,7 @@
             if item.change is not None:
                 self._on_limit_change(instance, item.change, item.per_second, "peer")
             if item.leaves:
-                self._record.server_leaving(instance.name, "peer")
+                self._tell_leaving(instance, "peer")
         if passes_on:
             self._on_news()
 
@@ -95,9 +99,18 @@
         if head.leaving.unreadable:
             self._record.signal_unreadable(instance.name, "leaving", head.leaving.unreadable)
         if head.leaving.leaves and self._signals.on_leaving(instance.key, self._record.now()):
-            self._record.server_leaving(instance.name, "answer")
+            self._tell_leaving(instance, "answer")
             self._on_news()
 
+    def _on_draining(self, instance: Instance) -> None:
+        """Its entry says so: all gateways see it there, so that nobody needs to be told."""
+        if self._signals.on_entry_leaving(instance.key, self._record.now()):
+            self._tell_leaving(instance, "entry")
+
+    def _tell_leaving(self, instance: Instance, told_by: str) -> None:
+        self._record.server_leaving(instance.name, told_by)
+        self._on_leaving(instance)
+
     def _take_rest(self, instance: Instance, head: AnswerHead) -> None:
         if head.rest.unreadable:
             self._record.signal_unreadable(instance.name, "rest", head.rest.unreadable)
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -114,7 +114,12 @@
         self.server_signals = ServerSignals()
         pauses = AskPauses()
         self.signal_watch = SignalWatch(
-            self.server_signals, pauses, self.instances, self.record, self._on_news
+            self.server_signals,
+            pauses,
+            self.instances,
+            self.record,
+            self._on_news,
+            self._on_leaving,
         )
         self.permits = ServerPermits(
             settings.name,
@@ -288,6 +293,10 @@
         elif was_ejected and not is_ejected:
             self.record.return_of(instance.name, result)
 
+    def is_leaving(self, instance: Instance) -> bool:
+        """Whether a server said, in any way, that it is about to end."""
+        return self.server_signals.signal(instance.key, self.now()) is Signal.LEAVING
+
     def note_signalled_send(self, instance: Instance) -> None:
         """A request goes to a server: count it when the server said something that bounds that."""
         tally = self.record.tally
@@ -305,6 +314,10 @@
         if is_news and self.on_instance_ended is not None:
             self.on_instance_ended(instance)
 
+    def _on_leaving(self, instance: Instance) -> None:
+        """A server leaves: it closes its connections after their next answer."""
+        self.pool.close_to(instance.record.address)
+
     def _on_restarted(self, before: Instance) -> None:
         """A server has started again under its name: what it had at work ended with it."""
         self.record.instance_restarted(before.name)
--- a/src/milletcourse/gateway/store/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -141,8 +141,6 @@
                 table.forget(change.stored.name)
                 continue
             table.upsert(record)
-            if record.draining:
-                self._context.log.emit("instance-draining", instance=record.name)
 
     def _read(self, stored: StoredObject) -> InstanceRecord | None:
         try:
--- a/src/milletcourse/gateway/telling/recorder.py
+++ b/src/milletcourse/gateway/telling/recorder.py
@@ -289,7 +289,13 @@
         )
 
     def server_leaving(self, instance: str, told_by: str) -> None:
-        """A server says that it leaves: `answer` when it said so here, `peer` when told so."""
+        """A server says that it leaves.
+
+        Args:
+            instance: The server.
+            told_by: `answer` when it said so here, `peer` when another gateway told it, `entry`
+                when it stands in the discovery.
+        """
         self._log.emit("server-leaving", instance=instance, told_by=told_by)
 
     def server_resting(self, instance: str, seconds: float) -> None:
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -289,6 +289,10 @@
     return value
 
 
+_DRAINING = "draining"
+_STATES = frozenset({"ready", _DRAINING})
+
+
 class _Server(_Document, frozen=True):
     service: str
     address: str
@@ -312,12 +316,14 @@
     """
     document = msgspec.json.decode(spec, type=_Server)
     split_address(document.address)
+    if document.state not in _STATES:
+        raise ValueError("the state is unknown")
     return InstanceRecord(
         name=name,
         service=document.service,
         address=document.address,
         zone=document.zone,
-        draining=document.state != "ready",
+        draining=document.state == _DRAINING,
         weight_versions={
             model.name: _whole_number(model.version, "a version") for model in document.models
         },
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -94,7 +94,7 @@
         return permits.without_limit(instance)
 
     ServerPermits.take = take  # type: ignore[method-assign]
-    ServerPermits.may_send = lambda *_: True  # type: ignore[method-assign]
+    ServerPermits.obstacle = lambda *_: None  # type: ignore[method-assign]
 
 
 def keep_limits_alone() -> None:
