A server that asked for rest gets no request from this gateway before the rest is over, also when all ask for it

Cause: the time was kept with the pause after a refusal and the end of an order, in one field, as a reason to prefer others: candidates were free, or healthy, or whatever is permitted. So a rest was set aside when a whole service was in need, ended with any order, and lasted 5 s at most.

Now a rest stands in the record of what servers say, keeps a server out of the candidates like leaving does, and is looked at last before each send. It ends by its own time alone. When all that may run a request rest, it is refused at once (servers-resting, not run) with the end of the first rest. ServerHealth keeps what this gateway judges: a refusal's short pause and an order's end are apart, so that one doesn't clear the other.

--- a/src/milletcourse/errors/requests.py
+++ b/src/milletcourse/errors/requests.py
@@ -97,6 +97,14 @@
     run_state = RunState.NOT_RUN
 
 
+class ServersResting(Failure, frozen=True):
+    """All servers that may take it asked this gateway for rest, or are about to end."""
+
+    code = "servers-resting"
+    status = 503
+    run_state = RunState.NOT_RUN
+
+
 class ServersLeaving(Failure, frozen=True):
     """All servers that may take it said that they are about to end."""
 
--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -230,6 +230,11 @@
         known.rest_until = max(known.rest_until, now + seconds)
         return is_news
 
+    def rest_until(self, key: int) -> float:
+        """End of the rest that a server asked for; minus infinity when it leaves, or asked none."""
+        known = self._known.get(key)
+        return known.rest_until if known is not None and not known.leaves else float("-inf")
+
     def known(self, key: int) -> KnownServer | None:
         """All that a server said, None when it said nothing."""
         return self._known.get(key)
@@ -242,10 +247,6 @@
             if (signal := _signal(known, now)) is not None
         }
 
-    def leaving(self, now: float) -> Collection[int]:
-        """Servers that said that they leave."""
-        return {key for key, signal in self.in_force(now).items() if signal is Signal.LEAVING}
-
     def signal(self, key: int, now: float) -> Signal | None:
         """What a server said that keeps requests from it now, None for nothing."""
         known = self._known.get(key)
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -181,6 +181,8 @@
     """The server named a limit, or the permit became old, before the request went out."""
     SERVER_LEAVING = "server-leaving"
     """The server said that it leaves before the request went out."""
+    SERVER_RESTING = "server-resting"
+    """The server asked for rest before the request went out."""
     OWN_MEANS = "own-means"
     """This gateway has no descriptor for a connection."""
     VERSION_BOUND = "version-bound"
--- a/src/milletcourse/exchange/placement/server_candidates.py
+++ b/src/milletcourse/exchange/placement/server_candidates.py
@@ -35,8 +35,8 @@
     ) -> list[Instance]:
         """Servers that are permitted; the sick and the busy ones only while there are no others.
 
-        Those that want none by their own word are none of them: they leave, or limit their requests
-        and have what they take.
+        Those that want none by their own word are none of them: they leave, rest, or limit their
+        requests and have what they take.
 
         Args:
             service: Service that the request goes to.
@@ -62,18 +62,12 @@
         others = self._loads.others_load(instance.key, now)
         return instance.health.is_suspected(ServerTally(others.bad, others.good), now)
 
-    def _permitted(
+    def allowed(
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
     ) -> list[Instance]:
-        paused = self._pauses.paused(now)
-        leaving = self._loads.signals.leaving(now)
-        instances = [
-            instance
-            for instance in self._table.of_service(service.name).values()
-            if instance.name not in tried
-            and instance.key not in paused
-            and instance.key not in leaving
-        ]
+        """Servers that may run it, whatever they say of themselves; arguments as above."""
+        members = self._table.of_service(service.name).values()
+        instances = [instance for instance in members if instance.name not in tried]
         if not service.models or not model:
             return instances
         versions = {instance.name: instance.version(model) for instance in instances}
@@ -84,3 +78,14 @@
             if version is not None and self._gate.permits(model, version, now)
         }
         return [instance for instance in instances if versions[instance.name] in permitted]
+
+    def _permitted(
+        self, service: ServiceRecord, model: str, tried: Collection[str], now: float
+    ) -> list[Instance]:
+        paused = self._pauses.paused(now)
+        signals = self._loads.signals.in_force(now)
+        return [
+            instance
+            for instance in self.allowed(service, model, tried, now)
+            if instance.key not in paused and instance.key not in signals
+        ]
--- a/src/milletcourse/exchange/servers/server_health.py
+++ b/src/milletcourse/exchange/servers/server_health.py
@@ -17,9 +17,6 @@
 """Part of the penalty that is left after an answer."""
 BUSY_PAUSE_SECONDS = 0.15
 """A server that turned a request away is passed over this long when others are free."""
-MAX_TOLD_WAIT_SECONDS = 5.0
-"""A server that wants nothing for longer is looked at again after this: it may have said so before
-a change that it can't tell of."""
 TALLY_HALF_LIFE_SECONDS = 1.5
 """What is told to other gateways counts half after this time."""
 MAX_TOLD_BAD = 2
@@ -57,7 +54,8 @@
         self._ejected_until = float("-inf")
         self._pause_seconds = FIRST_EJECTION_SECONDS
         self._trial_running = False
-        self._busy_until = float("-inf")
+        self._refused_until = float("-inf")
+        self._order_until = float("-inf")
         self._bad = DecayingCount(TALLY_HALF_LIFE_SECONDS)
         self._good = DecayingCount(TALLY_HALF_LIFE_SECONDS)
 
@@ -71,7 +69,7 @@
                 self._pause_seconds = FIRST_EJECTION_SECONDS
             return
         if result is AttemptResult.TURNED_AWAY:
-            self._busy_until = max(self._busy_until, now + BUSY_PAUSE_SECONDS)
+            self._refused_until = now + BUSY_PAUSE_SECONDS
             return
         weight = _WEIGHTS.get(result, 0.0)
         if weight == 0.0:
@@ -99,18 +97,13 @@
         """An attempt was given up for reasons that say nothing about the server."""
         self._trial_running = False
 
-    def on_told_to_wait(self, seconds: float, now: float) -> None:
-        """It turned a request away and said for how long it wants no more."""
-        until = now + min(seconds, MAX_TOLD_WAIT_SECONDS)
-        self._busy_until = max(self._busy_until, until)
-
     def on_order(self, until: float) -> None:
         """The server is taking new weights until about this time."""
-        self._busy_until = max(self._busy_until, until)
+        self._order_until = max(self._order_until, until)
 
     def on_ready(self) -> None:
         """The server has finished an order."""
-        self._busy_until = float("-inf")
+        self._order_until = float("-inf")
 
     def on_dispatch(self, now: float) -> None:
         """A request goes there; after an ejection it is the trial."""
@@ -125,7 +118,7 @@
 
     def is_busy(self, now: float) -> bool:
         """Whether it lately turned a request away or is under an order."""
-        return now < self._busy_until
+        return now < max(self._refused_until, self._order_until)
 
     def _needs_trial(self, now: float) -> bool:
         return self._ejected_until > 0 and self._penalty.value(now) >= EJECTION_PENALTY / 2
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -276,7 +276,6 @@
         result = judge_answer(head, self._instance.name, self._dispatch.weight_version)
         if result is AttemptResult.TURNED_AWAY and head.rest.seconds is not None:
             self.told_wait_seconds = head.rest.seconds
-            self._instance.health.on_told_to_wait(head.rest.seconds, self._context.now())
         if result is AttemptResult.WRONG_INSTANCE and head.instance not in (
             "",
             self._instance.name,
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -326,7 +326,7 @@
             return DeadlineUnreachable("no server took it in time", retry_after)
         if self._lacks_means:
             return GatewayExhausted("this gateway has no descriptor left", retry_after)
-        if self._search.met_limit:
+        if self._search.met_limit or self._search.is_kept_away:
             return self._search.failure()
         soonest = min(self._told_waits, default=0.0)
         return Overloaded("servers turned it away", max(retry_after, soonest))
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -11,6 +11,7 @@
     Overloaded,
     ServersAtLimit,
     ServersLeaving,
+    ServersResting,
 )
 from milletcourse.exchange.load.server_signals import Signal
 from milletcourse.exchange.placement.instance_selector import Choice
@@ -54,6 +55,11 @@
         """Whether a server's own limit left no room for it."""
         return bool(self._denied)
 
+    @property
+    def is_kept_away(self) -> bool:
+        """Whether all servers that may run it want no request now, by their own word."""
+        return bool(self._signals(self._context.now()))
+
     def on_tried(self, instance: Instance) -> None:
         """The server had it, and won't get it again."""
         self._tried.add(instance.name)
@@ -115,12 +121,31 @@
         return ServersAtLimit(detail, retry_after + (seconds or 0.0))
 
     def _unavailable(self, retry_after: float) -> Failure:
-        in_force = self._context.server_signals.in_force(self._looked_at)
-        signals = {in_force.get(instance.key) for instance in self._servers()}
-        if signals == {Signal.LEAVING}:
+        signals = self._signals(self._looked_at)
+        if Signal.RESTING in signals:
+            seconds = retry_after + self._seconds_of_rest()
+            return ServersResting("its servers asked for rest", seconds)
+        if Signal.LEAVING in signals:
             return ServersLeaving("its servers are about to end", retry_after)
         return NoEngineAvailable("no server may take it", retry_after)
 
+    def _signals(self, now: float) -> set[Signal]:
+        """What keeps requests from all servers that may run it; nothing when one takes requests."""
+        in_force = self._context.server_signals.in_force(now)
+        signals = {in_force.get(instance.key) for instance in self._allowed(now)}
+        return {signal for signal in signals if signal is not None and None not in signals}
+
+    def _allowed(self, now: float) -> list[Instance]:
+        job = self._job
+        candidates = self._context.selector.candidates
+        return candidates.allowed(job.service, job.request.model, (), now)
+
+    def _seconds_of_rest(self) -> float:
+        """Time until the first of its servers has had its rest."""
+        signals = self._context.server_signals
+        ends = [signals.rest_until(instance.key) for instance in self._allowed(self._looked_at)]
+        return max(min(end for end in ends if end > self._looked_at) - self._looked_at, 0.0)
+
     def _choose(self, left_out: set[str]) -> Choice | None:
         job = self._job
         self._looked_at = self._context.now()
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -34,6 +34,12 @@
 """A request that was held up for longer must not be sent: its unit would add to later ones."""
 
 
+_SIGNAL_CAUSES = {
+    Signal.LEAVING: LeaveCause.SERVER_LEAVING,
+    Signal.RESTING: LeaveCause.SERVER_RESTING,
+}
+
+
 @dataclass(frozen=True)
 class Permit:
     """Permission to send one request to one server.
@@ -132,8 +138,9 @@
         The server may have said something of itself while the connection to it came up, or its
         permit may have become old.
         """
-        if self._signals.signal(instance.key, self._now()) is Signal.LEAVING:
-            return LeaveCause.SERVER_LEAVING
+        signal = self._signals.signal(instance.key, self._now())
+        if signal is not None:
+            return _SIGNAL_CAUSES[signal]
         if self._signals.per_second(instance.key) is None:
             return None
         is_valid = permit.key == instance.key and self._now() < permit.valid_until
