--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -199,7 +199,7 @@
         if asked.kind in ("stream", "single"):
             more.update(self._habits.prompt)
         now = asyncio.get_running_loop().time()
-        ledger.on_sent(SentRequest(asked.request_id, now, key, asked.kind))
+        ledger.on_sent(SentRequest(asked.request_id, now, key, asked.kind, self._gateway))
         return Client.request_bytes(f"/{asked.kind}/", asked.request_id, key=key, **more)
 
     def _leave(self) -> None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from soak.limit_ledger import LimitLedger
+from soak.signal_ledger import Arrival, Rest, SignalLedger, WasDisturbed
 
 MAX_ENDS = 5
 """Servers that may end under one request between two losses of all gateways: three, and two by
@@ -51,6 +52,7 @@
     at: float
     key: str
     kind: str
+    gateway: str = ""
 
 
 @dataclass(frozen=True)
@@ -100,6 +102,9 @@
     """Streams that stood still midway at their server."""
     works: dict[str, list[Work]] = field(default_factory=dict)
     limits: LimitLedger = field(default_factory=LimitLedger)
+    signals: SignalLedger = field(default_factory=SignalLedger)
+    leaving_answers: dict[str, str] = field(default_factory=dict)
+    """Requests whose latest answer said that its server leaves, with that server."""
     now: Callable[[], float] = time.monotonic
     """Clock of the servers' work: of the process that they all run in."""
 
@@ -109,9 +114,38 @@
 
     # -- limits ---------------------------------------------------------------------------------
 
-    def on_arrival(self, server: str) -> None:
+    def on_arrival(self, server: str, request_id: str) -> None:
         """A request reaches a server, whatever becomes of it."""
-        self.limits.on_arrival(server, time.monotonic())
+        now = time.monotonic()
+        self.limits.on_arrival(server, now)
+        sent = self.sent.get(request_id)
+        if sent is not None:
+            self.signals.on_arrival(Arrival(server, sent.gateway, now, sent.at))
+
+    # -- what servers say -----------------------------------------------------------------------
+
+    def on_rest(self, server: str, request_id: str, seconds: float) -> None:
+        """A server turns a request away, and asks for rest."""
+        sent = self.sent.get(request_id)
+        if sent is not None:
+            self.signals.on_rest(Rest(server, sent.gateway, time.monotonic(), seconds))
+
+    def on_leaving_answer(self, server: str, request_id: str) -> None:
+        """A server writes an answer that says that it leaves."""
+        self.signals.on_leaving_answer(server, time.monotonic())
+        self.leaving_answers[request_id] = server
+
+    def check_signals(self, drain_seconds: float, was_disturbed: WasDisturbed) -> None:
+        """Servers that leave or rest got no more than they may.
+
+        Args:
+            drain_seconds: A gateway that passed on that a server leaves may use it so long.
+            was_disturbed: Excuses a gateway.
+        """
+        for late in self.signals.late_sends(drain_seconds, was_disturbed):
+            self.violate("leaving", f"{late}")
+        for rest, count in self.signals.broken_rests(was_disturbed):
+            self.violate("rest", f"{count} requests in {rest}")
 
     def on_limit(self, server: str, per_second: float | None) -> None:
         """A server names a limit from now on, or none any more."""
@@ -205,6 +239,10 @@
             self.promised[request_id] = status
         if status != 200:
             return
+        if whole and request_id in self.leaving_answers:
+            gateway = self.sent[request_id].gateway
+            server = self.leaving_answers[request_id]
+            self.signals.on_passed_on(server, gateway, time.monotonic())
         if kind in ("stream", "single"):
             expected = whole_stream(request_id)
             if not expected.startswith(body) or (whole and body != expected):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -11,6 +11,7 @@
 from milletcourse.exchange.attempts.planned_stop import ConnectionState, PlannedStop, StopPhase
 from milletcourse.exchange.limits.allowance_homes import AllowanceHomes, ChosenLender
 from milletcourse.exchange.limits.allowance_lender import Standing
+from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.messages.messages import LeaveCause
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.clients.client_connection import ClientConnection
@@ -106,6 +107,16 @@
     AllowanceHomes.lender = lender  # type: ignore[method-assign]
 
 
+def ask_resting_servers() -> None:
+    """A rest is heard, and set aside."""
+    ServerSignals.on_rest = lambda *_: False  # type: ignore[method-assign]
+
+
+def use_leaving_servers() -> None:
+    """That a server leaves is read in its entry alone."""
+    ServerSignals.on_leaving = lambda *_, **__: False  # type: ignore[method-assign]
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "cut-at-the-signal": cut_at_the_signal,
     "drop-what-was-sent-ahead": drop_what_was_sent_ahead,
@@ -123,7 +134,12 @@
     "keep-limits-alone": keep_limits_alone,
 }
 """Defects that it takes servers that limit their requests to find."""
+SIGNAL_MUTANTS: dict[str, Callable[[], None]] = {
+    "ask-resting-servers": ask_resting_servers,
+    "use-leaving-servers": use_leaving_servers,
+}
+"""Defects that it takes servers that rest and leave to find."""
 
 if __name__ == "__main__":
-    (MUTANTS | SILENCE_MUTANTS | LIMIT_MUTANTS)[sys.argv[1]]()
+    (MUTANTS | SILENCE_MUTANTS | LIMIT_MUTANTS | SIGNAL_MUTANTS)[sys.argv[1]]()
     start([])
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -29,6 +29,7 @@
 from soak.entry import Entry
 from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
+from soak.signals import leave_servers, rest_servers
 from soak.world import DEFAULT_GATEWAYS, GATEWAY_PROGRAM, GatewayProcess, SoakWorld
 
 KEPT = Habits(
@@ -124,6 +125,8 @@
         limited: Share of the servers that limit their requests, by turns.
         limit: Requests a second that they take, more or less.
         descriptors: Most descriptors of a gateway; 0 for the machine's usual bound.
+        resting: Share of the servers that ask for rest, by turns; 0 for none.
+        leaving: Share of the servers that leave and are replaced, by turns; 0 for none.
     """
 
     gateways: int = DEFAULT_GATEWAYS
@@ -139,6 +142,8 @@
     limited: float = 0.0
     limit: float = 1.0
     descriptors: int = 0
+    resting: float = 0.0
+    leaving: float = 0.0
 
     @property
     def program(self) -> tuple[str, ...]:
@@ -175,6 +180,10 @@
             work.append(asyncio.create_task(hold_gateways(world, run.hold_seconds)))
         if run.limited:
             work.append(asyncio.create_task(limit_servers(world, run.limited, run.limit)))
+        if run.resting:
+            work.append(asyncio.create_task(rest_servers(world, run.resting)))
+        if run.leaving:
+            work.append(asyncio.create_task(leave_servers(world, run.leaving)))
         await asyncio.sleep(run.seconds)
         for task in work:
             task.cancel()
@@ -188,6 +197,7 @@
         # A gateway that stands still can't end a run.
         world.ledger.check_overlaps()
     world.ledger.check_limits()
+    world.check_signals()
     return report_of(seed, world, servers_are_silent=run.pauses > 0.0)
 
 
@@ -226,6 +236,7 @@
         "own_absence": round(world.clock.absent_seconds, 2),
         "judged": {name: events[name] for name in JUDGEMENTS if events[name]},
         "limits": world.ledger.limits.figures(time.monotonic()),
+        "signals": world.ledger.signals.figures(),
         "outcomes": dict(sorted(world.ledger.outcomes.items())),
         "verdicts": dict(Counter(verdict.value for verdict in verdicts.values())),
         "lost": [
@@ -269,6 +280,8 @@
     parser.add_argument("--limited", type=float, default=0.0, help="share of servers with limits")
     parser.add_argument("--limit", type=float, default=1.0, help="requests a second that they take")
     parser.add_argument("--descriptors", type=int, default=0, help="most of a gateway")
+    parser.add_argument("--resting", type=float, default=0.0, help="share of servers that rest")
+    parser.add_argument("--leaving", type=float, default=0.0, help="share of servers that leave")
     arguments = parser.parse_args()
     run = PlannedRun(
         arguments.gateways,
@@ -284,6 +297,8 @@
         arguments.limited,
         arguments.limit,
         arguments.descriptors,
+        arguments.resting,
+        arguments.leaving,
     )
     return play_seeds(
         arguments.seeds, arguments.keep, lambda seed, folder: planned_soak(seed, folder, run)
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -56,6 +56,12 @@
     on_end: Callable[[str], None] = lambda name: None
     limit: float | None = None
     """Requests a second that it names in its answers, None for none."""
+    leaves: bool = False
+    """It says in all its answers that it leaves."""
+    rest_seconds: float = 0.0
+    """It turns all requests away and wants nothing for so long; 0 when it takes requests."""
+    requests: int = 0
+    """At work now."""
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -107,12 +113,13 @@
             writer.close()
 
     async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-        if not request.target.startswith("/milletcourse/"):
-            self.ledger.on_arrival(self.name)
+        is_request = not request.target.startswith("/milletcourse/")
+        if is_request:
+            self.ledger.on_arrival(self.name, request.request_id)
         fields = {
             "Request-Id": request.request_id,
             "Instance-Id": self.name,
-            **self._limit_field(),
+            **self._signal_fields(request.request_id),
         }
         expected = request.headers.get("expected-instance")
         if expected is not None and expected != self.name:
@@ -123,13 +130,28 @@
             writer.write(answer(self._take_order(json.loads(request.body))))
         elif request.headers.get("expected-version", str(self.version)) != str(self.version):
             writer.write(answer(421, b"", fields))
+        elif self.rest_seconds:
+            self.ledger.on_rest(self.name, request.request_id, self.rest_seconds)
+            rest = {"Not-Executed": "1", "Retry-After": f"{self.rest_seconds:g}"}
+            writer.write(answer(503, b"", {**fields, **rest}))
         elif self.loading or self._happens(self.mood.shed):
             writer.write(answer(503, b"", {**fields, "Not-Executed": "1"}))
         else:
-            await self._run(request, writer)
+            self.requests += 1
+            try:
+                await self._run(request, writer)
+            finally:
+                self.requests -= 1
 
-    def _limit_field(self) -> dict[str, str]:
-        return {} if self.limit is None else {"Server-Limit": f"{self.limit:g}"}
+    def _signal_fields(self, request_id: str) -> dict[str, str]:
+        """What it says of itself in an answer."""
+        fields = {}
+        if self.limit is not None:
+            fields["Server-Limit"] = f"{self.limit:g}"
+        if self.leaves:
+            fields["Server-Leaving"] = "1"
+            self.ledger.on_leaving_answer(self.name, request_id)
+        return fields
 
     def name_limit(self, limit: float | None) -> None:
         """Name a limit in all answers from now on, or none any more."""
@@ -208,7 +230,7 @@
         fields = {
             "Request-Id": request.request_id,
             "Server-Signature": f"s-{self.name}",
-            **self._limit_field(),
+            **self._signal_fields(request.request_id),
         }
         if self._happens(mood.garble):
             writer.write(b"HTTP/9.9 garbled\r\n\r\n")
--- a/tests/soak/test_soak_mutants.py
+++ b/tests/soak/test_soak_mutants.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from soak.mutants import LIMIT_MUTANTS, MUTANTS, SILENCE_MUTANTS
+from soak.mutants import LIMIT_MUTANTS, MUTANTS, SIGNAL_MUTANTS, SILENCE_MUTANTS
 from soak.planned import PlannedRun, planned_soak
 from soak.seeds import Report
 
@@ -29,6 +29,11 @@
 )
 
 
+SIGNAL_RUN = PlannedRun(
+    gateways=4, clients=CLIENTS, seconds=12.0, stops=False, resting=0.3, leaving=0.3
+)
+
+
 def play(folder: Path, mutant: str, seed: int) -> Report:
     """A short run of two gateways that stop in turn."""
     folder.mkdir()
@@ -71,6 +76,25 @@
     assert any(is_found(seed) for seed in SEEDS)
 
 
+@pytest.mark.parametrize("mutant", SIGNAL_MUTANTS)
+def test_a_defect_in_heeding_what_servers_say_is_found(tmp_path: Path, mutant: str) -> None:
+    """A server that leaves or rests gets requests on."""
+
+    def is_found(seed: int) -> bool:
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        report = asyncio.run(planned_soak(seed, folder, replace(SIGNAL_RUN, mutant=mutant)))
+        return any(item.startswith(("rest: ", "leaving: ")) for item in report["violations"])
+
+    assert any(is_found(seed) for seed in SEEDS)
+
+
+def test_sound_gateways_heed_what_servers_say_and_lose_nothing(tmp_path: Path) -> None:
+    """The same run without a defect, beside stops."""
+    report = asyncio.run(planned_soak(1, tmp_path, replace(SIGNAL_RUN, stops=True)))
+    assert report["signals"] and not report["lost"] and not report["violations"]
+
+
 def test_sound_gateways_keep_limits_and_lose_nothing(tmp_path: Path) -> None:
     """The same run without a defect, beside stops."""
     report = asyncio.run(planned_soak(1, tmp_path, replace(LIMITED_RUN, stops=True)))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -43,6 +43,7 @@
 }
 TENANTS = {"key-1": "tenant-1", "key-2": "tenant-2", "key-3": "tenant-3", "key-4": "tenant-4"}
 TURN_SECONDS = 0.05
+RETIRE_SECONDS = 6.0
 ENTRY_SECONDS = 1.0
 """The entry of a server that crashed stands this long after its successor's came."""
 ISOLATED = frozenset({"tenant-1"})
@@ -99,10 +100,12 @@
         self.descriptors = 0
         """Most descriptors that the process may have open; 0 for the machine's usual bound."""
         self._disturbances: list[Disturbance] = []
+        self._started_at: list[float] = []
 
     def start(self) -> None:
         """Start the process."""
         self.starts += 1
+        self._started_at.append(time.monotonic())
         if self._disturbances:
             last = self._disturbances[-1]
             last.ended_at = min(last.ended_at, time.monotonic())
@@ -133,6 +136,10 @@
         """Whether it was killed or frozen at some time of a stretch."""
         return any(item.began_at <= end and item.ended_at >= begin for item in self._disturbances)
 
+    def has_started_between(self, begin: float, end: float) -> bool:
+        """Whether a process of it started in a stretch, and knew nothing of what was before."""
+        return any(begin <= at <= end for at in self._started_at)
+
     def is_running(self) -> bool:
         """Whether the process has not ended."""
         return self.process is not None and self.process.poll() is None
@@ -262,6 +269,26 @@
         await self.server_proxies.pop(name).close()
         self.store.remove("servers", name)
 
+    async def retire_server(self, name: str) -> None:
+        """A server ends when its work is done, or its patience over."""
+        server = self.servers.get(name)
+        ends_at = time.monotonic() + RETIRE_SECONDS
+        while server is not None and server.requests and time.monotonic() < ends_at:
+            await asyncio.sleep(0.05)
+        if name in self.servers and not self.ended:
+            await self.remove_server(name)
+
+    def check_signals(self) -> None:
+        """Servers that leave or rest got no more than they may from gateways that ran on."""
+        gateways = {gateway.name: gateway for gateway in self.gateways}
+
+        def was_disturbed(name: str, begin: float, end: float) -> bool:
+            gateway = gateways[name]
+            is_new = gateway.has_started_between(begin, end)
+            return is_new or gateway.was_disturbed(begin, end)
+
+        self.ledger.check_signals(BOUNDS["DrainMs"] / 1000, was_disturbed)
+
     def _on_end(self, name: str) -> None:
         """A request ended a server's process."""
         self._restarts.add(task := asyncio.create_task(self._restart(name)))
