--- /dev/null
+++ b/tests/gateway/servers/test_signal_machine.py
@@ -0,0 +1,337 @@
+"""Words of servers, sends, connections, restarts and lists in any order, against the pages' rules.
+
+Two gateways know the same servers. A request is sent in two steps, as in the product: a server is
+chosen, and when the connection to it is up the last check is asked before the bytes go out.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from milletcourse.exchange.limits.ask_pauses import AskPauses
+from milletcourse.exchange.load.load_exchange import LoadExchange
+from milletcourse.exchange.load.server_signals import ServerSignals
+from milletcourse.exchange.mechanisms import ALL_MECHANISMS
+from milletcourse.exchange.messages.messages import AnswerHead, AttemptResult
+from milletcourse.exchange.messages.records import InstanceRecord, ServiceRecord
+from milletcourse.exchange.messages.server_signals import (
+    NO_REST,
+    NOT_LEAVING,
+    LeavingReading,
+    RestReading,
+)
+from milletcourse.exchange.placement.server_candidates import ServerCandidates
+from milletcourse.exchange.rollout.version_gate import VersionGate
+from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
+from milletcourse.gateway.servers.server_permits import ServerPermits
+from milletcourse.gateway.servers.signal_watch import SignalWatch
+from milletcourse.gateway.telling.event_log import EventLog
+from milletcourse.gateway.telling.figures import Figures
+from milletcourse.gateway.telling.recorder import Recorder
+from milletcourse.runtime.attended_clock import AttendedClock
+
+SERVICE = ServiceRecord("app")
+NAMES = ("s-1", "s-2")
+GATEWAYS = ("g-1", "g-2")
+REST_SLACK_SECONDS = 0.5
+MOST_IN_A_REST = 2
+
+
+def answer_head(
+    instance: str, status: int = 200, leaving: bool = False, rest: float | None = None
+) -> AnswerHead:
+    """The head of an answer that says something of its server."""
+    return AnswerHead(
+        status=status,
+        reason=b"",
+        fields=[],
+        request_id="r",
+        signed=status == 200,
+        instance=instance,
+        not_executed=status != 200,
+        weight_version=None,
+        keep_alive_seconds=None,
+        content_length=0,
+        chunked=False,
+        closing=False,
+        encoded=False,
+        event_stream=False,
+        leaving=LeavingReading(True) if leaving else NOT_LEAVING,
+        rest=RestReading(rest) if rest is not None else NO_REST,
+    )
+
+
+class ModelGateway:
+    """The product's own cores and checks, of one gateway."""
+
+    def __init__(self, name: str, now: list[float]) -> None:
+        self._now = now
+        self.table = InstanceTable()
+        self.signals = ServerSignals()
+        pauses = AskPauses()
+        record = Recorder(EventLog(name, None), Figures(), dict, self.now)
+        self.watch = SignalWatch(
+            self.signals, pauses, self.table, record, lambda: None, lambda _: None
+        )
+        loads = LoadExchange(name, signals=self.signals)
+        gate = VersionGate(8.0)
+        self.candidates = ServerCandidates(self.table, gate, loads, ALL_MECHANISMS, pauses)
+        self.permits = ServerPermits(
+            name,
+            self.signals,
+            pauses,
+            self.watch.on_reports,
+            random.Random(1),
+            AttendedClock(),
+            self.now,
+            lambda: len(GATEWAYS),
+            Figures(),
+        )
+
+    def now(self) -> float:
+        """The machine's time."""
+        return self._now[0]
+
+    def choose(self) -> list[Instance]:
+        """Servers that a request may go to."""
+        return self.candidates.of_service(SERVICE, "", (), self.now())
+
+    def may_go_out(self, instance: Instance) -> bool:
+        """The last check."""
+        permit = self.permits.without_limit(instance)
+        return self.permits.obstacle(permit, instance) is None
+
+
+@dataclass
+class Heard:
+    """What one gateway heard of one incarnation, by the machine's own account."""
+
+    left_at: float | None = None
+    rests: list[tuple[float, float]] = field(default_factory=list)
+    sent_at: list[float] = field(default_factory=list)
+
+
+class SignalMachine(RuleBasedStateMachine):
+    """Servers that say things, and gateways that send to them."""
+
+    gateway_type = ModelGateway
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = [100.0]
+        self.gateways = {name: self.gateway_type(name, self.clock) for name in GATEWAYS}
+        self.started_ms = dict.fromkeys(NAMES, 1000)
+        self.leaves = dict.fromkeys(NAMES, False)
+        self.heard: dict[tuple[str, str, int], Heard] = {}
+        self.connecting: list[tuple[str, Instance]] = []
+        for gateway in GATEWAYS:
+            for name in NAMES:
+                self.list_shows(gateway, name, False)
+
+    def of(self, gateway: str, instance: Instance) -> Heard:
+        """The account of one gateway and one incarnation."""
+        key = (gateway, instance.name, instance.record.started_ms)
+        return self.heard.setdefault(key, Heard())
+
+    @rule(seconds=st.floats(0.01, 4.0))
+    def wait(self, seconds: float) -> None:
+        """Time goes by."""
+        self.clock[0] += seconds
+        for gateway in self.gateways.values():
+            present = {instance.key for instance in gateway.table}
+            gateway.signals.expire(self.clock[0], lambda keys=present: keys)
+
+    @rule(gateway=st.sampled_from(GATEWAYS), name=st.sampled_from(NAMES), draining=st.booleans())
+    def list_shows(self, gateway: str, name: str, draining: bool) -> None:
+        """The entry of a server is read, maybe an older one of the same start."""
+        record = InstanceRecord(
+            name, "app", f"{name}:1", draining=draining, started_ms=self.started_ms[name]
+        )
+        here = self.gateways[gateway]
+        here.table.upsert(record)
+        instance = here.table.get(name)
+        assert instance is not None
+        if draining:
+            heard = self.of(gateway, instance)
+            heard.left_at = heard.left_at if heard.left_at is not None else self.clock[0]
+
+    @rule(gateway=st.sampled_from(GATEWAYS), name=st.sampled_from(NAMES))
+    def entry_goes(self, gateway: str, name: str) -> None:
+        """From the list that a gateway sees."""
+        self.gateways[gateway].table.remove(name, self.clock[0])
+
+    @rule(name=st.sampled_from(NAMES))
+    def server_restarts(self, name: str) -> None:
+        """Under its name; entries tell of it later."""
+        self.started_ms[name] += 1000
+        self.leaves[name] = False
+        self.connecting = [item for item in self.connecting if item[1].name != name]
+
+    @rule(name=st.sampled_from(NAMES))
+    def server_leaves(self, name: str) -> None:
+        """From now on its answers say so."""
+        self.leaves[name] = True
+
+    @rule(gateway=st.sampled_from(GATEWAYS), name=st.sampled_from(NAMES))
+    def order_ends(self, gateway: str, name: str) -> None:
+        """A server has its weights."""
+        instance = self.gateways[gateway].table.get(name)
+        if instance is not None:
+            instance.health.on_ready()
+
+    @rule(gateway=st.sampled_from(GATEWAYS), pick=st.integers(0, 1))
+    def begin(self, gateway: str, pick: int) -> None:
+        """A request is to go to one of the servers that may be chosen."""
+        chosen = self.gateways[gateway].choose()
+        if chosen:
+            self.connecting.append((gateway, chosen[pick % len(chosen)]))
+
+    @rule(rest=st.one_of(st.none(), st.floats(0.5, 30.0)), stranger=st.booleans())
+    def connection_is_up(self, rest: float | None, stranger: bool) -> None:
+        """The request goes out if it may, and its server answers at once."""
+        if not self.connecting:
+            return
+        gateway, instance = self.connecting.pop(0)
+        here = self.gateways[gateway]
+        if not here.may_go_out(instance):
+            return
+        heard = self.of(gateway, instance)
+        heard.sent_at.append(self.clock[0])
+        if stranger:
+            # Another server has the address now: what it says is its own.
+            head = answer_head("s-9", 421, leaving=True, rest=9.0)
+            here.watch.on_answer(instance, head, self.clock[0])
+            return
+        is_current = instance.record.started_ms == self.started_ms[instance.name]
+        leaves = is_current and self.leaves[instance.name]
+        status = 200 if rest is None else 503
+        head = answer_head(instance.name, status, leaves, rest)
+        here.watch.on_answer(instance, head, self.clock[0])
+        if rest is not None:
+            instance.health.on_result(AttemptResult.TURNED_AWAY, self.clock[0])
+            heard.rests.append((self.clock[0], rest))
+        if leaves and heard.left_at is None:
+            heard.left_at = self.clock[0]
+
+    @rule(sender=st.sampled_from(GATEWAYS))
+    def gateways_tell(self, sender: str) -> None:
+        """One tells the other what it knows."""
+        reports = self.gateways[sender].signals.to_tell(self.clock[0], 0.0)
+        for name, gateway in self.gateways.items():
+            if name != sender:
+                gateway.watch.on_reports(reports, True)
+
+    @invariant()
+    def no_send_after_the_word(self) -> None:
+        """To a server that leaves: none at all, far inside the bound."""
+        for heard in self.heard.values():
+            if heard.left_at is not None:
+                assert all(at <= heard.left_at for at in heard.sent_at)
+
+    @invariant()
+    def rests_are_kept(self) -> None:
+        """Two requests of a gateway at most."""
+        for heard in self.heard.values():
+            for start, seconds in heard.rests:
+                inside = [
+                    at for at in heard.sent_at if start + REST_SLACK_SECONDS < at < start + seconds
+                ]
+                assert len(inside) <= MOST_IN_A_REST
+
+    @invariant()
+    def who_said_nothing_is_used(self) -> None:
+        """An incarnation that neither leaves nor rests is a candidate."""
+        for name, gateway in self.gateways.items():
+            chosen = {instance.name for instance in gateway.choose()}
+            for instance in gateway.table:
+                if not self._has_a_word(name, instance):
+                    assert instance.name in chosen
+
+    def _has_a_word(self, gateway: str, instance: Instance) -> bool:
+        accounts = [
+            heard
+            for (_, name, started_ms), heard in self.heard.items()
+            if (name, started_ms) == (instance.name, instance.record.started_ms)
+        ]
+        rests = self.of(gateway, instance).rests
+        is_resting = any(self.clock[0] < start + seconds for start, seconds in rests)
+        return is_resting or any(heard.left_at is not None for heard in accounts)
+
+
+FIND_ONLY = (Phase.generate,)
+SETTINGS = settings(max_examples=120, stateful_step_count=40)
+SignalMachine.TestCase.settings = SETTINGS
+TestSignals = SignalMachine.TestCase
+
+
+class FallsBackGateway(ModelGateway):
+    """When all have said that they want nothing, it asks them all the same, as before."""
+
+    def choose(self) -> list[Instance]:
+        """Servers that a request may go to."""
+        return super().choose() or self.candidates.allowed(SERVICE, "", (), self.now())
+
+    def may_go_out(self, instance: Instance) -> bool:
+        """The last check."""
+        return True
+
+
+class SkipsTheLastCheckGateway(ModelGateway):
+    """What is said while a connection comes up isn't heard."""
+
+    def may_go_out(self, instance: Instance) -> bool:
+        """The last check."""
+        return True
+
+
+class KeepsWordsByNameGateway(ModelGateway):
+    """A word outlives the start that said it."""
+
+    def __init__(self, name: str, now: list[float]) -> None:
+        super().__init__(name, now)
+        self.table.on_restarted = lambda before: self.signals.on_leaving(
+            self._next_key(before), now[0]
+        )
+
+    def _next_key(self, before: Instance) -> int:
+        known = self.signals.known(before.key)
+        after = Instance(
+            InstanceRecord(before.name, "app", "", started_ms=before.record.started_ms + 1000)
+        )
+        return after.key if known is not None and known.leaves else 0
+
+
+class EndsRestsWithOrdersGateway(ModelGateway):
+    """New weights end a rest."""
+
+    def choose(self) -> list[Instance]:
+        """Servers that a request may go to."""
+        return [item for item in self.table if not item.health.is_busy(self.now())]
+
+    def may_go_out(self, instance: Instance) -> bool:
+        """The last check."""
+        return True
+
+
+MUTANTS = (
+    FallsBackGateway,
+    SkipsTheLastCheckGateway,
+    KeepsWordsByNameGateway,
+    EndsRestsWithOrdersGateway,
+)
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.__name__)
+def test_a_gateway_with_a_known_defect_is_found(mutant: type[ModelGateway]) -> None:
+    """Each breaks a rule, or leaves a sound server unused."""
+    machine = type(mutant.__name__, (SignalMachine,), {"gateway_type": mutant})
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(
+            machine, settings=settings(SETTINGS, max_examples=400, phases=FIND_ONLY)
+        )
