--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -17,6 +17,8 @@
 from milletcourse.experiments.limit_model import compare_ways
 from milletcourse.experiments.parameters import load_deployment
 from milletcourse.experiments.report import plot, summarize, table
+from milletcourse.experiments.rest_model import compare_rests
+from milletcourse.experiments.rest_plot import plot_rests
 from milletcourse.experiments.run import POLICIES, ExperimentRun
 
 DEFAULT_LOAD = 0.8
@@ -64,6 +66,20 @@
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
 
 
+@app.command("rests")
+def rests(
+    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5,79",
+    seed: Annotated[int, typer.Option(help="Of the requests, the same for each way.")] = 1,
+    out: Annotated[Path | None, typer.Option(help="Directory for a PNG plot.")] = None,
+) -> None:
+    """Ways to treat servers that ask for rest, and the callers that they can't serve meanwhile."""
+    figures = compare_rests(read_sizes(gateways), seed)
+    for item in figures:
+        sys.stdout.write(msgspec.json.encode(item).decode() + "\n")
+    if out is not None:
+        sys.stderr.write(f"wrote {plot_rests(figures, out)}\n")
+
+
 @app.command("containment")
 def containment(
     gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "8,79",
--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -66,6 +66,18 @@
     leaves: bool
 
 
+class RestOfServer(msgspec.Struct, frozen=True):
+    """The rest that a server has now.
+
+    Attributes:
+        left: Seconds until its end.
+        seconds: How long it takes as a whole.
+    """
+
+    left: float
+    seconds: float
+
+
 class KnownServer(msgspec.Struct):
     """What one server said last.
 
@@ -231,9 +243,16 @@
         return is_news
 
     def rest_until(self, key: int) -> float:
-        """End of the rest that a server asked for; minus infinity when it leaves, or asked none."""
+        """End of the latest rest that a server asked for; minus infinity when it asked none."""
+        known = self._known.get(key)
+        return known.rest_until if known is not None else float("-inf")
+
+    def rest(self, key: int, now: float) -> RestOfServer | None:
+        """The rest that a server has, None when it has none, or leaves."""
         known = self._known.get(key)
-        return known.rest_until if known is not None and not known.leaves else float("-inf")
+        if known is None or _signal(known, now) is not Signal.RESTING:
+            return None
+        return RestOfServer(known.rest_until - now, known.rest_until - known.rest_since)
 
     def known(self, key: int) -> KnownServer | None:
         """All that a server said, None when it said nothing."""
--- /dev/null
+++ b/src/milletcourse/experiments/rest_plot.py
@@ -0,0 +1,47 @@
+"""Draws what `rest_model` compared."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from milletcourse.errors import FailureError, InvalidObject
+from milletcourse.experiments.rest_model import Need, RestFigures, RestWay
+
+BAR_WIDTH = 0.11
+
+
+def plot_rests(figures: list[RestFigures], directory: Path) -> Path:
+    """Share of callers that were served, by way and number of gateways; one chart for each need.
+
+    Raises:
+        FailureError: `InvalidObject` when the extra `plots` is not installed.
+    """
+    try:
+        import matplotlib
+    except ImportError as error:
+        raise FailureError(
+            InvalidObject("out", None, "out", str(directory), "pip install milletcourse[plots]")
+        ) from error
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    directory.mkdir(parents=True, exist_ok=True)
+    sizes = sorted({item.gateways for item in figures})
+    drawing, charts = pyplot.subplots(len(Need), figsize=(9, 10), sharex=True)
+    for chart, need in zip(charts, Need, strict=True):
+        for number, way in enumerate(RestWay):
+            served = {
+                item.gateways: item.served
+                for item in figures
+                if item.need is need and item.way is way
+            }
+            places = [index + number * BAR_WIDTH for index in range(len(sizes))]
+            chart.bar(places, [served[size] for size in sizes], BAR_WIDTH, label=way.value)
+        chart.set_title(f"served: {need.value}")
+    charts[-1].set_xticks(range(len(sizes)), [f"{size} gateways" for size in sizes])
+    charts[0].legend(fontsize="x-small", loc="lower right")
+    drawing.tight_layout()
+    path = directory / "rests.png"
+    drawing.savefig(path)
+    pyplot.close(drawing)
+    return path
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -13,6 +13,7 @@
     ServersLeaving,
     ServersResting,
 )
+from milletcourse.exchange.limits.rest_returns import return_seconds
 from milletcourse.exchange.load.server_signals import Signal
 from milletcourse.exchange.placement.instance_selector import Choice
 from milletcourse.exchange.servers.instance_table import Instance
@@ -123,8 +124,7 @@
     def _unavailable(self, retry_after: float) -> Failure:
         signals = self._signals(self._looked_at)
         if Signal.RESTING in signals:
-            seconds = retry_after + self._seconds_of_rest()
-            return ServersResting("its servers asked for rest", seconds)
+            return ServersResting("its servers asked for rest", self._seconds_to_return())
         if Signal.LEAVING in signals:
             return ServersLeaving("its servers are about to end", retry_after)
         return NoEngineAvailable("no server may take it", retry_after)
@@ -140,11 +140,14 @@
         candidates = self._context.selector.candidates
         return candidates.allowed(job.service, job.request.model, (), now)
 
-    def _seconds_of_rest(self) -> float:
-        """Time until the first of its servers has had its rest."""
+    def _seconds_to_return(self) -> float:
+        """Time until its caller may come back, when the first of its servers has had its rest."""
+        now = self._looked_at
         signals = self._context.server_signals
-        ends = [signals.rest_until(instance.key) for instance in self._allowed(self._looked_at)]
-        return max(min(end for end in ends if end > self._looked_at) - self._looked_at, 0.0)
+        rests = [signals.rest(instance.key, now) for instance in self._allowed(now)]
+        first = min((rest for rest in rests if rest is not None), key=lambda rest: rest.left)
+        drawn = self._context.random.random()
+        return return_seconds(first.left, first.seconds, self._job.rank, drawn)
 
     def _choose(self, left_out: set[str]) -> Choice | None:
         job = self._job
