What servers say of themselves in replies to orders and in reports is heard too

A server that gets no requests may still be ordered to load weights: that it leaves or rests was heard from answers to requests alone. Orders name their server, so any reply but a misdirected one is its own; a report names none, and counts when its start is the one that is known. A lack of the limit's field there ends no limit, since only answers to requests name it each time. An optional load waits for the end of a rest; one that a bound asks for doesn't.

--- a/src/milletcourse/exchange/rollout/roll_out.py
+++ b/src/milletcourse/exchange/rollout/roll_out.py
@@ -136,7 +136,11 @@
     """Plans the orders of the lease holder."""
 
     def __init__(
-        self, gate: VersionGate, request_rate: RequestRate, is_leaving: Callable[[Instance], bool]
+        self,
+        gate: VersionGate,
+        request_rate: RequestRate,
+        is_leaving: Callable[[Instance], bool],
+        is_resting: Callable[[Instance], bool],
     ) -> None:
         """No load under way.
 
@@ -144,7 +148,9 @@
             gate: What versions are named.
             request_rate: Tells what a server is worth while others load.
             is_leaving: Whether a server is about to end, so that it needs no weights.
+            is_resting: Whether a server wants no work from here: only a bound makes it load then.
         """
+        self._is_resting = is_resting
         self._is_leaving = is_leaving
         self._gate = gate
         self._request_rate = request_rate
@@ -225,6 +231,8 @@
     def _first_worth(self, waiting: list[tuple[float, Instance, str]], now: float) -> int | None:
         """Index of the first server that had better not wait for a version that may follow."""
         for index, (_, instance, model) in enumerate(waiting):
+            if self._is_resting(instance):
+                continue
             superseded_at = self._gate.superseded_at(model, instance.version(model) or 0)
             if superseded_at is not None and is_worth_loading(
                 self._request_rate(instance),
--- a/src/milletcourse/gateway/fleet/roll_out_service.py
+++ b/src/milletcourse/gateway/fleet/roll_out_service.py
@@ -70,7 +70,9 @@
         margin = min(MAX_MARGIN_SECONDS, duration / 3)
         self._lease = LeaseTracker(context.settings.name, duration, margin)
         self._renew_seconds = min(MAX_RENEW_SECONDS, (duration - margin) / 2)
-        self._plan = RollOut(context.gate, context.request_rate, context.is_leaving)
+        self._plan = RollOut(
+            context.gate, context.request_rate, context.is_leaving, context.is_resting
+        )
         context.restart_listeners.append(self._plan.on_restarted)
         self._next_lease_call = 0.0
         self._was_holder = False
@@ -172,7 +174,9 @@
         result = OrderReply.UNANSWERED
         if reply is not None:
             result = self._orders.read_order_reply(reply)
-            if result is OrderReply.WRONG_INSTANCE and reply.instance not in ("", order.instance):
+            if result is not OrderReply.WRONG_INSTANCE:
+                self._hear(instance, reply)
+            elif reply.instance not in ("", order.instance):
                 self._context.note_successor(instance, reply.instance)
         self._plan.on_reply(instance, result, self._context.now())
         if result is OrderReply.TAKEN:
@@ -184,12 +188,14 @@
             instance.record.address, self._orders.report_call(), ORDER_TIMEOUT_SECONDS
         )
         report = self._orders.read_report(reply) if reply is not None else None
-        if report is not None:
+        if report is not None and reply is not None:
             self._context.instances.on_start_seen(
                 instance.name, report.started_ms, report.weight_versions
             )
             # Another incarnation may have told it than was asked.
             instance = self._context.instances.get(instance.name) or instance
+            if report.started_ms and report.started_ms == instance.record.started_ms:
+                self._hear(instance, reply)
         self._plan.on_report(instance, report, self._context.now())
         if self._lease.is_held(self._context.now()):
             # The next order need not wait for the next tick.
@@ -199,6 +205,11 @@
         for model, version in report.weight_versions.items():
             self._notify(instance, model, version, ServerState.READY)
 
+    def _hear(self, instance: Instance, reply: Reply) -> None:
+        """Take what a server says of itself in a reply that is its own."""
+        if reply.head is not None:
+            self._context.signal_watch.on_reply(instance, reply.head, reply.sent_at)
+
     def _notify(self, instance: Instance, model: str, version: int, state: ServerState) -> None:
         started_ms = instance.record.started_ms
         self._peers.notify(ServerNotice(instance.name, model, version, state, started_ms))
--- a/src/milletcourse/gateway/servers/call_client.py
+++ b/src/milletcourse/gateway/servers/call_client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.gateway.servers.descriptors import OwnMeansError
 from milletcourse.gateway.servers.server_connection import ServerConnection
@@ -40,13 +40,18 @@
         status: HTTP status.
         body: Whole body.
         sent_at: Monotonic time at which the call was sent.
-        instance: Incarnation that answers; empty when it isn't told.
+        head: Head of the answer, None when it isn't known.
     """
 
     status: int
     body: bytes
     sent_at: float
-    instance: str = ""
+    head: AnswerHead | None = None
+
+    @property
+    def instance(self) -> str:
+        """Incarnation that answers; empty when it isn't told."""
+        return self.head.instance if self.head is not None else ""
 
 
 class CallClient:
@@ -93,8 +98,7 @@
             timer.stop()
 
     async def _read(self, connection: ServerConnection, sent_at: float) -> Reply | None:
-        status = 0
-        instance = ""
+        head: AnswerHead | None = None
         pieces: list[bytes] = []
         size = 0
         while True:
@@ -103,14 +107,14 @@
                 connection.abort()
                 return None
             if event.head is not None:
-                status = event.head.status
-                instance = event.head.instance
+                head = event.head
             if event.body:
                 pieces.append(event.body)
                 size += len(event.body)
             if event.complete:
                 self._pool.release(connection)
-                return Reply(status, b"".join(pieces), sent_at, instance)
+                status = head.status if head is not None else 0
+                return Reply(status, b"".join(pieces), sent_at, head)
 
 
 def _encode(address: str, call: Call) -> bytes:
--- a/src/milletcourse/gateway/servers/signal_watch.py
+++ b/src/milletcourse/gateway/servers/signal_watch.py
@@ -59,6 +59,21 @@
         self._take_leaving(instance, head)
         self._take_rest(instance, head)
 
+    def on_reply(self, instance: Instance, head: AnswerHead, sent_at: float) -> None:
+        """A server's reply to an order, or its report, says something of it.
+
+        Not that a limit has ended: only answers to requests are said to name it each time.
+
+        Args:
+            instance: The server that replied.
+            head: Head of the reply.
+            sent_at: Monotonic time of the call's send.
+        """
+        if head.limit.per_second is not None or head.limit.unreadable:
+            self._take_limit(instance, head, sent_at)
+        self._take_leaving(instance, head)
+        self._take_rest(instance, head)
+
     def on_reports(self, reports: Iterable[SignalReport], passes_on: bool) -> None:
         """Another gateway tells what servers said.
 
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -297,6 +297,10 @@
         """Whether a server said, in any way, that it is about to end."""
         return self.server_signals.signal(instance.key, self.now()) is Signal.LEAVING
 
+    def is_resting(self, instance: Instance) -> bool:
+        """Whether a server asked this gateway for rest, and still has it."""
+        return self.server_signals.signal(instance.key, self.now()) is Signal.RESTING
+
     def note_signalled_send(self, instance: Instance) -> None:
         """A request goes to a server: count it when the server said something that bounds that."""
         tally = self.record.tally
--- a/tests/exchange/test_exchange_cores.py
+++ b/tests/exchange/test_exchange_cores.py
@@ -361,7 +361,7 @@
         self.random = random.Random(seed)
         self.gate = VersionGate(BOUND)
         self.rate = 0.0
-        self.plan = RollOut(self.gate, lambda _: self.rate, lambda _: False)
+        self.plan = RollOut(self.gate, lambda _: self.rate, lambda _: False, lambda _: False)
         self.instances = [Instance(engine(f"e{number:02}")) for number in range(size)]
         self.versions = {instance.name: 1 for instance in self.instances}
         self.sequences = dict.fromkeys(self.versions, 0)
--- /dev/null
+++ b/tests/gateway/fleet/test_words_in_replies.py
@@ -0,0 +1,114 @@
+"""What servers say of themselves in replies to orders and in their reports."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import ReceivedRequest, StandinServer, answer
+from milletcourse.exchange.load.server_signals import Signal
+from milletcourse.exchange.servers.instance_table import Instance
+
+BORN = 1_700_000_000_000
+ORDER = "/milletcourse/order"
+REPORT = "/milletcourse/report"
+
+
+class OrderedServer:
+    """A model server with old weights, which says something in one kind of its replies."""
+
+    def __init__(self, target: str, fields: dict[str, str], born: int = BORN) -> None:
+        self._target = target
+        self._fields = fields
+        self._born = born
+        self.calls: list[str] = []
+
+    async def behave(
+        self, server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a report or an order; nothing else comes."""
+        self.calls.append(request.target)
+        fields = self._fields if request.target == self._target else {}
+        if request.target == ORDER:
+            writer.write(answer(503 if "Retry-After" in fields else 202, b"", fields))
+            return
+        report = {
+            "Models": [{"Name": "model-1", "Version": 1, "Adapters": []}],
+            "Busy": False,
+            "Sequence": 0,
+            "born": self._born,
+        }
+        writer.write(answer(200, json.dumps(report).encode(), fields))
+
+
+async def _start(harness: Harness, ordered: OrderedServer) -> Instance:
+    """A gateway that has a server to bring to newer weights."""
+    server = StandinServer("s-1", ordered.behave)
+    await server.start()
+    harness.servers["s-1"] = server
+    entry = {**server.entry("engine", 1), "born": BORN}
+    harness.store.put("servers", "s-1", entry)
+    harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 2})
+    await harness.start(VersionMs=2000)
+    assert harness.node is not None
+    instance = harness.node.context.instances.get("s-1")
+    assert instance is not None
+    return instance
+
+
+@pytest.mark.parametrize("target", [ORDER, REPORT])
+def test_a_reply_that_says_that_its_server_leaves_is_heard(target: str) -> None:
+    """Only answers to clients' requests were read."""
+
+    async def scenario(harness: Harness) -> None:
+        ordered = OrderedServer(target, {"Server-Leaving": "1"})
+        instance = await _start(harness, ordered)
+        assert harness.node is not None
+        signals = harness.node.context.server_signals
+        await harness.until(lambda: signals.signal(instance.key, 0.0) is Signal.LEAVING)
+
+    run_with_gateway(scenario)
+
+
+def test_an_order_that_is_turned_away_may_ask_for_rest() -> None:
+    """As a request that is."""
+
+    async def scenario(harness: Harness) -> None:
+        instance = await _start(harness, OrderedServer(ORDER, {"Retry-After": "30"}))
+        assert harness.node is not None
+        context = harness.node.context
+        await harness.until(lambda: context.is_resting(instance))
+
+    run_with_gateway(scenario)
+
+
+def test_a_limit_in_a_report_is_heard_and_its_lack_ends_none() -> None:
+    """Answers to requests say each time whether there is one; nothing says that reports do."""
+
+    async def scenario(harness: Harness) -> None:
+        ordered = OrderedServer(REPORT, {"Server-Limit": "2"})
+        instance = await _start(harness, ordered)
+        assert harness.node is not None
+        signals = harness.node.context.server_signals
+        await harness.until(lambda: signals.per_second(instance.key) == 2.0)
+        asked = len(ordered.calls)
+        await harness.until(lambda: ORDER in ordered.calls[asked:])
+        assert signals.per_second(instance.key) == 2.0
+
+    run_with_gateway(scenario)
+
+
+def test_what_another_start_reports_is_not_put_down_to_this_one() -> None:
+    """A report names no server; only its start tells whose it is."""
+
+    async def scenario(harness: Harness) -> None:
+        ordered = OrderedServer(REPORT, {"Server-Leaving": "1"}, born=BORN - 5)
+        instance = await _start(harness, ordered)
+        assert harness.node is not None
+        await harness.until(lambda: ordered.calls.count(REPORT) >= 2)
+        assert harness.node.context.server_signals.known(instance.key) is None
+
+    run_with_gateway(scenario)
