Operators see what servers say: milletcourse signals, kept_from in requests' lines, kept_away by service

Which servers leave or rest by their own word, who told it, how long ago, until when, and how many requests it kept away stood nowhere; a request's line didn't tell that a server's word had sent it elsewhere.

--- a/src/milletcourse/cli/explain_request.py
+++ b/src/milletcourse/cli/explain_request.py
@@ -23,6 +23,7 @@
         "server-limit-named",
         "server-limit-changed",
         "server-limit-ended",
+        "server-resting",
         "version-named",
         "weight-order",
         "lease-held",
--- a/src/milletcourse/cli/main.py
+++ b/src/milletcourse/cli/main.py
@@ -20,6 +20,7 @@
     limits,
     mechanisms,
     router,
+    signals,
     simulate,
     standin,
 )
@@ -43,6 +44,7 @@
 app.add_typer(configuration.app, name="config")
 app.add_typer(contained.app, name="contained")
 app.command("limits")(limits.list_limits)
+app.command("signals")(signals.list_signals)
 app.command("explain")(explain.run_explain)
 app.command("mechanisms")(mechanisms.list_mechanisms)
 app.command("explain-losses")(explain_losses.explain_losses)
--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -31,6 +31,10 @@
 """A server that takes nothing is still asked once in this time: only its answers tell that it takes
 requests again."""
 MAX_KNOWN = 4096
+ANSWER = "answer"
+PEER = "peer"
+ENTRY = "entry"
+"""Who told that a server leaves: its answer here, another gateway, the discovery."""
 
 
 class Signal(Enum):
@@ -86,6 +90,8 @@
         said_at: Monotonic time of the answer that said so; minus infinity when none did.
         leaving_at: When an answer first said that it leaves; infinite when none did.
         entry_leaving_at: When its entry first did so; infinite when it didn't.
+        leaving_told_by: Who told that first: `answer`, `peer` or `entry`; empty when nobody did.
+        kept_away: Requests for which it was no candidate for its leaving or its rest.
         rest_since: When it asked this gateway for the rest that it has now, or had last.
         rest_until: End of that rest.
         tells_left: How often it is still to be told.
@@ -96,6 +102,8 @@
     said_at: float = float("-inf")
     leaving_at: float = float("inf")
     entry_leaving_at: float = float("inf")
+    leaving_told_by: str = ""
+    kept_away: int = 0
     rest_since: float = float("-inf")
     rest_until: float = float("-inf")
     tells_left: int = 0
@@ -140,6 +148,28 @@
     standing: str
 
 
+class ServerSignalState(msgspec.Struct, frozen=True):
+    """What a server said that keeps requests from it, for operators.
+
+    Attributes:
+        instance: The server.
+        service: Its service.
+        signal: That it leaves, or rests.
+        told_by: Who told it: `answer` of the server here, `peer` or `entry`.
+        said: Seconds since it was first said.
+        left: Seconds until it is over; None for a server that leaves.
+        kept_away: Requests of this gateway that went elsewhere, or nowhere, for it.
+    """
+
+    instance: str
+    service: str
+    signal: str
+    told_by: str
+    said: float
+    left: float | None
+    kept_away: int
+
+
 class ServerSignals:
     """What all servers say of themselves, or said lately."""
 
@@ -205,17 +235,21 @@
 
     # -- leaving and rest -----------------------------------------------------------------------
 
-    def on_leaving(self, key: int, said_at: float, passes_on: bool = True) -> bool:
+    def on_leaving(
+        self, key: int, said_at: float, passes_on: bool = True, told_by: str = ANSWER
+    ) -> bool:
         """An answer said that its server leaves; True when this is news.
 
         Args:
             key: Identity of the incarnation.
             said_at: Monotonic time of the answer.
             passes_on: Others depend on this gateway to hear of it.
+            told_by: Whose answer it was: one here, or at another gateway.
         """
         known = self._known_or_new(key)
         is_news = known.leaving_at == float("inf")
         known.leaving_at = min(known.leaving_at, said_at)
+        known.leaving_told_by = known.leaving_told_by or told_by
         if is_news:
             self._on_change(known, passes_on)
         return is_news
@@ -225,6 +259,7 @@
         known = self._known_or_new(key)
         is_news = known.entry_leaving_at == float("inf")
         known.entry_leaving_at = min(known.entry_leaving_at, now)
+        known.leaving_told_by = known.leaving_told_by or ENTRY
         return is_news
 
     def on_rest(self, key: int, seconds: float, now: float) -> bool:
@@ -258,6 +293,30 @@
         """All that a server said, None when it said nothing."""
         return self._known.get(key)
 
+    def state(self, key: int, instance: str, service: str, now: float) -> ServerSignalState | None:
+        """What a server said that keeps requests from it, None for nothing.
+
+        Args:
+            key: Identity of the incarnation.
+            instance: Its name.
+            service: Its service.
+            now: Monotonic time.
+        """
+        known = self._known.get(key)
+        signal = _signal(known, now) if known is not None else None
+        if known is None or signal is None:
+            return None
+        leaves = signal is Signal.LEAVING
+        return ServerSignalState(
+            instance,
+            service,
+            signal.value,
+            known.leaving_told_by if leaves else ANSWER,
+            round(now - (known.left_at if leaves else known.rest_since), 3),
+            None if leaves else round(known.rest_until - now, 3),
+            known.kept_away,
+        )
+
     def in_force(self, now: float) -> Mapping[int, Signal]:
         """Servers that said that they leave, or have their rest; mostly none."""
         return {
@@ -266,6 +325,12 @@
             if (signal := _signal(known, now)) is not None
         }
 
+    def on_kept_away(self, key: int) -> None:
+        """A request went elsewhere, or nowhere, for what a server said."""
+        known = self._known.get(key)
+        if known is not None:
+            known.kept_away += 1
+
     def signal(self, key: int, now: float) -> Signal | None:
         """What a server said that keeps requests from it now, None for nothing."""
         known = self._known.get(key)
@@ -321,7 +386,7 @@
         for report in reports:
             change = self._merge_limit(report, now, passes_on)
             leaves = report.leaving_ms is not None and self.on_leaving(
-                report.key, now - report.leaving_ms / 1000.0, passes_on
+                report.key, now - report.leaving_ms / 1000.0, passes_on, PEER
             )
             if change is not None or leaves:
                 changes.append(ChangedSignal(report.key, change, report.per_second, leaves))
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -1,4 +1,4 @@
-"""What operators may ask of one gateway: figures, limits, and requests that it does not send.
+"""What operators may ask of one gateway: figures, limits, what servers say, what it does not send.
 
 It listens on a port of the machine that clients don't reach.
 """
@@ -13,7 +13,7 @@
 from milletcourse.errors import NotFound
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.load.server_signals import ServerLimitState
+from milletcourse.exchange.load.server_signals import ServerLimitState, ServerSignalState
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
@@ -27,6 +27,7 @@
 JSON_CONTENT_TYPE = b"application/json"
 CONTAINED_PATH = "/contained"
 LIMITS_PATH = "/limits"
+SIGNALS_PATH = "/signals"
 
 
 class ShownContainment(msgspec.Struct, frozen=True):
@@ -90,10 +91,12 @@
             _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(self._contained()))
         elif request.method == b"GET" and path == LIMITS_PATH:
             _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(self._limits()))
+        elif request.method == b"GET" and path == SIGNALS_PATH:
+            _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(self._signals()))
         elif request.method == b"DELETE" and path.startswith(CONTAINED_PATH + "/"):
             self._release(path.removeprefix(CONTAINED_PATH + "/"), client)
         else:
-            refuse(client, NotFound("figures, limits, contained requests, and nothing else"))
+            refuse(client, NotFound("figures, limits, signals and contained requests only"))
 
     def _contained(self) -> list[ShownContainment]:
         now = self._context.now()
@@ -115,6 +118,17 @@
             context.tenant_limits.states(context.now()),
         )
 
+    def _signals(self) -> list[ServerSignalState]:
+        context = self._context
+        now = context.now()
+        states = [
+            context.server_signals.state(instance.key, instance.name, instance.record.service, now)
+            for instance in context.instances
+        ]
+        return sorted(
+            (state for state in states if state is not None), key=lambda item: item.instance
+        )
+
     def _release(self, content: str, client: ClientConnection) -> None:
         """Send a request again, at all gateways: they are told as of an answer to it."""
         if content not in {item.content for item in self._contained()}:
@@ -134,6 +148,7 @@
     metrics.reads_store.set(context.reads_store)
     metrics.contained.set(len(context.crash_evidence.containments(now)))
     metrics.limited_servers.set(len(context.server_signals.limited()))
+    metrics.signalling_servers.set(len(context.server_signals.in_force(now)))
     metrics.log_lines_left_out.set(context.log.left_out)
 
 
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -302,6 +302,7 @@
                 self._plan.sends,
                 relay.first_seconds,
                 relay.longest_gap_seconds,
+                self._search.kept_from,
             )
         elif self._relay.begun:
             record.cut(self._job.request, self._job.route, self._stream_cut())
@@ -332,7 +333,9 @@
         return Overloaded("servers turned it away", max(retry_after, soonest))
 
     def _refuse(self, failure: Failure) -> None:
-        self._context.record.failure(failure, self._job.request, self._job.route)
+        self._context.record.failure(
+            failure, self._job.request, self._job.route, self._search.kept_from
+        )
         refuse(self._client, failure)
 
     def _on_gone(self) -> None:
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -50,6 +50,8 @@
         self._denied: set[str] = set()
         """Servers whose own limit left no room for it."""
         self._looked_at = float("-inf")
+        self.kept_from: dict[str, str] = {}
+        """Servers that were left out for their own word, with that word."""
 
     @property
     def met_limit(self) -> bool:
@@ -152,6 +154,7 @@
     def _choose(self, left_out: set[str]) -> Choice | None:
         job = self._job
         self._looked_at = self._context.now()
+        self._note_kept_from()
         return self._context.selector.choose(
             job.service,
             job.request,
@@ -161,6 +164,18 @@
             job.route.gap_seconds,
         )
 
+    def _note_kept_from(self) -> None:
+        context = self._context
+        in_force = context.server_signals.in_force(self._looked_at)
+        if not in_force:
+            return
+        for instance in self._servers():
+            signal = in_force.get(instance.key)
+            if signal is not None and instance.name not in self.kept_from:
+                self.kept_from[instance.name] = signal.value
+                context.server_signals.on_kept_away(instance.key)
+                context.record.kept_away(self._job.service.name, signal)
+
     def _servers(self) -> Iterable[Instance]:
         return self._context.instances.of_service(self._job.service.name).values()
 
--- a/src/milletcourse/gateway/servers/signal_watch.py
+++ b/src/milletcourse/gateway/servers/signal_watch.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable, Iterable
 
 from milletcourse.exchange.limits.ask_pauses import AskPauses
-from milletcourse.exchange.load.server_signals import LimitChange, ServerSignals
+from milletcourse.exchange.load.server_signals import (
+    ANSWER,
+    ENTRY,
+    PEER,
+    LimitChange,
+    ServerSignals,
+)
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.exchange.messages.peer_messages import SignalReport
 from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
@@ -90,9 +96,9 @@
             if instance is None:
                 continue
             if item.change is not None:
-                self._on_limit_change(instance, item.change, item.per_second, "peer")
+                self._on_limit_change(instance, item.change, item.per_second, PEER)
             if item.leaves:
-                self._tell_leaving(instance, "peer")
+                self._tell_leaving(instance, PEER)
         if passes_on:
             self._on_news()
 
@@ -107,20 +113,20 @@
         per_second = head.limit.per_second
         change = self._signals.on_answer(instance.key, per_second, sent_at, now)
         if change is not None:
-            self._on_limit_change(instance, change, per_second, "answer")
+            self._on_limit_change(instance, change, per_second, ANSWER)
             self._on_news()
 
     def _take_leaving(self, instance: Instance, head: AnswerHead) -> None:
         if head.leaving.unreadable:
             self._record.signal_unreadable(instance.name, "leaving", head.leaving.unreadable)
         if head.leaving.leaves and self._signals.on_leaving(instance.key, self._record.now()):
-            self._tell_leaving(instance, "answer")
+            self._tell_leaving(instance, ANSWER)
             self._on_news()
 
     def _on_draining(self, instance: Instance) -> None:
         """Its entry says so: all gateways see it there, so that nobody needs to be told."""
         if self._signals.on_entry_leaving(instance.key, self._record.now()):
-            self._tell_leaving(instance, "entry")
+            self._tell_leaving(instance, ENTRY)
 
     def _tell_leaving(self, instance: Instance, told_by: str) -> None:
         self._record.server_leaving(instance.name, told_by)
--- a/src/milletcourse/gateway/telling/figures.py
+++ b/src/milletcourse/gateway/telling/figures.py
@@ -39,6 +39,9 @@
     def on_lender_silent(self) -> None:
         """The gateway that lends a server's limit didn't reply."""
 
+    def on_kept_away(self, service: str, signal: str) -> None:
+        """A request was kept from a server by that server's own word."""
+
     def on_without_means(self) -> None:
         """A connection couldn't be opened for lack of a descriptor."""
 
--- a/src/milletcourse/gateway/telling/metrics.py
+++ b/src/milletcourse/gateway/telling/metrics.py
@@ -43,6 +43,7 @@
         self._unanswered: Counter[str] = Counter()
         self._attempts: Counter[str] = Counter()
         self._orders: Counter[str] = Counter()
+        self._kept_away: Counter[tuple[str, str]] = Counter()
         self._ejections = 0
         self._containments = 0
         self._peer_messages_refused = 0
@@ -66,6 +67,7 @@
         self.clients = GaugeValue("client_connections", "Open connections")
         self.contained = GaugeValue("contained_requests", "Requests that aren't sent to servers")
         self.limited_servers = GaugeValue("limited_servers", "Servers that name a limit")
+        self.signalling_servers = GaugeValue("signalling_servers", "Servers that leave or rest")
         self.log_lines_left_out = GaugeValue("log_lines_left_out", "Since the start")
 
     # -- counting -------------------------------------------------------------------------------
@@ -111,6 +113,10 @@
         """See `Figures`."""
         self._lenders_silent += 1
 
+    def on_kept_away(self, service: str, signal: str) -> None:
+        """See `Figures`."""
+        self._kept_away[service, signal] += 1
+
     def on_without_means(self) -> None:
         """See `Figures`."""
         self._without_means += 1
@@ -163,6 +169,14 @@
             for value, count in counts.items():
                 family.add_metric([value], count)
             yield family
+        kept_away = CounterMetricFamily(
+            f"{PREFIX}kept_away",
+            "Requests that were kept from a server that leaves or rests",
+            labels=["service", "signal"],
+        )
+        for labels, count in self._kept_away.items():
+            kept_away.add_metric(labels, count)
+        yield kept_away
         yield CounterMetricFamily(
             f"{PREFIX}ejections", "Servers ejected as outliers", self._ejections
         )
@@ -210,6 +224,7 @@
             self.reads_store,
             self.clients,
             self.limited_servers,
+            self.signalling_servers,
             self.log_lines_left_out,
         )
 
--- a/src/milletcourse/gateway/telling/recorder.py
+++ b/src/milletcourse/gateway/telling/recorder.py
@@ -13,7 +13,7 @@
 from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.load.server_signals import LimitChange, ServerLimitState
+from milletcourse.exchange.load.server_signals import LimitChange, ServerLimitState, Signal
 from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.messages.records import RouteRecord
 from milletcourse.exchange.rollout.roll_out import OrderReply, WeightOrder
@@ -23,6 +23,8 @@
 
 MAX_UNREADABLE_SIGNALS = 100
 """Unreadable fields of servers that are remembered, so that each is told once."""
+MAX_SHOWN_SERVERS = 8
+"""Of the servers that a request was kept from, its line names no more."""
 Belief = Callable[[], dict[str, Any]]
 """What the gateway goes by now: fields that are added to the lines of decisions."""
 
@@ -115,8 +117,21 @@
         """A tenant was refused over its limit, with what this gateway knows of its use."""
         self._log.emit("tenant-limited", **msgspec.to_builtins(state))
 
-    def failure(self, failure: Failure, request: ExchangeRequest, route: RouteRecord) -> None:
-        """A routed request ended with this gateway's own failure."""
+    def failure(
+        self,
+        failure: Failure,
+        request: ExchangeRequest,
+        route: RouteRecord,
+        kept_from: dict[str, str],
+    ) -> None:
+        """A routed request ended with this gateway's own failure.
+
+        Args:
+            failure: The failure.
+            request: The request.
+            route: Its route.
+            kept_from: Servers that it didn't go to for their own word, with that word.
+        """
         has_not_run = failure.run_state is RunState.NOT_RUN
         self.tally.on_end(route.name, Outcome.REFUSED if has_not_run else Outcome.FAILED)
         self._figures.on_end(failure.code)
@@ -125,6 +140,7 @@
             route=route.name,
             code=failure.code,
             detail=failure.detail,
+            **_kept_from(kept_from),
             **self._about(request),
             **self._belief(),
         )
@@ -168,8 +184,19 @@
         sends: int,
         first: float,
         gap: float,
+        kept_from: dict[str, str],
     ) -> None:
-        """A whole answer was passed on; with its first byte and its longest pause in seconds."""
+        """A whole answer was passed on.
+
+        Args:
+            request: The request.
+            route: Its route.
+            instance: Server that answered.
+            sends: Servers that it was sent to.
+            first: Seconds to its first byte.
+            gap: Its longest pause in seconds.
+            kept_from: Servers that it didn't go to for their own word, with that word.
+        """
         self.tally.on_end(route.name, served_outcome(route, first, gap))
         self._figures.on_end("served")
         self._log.emit(
@@ -179,6 +206,7 @@
             sends=sends,
             first=round(first, 3),
             gap=round(gap, 3),
+            **_kept_from(kept_from),
             **self._about(request),
         )
 
@@ -288,6 +316,10 @@
             "server-at-limit", **msgspec.structs.asdict(state), request_id=request.request_id
         )
 
+    def kept_away(self, service: str, signal: Signal) -> None:
+        """A request of a service was kept from a server that leaves or rests."""
+        self._figures.on_kept_away(service, signal.value)
+
     def server_leaving(self, instance: str, told_by: str) -> None:
         """A server says that it leaves.
 
@@ -372,3 +404,11 @@
     def _about(self, request: ExchangeRequest) -> dict[str, Any]:
         seconds = round(self.now() - request.received_at, 3)
         return {"request_id": request.request_id, "seconds": seconds}
+
+
+def _kept_from(servers: dict[str, str]) -> dict[str, Any]:
+    """Field of a request's line that names servers and their words; mostly none."""
+    if not servers:
+        return {}
+    shown = sorted(servers.items())[:MAX_SHOWN_SERVERS]
+    return {"kept_from": dict(shown)}
--- a/tests/gateway/servers/test_resting_servers.py
+++ b/tests/gateway/servers/test_resting_servers.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from typing import Any
 
 import pytest
+from click.testing import Result
+from typer.testing import CliRunner
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import Client
+from milletcourse.cli.main import app
 from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.messages.records import InstanceRecord
 from milletcourse.exchange.servers.instance_table import Instance
@@ -110,6 +115,46 @@
     return {instance.name for instance in found}
 
 
+def test_operators_see_what_servers_say_and_which_requests_it_kept_away() -> None:
+    """By the command at the gateway, its figures, and the lines of a request."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        moods = {"s-1": Mood(leaves=True), "s-2": Mood(rest="30"), "s-3": Mood()}
+        await fleet.start(moods, gateways=1)
+        await fleet.load(1.0)
+        node = fleet.nodes[0]
+        lines: list[dict[str, Any]] = []
+        log = node.context.record._log
+        setattr(log, "emit", lambda event, **fields: lines.append({"event": event, **fields}))  # noqa: B010
+        client = await Client.connect(node.frontend_address)
+        await fleet.ask(client, node, "/safe/")
+        served = [line for line in lines if line["event"] == "request-served"]
+        assert served[0]["kept_from"] == {"s-1": "leaving", "s-2": "resting"}
+        moods["s-3"].leaves = True
+        await fleet.load(0.2)
+        await fleet.ask(client, node, "/safe/")
+        failed = [line for line in lines if line["event"] == "request-failed"]
+        assert failed[-1]["code"] == "servers-resting"
+        port = await node.listen_for_operators(0, "/metrics")
+        listed: Result = await asyncio.to_thread(
+            CliRunner().invoke, app, ["signals", "--gateway", port]
+        )
+        shown = {item["instance"]: item for item in map(json.loads, listed.output.splitlines())}
+        assert [shown[name]["signal"] for name in sorted(shown)] == [
+            "leaving",
+            "resting",
+            "leaving",
+        ]
+        assert shown["s-1"]["told_by"] == "answer" and shown["s-1"]["left"] is None
+        assert 20.0 < shown["s-2"]["left"] < 30.0
+        assert all(item["kept_away"] > 0 and item["said"] < 10.0 for item in shown.values())
+        text = harness.metrics.render().decode()
+        assert 'kept_away_total{service="app",signal="resting"}' in text
+
+    run_with_gateway(scenario)
+
+
 def test_the_end_of_an_order_says_nothing_of_refusals() -> None:
     """A server that has its weights may still be full."""
     instance = Instance(InstanceRecord("s-1", "engine", "127.0.0.1:1"))
