Gateways together keep no more connections to a server than it takes

Cause: the figure in the configuration was read by nobody. Ruled out: requests alone (at most 120 at once at six servers).

A connection is kept after its answer while this gateway has no more to the server than its part of four fifths of what it takes; with more gateways than connections some keep one, others for each server. Left: requests of a moment that need more than all take are still reset; only a place that is lent for each could hold that.

--- a/src/milletcourse/exchange/messages/records.py
+++ b/src/milletcourse/exchange/messages/records.py
@@ -79,6 +79,8 @@
         capacity_tokens: Tokens of prompt state that the store, or each server, has room for; 0 when
             it isn't told.
         slots: Requests that each server works on at the same time; 0 when it isn't told.
+        max_connections: Connections that each server takes from all gateways together; 0 when it
+            isn't told.
     """
 
     name: str
@@ -87,6 +89,7 @@
     zone: str = ""
     capacity_tokens: int = 0
     slots: int = 0
+    max_connections: int = 0
 
 
 class EdgeLimits(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -104,6 +104,7 @@
     def __init__(self) -> None:
         self._instances: dict[str, Instance] = {}
         self._services: dict[str, dict[str, Instance]] = {}
+        self._services_by_address: dict[str, str] = {}
         self._doubtful_until = float("-inf")
         self.generation = 0
         self.on_forgotten: Callable[[str], None] | None = None
@@ -126,6 +127,10 @@
         """Incarnations of a service by name."""
         return self._services.get(service, {})
 
+    def service_at(self, address: str) -> str:
+        """Service of the server at an address; empty when none is known there."""
+        return self._services_by_address.get(address, "")
+
     def on_unstable(self) -> None:
         """The discovery's store failed a call: entries that vanish from now on are doubtful."""
         self._doubtful_until = float("inf")
@@ -156,6 +161,7 @@
         if known is not None and record.started_ms < known.record.started_ms:
             return
         self._take(known, record)
+        self._services_by_address[record.address] = record.service
         if record.draining and self.on_draining is not None:
             self.on_draining(self._instances[record.name])
 
@@ -245,6 +251,7 @@
         instance = self._instances.pop(name, None)
         if instance is None:
             return
+        self._services_by_address.pop(instance.record.address, None)
         self._drop_from_service(instance)
 
     def _add_to_service(self, instance: Instance) -> None:
--- a/src/milletcourse/gateway/servers/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 from milletcourse.exchange.messages.dialect import HeaderDialect
@@ -34,6 +34,7 @@
         on_opened: Callable[[str], None],
         clock: AttendedClock,
         max_idle: int,
+        most_to: Callable[[str], int],
     ) -> None:
         """No connection yet.
 
@@ -42,9 +43,12 @@
             on_opened: Called with the address of each connection that comes up.
             clock: Time by which the silence of callees is judged.
             max_idle: Most connections that are kept open while they carry nothing.
+            most_to: Connections to an address beyond which none is kept after its answer.
         """
         self.clock = clock
         self._max_idle = max_idle
+        self._most_to = most_to
+        self._open_to: Counter[str] = Counter()
         self._dialect = dialect
         self._on_opened = on_opened
         self._idle: dict[str, deque[ServerConnection]] = {}
@@ -64,9 +68,20 @@
             connection.abort()
         opened = await self._open(address, timeout_seconds)
         if opened is not None:
-            self._on_opened(address)
+            self._note_opened(opened)
         return opened
 
+    def _note_opened(self, connection: ServerConnection) -> None:
+        self._on_opened(connection.address)
+        if connection.is_open:
+            self._open_to[connection.address] += 1
+            connection.on_closed = self._on_closed
+
+    def _on_closed(self, address: str) -> None:
+        self._open_to[address] -= 1
+        if not self._open_to[address]:
+            del self._open_to[address]
+
     async def _open(self, address: str, timeout_seconds: float) -> ServerConnection | None:
         try:
             return await open_connection(address, self._dialect, timeout_seconds, self.clock)
@@ -85,15 +100,17 @@
             return True
         except (OSError, TimeoutError):
             return False
-        self._on_opened(address)
+        self._note_opened(connection)
         self.release(connection)
         return False
 
     def release(self, connection: ServerConnection) -> None:
         """Give back a connection after a whole answer; closes it when it can't be reused."""
         now = elapsed_seconds()
-        idle = self._idle.setdefault(connection.address, deque())
+        address = connection.address
+        idle = self._idle.setdefault(address, deque())
         is_full = len(idle) >= MAX_IDLE_PER_SERVER or self._count_idle() >= self._max_idle
+        is_full = is_full or self._open_to[address] > self._most_to(address)
         if is_full or not connection.is_reusable(now):
             connection.abort()
             return
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
 from typing import cast
 
@@ -55,6 +56,8 @@
     def __init__(self, address: str, dialect: HeaderDialect) -> None:
         self.address = address
         self.usable_until = 0.0
+        self.on_closed: Callable[[str], None] | None = None
+        """Told of the address when the connection has ended."""
         self._loop = asyncio.get_running_loop()
         self._dialect = dialect
         self._transport: asyncio.Transport | None = None
@@ -148,6 +151,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """See `asyncio.Protocol`."""
         self._lost = True
+        if self.on_closed is not None:
+            self.on_closed(self.address)
         if not self._busy:
             return
         self._emit(AnswerEvent(lost=LossCause.CLOSED if error is None else LossCause.RESET))
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -13,6 +13,7 @@
 from milletcourse.exchange.counting.weighted_choice import WeightedChoice
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
 from milletcourse.exchange.limits.ask_pauses import AskPauses
+from milletcourse.exchange.limits.connection_part import connection_part
 from milletcourse.exchange.limits.known_use import SummedUse
 from milletcourse.exchange.limits.tenant_limits import TenantLimits
 from milletcourse.exchange.load.load_exchange import LoadExchange
@@ -154,7 +155,11 @@
         self.short_of_room_until = float("-inf")
         self.descriptors = descriptor_plan(settings.max_descriptors)
         self.pool = ConnectionPool(
-            dialect, self._on_opened, self.attended, self.descriptors.idle_servers
+            dialect,
+            self._on_opened,
+            self.attended,
+            self.descriptors.idle_servers,
+            self._connection_part,
         )
         self.crash_watch = CrashWatch(self.crash_evidence, self.pool, self.record, self._on_news)
         self.gateways = 0
@@ -318,6 +323,12 @@
         if is_news and self.on_instance_ended is not None:
             self.on_instance_ended(instance)
 
+    def _connection_part(self, address: str) -> int:
+        """Connections to a server that this gateway keeps at most."""
+        service = self.table.service(self.instances.service_at(address)) if self.table else None
+        takes = service.max_connections if service is not None else 0
+        return connection_part(takes, self.members, self.settings.name, address)
+
     def _on_leaving(self, instance: Instance) -> None:
         """A server leaves: it closes its connections after their next answer."""
         self.pool.close_to(instance.record.address)
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -151,6 +151,7 @@
     kv_store_addr: str = ""
     zone: str = ""
     kv_capacity: int = 0
+    max_connections: int = 0
 
 
 class _Limits(_Document, frozen=True):
@@ -267,6 +268,7 @@
         zone=service.zone,
         capacity_tokens=service.kv_capacity or engine.kv_capacity,
         slots=engine.slots,
+        max_connections=service.max_connections,
     )
 
 
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -126,6 +126,7 @@
         limit: Requests a second that they take, more or less.
         descriptors: Most descriptors of a gateway; 0 for the machine's usual bound.
         resting: Share of the servers that ask for rest, by turns; 0 for none.
+        connections: Connections that each server takes from all gateways; 0 for no bound.
         leaving: Share of the servers that leave and are replaced, by turns; 0 for none.
     """
 
@@ -144,6 +145,7 @@
     descriptors: int = 0
     resting: float = 0.0
     leaving: float = 0.0
+    connections: int = 0
 
     @property
     def program(self) -> tuple[str, ...]:
@@ -157,6 +159,7 @@
     background: list[asyncio.Task[None]] = []
     try:
         world.descriptors = run.descriptors
+        world.max_connections = run.connections
         await world.start()
         for server in world.servers.values():
             server.mood.pause = run.pauses
@@ -236,6 +239,7 @@
         "own_absence": round(world.clock.absent_seconds, 2),
         "judged": {name: events[name] for name in JUDGEMENTS if events[name]},
         "limits": world.ledger.limits.figures(time.monotonic()),
+        "resets": sum(server.resets for server in world.servers.values()),
         "signals": world.ledger.signals.figures(),
         "outcomes": dict(sorted(world.ledger.outcomes.items())),
         "verdicts": dict(Counter(verdict.value for verdict in verdicts.values())),
@@ -281,6 +285,7 @@
     parser.add_argument("--limit", type=float, default=1.0, help="requests a second that they take")
     parser.add_argument("--descriptors", type=int, default=0, help="most of a gateway")
     parser.add_argument("--resting", type=float, default=0.0, help="share of servers that rest")
+    parser.add_argument("--connections", type=int, default=0, help="that a server takes")
     parser.add_argument("--leaving", type=float, default=0.0, help="share of servers that leave")
     arguments = parser.parse_args()
     run = PlannedRun(
@@ -299,6 +304,7 @@
         arguments.descriptors,
         arguments.resting,
         arguments.leaving,
+        arguments.connections,
     )
     return play_seeds(
         arguments.seeds, arguments.keep, lambda seed, folder: planned_soak(seed, folder, run)
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -60,6 +60,10 @@
     """It says in all its answers that it leaves."""
     rest_seconds: float = 0.0
     """It turns all requests away and wants nothing for so long; 0 when it takes requests."""
+    max_connections: int = 0
+    """Connections that it takes from all callers; 0 for as many as come."""
+    resets: int = 0
+    """Connections that it broke off, having too many."""
     requests: int = 0
     """At work now."""
 
@@ -94,6 +98,10 @@
         }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if 0 < self.max_connections <= len(self._writers):
+            self.resets += 1
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         work: asyncio.Task[None] | None = None
         closed = asyncio.ensure_future(writer.wait_closed())
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -178,6 +178,8 @@
     ) -> None:
         self._gateway_count = gateways
         self.descriptors = 0
+        self.max_connections = 0
+        """Connections that each server takes, as the configuration says; 0 for no bound."""
         self._program = program
         self.random = random.Random(seed)
         self.folder = folder
@@ -228,6 +230,7 @@
         name = f"{service}-{self._numbers}-{os.getpid()}"
         server = SoakServer(name, service, self.ledger, self.random, version)
         server.on_end = self._on_end
+        server.max_connections = self.max_connections
         await server.start()
         proxy = FaultProxy(server.address)
         await proxy.start()
@@ -374,6 +377,9 @@
             for key, tenant in self.keys.items()
         ]
         document = configuration(self.configuration_version, Tenants=tenants)
+        if self.max_connections:
+            for service in document["Services"]:
+                service["MaxConnections"] = self.max_connections
         self.store.put("config", "main", document)
 
     def revoke(self, key: str) -> None:
