--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65536
@@ -15,6 +16,8 @@
         self.target = target
         self.delay_seconds = 0.0
         self.address = ""
+        self._cuts: list[tuple[float, float]] = []
+        self._cut_at: float | None = None
         self._open = asyncio.Event()
         self._open.set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -28,11 +31,21 @@
     def cut(self) -> None:
         """Bytes are held up until `heal`."""
         self._open.clear()
+        self._cut_at = time.monotonic() if self._cut_at is None else self._cut_at
 
     def heal(self) -> None:
         """Bytes flow, and no delay is left."""
         self.delay_seconds = 0.0
         self._open.set()
+        if self._cut_at is not None:
+            self._cuts.append((self._cut_at, time.monotonic()))
+            self._cut_at = None
+
+    def was_cut(self, begin: float, end: float) -> bool:
+        """Whether bytes were held up at some time of a stretch; in monotonic seconds."""
+        if self._cut_at is not None and self._cut_at <= end:
+            return True
+        return any(first <= end and last >= begin for first, last in self._cuts)
 
     def reset_all(self) -> None:
         """Break all connections."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,7 @@
 from soak.faults import FAULTS
 from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
+from soak.signals import leave_servers, replace_leaving_servers, rest_servers
 from soak.world import DEFAULT_GATEWAYS, TENANTS, SoakWorld
 from soak.writers import restart_servers, write_strange_entries
 
@@ -37,6 +38,9 @@
 JUDGED_SECONDS = 3.0
 RECOVERED_SHARE = 0.7
 """Of the answers after the calm, this share must be served; two of four keys may be revoked."""
+RESTING = 0.3
+LEAVING = 0.2
+"""Shares of the servers that ask for rest, and that leave, by turns."""
 READY_TIMEOUT_SECONDS = 10.0
 
 
@@ -47,6 +51,7 @@
     gateways: int,
     writers: bool = False,
     limits: bool = False,
+    signals: bool = False,
 ) -> Report:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, gateways)
@@ -64,11 +69,20 @@
                 *((restart_servers(world), write_strange_entries(world)) if writers else ()),
             )
         ]
-        limiting = asyncio.create_task(limit_servers(world, LIMITED, LIMIT)) if limits else None
+        speaking = []
+        if limits:
+            speaking.append(asyncio.create_task(limit_servers(world, LIMITED, LIMIT)))
+        if signals:
+            speaking.append(asyncio.create_task(rest_servers(world, RESTING)))
+            speaking.append(asyncio.create_task(leave_servers(world, LEAVING)))
         running = await draw_faults(world, seconds)
         await asyncio.gather(*running)
-        if limiting is not None:
-            limiting.cancel()
+        for task in speaking:
+            task.cancel()
+        await asyncio.gather(*speaking, return_exceptions=True)
+        for server in world.servers.values():
+            server.rest_seconds = 0.0
+        await replace_leaving_servers(world)
         await asyncio.sleep(SETTLE_SECONDS)
         before = dict(world.ledger.outcomes)
         await asyncio.sleep(JUDGED_SECONDS)
@@ -78,6 +92,7 @@
         world.ledger.check_late()
         check_lost(world)
         world.ledger.check_limits()
+        world.check_signals()
         failed = [task for task in background if task.done() and task.exception() is not None]
         for task in failed:
             world.ledger.violate("soak", repr(task.exception()))
@@ -94,6 +109,7 @@
         "ends": sorted(ledger.ends.values()),
         "outcomes": dict(sorted(ledger.outcomes.items())),
         "limits": ledger.limits.figures(time.monotonic()),
+        "signals": ledger.signals.figures(),
         "violations": ledger.violations[:20],
     }
 
@@ -172,6 +188,7 @@
         help="servers start again under their names, and strange entries are written",
     )
     parser.add_argument("--limits", action="store_true", help="servers limit their requests")
+    parser.add_argument("--signals", action="store_true", help="servers ask for rest, and leave")
     arguments = parser.parse_args()
 
     def play(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
@@ -182,6 +199,7 @@
             arguments.gateways,
             arguments.other_writers,
             arguments.limits,
+            arguments.signals,
         )
 
     return play_seeds(arguments.seeds, arguments.keep, play)
--- a/tests/soak/signal_ledger.py
+++ b/tests/soak/signal_ledger.py
@@ -9,8 +9,9 @@
 REST_SLACK_SECONDS = 0.5
 """What arrives so soon after a server asked for rest may have been on its way."""
 MOST_IN_A_REST = 2
-WasDisturbed = Callable[[str, float, float], bool]
-"""Whether a gateway was killed, stopped or frozen between two monotonic times."""
+WasDisturbed = Callable[[str, str, float, float], bool]
+"""Whether a gateway was killed, stopped or frozen, or its way to a server cut: the names of both, and
+two monotonic times."""
 
 
 @dataclass(frozen=True)
@@ -78,7 +79,7 @@
             item
             for item in self.arrivals
             if item.sent_at > self._told_at(item) + bound
-            and not was_disturbed(item.gateway, self._told_at(item), item.at)
+            and not was_disturbed(item.gateway, item.server, self._told_at(item), item.at)
         ]
 
     def _told_at(self, arrival: Arrival) -> float:
@@ -99,7 +100,9 @@
             begin = rest.at + REST_SLACK_SECONDS
             arrived = times.get((rest.server, rest.gateway), [])
             count = sum(begin < at < end for at in arrived)
-            if count > MOST_IN_A_REST and not was_disturbed(rest.gateway, rest.at, end):
+            if count <= MOST_IN_A_REST:
+                continue
+            if not was_disturbed(rest.gateway, rest.server, rest.at, end):
                 found.append((rest, count))
         return found
 
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -43,11 +43,21 @@
         if world.random.random() >= ALL_LEAVE:
             leaving = world.random.sample(names, max(round(share * len(names)), 1))
         for name in leaving:
-            await world.add_server(world.servers[name].service)
+            if name in world.servers:
+                await world.add_server(world.servers[name].service)
         await asyncio.sleep(world.random.uniform(*PAUSE_SECONDS))
         for name in leaving:
-            world.servers[name].leaves = True
+            if name in world.servers:
+                world.servers[name].leaves = True
         await asyncio.sleep(world.random.uniform(*LEAVES_AFTER_SECONDS))
         for name in leaving:
             # Streams that run there end before it does.
             await world.retire_server(name)
+
+
+async def replace_leaving_servers(world: SoakWorld) -> None:
+    """Those that said that they leave do, and others take their places."""
+    for name, server in list(world.servers.items()):
+        if server.leaves:
+            await world.add_server(server.service)
+            await world.retire_server(name)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -187,6 +187,8 @@
         self.ledger = Ledger(TENANTS, BOUNDS["RevokeMs"] / 1000, BOUNDS["LeaseMs"] / 1000, ISOLATED)
         self.servers: dict[str, SoakServer] = {}
         self.server_proxies: dict[str, FaultProxy] = {}
+        self._ways: dict[str, list[FaultProxy]] = {}
+        """All proxies that ever stood before a server."""
         self.gateways: list[GatewayProcess] = []
         self.version = 1
         self.configuration_version = 1
@@ -236,6 +238,7 @@
         await proxy.start()
         self.servers[name] = server
         self.server_proxies[name] = proxy
+        self._ways.setdefault(name, []).append(proxy)
         self.enter(server)
         return server
 
@@ -263,6 +266,7 @@
             return
         await proxy.close()
         self.server_proxies[name] = moved = FaultProxy(server.address)
+        self._ways.setdefault(name, []).append(moved)
         await moved.start()
 
     async def remove_server(self, name: str) -> None:
@@ -285,10 +289,11 @@
         """Servers that leave or rest got no more than they may from gateways that ran on."""
         gateways = {gateway.name: gateway for gateway in self.gateways}
 
-        def was_disturbed(name: str, begin: float, end: float) -> bool:
+        def was_disturbed(name: str, server: str, begin: float, end: float) -> bool:
             gateway = gateways[name]
             is_new = gateway.has_started_between(begin, end)
-            return is_new or gateway.was_disturbed(begin, end)
+            is_cut = any(way.was_cut(begin, end) for way in self._ways.get(server, ()))
+            return is_new or is_cut or gateway.was_disturbed(begin, end)
 
         self.ledger.check_signals(BOUNDS["DrainMs"] / 1000, was_disturbed)
 
