--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -175,6 +175,8 @@
 
     def __init__(self) -> None:
         self._known: dict[int, KnownServer] = {}
+        self._kept_from: set[int] = set()
+        """Servers that leave, or had a rest a moment ago; each request looks at them."""
         self._has_news = False
 
     # -- limits ---------------------------------------------------------------------------------
@@ -248,6 +250,7 @@
         """
         known = self._known_or_new(key)
         is_news = known.leaving_at == float("inf")
+        self._kept_from.add(key)
         known.leaving_at = min(known.leaving_at, said_at)
         known.leaving_told_by = known.leaving_told_by or told_by
         if is_news:
@@ -258,6 +261,7 @@
         """A server's entry says that it leaves; True when it didn't before."""
         known = self._known_or_new(key)
         is_news = known.entry_leaving_at == float("inf")
+        self._kept_from.add(key)
         known.entry_leaving_at = min(known.entry_leaving_at, now)
         known.leaving_told_by = known.leaving_told_by or ENTRY
         return is_news
@@ -274,6 +278,7 @@
         is_news = now >= known.rest_until
         if is_news:
             known.rest_since = now
+        self._kept_from.add(key)
         known.rest_until = max(known.rest_until, now + seconds)
         return is_news
 
@@ -317,13 +322,17 @@
             known.kept_away,
         )
 
-    def in_force(self, now: float) -> Mapping[int, Signal]:
-        """Servers that said that they leave, or have their rest; mostly none."""
-        return {
-            key: signal
-            for key, known in self._known.items()
-            if (signal := _signal(known, now)) is not None
-        }
+    def in_force(self, keys: Iterable[int], now: float) -> Mapping[int, Signal]:
+        """Which of some servers said that they leave, or have their rest; mostly none.
+
+        Args:
+            keys: Identities of the incarnations.
+            now: Monotonic time.
+        """
+        if not self._kept_from:
+            return {}
+        found = {key: self.signal(key, now) for key in keys if key in self._kept_from}
+        return {key: signal for key, signal in found.items() if signal is not None}
 
     def on_kept_away(self, key: int) -> None:
         """A request went elsewhere, or nowhere, for what a server said."""
@@ -343,6 +352,9 @@
         known = self._known.pop(before, None)
         if known is not None and key not in self._known:
             self._known[key] = known
+        if before in self._kept_from:
+            self._kept_from.discard(before)
+            self._kept_from.add(key)
 
     def expire(self, now: float, servers: Callable[[], Collection[int]]) -> None:
         """Forget what ended long ago, and what servers said that are gone.
@@ -351,6 +363,7 @@
             now: Monotonic time.
             servers: Tells the identities of the incarnations that there are.
         """
+        self._kept_from = {key for key in self._kept_from if self.signal(key, now) is not None}
         old = [key for key, known in self._known.items() if known.is_over(now)]
         if not old:
             return
@@ -358,6 +371,7 @@
         for key in old:
             if self._may_forget(self._known[key], key in present, now):
                 del self._known[key]
+                self._kept_from.discard(key)
 
     @staticmethod
     def _may_forget(known: KnownServer, is_present: bool, now: float) -> bool:
@@ -442,7 +456,9 @@
         known = self._known.get(key)
         if known is None:
             if len(self._known) >= MAX_KNOWN:
-                del self._known[next(iter(self._known))]
+                first = next(iter(self._known))
+                del self._known[first]
+                self._kept_from.discard(first)
             known = self._known[key] = KnownServer()
         return known
 
--- a/src/milletcourse/exchange/placement/server_candidates.py
+++ b/src/milletcourse/exchange/placement/server_candidates.py
@@ -82,10 +82,11 @@
     def _permitted(
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
     ) -> list[Instance]:
+        allowed = self.allowed(service, model, tried, now)
         paused = self._pauses.paused(now)
-        signals = self._loads.signals.in_force(now)
+        signals = self._loads.signals.in_force((instance.key for instance in allowed), now)
         return [
             instance
-            for instance in self.allowed(service, model, tried, now)
+            for instance in allowed
             if instance.key not in paused and instance.key not in signals
         ]
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -148,7 +148,8 @@
     metrics.reads_store.set(context.reads_store)
     metrics.contained.set(len(context.crash_evidence.containments(now)))
     metrics.limited_servers.set(len(context.server_signals.limited()))
-    metrics.signalling_servers.set(len(context.server_signals.in_force(now)))
+    keys = [instance.key for instance in context.instances]
+    metrics.signalling_servers.set(len(context.server_signals.in_force(keys, now)))
     metrics.log_lines_left_out.set(context.log.left_out)
 
 
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -133,9 +133,9 @@
 
     def _signals(self, now: float) -> set[Signal]:
         """What keeps requests from all servers that may run it; nothing when one takes requests."""
-        in_force = self._context.server_signals.in_force(now)
-        signals = {in_force.get(instance.key) for instance in self._allowed(now)}
-        return {signal for signal in signals if signal is not None and None not in signals}
+        keys = [instance.key for instance in self._allowed(now)]
+        in_force = self._context.server_signals.in_force(keys, now)
+        return set(in_force.values()) if len(in_force) == len(keys) else set()
 
     def _allowed(self, now: float) -> list[Instance]:
         job = self._job
@@ -166,14 +166,12 @@
 
     def _note_kept_from(self) -> None:
         context = self._context
-        in_force = context.server_signals.in_force(self._looked_at)
-        if not in_force:
-            return
-        for instance in self._servers():
-            signal = in_force.get(instance.key)
-            if signal is not None and instance.name not in self.kept_from:
-                self.kept_from[instance.name] = signal.value
-                context.server_signals.on_kept_away(instance.key)
+        servers = {instance.key: instance.name for instance in self._servers()}
+        in_force = context.server_signals.in_force(servers, self._looked_at)
+        for key, signal in in_force.items():
+            if servers[key] not in self.kept_from:
+                self.kept_from[servers[key]] = signal.value
+                context.server_signals.on_kept_away(key)
                 context.record.kept_away(self._job.service.name, signal)
 
     def _servers(self) -> Iterable[Instance]:
--- a/tests/exchange/load/test_server_signals.py
+++ b/tests/exchange/load/test_server_signals.py
@@ -111,8 +111,8 @@
     signals = ServerSignals()
     assert signals.on_rest(KEY, 3.0, 10.0)
     assert not signals.on_rest(KEY, 1.0, 11.0)
-    assert signals.in_force(12.9) == {KEY: Signal.RESTING}
-    assert not signals.in_force(13.0)
+    assert signals.in_force([KEY], 12.9) == {KEY: Signal.RESTING}
+    assert not signals.in_force([KEY], 13.0)
     assert not signals.to_tell(11.0, 0.0)
     assert not signals.newest(11.0)
     assert not signals.has_news
