--- a/tests/soak/signal_ledger.py
+++ b/tests/soak/signal_ledger.py
@@ -10,8 +10,8 @@
 """What arrives so soon after a server asked for rest may have been on its way."""
 MOST_IN_A_REST = 2
 WasDisturbed = Callable[[str, str, float, float], bool]
-"""Whether a gateway was killed, stopped or frozen, or its way to a server was cut; takes the names of
-both and two monotonic times."""
+"""Whether a gateway was killed, stopped or frozen, or its way to a server was cut: their names, and
+two monotonic times."""
 
 
 @dataclass(frozen=True)
