--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -65,6 +65,11 @@
     fencing_token: int
 
 
+def incarnation(server: str, born: int) -> str:
+    """One start of a server."""
+    return f"{server}@{born}"
+
+
 def piece_count(request_id: str) -> int:
     """Number of events of a request's stream."""
     return 3 + zlib.crc32(request_id.encode()) % 6
@@ -114,13 +119,13 @@
 
     # -- limits ---------------------------------------------------------------------------------
 
-    def on_arrival(self, server: str, request_id: str) -> None:
-        """A request reaches a server, whatever becomes of it."""
+    def on_arrival(self, server: str, born: int, request_id: str) -> None:
+        """A request reaches a start of a server, whatever becomes of it."""
         now = time.monotonic()
         self.limits.on_arrival(server, now)
         sent = self.sent.get(request_id)
         if sent is not None:
-            self.signals.on_arrival(Arrival(server, sent.gateway, now, sent.at))
+            self.signals.on_arrival(Arrival(incarnation(server, born), sent.gateway, now, sent.at))
 
     # -- what servers say -----------------------------------------------------------------------
 
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from gateway_standin import ReceivedRequest, answer, chunk, read_request
-from soak.ledger import GivenOrder, Ledger, Run, piece, piece_count
+from soak.ledger import GivenOrder, Ledger, Run, incarnation, piece, piece_count
 
 HOST = "127.0.0.1"
 LOAD_SECONDS = 0.3
@@ -67,6 +67,11 @@
     requests: int = 0
     """At work now."""
 
+    @property
+    def incarnation(self) -> str:
+        """Its name and its start: another one under its name has said nothing."""
+        return incarnation(self.name, self.born)
+
     async def start(self) -> None:
         """Listen on a free port."""
         self._writers: set[asyncio.StreamWriter] = set()
@@ -123,7 +128,7 @@
     async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         is_request = not request.target.startswith("/milletcourse/")
         if is_request:
-            self.ledger.on_arrival(self.name, request.request_id)
+            self.ledger.on_arrival(self.name, self.born, request.request_id)
         fields = {
             "Request-Id": request.request_id,
             "Instance-Id": self.name,
@@ -139,7 +144,7 @@
         elif request.headers.get("expected-version", str(self.version)) != str(self.version):
             writer.write(answer(421, b"", fields))
         elif self.rest_seconds:
-            self.ledger.on_rest(self.name, request.request_id, self.rest_seconds)
+            self.ledger.on_rest(self.incarnation, request.request_id, self.rest_seconds)
             rest = {"Not-Executed": "1", "Retry-After": f"{self.rest_seconds:g}"}
             writer.write(answer(503, b"", {**fields, **rest}))
         elif self.loading or self._happens(self.mood.shed):
@@ -158,7 +163,7 @@
             fields["Server-Limit"] = f"{self.limit:g}"
         if self.leaves:
             fields["Server-Leaving"] = "1"
-            self.ledger.on_leaving_answer(self.name, request_id)
+            self.ledger.on_leaving_answer(self.incarnation, request_id)
         return fields
 
     def name_limit(self, limit: float | None) -> None:
--- a/tests/soak/signal_ledger.py
+++ b/tests/soak/signal_ledger.py
@@ -19,7 +19,7 @@
     """A request reaches a server, whatever becomes of it.
 
     Attributes:
-        server: The server.
+        server: Name and start of the server.
         gateway: Gateway that sent it there.
         at: Monotonic time.
         sent_at: Monotonic time at which its client sent it.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -292,7 +292,9 @@
         def was_disturbed(name: str, server: str, begin: float, end: float) -> bool:
             gateway = gateways[name]
             is_new = gateway.has_started_between(begin, end)
-            is_cut = any(way.was_cut(begin, end) for way in self._ways.get(server, ()))
+            is_cut = any(
+                way.was_cut(begin, end) for way in self._ways.get(server.partition("@")[0], ())
+            )
             return is_new or is_cut or gateway.was_disturbed(begin, end)
 
         self.ledger.check_signals(BOUNDS["DrainMs"] / 1000, was_disturbed)
