--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -70,6 +70,11 @@
     return f"{server}@{born}"
 
 
+def name_of(incarnation_of_server: str) -> str:
+    """The server's name in one of its starts."""
+    return incarnation_of_server.partition("@")[0]
+
+
 def piece_count(request_id: str) -> int:
     """Number of events of a request's stream."""
     return 3 + zlib.crc32(request_id.encode()) % 6
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,7 +24,7 @@
 from soak.faults import FAULTS
 from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
-from soak.signals import leave_servers, replace_leaving_servers, rest_servers
+from soak.signals import RESTS, leave_servers, replace_leaving_servers, rest_servers
 from soak.world import DEFAULT_GATEWAYS, TENANTS, SoakWorld
 from soak.writers import restart_servers, write_strange_entries
 
@@ -83,6 +83,8 @@
         for server in world.servers.values():
             server.rest_seconds = 0.0
         await replace_leaving_servers(world)
+        # Gateways keep to the rests that were asked of them last.
+        await asyncio.sleep(max(RESTS) if signals else 0.0)
         await asyncio.sleep(SETTLE_SECONDS)
         before = dict(world.ledger.outcomes)
         await asyncio.sleep(JUDGED_SECONDS)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,7 +21,7 @@
 from gateway_standin import StandinStore, configuration
 from milletcourse.runtime.attended_clock import AttendedClock
 from soak.answers import Asked, Circumstances, Verdict, judge
-from soak.ledger import Ledger
+from soak.ledger import Ledger, name_of
 from soak.proxy import FaultProxy
 from soak.server import MODEL, SoakServer
 
@@ -292,9 +292,7 @@
         def was_disturbed(name: str, server: str, begin: float, end: float) -> bool:
             gateway = gateways[name]
             is_new = gateway.has_started_between(begin, end)
-            is_cut = any(
-                way.was_cut(begin, end) for way in self._ways.get(server.partition("@")[0], ())
-            )
+            is_cut = any(way.was_cut(begin, end) for way in self._ways.get(name_of(server), ()))
             return is_new or is_cut or gateway.was_disturbed(begin, end)
 
         self.ledger.check_signals(BOUNDS["DrainMs"] / 1000, was_disturbed)
