What one server said stands in a module of its own; a test's prompts fit into its servers

known_server.py has the record of one server, server_signals.py all of them and what is told. A server whose start becomes known keeps its word also when others had told of it under the new identity. Nothing is looked up while no server has a word.

Traced: its three clients' prompts of 900 tokens don't fit into two servers with 1,000 tokens of memory, whatever leaves; the estimate refuses some when their requests overlap.

--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -9,165 +9,31 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Mapping
-from enum import Enum
-
-import msgspec
 
+from milletcourse.exchange.load.known_server import (
+    ANSWER,
+    ENTRY,
+    PEER,
+    ChangedSignal,
+    KnownServer,
+    LimitChange,
+    RestOfServer,
+    ServerSignalState,
+    Signal,
+)
 from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, SignalReport
 
 TOLD_TIMES = 3
 """What has changed is told so often, against loss."""
 MAX_TOLD = 64
 """Reports in one message; a datagram holds some thousand bytes."""
-ENDED_SECONDS = 60.0
-"""That a limit has ended, or what a server that is gone said, is remembered this long, so that
-older reports don't bring it back."""
 LEAVING_REMEMBERED_SECONDS = 600.0
 """That a server leaves which is on no list is remembered this long: a list that is read again after
 an outage of the store may be older than the word."""
-LEAVING_TOLD_SECONDS = 120.0
-"""That a server leaves is told this long: few take longer to end."""
 PROBE_SECONDS = 20.0
 """A server that takes nothing is still asked once in this time: only its answers tell that it takes
 requests again."""
 MAX_KNOWN = 4096
-ANSWER = "answer"
-PEER = "peer"
-ENTRY = "entry"
-"""Who told that a server leaves: its answer here, another gateway, the discovery."""
-
-
-class Signal(Enum):
-    """Why a server's own word keeps requests from it."""
-
-    LEAVING = "leaving"
-    """It is about to end."""
-    RESTING = "resting"
-    """It turned a request away, and wants nothing from this gateway for a while."""
-
-
-class LimitChange(Enum):
-    """What an answer of a server, or another gateway's report of one, changes here."""
-
-    NAMED = "named"
-    CHANGED = "changed"
-    ENDED = "ended"
-
-
-class ChangedSignal(msgspec.Struct, frozen=True):
-    """News of a server that another gateway told.
-
-    Attributes:
-        key: Identity of the server's incarnation.
-        change: What is new of its limit, None for nothing.
-        per_second: Its limit, None for none.
-        leaves: That it leaves is new.
-    """
-
-    key: int
-    change: LimitChange | None
-    per_second: float | None
-    leaves: bool
-
-
-class RestOfServer(msgspec.Struct, frozen=True):
-    """The rest that a server has now.
-
-    Attributes:
-        left: Seconds until its end.
-        seconds: How long it takes as a whole.
-    """
-
-    left: float
-    seconds: float
-
-
-class KnownServer(msgspec.Struct):
-    """What one server said last.
-
-    Attributes:
-        per_second: Its limit, None for none, or none any more.
-        said_at: Monotonic time of the answer that said so; minus infinity when none did.
-        leaving_at: When an answer first said that it leaves; infinite when none did.
-        entry_leaving_at: When its entry first did so; infinite when it didn't.
-        leaving_told_by: Who told that first: `answer`, `peer` or `entry`; empty when nobody did.
-        kept_away: Requests for which it was no candidate for its leaving or its rest.
-        rest_since: When it asked this gateway for the rest that it has now, or had last.
-        rest_until: End of that rest.
-        tells_left: How often it is still to be told.
-        told_at: When it was told last.
-    """
-
-    per_second: float | None = None
-    said_at: float = float("-inf")
-    leaving_at: float = float("inf")
-    entry_leaving_at: float = float("inf")
-    leaving_told_by: str = ""
-    kept_away: int = 0
-    rest_since: float = float("-inf")
-    rest_until: float = float("-inf")
-    tells_left: int = 0
-    told_at: float = float("-inf")
-
-    @property
-    def left_at(self) -> float:
-        """When it first said in any way that it leaves; infinite when it didn't."""
-        return min(self.leaving_at, self.entry_leaving_at)
-
-    @property
-    def leaves(self) -> bool:
-        """Whether it said in any way that it leaves."""
-        return self.left_at < float("inf")
-
-    def is_told(self, now: float) -> bool:
-        """Whether others are to hear of it: not of a rest, which is asked of one gateway alone."""
-        is_leaving_told = 0.0 <= now - self.leaving_at < LEAVING_TOLD_SECONDS
-        return self.said_at > float("-inf") or is_leaving_told
-
-    def is_over(self, now: float) -> bool:
-        """Whether nothing of it has held for a while."""
-        last = max(self.said_at, self.rest_until, self.left_at if self.leaves else float("-inf"))
-        return now - last > ENDED_SECONDS
-
-
-class ServerLimitState(msgspec.Struct, frozen=True):
-    """What a gateway knows of a server's limit, for operators.
-
-    Attributes:
-        instance: The server.
-        per_second: Requests a second that it takes from all gateways together.
-        said: Seconds since an answer, here or at another gateway, said so last.
-        lender: Gateway that is asked for each request to it.
-        standing: As what that one lends: home, deputy or alone.
-    """
-
-    instance: str
-    per_second: float
-    said: float
-    lender: str
-    standing: str
-
-
-class ServerSignalState(msgspec.Struct, frozen=True):
-    """What a server said that keeps requests from it, for operators.
-
-    Attributes:
-        instance: The server.
-        service: Its service.
-        signal: That it leaves, or rests.
-        told_by: Who told it: `answer` of the server here, `peer` or `entry`.
-        said: Seconds since it was first said.
-        left: Seconds until it is over; None for a server that leaves.
-        kept_away: Requests of this gateway that went elsewhere, or nowhere, for it.
-    """
-
-    instance: str
-    service: str
-    signal: str
-    told_by: str
-    said: float
-    left: float | None
-    kept_away: int
 
 
 class ServerSignals:
@@ -290,7 +156,7 @@
     def rest(self, key: int, now: float) -> RestOfServer | None:
         """The rest that a server has, None when it has none, or leaves."""
         known = self._known.get(key)
-        if known is None or _signal(known, now) is not Signal.RESTING:
+        if known is None or known.signal(now) is not Signal.RESTING:
             return None
         return RestOfServer(known.rest_until - now, known.rest_until - known.rest_since)
 
@@ -308,7 +174,7 @@
             now: Monotonic time.
         """
         known = self._known.get(key)
-        signal = _signal(known, now) if known is not None else None
+        signal = known.signal(now) if known is not None else None
         if known is None or signal is None:
             return None
         leaves = signal is Signal.LEAVING
@@ -322,6 +188,11 @@
             known.kept_away,
         )
 
+    @property
+    def keeps_away(self) -> bool:
+        """Whether some server may have said that it leaves or rests; mostly none has."""
+        return bool(self._kept_from)
+
     def in_force(self, keys: Iterable[int], now: float) -> Mapping[int, Signal]:
         """Which of some servers said that they leave, or have their rest; mostly none.
 
@@ -343,15 +214,15 @@
     def signal(self, key: int, now: float) -> Signal | None:
         """What a server said that keeps requests from it now, None for nothing."""
         known = self._known.get(key)
-        return _signal(known, now) if known is not None else None
+        return known.signal(now) if known is not None else None
 
     # -- incarnations ---------------------------------------------------------------------------
 
     def on_renamed(self, before: int, key: int) -> None:
         """A server's start is known now, and with it another identity of the same incarnation."""
         known = self._known.pop(before, None)
-        if known is not None and key not in self._known:
-            self._known[key] = known
+        if known is not None:
+            self._known.setdefault(key, known).take_over(known)
         if before in self._kept_from:
             self._kept_from.discard(before)
             self._kept_from.add(key)
@@ -437,7 +308,7 @@
             known.tells_left = max(known.tells_left - 1, 0)
             known.told_at = now
         self._has_news = any(known.tells_left for known in self._known.values())
-        return [_report(key, known, now) for key, known in due[:MAX_TOLD]]
+        return [known.report(key, now) for key, known in due[:MAX_TOLD]]
 
     def tell_again(self) -> None:
         """Somebody has come who may know nothing."""
@@ -447,8 +318,8 @@
     def newest(self, now: float) -> list[SignalReport]:
         """What was said last, of all servers."""
         told = [(key, known) for key, known in self._known.items() if known.is_told(now)]
-        told.sort(key=lambda item: (-_last_said_at(item[1]), item[0]))
-        return [_report(key, known, now) for key, known in told[:MAX_TOLD]]
+        told.sort(key=lambda item: (-item[1].last_said_at, item[0]))
+        return [known.report(key, now) for key, known in told[:MAX_TOLD]]
 
     # -- inside ---------------------------------------------------------------------------------
 
@@ -466,22 +337,3 @@
         if passes_on:
             known.tells_left = TOLD_TIMES
             self._has_news = True
-
-
-def _signal(known: KnownServer, now: float) -> Signal | None:
-    if known.leaves:
-        return Signal.LEAVING
-    return Signal.RESTING if now < known.rest_until else None
-
-
-def _last_said_at(known: KnownServer) -> float:
-    return max(known.said_at, known.left_at if known.leaves else float("-inf"))
-
-
-def _report(key: int, known: KnownServer, now: float) -> SignalReport:
-    leaving_ms = _age_ms(known.leaving_at, now) if known.leaving_at < float("inf") else None
-    return SignalReport(key, known.per_second, _age_ms(known.said_at, now), leaving_ms)
-
-
-def _age_ms(said_at: float, now: float) -> int:
-    return round(min(max((now - said_at) * 1000.0, 0.0), float(MAX_AGE_MS)))
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -14,7 +14,7 @@
     ServersResting,
 )
 from milletcourse.exchange.limits.rest_returns import return_seconds
-from milletcourse.exchange.load.server_signals import Signal
+from milletcourse.exchange.load.known_server import Signal
 from milletcourse.exchange.placement.instance_selector import Choice
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
@@ -166,6 +166,8 @@
 
     def _note_kept_from(self) -> None:
         context = self._context
+        if not context.server_signals.keeps_away:
+            return
         servers = {instance.key: instance.name for instance in self._servers()}
         in_force = context.server_signals.in_force(servers, self._looked_at)
         for key, signal in in_force.items():
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -19,7 +19,8 @@
     UnitReply,
 )
 from milletcourse.exchange.limits.ask_pauses import AskPauses
-from milletcourse.exchange.load.server_signals import ServerLimitState, ServerSignals, Signal
+from milletcourse.exchange.load.known_server import ServerLimitState, Signal
+from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.messages.allowance_messages import UnitMessage, UnitStep, told_ms
 from milletcourse.exchange.messages.messages import LeaveCause
 from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, SignalReport
--- a/src/milletcourse/gateway/servers/signal_watch.py
+++ b/src/milletcourse/gateway/servers/signal_watch.py
@@ -5,13 +5,8 @@
 from collections.abc import Callable, Iterable
 
 from milletcourse.exchange.limits.ask_pauses import AskPauses
-from milletcourse.exchange.load.server_signals import (
-    ANSWER,
-    ENTRY,
-    PEER,
-    LimitChange,
-    ServerSignals,
-)
+from milletcourse.exchange.load.known_server import ANSWER, ENTRY, PEER, LimitChange
+from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.exchange.messages.peer_messages import SignalReport
 from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -16,8 +16,9 @@
 from milletcourse.exchange.limits.connection_part import connection_part
 from milletcourse.exchange.limits.known_use import SummedUse
 from milletcourse.exchange.limits.tenant_limits import TenantLimits
+from milletcourse.exchange.load.known_server import Signal
 from milletcourse.exchange.load.load_exchange import LoadExchange
-from milletcourse.exchange.load.server_signals import ServerSignals, Signal
+from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.messages import AttemptResult
--- a/src/milletcourse/gateway/telling/recorder.py
+++ b/src/milletcourse/gateway/telling/recorder.py
@@ -13,7 +13,7 @@
 from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.load.server_signals import LimitChange, ServerLimitState, Signal
+from milletcourse.exchange.load.known_server import LimitChange, ServerLimitState, Signal
 from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.messages.records import RouteRecord
 from milletcourse.exchange.rollout.roll_out import OrderReply, WeightOrder
--- a/tests/exchange/limits/test_allowances.py
+++ b/tests/exchange/limits/test_allowances.py
@@ -23,13 +23,12 @@
     UnitReply,
 )
 from milletcourse.exchange.limits.ask_pauses import MAX_PROMISE_SECONDS, AskPauses
+from milletcourse.exchange.load.known_server import ENDED_SECONDS, LimitChange
 from milletcourse.exchange.load.server_signals import (
-    ENDED_SECONDS,
     MAX_KNOWN,
     MAX_TOLD,
     PROBE_SECONDS,
     TOLD_TIMES,
-    LimitChange,
     ServerSignals,
 )
 from milletcourse.exchange.messages.allowance_messages import (
--- a/tests/exchange/load/test_server_signals.py
+++ b/tests/exchange/load/test_server_signals.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from milletcourse.exchange.load.server_signals import (
-    ENDED_SECONDS,
-    LEAVING_REMEMBERED_SECONDS,
-    LEAVING_TOLD_SECONDS,
-    ServerSignals,
-    Signal,
-)
+from milletcourse.exchange.load.known_server import ENDED_SECONDS, LEAVING_TOLD_SECONDS, Signal
+from milletcourse.exchange.load.server_signals import LEAVING_REMEMBERED_SECONDS, ServerSignals
 from milletcourse.exchange.messages.dialect import HeaderDialect, HeaderNames
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.peer_messages import (
--- a/tests/gateway/servers/test_leaving_servers.py
+++ b/tests/gateway/servers/test_leaving_servers.py
@@ -8,7 +8,7 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import Client
-from milletcourse.exchange.load.server_signals import Signal
+from milletcourse.exchange.load.known_server import Signal
 from signalling_fleet import GATEWAYS, Mood, SignallingFleet
 
 HEARD_SECONDS = 0.5
--- a/tests/signalling_fleet.py
+++ b/tests/signalling_fleet.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from gateway_behaviours import PROMPT
 from gateway_harness import Harness
 from gateway_standin import (
     Client,
@@ -23,6 +22,12 @@
 from milletcourse.gateway.node import GatewayNode
 
 GATEWAYS = 3
+SHORT_PROMPT = {
+    "Model": "model-1",
+    "Token_Usage": "40,8",
+    "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20",
+}
+"""Fits into the stand-ins' memory of 1,000 tokens as often as clients ask."""
 PAUSE_SECONDS = 0.01
 SLOWER_SECONDS = 0.05
 REST_SLACK_SECONDS = 0.5
@@ -152,7 +157,7 @@
         self._number += 1
         more = {"Sent_Through": node.context.settings.name}
         if path.startswith("/stream/"):
-            more.update(PROMPT)
+            more.update(SHORT_PROMPT)
         return await client.ask(path, f"request-{self._number}", **more)
 
     async def most_asked(self, path: str = "/safe/") -> str:
