Clean-up: one fleet of gateways in tests, recorders and states by job, names that said something else

No behaviour changes. The plotting library is loaded in one place of three. The fleets of two test files share their gateways and clients. left_at is first_leaving_at, the candidates' permitted is willing: it is what is left after servers' own words, so nothing falls back onto a server that rests.

--- a/src/milletcourse/cli/explain_losses.py
+++ b/src/milletcourse/cli/explain_losses.py
@@ -9,7 +9,9 @@
 import msgspec
 import typer
 
+from milletcourse.errors import FailureError
 from milletcourse.reports.loss_report import LossReport, loss_report, table_lines
+from milletcourse.reports.pyplot import load_pyplot
 
 
 def explain_losses(
@@ -38,13 +40,10 @@
 def _draw(report: LossReport, path: Path) -> None:
     """A stacked bar of the losses of each moment."""
     try:
-        import matplotlib
-    except ImportError as error:
+        pyplot = load_pyplot("plot", path)
+    except FailureError as error:
         typer.echo("drawing needs matplotlib: pip install 'milletcourse[plots]'", err=True)
         raise typer.Exit(2) from error
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
     starts = [moment.start for moment in report.moments]
     names = sorted({name for moment in report.moments for name in moment.ends} - {"in-time"})
     figure, axes = pyplot.subplots(figsize=(10, 4))
--- a/src/milletcourse/exchange/load/known_server.py
+++ b/src/milletcourse/exchange/load/known_server.py
@@ -52,7 +52,7 @@
     leaves: bool
 
 
-class RestOfServer(msgspec.Struct, frozen=True):
+class CurrentRest(msgspec.Struct, frozen=True):
     """The rest that a server has now.
 
     Attributes:
@@ -92,19 +92,19 @@
     told_at: float = float("-inf")
 
     @property
-    def left_at(self) -> float:
+    def first_leaving_at(self) -> float:
         """When it first said in any way that it leaves; infinite when it didn't."""
         return min(self.leaving_at, self.entry_leaving_at)
 
     @property
     def leaves(self) -> bool:
         """Whether it said in any way that it leaves."""
-        return self.left_at < float("inf")
+        return self.first_leaving_at < float("inf")
 
     @property
     def last_said_at(self) -> float:
         """When it spoke of a limit last, or of leaving first; minus infinity for neither."""
-        return max(self.said_at, self.left_at if self.leaves else float("-inf"))
+        return max(self.said_at, self.first_leaving_at if self.leaves else float("-inf"))
 
     def signal(self, now: float) -> Signal | None:
         """What keeps requests from it now, None for nothing."""
--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -15,9 +15,9 @@
     ENTRY,
     PEER,
     ChangedSignal,
+    CurrentRest,
     KnownServer,
     LimitChange,
-    RestOfServer,
     ServerSignalState,
     Signal,
 )
@@ -41,7 +41,7 @@
 
     def __init__(self) -> None:
         self._known: dict[int, KnownServer] = {}
-        self._kept_from: set[int] = set()
+        self._signalling: set[int] = set()
         """Servers that leave, or had a rest a moment ago; each request looks at them."""
         self._has_news = False
 
@@ -82,10 +82,11 @@
             now: Monotonic time.
         """
         known = self._known.get(key)
-        if per_second is None and (known is None or sent_at <= known.said_at):
-            # The answer may have been on its way before the limit was named.
+        has_spoken = known is not None and known.said_at > float("-inf")
+        if per_second is None and not has_spoken:
             return None
-        if per_second is None and known is not None and known.said_at == float("-inf"):
+        if per_second is None and known is not None and sent_at <= known.said_at:
+            # The answer may have been on its way before the limit was named.
             return None
         return self._take_limit(key, per_second, now, passes_on=True)
 
@@ -116,7 +117,7 @@
         """
         known = self._known_or_new(key)
         is_news = known.leaving_at == float("inf")
-        self._kept_from.add(key)
+        self._signalling.add(key)
         known.leaving_at = min(known.leaving_at, said_at)
         known.leaving_told_by = known.leaving_told_by or told_by
         if is_news:
@@ -127,7 +128,7 @@
         """A server's entry says that it leaves; True when it didn't before."""
         known = self._known_or_new(key)
         is_news = known.entry_leaving_at == float("inf")
-        self._kept_from.add(key)
+        self._signalling.add(key)
         known.entry_leaving_at = min(known.entry_leaving_at, now)
         known.leaving_told_by = known.leaving_told_by or ENTRY
         return is_news
@@ -144,21 +145,16 @@
         is_news = now >= known.rest_until
         if is_news:
             known.rest_since = now
-        self._kept_from.add(key)
+        self._signalling.add(key)
         known.rest_until = max(known.rest_until, now + seconds)
         return is_news
 
-    def rest_until(self, key: int) -> float:
-        """End of the latest rest that a server asked for; minus infinity when it asked none."""
-        known = self._known.get(key)
-        return known.rest_until if known is not None else float("-inf")
-
-    def rest(self, key: int, now: float) -> RestOfServer | None:
+    def rest(self, key: int, now: float) -> CurrentRest | None:
         """The rest that a server has, None when it has none, or leaves."""
         known = self._known.get(key)
         if known is None or known.signal(now) is not Signal.RESTING:
             return None
-        return RestOfServer(known.rest_until - now, known.rest_until - known.rest_since)
+        return CurrentRest(known.rest_until - now, known.rest_until - known.rest_since)
 
     def known(self, key: int) -> KnownServer | None:
         """All that a server said, None when it said nothing."""
@@ -183,15 +179,15 @@
             service,
             signal.value,
             known.leaving_told_by if leaves else ANSWER,
-            round(now - (known.left_at if leaves else known.rest_since), 3),
+            round(now - (known.first_leaving_at if leaves else known.rest_since), 3),
             None if leaves else round(known.rest_until - now, 3),
             known.kept_away,
         )
 
     @property
-    def keeps_away(self) -> bool:
+    def has_signals(self) -> bool:
         """Whether some server may have said that it leaves or rests; mostly none has."""
-        return bool(self._kept_from)
+        return bool(self._signalling)
 
     def in_force(self, keys: Iterable[int], now: float) -> Mapping[int, Signal]:
         """Which of some servers said that they leave, or have their rest; mostly none.
@@ -200,9 +196,9 @@
             keys: Identities of the incarnations.
             now: Monotonic time.
         """
-        if not self._kept_from:
+        if not self._signalling:
             return {}
-        found = {key: self.signal(key, now) for key in keys if key in self._kept_from}
+        found = {key: self.signal(key, now) for key in keys if key in self._signalling}
         return {key: signal for key, signal in found.items() if signal is not None}
 
     def on_kept_away(self, key: int) -> None:
@@ -223,9 +219,9 @@
         known = self._known.pop(before, None)
         if known is not None:
             self._known.setdefault(key, known).take_over(known)
-        if before in self._kept_from:
-            self._kept_from.discard(before)
-            self._kept_from.add(key)
+        if before in self._signalling:
+            self._signalling.discard(before)
+            self._signalling.add(key)
 
     def expire(self, now: float, servers: Callable[[], Collection[int]]) -> None:
         """Forget what ended long ago, and what servers said that are gone.
@@ -234,7 +230,7 @@
             now: Monotonic time.
             servers: Tells the identities of the incarnations that there are.
         """
-        self._kept_from = {key for key in self._kept_from if self.signal(key, now) is not None}
+        self._signalling = {key for key in self._signalling if self.signal(key, now) is not None}
         old = [key for key, known in self._known.items() if known.is_over(now)]
         if not old:
             return
@@ -242,13 +238,13 @@
         for key in old:
             if self._may_forget(self._known[key], key in present, now):
                 del self._known[key]
-                self._kept_from.discard(key)
+                self._signalling.discard(key)
 
     @staticmethod
     def _may_forget(known: KnownServer, is_present: bool, now: float) -> bool:
         if is_present:
             return known.per_second is None and not known.leaves
-        return not known.leaves or now - known.left_at > LEAVING_REMEMBERED_SECONDS
+        return not known.leaves or now - known.first_leaving_at > LEAVING_REMEMBERED_SECONDS
 
     # -- what gateways tell each other ----------------------------------------------------------
 
@@ -329,7 +325,7 @@
             if len(self._known) >= MAX_KNOWN:
                 first = next(iter(self._known))
                 del self._known[first]
-                self._kept_from.discard(first)
+                self._signalling.discard(first)
             known = self._known[key] = KnownServer()
         return known
 
--- a/src/milletcourse/exchange/placement/server_candidates.py
+++ b/src/milletcourse/exchange/placement/server_candidates.py
@@ -33,10 +33,10 @@
     def of_service(
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
     ) -> list[Instance]:
-        """Servers that are permitted; the sick and the busy ones only while there are no others.
+        """Servers that take requests; the sick and the busy ones only while there are no others.
 
-        Those that want none by their own word are none of them: they leave, rest, or limit their
-        requests and have what they take.
+        One that wants none by its own word is never among them, whoever else is there: it leaves,
+        rests, or limits its requests and has what it takes.
 
         Args:
             service: Service that the request goes to.
@@ -44,16 +44,16 @@
             tried: Incarnations that already had it.
             now: Monotonic time.
         """
-        permitted = self._permitted(service, model, tried, now)
+        willing = self._willing(service, model, tried, now)
         suspects = self._loads.failing(now) if self._shares_suspicion else ()
         healthy = [
             item
-            for item in permitted
+            for item in willing
             if not item.health.is_ejected(now)
             and not (item.key in suspects and self.is_suspected(item, now))
         ]
         free = [item for item in healthy if not item.health.is_busy(now)]
-        return free or healthy or permitted
+        return free or healthy or willing
 
     def is_suspected(self, instance: Instance, now: float) -> bool:
         """Whether several gateways saw a server fail lately."""
@@ -79,9 +79,10 @@
         }
         return [instance for instance in instances if versions[instance.name] in permitted]
 
-    def _permitted(
+    def _willing(
         self, service: ServiceRecord, model: str, tried: Collection[str], now: float
     ) -> list[Instance]:
+        """Those that may run it and want requests, by what they say of themselves."""
         allowed = self.allowed(service, model, tried, now)
         paused = self._pauses.paused(now)
         signals = self._loads.signals.in_force((instance.key for instance in allowed), now)
--- a/src/milletcourse/experiments/report.py
+++ b/src/milletcourse/experiments/report.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from milletcourse.admission.fair_share import fair_shares
-from milletcourse.errors import FailureError, InvalidObject
 from milletcourse.experiments.run import RunResult
+from milletcourse.reports.pyplot import load_pyplot
 
 SummaryRow = dict[str, Any]
 
@@ -90,15 +90,7 @@
     Raises:
         FailureError: `InvalidObject` when the extra `plots` is not installed.
     """
-    try:
-        import matplotlib
-    except ImportError as error:
-        raise FailureError(
-            InvalidObject("out", None, "out", str(directory), "pip install milletcourse[plots]")
-        ) from error
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
+    pyplot = load_pyplot("out", directory)
     directory.mkdir(parents=True, exist_ok=True)
     classes = sorted({name for row in rows.values() for name in row["ttft_p99_seconds"]})
     charts = {"hit_rate": {name: row["hit_rate"] for name, row in rows.items()}}
--- a/src/milletcourse/experiments/rest_model.py
+++ b/src/milletcourse/experiments/rest_model.py
@@ -213,20 +213,31 @@
         return telling >= _TOLD_WAYS[self._way]
 
     def _rest_end(self, gateway: int, server: int, now: float) -> float:
-        own = self._signals[gateway].rest_until(server)
+        own = self._own_rest_end(gateway, server)
         if own > now or not self._is_told(gateway, server, now):
             return own
         late = self._turns[gateway] if self._way is RestWay.STAGGERED else 0.0
         return late + max(end for begin, end in self._told[server].values() if begin <= now)
 
+    def _own_rest_end(self, gateway: int, server: int) -> float:
+        """End of the latest rest that a server asked a gateway for; minus infinity for none."""
+        known = self._signals[gateway].known(server)
+        return known.rest_until if known is not None else float("-inf")
+
+    def _end_rest(self, gateway: int, server: int, now: float) -> None:
+        """A probe was answered."""
+        known = self._signals[gateway].known(server)
+        assert known is not None
+        known.rest_until = now
+
     def _may_probe(self, gateway: int, server: int, now: float) -> bool:
-        end = self._signals[gateway].rest_until(server)
+        end = self._own_rest_end(gateway, server)
         done = self._probes[gateway, server, end]
         return done < PROBES and now >= end - REST_SECONDS * (PROBES - done) / (PROBES + 1)
 
     def _send(self, gateway: int, server: int, now: float) -> bool:
         signals = self._signals[gateway]
-        end = signals.rest_until(server)
+        end = self._own_rest_end(gateway, server)
         if now < end:
             self._in_rest[gateway, server, end] += 1
             self._probes[gateway, server, end] += 1
@@ -235,7 +246,7 @@
             is_needy = gateway == 0
         if self._servers[server].takes(now, self._need, is_needy):
             if now < end:
-                signals.on_renamed(server, -1)
+                self._end_rest(gateway, server, now)
             return True
         self._turned_away += 1
         self._second_rests += now >= NEED_BEGINS + NEED_SECONDS
--- a/src/milletcourse/experiments/rest_plot.py
+++ b/src/milletcourse/experiments/rest_plot.py
@@ -4,8 +4,8 @@
 
 from pathlib import Path
 
-from milletcourse.errors import FailureError, InvalidObject
 from milletcourse.experiments.rest_model import Need, RestFigures, RestWay
+from milletcourse.reports.pyplot import load_pyplot
 
 BAR_WIDTH = 0.11
 
@@ -16,15 +16,7 @@
     Raises:
         FailureError: `InvalidObject` when the extra `plots` is not installed.
     """
-    try:
-        import matplotlib
-    except ImportError as error:
-        raise FailureError(
-            InvalidObject("out", None, "out", str(directory), "pip install milletcourse[plots]")
-        ) from error
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
+    pyplot = load_pyplot("out", directory)
     directory.mkdir(parents=True, exist_ok=True)
     sizes = sorted({item.gateways for item in figures})
     drawing, charts = pyplot.subplots(len(Need), figsize=(9, 10), sharex=True)
--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -35,7 +35,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self.holds_lease = False
         context.on_instance_ended = self._tell_ended
-        context.on_cache_store_found = self._tell_cache_store
+        context.cache_store_reach.on_found = self._tell_cache_store
         context.news_listeners.append(self._tick)
         context.permits.send = self._send_unit_message
 
@@ -109,7 +109,7 @@
         stores = table.cache_stores if table is not None else []
         if any(store.store_address == notice.subject for store in stores):
             reachable = notice.state is ServerState.STORE_FOUND
-            self._context.set_cache_store(notice.subject, reachable)
+            self._context.cache_store_reach.set(notice.subject, reachable)
 
     def _tell_cache_store(self, address: str, reachable: bool) -> None:
         state = ServerState.STORE_FOUND if reachable else ServerState.STORE_LOST
--- a/src/milletcourse/gateway/fleet/roll_out_service.py
+++ b/src/milletcourse/gateway/fleet/roll_out_service.py
@@ -70,9 +70,8 @@
         margin = min(MAX_MARGIN_SECONDS, duration / 3)
         self._lease = LeaseTracker(context.settings.name, duration, margin)
         self._renew_seconds = min(MAX_RENEW_SECONDS, (duration - margin) / 2)
-        self._plan = RollOut(
-            context.gate, context.request_rate, context.is_leaving, context.is_resting
-        )
+        watch = context.signal_watch
+        self._plan = RollOut(context.gate, context.request_rate, watch.is_leaving, watch.is_resting)
         context.restart_listeners.append(self._plan.on_restarted)
         self._next_lease_call = 0.0
         self._was_holder = False
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -190,7 +190,7 @@
         self._connection = connection
         self.sent_at = self._context.now()
         self._note_heard()
-        self._context.note_signalled_send(self._instance)
+        self._context.signal_watch.on_send(self._instance)
         self._send(connection)
         self._listener.on_sent(self)
         try:
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -61,7 +61,7 @@
     @property
     def is_kept_away(self) -> bool:
         """Whether all servers that may run it want no request now, by their own word."""
-        return bool(self._signals(self._context.now()))
+        return bool(self._signals_of_all(self._context.now()))
 
     def on_tried(self, instance: Instance) -> None:
         """The server had it, and won't get it again."""
@@ -109,7 +109,7 @@
             self._denied.add(choice.instance.name)
             state = context.permits.state(choice.instance)
             if state is not None:
-                context.record.at_limit(state, self._job.request)
+                context.record.signals.at_limit(state, self._job.request)
             choice = self.best()
         return self.failure()
 
@@ -124,14 +124,14 @@
         return ServersAtLimit(detail, retry_after + (seconds or 0.0))
 
     def _unavailable(self, retry_after: float) -> Failure:
-        signals = self._signals(self._looked_at)
+        signals = self._signals_of_all(self._looked_at)
         if Signal.RESTING in signals:
             return ServersResting("its servers asked for rest", self._seconds_to_return())
         if Signal.LEAVING in signals:
             return ServersLeaving("its servers are about to end", retry_after)
         return NoEngineAvailable("no server may take it", retry_after)
 
-    def _signals(self, now: float) -> set[Signal]:
+    def _signals_of_all(self, now: float) -> set[Signal]:
         """What keeps requests from all servers that may run it; nothing when one takes requests."""
         keys = [instance.key for instance in self._allowed(now)]
         in_force = self._context.server_signals.in_force(keys, now)
@@ -166,7 +166,7 @@
 
     def _note_kept_from(self) -> None:
         context = self._context
-        if not context.server_signals.keeps_away:
+        if not context.server_signals.has_signals:
             return
         servers = {instance.key: instance.name for instance in self._servers()}
         in_force = context.server_signals.in_force(servers, self._looked_at)
@@ -174,7 +174,7 @@
             if servers[key] not in self.kept_from:
                 self.kept_from[servers[key]] = signal.value
                 context.server_signals.on_kept_away(key)
-                context.record.kept_away(self._job.service.name, signal)
+                context.record.signals.kept_away(self._job.service.name, signal)
 
     def _servers(self) -> Iterable[Instance]:
         return self._context.instances.of_service(self._job.service.name).values()
--- a/src/milletcourse/gateway/servers/signal_watch.py
+++ b/src/milletcourse/gateway/servers/signal_watch.py
@@ -4,16 +4,15 @@
 
 from collections.abc import Callable, Iterable
 
+from milletcourse.exchange.attempts.answer_rules import MISDIRECTED
 from milletcourse.exchange.limits.ask_pauses import AskPauses
-from milletcourse.exchange.load.known_server import ANSWER, ENTRY, PEER, LimitChange
+from milletcourse.exchange.load.known_server import ANSWER, ENTRY, PEER, LimitChange, Signal
 from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.exchange.messages.peer_messages import SignalReport
 from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
 from milletcourse.gateway.telling.recorder import Recorder
 
-MISDIRECTED = 421
-
 
 class SignalWatch:
     """Keeps what servers say of themselves as it is now."""
@@ -97,12 +96,30 @@
         if passes_on:
             self._on_news()
 
+    def on_send(self, instance: Instance) -> None:
+        """A request goes to a server: count it when the server said something that bounds that."""
+        tally = self._record.tally
+        if self._signals.per_second(instance.key) is not None:
+            tally.on_limited_send(instance.name)
+        if self.is_leaving(instance):
+            tally.on_leaving_send(instance.name)
+        elif self.is_resting(instance):
+            tally.on_resting_send(instance.name)
+
+    def is_leaving(self, instance: Instance) -> bool:
+        """Whether a server said, in any way, that it is about to end."""
+        return self._signals.signal(instance.key, self._record.now()) is Signal.LEAVING
+
+    def is_resting(self, instance: Instance) -> bool:
+        """Whether a server asked this gateway for rest, and still has it."""
+        return self._signals.signal(instance.key, self._record.now()) is Signal.RESTING
+
     # -- inside ---------------------------------------------------------------------------------
 
     def _take_limit(self, instance: Instance, head: AnswerHead, sent_at: float) -> None:
         if head.limit.unreadable:
             # What it said before holds on.
-            self._record.signal_unreadable(instance.name, "limit", head.limit.unreadable)
+            self._record.signals.unreadable(instance.name, "limit", head.limit.unreadable)
             return
         now = self._record.now()
         per_second = head.limit.per_second
@@ -113,7 +130,7 @@
 
     def _take_leaving(self, instance: Instance, head: AnswerHead) -> None:
         if head.leaving.unreadable:
-            self._record.signal_unreadable(instance.name, "leaving", head.leaving.unreadable)
+            self._record.signals.unreadable(instance.name, "leaving", head.leaving.unreadable)
         if head.leaving.leaves and self._signals.on_leaving(instance.key, self._record.now()):
             self._tell_leaving(instance, ANSWER)
             self._on_news()
@@ -124,22 +141,22 @@
             self._tell_leaving(instance, ENTRY)
 
     def _tell_leaving(self, instance: Instance, told_by: str) -> None:
-        self._record.server_leaving(instance.name, told_by)
+        self._record.signals.leaving(instance.name, told_by)
         self._on_leaving(instance)
 
     def _take_rest(self, instance: Instance, head: AnswerHead) -> None:
         if head.rest.unreadable:
-            self._record.signal_unreadable(instance.name, "rest", head.rest.unreadable)
+            self._record.signals.unreadable(instance.name, "rest", head.rest.unreadable)
         if not head.rest.seconds:
             return
         if self._signals.on_rest(instance.key, head.rest.seconds, self._record.now()):
-            self._record.server_resting(instance.name, head.rest.seconds)
+            self._record.signals.resting(instance.name, head.rest.seconds)
 
     def _on_limit_change(
         self, instance: Instance, change: LimitChange, per_second: float | None, told_by: str
     ) -> None:
         self._pauses.end(instance.key)
-        self._record.server_limit(instance.name, change, per_second, told_by)
+        self._record.signals.limit(instance.name, change, per_second, told_by)
 
 
 def _is_from(head: AnswerHead, instance: Instance) -> bool:
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -16,7 +16,6 @@
 from milletcourse.exchange.limits.connection_part import connection_part
 from milletcourse.exchange.limits.known_use import SummedUse
 from milletcourse.exchange.limits.tenant_limits import TenantLimits
-from milletcourse.exchange.load.known_server import Signal
 from milletcourse.exchange.load.load_exchange import LoadExchange
 from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
@@ -36,6 +35,7 @@
 from milletcourse.gateway.servers.descriptors import descriptor_plan
 from milletcourse.gateway.servers.server_permits import ServerPermits
 from milletcourse.gateway.servers.signal_watch import SignalWatch
+from milletcourse.gateway.state.cache_store_reach import CacheStoreReach
 from milletcourse.gateway.state.settings import GatewaySettings
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.gateway.telling.figures import Figures
@@ -71,9 +71,7 @@
         attended: Time by which the silence of others is judged.
         reads_store: This gateway reads the store itself, so that it may vouch for what it knows.
         followed_reader: Name of the gateway that it follows instead; empty for none.
-        unreachable_stores: Addresses of stores of kept prompt state that don't answer.
-        on_cache_store_found: Called with the address of a store of kept prompt state, and whether
-            this gateway found that it answers, when others should know.
+        cache_store_reach: Which stores of kept prompt state answer.
         on_instance_ended: Called when an answer showed that an incarnation has ended.
         restart_listeners: Called with the incarnation before when a server has started again.
         wake_listeners: Called when the machine has woken from a suspension.
@@ -140,9 +138,8 @@
         self.tenant_limits = TenantLimits(
             SummedUse(self.loads, lambda: self.members), bounds.limit_tolerance
         )
-        self.unreachable_stores: set[str] = set()
-        self.on_cache_store_found: Callable[[str, bool], None] | None = None
         self.cache_stores = CacheStorePlan()
+        self.cache_store_reach = CacheStoreReach(self.cache_stores, log)
         self.selector = InstanceSelector(
             self.instances,
             self.gate,
@@ -299,25 +296,6 @@
         elif was_ejected and not is_ejected:
             self.record.return_of(instance.name, result)
 
-    def is_leaving(self, instance: Instance) -> bool:
-        """Whether a server said, in any way, that it is about to end."""
-        return self.server_signals.signal(instance.key, self.now()) is Signal.LEAVING
-
-    def is_resting(self, instance: Instance) -> bool:
-        """Whether a server asked this gateway for rest, and still has it."""
-        return self.server_signals.signal(instance.key, self.now()) is Signal.RESTING
-
-    def note_signalled_send(self, instance: Instance) -> None:
-        """A request goes to a server: count it when the server said something that bounds that."""
-        tally = self.record.tally
-        if self.permits.is_limited(instance):
-            tally.on_limited_send(instance.name)
-        signal = self.server_signals.signal(instance.key, self.now())
-        if signal is Signal.LEAVING:
-            tally.on_leaving_send(instance.name)
-        elif signal is Signal.RESTING:
-            tally.on_resting_send(instance.name)
-
     def note_successor(self, instance: Instance, successor: str) -> None:
         """Another server answered at the address of one, so that incarnation has ended."""
         is_news = self.end_instance(instance.name, successor, instance.record.started_ms)
@@ -365,28 +343,6 @@
         for listener in self.news_listeners:
             listener()
 
-    def note_cache_store(self, address: str, reachable: bool) -> None:
-        """This gateway asked a store of kept prompt state for a sign of life.
-
-        That it gave none is told each time, since gateways that started meanwhile don't know it.
-        """
-        is_news = self.set_cache_store(address, reachable)
-        if self.on_cache_store_found is not None and (is_news or not reachable):
-            self.on_cache_store_found(address, reachable)
-
-    def set_cache_store(self, address: str, reachable: bool) -> bool:
-        """Take a store of kept prompt state out of use or back into it; True when that is news."""
-        was_reachable = address not in self.unreachable_stores
-        if was_reachable == reachable:
-            return False
-        if reachable:
-            self.unreachable_stores.discard(address)
-        else:
-            self.unreachable_stores.add(address)
-            self.cache_stores.on_lost(address)
-        self.log.emit("cache-store-reached" if reachable else "cache-store-lost", address=address)
-        return True
-
     def note_suspicions(self) -> None:
         """Say which servers all gateways together found sick or well since the last call."""
         now = self.now()
--- a/src/milletcourse/gateway/telling/recorder.py
+++ b/src/milletcourse/gateway/telling/recorder.py
@@ -13,16 +13,14 @@
 from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.load.known_server import LimitChange, ServerLimitState, Signal
 from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.messages.records import RouteRecord
 from milletcourse.exchange.rollout.roll_out import OrderReply, WeightOrder
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.gateway.telling.figures import Figures
+from milletcourse.gateway.telling.signal_recorder import SignalRecorder
 from milletcourse.gateway.telling.unanswered import UnansweredRequest
 
-MAX_UNREADABLE_SIGNALS = 100
-"""Unreadable fields of servers that are remembered, so that each is told once."""
 MAX_SHOWN_SERVERS = 8
 """Of the servers that a request was kept from, its line names no more."""
 Belief = Callable[[], dict[str, Any]]
@@ -86,7 +84,13 @@
 
 
 class Recorder:
-    """Writes a line and counts, for everything that happens to a request or a server."""
+    """Writes a line and counts, for everything that happens to a request or a server.
+
+    Attributes:
+        now: Monotonic time.
+        signals: The same, for what servers say of themselves.
+        tally: Sums for the log.
+    """
 
     def __init__(
         self, log: EventLog, figures: Figures, belief: Belief, now: Callable[[], float]
@@ -96,7 +100,7 @@
         self._belief = belief
         self.now = now
         self._reachable: dict[str, bool] = {}
-        self._unreadable_signals: dict[tuple[str, str], str] = {}
+        self.signals = SignalRecorder(log, figures)
         self.tally = ServiceTally()
 
     # -- requests -------------------------------------------------------------------------------
@@ -292,63 +296,6 @@
         """Connections of clients wait in the kernel's queue, since there is no room for more."""
         self._log.emit("clients-waiting", clients=clients, waiting=waiting)
 
-    def server_limit(
-        self, instance: str, change: LimitChange, per_second: float | None, told_by: str
-    ) -> None:
-        """A server names a limit of requests, another one than before, or none any more.
-
-        Args:
-            instance: The server.
-            change: What is new.
-            per_second: Requests a second that it takes, None for no limit.
-            told_by: `answer` when it said so here, `peer` when another gateway told it.
-        """
-        self._log.emit(
-            f"server-limit-{change.value}",
-            instance=instance,
-            per_second=per_second,
-            told_by=told_by,
-        )
-
-    def at_limit(self, state: ServerLimitState, request: ExchangeRequest) -> None:
-        """A request wasn't sent to a server, which has got what it takes."""
-        self._log.emit(
-            "server-at-limit", **msgspec.structs.asdict(state), request_id=request.request_id
-        )
-
-    def kept_away(self, service: str, signal: Signal) -> None:
-        """A request of a service was kept from a server that leaves or rests."""
-        self._figures.on_kept_away(service, signal.value)
-
-    def server_leaving(self, instance: str, told_by: str) -> None:
-        """A server says that it leaves.
-
-        Args:
-            instance: The server.
-            told_by: `answer` when it said so here, `peer` when another gateway told it, `entry`
-                when it stands in the discovery.
-        """
-        self._log.emit("server-leaving", instance=instance, told_by=told_by)
-
-    def server_resting(self, instance: str, seconds: float) -> None:
-        """A server that turned a request away wants nothing from here for so long."""
-        self._log.emit("server-resting", instance=instance, rest=round(seconds, 3))
-
-    def signal_unreadable(self, instance: str, field: str, shown: str) -> None:
-        """A server says something of itself that can't be read; once until it says another thing.
-
-        Args:
-            instance: The server.
-            field: What it speaks of: its limit, its leaving, its rest.
-            shown: What it says.
-        """
-        if self._unreadable_signals.get((instance, field)) == shown:
-            return
-        if len(self._unreadable_signals) >= MAX_UNREADABLE_SIGNALS:
-            self._unreadable_signals.clear()
-        self._unreadable_signals[instance, field] = shown
-        self._log.emit(f"server-{field}-unreadable", instance=instance, shown=shown)
-
     def peer_message_refused(self, sender: str) -> None:
         """A datagram that no gateway of this release sends, or one with absurd figures."""
         self._figures.on_peer_message_refused()
--- a/tests/gateway/servers/test_leaving_servers.py
+++ b/tests/gateway/servers/test_leaving_servers.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from gateway_fleet import GATEWAYS
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import Client
 from milletcourse.exchange.load.known_server import Signal
-from signalling_fleet import GATEWAYS, Mood, SignallingFleet
+from signalling_fleet import Mood, SignallingFleet
 
 HEARD_SECONDS = 0.5
 JUDGED_SECONDS = 1.0
--- a/tests/gateway/servers/test_server_limits.py
+++ b/tests/gateway/servers/test_server_limits.py
@@ -25,6 +25,7 @@
 from typer.testing import CliRunner
 
 from gateway_behaviours import PROMPT
+from gateway_fleet import GATEWAYS, GatewayFleet
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
     Behaviour,
@@ -41,28 +42,22 @@
 )
 from milletcourse.cli.main import app
 from milletcourse.exchange.limits.allowance_lender import UnitReply
-from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.experiments.allowance_model import WINDOW_SECONDS, borne_in_window
 from milletcourse.experiments.sliding_window import most_in_window
 from milletcourse.gateway.node import GatewayNode
 from milletcourse.gateway.servers.server_connection import ServerConnection
 
-GATEWAYS = 3
 KNOWN_AFTER_SECONDS = 1.0
-PAUSE_SECONDS = 0.01
 SLOWER_SECONDS = 0.05
 
 
-class LimitedFleet:
+class LimitedFleet(GatewayFleet):
     """Servers that name limits, gateways, and clients that send to all of these in turn."""
 
     def __init__(self, harness: Harness) -> None:
-        self.harness = harness
+        super().__init__(harness)
         self.limits: dict[str, str] = {}
         self.arrivals: dict[str, list[float]] = {}
-        self.nodes: list[GatewayNode] = []
-        self.answers: list[ClientAnswer] = []
-        self._number = 0
 
     async def start(self, limits: dict[str, str], gateways: int = GATEWAYS) -> None:
         """Start servers, each with the limit that it names, empty for none, and gateways."""
@@ -72,18 +67,7 @@
         for name in limits:
             self.arrivals[name] = []
             await harness.add_server(name, "app", self._behave)
-        await harness.start()
-        assert harness.node is not None
-        self.nodes = [harness.node]
-        for number in range(1, gateways):
-            self.nodes.append(await harness.add_gateway(f"front-{number + 1}"))
-        for node in self.nodes:
-            await harness.until(lambda node=node: self._knows_all(node, gateways))
-
-    def _knows_all(self, node: GatewayNode, gateways: int) -> bool:
-        known = {instance.name for instance in node.context.instances}
-        is_ready = node.context.is_ready() and known >= set(self.harness.servers)
-        return is_ready and node.context.gateways == gateways
+        await self.start_gateways(gateways)
 
     async def _behave(
         self, server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -97,26 +81,6 @@
             await asyncio.sleep(SLOWER_SECONDS)
         writer.write(answer(200, server.name.encode(), fields))
 
-    async def load(self, seconds: float, pause: float = PAUSE_SECONDS) -> None:
-        """One client at each gateway sends for a while."""
-        ends_at = asyncio.get_running_loop().time() + seconds
-        await asyncio.gather(*(self._send(node, ends_at, pause) for node in self.nodes))
-
-    async def _send(self, node: GatewayNode, ends_at: float, pause: float) -> None:
-        client = await Client.connect(node.frontend_address)
-        while asyncio.get_running_loop().time() < ends_at:
-            self._number += 1
-            result = await client.ask("/safe/", f"request-{self._number}")
-            self.answers.append(result)
-            await asyncio.sleep(pause)
-        client.close()
-
-    def instance(self, node: GatewayNode, name: str) -> Instance:
-        """A server as a gateway knows it."""
-        instance = node.context.instances.get(name)
-        assert instance is not None
-        return instance
-
     def limit_at(self, node: GatewayNode, name: str) -> float | None:
         """A server's limit as a gateway knows it."""
         return node.context.server_signals.per_second(self.instance(node, name).key)
--- a/tests/signalling_fleet.py
+++ b/tests/signalling_fleet.py
@@ -6,10 +6,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from gateway_fleet import GATEWAYS, GatewayFleet
 from gateway_harness import Harness
 from gateway_standin import (
-    Client,
-    ClientAnswer,
     ReceivedRequest,
     StandinServer,
     answer,
@@ -18,17 +17,13 @@
     signed,
     stream_head,
 )
-from milletcourse.exchange.servers.instance_table import Instance
-from milletcourse.gateway.node import GatewayNode
 
-GATEWAYS = 3
 SHORT_PROMPT = {
     "Model": "model-1",
     "Token_Usage": "40,8",
     "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20",
 }
 """Fits into the stand-ins' memory of 1,000 tokens as often as clients ask."""
-PAUSE_SECONDS = 0.01
 SLOWER_SECONDS = 0.05
 REST_SLACK_SECONDS = 0.5
 """What arrives so soon after a server asked for rest may have been on its way."""
@@ -76,17 +71,14 @@
         )
 
 
-class SignallingFleet:
+class SignallingFleet(GatewayFleet):
     """Servers with moods, gateways, and clients that send to all of these in turn."""
 
     def __init__(self, harness: Harness, service: str = "app") -> None:
-        self.harness = harness
+        super().__init__(harness)
         self.service = service
         self.moods: dict[str, Mood] = {}
         self.arrivals: dict[str, Arrivals] = {}
-        self.nodes: list[GatewayNode] = []
-        self.answers: list[ClientAnswer] = []
-        self._number = 0
 
     async def start(self, moods: dict[str, Mood], gateways: int = GATEWAYS) -> None:
         """Start servers and gateways, and wait until all know each other."""
@@ -99,19 +91,7 @@
             await harness.add_server(name, self.service, self._behave, version)
         if self.service == "engine":
             harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
-        await harness.start()
-        assert harness.node is not None
-        self.nodes = [harness.node]
-        for number in range(1, gateways):
-            self.nodes.append(await harness.add_gateway(f"front-{number + 1}"))
-        for node in self.nodes:
-            await harness.until(lambda node=node: self.knows_all(node, gateways))
-
-    def knows_all(self, node: GatewayNode, gateways: int) -> bool:
-        """Whether a gateway knows the servers, the others, and which loads these tell."""
-        known = {instance.name for instance in node.context.instances}
-        is_ready = node.context.is_ready() and known >= set(self.harness.servers)
-        return is_ready and node.context.gateways == gateways
+        await self.start_gateways(gateways)
 
     async def _behave(
         self, server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -140,25 +120,9 @@
                 await asyncio.sleep(SLOWER_SECONDS)
             writer.write(answer(200, server.name.encode(), fields))
 
-    async def load(self, seconds: float, path: str = "/safe/") -> None:
-        """One client at each gateway sends for a while."""
-        ends_at = asyncio.get_running_loop().time() + seconds
-        await asyncio.gather(*(self._send(node, ends_at, path) for node in self.nodes))
-
-    async def _send(self, node: GatewayNode, ends_at: float, path: str) -> None:
-        client = await Client.connect(node.frontend_address)
-        while asyncio.get_running_loop().time() < ends_at:
-            self.answers.append(await self.ask(client, node, path))
-            await asyncio.sleep(PAUSE_SECONDS)
-        client.close()
-
-    async def ask(self, client: Client, node: GatewayNode, path: str) -> ClientAnswer:
-        """One request through one gateway; its servers see through which."""
-        self._number += 1
-        more = {"Sent_Through": node.context.settings.name}
-        if path.startswith("/stream/"):
-            more.update(SHORT_PROMPT)
-        return await client.ask(path, f"request-{self._number}", **more)
+    def fields(self, path: str) -> dict[str, str]:
+        """A prompt, for streams."""
+        return SHORT_PROMPT if path.startswith("/stream/") else {}
 
     async def most_asked(self, path: str = "/safe/") -> str:
         """Name of the server that clients' requests go to most."""
@@ -168,9 +132,3 @@
     def statuses(self) -> Counter[int]:
         """How often clients got which status."""
         return Counter(result.status for result in self.answers)
-
-    def instance(self, node: GatewayNode, name: str) -> Instance:
-        """A server as a gateway knows it."""
-        instance = node.context.instances.get(name)
-        assert instance is not None
-        return instance
