Gateways log the store's era, lists that they throw away and followers that are ahead of their reader

What the incident's logs couldn't tell: that the store had come back from an older copy, and at which revisions a reader and its followers stood. Era of every answer, also refusals, is read in the adapter; nothing is decided by it yet.

--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -14,7 +14,7 @@
 from milletcourse.gateway.servers.call_client import CallClient
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.store.directory import ContainedRequest, GatewayDirectory, GatewayEntry
-from milletcourse.gateway.store.kind_mirror import KindMirror
+from milletcourse.gateway.store.kind_mirror import KindMirror, KindSink
 from milletcourse.gateway.store.object_store import ObjectStoreClient
 from milletcourse.gateway.store.registration import Registration
 from milletcourse.gateway.store.sinks import ConfigurationSink, InstanceSink, TargetSink
@@ -161,10 +161,14 @@
     )
     instances = InstanceSink(context, adapter.decode_instance)
     targets = TargetSink(context, adapter.decode_target)
+
+    def mirror(kind: str, sink: KindSink) -> KindMirror:
+        return KindMirror(kind, sink, context.record.store.list_outdated)
+
     return (
-        WatchedKind(KindMirror(kinds.configuration, configuration), context.reading.watch_wait),
+        WatchedKind(mirror(kinds.configuration, configuration), context.reading.watch_wait),
         # Many pages: read stale, and brought up to date by the first watch.
-        WatchedKind(KindMirror(kinds.instances, instances), INSTANCE_WAIT_SECONDS, True),
-        WatchedKind(KindMirror(kinds.targets, targets), TARGET_WAIT_SECONDS),
-        WatchedKind(KindMirror(kinds.gateways, directory), GATEWAY_WAIT_SECONDS, True),
+        WatchedKind(mirror(kinds.instances, instances), INSTANCE_WAIT_SECONDS, True),
+        WatchedKind(mirror(kinds.targets, targets), TARGET_WAIT_SECONDS),
+        WatchedKind(mirror(kinds.gateways, directory), GATEWAY_WAIT_SECONDS, True),
     )
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -74,6 +74,7 @@
             random_source,
             self.context.record.tally.on_store_call,
             self.context.record.objects_unreadable,
+            self.context.record.store,
         )
         self._fleet = FleetMember(
             self.context, self._store, self._calls, adapter, self._listen, self._spawn
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -28,6 +28,10 @@
         """A call failed."""
 
 
+OnOutdated = Callable[[str, int, int], None]
+"""Told of a list that is thrown away: its kind, its revision, and the one that is known."""
+
+
 class KindMirror:
     """Objects of one kind at a revision of the store, with the latest changes.
 
@@ -37,11 +41,14 @@
         on_news: Called after each change.
     """
 
-    def __init__(self, kind: str, sink: KindSink) -> None:
+    def __init__(
+        self, kind: str, sink: KindSink, on_outdated: OnOutdated = lambda kind, listed, known: None
+    ) -> None:
         self.kind = kind
         self.revision: int | None = None
         self.on_news: Callable[[], None] | None = None
         self._sink = sink
+        self._on_outdated = on_outdated
         self._objects: dict[str, StoredObject] = {}
         self._log: deque[tuple[int, ObjectChange]] = deque()
         self._log_start = 0
@@ -51,6 +58,7 @@
     def on_list(self, objects: list[StoredObject], revision: int, sent_at: float) -> None:
         """All objects as they were at a revision; one that is older than what is known is void."""
         if self.revision is not None and revision < self.revision:
+            self._on_outdated(self.kind, revision, self.revision)
             return
         listed = {stored.name: stored for stored in objects}
         for change in self._differences(listed):
--- a/src/milletcourse/gateway/store/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -105,6 +105,12 @@
 class StoreDialect(Protocol):
     """Paths and formats of one store; every reader raises `StoreError` for a failed reply."""
 
+    def read_era(self, reply: Reply) -> int:
+        """The era of any reply, also of a refusal; `UNKNOWN_ERA` when it isn't told.
+
+        Raises `ValueError` when it can't be understood.
+        """
+
     def list_call(self, kind: str, after: str, stale: bool) -> Call:
         """A page of a kind's objects behind a name; empty for the first page.
 
@@ -139,6 +145,16 @@
 """Told of objects without a name or a revision: their kind, and how many."""
 
 
+class EraListener(Protocol):
+    """Told what answers say of the store's history."""
+
+    def era(self, before: int | None, era: int) -> None:
+        """A later era than before; None before the first answer."""
+
+    def era_unreadable(self) -> None:
+        """An answer's era can't be understood."""
+
+
 class ObjectStoreClient:
     """Calls one store."""
 
@@ -150,6 +166,7 @@
         random_source: random.Random,
         on_call: OnCall,
         on_unreadable: OnUnreadable = lambda kind, count: None,
+        era_listener: EraListener | None = None,
     ) -> None:
         self._address = address
         self._random = random_source
@@ -157,6 +174,8 @@
         self._calls = calls
         self._on_call = on_call
         self._on_unreadable = on_unreadable
+        self._era_listener = era_listener
+        self._era: int | None = None
 
     async def list_all(
         self, kind: str, stale: bool = False
@@ -232,4 +251,17 @@
         self._on_call(kind, reply is not None and reply.status < SERVER_ERROR_STATUS)
         if reply is None:
             raise StoreError(StoreProblem.UNAVAILABLE)
+        self._note_era(reply)
         return reply
+
+    def _note_era(self, reply: Reply) -> None:
+        if self._era_listener is None:
+            return
+        try:
+            era = self._dialect.read_era(reply)
+        except ValueError:
+            self._era_listener.era_unreadable()
+            return
+        if self._era is None or era > self._era:
+            self._era_listener.era(self._era, era)
+            self._era = era
--- a/src/milletcourse/gateway/store/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -41,6 +41,7 @@
         if question is None:
             refuse(client, MalformedRequest("no question about the store"))
             return
+        self._note_positions(question)
         await self._wait_for_news(question, received_at)
         if not self._vouches():
             refuse(client, NotReady("the store isn't read here now"))
@@ -54,6 +55,15 @@
         answer = FeedAnswer([kind for kind in told if kind is not None], proof_offset)
         client.send_whole(200, b"", [_CONTENT_TYPE], encode_answer(answer))
 
+    def _note_positions(self, question: FeedQuestion) -> None:
+        for position in question.positions:
+            mirror = self._mirrors.get(position.kind)
+            known = mirror.revision if mirror is not None else None
+            if known is not None:
+                self._context.record.store.follower_position(
+                    position.kind, position.revision, known
+                )
+
     def _vouches(self) -> bool:
         """Whether what is known here is current enough to be told."""
         context = self._context
--- a/src/milletcourse/gateway/telling/recorder.py
+++ b/src/milletcourse/gateway/telling/recorder.py
@@ -19,6 +19,7 @@
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.gateway.telling.figures import Figures
 from milletcourse.gateway.telling.signal_recorder import SignalRecorder
+from milletcourse.gateway.telling.store_recorder import StoreRecorder
 from milletcourse.gateway.telling.unanswered import UnansweredRequest
 
 MAX_SHOWN_SERVERS = 8
@@ -89,6 +90,7 @@
     Attributes:
         now: Monotonic time.
         signals: The same, for what servers say of themselves.
+        store: The same, for the history of the object store.
         tally: Sums for the log.
     """
 
@@ -101,6 +103,7 @@
         self.now = now
         self._reachable: dict[str, bool] = {}
         self.signals = SignalRecorder(log, figures)
+        self.store = StoreRecorder(log, figures)
         self.tally = ServiceTally()
 
     # -- requests -------------------------------------------------------------------------------
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -37,6 +37,8 @@
     leases="milletcourse-leases",
     roll_out_lease="roll-out",
 )
+STORE_ERA = b"store-era"
+"""Field of the store's answers, in lower case."""
 READY_PATH = "/milletcourse/ready"
 OBJECTS_PATH = "/milletcourse/objects"
 ORDER_PATH = "/milletcourse/order"
--- a/src/milletcourse/platform/object_store.py
+++ b/src/milletcourse/platform/object_store.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
+from milletcourse.exchange.messages.store_place import UNKNOWN_ERA
 from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.gateway.store.object_store import (
     UNREADABLE,
@@ -17,7 +19,7 @@
     StoreError,
     StoreProblem,
 )
-from milletcourse.platform.names import OBJECTS_PATH
+from milletcourse.platform.names import OBJECTS_PATH, STORE_ERA
 
 _PROBLEMS = {
     404: StoreProblem.NOT_FOUND,
@@ -26,6 +28,9 @@
 }
 
 
+_ERA = re.compile(rb"[0-9]{1,15}")
+
+
 class _Metadata(msgspec.Struct, frozen=True, rename="pascal"):
     name: str
     revision: int = 0
@@ -55,6 +60,16 @@
 class PlatformStoreDialect:
     """Implements `StoreDialect`."""
 
+    def read_era(self, reply: Reply) -> int:
+        """See `StoreDialect`."""
+        fields = reply.head.fields if reply.head is not None else []
+        told = [field.value for field in fields if field.name.lower() == STORE_ERA]
+        if not told:
+            return UNKNOWN_ERA
+        if len(told) > 1 or not _ERA.fullmatch(told[0]):
+            raise ValueError("no era")
+        return int(told[0])
+
     def list_call(self, kind: str, after: str, stale: bool) -> Call:
         """See `StoreDialect`."""
         terms = []
