--- /dev/null
+++ b/tests/gateway/store/test_store_copies.py
@@ -0,0 +1,235 @@
+"""The object store comes back from a copy that is some seconds old, and goes on from there."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from gateway_fleet import GatewayFleet
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import (
+    Client,
+    ReceivedRequest,
+    StandinServer,
+    StoreCopy,
+    answer,
+    configuration,
+)
+from milletcourse.gateway.node import GatewayNode
+from signalling_fleet import Mood, SignallingFleet
+
+GATEWAYS = "milletcourse-gateways"
+LEASES = "milletcourse-leases"
+LOST_VERSIONS = 6
+SETTLED_SECONDS = 0.6
+"""By now all gateways have read the store that came back, and follow their reader again."""
+HEARD_SECONDS = 0.5
+JUDGED_SECONDS = 1.0
+LISTED_SECONDS = 2.0
+ORDERED_SECONDS = 5.0
+ONE_TENANT = [{"Name": "tenant-1", "ApiKeys": ["key-1"], "Priority": 1}]
+
+
+async def _write_much(fleet: GatewayFleet) -> None:
+    """Writes to each kind, which all gateways have seen."""
+    store = fleet.harness.store
+    names = list(store.objects["servers"])
+    for version in range(2, LOST_VERSIONS + 2):
+        store.put("config", "main", configuration(version))
+        store.put("versions", "model-2", {"Model": "model-2", "Version": version})
+        for name in names:
+            entry = store.objects["servers"][name]["Spec"]
+            store.put("servers", name, {**entry, "Sequence": version})
+    for node in fleet.nodes:
+        await fleet.harness.until(lambda node=node: _has_version(node, LOST_VERSIONS + 1))
+
+
+def _has_version(node: GatewayNode, version: int) -> bool:
+    table = node.context.table
+    return table is not None and table.version == version
+
+
+async def _start_and_lose(harness: Harness) -> SignallingFleet:
+    """Gateways before a store that came back without its latest writes, and got them again."""
+    fleet = SignallingFleet(harness)
+    await fleet.start({"s-1": Mood(), "s-2": Mood(), "s-3": Mood()})
+    copy = harness.store.copy()
+    await _write_much(fleet)
+    harness.store.come_back(copy)
+    await fleet.load(SETTLED_SECONDS)
+    return fleet
+
+
+def test_a_server_that_leaves_after_the_store_came_back_gets_no_requests_from_followers() -> None:
+    """Followers asked with a revision that the store had not reached again."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = await _start_and_lose(harness)
+        leaving = await fleet.most_asked()
+        entry = harness.store.objects["servers"][leaving]["Spec"]
+        harness.store.put("servers", leaving, {**entry, "State": "draining"})
+        await fleet.load(HEARD_SECONDS)
+        since = asyncio.get_running_loop().time()
+        await fleet.load(JUDGED_SECONDS)
+        assert fleet.arrivals[leaving].count_since(since) == 0
+
+    run_with_gateway(scenario)
+
+
+def test_a_key_that_is_revoked_after_the_store_came_back_is_refused_by_followers() -> None:
+    """They went on with a configuration that their reader had replaced."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = await _start_and_lose(harness)
+        harness.store.put("config", "main", configuration(LOST_VERSIONS + 2, Tenants=ONE_TENANT))
+        await asyncio.sleep(HEARD_SECONDS)
+        assert await _statuses_with(fleet, "key-2") == [401] * len(fleet.nodes)
+
+    run_with_gateway(scenario)
+
+
+async def _statuses_with(fleet: GatewayFleet, key: str) -> list[int]:
+    statuses = []
+    for node in fleet.nodes:
+        client = await Client.connect(node.frontend_address)
+        statuses.append((await client.ask("/safe/", key=key)).status)
+        client.close()
+    return statuses
+
+
+def test_a_revoked_key_stays_revoked_when_an_older_configuration_comes_back() -> None:
+    """Until the operator has written again, and after that."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(), "s-2": Mood()})
+        copy = harness.store.copy()
+        harness.store.put("config", "main", configuration(2, Tenants=ONE_TENANT))
+        for node in fleet.nodes:
+            await harness.until(lambda node=node: _has_version(node, 2))
+        harness.store.come_back(copy, writes_again=False)
+        await asyncio.sleep(SETTLED_SECONDS)
+        assert await _statuses_with(fleet, "key-2") == [401] * len(fleet.nodes)
+        harness.store.put("config", "main", configuration(2, Tenants=ONE_TENANT))
+        await asyncio.sleep(HEARD_SECONDS)
+        assert await _statuses_with(fleet, "key-2") == [401] * len(fleet.nodes)
+        assert await _statuses_with(fleet, "key-1") == [200] * len(fleet.nodes)
+
+    run_with_gateway(scenario)
+
+
+def test_gateways_whose_entries_the_store_lost_are_listed_again() -> None:
+    """Each looked at its entry only when it had something to write."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        harness.store.put("config", "main", configuration())
+        copy = harness.store.copy()
+        await fleet.start({"s-1": Mood(), "s-2": Mood()})
+        names = {node.context.settings.name for node in fleet.nodes}
+        await harness.until(lambda: set(harness.store.objects[GATEWAYS]) == names)
+        harness.store.come_back(copy)
+        await asyncio.sleep(LISTED_SECONDS)
+        assert set(harness.store.objects.get(GATEWAYS, {})) == names
+
+    run_with_gateway(scenario)
+
+
+def test_a_server_that_is_gone_gets_no_requests_when_its_entry_comes_back() -> None:
+    """It may serve on for a while, as servers do that leave without a word."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(), "s-2": Mood(), "s-3": Mood()})
+        gone = await fleet.most_asked()
+        copy = harness.store.copy()
+        harness.store.remove("servers", gone)
+        await fleet.load(HEARD_SECONDS)
+        harness.store.come_back(copy, writes_again=False)
+        since = asyncio.get_running_loop().time()
+        await fleet.load(JUDGED_SECONDS)
+        harness.store.remove("servers", gone)
+        await fleet.load(HEARD_SECONDS)
+        assert fleet.arrivals[gone].count_since(since) == 0
+
+    run_with_gateway(scenario)
+
+
+@dataclass
+class LoadingServer:
+    """A model server that takes weights as ordered."""
+
+    name: str
+    version: int = 1
+    orders: list[dict[str, Any]] = field(default_factory=list)
+
+    async def behave(
+        self, server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer an order or a report."""
+        if request.target == "/milletcourse/order":
+            order = json.loads(request.body)
+            self.orders.append(order)
+            self.version = order["Version"]
+            writer.write(answer(202))
+            return
+        report = {
+            "Models": [{"Name": "model-1", "Version": self.version, "Adapters": []}],
+            "Busy": False,
+            "Sequence": len(self.orders),
+        }
+        writer.write(answer(200, json.dumps(report).encode()))
+
+
+async def _start_roll_out(harness: Harness, gateways: int) -> tuple[LoadingServer, StoreCopy]:
+    """A server that was brought to version 2, and a copy of the store from before that."""
+    engine = LoadingServer("e-1")
+    await harness.add_server("e-1", "engine", engine.behave, 1)
+    harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
+    harness.internal_ports = harness.free_ports()
+    # Gateways of different zones all read the store, and may all hold the lease.
+    await harness.start(LeaseMs=1500, VersionMs=3000)
+    for number in range(1, gateways):
+        node = await harness.add_gateway(
+            f"front-{number + 1}", zone=f"zone-{number + 1}", LeaseMs=1500, VersionMs=3000
+        )
+        await harness.until(node.context.is_ready)
+    copy = harness.store.copy()
+    harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 2})
+    await harness.until(lambda: engine.version == 2)
+    return engine, copy
+
+
+@pytest.mark.parametrize("closes_holder", [False, True])
+def test_newer_weights_are_ordered_when_the_store_lost_the_lease(closes_holder: bool) -> None:
+    """Nobody made it again, since all had seen it; and no two holders may share a token."""
+
+    async def scenario(harness: Harness) -> None:
+        engine, copy = await _start_roll_out(harness, gateways=2)
+        harness.store.come_back(copy)
+        if closes_holder:
+            _close(harness, engine.orders[-1]["Holder"])
+        await asyncio.sleep(SETTLED_SECONDS)
+        harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 3})
+        async with asyncio.timeout(ORDERED_SECONDS):
+            while engine.version != 3:
+                await asyncio.sleep(0.01)
+        holders: dict[int, set[str]] = {}
+        for order in engine.orders:
+            holders.setdefault(order["FencingToken"], set()).add(order["Holder"])
+        assert all(len(names) == 1 for names in holders.values()), engine.orders
+        tokens = [order["FencingToken"] for order in engine.orders]
+        assert tokens == sorted(tokens)
+
+    run_with_gateway(scenario)
+
+
+def _close(harness: Harness, name: str) -> None:
+    assert harness.node is not None
+    for node in [harness.node, *harness.others]:
+        if node.context.settings.name == name:
+            node.close()
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -63,11 +63,29 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+OPERATORS_KINDS = ("config", "versions", "servers")
+"""Kinds that the operator and the servers write."""
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at some moment."""
+
+    objects: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+    journal_length: int
+
+
 class StandinStore:
-    """Objects by kind with revisions, lists, watches, compare-and-set."""
+    """Objects by kind with revisions, lists, watches, compare-and-set.
+
+    Attributes:
+        era: Told in all answers, None for a store that tells none; rises with each return.
+    """
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.era: int | None = 1
         self.revision = 0
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.journal: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -132,6 +150,41 @@
         self.forgotten = self.revision
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """A copy that the store may come back from."""
+        objects = {kind: dict(items) for kind, items in self.objects.items()}
+        return StoreCopy(objects, self.revision, len(self.journal))
+
+    def come_back(self, copy: StoreCopy, cut: bool = True, writes_again: bool = True) -> None:
+        """Lose what came after a copy, and give its revisions out again.
+
+        Args:
+            copy: What is left.
+            cut: Its connections break; without that, watches that wait go on waiting.
+            writes_again: The operator and the servers write theirs again at once.
+        """
+        lost = self.objects
+        self.objects = {kind: dict(items) for kind, items in copy.objects.items()}
+        self.revision = copy.revision
+        del self.journal[copy.journal_length :]
+        self.history = [entry for entry in self.history if entry[0] <= copy.revision]
+        self.forgotten = min(self.forgotten, copy.revision)
+        if self.era is not None:
+            self.era += 1
+        if writes_again:
+            self._write_again(lost)
+        if cut:
+            self.cut()
+
+    def _write_again(self, lost: dict[str, dict[str, dict[str, Any]]]) -> None:
+        for kind in OPERATORS_KINDS:
+            before, now = lost.get(kind, {}), self.objects.get(kind, {})
+            for name in [name for name in now if name not in before]:
+                self.remove(kind, name)
+            for name, stored in before.items():
+                if name not in now or now[name]["Spec"] != stored["Spec"]:
+                    self.put(kind, name, stored["Spec"])
+
     def _note(self, kind: str, stored: dict[str, Any], gone: bool) -> None:
         self.journal.append((self.revision, kind, stored, gone))
         self.history.append((self.revision, kind, stored, gone))
@@ -146,11 +199,12 @@
                 status, document = await self._answer(request)
                 if self.silent:
                     await asyncio.Event().wait()
-                writer.write(
-                    answer(
-                        status, json.dumps(document).encode(), {"Content-Type": "application/json"}
-                    )
-                )
+                if writer.is_closing():
+                    return
+                fields = {"Content-Type": "application/json"}
+                if self.era is not None:
+                    fields["Store-Era"] = str(self.era)
+                writer.write(answer(status, json.dumps(document).encode(), fields))
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
@@ -213,7 +267,7 @@
     async def _watch(self, kind: str, revision: int, wait_ms: int) -> tuple[int, Any]:
         ends_at = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
-            if revision < self.forgotten:
+            if revision < self.forgotten or revision > self.revision:
                 return 410, {}
             events = [
                 {"Gone": gone, "Object": stored}
