Followers hear what changes after the store has come back from an older copy

Callers' requests went on to a server that had told the store that it leaves, with keys that had been revoked, for as long as the store's counter stayed below what it had been: a reader listed the returned store and kept the old revision beside the new objects, and its followers asked with that revision and were told nothing, while its proofs went on vouching for them.

Cause: a revision was taken for a place in the store's history; it is one only within an era. Ruled out: the readers' lists were void (readers had all that came after the return), peers' messages (configurations were missed in the same stretch).

An answer of a former era, of none or of an unreadable one gives nothing; watches that wait are given up when any call shows a new era; lists of two eras are read again; a reader doesn't vouch to a follower that knows a later era. A reader tells its followers what differs from what it held, or all when they had known more.

--- a/src/milletcourse/configuration/service.py
+++ b/src/milletcourse/configuration/service.py
@@ -16,8 +16,9 @@
 from milletcourse.configuration.freshness import FreshnessTracker
 from milletcourse.configuration.platform_client import WATCH_IDLE_SECONDS, PlatformClient
 from milletcourse.configuration.store import ChangesPage, ChangesRequest, ConfigurationStore
-from milletcourse.control.lease import LeaseSpec, LeaseTracker
+from milletcourse.control.lease import NOT_THERE, LeaseSpec, LeaseTracker
 from milletcourse.errors import FailureError, HistoryExpired, VersionConflict
+from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.logs import get_logger
 from milletcourse.membership.messages import PlatformStamp
 from milletcourse.peers import PeerClient
@@ -75,21 +76,26 @@
         """One observation and, when due, one write; raises FailureError."""
         stored = await self._platform.get(LEASE_KIND, self._name)
         spec = msgspec.convert(stored.spec, LeaseSpec) if stored else None
-        version = stored.version if stored else 0
-        self.tracker.on_observed(spec, version, self._clock.monotonic())
+        place = _place(stored.version if stored else NOT_THERE)
+        self.tracker.on_observed(spec, place, self._clock.monotonic())
         now = self._clock.monotonic()
         claim = self.tracker.next_claim(now)
         if claim is None:
             return
         change_id = f"{self._random.getrandbits(64):016x}"
-        write = PutObject(msgspec.to_builtins(claim.spec), claim.expected_version, change_id)
+        write = PutObject(msgspec.to_builtins(claim.spec), claim.expected.revision, change_id)
         try:
             written = await self._platform.put(LEASE_KIND, self._name, write)
         except FailureError as error:
             if isinstance(error.failure, VersionConflict):
                 return
             raise
-        self.tracker.on_written(claim, written.version, now)
+        self.tracker.on_written(claim, _place(written.version), now)
+
+
+def _place(version: int) -> StorePlace:
+    """The platform of the routers tells no era."""
+    return StorePlace(UNKNOWN_ERA, version)
 
 
 class ConfigurationService:
--- a/src/milletcourse/exchange/messages/feed_messages.py
+++ b/src/milletcourse/exchange/messages/feed_messages.py
@@ -1,22 +1,29 @@
 """What a gateway that reads the object store tells those that follow it; no input/output.
 
-A follower asks with the revisions that it knows and is answered when there is more, or after a
-while. A proof travels as a difference on the reader's clock: the time of the proven call to the
-store less the time at which the question came in. The question was sent no later than it came in,
-so the follower counts the proof from when it asked plus that difference, however long the answer
-was under way, and whatever the two clocks show.
+A follower asks with the places in the store's history that it knows, and is answered when there is
+more, or after a while. A proof travels as a difference on the reader's clock: the time of the
+proven call to the store less the time at which the question came in. The question was sent no later
+than it came in, so the follower counts the proof from when it asked plus that difference, however
+long the answer was under way, and whatever the two clocks show.
 """
 
 from __future__ import annotations
 
 import msgspec
 
+from milletcourse.exchange.messages.store_place import StorePlace
+
 
 class FeedPosition(msgspec.Struct, array_like=True, frozen=True):
-    """How far a follower knows one kind of objects; a revision below 0 is nothing."""
+    """How far a follower knows one kind of objects.
+
+    Attributes:
+        kind: Kind of the objects.
+        place: State of the store up to which it knows them, None when it knows nothing.
+    """
 
     kind: str
-    revision: int
+    place: StorePlace | None
 
 
 class FeedQuestion(msgspec.Struct, array_like=True, frozen=True):
@@ -32,10 +39,10 @@
 
 
 class FedObject(msgspec.Struct, array_like=True, frozen=True):
-    """An object that is there, or that went."""
+    """An object that is there, or that went, with its latest change."""
 
     name: str
-    revision: int
+    place: StorePlace
     spec: msgspec.Raw
     gone: bool = False
 
@@ -45,13 +52,13 @@
 
     Attributes:
         kind: Kind of the objects.
-        revision: Revision of the store up to which they are told.
+        place: State of the store up to which they are told.
         whole: They are all objects of the kind, not just the changes.
         objects: Objects in the order of their changes.
     """
 
     kind: str
-    revision: int
+    place: StorePlace
     whole: bool
     objects: list[FedObject]
 
--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -12,6 +12,7 @@
 
 from milletcourse.exchange.messages.peer_messages import incarnation_key
 from milletcourse.exchange.messages.records import InstanceRecord
+from milletcourse.exchange.servers.gone_servers import GoneServers
 from milletcourse.exchange.servers.server_health import ServerHealth
 
 BACK_SECONDS = 2.3
@@ -106,6 +107,7 @@
         self._services: dict[str, dict[str, Instance]] = {}
         self._services_by_address: dict[str, str] = {}
         self._doubtful_until = float("-inf")
+        self._gone = GoneServers()
         self.generation = 0
         self.on_forgotten: Callable[[str], None] | None = None
         self.on_restarted: Callable[[Instance], None] | None = None
@@ -140,14 +142,29 @@
         if self._doubtful_until == float("inf"):
             self._doubtful_until = now + BACK_SECONDS
 
+    def on_copy(self, now: float) -> None:
+        """The discovery's store has come back from an older copy.
+
+        What is missing there may have been written since, and is doubtful; what had gone since is
+        there again, and is no less gone.
+        """
+        self._doubtful_until = now + BACK_SECONDS
+        self._gone.on_copy(now)
+
     def replace_all(self, records: Iterable[InstanceRecord], now: float) -> None:
         """A whole list arrived."""
         listed = {record.name: record for record in records}
+        self._gone.on_list()
         for record in listed.values():
-            self.upsert(record)
+            self.on_entry(record, now)
         for name in [name for name in self._instances if name not in listed]:
             self.remove(name, now)
 
+    def on_entry(self, record: InstanceRecord, now: float) -> None:
+        """The discovery shows an entry; one that came back with an older copy is doubtful."""
+        if record.name in self._instances or not self._gone.doubts(record, now):
+            self.upsert(record)
+
     def upsert(self, record: InstanceRecord) -> None:
         """An entry appeared or changed.
 
@@ -228,6 +245,7 @@
 
     def remove(self, name: str, now: float) -> None:
         """An entry went: gone, or doubtful while the store is unstable."""
+        self._gone.on_removed(name)
         instance = self._instances.get(name)
         if instance is None:
             return
@@ -236,15 +254,21 @@
             if instance.vanished_at is None:
                 instance.vanished_at = now
             return
-        self.forget(name)
+        self._forget_gone(instance, now)
 
     def expire_doubtful(self, now: float) -> None:
-        """Drop doubtful entries that did not come back."""
+        """Drop doubtful entries that did not come back, and believe those that stayed."""
+        for record in self._gone.take_believed(now):
+            self.upsert(record)
         if now < self._doubtful_until:
             return
         for instance in list(self._instances.values()):
             if instance.vanished_at is not None:
-                self.forget(instance.name)
+                self._forget_gone(instance, now)
+
+    def _forget_gone(self, instance: Instance, now: float) -> None:
+        self._gone.on_gone(instance.record, now)
+        self.forget(instance.name)
 
     def forget(self, name: str) -> None:
         """Drop a server at once, with all that is known of it."""
--- a/src/milletcourse/gateway/fleet/roll_out_service.py
+++ b/src/milletcourse/gateway/fleet/roll_out_service.py
@@ -117,13 +117,13 @@
 
     async def _write(self, claim: LeaseClaim) -> None:
         spec = msgspec.json.encode(claim.spec)
-        if claim.expected_version == 0:
+        if claim.creates:
             stored, sent_at = await self._store.create(self._lease_kind, self._lease_name, spec)
         else:
             stored, sent_at = await self._store.replace(
-                self._lease_kind, self._lease_name, spec, claim.expected_version
+                self._lease_kind, self._lease_name, spec, claim.expected
             )
-        self._lease.on_written(claim, stored.revision, sent_at)
+        self._lease.on_written(claim, stored.place, sent_at)
         self._next_lease_call = sent_at + self._renew_seconds
 
     def _observe(self, stored: StoredObject) -> None:
@@ -132,7 +132,7 @@
         except msgspec.MsgspecError:
             self._context.log.emit("object-malformed", name=stored.name)
             return
-        self._lease.on_observed(spec, stored.revision, self._context.now())
+        self._lease.on_observed(spec, stored.place, self._context.now())
 
     def _note_holder(self) -> None:
         holder = self._lease.is_held(self._context.now())
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -9,6 +9,7 @@
 
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.messages.peer_messages import CrashEnd, CrashReport
+from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.exchange.reading.store_reading import GatewayRecord
 from milletcourse.gateway.store.object_store import UNREADABLE, ObjectChange, StoredObject
 from milletcourse.gateway.telling.event_log import EventLog
@@ -70,7 +71,7 @@
     Attributes:
         is_listed: Set when the list is known, which may be some seconds old at first.
         own_entry: What the list says of this gateway: of an earlier process, right after a start.
-        own_revision: Revision of that entry, None without one.
+        own_place: Its latest change, None without one.
     """
 
     def __init__(
@@ -92,7 +93,7 @@
         self._log = log
         self.is_listed = asyncio.Event()
         self.own_entry: GatewayEntry | None = None
-        self.own_revision: int | None = None
+        self.own_place: StorePlace | None = None
         self._others: dict[str, GatewayRecord] = {}
         self._listeners: list[Callable[[list[GatewayRecord]], None]] = []
 
@@ -122,6 +123,9 @@
     def on_unavailable(self) -> None:
         """See `KindSink`: the known gateways stay known."""
 
+    def on_new_era(self) -> None:
+        """See `KindSink`."""
+
     def _tell(self) -> None:
         others = list(self._others.values())
         for listener in self._listeners:
@@ -133,7 +137,7 @@
         if entry is not None and entry.contained and self._on_contained is not None:
             self._on_contained(entry, stored.name == self._own_name)
         if stored.name == self._own_name:
-            self.own_entry, self.own_revision = entry, stored.revision
+            self.own_entry, self.own_place = entry, stored.place
             return
         if len(self._others) >= MAX_GATEWAYS:
             return
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -4,11 +4,12 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from typing import Protocol, TypeGuard
 
 import msgspec
 
 from milletcourse.exchange.messages.feed_messages import FedKind, FedObject
+from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 
 MAX_LOGGED_CHANGES = 2048
@@ -27,17 +28,21 @@
     def on_unavailable(self) -> None:
         """A call failed."""
 
+    def on_new_era(self) -> None:
+        """The store has come back from an older copy; what it holds now is handed on next."""
 
-OnOutdated = Callable[[str, int, int], None]
-"""Told of a list that is thrown away: its kind, its revision, and the one that is known."""
+
+OnOutdated = Callable[[str, StorePlace, StorePlace], None]
+"""Told of a list that is thrown away: its kind, the state that it shows, and the known one."""
 
 
 class KindMirror:
-    """Objects of one kind at a revision of the store, with the latest changes.
+    """Objects of one kind at a state of the store, with the latest changes.
 
     Attributes:
         kind: Kind of the objects.
-        revision: Revision up to which they are known, None before the first list.
+        place: State of the store up to which they are known, None before the first list.
+        proved_at: Monotonic time at which they are known to have been so; minus infinity at first.
         on_news: Called after each change.
     """
 
@@ -45,40 +50,46 @@
         self, kind: str, sink: KindSink, on_outdated: OnOutdated = lambda kind, listed, known: None
     ) -> None:
         self.kind = kind
-        self.revision: int | None = None
+        self.place: StorePlace | None = None
+        self.proved_at = float("-inf")
         self.on_news: Callable[[], None] | None = None
         self._sink = sink
         self._on_outdated = on_outdated
         self._objects: dict[str, StoredObject] = {}
-        self._log: deque[tuple[int, ObjectChange]] = deque()
-        self._log_start = 0
+        self._log: deque[tuple[StorePlace, ObjectChange]] = deque()
+        self._log_start: StorePlace | None = None
+        self._former_place: StorePlace | None = None
+        """State at which the era before this one ended, as far as it was known here."""
 
     # -- learning -------------------------------------------------------------------------------
 
-    def on_list(self, objects: list[StoredObject], revision: int, sent_at: float) -> None:
-        """All objects as they were at a revision; one that is older than what is known is void."""
-        if self.revision is not None and revision < self.revision:
-            self._on_outdated(self.kind, revision, self.revision)
+    def on_list(self, objects: list[StoredObject], place: StorePlace, sent_at: float) -> None:
+        """All objects as they were at a state; one that is older than what is known is void."""
+        if self.place is not None and place < self.place:
+            self._on_outdated(self.kind, place, self.place)
             return
         listed = {stored.name: stored for stored in objects}
         for change in self._differences(listed):
-            self._note(change, revision)
+            self._note(change, place)
         self._objects = listed
-        self._advance(revision)
+        self._advance(place, sent_at)
         self._sink.on_list(objects, sent_at)
         self._tell()
 
     def on_changes(self, changes: ObjectChanges, sent_at: float) -> None:
-        """What came since the revision that is known; maybe nothing."""
-        for change in changes.changes:
-            self._note(change, changes.revision)
+        """What came since some known state; maybe nothing, maybe what is known by now."""
+        if self.place is None:
+            return
+        news = changes.changes if changes.place > self.place else ()
+        for change in news:
+            self._note(change, changes.place)
             if change.gone:
                 self._objects.pop(change.stored.name, None)
             else:
                 self._objects[change.stored.name] = change.stored
-        self._advance(changes.revision)
-        self._sink.on_changes(changes.changes, sent_at)
-        if changes.changes:
+        self._advance(max(changes.place, self.place), sent_at)
+        self._sink.on_changes(news, sent_at)
+        if news:
             self._tell()
 
     def on_unavailable(self) -> None:
@@ -86,7 +97,7 @@
         self._sink.on_unavailable()
 
     def _differences(self, listed: dict[str, StoredObject]) -> Iterable[ObjectChange]:
-        if self.revision is None:
+        if self.place is None:
             # Followers that know nothing are told all; there is nothing to compare with.
             return
         for name, stored in self._objects.items():
@@ -94,18 +105,22 @@
                 yield ObjectChange(stored, gone=True)
         for name, stored in listed.items():
             known = self._objects.get(name)
-            if known is None or known.revision != stored.revision:
+            if known is None or known.spec != stored.spec:
                 yield ObjectChange(stored, gone=False)
 
-    def _note(self, change: ObjectChange, revision: int) -> None:
-        self._log.append((revision, change))
+    def _note(self, change: ObjectChange, place: StorePlace) -> None:
+        self._log.append((place, change))
         while len(self._log) > MAX_LOGGED_CHANGES:
             self._log_start = self._log.popleft()[0]
 
-    def _advance(self, revision: int) -> None:
-        if self.revision is None:
-            self._log_start = revision
-        self.revision = max(revision, self.revision or 0)
+    def _advance(self, place: StorePlace, sent_at: float) -> None:
+        if self.place is None:
+            self._log_start = place
+        elif place.era > self.place.era:
+            self._former_place = self.place
+            self._sink.on_new_era()
+        self.place = place
+        self.proved_at = max(self.proved_at, sent_at)
 
     def _tell(self) -> None:
         if self.on_news is not None:
@@ -113,39 +128,56 @@
 
     # -- telling --------------------------------------------------------------------------------
 
-    def has_news(self, revision: int) -> bool:
-        """Whether something came after a revision."""
-        if self.revision is None or revision >= self.revision:
+    def has_news(self, place: StorePlace | None) -> bool:
+        """Whether something came after a state."""
+        if self.place is None or (place is not None and place >= self.place):
             return False
-        return revision < self._log_start or (bool(self._log) and self._log[-1][0] > revision)
+        return not self._logs_since(place) or (bool(self._log) and self._log[-1][0] > place)
 
-    def since(self, revision: int) -> FedKind | None:
-        """What came after a revision, None when it is known up to there at most."""
-        if self.revision is None or revision >= self.revision:
+    def since(self, place: StorePlace | None) -> FedKind | None:
+        """What came after a state, None when it is known up to there at most."""
+        if self.place is None or (place is not None and place >= self.place):
             return None
-        if revision < self._log_start:
+        if not self._logs_since(place):
             objects = [_fed(stored, False) for stored in self._objects.values()]
-            return FedKind(self.kind, self.revision, True, objects)
-        changes = [_fed(change.stored, change.gone) for at, change in self._log if at > revision]
-        return FedKind(self.kind, self.revision, False, changes)
+            return FedKind(self.kind, self.place, True, objects)
+        changes = [_fed(change.stored, change.gone) for at, change in self._log if at > place]
+        return FedKind(self.kind, self.place, False, changes)
+
+    def _logs_since(self, place: StorePlace | None) -> TypeGuard[StorePlace]:
+        """Whether all changes after a state are kept.
+
+        Of an era that has ended, changes are kept up to the state at which it ended here: a later
+        one was lost by the store, with changes that weren't known here.
+        """
+        if place is None or self._log_start is None or self.place is None:
+            return False
+        if place.era < self.place.era and (
+            self._former_place is None
+            or place.era < self._former_place.era
+            or place > self._former_place
+        ):
+            return False
+        return place >= self._log_start
 
     def on_fed(self, fed: FedKind, sent_at: float) -> None:
         """A reader tells what came."""
         changes = tuple(ObjectChange(_stored(item), item.gone) for item in fed.objects)
         if fed.whole:
-            self.on_list([change.stored for change in changes], fed.revision, sent_at)
-        elif self.revision is not None:
-            self.on_changes(ObjectChanges(changes, fed.revision), sent_at)
+            self.on_list([change.stored for change in changes], fed.place, sent_at)
+        else:
+            self.on_changes(ObjectChanges(changes, fed.place), sent_at)
 
     def on_proof(self, sent_at: float) -> None:
         """A reader proves that nothing else had come when a call was sent at this time."""
-        if self.revision is not None:
+        if self.place is not None:
+            self.proved_at = max(self.proved_at, sent_at)
             self._sink.on_changes((), sent_at)
 
 
 def _fed(stored: StoredObject, gone: bool) -> FedObject:
-    return FedObject(stored.name, stored.revision, msgspec.Raw(stored.spec), gone)
+    return FedObject(stored.name, stored.place, msgspec.Raw(stored.spec), gone)
 
 
 def _stored(item: FedObject) -> StoredObject:
-    return StoredObject(item.name, item.revision, bytes(item.spec))
+    return StoredObject(item.name, item.place, bytes(item.spec))
--- a/src/milletcourse/gateway/store/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import (
     ObjectChanges,
@@ -53,7 +54,7 @@
         self._random = random_source
         self._stale_lists = stale_lists
         self._history_gone = False
-        self._revision = mirror.revision
+        self._place = mirror.place
         self._failures = 0
 
     async def run(self) -> None:
@@ -64,7 +65,7 @@
                 self._failures = 0
                 self.reached.set()
             except StoreError as error:
-                self._revision = None
+                self._place = None
                 self._history_gone = error.problem is StoreProblem.HISTORY_GONE
                 if error.problem is StoreProblem.HISTORY_GONE and self._failures == 0:
                     self._failures = 1
@@ -72,20 +73,24 @@
                 await self._pause()
 
     async def _step(self) -> None:
-        if self._revision is None:
+        if self._place is None:
             await self._list()
             return
         kind = self._mirror.kind
-        changes, sent_at = await self._store.watch(kind, self._revision, self._wait_seconds)
+        changes, sent_at = await self._store.watch(kind, self._place, self._wait_seconds)
         self._mirror.on_changes(changes, sent_at)
-        self._revision = max(changes.revision, self._revision)
+        self._place = max(changes.place, self._place)
 
     async def _list(self) -> None:
         kind = self._mirror.kind
         stale = self._stale_lists and not self._history_gone
-        objects, revision, sent_at = await list_as_of_now(self._store, kind, stale)
-        self._mirror.on_list(objects, revision, sent_at)
-        self._revision = revision
+        objects, place, sent_at = await list_as_of_now(self._store, kind, stale)
+        known = self._mirror.place
+        if stale and known is not None and place.era > known.era:
+            # It may show what the store has lost since.
+            raise StoreError(StoreProblem.HISTORY_GONE)
+        self._mirror.on_list(objects, place, sent_at)
+        self._place = place
 
     async def _pause(self) -> None:
         self.reached.clear()
@@ -101,18 +106,18 @@
 
 async def list_as_of_now(
     store: ObjectStoreClient, kind: str, stale: bool
-) -> tuple[list[StoredObject], int, float]:
-    """All objects of a kind as they are now: (objects, revision, time of the proving call).
+) -> tuple[list[StoredObject], StorePlace, float]:
+    """All objects of a kind as they are now: (objects, place, time of the proving call).
 
     A stale list is followed by a watch that doesn't wait, which brings what came since; when that
     history is gone, only a fresh list will do.
     """
-    objects, revision, sent_at = await store.list_all(kind, stale)
+    objects, place, sent_at = await store.list_all(kind, stale)
     if not stale:
-        return objects, revision, sent_at
+        return objects, place, sent_at
     # A stale page proves nothing about now; together with the watch it does.
-    since, watched_at = await store.watch(kind, revision, 0.0)
-    return _brought_up_to_date(objects, since), max(since.revision, revision), watched_at
+    since, watched_at = await store.watch(kind, place, 0.0)
+    return _brought_up_to_date(objects, since), max(since.place, place), watched_at
 
 
 def _brought_up_to_date(objects: list[StoredObject], since: ObjectChanges) -> list[StoredObject]:
--- a/src/milletcourse/gateway/store/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
 
 CALL_TIMEOUT_SECONDS = 1.0
@@ -33,27 +34,27 @@
 
     Attributes:
         name: Unique within its kind.
-        revision: Revision of its last change.
+        place: Its last change.
         spec: Its content as JSON.
     """
 
     name: str
-    revision: int
+    place: StorePlace
     spec: bytes
 
 
 class ObjectPage(msgspec.Struct, frozen=True):
-    """A page of a list at a revision of the store.
+    """A page of a list.
 
     Attributes:
         objects: Those that can be told apart.
-        revision: Revision of the store.
+        place: State of the store that it shows.
         more: Further pages follow.
         unreadable: Objects that can't: without a name or a revision.
     """
 
     objects: tuple[StoredObject, ...]
-    revision: int
+    place: StorePlace
     more: bool
     unreadable: int = 0
 
@@ -66,16 +67,16 @@
 
 
 class ObjectChanges(msgspec.Struct, frozen=True):
-    """Changes up to a revision.
+    """Changes up to a state of the store.
 
     Attributes:
         changes: Those whose object can be told apart.
-        revision: Revision of the store.
+        place: State of the store after them.
         unreadable: Changes whose object can't.
     """
 
     changes: tuple[ObjectChange, ...]
-    revision: int
+    place: StorePlace
     unreadable: int = 0
 
 
@@ -84,6 +85,7 @@
 
     UNAVAILABLE = "unavailable"
     HISTORY_GONE = "history-gone"
+    """What was asked for, or was told, belongs to a history that the store has lost."""
     CONFLICT = "conflict"
     NOT_FOUND = "not-found"
 
@@ -120,8 +122,8 @@
     def read_page(self, reply: Reply) -> ObjectPage:
         """Understand a page."""
 
-    def watch_call(self, kind: str, revision: int, wait_seconds: float) -> Call:
-        """Changes of a kind after a revision; waits for one."""
+    def watch_call(self, kind: str, place: StorePlace, wait_seconds: float) -> Call:
+        """Changes of a kind after a state of the store; waits for one."""
 
     def read_changes(self, reply: Reply) -> ObjectChanges:
         """Understand changes."""
@@ -132,8 +134,8 @@
     def create_call(self, kind: str, name: str, spec: bytes) -> Call:
         """Make an object that isn't there."""
 
-    def replace_call(self, kind: str, name: str, spec: bytes, revision: int) -> Call:
-        """Replace an object that is at a revision."""
+    def replace_call(self, kind: str, name: str, spec: bytes, place: StorePlace) -> Call:
+        """Replace an object whose last change is known."""
 
     def read_object(self, reply: Reply) -> StoredObject:
         """Understand one object."""
@@ -152,11 +154,31 @@
         """A later era than before; None before the first answer."""
 
     def era_unreadable(self) -> None:
-        """An answer's era can't be understood."""
+        """An answer's era is missing after others with one, or can't be understood."""
+
+    def answer_outdated(self, kind: str, era: int, known: int) -> None:
+        """An answer about a kind is of a former era than one before it."""
+
+
+class _Unheard:
+    """Takes no notice of the store's history; an `EraListener`."""
+
+    def era(self, before: int | None, era: int) -> None:
+        """See `EraListener`."""
+
+    def era_unreadable(self) -> None:
+        """See `EraListener`."""
+
+    def answer_outdated(self, kind: str, era: int, known: int) -> None:
+        """See `EraListener`."""
 
 
 class ObjectStoreClient:
-    """Calls one store."""
+    """Calls one store, and takes no answer of an era that has ended.
+
+    Attributes:
+        era: The latest era that an answer told, None before the first answer.
+    """
 
     def __init__(
         self,
@@ -174,20 +196,23 @@
         self._calls = calls
         self._on_call = on_call
         self._on_unreadable = on_unreadable
-        self._era_listener = era_listener
-        self._era: int | None = None
+        self._listener = era_listener or _Unheard()
+        self.era: int | None = None
+        self._watches: set[asyncio.Task[Reply]] = set()
+        self._outdated_watches: set[asyncio.Task[Reply]] = set()
 
     async def list_all(
         self, kind: str, stale: bool = False
-    ) -> tuple[list[StoredObject], int, float]:
-        """All objects of a kind: (objects, revision to watch from, time of the first call).
+    ) -> tuple[list[StoredObject], StorePlace, float]:
+        """All objects of a kind: (objects, place to watch from, time of the first call).
 
-        The revision is the lowest of all pages, so that changes between pages are seen again. A
+        The place is the earliest of all pages, so that changes between pages are seen again. A
         page that the store refuses is asked for again, since beginning anew would add to its load.
+        Pages of two eras make no list: raises `HISTORY_GONE`.
         """
         objects: list[StoredObject] = []
         after = ""
-        revision = 0
+        place: StorePlace | None = None
         sent_at = 0.0
         while True:
             page, page_sent_at = await self._page(kind, after, stale)
@@ -197,11 +222,13 @@
             if page.more and page.unreadable and not page.objects:
                 # Nothing tells where the next page begins.
                 raise StoreError(StoreProblem.UNAVAILABLE)
-            if not after:
-                revision, sent_at = page.revision, page_sent_at
-            revision = min(revision, page.revision)
+            if place is None:
+                place, sent_at = page.place, page_sent_at
+            if page.place.era != place.era:
+                raise StoreError(StoreProblem.HISTORY_GONE)
+            place = min(place, page.place)
             if not page.more or not page.objects:
-                return objects, revision, sent_at
+                return objects, place, sent_at
             after = page.objects[-1].name
 
     async def _page(self, kind: str, after: str, stale: bool) -> tuple[ObjectPage, float]:
@@ -210,19 +237,29 @@
             try:
                 reply = await self._send(kind, self._dialect.list_call(kind, after, stale))
                 return self._dialect.read_page(reply), reply.sent_at
-            except StoreError:
+            except StoreError as error:
+                if error.problem is StoreProblem.HISTORY_GONE:
+                    raise
                 await asyncio.sleep(pause * (0.5 + self._random.random()))
                 pause *= 2
         reply = await self._send(kind, self._dialect.list_call(kind, after, stale))
         return self._dialect.read_page(reply), reply.sent_at
 
     async def watch(
-        self, kind: str, revision: int, wait_seconds: float
+        self, kind: str, place: StorePlace, wait_seconds: float
     ) -> tuple[ObjectChanges, float]:
-        """Changes after a revision, and the time at which the call was sent."""
-        call = self._dialect.watch_call(kind, revision, wait_seconds)
-        reply = await self._send(kind, call, wait_seconds + WATCH_MARGIN_SECONDS)
+        """Changes after a state of the store, and the time at which the call was sent.
+
+        Raises `HISTORY_GONE` when the store has come back from an older copy since that state, also
+        while the call waits: what comes after the same revision then is another history.
+        """
+        if self._has_ended(place.era):
+            raise StoreError(StoreProblem.HISTORY_GONE)
+        call = self._dialect.watch_call(kind, place, wait_seconds)
+        reply = await self._send_within_era(kind, call, wait_seconds + WATCH_MARGIN_SECONDS)
         changes = self._dialect.read_changes(reply)
+        if changes.place.era != place.era:
+            raise StoreError(StoreProblem.HISTORY_GONE)
         if changes.unreadable:
             self._on_unreadable(kind, changes.unreadable)
         return changes, reply.sent_at
@@ -238,12 +275,36 @@
         return self._dialect.read_object(reply), reply.sent_at
 
     async def replace(
-        self, kind: str, name: str, spec: bytes, revision: int
+        self, kind: str, name: str, spec: bytes, place: StorePlace
     ) -> tuple[StoredObject, float]:
-        """Replace an object; raises a conflict when its revision differs."""
-        reply = await self._send(kind, self._dialect.replace_call(kind, name, spec, revision))
+        """Replace an object; raises a conflict when its last change is another one.
+
+        A change of an era that has ended is a conflict without a call: its revision may have been
+        given out again. The store may end an era while the call is on its way, so the place of the
+        result tells whether the condition was still worth anything.
+        """
+        if self._has_ended(place.era):
+            raise StoreError(StoreProblem.CONFLICT)
+        reply = await self._send(kind, self._dialect.replace_call(kind, name, spec, place))
         return self._dialect.read_object(reply), reply.sent_at
 
+    def _has_ended(self, era: int) -> bool:
+        return self.era is not None and era < self.era
+
+    async def _send_within_era(self, kind: str, call: Call, timeout_seconds: float) -> Reply:
+        """Send a call that waits; given up when another one shows that the era has ended."""
+        task = asyncio.ensure_future(self._send(kind, call, timeout_seconds))
+        self._watches.add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if task not in self._outdated_watches or _is_being_cancelled():
+                raise
+            raise StoreError(StoreProblem.HISTORY_GONE) from None
+        finally:
+            self._watches.discard(task)
+            self._outdated_watches.discard(task)
+
     async def _send(
         self, kind: str, call: Call, timeout_seconds: float = CALL_TIMEOUT_SECONDS
     ) -> Reply:
@@ -251,17 +312,41 @@
         self._on_call(kind, reply is not None and reply.status < SERVER_ERROR_STATUS)
         if reply is None:
             raise StoreError(StoreProblem.UNAVAILABLE)
-        self._note_era(reply)
+        self._note_era(kind, reply)
         return reply
 
-    def _note_era(self, reply: Reply) -> None:
-        if self._era_listener is None:
-            return
+    def _note_era(self, kind: str, reply: Reply) -> None:
+        """Take the era of an answer; raises `HISTORY_GONE` for one of an era that has ended.
+
+        One without a readable era, after others with it, gives nothing.
+        """
         try:
             era = self._dialect.read_era(reply)
-        except ValueError:
-            self._era_listener.era_unreadable()
-            return
-        if self._era is None or era > self._era:
-            self._era_listener.era(self._era, era)
-            self._era = era
+        except ValueError as error:
+            self._listener.era_unreadable()
+            raise StoreError(StoreProblem.UNAVAILABLE) from error
+        if era == UNKNOWN_ERA and self.era:
+            self._listener.era_unreadable()
+            raise StoreError(StoreProblem.UNAVAILABLE)
+        if self.era is not None and era < self.era:
+            self._listener.answer_outdated(kind, era, self.era)
+            raise StoreError(StoreProblem.HISTORY_GONE)
+        if self.era is None or era > self.era:
+            before, self.era = self.era, era
+            self._listener.era(before, era)
+            if before is not None:
+                self._give_up_watches()
+
+    def _give_up_watches(self) -> None:
+        """Watches that wait do so for changes of a history that is gone."""
+        current = asyncio.current_task()
+        for task in list(self._watches):
+            if task is not current:
+                self._outdated_watches.add(task)
+                task.cancel()
+
+
+def _is_being_cancelled() -> bool:
+    """Whether the running task itself is to end, not just what it waits for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/src/milletcourse/gateway/store/registration.py
+++ b/src/milletcourse/gateway/store/registration.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.gateway.store.directory import (
     ContainedRequest,
     GatewayDirectory,
@@ -70,14 +71,14 @@
         self._pause_seconds = LOOK_SECONDS
         self._news = asyncio.Event()
         self._stored: GatewayEntry | None = None
-        self._revision: int | None = None
+        self._written_at: StorePlace | None = None
 
     async def run(self) -> None:
         """Keep the entry right until cancelled."""
         with suppress(TimeoutError):
             # Without the list the entry is written: that costs one call at most.
             await asyncio.wait_for(self._directory.is_listed.wait(), LIST_WAIT_SECONDS)
-        self._stored, self._revision = self._directory.own_entry, self._directory.own_revision
+        self._stored, self._written_at = self._directory.own_entry, self._directory.own_place
         while True:
             for _ in range(WRITES_IN_A_ROW):
                 contained = self._contained()
@@ -110,13 +111,15 @@
         )
         spec = msgspec.json.encode(entry)
         try:
-            if self._revision is None:
+            if self._written_at is None:
                 written, _ = await self._store.create(self._kind, self._name, spec)
             else:
-                written, _ = await self._store.replace(self._kind, self._name, spec, self._revision)
+                written, _ = await self._store.replace(
+                    self._kind, self._name, spec, self._written_at
+                )
         except StoreError as error:
             return await self._on_refused(error)
-        self._stored, self._revision = entry, written.revision
+        self._stored, self._written_at = entry, written.place
         self._pause_seconds = LOOK_SECONDS
         return False
 
@@ -125,7 +128,7 @@
         if error.problem is StoreProblem.CONFLICT:
             return await self._take_current(error.current)
         if error.problem is StoreProblem.NOT_FOUND:
-            self._stored, self._revision = None, None
+            self._stored, self._written_at = None, None
         else:
             self._pause_seconds = min(self._pause_seconds * 2, MAX_PAUSE_SECONDS)
         return False
@@ -137,9 +140,9 @@
                 current, _ = await self._store.get(self._kind, self._name)
             except StoreError as error:
                 if error.problem is StoreProblem.NOT_FOUND:
-                    self._revision = None
+                    self._written_at = None
                 return False
-        self._stored, self._revision = decode_entry(current.spec), current.revision
+        self._stored, self._written_at = decode_entry(current.spec), current.place
         if self._stored is not None and self._stored.contained:
             self._on_found(self._stored)
         return True
--- a/src/milletcourse/gateway/store/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -25,6 +25,9 @@
         self._context.instances.on_unstable()
         self._context.record.store_call(self._kind, False)
 
+    def on_new_era(self) -> None:
+        """See `KindSink`."""
+
     def _on_reached(self) -> None:
         self._context.record.store_call(self._kind, True)
 
@@ -108,6 +111,10 @@
         super().__init__(context)
         self._decode = decode
 
+    def on_new_era(self) -> None:
+        """See `KindSink`."""
+        self._context.instances.on_copy(self._context.now())
+
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
         self._on_reached()
@@ -140,7 +147,7 @@
                 # As a list would: what names no server is none to use.
                 table.forget(change.stored.name)
                 continue
-            table.upsert(record)
+            table.on_entry(record, self._context.now())
 
     def _read(self, stored: StoredObject) -> InstanceRecord | None:
         try:
--- a/src/milletcourse/gateway/store/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -43,11 +43,11 @@
             return
         self._note_positions(question)
         await self._wait_for_news(question, received_at)
-        if not self._vouches():
+        if not self._vouches() or self._is_of_a_former_era(question):
             refuse(client, NotReady("the store isn't read here now"))
             return
         told = [
-            self._mirrors[position.kind].since(position.revision)
+            self._mirrors[position.kind].since(position.place)
             for position in question.positions
             if position.kind in self._mirrors
         ]
@@ -58,11 +58,22 @@
     def _note_positions(self, question: FeedQuestion) -> None:
         for position in question.positions:
             mirror = self._mirrors.get(position.kind)
-            known = mirror.revision if mirror is not None else None
-            if known is not None:
-                self._context.record.store.follower_position(
-                    position.kind, position.revision, known
-                )
+            known = mirror.place if mirror is not None else None
+            if known is not None and position.place is not None:
+                self._context.record.store.follower_position(position.kind, position.place, known)
+
+    def _is_of_a_former_era(self, question: FeedQuestion) -> bool:
+        """Whether the follower knows of a return of the store that isn't known here.
+
+        What is proved here is then of a history that the store has lost.
+        """
+        for position in question.positions:
+            mirror = self._mirrors.get(position.kind)
+            known = mirror.place if mirror is not None else None
+            asked = position.place
+            if asked is not None and known is not None and asked.era > known.era:
+                return True
+        return False
 
     def _vouches(self) -> bool:
         """Whether what is known here is current enough to be told."""
@@ -74,6 +85,8 @@
     async def _wait_for_news(self, question: FeedQuestion, received_at: float) -> None:
         """Wait until there is something to tell, or the question was kept long enough."""
         until = received_at + min(question.hold_seconds, MAX_HOLD_SECONDS)
+        if self._is_of_a_former_era(question):
+            return
         while self._vouches() and not self._has_news(question):
             context = self._context
             proof_ends_at = context.freshness.proved_at + context.reading.max_proof_age
@@ -94,7 +107,7 @@
 
     def _has_news(self, question: FeedQuestion) -> bool:
         return any(
-            self._mirrors[position.kind].has_news(position.revision)
+            self._mirrors[position.kind].has_news(position.place)
             for position in question.positions
             if position.kind in self._mirrors
         )
--- a/src/milletcourse/gateway/store/store_sync.py
+++ b/src/milletcourse/gateway/store/store_sync.py
@@ -130,12 +130,12 @@
         mirror = self._mirrors[self._gateways_kind]
         try:
             async with attended_timeout(self._context.attended, FIRST_LISTS_SECONDS):
-                objects, revision, sent_at = await self._store.list_all(mirror.kind, stale=True)
+                objects, place, sent_at = await self._store.list_all(mirror.kind, stale=True)
         except (StoreError, TimeoutError):
             # The watches go on asking.
             self._context.log.emit("gateways-unknown-at-start")
             return False
-        mirror.on_list(objects, revision, sent_at)
+        mirror.on_list(objects, place, sent_at)
         return True
 
     async def _is_fed_at_start(self) -> bool:
@@ -161,18 +161,18 @@
     async def _learn(self, kind: WatchedKind) -> None:
         mirror = kind.mirror
         try:
-            if mirror.revision is not None:
-                changes, sent_at = await self._store.watch(mirror.kind, mirror.revision, 0.0)
+            if mirror.place is not None:
+                changes, sent_at = await self._store.watch(mirror.kind, mirror.place, 0.0)
                 mirror.on_changes(changes, sent_at)
                 return
-            objects, revision, sent_at = await list_as_of_now(
+            objects, place, sent_at = await list_as_of_now(
                 self._store, mirror.kind, kind.stale_lists
             )
         except StoreError as error:
             # The watches, or a reader, bring it later.
             self._context.log.emit("first-list-failed", kind=mirror.kind, problem=str(error))
             return
-        mirror.on_list(objects, revision, sent_at)
+        mirror.on_list(objects, place, sent_at)
 
     # -- following a reader ---------------------------------------------------------------------
 
@@ -256,10 +256,7 @@
         return _Outcome.FED if is_current else _Outcome.OUTDATED
 
     def _positions(self) -> list[FeedPosition]:
-        return [
-            FeedPosition(kind, -1 if mirror.revision is None else mirror.revision)
-            for kind, mirror in self._mirrors.items()
-        ]
+        return [FeedPosition(kind, mirror.place) for kind, mirror in self._mirrors.items()]
 
     def _take(self, answer: FeedAnswer, proved_at: float) -> None:
         told = set()
--- a/src/milletcourse/gateway/telling/store_recorder.py
+++ b/src/milletcourse/gateway/telling/store_recorder.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import msgspec
+
+from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.gateway.telling.figures import Figures
 
@@ -13,6 +16,7 @@
         self._log = log
         self._figures = figures
         self._told_unreadable = False
+        self._told_outdated: dict[str, int] = {}
         self._kinds_ahead: set[str] = set()
 
     def era(self, before: int | None, era: int) -> None:
@@ -25,31 +29,47 @@
         self._log.emit("store-era", before=before, era=era)
 
     def era_unreadable(self) -> None:
-        """The era of an answer can't be understood; told once."""
+        """The era of an answer is missing, or can't be understood; told once."""
         if not self._told_unreadable:
             self._told_unreadable = True
             self._log.emit("store-era-unreadable")
 
-    def list_outdated(self, kind: str, listed: int, known: int) -> None:
+    def answer_outdated(self, kind: str, era: int, known: int) -> None:
+        """An answer is of a former era than one before it; told once a kind and era.
+
+        Args:
+            kind: Kind of the objects.
+            era: Era of the answer.
+            known: The latest era.
+        """
+        if self._told_outdated.get(kind) != known:
+            self._told_outdated[kind] = known
+            self._log.emit("store-answer-outdated", kind=kind, era=era, known=known)
+
+    def list_outdated(self, kind: str, listed: StorePlace, known: StorePlace) -> None:
         """A list of a kind was thrown away, since a later state is known.
 
         Args:
             kind: Kind of the objects.
-            listed: Revision of the list.
-            known: Revision up to which the kind is known.
+            listed: State that the list shows.
+            known: State up to which the kind is known.
         """
-        self._log.emit("store-list-outdated", kind=kind, listed=listed, known=known)
+        self._log.emit("store-list-outdated", kind=kind, listed=_told(listed), known=_told(known))
 
-    def follower_position(self, kind: str, asked: int, known: int) -> None:
-        """A follower asks with the revision that it knows; a line when it is later than ours.
+    def follower_position(self, kind: str, asked: StorePlace, known: StorePlace) -> None:
+        """A follower asks with the state that it knows; a line when it is later than ours.
 
         Args:
             kind: Kind of the objects.
-            asked: Revision that the follower knows.
-            known: Revision that is known here.
+            asked: State up to which the follower knows them.
+            known: State up to which they are known here.
         """
         if asked <= known:
             self._kinds_ahead.discard(kind)
         elif kind not in self._kinds_ahead:
             self._kinds_ahead.add(kind)
-            self._log.emit("follower-ahead", kind=kind, asked=asked, known=known)
+            self._log.emit("follower-ahead", kind=kind, asked=_told(asked), known=_told(known))
+
+
+def _told(place: StorePlace) -> dict[str, int]:
+    return msgspec.structs.asdict(place)
--- a/src/milletcourse/platform/object_store.py
+++ b/src/milletcourse/platform/object_store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from milletcourse.exchange.messages.store_place import UNKNOWN_ERA
+from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.gateway.store.object_store import (
     UNREADABLE,
@@ -62,13 +62,7 @@
 
     def read_era(self, reply: Reply) -> int:
         """See `StoreDialect`."""
-        fields = reply.head.fields if reply.head is not None else []
-        told = [field.value for field in fields if field.name.lower() == STORE_ERA]
-        if not told:
-            return UNKNOWN_ERA
-        if len(told) > 1 or not _ERA.fullmatch(told[0]):
-            raise ValueError("no era")
-        return int(told[0])
+        return _read_era(reply)
 
     def list_call(self, kind: str, after: str, stale: bool) -> Call:
         """See `StoreDialect`."""
@@ -83,21 +77,25 @@
     def read_page(self, reply: Reply) -> ObjectPage:
         """See `StoreDialect`."""
         page = _decode(reply, _Page)
-        found = [_readable(item) for item in page.items]
+        era = _read_era(reply)
+        found = [_readable(item, era) for item in page.items]
         objects = tuple(stored for stored in found if stored is not None)
-        return ObjectPage(objects, page.at, page.more, len(found) - len(objects))
+        place = StorePlace(era, page.at)
+        return ObjectPage(objects, place, page.more, len(found) - len(objects))
 
-    def watch_call(self, kind: str, revision: int, wait_seconds: float) -> Call:
+    def watch_call(self, kind: str, place: StorePlace, wait_seconds: float) -> Call:
         """See `StoreDialect`."""
         wait = int(wait_seconds * 1000)
-        return Call("GET", f"{OBJECTS_PATH}/{kind}?Watch={revision}&WaitMs={wait}")
+        return Call("GET", f"{OBJECTS_PATH}/{kind}?Watch={place.revision}&WaitMs={wait}")
 
     def read_changes(self, reply: Reply) -> ObjectChanges:
         """See `StoreDialect`."""
         changes = _decode(reply, _Changes)
-        found = [_readable_change(event) for event in changes.events]
+        era = _read_era(reply)
+        found = [_readable_change(event, era) for event in changes.events]
         readable = tuple(change for change in found if change is not None)
-        return ObjectChanges(readable, changes.at, len(found) - len(readable))
+        place = StorePlace(era, changes.at)
+        return ObjectChanges(readable, place, len(found) - len(readable))
 
     def get_call(self, kind: str, name: str) -> Call:
         """See `StoreDialect`."""
@@ -108,47 +106,58 @@
         body = _body({"Name": name}, spec)
         return Call("POST", f"{OBJECTS_PATH}/{kind}", body)
 
-    def replace_call(self, kind: str, name: str, spec: bytes, revision: int) -> Call:
+    def replace_call(self, kind: str, name: str, spec: bytes, place: StorePlace) -> Call:
         """See `StoreDialect`."""
-        body = _body({"Name": name, "Revision": revision}, spec)
+        body = _body({"Name": name, "Revision": place.revision}, spec)
         return Call("PUT", f"{OBJECTS_PATH}/{kind}/{quote(name, safe='')}", body)
 
     def read_object(self, reply: Reply) -> StoredObject:
         """See `StoreDialect`."""
-        return _stored(_decode(reply, _Object))
+        return _stored(_decode(reply, _Object), _read_era(reply))
 
 
 def _body(metadata: dict[str, Any], spec: bytes) -> bytes:
     return msgspec.json.encode({"Metadata": metadata, "Spec": msgspec.Raw(spec)})
 
 
-def _stored(document: _Object) -> StoredObject:
-    return StoredObject(document.metadata.name, document.metadata.revision, bytes(document.spec))
+def _stored(document: _Object, era: int) -> StoredObject:
+    place = StorePlace(era, document.metadata.revision)
+    return StoredObject(document.metadata.name, place, bytes(document.spec))
 
 
-def _readable(item: msgspec.Raw) -> StoredObject | None:
+def _readable(item: msgspec.Raw, era: int) -> StoredObject | None:
     """An object of a list; None when it can't be told apart, whoever wrote it."""
     try:
-        return _stored(msgspec.json.decode(item, type=_Object))
+        return _stored(msgspec.json.decode(item, type=_Object), era)
     except UNREADABLE:
         return None
 
 
-def _readable_change(item: msgspec.Raw) -> ObjectChange | None:
+def _readable_change(item: msgspec.Raw, era: int) -> ObjectChange | None:
     try:
         event = msgspec.json.decode(item, type=_Event)
     except UNREADABLE:
         return None
-    stored = _readable(event.object)
+    stored = _readable(event.object, era)
     return ObjectChange(stored, event.gone) if stored is not None else None
 
 
+def _read_era(reply: Reply) -> int:
+    fields = reply.head.fields if reply.head is not None else []
+    told = [field.value for field in fields if field.name.lower() == STORE_ERA]
+    if not told:
+        return UNKNOWN_ERA
+    if len(told) > 1 or not _ERA.fullmatch(told[0]):
+        raise ValueError("no era")
+    return int(told[0])
+
+
 def _decode(reply: Reply, document_type: Any) -> Any:
     if reply.status not in (200, 201):
         problem = _PROBLEMS.get(reply.status, StoreProblem.UNAVAILABLE)
         current = None
         if problem is StoreProblem.CONFLICT:
-            current = _current(reply.body)
+            current = _current(reply.body, _read_era(reply))
         raise StoreError(problem, current)
     try:
         return msgspec.json.decode(reply.body, type=document_type)
@@ -156,8 +165,8 @@
         raise StoreError(StoreProblem.UNAVAILABLE) from error
 
 
-def _current(body: bytes) -> StoredObject | None:
+def _current(body: bytes, era: int) -> StoredObject | None:
     try:
-        return _stored(msgspec.json.decode(body, type=_Object))
+        return _stored(msgspec.json.decode(body, type=_Object), era)
     except UNREADABLE:
         return None
--- a/tests/exchange/test_exchange_cores.py
+++ b/tests/exchange/test_exchange_cores.py
@@ -39,6 +39,7 @@
     RouteRecord,
     WeightedService,
 )
+from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.exchange.placement.route_table import RouteTable
 from milletcourse.exchange.reading.freshness import ProofOfFreshness, reading_times
 from milletcourse.exchange.rollout.roll_out import (
@@ -191,9 +192,9 @@
     holder = LeaseTracker("a", duration, margin)
     claim = holder.next_claim(0.0)
     assert claim is not None
-    holder.on_written(claim, 1, 0.0)
+    holder.on_written(claim, StorePlace(UNKNOWN_ERA, 1), 0.0)
     other = LeaseTracker("b", duration, margin)
-    other.on_observed(claim.spec, 1, 0.0)
+    other.on_observed(claim.spec, StorePlace(UNKNOWN_ERA, 1), 0.0)
     assert holder.is_held(duration - margin - 0.01)
     assert not holder.is_held(duration - margin + 0.01)
     assert other.next_claim(duration - 0.01) is None
--- a/tests/gateway/store/test_store_feed.py
+++ b/tests/gateway/store/test_store_feed.py
@@ -9,6 +9,7 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import configuration, serve_whole
+from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.exchange.reading.store_reading import (
     MAX_STARTING_SECONDS,
     SET_ASIDE_SECONDS,
@@ -112,9 +113,16 @@
     def on_unavailable(self) -> None:
         pass
 
+    def on_new_era(self) -> None:
+        pass
+
+
+def _at(revision: int, era: int = 1) -> StorePlace:
+    return StorePlace(era, revision)
+
 
-def _stored(name: str, revision: int) -> StoredObject:
-    return StoredObject(name, revision, b"{}")
+def _stored(name: str, revision: int, spec: bytes = b"{}") -> StoredObject:
+    return StoredObject(name, _at(revision), spec)
 
 
 def test_a_mirror_tells_what_a_follower_lacks() -> None:
@@ -122,31 +130,30 @@
     reader = KindMirror("kind", _Collector())
     sink = _Collector()
     follower = KindMirror("kind", sink)
-    assert reader.since(-1) is None and not reader.has_news(-1)
-    reader.on_list([_stored("a", 1), _stored("b", 2)], 10, 0.0)
+    assert reader.since(None) is None and not reader.has_news(None)
+    reader.on_list([_stored("a", 1), _stored("b", 2)], _at(10), 0.0)
 
     def feed() -> None:
-        position = -1 if follower.revision is None else follower.revision
-        fed = reader.since(position)
+        fed = reader.since(follower.place)
         if fed is not None:
             follower.on_fed(fed, 0.0)
 
     feed()
-    assert sink.names == {"a", "b"} and follower.revision == 10
-    assert not reader.has_news(10)
-    reader.on_changes(ObjectChanges((ObjectChange(_stored("c", 11), False),), 12), 0.0)
+    assert sink.names == {"a", "b"} and follower.place == _at(10)
+    assert not reader.has_news(_at(10))
+    reader.on_changes(ObjectChanges((ObjectChange(_stored("c", 11), False),), _at(12)), 0.0)
     feed()
-    assert sink.names == {"a", "b", "c"} and follower.revision == 12
-    reader.on_list([_stored("c", 11), _stored("d", 14)], 15, 0.0)
-    assert reader.has_news(12)
+    assert sink.names == {"a", "b", "c"} and follower.place == _at(12)
+    reader.on_list([_stored("c", 11), _stored("d", 14)], _at(15), 0.0)
+    assert reader.has_news(_at(12))
     feed()
-    assert sink.names == {"c", "d"} and follower.revision == 15
-    follower.on_list([_stored("a", 1)], 9, 0.0)
+    assert sink.names == {"c", "d"} and follower.place == _at(15)
+    follower.on_list([_stored("a", 1)], _at(9), 0.0)
     assert sink.names == {"c", "d"}, "an older list is void"
-    reader.on_changes(ObjectChanges((), 20), 0.0)
-    assert not reader.has_news(15)
+    reader.on_changes(ObjectChanges((), _at(20)), 0.0)
+    assert not reader.has_news(_at(15))
     feed()
-    assert follower.revision == 20, "the position stays near, so that the store still knows it"
+    assert follower.place == _at(20), "the position stays near, so that the store still knows it"
 
 
 async def _start_pair(
@@ -434,8 +441,9 @@
         port = int(entry["Spec"]["feed"].rpartition(":")[2])
         for body, status in (
             (b"no question", b"400"),
-            (b'[[["unknown",-1]],0.0]', b"200"),
-            (b'[[["config",-1]],1e9]', b"200"),
+            (b'[[["config",[1]]],0.0]', b"400"),
+            (b'[[["unknown",null]],0.0]', b"200"),
+            (b'[[["config",null]],1e9]', b"200"),
         ):
             stream, writer = await asyncio.open_connection(host, port)
             head = b"POST /feed HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body)
