Newer weights are ordered when the store has lost the lease, by one holder with a token of its own

Callers got answers on replaced weights for good: a lease that was made in the lost stretch is answered with 404, which nobody heeded; who had seen it never made it again.

The lease has a place in the store's history. A return is known from the era: its holder has its term written again at once and goes on with its roll-out, everybody else waits for the time of a lease, as does a process that just started and finds none. A token holds the place at which its term began (era and the revision that its write replaced), so none is given twice whatever is forgotten; a claim that was accepted in another era than it was meant for counts for nothing, and one that conflicts with a store that shows nothing is read again. Ruled out: tokens learnt from servers' refusals (not all check them, a 412 names none) and from peers (all may have started since); a lease object an era (two holders while versions are mixed).

A state machine with four known defects (takes at once, counts tokens, believes late writes, knows no era) finds each of them.

--- a/src/milletcourse/control/lease.py
+++ b/src/milletcourse/control/lease.py
@@ -3,6 +3,11 @@
 The observer's own monotonic clock decides expiry: a lease has lapsed for an observer when its
 object did not change for the lease's duration. A holder stops acting earlier, by a margin, counted
 from before it sent the renewal.
+
+The store may come back from an older copy, in which the lease is older or missing. Its holder can't
+be seen there any more and may act until its own time ends; so nobody else takes the lease before
+that. Fencing tokens hold the place in the store's history at which their terms began: a token that
+the store has forgotten is not given again.
 """
 
 from __future__ import annotations
@@ -17,6 +22,9 @@
 """Short enough to replace a dead holder within seconds, long enough for few renewals."""
 NOT_THERE = 0
 """Revision of an object that doesn't exist."""
+TOKENS_PER_ERA = 2**36
+"""More than a store changes its objects within an era; tokens of many eras fit into 53 bits, which
+is what numbers in JSON keep."""
 HOLDER_MARGIN_SECONDS = 1.0
 """A holder stops acting this long before others may take over."""
 
@@ -26,7 +34,7 @@
 
     Attributes:
         holder: Name of the process that holds it; empty when released.
-        fencing_token: Rises by one with each change of the holder.
+        fencing_token: Rises with each term.
         duration_seconds: Lapses when it was not renewed for this long.
         renewals: Rises with each renewal, so that each renewal is a change.
     """
@@ -67,10 +75,38 @@
         self._owner = owner
         self._duration_seconds = duration_seconds
         self._margin_seconds = margin_seconds
+        self._era = UNKNOWN_ERA
+        self._era_known_at = float("-inf")
+        self._returned_at = float("-inf")
         self._spec: LeaseSpec | None = None
-        self._place = StorePlace(UNKNOWN_ERA, NOT_THERE)
+        self._place: StorePlace | None = StorePlace(UNKNOWN_ERA, NOT_THERE)
+        """Last change of the lease; None while it must be read before anything is claimed."""
         self._unchanged_since = 0.0
         self._held_until = float("-inf")
+        self._held_era = UNKNOWN_ERA
+        self._token = 0
+        self._highest_token = 0
+
+    # -- what is learnt -------------------------------------------------------------------------
+
+    def on_era(self, era: int, now: float) -> bool:
+        """An answer of the store told its era; True when the store has come back from a copy.
+
+        Args:
+            era: The latest era that is known.
+            now: Monotonic time.
+        """
+        if era <= self._era:
+            return False
+        before, self._era = self._era, era
+        self._spec = None
+        if before == UNKNOWN_ERA:
+            self._era_known_at = now
+            self._place = StorePlace(era, NOT_THERE)
+            return False
+        self._returned_at = now
+        self._place = None
+        return True
 
     def on_observed(self, spec: LeaseSpec | None, place: StorePlace, now: float) -> None:
         """The lease was read from the platform.
@@ -80,35 +116,76 @@
             place: Its last change; of revision `NOT_THERE` when it isn't there.
             now: Monotonic time.
         """
+        if place.era < self._era:
+            return
+        self.on_era(place.era, now)
         if place != self._place or spec is None:
             self._unchanged_since = now
         self._spec = spec
         self._place = place
-        if spec is None or spec.holder != self._owner:
+        if spec is not None:
+            self._highest_token = max(self._highest_token, spec.fencing_token)
+        is_own = spec is not None and spec.holder == self._owner
+        # What an older copy shows doesn't end a term that the store has lost.
+        if not is_own and place.era == self._held_era:
             self._held_until = float("-inf")
 
-    def next_claim(self, now: float) -> LeaseClaim | None:
-        """The write to try now: a renewal, a takeover, or None while another one holds it."""
-        spec = self._spec
-        if spec is None:
-            return LeaseClaim(LeaseSpec(self._owner, 1, self._duration_seconds, 0), self._place)
-        if spec.holder == self._owner and self._held_until > now:
-            renewed = LeaseSpec(
-                self._owner, spec.fencing_token, self._duration_seconds, spec.renewals + 1
-            )
-            return LeaseClaim(renewed, self._place)
-        lapsed = now - self._unchanged_since >= spec.duration_seconds
-        if spec.holder and not lapsed and spec.holder != self._owner:
-            return None
-        taken = LeaseSpec(self._owner, spec.fencing_token + 1, self._duration_seconds, 0)
-        return LeaseClaim(taken, self._place)
+    def on_conflict(self) -> None:
+        """A claim failed since the lease has changed; it must be read again."""
+        self._place = None
 
     def on_written(self, claim: LeaseClaim, place: StorePlace, sent_at: float) -> None:
-        """The platform accepted the claim."""
+        """The platform accepted the claim.
+
+        One that was accepted in another era than it was meant for counts for nothing: what it
+        replaced there is not what was expected.
+        """
+        if place.era != claim.expected.era:
+            self._place = None
+            return
         self._spec = claim.spec
         self._place = place
         self._unchanged_since = sent_at
         self._held_until = sent_at + self._duration_seconds - self._margin_seconds
+        self._held_era = place.era
+        self._token = claim.spec.fencing_token
+        self._highest_token = max(self._highest_token, self._token)
+
+    # -- what is to be done ---------------------------------------------------------------------
+
+    def next_claim(self, now: float) -> LeaseClaim | None:
+        """The write to try now: a renewal, a new term, or None to look at the lease instead."""
+        if self._place is None:
+            return None
+        if self.is_held(now):
+            return self._renewal(self._place)
+        return self._new_term(self._place) if self._may_take(now) else None
+
+    def _renewal(self, place: StorePlace) -> LeaseClaim:
+        spec = self._spec
+        if spec is None or spec.holder != self._owner or spec.fencing_token != self._token:
+            # The store has lost this term, and nobody else takes the lease before it ends.
+            return self._new_term(place)
+        renewed = LeaseSpec(self._owner, self._token, self._duration_seconds, spec.renewals + 1)
+        return LeaseClaim(renewed, place)
+
+    def _new_term(self, place: StorePlace) -> LeaseClaim:
+        token = self._highest_token + 1
+        if place.era != UNKNOWN_ERA:
+            token = max(token, place.era * TOKENS_PER_ERA + place.revision)
+        return LeaseClaim(LeaseSpec(self._owner, token, self._duration_seconds, 0), place)
+
+    def _may_take(self, now: float) -> bool:
+        """Whether no other process can still act as the holder."""
+        if now - self._returned_at < self._duration_seconds:
+            return False
+        spec = self._spec
+        if spec is None:
+            # A process that started just now can't know whether the store has just lost the lease.
+            return now - self._era_known_at >= self._duration_seconds
+        if not spec.holder or spec.holder == self._owner:
+            return True
+        return now - self._unchanged_since >= spec.duration_seconds
 
     def is_held(self, now: float) -> bool:
         """Whether this process may act as the holder."""
@@ -116,8 +193,8 @@
 
     @property
     def fencing_token(self) -> int:
-        """Token of the present term."""
-        return self._spec.fencing_token if self._spec else 0
+        """Token of this process's present or latest term."""
+        return self._token
 
     @property
     def holder(self) -> str:
--- a/src/milletcourse/gateway/fleet/roll_out_service.py
+++ b/src/milletcourse/gateway/fleet/roll_out_service.py
@@ -8,14 +8,20 @@
 
 import msgspec
 
-from milletcourse.control.lease import LeaseClaim, LeaseSpec, LeaseTracker
+from milletcourse.control.lease import NOT_THERE, LeaseClaim, LeaseSpec, LeaseTracker
 from milletcourse.exchange.messages.peer_messages import ServerNotice, ServerState
+from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.exchange.rollout.roll_out import OrderReply, RollOut, ServerReport, WeightOrder
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.fleet.peers import PeerExchange
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
 from milletcourse.gateway.state.context import GatewayContext
-from milletcourse.gateway.store.object_store import ObjectStoreClient, StoredObject, StoreError
+from milletcourse.gateway.store.object_store import (
+    ObjectStoreClient,
+    StoredObject,
+    StoreError,
+    StoreProblem,
+)
 
 TICK_SECONDS = 0.1
 MAX_RENEW_SECONDS = 0.9
@@ -99,21 +105,47 @@
 
     async def _keep_lease(self) -> None:
         now = self._context.now()
+        era = self._store.era or UNKNOWN_ERA
+        if self._lease.on_era(era, now):
+            # A holder has its term written again before its time ends.
+            self._next_lease_call = now
         if now < self._next_lease_call:
             return
         held = self._lease.is_held(now)
         spread = self._context.random.random() * LOOK_SPREAD_SECONDS
         self._next_lease_call = now + (self._renew_seconds if held else LOOK_SECONDS + spread)
-        claim = self._lease.next_claim(now)
         try:
+            claim = self._lease.next_claim(now)
             if claim is None:
-                stored, _ = await self._store.get(self._lease_kind, self._lease_name)
-                self._observe(stored)
-            else:
+                await self._look_at_lease()
+                claim = self._lease.next_claim(self._context.now())
+            if claim is not None:
                 await self._write(claim)
         except StoreError as error:
-            if error.current is not None:
-                self._observe(error.current)
+            self._on_refused(error)
+
+    async def _look_at_lease(self) -> None:
+        try:
+            stored, _ = await self._store.get(self._lease_kind, self._lease_name)
+        except StoreError as error:
+            if error.problem is not StoreProblem.NOT_FOUND:
+                raise
+            self._on_missing()
+            return
+        self._observe(stored)
+
+    def _on_refused(self, error: StoreError) -> None:
+        """The lease is another one than was known; of other failures the next look tells."""
+        if error.current is not None:
+            self._observe(error.current)
+        elif error.problem is StoreProblem.NOT_FOUND:
+            self._on_missing()
+        elif error.problem is StoreProblem.CONFLICT:
+            self._lease.on_conflict()
+
+    def _on_missing(self) -> None:
+        place = StorePlace(self._store.era or UNKNOWN_ERA, NOT_THERE)
+        self._lease.on_observed(None, place, self._context.now())
 
     async def _write(self, claim: LeaseClaim) -> None:
         spec = msgspec.json.encode(claim.spec)
