Gateways whose entries the store has lost write them again

A gateway that had entered in the lost stretch was never listed again: it looked at its entry only when it had something to write. It was no peer of anybody from then on, and what all gateways share was divided by too few. Each now compares what the list shows of it, at a place later than its own write, at each look; looks are spread, so that a loss of all entries isn't answered by all in one moment. Until they had time for it (5 s), gateways that an older copy lacks count on.

--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from milletcourse.exchange.evidence.crash_evidence import MAX_TOLD
+from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.exchange.reading.store_reading import GatewayRecord, ReadingPlan
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.clients.client_connection import Handler
@@ -56,7 +57,9 @@
         self._listen = listen
         self._spawn = spawn
         self._gateways_kind = adapter.kinds.gateways
-        self._directory = GatewayDirectory(settings.name, context.log, self._on_contained)
+        self._directory = GatewayDirectory(
+            settings.name, context.log, self._on_contained, context.now
+        )
         self._plan = ReadingPlan(settings.name, settings.zone, settings.link_megabits)
         self._watched = _watched_kinds(context, adapter, self._directory)
         self._reader = StoreSync(
@@ -92,10 +95,20 @@
             self._directory,
             self._contained_here,
             lambda found: self._on_contained(found, True),
+            self._gateways_listed_at,
+            self._context.random,
         )
         self._spawn(registration.run())
         self._context.crash_watch.listeners.append(registration.on_news)
 
+    def _gateways_listed_at(self) -> StorePlace | None:
+        mirrors = [kind.mirror for kind in self._watched]
+        return next(mirror.place for mirror in mirrors if mirror.kind == self._gateways_kind)
+
+    def sweep(self, now: float) -> None:
+        """Bounds on time."""
+        self._directory.expire_missing(now)
+
     def _contained_here(self) -> list[ContainedRequest]:
         reports = self._context.crash_evidence.contained_here(self._context.now())
         return [ContainedRequest.of(report) for report in reports]
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -163,6 +163,7 @@
                 client.check_time(now)
             self.context.pool.sweep()
             self.context.instances.expire_doubtful(now)
+            self._fleet.sweep(now)
             self.context.gate.forget_before(now)
             self.context.note_suspicions()
             self.context.note_limits()
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -14,10 +14,14 @@
 from milletcourse.gateway.store.object_store import UNREADABLE, ObjectChange, StoredObject
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.runtime.addresses import split_address
+from milletcourse.runtime.clock import elapsed_seconds
 
 MAX_IDENTITY = 2**64 - 1
 MAX_GATEWAYS = 512
 """Further ones are neither told nor followed."""
+KEPT_SECONDS = 5.0
+"""Gateways that are missing in an older copy of the list are kept this long: those that live write
+their entries again within two seconds, and what all share is divided by their number."""
 
 
 class ContainedRequest(msgspec.Struct, frozen=True):
@@ -79,6 +83,7 @@
         own_name: str,
         log: EventLog,
         on_contained: Callable[[GatewayEntry, bool], None] | None = None,
+        now: Callable[[], float] = elapsed_seconds,
     ) -> None:
         """No gateway known yet.
 
@@ -87,7 +92,9 @@
             log: For entries that can't be understood.
             on_contained: Told of each entry that names contained requests, and whether it is this
                 gateway's own.
+            now: Monotonic time.
         """
+        self._now = now
         self._on_contained = on_contained
         self._own_name = own_name
         self._log = log
@@ -95,6 +102,8 @@
         self.own_entry: GatewayEntry | None = None
         self.own_place: StorePlace | None = None
         self._others: dict[str, GatewayRecord] = {}
+        self._missing: dict[str, GatewayRecord] = {}
+        self._kept_until = float("-inf")
         self._listeners: list[Callable[[list[GatewayRecord]], None]] = []
 
     def add_listener(self, listener: Callable[[list[GatewayRecord]], None]) -> None:
@@ -103,9 +112,14 @@
 
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
-        self._others.clear()
+        before = self._others
+        self._others = {}
+        self.own_entry, self.own_place = None, None
         for stored in objects:
             self._note(stored)
+        for name, record in before.items():
+            if name not in self._others:
+                self._miss(record)
         self._tell()
         self.is_listed.set()
 
@@ -115,7 +129,7 @@
             return
         for change in changes:
             if change.gone:
-                self._others.pop(change.stored.name, None)
+                self._drop(change.stored.name)
             else:
                 self._note(change.stored)
         self._tell()
@@ -124,16 +138,35 @@
         """See `KindSink`: the known gateways stay known."""
 
     def on_new_era(self) -> None:
-        """See `KindSink`."""
+        """See `KindSink`: what the store lost isn't gone yet."""
+        self._kept_until = self._now() + KEPT_SECONDS
+
+    def expire_missing(self, now: float) -> None:
+        """Drop gateways that did not write their entries again."""
+        if self._missing and now >= self._kept_until:
+            self._missing.clear()
+            self._tell()
+
+    def _drop(self, name: str) -> None:
+        if name == self._own_name:
+            self.own_entry, self.own_place = None, None
+        record = self._others.pop(name, None)
+        if record is not None:
+            self._miss(record)
+
+    def _miss(self, record: GatewayRecord) -> None:
+        if self._now() < self._kept_until:
+            self._missing[record.name] = record
 
     def _tell(self) -> None:
-        others = list(self._others.values())
+        others = [*self._others.values(), *self._missing.values()]
         for listener in self._listeners:
             listener(others)
 
     def _note(self, stored: StoredObject) -> None:
         entry = decode_entry(stored.spec)
         self._others.pop(stored.name, None)
+        self._missing.pop(stored.name, None)
         if entry is not None and entry.contained and self._on_contained is not None:
             self._on_contained(entry, stored.name == self._own_name)
         if stored.name == self._own_name:
--- a/src/milletcourse/gateway/store/registration.py
+++ b/src/milletcourse/gateway/store/registration.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -30,7 +31,10 @@
 LIST_WAIT_SECONDS = 0.5
 """The list is waited for this long, to see whether the entry of an earlier process stands."""
 LOOK_SECONDS = 1.0
-"""Between two looks at what the entry should say."""
+"""Longest time between two looks at what the entry should say."""
+SHORTEST_LOOK = 0.5
+"""As a share of it: when the store has lost the entries of all gateways, they aren't written again
+all at once."""
 WRITES_IN_A_ROW = 2
 """The second one goes on from what the first one found in the store."""
 MAX_PAUSE_SECONDS = 2.0
@@ -49,6 +53,8 @@
         directory: GatewayDirectory,
         contained: Callable[[], list[ContainedRequest]],
         on_found: Callable[[GatewayEntry], None],
+        listed_at: Callable[[], StorePlace | None],
+        random_source: random.Random,
     ) -> None:
         """Nothing written yet.
 
@@ -60,7 +66,11 @@
             directory: The list as it is known.
             contained: Tells which requests this gateway has to keep in its entry.
             on_found: Told of an entry of an earlier process that the list didn't show.
+            listed_at: State of the store that the list shows, None before the first one.
+            random_source: Spreads the looks.
         """
+        self._listed_at = listed_at
+        self._random = random_source
         self._store = store
         self._kind = kind
         self._name = name
@@ -80,6 +90,7 @@
             await asyncio.wait_for(self._directory.is_listed.wait(), LIST_WAIT_SECONDS)
         self._stored, self._written_at = self._directory.own_entry, self._directory.own_place
         while True:
+            self._take_listed()
             for _ in range(WRITES_IN_A_ROW):
                 contained = self._contained()
                 if self._is_right(contained) or not await self._write(contained):
@@ -89,9 +100,19 @@
     async def _pause(self) -> None:
         """Wait for the next look, or for news."""
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._news.wait(), self._pause_seconds)
+            share = SHORTEST_LOOK + (1.0 - SHORTEST_LOOK) * self._random.random()
+            await asyncio.wait_for(self._news.wait(), self._pause_seconds * share)
         self._news.clear()
 
+    def _take_listed(self) -> None:
+        """The store may have lost the entry, or hold an older one, since it was written."""
+        listed_at, written_at = self._listed_at(), self._written_at
+        if listed_at is None or written_at is None or listed_at < written_at:
+            return
+        entry, place = self._directory.own_entry, self._directory.own_place
+        if place is None or listed_at.era > written_at.era:
+            self._stored, self._written_at = entry, place
+
     def on_news(self) -> None:
         """What the entry should say may have changed: all gateways may end at the next moment."""
         store_works = self._pause_seconds == LOOK_SECONDS
--- a/tests/gateway/store/test_store_eras.py
+++ b/tests/gateway/store/test_store_eras.py
@@ -12,6 +12,7 @@
 from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
 from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
+from milletcourse.gateway.store.directory import KEPT_SECONDS, GatewayDirectory
 from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import (
     ObjectChange,
@@ -271,3 +272,29 @@
 
 def _entry() -> dict[str, object]:
     return {"Service": "app", "Address": "127.0.0.1:9", "Zone": "zone-1", "State": "ready"}
+
+
+def _gateway(name: str, place: StorePlace) -> StoredObject:
+    entry = b'{"address":"127.0.0.1:1","zone":"zone-1","feed":"127.0.0.1:2"}'
+    return StoredObject(name, place, entry)
+
+
+def test_gateways_that_a_copy_lacks_are_kept_until_they_had_time_to_write_again() -> None:
+    """What all gateways share is divided by their number."""
+    clock = [0.0]
+    directory = GatewayDirectory("front-1", EventLog("front-1", None), now=lambda: clock[0])
+    told: list[set[str]] = []
+    directory.add_listener(lambda others: told.append({other.name for other in others}))
+    place = StorePlace(1, 9)
+    directory.on_list([_gateway(f"front-{number}", place) for number in (1, 2, 3)], 0.0)
+    assert told[-1] == {"front-2", "front-3"} and directory.own_place == place
+    directory.on_new_era()
+    directory.on_list([], 0.0)
+    assert told[-1] == {"front-2", "front-3"} and directory.own_place is None
+    back = ObjectChange(_gateway("front-2", StorePlace(2, 4)), gone=False)
+    directory.on_changes((back,), 0.0)
+    clock[0] = KEPT_SECONDS
+    directory.expire_missing(clock[0])
+    assert told[-1] == {"front-2"}
+    directory.on_changes((ObjectChange(back.stored, gone=True),), 0.0)
+    assert told[-1] == set(), "without a return an entry that goes is gone"
