Followers stay with their reader while the store holds an older configuration

After a return that the operator hasn't written over yet, a reader had no proof of its own configuration, so it vouched for nothing, and all its followers read the store themselves (3 of 3 gateways after 2.3 s; 1 of 3 now). Whether the store is read is the mirror's to know; whether what was found is worth anything for keys, each gateway judges by the version that it has in force: an older one, one that can't be read, and none at all prove nothing (the last one did). Keys are refused from the bound on until the operator has written again; a line says which version was found. The new test failed in all three ways before.

--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -135,7 +135,8 @@
     async def _listen_for_followers(self) -> str:
         """Tell other gateways what the store holds at the first free port; empty without one."""
         settings = self._context.settings
-        feed = StoreFeed(self._context, [kind.mirror for kind in self._watched])
+        mirrors = [kind.mirror for kind in self._watched]
+        feed = StoreFeed(self._context, mirrors, proven=mirrors[0])
         first, last = settings.internal_ports
         for port in range(first, last + 1):
             try:
@@ -178,6 +179,7 @@
     def mirror(kind: str, sink: KindSink) -> KindMirror:
         return KindMirror(kind, sink, context.record.store.list_outdated)
 
+    # The configuration comes first: it is asked for most often.
     return (
         WatchedKind(mirror(kinds.configuration, configuration), context.reading.watch_wait),
         # Many pages: read stale, and brought up to date by the first watch.
--- a/src/milletcourse/gateway/store/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from milletcourse.exchange.messages.records import (
     ExchangeConfiguration,
@@ -54,28 +54,27 @@
     def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
         """See `KindSink`."""
         self._on_reached()
-        self._apply_all(stored for stored in objects if stored.name == self._object_name)
+        self._understood = False
+        for stored in objects:
+            if stored.name == self._object_name:
+                self._understood = self._apply(stored)
         if self._understood:
             self._context.freshness.on_proof(sent_at)
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
         self._on_reached()
-        self._apply_all(
-            change.stored
-            for change in changes
-            if not change.gone and change.stored.name == self._object_name
-        )
+        for change in changes:
+            if change.stored.name == self._object_name:
+                self._understood = not change.gone and self._apply(change.stored)
         if self._understood:
             self._context.freshness.on_proof(sent_at)
 
-    def _apply_all(self, objects: Iterable[StoredObject]) -> None:
-        """Take configurations into force; without the newest one, no call proves anything."""
-        for stored in objects:
-            self._understood = self._apply(stored)
-
     def _apply(self, stored: StoredObject) -> bool:
-        """Take a configuration into force; False when it can't be understood."""
+        """Take a configuration into force; False when it is an older one, or can't be understood.
+
+        Without the newest one, no call proves that what is in force here still holds.
+        """
         try:
             configuration = self._decode(stored.spec)
         except UNREADABLE as error:
@@ -83,6 +82,10 @@
             return False
         current = self._context.table
         if current is not None and configuration.version <= current.version:
+            if configuration.version < current.version:
+                self._context.record.store.configuration_outdated(
+                    configuration.version, current.version
+                )
             return configuration.version == current.version
         self._context.table = RouteTable(configuration)
         self._context.tenant_limits.configure(configuration.tenants, self._context.now())
--- a/src/milletcourse/gateway/store/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -25,10 +25,24 @@
 
 
 class StoreFeed:
-    """Answers the questions of followers from what the mirrors know."""
+    """Answers the questions of followers from what the mirrors know.
 
-    def __init__(self, context: GatewayContext, mirrors: Sequence[KindMirror]) -> None:
+    It vouches for what the store holds, not for what may be done by it: whether the configuration
+    found there is worth anything, each gateway judges by what it knows itself.
+    """
+
+    def __init__(
+        self, context: GatewayContext, mirrors: Sequence[KindMirror], proven: KindMirror
+    ) -> None:
+        """Nothing asked yet.
+
+        Args:
+            context: The gateway.
+            mirrors: What is told.
+            proven: The one of them whose calls prove that the store is read here.
+        """
         self._context = context
+        self._proven = proven
         self._mirrors = {mirror.kind: mirror for mirror in mirrors}
         self._waiters: set[asyncio.Future[None]] = set()
         for mirror in mirrors:
@@ -51,7 +65,7 @@
             for position in question.positions
             if position.kind in self._mirrors
         ]
-        proof_offset = self._context.freshness.proved_at - received_at
+        proof_offset = self._proven.proved_at - received_at
         answer = FeedAnswer([kind for kind in told if kind is not None], proof_offset)
         client.send_whole(200, b"", [_CONTENT_TYPE], encode_answer(answer))
 
@@ -80,7 +94,7 @@
         context = self._context
         if not context.reads_store or context.stopping:
             return False
-        return context.freshness.age(context.now()) <= context.reading.max_proof_age
+        return context.now() - self._proven.proved_at <= context.reading.max_proof_age
 
     async def _wait_for_news(self, question: FeedQuestion, received_at: float) -> None:
         """Wait until there is something to tell, or the question was kept long enough."""
@@ -89,7 +103,7 @@
             return
         while self._vouches() and not self._has_news(question):
             context = self._context
-            proof_ends_at = context.freshness.proved_at + context.reading.max_proof_age
+            proof_ends_at = self._proven.proved_at + context.reading.max_proof_age
             seconds = min(until, proof_ends_at) - context.now()
             if seconds <= 0:
                 return
--- a/src/milletcourse/gateway/telling/store_recorder.py
+++ b/src/milletcourse/gateway/telling/store_recorder.py
@@ -46,6 +46,15 @@
             self._told_outdated[kind] = known
             self._log.emit("store-answer-outdated", kind=kind, era=era, known=known)
 
+    def configuration_outdated(self, found: int, known: int) -> None:
+        """The store holds an older configuration than is in force here.
+
+        Args:
+            found: Version in the store.
+            known: Version in force.
+        """
+        self._log.emit("configuration-outdated", found=found, known=known)
+
     def list_outdated(self, kind: str, listed: StorePlace, known: StorePlace) -> None:
         """A list of a kind was thrown away, since a later state is known.
 
--- a/tests/gateway/store/test_store_copies.py
+++ b/tests/gateway/store/test_store_copies.py
@@ -31,6 +31,9 @@
 JUDGED_SECONDS = 1.0
 LISTED_SECONDS = 2.0
 ORDERED_SECONDS = 5.0
+LOOK_SECONDS = 0.5
+LOOKS = 10
+"""Until no proof of before is worth anything."""
 ONE_TENANT = [{"Name": "tenant-1", "ApiKeys": ["key-1"], "Priority": 1}]
 
 
@@ -233,3 +236,34 @@
     for node in [harness.node, *harness.others]:
         if node.context.settings.name == name:
             node.close()
+
+
+@pytest.mark.parametrize("found", ["older", "missing", "unreadable"])
+def test_followers_stay_with_their_reader_while_the_configuration_is_not_written_again(
+    found: str,
+) -> None:
+    """The reader reads the store all right; what it found is no proof for keys, here as there."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(), "s-2": Mood()})
+        await harness.until(lambda: sum(node.context.reads_store for node in fleet.nodes) == 1)
+        if found == "missing":
+            harness.store.remove("config", "main")
+        elif found == "unreadable":
+            harness.store.put("config", "main", {"Version": "none"})
+        copy = harness.store.copy()
+        harness.store.put("config", "main", configuration(2))
+        for node in fleet.nodes:
+            await harness.until(lambda node=node: _has_version(node, 2))
+        harness.store.come_back(copy, writes_again=False)
+        await asyncio.sleep(SETTLED_SECONDS)
+        for _ in range(LOOKS):
+            await asyncio.sleep(LOOK_SECONDS)
+            assert sum(node.context.reads_store for node in fleet.nodes) == 1
+        assert await _statuses_with(fleet, "key-1") == [503] * len(fleet.nodes)
+        harness.store.put("config", "main", configuration(2))
+        await asyncio.sleep(HEARD_SECONDS)
+        assert await _statuses_with(fleet, "key-1") == [200] * len(fleet.nodes)
+
+    run_with_gateway(scenario)
