A store that tells its era from its first return on has come back, too; era 0 is one

A process that had no era and then learns one takes that for a return; the first answer alone is no news. Tests begin without an era, at 0 and later.

--- a/src/milletcourse/control/lease.py
+++ b/src/milletcourse/control/lease.py
@@ -75,7 +75,7 @@
         self._owner = owner
         self._duration_seconds = duration_seconds
         self._margin_seconds = margin_seconds
-        self._era = UNKNOWN_ERA
+        self._era: int | None = None
         self._era_known_at = float("-inf")
         self._returned_at = float("-inf")
         self._spec: LeaseSpec | None = None
@@ -96,11 +96,11 @@
             era: The latest era that is known.
             now: Monotonic time.
         """
-        if era <= self._era:
+        if self._era is not None and era <= self._era:
             return False
         before, self._era = self._era, era
         self._spec = None
-        if before == UNKNOWN_ERA:
+        if before is None:
             self._era_known_at = now
             self._place = StorePlace(era, NOT_THERE)
             return False
@@ -116,7 +116,7 @@
             place: Its last change; of revision `NOT_THERE` when it isn't there.
             now: Monotonic time.
         """
-        if place.era < self._era:
+        if self._era is not None and place.era < self._era:
             return
         self.on_era(place.era, now)
         if place != self._place or spec is None:
@@ -182,7 +182,8 @@
         spec = self._spec
         if spec is None:
             # A process that started just now can't know whether the store has just lost the lease.
-            return now - self._era_known_at >= self._duration_seconds
+            is_settled = now - self._era_known_at >= self._duration_seconds
+            return is_settled or self._era in (None, UNKNOWN_ERA)
         if not spec.holder or spec.holder == self._owner:
             return True
         return now - self._unchanged_since >= spec.duration_seconds
--- a/src/milletcourse/exchange/messages/store_place.py
+++ b/src/milletcourse/exchange/messages/store_place.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-UNKNOWN_ERA = 0
+UNKNOWN_ERA = -1
 """Of a store that doesn't tell its era; it counts as a former one of any that is told."""
 
 
--- a/src/milletcourse/gateway/fleet/roll_out_service.py
+++ b/src/milletcourse/gateway/fleet/roll_out_service.py
@@ -105,8 +105,8 @@
 
     async def _keep_lease(self) -> None:
         now = self._context.now()
-        era = self._store.era or UNKNOWN_ERA
-        if self._lease.on_era(era, now):
+        era = self._store.era
+        if era is not None and self._lease.on_era(era, now):
             # A holder has its term written again before its time ends.
             self._next_lease_call = now
         if now < self._next_lease_call:
@@ -144,8 +144,8 @@
             self._lease.on_conflict()
 
     def _on_missing(self) -> None:
-        place = StorePlace(self._store.era or UNKNOWN_ERA, NOT_THERE)
-        self._lease.on_observed(None, place, self._context.now())
+        era = self._store.era if self._store.era is not None else UNKNOWN_ERA
+        self._lease.on_observed(None, StorePlace(era, NOT_THERE), self._context.now())
 
     async def _write(self, claim: LeaseClaim) -> None:
         spec = msgspec.json.encode(claim.spec)
--- a/src/milletcourse/gateway/store/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -325,7 +325,7 @@
         except ValueError as error:
             self._listener.era_unreadable()
             raise StoreError(StoreProblem.UNAVAILABLE) from error
-        if era == UNKNOWN_ERA and self.era:
+        if era == UNKNOWN_ERA and self.era is not None and self.era > UNKNOWN_ERA:
             self._listener.era_unreadable()
             raise StoreError(StoreProblem.UNAVAILABLE)
         if self.era is not None and era < self.era:
--- a/tests/gateway/store/test_store_copies.py
+++ b/tests/gateway/store/test_store_copies.py
@@ -56,8 +56,9 @@
     return table is not None and table.version == version
 
 
-async def _start_and_lose(harness: Harness) -> SignallingFleet:
+async def _start_and_lose(harness: Harness, first_era: int | None = 1) -> SignallingFleet:
     """Gateways before a store that came back without its latest writes, and got them again."""
+    harness.store.era = first_era
     fleet = SignallingFleet(harness)
     await fleet.start({"s-1": Mood(), "s-2": Mood(), "s-3": Mood()})
     copy = harness.store.copy()
@@ -67,11 +68,14 @@
     return fleet
 
 
-def test_a_server_that_leaves_after_the_store_came_back_gets_no_requests_from_followers() -> None:
+@pytest.mark.parametrize("first_era", [None, 0, 7])
+def test_a_server_that_leaves_after_the_store_came_back_gets_no_requests_from_followers(
+    first_era: int | None,
+) -> None:
     """Followers asked with a revision that the store had not reached again."""
 
     async def scenario(harness: Harness) -> None:
-        fleet = await _start_and_lose(harness)
+        fleet = await _start_and_lose(harness, first_era)
         leaving = await fleet.most_asked()
         entry = harness.store.objects["servers"][leaving]["Spec"]
         harness.store.put("servers", leaving, {**entry, "State": "draining"})
@@ -207,11 +211,15 @@
     return engine, copy
 
 
+@pytest.mark.parametrize("first_era", [None, 0, 1])
 @pytest.mark.parametrize("closes_holder", [False, True])
-def test_newer_weights_are_ordered_when_the_store_lost_the_lease(closes_holder: bool) -> None:
+def test_newer_weights_are_ordered_when_the_store_lost_the_lease(
+    closes_holder: bool, first_era: int | None
+) -> None:
     """Nobody made it again, since all had seen it; and no two holders may share a token."""
 
     async def scenario(harness: Harness) -> None:
+        harness.store.era = first_era
         engine, copy = await _start_roll_out(harness, gateways=2)
         harness.store.come_back(copy)
         if closes_holder:
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -80,7 +80,7 @@
     """Objects by kind with revisions, lists, watches, compare-and-set.
 
     Attributes:
-        era: Told in all answers, None for a store that tells none; rises with each return.
+        era: Told in all answers, None for a store that tells none yet; rises with each return.
     """
 
     def __init__(self) -> None:
@@ -169,8 +169,7 @@
         del self.journal[copy.journal_length :]
         self.history = [entry for entry in self.history if entry[0] <= copy.revision]
         self.forgotten = min(self.forgotten, copy.revision)
-        if self.era is not None:
-            self.era += 1
+        self.era = (self.era or 0) + 1
         if writes_again:
             self._write_again(lost)
         if cut:
