--- a/src/milletcourse/cli/main.py
+++ b/src/milletcourse/cli/main.py
@@ -23,6 +23,7 @@
     signals,
     simulate,
     standin,
+    store_state,
 )
 from milletcourse.errors import FailureError, InvalidObject
 
@@ -45,6 +46,7 @@
 app.add_typer(contained.app, name="contained")
 app.command("limits")(limits.list_limits)
 app.command("signals")(signals.list_signals)
+app.command("store-state")(store_state.compare_store)
 app.command("explain")(explain.run_explain)
 app.command("mechanisms")(mechanisms.list_mechanisms)
 app.command("explain-losses")(explain_losses.explain_losses)
--- /dev/null
+++ b/src/milletcourse/cli/store_state.py
@@ -0,0 +1,41 @@
+"""`milletcourse store-state`: what a gateway knows, compared with what the object store holds."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import msgspec
+import typer
+
+from milletcourse.cli.operator_port import GatewayOption, call_gateway
+from milletcourse.gateway.operator_api import STORE_STATE_PATH
+from milletcourse.gateway.store.store_comparison import StoreState
+
+LOOKS = 3
+LOOK_AGAIN_SECONDS = 0.5
+"""A change that is under way differs in one look, and not in the next."""
+
+
+def compare_store(gateway: GatewayOption) -> None:
+    """One JSON line for each kind of objects; exit code 1 when a difference stays.
+
+    Each look reads all kinds from the store, which counts against the rate of its reading calls.
+    """
+    state = asyncio.run(_compare(gateway))
+    for kind in state.kinds:
+        line = {"gateway": state.gateway, **msgspec.to_builtins(kind)}
+        sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+    if not all(kind.is_equal for kind in state.kinds):
+        raise typer.Exit(1)
+
+
+async def _compare(gateway: str) -> StoreState:
+    for look in range(LOOKS):
+        if look:
+            await asyncio.sleep(LOOK_AGAIN_SECONDS)
+        body = await call_gateway("GET", gateway, STORE_STATE_PATH, 200)
+        state = msgspec.json.decode(body, type=StoreState)
+        if all(kind.is_equal for kind in state.kinds):
+            break
+    return state
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -19,6 +19,7 @@
 from milletcourse.gateway.store.object_store import ObjectStoreClient
 from milletcourse.gateway.store.registration import Registration
 from milletcourse.gateway.store.sinks import ConfigurationSink, InstanceSink, TargetSink
+from milletcourse.gateway.store.store_comparison import StoreState, compare_kinds
 from milletcourse.gateway.store.store_feed import StoreFeed
 from milletcourse.gateway.store.store_sync import StoreSync, WatchedKind
 from milletcourse.runtime.clock import wall_seconds
@@ -97,6 +98,7 @@
             lambda found: self._on_contained(found, True),
             self._gateways_listed_at,
             self._context.random,
+            self._context.record.store.entry_written_again,
         )
         self._spawn(registration.run())
         self._context.crash_watch.listeners.append(registration.on_news)
@@ -105,6 +107,16 @@
         mirrors = [kind.mirror for kind in self._watched]
         return next(mirror.place for mirror in mirrors if mirror.kind == self._gateways_kind)
 
+    async def compare_with_store(self) -> StoreState:
+        """What this gateway knows of the store, and how that differs from what it holds."""
+        context = self._context
+        mirrors = [kind.mirror for kind in self._watched]
+        kinds = await compare_kinds(self._store, mirrors, context.now())
+        version = context.table.version if context.table is not None else None
+        return StoreState(
+            context.settings.name, version, context.reads_store, context.followed_reader, kinds
+        )
+
     def sweep(self, now: float) -> None:
         """Bounds on time."""
         self._directory.expire_missing(now)
@@ -177,7 +189,7 @@
     targets = TargetSink(context, adapter.decode_target)
 
     def mirror(kind: str, sink: KindSink) -> KindMirror:
-        return KindMirror(kind, sink, context.record.store.list_outdated)
+        return KindMirror(kind, sink, context.record.store)
 
     # The configuration comes first: it is asked for most often.
     return (
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -141,7 +141,13 @@
 
     async def listen_for_operators(self, port: int, metrics_path: str) -> str:
         """Answer operators on a port of this machine; returns the address."""
-        api = OperatorApi(self.context, self._metrics, metrics_path, self._set_gauges)
+        api = OperatorApi(
+            self.context,
+            self._metrics,
+            metrics_path,
+            self._set_gauges,
+            self._fleet.compare_with_store,
+        )
         return await self._listen(f"{self.context.settings.host}:{port}", api.handle)
 
     def _set_gauges(self, metrics: GatewayMetrics) -> None:
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -1,11 +1,11 @@
-"""What operators may ask of one gateway: figures, limits, what servers say, what it does not send.
+"""What operators may ask of one gateway: figures, limits, what servers say, what the store holds.
 
 It listens on a port of the machine that clients don't reach.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -19,6 +19,7 @@
 from milletcourse.gateway.clients.refusals import refuse
 from milletcourse.gateway.clients.request_reader import ClientRequest
 from milletcourse.gateway.state.context import MAX_SHOWN_AGE_SECONDS, GatewayContext
+from milletcourse.gateway.store.store_comparison import StoreState
 
 if TYPE_CHECKING:
     from milletcourse.gateway.telling.metrics import GatewayMetrics
@@ -28,6 +29,7 @@
 CONTAINED_PATH = "/contained"
 LIMITS_PATH = "/limits"
 SIGNALS_PATH = "/signals"
+STORE_STATE_PATH = "/store-state"
 
 
 class ShownContainment(msgspec.Struct, frozen=True):
@@ -67,6 +69,7 @@
         metrics: GatewayMetrics | None,
         metrics_path: str,
         set_gauges: Callable[[GatewayMetrics], None],
+        store_state: Callable[[], Awaitable[StoreState]],
     ) -> None:
         """A port of one gateway.
 
@@ -75,11 +78,13 @@
             metrics: Its figures, None when they aren't kept.
             metrics_path: Where they are told.
             set_gauges: Brings the figures that aren't counted up to date.
+            store_state: Compares what is known here with the object store.
         """
         self._context = context
         self._metrics = metrics
         self._metrics_path = metrics_path
         self._set_gauges = set_gauges
+        self._store_state = store_state
 
     async def handle(self, request: ClientRequest, client: ClientConnection) -> None:
         """Answer one question; the handler of `ClientConnection`."""
@@ -93,10 +98,15 @@
             _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(self._limits()))
         elif request.method == b"GET" and path == SIGNALS_PATH:
             _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(self._signals()))
+        elif request.method == b"GET" and path == STORE_STATE_PATH:
+            _answer(client, JSON_CONTENT_TYPE, msgspec.json.encode(await self._store_state()))
         elif request.method == b"DELETE" and path.startswith(CONTAINED_PATH + "/"):
             self._release(path.removeprefix(CONTAINED_PATH + "/"), client)
         else:
-            refuse(client, NotFound("figures, limits, signals and contained requests only"))
+            refuse(
+                client,
+                NotFound("figures, limits, signals, the store's state and contained requests only"),
+            )
 
     def _contained(self) -> list[ShownContainment]:
         now = self._context.now()
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -11,6 +11,7 @@
 from milletcourse.exchange.messages.feed_messages import FedKind, FedObject
 from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
+from milletcourse.gateway.telling.store_recorder import StoreReturn
 
 MAX_LOGGED_CHANGES = 2048
 """A follower that is further behind is told all objects."""
@@ -32,8 +33,14 @@
         """The store has come back from an older copy; what it holds now is handed on next."""
 
 
-OnOutdated = Callable[[str, StorePlace, StorePlace], None]
-"""Told of a list that is thrown away: its kind, the state that it shows, and the known one."""
+class MirrorListener(Protocol):
+    """Told what a mirror learns of the store's history."""
+
+    def list_outdated(self, kind: str, listed: StorePlace, known: StorePlace) -> None:
+        """A list was thrown away, since a later state is known."""
+
+    def returned(self, store_return: StoreReturn) -> None:
+        """The store has come back from an older copy."""
 
 
 class KindMirror:
@@ -46,15 +53,13 @@
         on_news: Called after each change.
     """
 
-    def __init__(
-        self, kind: str, sink: KindSink, on_outdated: OnOutdated = lambda kind, listed, known: None
-    ) -> None:
+    def __init__(self, kind: str, sink: KindSink, listener: MirrorListener | None = None) -> None:
         self.kind = kind
         self.place: StorePlace | None = None
         self.proved_at = float("-inf")
         self.on_news: Callable[[], None] | None = None
         self._sink = sink
-        self._on_outdated = on_outdated
+        self._listener = listener
         self._objects: dict[str, StoredObject] = {}
         self._log: deque[tuple[StorePlace, ObjectChange]] = deque()
         self._log_start: StorePlace | None = None
@@ -66,13 +71,15 @@
     def on_list(self, objects: list[StoredObject], place: StorePlace, sent_at: float) -> None:
         """All objects as they were at a state; one that is older than what is known is void."""
         if self.place is not None and place < self.place:
-            self._on_outdated(self.kind, place, self.place)
+            if self._listener is not None:
+                self._listener.list_outdated(self.kind, place, self.place)
             return
         listed = {stored.name: stored for stored in objects}
-        for change in self._differences(listed):
+        news = tuple(self._differences(listed))
+        for change in news:
             self._note(change, place)
         self._objects = listed
-        self._advance(place, sent_at)
+        self._advance(place, news, sent_at)
         self._sink.on_list(objects, sent_at)
         self._tell()
 
@@ -87,7 +94,7 @@
                 self._objects.pop(change.stored.name, None)
             else:
                 self._objects[change.stored.name] = change.stored
-        self._advance(max(changes.place, self.place), sent_at)
+        self._advance(max(changes.place, self.place), news, sent_at)
         self._sink.on_changes(news, sent_at)
         if news:
             self._tell()
@@ -113,19 +120,32 @@
         while len(self._log) > MAX_LOGGED_CHANGES:
             self._log_start = self._log.popleft()[0]
 
-    def _advance(self, place: StorePlace, sent_at: float) -> None:
+    def _advance(self, place: StorePlace, news: tuple[ObjectChange, ...], sent_at: float) -> None:
         if self.place is None:
             self._log_start = place
         elif place.era > self.place.era:
-            self._former_place = self.place
-            self._sink.on_new_era()
+            self._note_return(self.place, place, news)
         self.place = place
         self.proved_at = max(self.proved_at, sent_at)
 
+    def _note_return(
+        self, before: StorePlace, place: StorePlace, news: tuple[ObjectChange, ...]
+    ) -> None:
+        self._former_place = before
+        self._sink.on_new_era()
+        if self._listener is not None:
+            missing = [change.stored.name for change in news if change.gone]
+            changed = [change.stored.name for change in news if not change.gone]
+            self._listener.returned(StoreReturn(self.kind, before, place, missing, changed))
+
     def _tell(self) -> None:
         if self.on_news is not None:
             self.on_news()
 
+    def specs(self) -> dict[str, bytes]:
+        """Content of all objects by name."""
+        return {name: stored.spec for name, stored in self._objects.items()}
+
     # -- telling --------------------------------------------------------------------------------
 
     def has_news(self, place: StorePlace | None) -> bool:
--- a/src/milletcourse/gateway/store/registration.py
+++ b/src/milletcourse/gateway/store/registration.py
@@ -55,6 +55,7 @@
         on_found: Callable[[GatewayEntry], None],
         listed_at: Callable[[], StorePlace | None],
         random_source: random.Random,
+        on_written_again: Callable[[StorePlace], None],
     ) -> None:
         """Nothing written yet.
 
@@ -68,7 +69,10 @@
             on_found: Told of an entry of an earlier process that the list didn't show.
             listed_at: State of the store that the list shows, None before the first one.
             random_source: Spreads the looks.
+            on_written_again: Told when an entry that the store had lost is there again.
         """
+        self._on_written_again = on_written_again
+        self._was_lost = False
         self._listed_at = listed_at
         self._random = random_source
         self._store = store
@@ -112,6 +116,7 @@
         entry, place = self._directory.own_entry, self._directory.own_place
         if place is None or listed_at.era > written_at.era:
             self._stored, self._written_at = entry, place
+            self._was_lost = self._was_lost or place is None
 
     def on_news(self) -> None:
         """What the entry should say may have changed: all gateways may end at the next moment."""
@@ -142,6 +147,9 @@
             return await self._on_refused(error)
         self._stored, self._written_at = entry, written.place
         self._pause_seconds = LOOK_SECONDS
+        if self._was_lost:
+            self._was_lost = False
+            self._on_written_again(written.place)
         return False
 
     async def _on_refused(self, error: StoreError) -> bool:
--- a/src/milletcourse/gateway/telling/figures.py
+++ b/src/milletcourse/gateway/telling/figures.py
@@ -47,3 +47,6 @@
 
     def on_store_failure(self) -> None:
         """A call to the object store gave nothing."""
+
+    def on_store_return(self) -> None:
+        """The store has come back from an older copy, as one kind of objects shows."""
--- a/src/milletcourse/gateway/telling/metrics.py
+++ b/src/milletcourse/gateway/telling/metrics.py
@@ -48,6 +48,7 @@
         self._containments = 0
         self._peer_messages_refused = 0
         self._calls_failed = 0
+        self._store_returns = 0
         self._units: Counter[str] = Counter()
         self._lenders_silent = 0
         self._without_means = 0
@@ -125,6 +126,10 @@
         """See `Figures`."""
         self._calls_failed += 1
 
+    def on_store_return(self) -> None:
+        """See `Figures`."""
+        self._store_returns += 1
+
     # -- telling --------------------------------------------------------------------------------
 
     def render(self) -> bytes:
@@ -205,6 +210,11 @@
             "Calls to the object store that gave nothing",
             self._calls_failed,
         )
+        yield CounterMetricFamily(
+            f"{PREFIX}store_returns",
+            "Times that the object store came back from an older copy, by each kind that showed it",
+            self._store_returns,
+        )
         yield HistogramMetricFamily(
             f"{PREFIX}first_answer_seconds",
             "Time from a request's first byte to the first byte of its answer",
--- a/src/milletcourse/gateway/telling/store_recorder.py
+++ b/src/milletcourse/gateway/telling/store_recorder.py
@@ -8,6 +8,27 @@
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.gateway.telling.figures import Figures
 
+MAX_NAMES = 8
+"""Of objects that differ after a return, its line names no more."""
+
+
+class StoreReturn(msgspec.Struct, frozen=True):
+    """The store has come back from an older copy, as seen in one kind of objects.
+
+    Attributes:
+        kind: Kind of the objects.
+        before: State up to which they were known.
+        after: State that was found.
+        missing: Names of objects that were known and aren't there.
+        changed: Names of objects whose content is another one than was known.
+    """
+
+    kind: str
+    before: StorePlace
+    after: StorePlace
+    missing: list[str]
+    changed: list[str]
+
 
 class StoreRecorder:
     """Writes a line when the store comes back from an older copy, and when histories differ."""
@@ -28,6 +49,23 @@
         """
         self._log.emit("store-era", before=before, era=era)
 
+    def returned(self, store_return: StoreReturn) -> None:
+        """The store has come back from an older copy, as one kind of objects shows."""
+        self._figures.on_store_return()
+        self._log.emit(
+            "store-returned",
+            kind=store_return.kind,
+            before=_told(store_return.before),
+            after=_told(store_return.after),
+            missing=len(store_return.missing),
+            changed=len(store_return.changed),
+            names=[*store_return.missing, *store_return.changed][:MAX_NAMES],
+        )
+
+    def entry_written_again(self, place: StorePlace) -> None:
+        """This gateway's own entry, which the store had lost, is there again."""
+        self._log.emit("entry-written-again", place=_told(place))
+
     def era_unreadable(self) -> None:
         """The era of an answer is missing, or can't be understood; told once."""
         if not self._told_unreadable:
--- a/tests/gateway/store/test_store_copies.py
+++ b/tests/gateway/store/test_store_copies.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
 import pytest
 
 from gateway_fleet import GatewayFleet
@@ -19,7 +20,10 @@
     answer,
     configuration,
 )
+from milletcourse.cli.operator_port import call_gateway
 from milletcourse.gateway.node import GatewayNode
+from milletcourse.gateway.operator_api import STORE_STATE_PATH
+from milletcourse.gateway.store.store_comparison import StoreState
 from signalling_fleet import Mood, SignallingFleet
 
 GATEWAYS = "milletcourse-gateways"
@@ -275,3 +279,39 @@
         assert await _statuses_with(fleet, "key-1") == [200] * len(fleet.nodes)
 
     run_with_gateway(scenario)
+
+
+def test_operators_see_what_a_return_changed_and_whether_all_is_as_in_the_store() -> None:
+    """A gateway compares what it knows with what the store holds."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(), "s-2": Mood()})
+        copy = harness.store.copy()
+        await _write_much(fleet)
+        harness.store.come_back(copy, writes_again=False)
+        await asyncio.sleep(SETTLED_SECONDS)
+        assert harness.node is not None
+        assert b"store_returns_total 4.0" in harness.metrics.render()
+        for node in fleet.nodes:
+            address = await node.listen_for_operators(0, "/metrics")
+            state = await _store_state(address)
+            assert state.configuration == LOST_VERSIONS + 1
+            assert all(kind.is_equal and kind.era == 2 for kind in state.kinds), state
+        harness.store.objects["servers"].pop("s-1")
+        entry = harness.store.objects["servers"]["s-2"]
+        unheard = {**entry, "Metadata": {**entry["Metadata"], "Name": "s-3"}}
+        harness.store.objects["servers"]["s-3"] = unheard
+        state = await _store_state(address)
+        servers = next(kind for kind in state.kinds if kind.kind == "servers")
+        assert (servers.extra, servers.missing, servers.is_equal) == (["s-1"], ["s-3"], False)
+        harness.store.unavailable = True
+        state = await _store_state(address)
+        assert all(kind.problem and not kind.is_equal for kind in state.kinds)
+
+    run_with_gateway(scenario)
+
+
+async def _store_state(address: str) -> StoreState:
+    body = await call_gateway("GET", address, STORE_STATE_PATH, 200)
+    return msgspec.json.decode(body, type=StoreState)
