--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -152,7 +152,9 @@
         """Whether something came after a state."""
         if self.place is None or (place is not None and place >= self.place):
             return False
-        return not self._logs_since(place) or (bool(self._log) and self._log[-1][0] > place)
+        if place is None or place.era < self.place.era or not self._logs_since(place):
+            return True
+        return bool(self._log) and self._log[-1][0] > place
 
     def since(self, place: StorePlace | None) -> FedKind | None:
         """What came after a state, None when it is known up to there at most."""
