A gone server whose start its answers had told stays gone when its entry comes back

The entry in the copy named no start, the answers of the server had, so that the two weren't taken for one. Matched by name now; only a later start is another one.

Judged by what servers got (draining, revoked keys, tokens, turns), by weights at the end, and by all that each gateway knows, compared with the store 2 s after each return.

--- a/src/milletcourse/exchange/servers/gone_servers.py
+++ b/src/milletcourse/exchange/servers/gone_servers.py
@@ -9,6 +9,8 @@
 
 from collections import OrderedDict
 
+import msgspec
+
 from milletcourse.exchange.messages.records import InstanceRecord
 
 REMEMBERED_SECONDS = 600.0
@@ -19,19 +21,30 @@
 that live write again within two seconds, and entries without a heartbeat lapse within four."""
 
 
+class _Gone(msgspec.Struct, frozen=True):
+    """A server whose entry went.
+
+    Attributes:
+        started_ms: Its start, as far as its entry or its answers told; 0 when they didn't.
+        at: Monotonic time.
+    """
+
+    started_ms: int
+    at: float
+
+
 class GoneServers:
     """Incarnations whose entries went, and those of them that a copy brought back."""
 
     def __init__(self) -> None:
-        self._gone: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._gone: OrderedDict[str, _Gone] = OrderedDict()
         self._doubted: dict[str, InstanceRecord] = {}
         self._doubt_until = float("-inf")
 
     def on_gone(self, record: InstanceRecord, now: float) -> None:
         """A server's entry went for good."""
-        key = _incarnation(record)
-        self._gone[key] = now
-        self._gone.move_to_end(key)
+        self._gone[record.name] = _Gone(record.started_ms, now)
+        self._gone.move_to_end(record.name)
         while len(self._gone) > MAX_REMEMBERED:
             self._gone.popitem(last=False)
 
@@ -41,8 +54,10 @@
 
     def doubts(self, record: InstanceRecord, now: float) -> bool:
         """Whether an entry isn't to be believed yet; it is kept then."""
-        gone_at = self._gone.get(_incarnation(record))
-        if now >= self._doubt_until or gone_at is None or now - gone_at > REMEMBERED_SECONDS:
+        gone = self._gone.get(record.name)
+        if now >= self._doubt_until or gone is None or now - gone.at > REMEMBERED_SECONDS:
+            return False
+        if gone.started_ms and record.started_ms > gone.started_ms:
             return False
         self._doubted[record.name] = record
         return True
@@ -61,7 +76,3 @@
             return []
         believed, self._doubted = list(self._doubted.values()), {}
         return believed
-
-
-def _incarnation(record: InstanceRecord) -> tuple[str, int]:
-    return record.name, record.started_ms
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -9,8 +9,8 @@
 import json
 import random
 import socket
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -75,6 +75,13 @@
     revision: int
     journal_length: int
 
+    def without(self, kind: str, names: Iterable[str]) -> StoreCopy:
+        """The same as if some objects of a kind had been made later."""
+        kept = dict(self.objects.get(kind, {}))
+        for name in names:
+            kept.pop(name, None)
+        return replace(self, objects={**self.objects, kind: kept})
+
 
 class StandinStore:
     """Objects by kind with revisions, lists, watches, compare-and-set.
@@ -86,6 +93,8 @@
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.era: int | None = 1
+        self._lost: dict[str, dict[str, dict[str, Any]]] = {}
+        self._returned_at = 0
         self.revision = 0
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.journal: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -140,7 +149,10 @@
         self.forget_history()
 
     def remove(self, kind: str, name: str) -> None:
-        """An object goes."""
+        """An object goes; one that the store has lost isn't written again."""
+        was_lost = self._lost.get(kind, {}).pop(name, None) is not None
+        if was_lost and name not in self.objects.get(kind, {}):
+            return
         stored = self.objects[kind].pop(name)
         self.revision += 1
         self._note(kind, stored, True)
@@ -161,28 +173,41 @@
         Args:
             copy: What is left.
             cut: Its connections break; without that, watches that wait go on waiting.
-            writes_again: The operator and the servers write theirs again at once.
+            writes_again: The operator and the servers write theirs again at once; otherwise they do
+                with `write_again`.
         """
-        lost = self.objects
+        self._lost = self.objects
         self.objects = {kind: dict(items) for kind, items in copy.objects.items()}
-        self.revision = copy.revision
+        self.revision = self._returned_at = copy.revision
         del self.journal[copy.journal_length :]
         self.history = [entry for entry in self.history if entry[0] <= copy.revision]
         self.forgotten = min(self.forgotten, copy.revision)
         self.era = (self.era or 0) + 1
         if writes_again:
-            self._write_again(lost)
+            self.write_again()
         if cut:
             self.cut()
 
-    def _write_again(self, lost: dict[str, dict[str, dict[str, Any]]]) -> None:
+    def write_again(self) -> None:
+        """What the operator and the servers wrote before the latest return is there again.
+
+        What they have written since then holds.
+        """
         for kind in OPERATORS_KINDS:
-            before, now = lost.get(kind, {}), self.objects.get(kind, {})
+            before, now = self._lost.get(kind, {}), self.objects.get(kind, {})
             for name in [name for name in now if name not in before]:
-                self.remove(kind, name)
+                if not self._is_new(now[name]):
+                    self.remove(kind, name)
             for name, stored in before.items():
-                if name not in now or now[name]["Spec"] != stored["Spec"]:
+                if name not in now or (
+                    not self._is_new(now[name]) and now[name]["Spec"] != stored["Spec"]
+                ):
                     self.put(kind, name, stored["Spec"])
+        self._lost = {}
+
+    def _is_new(self, stored: dict[str, Any]) -> bool:
+        """Whether an object was written since the latest return."""
+        return bool(stored["Metadata"]["Revision"] > self._returned_at)
 
     def _note(self, kind: str, stored: dict[str, Any], gone: bool) -> None:
         self.journal.append((self.revision, kind, stored, gone))
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -194,7 +194,7 @@
 
     def _request_bytes(self, asked: Asked) -> bytes:
         ledger = self._world.ledger
-        key = self._random.choice(list(ledger.tenants))
+        key = self._random.choice(self._world.client_keys)
         more = {"Deadline_Ms": str(int(self._habits.deadline_seconds * 1000))}
         if asked.kind in ("stream", "single"):
             more.update(self._habits.prompt)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -26,6 +26,7 @@
 
 from soak.answers import LOST
 from soak.clients import SHORT_PROMPT, Habits, SoakClient
+from soak.copies import begin_copies, check_after_returns, store_figures
 from soak.entry import Entry
 from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
@@ -128,6 +129,8 @@
         resting: Share of the servers that ask for rest, by turns; 0 for none.
         connections: Connections that each server takes from all gateways; 0 for no bound.
         leaving: Share of the servers that leave and are replaced, by turns; 0 for none.
+        copies: Whether the store comes back from older copies, beside keys that are revoked and
+            entries that say that their servers leave.
     """
 
     gateways: int = DEFAULT_GATEWAYS
@@ -146,6 +149,7 @@
     resting: float = 0.0
     leaving: float = 0.0
     connections: int = 0
+    copies: bool = False
 
     @property
     def program(self) -> tuple[str, ...]:
@@ -160,6 +164,7 @@
     try:
         world.descriptors = run.descriptors
         world.max_connections = run.connections
+        world.shows_state = run.copies
         await world.start()
         for server in world.servers.values():
             server.mood.pause = run.pauses
@@ -187,9 +192,13 @@
             work.append(asyncio.create_task(rest_servers(world, run.resting)))
         if run.leaving:
             work.append(asyncio.create_task(leave_servers(world, run.leaving)))
+        if run.copies:
+            work += begin_copies(world)
         await asyncio.sleep(run.seconds)
         for task in work:
             task.cancel()
+        if run.copies:
+            await check_after_returns(world)
         world.ended = True
         await asyncio.gather(*callers)
     finally:
@@ -241,6 +250,7 @@
         "limits": world.ledger.limits.figures(time.monotonic()),
         "resets": sum(server.resets for server in world.servers.values()),
         "signals": world.ledger.signals.figures(),
+        "store": store_figures(world),
         "outcomes": dict(sorted(world.ledger.outcomes.items())),
         "verdicts": dict(Counter(verdict.value for verdict in verdicts.values())),
         "lost": [
@@ -287,6 +297,7 @@
     parser.add_argument("--resting", type=float, default=0.0, help="share of servers that rest")
     parser.add_argument("--connections", type=int, default=0, help="that a server takes")
     parser.add_argument("--leaving", type=float, default=0.0, help="share of servers that leave")
+    parser.add_argument("--copies", action="store_true", help="the store comes back from copies")
     arguments = parser.parse_args()
     run = PlannedRun(
         arguments.gateways,
@@ -305,6 +316,7 @@
         arguments.resting,
         arguments.leaving,
         arguments.connections,
+        arguments.copies,
     )
     return play_seeds(
         arguments.seeds, arguments.keep, lambda seed, folder: planned_soak(seed, folder, run)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,7 @@
 from milletcourse.exchange.evidence.request_identity import identity_text, request_identity
 from soak.answers import LOST
 from soak.clients import CRASHING_BODIES, CrashingCaller, SoakClient
+from soak.copies import begin_copies, check_after_returns, store_figures
 from soak.faults import FAULTS
 from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
@@ -52,10 +53,12 @@
     writers: bool = False,
     limits: bool = False,
     signals: bool = False,
+    copies: bool = False,
 ) -> Report:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, gateways)
     world.servers_are_sound = False
+    world.shows_state = copies
     try:
         await world.start()
         await asyncio.sleep(1.0)
@@ -75,6 +78,8 @@
         if signals:
             speaking.append(asyncio.create_task(rest_servers(world, RESTING)))
             speaking.append(asyncio.create_task(leave_servers(world, LEAVING)))
+        if copies:
+            speaking += begin_copies(world)
         running = await draw_faults(world, seconds)
         await asyncio.gather(*running)
         for task in speaking:
@@ -91,6 +96,8 @@
         check_recovery(world, before)
         check_gateways(world)
         check_contained(world)
+        if copies:
+            await check_after_returns(world)
         world.ledger.check_late()
         check_lost(world)
         world.ledger.check_limits()
@@ -112,6 +119,7 @@
         "outcomes": dict(sorted(ledger.outcomes.items())),
         "limits": ledger.limits.figures(time.monotonic()),
         "signals": ledger.signals.figures(),
+        "store": store_figures(world),
         "violations": ledger.violations[:20],
     }
 
@@ -191,6 +199,7 @@
     )
     parser.add_argument("--limits", action="store_true", help="servers limit their requests")
     parser.add_argument("--signals", action="store_true", help="servers ask for rest, and leave")
+    parser.add_argument("--copies", action="store_true", help="the store comes back from copies")
     arguments = parser.parse_args()
 
     def play(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
@@ -202,6 +211,7 @@
             arguments.other_writers,
             arguments.limits,
             arguments.signals,
+            arguments.copies,
         )
 
     return play_seeds(arguments.seeds, arguments.keep, play)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,6 +21,7 @@
 from gateway_standin import StandinStore, configuration
 from milletcourse.runtime.attended_clock import AttendedClock
 from soak.answers import Asked, Circumstances, Verdict, judge
+from soak.entry_ledger import EntryLedger
 from soak.ledger import Ledger, name_of
 from soak.proxy import FaultProxy
 from soak.server import MODEL, SoakServer
@@ -31,6 +32,7 @@
 DEFAULT_GATEWAYS = 5
 GATEWAY_PROGRAM = ("-m", "milletcourse.platform")
 GATEWAY_KIND = "milletcourse-gateways"
+LEASE_KIND = "milletcourse-leases"
 ENGINES = 4
 APPLICATIONS = 2
 BOUNDS = {
@@ -44,6 +46,7 @@
 TENANTS = {"key-1": "tenant-1", "key-2": "tenant-2", "key-3": "tenant-3", "key-4": "tenant-4"}
 TURN_SECONDS = 0.05
 RETIRE_SECONDS = 6.0
+SPENT_KEYS = 3
 ENTRY_SECONDS = 1.0
 """The entry of a server that crashed stands this long after its successor's came."""
 ISOLATED = frozenset({"tenant-1"})
@@ -78,8 +81,12 @@
         self.name = name
         self._program = program
         self.store = store
-        self._reservations = [reserved_port() for _ in range(3)]
-        frontend, readiness, internal = (item.getsockname()[1] for item in self._reservations)
+        self._reservations = [reserved_port() for _ in range(4)]
+        ports = [item.getsockname()[1] for item in self._reservations]
+        frontend, readiness, internal, operators = ports
+        self.operators = f"{HOST}:{operators}"
+        """Where operators ask it, when it was started with `shows_state`."""
+        self.shows_state = False
         self.frontend = f"{HOST}:{frontend}"
         self.readiness = f"{HOST}:{readiness}"
         self.starts = 0
@@ -112,7 +119,7 @@
         environment = {**os.environ, "MILLETCOURSE_SETTINGS": str(self._settings)}
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *self._program],
+                [sys.executable, *self._program, *self._operator_arguments()],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -121,6 +128,10 @@
             bound = (self.descriptors, self.descriptors)
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, bound)
 
+    def _operator_arguments(self) -> list[str]:
+        port = self.operators.rpartition(":")[2]
+        return [f"{port}/metrics"] if self.shows_state else []
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if it runs."""
         if self.process is None or self.process.poll() is not None:
@@ -136,6 +147,15 @@
         """Whether it was killed or frozen at some time of a stretch."""
         return any(item.began_at <= end and item.ended_at >= begin for item in self._disturbances)
 
+    def has_run_undisturbed(self, begin: float, end: float) -> bool:
+        """Whether it ran and reached the store for a whole stretch, by all that is known of it."""
+        if not self.is_running() or self.has_started_between(begin, end):
+            return False
+        ways = (self.store, self.feed)
+        return not self.was_disturbed(begin, end) and not any(
+            way.was_cut(begin, end) for way in ways
+        )
+
     def has_started_between(self, begin: float, end: float) -> bool:
         """Whether a process of it started in a stretch, and knew nothing of what was before."""
         return any(begin <= at <= end for at in self._started_at)
@@ -184,7 +204,9 @@
         self.random = random.Random(seed)
         self.folder = folder
         self.store = StandinStore()
-        self.ledger = Ledger(TENANTS, BOUNDS["RevokeMs"] / 1000, BOUNDS["LeaseMs"] / 1000, ISOLATED)
+        self.ledger = Ledger(
+            dict(TENANTS), BOUNDS["RevokeMs"] / 1000, BOUNDS["LeaseMs"] / 1000, ISOLATED
+        )
         self.servers: dict[str, SoakServer] = {}
         self.server_proxies: dict[str, FaultProxy] = {}
         self._ways: dict[str, list[FaultProxy]] = {}
@@ -193,8 +215,18 @@
         self.version = 1
         self.configuration_version = 1
         self.keys = dict(TENANTS)
+        self.client_keys = list(TENANTS)
+        """What clients use: keys that are valid, and some that were taken away."""
         self.ended = False
         self.all_started_at = asyncio.get_running_loop().time()
+        self.shows_state = False
+        """Whether operators may ask the gateways what they know of the store."""
+        self.store_returned = asyncio.Event()
+        self.returns: list[float] = []
+        """Monotonic times at which the store came back from a copy."""
+        self.entry_words = EntryLedger()
+        self.compared = 0
+        """Gateways that knew what the store held, when they were asked after a return."""
         self.stops = 0
         self.holds = 0
         self.clock = AttendedClock()
@@ -221,6 +253,7 @@
             gateway = GatewayProcess(f"front-{number + 1}", zone, proxy, self.folder, self._program)
             await gateway.feed.start()
             gateway.descriptors = self.descriptors
+            gateway.shows_state = self.shows_state
             gateway.start()
             self.gateways.append(gateway)
 
@@ -274,7 +307,18 @@
         server = self.servers.pop(name)
         await server.crash()
         await self.server_proxies.pop(name).close()
-        self.store.remove("servers", name)
+        if not self.entry_words.is_gone(name):
+            self.store.remove("servers", name)
+
+    def say_leaving(self, name: str, in_a_word: bool) -> None:
+        """A server's entry says that it leaves, or goes without a word; it serves on."""
+        server = self.servers[name]
+        server.draining = True
+        if in_a_word:
+            self.enter(server)
+        else:
+            self.store.remove("servers", name)
+        self.entry_words.on_leaving(name, time.monotonic(), is_gone=not in_a_word)
 
     async def retire_server(self, name: str) -> None:
         """A server ends when its work is done, or its patience over."""
@@ -297,6 +341,15 @@
 
         self.ledger.check_signals(BOUNDS["DrainMs"] / 1000, was_disturbed)
 
+        def was_cut_off(name: str, server: str, begin: float, end: float) -> bool:
+            ways = (gateways[name].store, gateways[name].feed)
+            is_cut = any(way.was_cut(begin, end) for way in ways)
+            return is_cut or was_disturbed(name, server, begin, end)
+
+        arrivals = self.ledger.signals.arrivals
+        for late in self.entry_words.late(arrivals, BOUNDS["DrainMs"] / 1000, was_cut_off):
+            self.ledger.violate("draining", f"{late}")
+
     def _on_end(self, name: str) -> None:
         """A request ended a server's process."""
         self._restarts.add(task := asyncio.create_task(self._restart(name)))
@@ -316,6 +369,16 @@
         await asyncio.sleep(ENTRY_SECONDS)
         self.store.remove("servers", name)
 
+    def on_store_away(self) -> None:
+        """The store answers nobody until it returns."""
+        self.entry_words.on_away(time.monotonic())
+
+    def on_store_return(self) -> None:
+        """The store has come back from a copy."""
+        self.returns.append(time.monotonic())
+        self.entry_words.on_return(time.monotonic())
+        self.store_returned.set()
+
     async def watch_own_pauses(self) -> None:
         """Servers and clients live in this process: while it stands still, they are silent."""
         while True:
@@ -393,6 +456,13 @@
         self.put_configuration()
         self.ledger.revoked_at[key] = asyncio.get_running_loop().time()
 
+    def replace_key(self, key: str, successor: str) -> None:
+        """Take a key away, and give its tenant another one; clients use both for a while."""
+        self.keys[successor] = self.ledger.tenants[successor] = self.keys[key]
+        self.revoke(key)
+        spent = [used for used in self.client_keys if used not in self.keys]
+        self.client_keys = [*spent[-SPENT_KEYS:], *self.keys]
+
     async def stop(self) -> None:
         """End everything that was started."""
         self.ended = True
