--- a/tests/soak/copies.py
+++ b/tests/soak/copies.py
@@ -70,11 +70,12 @@
     finally:
         store.unavailable = False
         store.come_back(copy, cut=is_cut, writes_again=False)
-    try:
-        await asyncio.sleep(writes_after)
-    finally:
-        store.write_again()
-        world.on_store_return()
+        try:
+            await asyncio.sleep(writes_after)
+        finally:
+            # Whoever ends the series leaves a store that lacks nothing.
+            store.write_again()
+            world.on_store_return()
 
 
 async def drain_servers(world: SoakWorld) -> None:
