A first list that was read stale is read fresh after 5 s

The stand-in's stale list still showed their entries, which the store had lost, so they took them for written; watches tell nothing of what isn't there. Whether a store's stale answers show the lost history isn't said on its page, so a process that starts doesn't rest on one for good. Cost: two lists a reader, once. After a return itself lists were read fresh already.

--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -49,6 +49,8 @@
     Attributes:
         kind: Kind of the objects.
         place: State of the store up to which they are known, None before the first list.
+        is_confirmed: False while all that is known rests on a list that was read stale: it may show
+            what the store had lost just before, and no change tells of that.
         proved_at: Monotonic time at which they are known to have been so; minus infinity at first.
         on_news: Called after each change.
     """
@@ -56,6 +58,7 @@
     def __init__(self, kind: str, sink: KindSink, listener: MirrorListener | None = None) -> None:
         self.kind = kind
         self.place: StorePlace | None = None
+        self.is_confirmed = True
         self.proved_at = float("-inf")
         self.on_news: Callable[[], None] | None = None
         self._sink = sink
@@ -68,12 +71,20 @@
 
     # -- learning -------------------------------------------------------------------------------
 
-    def on_list(self, objects: list[StoredObject], place: StorePlace, sent_at: float) -> None:
+    def on_list(
+        self,
+        objects: list[StoredObject],
+        place: StorePlace,
+        sent_at: float,
+        is_stale: bool = False,
+    ) -> None:
         """All objects as they were at a state; one that is older than what is known is void."""
         if self.place is not None and place < self.place:
             if self._listener is not None:
                 self._listener.list_outdated(self.kind, place, self.place)
             return
+        if not is_stale or self.place is None:
+            self.is_confirmed = not is_stale
         listed = {stored.name: stored for stored in objects}
         news = tuple(self._differences(listed))
         for change in news:
--- a/src/milletcourse/gateway/store/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -21,6 +21,8 @@
 MAX_FOLLOWER_PAUSE_SECONDS = 1.5
 """The same at a gateway that stands in for its reader: it goes back to it as soon as that one
 reaches the store, so its own calls matter less."""
+CONFIRM_SECONDS = 5.0
+"""A first list that was read stale is read fresh after this time."""
 SPREAD_SECONDS = 0.1
 """Watches that waited for their leader go on within this time, not all at once."""
 
@@ -56,6 +58,9 @@
         self._history_gone = False
         self._place = mirror.place
         self._failures = 0
+        self._confirm_at = float("inf")
+        if stale_lists and (mirror.place is None or not mirror.is_confirmed):
+            self._confirm_at = asyncio.get_running_loop().time() + CONFIRM_SECONDS
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
@@ -73,6 +78,8 @@
                 await self._pause()
 
     async def _step(self) -> None:
+        if asyncio.get_running_loop().time() >= self._confirm_at and not self._mirror.is_confirmed:
+            self._place, self._history_gone = None, True
         if self._place is None:
             await self._list()
             return
@@ -89,7 +96,7 @@
         if stale and known is not None and place.era > known.era:
             # It may show what the store has lost since.
             raise StoreError(StoreProblem.HISTORY_GONE)
-        self._mirror.on_list(objects, place, sent_at)
+        self._mirror.on_list(objects, place, sent_at, stale)
         self._place = place
 
     async def _pause(self) -> None:
--- a/src/milletcourse/gateway/store/store_sync.py
+++ b/src/milletcourse/gateway/store/store_sync.py
@@ -135,7 +135,7 @@
             # The watches go on asking.
             self._context.log.emit("gateways-unknown-at-start")
             return False
-        mirror.on_list(objects, place, sent_at)
+        mirror.on_list(objects, place, sent_at, is_stale=True)
         return True
 
     async def _is_fed_at_start(self) -> bool:
@@ -172,7 +172,7 @@
             # The watches, or a reader, bring it later.
             self._context.log.emit("first-list-failed", kind=mirror.kind, problem=str(error))
             return
-        mirror.on_list(objects, place, sent_at)
+        mirror.on_list(objects, place, sent_at, kind.stale_lists)
 
     # -- following a reader ---------------------------------------------------------------------
 
--- a/tests/gateway/store/test_store_copies.py
+++ b/tests/gateway/store/test_store_copies.py
@@ -19,6 +19,7 @@
     StoreCopy,
     answer,
     configuration,
+    serve_whole,
 )
 from milletcourse.cli.operator_port import call_gateway
 from milletcourse.gateway.node import GatewayNode
@@ -315,3 +316,24 @@
 async def _store_state(address: str) -> StoreState:
     body = await call_gateway("GET", address, STORE_STATE_PATH, 200)
     return msgspec.json.decode(body, type=StoreState)
+
+
+def test_a_gateway_that_starts_after_a_return_forgets_what_a_stale_list_showed_it() -> None:
+    """Stale lists may show servers that the store has lost; no watch tells of them."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("s-1", "app", serve_whole)
+        harness.store.put("config", "main", configuration())
+        copy = harness.store.copy()
+        harness.store.stale_shows_lost = True
+        harness.store.put("servers", "lost", harness.store.objects["servers"]["s-1"]["Spec"])
+        harness.store.come_back(copy, writes_again=False)
+        harness.store.put("config", "main", configuration(2))
+        await harness.start_gateway()
+        assert harness.node is not None
+        instances = harness.node.context.instances
+        await harness.until(lambda: instances.get("lost") is not None)
+        await harness.until(lambda: instances.get("lost") is None)
+        assert instances.get("s-1") is not None
+
+    run_with_gateway(scenario)
