A follower that knows a state between two lists of its reader is told all

It had listed the returned store before the operator and the servers had written again, and then followed a reader that listed it after that: the reader told what differed from what it had held itself, and nothing had. The same holds without a return for a change and its reverse between two lists. A mirror keeps the gaps in which it doesn't know changes one by one, and tells all to a follower within one.

--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -13,6 +13,7 @@
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 from milletcourse.gateway.telling.store_recorder import StoreReturn
 
+MAX_GAPS = 32
 MAX_LOGGED_CHANGES = 2048
 """A follower that is further behind is told all objects."""
 
@@ -66,8 +67,8 @@
         self._objects: dict[str, StoredObject] = {}
         self._log: deque[tuple[StorePlace, ObjectChange]] = deque()
         self._log_start: StorePlace | None = None
-        self._former_place: StorePlace | None = None
-        """State at which the era before this one ended, as far as it was known here."""
+        self._gaps: deque[tuple[StorePlace, StorePlace]] = deque()
+        """States between which changes aren't known one by one, just how the ends differ."""
 
     # -- learning -------------------------------------------------------------------------------
 
@@ -87,6 +88,7 @@
             self.is_confirmed = not is_stale
         listed = {stored.name: stored for stored in objects}
         news = tuple(self._differences(listed))
+        self._note_gap(place)
         for change in news:
             self._note(change, place)
         self._objects = listed
@@ -131,6 +133,14 @@
         while len(self._log) > MAX_LOGGED_CHANGES:
             self._log_start = self._log.popleft()[0]
 
+    def _note_gap(self, place: StorePlace) -> None:
+        if self.place is None or self.place == place:
+            return
+        self._gaps.append((self.place, place))
+        while len(self._gaps) > MAX_GAPS:
+            _, end = self._gaps.popleft()
+            self._log_start = end if self._log_start is None else max(self._log_start, end)
+
     def _advance(self, place: StorePlace, news: tuple[ObjectChange, ...], sent_at: float) -> None:
         if self.place is None:
             self._log_start = place
@@ -142,7 +152,6 @@
     def _note_return(
         self, before: StorePlace, place: StorePlace, news: tuple[ObjectChange, ...]
     ) -> None:
-        self._former_place = before
         self._sink.on_new_era()
         if self._listener is not None:
             missing = [change.stored.name for change in news if change.gone]
@@ -178,28 +187,20 @@
         return FedKind(self.kind, self.place, False, changes)
 
     def _logs_since(self, place: StorePlace | None) -> TypeGuard[StorePlace]:
-        """Whether all changes after a state are kept.
-
-        Of an era that has ended, changes are kept up to the state at which it ended here: a later
-        one was lost by the store, with changes that weren't known here.
-        """
-        if place is None or self._log_start is None or self.place is None:
+        """Whether what differs from a state is kept: not from one within a gap."""
+        if place is None or self._log_start is None or place < self._log_start:
             return False
-        if place.era < self.place.era and (
-            self._former_place is None
-            or place.era < self._former_place.era
-            or place > self._former_place
-        ):
-            return False
-        return place >= self._log_start
+        return not any(begin < place < end for begin, end in self._gaps)
 
     def on_fed(self, fed: FedKind, sent_at: float) -> None:
         """A reader tells what came."""
         changes = tuple(ObjectChange(_stored(item), item.gone) for item in fed.objects)
         if fed.whole:
             self.on_list([change.stored for change in changes], fed.place, sent_at)
-        else:
-            self.on_changes(ObjectChanges(changes, fed.place), sent_at)
+            return
+        if self.place is not None and fed.place > self.place:
+            self._note_gap(fed.place)
+        self.on_changes(ObjectChanges(changes, fed.place), sent_at)
 
     def on_proof(self, sent_at: float) -> None:
         """A reader proves that nothing else had come when a call was sent at this time."""
