--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -9,6 +9,7 @@
 import json
 import random
 import socket
+import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -96,6 +97,7 @@
         self._lost: dict[str, dict[str, dict[str, Any]]] = {}
         self._returned_at = 0
         self.stale_shows_lost = False
+        self.cut_at = float("-inf")
         self.revision = 0
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.journal: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -126,6 +128,7 @@
 
     def cut(self) -> None:
         """Reset all connections, waiting watches among them."""
+        self.cut_at = time.monotonic()
         for writer in list(self._writers):
             writer.transport.abort()
 
