--- a/tests/soak/test_soak_mutants.py
+++ b/tests/soak/test_soak_mutants.py
@@ -33,6 +33,8 @@
     gateways=4, clients=CLIENTS, seconds=12.0, stops=False, resting=0.3, leaving=0.3
 )
 
+COPY_RUN = PlannedRun(gateways=4, clients=CLIENTS, seconds=14.0, stops=False, copies=True)
+
 
 def play(folder: Path, mutant: str, seed: int) -> Report:
     """A short run of two gateways that stop in turn."""
@@ -89,6 +91,24 @@
     assert any(is_found(seed) for seed in SEEDS)
 
 
+def test_a_defect_in_placing_the_store_s_states_is_found(tmp_path: Path) -> None:
+    """Gateways that take a revision for a place in the history don't know what the store holds."""
+
+    def is_found(seed: int) -> bool:
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        report = asyncio.run(planned_soak(seed, folder, replace(COPY_RUN, mutant="know-no-era")))
+        return any(item.startswith("store: ") for item in report["violations"])
+
+    assert any(is_found(seed) for seed in SEEDS)
+
+
+def test_sound_gateways_know_a_store_that_comes_back_and_lose_nothing(tmp_path: Path) -> None:
+    """The same run without a defect, beside stops."""
+    report = asyncio.run(planned_soak(1, tmp_path, replace(COPY_RUN, stops=True)))
+    assert report["store"] and not report["lost"] and not report["violations"]
+
+
 def test_sound_gateways_heed_what_servers_say_and_lose_nothing(tmp_path: Path) -> None:
     """The same run without a defect, beside stops."""
     report = asyncio.run(planned_soak(1, tmp_path, replace(SIGNAL_RUN, stops=True)))
