--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -19,6 +19,7 @@
 from milletcourse.experiments.report import plot, summarize, table
 from milletcourse.experiments.rest_model import compare_rests
 from milletcourse.experiments.rest_plot import plot_rests
+from milletcourse.experiments.return_model import compare_returns
 from milletcourse.experiments.run import POLICIES, ExperimentRun
 
 DEFAULT_LOAD = 0.8
@@ -80,6 +81,16 @@
         sys.stderr.write(f"wrote {plot_rests(figures, out)}\n")
 
 
+@app.command("returns")
+def returns(
+    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5,79",
+    seed: Annotated[int, typer.Option(help="Of all that is random, the same for each way.")] = 1,
+) -> None:
+    """Ways to go on after the object store has come back from an older copy, and their calls."""
+    for figures in compare_returns(read_sizes(gateways), seed):
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+
+
 @app.command("containment")
 def containment(
     gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "8,79",
--- a/src/milletcourse/exchange/messages/feed_messages.py
+++ b/src/milletcourse/exchange/messages/feed_messages.py
@@ -39,7 +39,7 @@
 
 
 class FedObject(msgspec.Struct, array_like=True, frozen=True):
-    """An object that is there, or that went, with its latest change."""
+    """An object that is there, or one that went, whose content isn't told."""
 
     name: str
     place: StorePlace
--- /dev/null
+++ b/src/milletcourse/experiments/return_model.py
@@ -0,0 +1,282 @@
+"""What a return of the object store costs, in a small model: calls, and time until all is right.
+
+Readers find out by their own next call, list each kind anew, and tell their followers. Gateways
+whose entries the store has lost write them again. What is listed and told goes through the
+product's own mirrors; only calls and their times are made up.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import Counter
+from enum import Enum
+from itertools import count
+
+import msgspec
+
+from milletcourse.exchange.messages.store_place import StorePlace
+from milletcourse.gateway.store.kind_mirror import KindMirror
+from milletcourse.gateway.store.kind_watch import (
+    FIRST_PAUSE_SECONDS,
+    MAX_PAUSE_SECONDS,
+    SPREAD_SECONDS,
+)
+from milletcourse.gateway.store.object_store import ObjectChange, StoredObject
+from milletcourse.gateway.store.registration import (
+    LOOK_SECONDS,
+    SHORTEST_LOOK,
+)
+from milletcourse.gateway.store.registration import (
+    MAX_PAUSE_SECONDS as MAX_WRITE_PAUSE_SECONDS,
+)
+
+ZONES = 4
+KINDS = 4
+SERVERS_A_GATEWAY = 4
+PAGE_OBJECTS = 500
+WRITES_PER_SECOND = 400
+READS_PER_SECOND = 2000
+CALL_SECONDS = 0.004
+TOLD_AFTER_SECONDS = 0.02
+"""A follower hears from its reader after this time."""
+RUN_SECONDS = 30.0
+WINDOW_SECONDS = 1.0
+
+
+class ReturnWay(Enum):
+    """Who reads the store after a return, and when lost entries are written again."""
+
+    ALL_READ = "all read, written at once"
+    """As if nobody could vouch for a store of a new era."""
+    AT_ONCE = "readers read, written at once"
+    AT_NEXT_LOOK = "readers read, written at the next look"
+    """The looks of gateways that started together are spread."""
+
+
+class ReturnFigures(msgspec.Struct, frozen=True):
+    """What one return, or two in a row, cost.
+
+    Attributes:
+        way: Who reads and writes when.
+        gateways: How many there are.
+        away: Seconds for which the store was away.
+        lost_entries: Gateways whose entries it lost.
+        returns: Returns in a row.
+        reads: Reading calls after the first return.
+        writes: Writing calls after it.
+        worst_reads: Most reading calls in a second.
+        worst_writes: Most writing calls in a second.
+        refused: Calls beyond the store's rate.
+        known_after: Seconds from the last return until all gateways know what the store holds.
+        listed_after: Seconds from the last return until all are listed.
+        told_bytes: Bytes that followers were told of servers and gateways.
+    """
+
+    way: ReturnWay
+    gateways: int
+    away: float
+    lost_entries: int
+    returns: int
+    reads: int
+    writes: int
+    worst_reads: int
+    worst_writes: int
+    refused: int
+    known_after: float
+    listed_after: float
+    told_bytes: int
+
+
+class _Ignored:
+    """Takes what a mirror learns; a `KindSink`."""
+
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        """See `KindSink`."""
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        """See `KindSink`."""
+
+    def on_unavailable(self) -> None:
+        """See `KindSink`."""
+
+    def on_new_era(self) -> None:
+        """See `KindSink`."""
+
+
+class _Rate:
+    """Calls a second that the store bears; the others are refused."""
+
+    def __init__(self, per_second: int) -> None:
+        self._per_second = per_second
+        self._taken: Counter[int] = Counter()
+        self.times: list[float] = []
+        self.refused = 0
+
+    def takes(self, now: float) -> bool:
+        """Whether a call is done."""
+        self.times.append(now)
+        if self._taken[math.floor(now)] >= self._per_second:
+            self.refused += 1
+            return False
+        self._taken[math.floor(now)] += 1
+        return True
+
+    def worst(self) -> int:
+        """Most calls in a second, wherever it begins."""
+        times = sorted(self.times)
+        most = 0
+        first = 0
+        for last, at in enumerate(times):
+            while times[first] <= at - WINDOW_SECONDS:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+class ReturnModel:
+    """One run."""
+
+    def __init__(
+        self, way: ReturnWay, gateways: int, away: float, lost_share: float, returns: int, seed: int
+    ) -> None:
+        """Everything known and listed before the store goes away.
+
+        Args:
+            way: Who reads and writes when.
+            gateways: How many there are.
+            away: Seconds for which the store is away, each time.
+            lost_share: Share of the gateways whose entries it loses.
+            returns: Returns in a row.
+            seed: Of all that is random.
+        """
+        self._way = way
+        self._gateways = gateways
+        self._away = away
+        self._lost = round(gateways * lost_share)
+        self._returns = returns
+        self._random = random.Random(seed)
+        self._reads = _Rate(READS_PER_SECOND)
+        self._writes = _Rate(WRITES_PER_SECOND)
+        self._events: list[tuple[float, int, int, str]] = []
+        self._order = count()
+        self._written: set[int] = set()
+        self._knows_at: dict[int, float] = {}
+        self._listed_at = 0.0
+        self._told_bytes = 0
+        self._readers = {min(zone, gateways - 1) for zone in range(ZONES)}
+
+    def run(self) -> ReturnFigures:
+        """Play it."""
+        last = self._away * self._returns
+        for gateway in range(self._gateways):
+            if gateway in self._readers or self._way is ReturnWay.ALL_READ:
+                self._push(last + self._first_call(gateway), gateway, "list")
+        while self._events and self._events[0][0] < RUN_SECONDS:
+            now, _, gateway, kind = heapq.heappop(self._events)
+            (self._list if kind == "list" else self._write)(gateway, now)
+        return self._figures(last)
+
+    def _push(self, at: float, gateway: int, kind: str) -> None:
+        heapq.heappush(self._events, (at, next(self._order), gateway, kind))
+
+    def _first_call(self, gateway: int) -> float:
+        """Time from the return until a gateway's next call: it was pausing after a failed one."""
+        pause = min(max(self._away, FIRST_PAUSE_SECONDS), MAX_PAUSE_SECONDS)
+        return pause * self._random.random() + SPREAD_SECONDS * self._random.random()
+
+    def _list(self, gateway: int, now: float) -> None:
+        """All kinds; a page that is refused is asked for again."""
+        pages = KINDS - 2 + sum(math.ceil(size / PAGE_OBJECTS) for size in self._sizes())
+        done = sum(self._reads.takes(now + page * CALL_SECONDS) for page in range(pages))
+        if done < pages:
+            self._push(now + MAX_PAUSE_SECONDS * (0.5 + self._random.random()), gateway, "list")
+            return
+        known_at = now + pages * CALL_SECONDS
+        self._on_known(gateway, known_at)
+        if self._way is ReturnWay.ALL_READ:
+            return
+        followers = [item for item in range(self._gateways) if self._reader_of(item) == gateway]
+        self._told_bytes += len(followers) * self._bytes_told()
+        for follower in followers:
+            self._on_known(follower, known_at + TOLD_AFTER_SECONDS)
+
+    def _sizes(self) -> tuple[int, int]:
+        return self._gateways * SERVERS_A_GATEWAY, self._gateways
+
+    def _reader_of(self, gateway: int) -> int | None:
+        return None if gateway in self._readers else gateway % len(self._readers)
+
+    def _bytes_told(self) -> int:
+        """What one follower is told of the gateways' list, of which some entries are lost."""
+        mirror = KindMirror("gateways", _Ignored())
+        before, after = StorePlace(1, 900), StorePlace(2, 500)
+        spec = b'{"address":"10.0.0.1:9000","zone":"zone-1","feed":"10.0.0.1:9000"}'
+        names = [f"front-{number}" for number in range(self._gateways)]
+        mirror.on_list([StoredObject(name, before, spec) for name in names], before, 0.0)
+        kept = names[self._lost :]
+        mirror.on_list([StoredObject(name, after, spec) for name in kept], after, 0.0)
+        return len(msgspec.json.encode(mirror.since(before)))
+
+    def _on_known(self, gateway: int, now: float) -> None:
+        if gateway in self._knows_at:
+            return
+        self._knows_at[gateway] = now
+        if gateway >= self._lost:
+            return
+        wait = 0.0
+        if self._way is ReturnWay.AT_NEXT_LOOK:
+            # It is somewhere within the time between two looks.
+            wait = self._look() * self._random.random()
+        self._push(now + wait, gateway, "write")
+
+    def _look(self) -> float:
+        return LOOK_SECONDS * (SHORTEST_LOOK + (1.0 - SHORTEST_LOOK) * self._random.random())
+
+    def _write(self, gateway: int, now: float) -> None:
+        if self._writes.takes(now):
+            self._written.add(gateway)
+            self._listed_at = max(self._listed_at, now + CALL_SECONDS)
+            return
+        share = SHORTEST_LOOK + (1.0 - SHORTEST_LOOK) * self._random.random()
+        self._push(now + MAX_WRITE_PAUSE_SECONDS * share, gateway, "write")
+
+    def _figures(self, last: float) -> ReturnFigures:
+        everybody = len(self._knows_at) == self._gateways
+        listed = len(self._written) == self._lost
+        return ReturnFigures(
+            way=self._way,
+            gateways=self._gateways,
+            away=self._away,
+            lost_entries=self._lost,
+            returns=self._returns,
+            reads=len(self._reads.times),
+            writes=len(self._writes.times),
+            worst_reads=self._reads.worst(),
+            worst_writes=self._writes.worst(),
+            refused=self._reads.refused + self._writes.refused,
+            known_after=round(max(self._knows_at.values()) - last, 3) if everybody else math.inf,
+            listed_after=round(max(self._listed_at - last, 0.0), 3) if listed else math.inf,
+            told_bytes=self._told_bytes,
+        )
+
+
+def compare_returns(sizes: list[int], seed: int) -> list[ReturnFigures]:
+    """Figures of each way, for short and long absences, one return and two.
+
+    Args:
+        sizes: Numbers of gateways.
+        seed: Of all that is random.
+    """
+    return [
+        ReturnModel(way, size, away, lost_share, returns, seed).run()
+        for size in sizes
+        for away, lost_share, returns in (
+            (0.05, 0.1, 1),
+            (1.5, 0.1, 1),
+            (5.0, 1.0, 1),
+            (1.5, 1.0, 2),
+        )
+        for way in ReturnWay
+    ]
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -210,7 +210,8 @@
 
 
 def _fed(stored: StoredObject, gone: bool) -> FedObject:
-    return FedObject(stored.name, stored.place, msgspec.Raw(stored.spec), gone)
+    spec = b"null" if gone else stored.spec
+    return FedObject(stored.name, stored.place, msgspec.Raw(spec), gone)
 
 
 def _stored(item: FedObject) -> StoredObject:
