--- a/src/milletcourse/gateway/store/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -14,6 +14,7 @@
     StoreError,
     StoreProblem,
 )
+from milletcourse.runtime.clock import elapsed_seconds
 
 FIRST_PAUSE_SECONDS = 0.05
 MAX_PAUSE_SECONDS = 0.4
@@ -60,7 +61,7 @@
         self._failures = 0
         self._confirm_at = float("inf")
         if stale_lists and (mirror.place is None or not mirror.is_confirmed):
-            self._confirm_at = asyncio.get_running_loop().time() + CONFIRM_SECONDS
+            self._confirm_at = elapsed_seconds() + CONFIRM_SECONDS
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
@@ -78,7 +79,7 @@
                 await self._pause()
 
     async def _step(self) -> None:
-        if asyncio.get_running_loop().time() >= self._confirm_at and not self._mirror.is_confirmed:
+        if elapsed_seconds() >= self._confirm_at and not self._mirror.is_confirmed:
             self._place, self._history_gone = None, True
         if self._place is None:
             await self._list()
