The rig's check of revoked keys is strict again; a listener that always is there; a name

The rig had excused processes that began in the gap of a return, and revocations that were lost before anybody heard of them. Keys that are revoked while the store answers nobody still count from the writing: there is no acknowledgement before.

The store's client needs its listeners (no stand-in for none), and a reader that is an era behind is called so.

--- a/src/milletcourse/gateway/store/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -160,19 +160,6 @@
         """An answer about a kind is of a former era than one before it."""
 
 
-class _Unheard:
-    """Takes no notice of the store's history; an `EraListener`."""
-
-    def era(self, before: int | None, era: int) -> None:
-        """See `EraListener`."""
-
-    def era_unreadable(self) -> None:
-        """See `EraListener`."""
-
-    def answer_outdated(self, kind: str, era: int, known: int) -> None:
-        """See `EraListener`."""
-
-
 class ObjectStoreClient:
     """Calls one store, and takes no answer of an era that has ended.
 
@@ -187,8 +174,8 @@
         calls: CallClient,
         random_source: random.Random,
         on_call: OnCall,
-        on_unreadable: OnUnreadable = lambda kind, count: None,
-        era_listener: EraListener | None = None,
+        on_unreadable: OnUnreadable,
+        era_listener: EraListener,
     ) -> None:
         self._address = address
         self._random = random_source
@@ -196,7 +183,7 @@
         self._calls = calls
         self._on_call = on_call
         self._on_unreadable = on_unreadable
-        self._listener = era_listener or _Unheard()
+        self._listener = era_listener
         self.era: int | None = None
         self._watches: set[asyncio.Task[Reply]] = set()
         self._outdated_watches: set[asyncio.Task[Reply]] = set()
--- a/src/milletcourse/gateway/store/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -57,7 +57,7 @@
             return
         self._note_positions(question)
         await self._wait_for_news(question, received_at)
-        if not self._vouches() or self._is_of_a_former_era(question):
+        if not self._vouches() or self._is_an_era_behind(question):
             refuse(client, NotReady("the store isn't read here now"))
             return
         told = [
@@ -76,7 +76,7 @@
             if known is not None and position.place is not None:
                 self._context.record.store.follower_position(position.kind, position.place, known)
 
-    def _is_of_a_former_era(self, question: FeedQuestion) -> bool:
+    def _is_an_era_behind(self, question: FeedQuestion) -> bool:
         """Whether the follower knows of a return of the store that isn't known here.
 
         What is proved here is then of a history that the store has lost.
@@ -99,7 +99,7 @@
     async def _wait_for_news(self, question: FeedQuestion, received_at: float) -> None:
         """Wait until there is something to tell, or the question was kept long enough."""
         until = received_at + min(question.hold_seconds, MAX_HOLD_SECONDS)
-        if self._is_of_a_former_era(question):
+        if self._is_an_era_behind(question):
             return
         while self._vouches() and not self._has_news(question):
             context = self._context
--- a/tests/gateway/store/test_store_eras.py
+++ b/tests/gateway/store/test_store_eras.py
@@ -215,7 +215,8 @@
         calls,
         random.Random(1),
         lambda kind, done: None,
-        era_listener=lines,
+        lambda kind, count: None,
+        lines,
     )
     return client, calls, lines
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -118,9 +118,6 @@
     now: Callable[[], float] = time.monotonic
     """Clock of the servers' work: of the process that they all run in."""
 
-    cannot_know: Callable[[str], bool] = lambda gateway: False
-    """Whether a gateway's process began after the store had lost what it would have to know."""
-
     def violate(self, promise: str, detail: str) -> None:
         """A promise was broken."""
         self.violations.append(f"{promise}: {detail}")
@@ -202,10 +199,7 @@
         if run.tenant != self.tenants.get(sent.key):
             self.violate("tenant", f"{request_id} ran as {run.tenant!r}")
         revoked = self.revoked_at.get(sent.key)
-        is_late = (
-            revoked is not None and sent.at > revoked + self.revoke_seconds + REVOKE_SLACK_SECONDS
-        )
-        if is_late and not (sent.gateway and self.cannot_know(sent.gateway)):
+        if revoked is not None and sent.at > revoked + self.revoke_seconds + REVOKE_SLACK_SECONDS:
             self.violate("revoked-key", f"{request_id} sent {sent.at - revoked:.2f}s after")
         if run.tenant in self.isolated and run.salt and run.tenant not in run.salt:
             self.violate("wall", f"{request_id} has salt {run.salt}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,7 +21,7 @@
 from gateway_standin import StandinStore, configuration
 from milletcourse.runtime.attended_clock import AttendedClock
 from soak.answers import Asked, Circumstances, Verdict, judge
-from soak.entry_ledger import KNOWN_SECONDS, EntryLedger
+from soak.entry_ledger import EntryLedger
 from soak.ledger import Ledger, name_of
 from soak.proxy import FaultProxy
 from soak.server import MODEL, SoakServer
@@ -240,9 +240,8 @@
         """The store is away, or lacks what the operator and the servers write again."""
         self.own_cut_at = float("-inf")
         """When the store's connections were last broken by a return."""
-        self._unheard_keys: set[str] = set()
-        """Revoked while the store could tell nobody, or lost before it could."""
-        self._gaps: list[tuple[float, float]] = []
+        self._unacknowledged_keys: set[str] = set()
+        """Revoked while the store answered nobody, the operator included."""
         self.store_disturbances: list[float] = []
         """Monotonic times at which the store, or the way to it, was seen away or slow, but for
         returns from copies."""
@@ -253,7 +252,6 @@
         """Gateways that knew what the store held, when they were asked after a return."""
         self.stops = 0
         self.holds = 0
-        self.ledger.cannot_know = self.has_started_in_a_gap
         self.clock = AttendedClock()
         # A close that waits in this process, which carries it, is not the gateway's delay.
         self.ledger.now = self.clock.seconds
@@ -406,38 +404,16 @@
 
     def on_store_away(self) -> None:
         """The store answers nobody until it returns."""
-        now = time.monotonic()
-        self.entry_words.on_away(now)
-        self._gaps.append((now, math.inf))
-        revoked_at = self.ledger.revoked_at
-        self._unheard_keys |= {key for key, at in revoked_at.items() if now - at < KNOWN_SECONDS}
-        self._excuse_unheard_keys(math.inf)
-
-    def _excuse_unheard_keys(self, revoked_at: float) -> None:
-        for key in self._unheard_keys:
-            self.ledger.revoked_at[key] = revoked_at
-
-    def has_started_in_a_gap(self, name: str) -> bool:
-        """Whether a gateway's process knows only what the store held before it had all again.
-
-        Two returns in a row make one gap.
-        """
-        gateway = next(item for item in self.gateways if item.name == name)
-        if not self._gaps or time.monotonic() >= self._gaps[-1][1] + KNOWN_SECONDS:
-            return False
-        return any(
-            gateway.has_started_between(begin, end + KNOWN_SECONDS)
-            for begin, end in self._gaps[-2:]
-        )
+        self.entry_words.on_away(time.monotonic())
 
     def on_store_return(self) -> None:
         """The store has come back from a copy."""
-        self.returns.append(time.monotonic())
         now = time.monotonic()
+        self.returns.append(now)
         self.entry_words.on_return(now)
-        self._gaps[-1] = (self._gaps[-1][0], now)
-        self._excuse_unheard_keys(now)
-        self._unheard_keys.clear()
+        for key in self._unacknowledged_keys:
+            self.ledger.revoked_at[key] = now
+        self._unacknowledged_keys.clear()
         self.store_returned.set()
 
     async def watch_own_pauses(self) -> None:
@@ -516,9 +492,9 @@
         del self.keys[key]
         self.put_configuration()
         self.ledger.revoked_at[key] = asyncio.get_running_loop().time()
-        if self.is_returning:
-            self._unheard_keys.add(key)
-            self._excuse_unheard_keys(math.inf)
+        if self.is_returning and self.store.unavailable:
+            self._unacknowledged_keys.add(key)
+            self.ledger.revoked_at[key] = math.inf
 
     def replace_key(self, key: str, successor: str) -> None:
         """Take a key away, and give its tenant another one; clients use both for a while."""
