--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -15,6 +15,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+import msgspec
+
 HOST = "127.0.0.1"
 
 
@@ -237,7 +239,7 @@
                 fields = {"Content-Type": "application/json"}
                 if self.era is not None:
                     fields["Store-Era"] = str(self.era)
-                writer.write(answer(status, json.dumps(document).encode(), fields))
+                writer.write(answer(status, msgspec.json.encode(document), fields))
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
--- /dev/null
+++ b/tests/soak/large.py
@@ -0,0 +1,168 @@
+"""A configuration of many routes that changes again and again, on links that carry little."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from gateway_standin import Client, NoAnswerError
+from soak.ledger import SentRequest
+from soak.world import CONFIG_APPLY_SECONDS, GatewayProcess, SoakWorld
+
+HOSTS = 20
+LETTERS = "abcdefghijklmnopqrstuvwxyz0123456789"
+PROBE_SECONDS = 0.3
+PROBE_TIMEOUT_SECONDS = 2.0
+TARGET_SECONDS = 2.0
+"""In force everywhere within this time, whatever the size, on the links of the capacity page."""
+NOT_FOUND = 404
+"""What only a version without the route says."""
+
+
+def many_routes(count: int, source: random.Random) -> list[dict[str, Any]]:
+    """Routes with random names on some hosts, as operators' tools make them."""
+
+    def word(length: int) -> str:
+        return "".join(source.choices(LETTERS, k=length))
+
+    hosts = [f"{word(6)}.example" for _ in range(HOSTS)]
+    return [
+        {
+            "Name": f"r-{word(7)}",
+            "Host": source.choice(hosts),
+            "PathPrefix": f"/{word(8)}/",
+            "RouteType": source.choice(("safe", "unsafe", "streaming")),
+            "TimeoutMs": 5000,
+            "TargetLatencyMs": 835,
+            "Priority": 1,
+            "Backends": [
+                {"Service": "app", "Weight": 90},
+                {"Service": "engine", "Weight": 10},
+            ],
+            "MaxAttempts": 2,
+            "Public": False,
+            "Sticky": True,
+            "Resumable": True,
+            "GapAimMs": 600,
+        }
+        for _ in range(count)
+    ]
+
+
+async def change_configuration(world: SoakWorld, seconds: float) -> None:
+    """Write the configuration again and again, until cancelled."""
+    while True:
+        world.put_configuration()
+        await asyncio.sleep(seconds)
+
+
+async def probe_routes(world: SoakWorld) -> None:
+    """Ask each gateway for a route that must be in force by now, until cancelled."""
+    await asyncio.gather(*(_probe(world, gateway) for gateway in world.gateways))
+
+
+async def _probe(world: SoakWorld, gateway: GatewayProcess) -> None:
+    number = 0
+    while True:
+        await asyncio.sleep(PROBE_SECONDS)
+        sent_at = time.monotonic()
+        acknowledged_at, version = _due_version(world, sent_at)
+        if not version:
+            continue
+        number += 1
+        request_id = f"probe-{gateway.name}-{number}"
+        status = await _ask(world, gateway, f"/since-{version}/", request_id)
+        world.probes[status] += 1
+        since = acknowledged_at - CONFIG_APPLY_SECONDS
+        if status == NOT_FOUND and gateway.has_run_undisturbed(since, time.monotonic()):
+            if _due_version(world, time.monotonic())[1] == version:
+                age = sent_at - acknowledged_at
+                world.ledger.violate(
+                    "configuration", f"{gateway.name} said {status} for {version} after {age:.2f} s"
+                )
+
+
+def _due_version(world: SoakWorld, now: float) -> tuple[float, int]:
+    """Acknowledgement and number of the version that must be in force; 0 when none is settled.
+
+    While a newer one is on its way, either may hold.
+    """
+    latest_at, version = world.configurations[-1]
+    return (latest_at, version) if now - latest_at > CONFIG_APPLY_SECONDS else (latest_at, 0)
+
+
+async def _ask(world: SoakWorld, gateway: GatewayProcess, path: str, request_id: str) -> int:
+    """Status of the answer, 0 without one."""
+    key = next(iter(world.keys))
+    now = asyncio.get_running_loop().time()
+    world.ledger.on_sent(SentRequest(request_id, now, key, "safe", gateway.name))
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+            client = await Client.connect(gateway.frontend)
+            try:
+                client.send(path, request_id, "GET", b"", key, Deadline_Ms="1500")
+                got = await client.read_answer()
+            finally:
+                client.close()
+    except (OSError, TimeoutError, NoAnswerError):
+        return 0
+    return got.status if got is not None else 0
+
+
+def configuration_figures(world: SoakWorld) -> dict[str, Any]:
+    """How late versions came into force, by the gateways' own lines.
+
+    A version that a later one has overtaken counts by the first line that is no older.
+    """
+    in_force = {gateway.name: _in_force(gateway) for gateway in world.gateways}
+    now = time.monotonic()
+    delays: list[float] = []
+    never = 0
+    for acknowledged_at, version in world.configurations:
+        for gateway in world.gateways:
+            if not gateway.has_run_undisturbed(acknowledged_at, acknowledged_at):
+                continue
+            known_at = next((at for at, found in in_force[gateway.name] if found >= version), None)
+            if known_at is not None:
+                delays.append(known_at - acknowledged_at)
+            elif now - acknowledged_at > TARGET_SECONDS:
+                never += 1
+    links = [gateway.link.carried_bytes for gateway in world.gateways if gateway.link is not None]
+    return {
+        "versions": len(world.configurations),
+        "worst_seconds": round(max(delays, default=0.0), 2),
+        "late": sum(delay > TARGET_SECONDS for delay in delays),
+        "never": never,
+        "readers_lost": _count(world, "reader-lost"),
+        "store_read_here": _count(world, "store-read-here"),
+        "link_megabytes": round(sum(links) / 1e6, 1),
+        "peak_megabytes": round(max(map(_peak_megabytes, world.gateways), default=0.0), 1),
+        "probes": {str(status): count for status, count in sorted(world.probes.items())},
+    }
+
+
+def _in_force(gateway: GatewayProcess) -> list[tuple[float, int]]:
+    to_monotonic = time.monotonic() - time.time()
+    return [
+        (datetime.fromisoformat(line["timestamp"]).timestamp() + to_monotonic, line["version"])
+        for line in gateway.log_lines()
+        if line["event"] == "configuration-in-force"
+    ]
+
+
+def _count(world: SoakWorld, event: str) -> int:
+    lines = (line for gateway in world.gateways for line in gateway.log_lines())
+    return sum(1 + line.get("left_out", 0) for line in lines if line["event"] == event)
+
+
+def _peak_megabytes(gateway: GatewayProcess) -> float:
+    """Most memory that the running process had; 0 when none runs."""
+    if gateway.process is None or not gateway.is_running():
+        return 0.0
+    status = Path(f"/proc/{gateway.process.pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1000
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -24,10 +24,17 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from soak.answers import LOST
+from soak.answers import LOST, End
 from soak.clients import SHORT_PROMPT, Habits, SoakClient
 from soak.copies import begin_copies, check_after_returns, store_figures
 from soak.entry import Entry
+from soak.large import (
+    TARGET_SECONDS,
+    change_configuration,
+    configuration_figures,
+    many_routes,
+    probe_routes,
+)
 from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
 from soak.signals import leave_servers, rest_servers
@@ -59,6 +66,7 @@
 """With less standing still of this process in all, no server in it was silent for a second."""
 JUDGEMENTS = ("left", "instance-ejected", "instance-suspected", "stream-cut")
 """What gateways did to servers and streams, counted from their lines."""
+PERCENTILES = {"p50": 0.5, "p99": 0.99}
 MUTANTS_FILE = Path(__file__).parent / "mutants.py"
 
 
@@ -143,6 +151,10 @@
         leaving: Share of the servers that leave and are replaced, by turns; 0 for none.
         copies: Whether the store comes back from older copies, beside keys that are revoked and
             entries that say that their servers leave.
+        link_megabits: Link of each gateway; 0 for no bound.
+        routes: Further routes of the configuration, from the beginning of the work on.
+        change_seconds: The configuration is written again after so long; 0 for the usual changes.
+        calm: No work but these changes.
     """
 
     gateways: int = DEFAULT_GATEWAYS
@@ -162,6 +174,15 @@
     leaving: float = 0.0
     connections: int = 0
     copies: bool = False
+    link_megabits: float = 0.0
+    routes: int = 0
+    change_seconds: float = 0.0
+    calm: bool = False
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the configuration's way to the gateways is looked at."""
+        return bool(self.link_megabits or self.routes or self.change_seconds)
 
     @property
     def program(self) -> tuple[str, ...]:
@@ -173,9 +194,11 @@
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, run.gateways, run.program)
     background: list[asyncio.Task[None]] = []
+    large: dict[str, Any] = {}
     try:
         world.descriptors = run.descriptors
         world.max_connections = run.connections
+        world.link_megabits = run.link_megabits
         world.shows_state = run.copies
         await world.start()
         for server in world.servers.values():
@@ -191,9 +214,16 @@
             asyncio.create_task(new_client(number, world, entry, run.direct).run())
             for number in range(run.clients)
         ]
-        background += [asyncio.create_task(work) for work in (world.keep_gateways(),)]
+        background.append(asyncio.create_task(world.keep_gateways()))
         await asyncio.sleep(CALM_SECONDS)
-        work = [asyncio.create_task(other_planned_work(world))]
+        work = []
+        if run.is_large:
+            world.routes = many_routes(run.routes, world.random)
+            work.append(asyncio.create_task(probe_routes(world)))
+        if run.change_seconds:
+            work.append(asyncio.create_task(change_configuration(world, run.change_seconds)))
+        if not run.calm:
+            work.append(asyncio.create_task(other_planned_work(world)))
         if run.stops:
             work.append(asyncio.create_task(roll_gateways(world, entry, run.at_a_time)))
         if run.hold_seconds:
@@ -211,6 +241,9 @@
             task.cancel()
         if run.copies:
             await check_after_returns(world)
+        if run.is_large:
+            await asyncio.sleep(TARGET_SECONDS)
+            large = configuration_figures(world)
         world.ended = True
         await asyncio.gather(*callers)
     finally:
@@ -222,7 +255,8 @@
         world.ledger.check_overlaps()
     world.ledger.check_limits()
     world.check_signals()
-    return report_of(seed, world, servers_are_silent=run.pauses > 0.0)
+    report = report_of(seed, world, servers_are_silent=run.pauses > 0.0)
+    return {**report, "configuration": large} if run.is_large else report
 
 
 def new_client(number: int, world: SoakWorld, entry: Entry, direct: bool) -> SoakClient:
@@ -264,6 +298,7 @@
         "signals": world.ledger.signals.figures(),
         "store": store_figures(world),
         "outcomes": dict(sorted(world.ledger.outcomes.items())),
+        "seconds_to_answer": answer_times(world),
         "verdicts": dict(Counter(verdict.value for verdict in verdicts.values())),
         "lost": [
             {
@@ -281,6 +316,14 @@
     }
 
 
+def answer_times(world: SoakWorld) -> dict[str, float]:
+    """Median and 99th percentile of the time until an answer was whole."""
+    times = sorted(item.ended_at - item.sent_at for item in world.asked if item.end is End.WHOLE)
+    if not times:
+        return {}
+    return {name: round(times[int(len(times) * share)], 3) for name, share in PERCENTILES.items()}
+
+
 def is_blame(line: dict[str, Any]) -> bool:
     """Whether a gateway left, or judged, a server for its silence."""
     if line["event"] == "instance-ejected":
@@ -310,6 +353,10 @@
     parser.add_argument("--connections", type=int, default=0, help="that a server takes")
     parser.add_argument("--leaving", type=float, default=0.0, help="share of servers that leave")
     parser.add_argument("--copies", action="store_true", help="the store comes back from copies")
+    parser.add_argument("--link", type=float, default=0.0, help="Mbit/s of each gateway")
+    parser.add_argument("--routes", type=int, default=0, help="further routes")
+    parser.add_argument("--changes", type=float, default=0.0, help="seconds between versions")
+    parser.add_argument("--calm", action="store_true", help="nothing else happens")
     arguments = parser.parse_args()
     run = PlannedRun(
         arguments.gateways,
@@ -329,6 +376,10 @@
         arguments.leaving,
         arguments.connections,
         arguments.copies,
+        arguments.link,
+        arguments.routes,
+        arguments.changes,
+        arguments.calm,
     )
     return play_seeds(
         arguments.seeds, arguments.keep, lambda seed, folder: planned_soak(seed, folder, run)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,16 +4,30 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
+
+from soak.links import Link
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65536
+LINK_CHUNK_BYTES = 4096
+"""On a link connections take turns by so much."""
 
 
 class FaultProxy:
     """Stands before one address; faults are switched from outside."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, links: Sequence[Link] = (), far_megabits: float = 0.0) -> None:
+        """Not listening yet.
+
+        Args:
+            target: `host:port` behind it.
+            links: What all its connections pass.
+            far_megabits: Link of the machine at the other end of each connection; 0 for no bound.
+        """
         self.target = target
+        self._links = links
+        self._far_megabits = far_megabits
         self.delay_seconds = 0.0
         self.address = ""
         self._cuts: list[tuple[float, float]] = []
@@ -70,14 +84,21 @@
             self._writers.discard(writer)
             return
         self._writers.add(target_writer)
+        far = (Link(self._far_megabits),) if self._far_megabits else ()
+        links = (*self._links, *far)
         for source, sink in ((reader, target_writer), (target_reader, writer)):
-            task = asyncio.create_task(self._pump(source, sink))
+            task = asyncio.create_task(self._pump(source, sink, links))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _pump(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+    async def _pump(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, links: Sequence[Link]
+    ) -> None:
+        chunk_bytes = LINK_CHUNK_BYTES if links else CHUNK_BYTES
         try:
-            while data := await source.read(CHUNK_BYTES):
+            while data := await source.read(chunk_bytes):
+                for link in links:
+                    await link.carry(len(data))
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
                 # A sender that resets while its bytes are held up takes them back.
@@ -85,6 +106,8 @@
                     await self._open.wait()
                     if source.exception() is not None:
                         raise ConnectionResetError
+                if sink.is_closing():
+                    raise ConnectionResetError
                 sink.write(data)
                 await sink.drain()
             sink.close()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,6 +24,7 @@
 from soak.answers import Asked, Circumstances, Verdict, judge
 from soak.entry_ledger import EntryLedger
 from soak.ledger import Ledger, name_of
+from soak.links import Link
 from soak.proxy import FaultProxy
 from soak.server import MODEL, SoakServer
 
@@ -42,7 +44,9 @@
     "LeaseMs": 1500,
     "VersionMs": 5000,
     "DrainMs": 2000,
+    "ConfigApplyMs": 2000,
 }
+CONFIG_APPLY_SECONDS = BOUNDS["ConfigApplyMs"] / 1000
 TENANTS = {"key-1": "tenant-1", "key-2": "tenant-2", "key-3": "tenant-3", "key-4": "tenant-4"}
 TURN_SECONDS = 0.05
 RETIRE_SECONDS = 6.0
@@ -56,6 +60,18 @@
 ISOLATED = frozenset({"tenant-1"})
 
 
+def newest_route(version: int) -> dict[str, Any]:
+    """A route that only this version has."""
+    return {
+        "Name": f"since-{version}",
+        "Host": "site.example",
+        "PathPrefix": f"/since-{version}/",
+        "RouteType": "safe",
+        "TimeoutMs": 3000,
+        "Service": "app",
+    }
+
+
 def reserved_port() -> socket.socket:
     """Keeps a port for a process that ends and starts again.
 
@@ -80,11 +96,20 @@
     """One gateway on a fixed address, started again when it ends."""
 
     def __init__(
-        self, name: str, zone: str, store: FaultProxy, folder: Path, program: Sequence[str]
+        self,
+        name: str,
+        zone: str,
+        store: str,
+        folder: Path,
+        program: Sequence[str],
+        link_megabits: float = 0.0,
     ) -> None:
         self.name = name
         self._program = program
-        self.store = store
+        self.link = Link(link_megabits) if link_megabits else None
+        """What callers, the store and followers share; None for no bound."""
+        links = (self.link,) if self.link is not None else ()
+        self.store = FaultProxy(store, links)
         self._reservations = [reserved_port() for _ in range(4)]
         ports = [item.getsockname()[1] for item in self._reservations]
         frontend, readiness, internal, operators = ports
@@ -96,17 +121,18 @@
         self.starts = 0
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
-        self.feed = FaultProxy(f"{HOST}:{internal}")
+        self.feed = FaultProxy(f"{HOST}:{internal}", links, link_megabits)
+        self._callers = FaultProxy(self.frontend, links) if links else None
         document = {
             "NodeName": name,
             "Zone": zone,
             "Ip": HOST,
             "Listen": {"Frontend": self.frontend, "Readiness": self.readiness},
-            "Platform": {"Address": store.address},
             "InternalPorts": [internal, internal],
             "Bounds": BOUNDS,
+            "Limits": {"LinkMbps": link_megabits},
         }
-        self._settings.write_text(json.dumps(document))
+        self._document = document
         self.process: subprocess.Popen[bytes] | None = None
         self.descriptors = 0
         """Most descriptors that the process may have open; 0 for the machine's usual bound."""
@@ -115,6 +141,23 @@
         self._disturbances: list[Disturbance] = []
         self._started_at: list[float] = []
 
+    async def open_ways(self) -> None:
+        """What stands before the store, the followers and, on a bounded link, the callers."""
+        await self.store.start()
+        await self.feed.start()
+        if self._callers is not None:
+            await self._callers.start()
+            self.frontend = self._callers.address
+        document = {**self._document, "Platform": {"Address": self.store.address}}
+        self._settings.write_text(json.dumps(document))
+
+    async def close_ways(self) -> None:
+        """Nothing reaches it any more."""
+        await self.store.close()
+        await self.feed.close()
+        if self._callers is not None:
+            await self._callers.close()
+
     def start(self) -> None:
         """Start the process."""
         self.starts += 1
@@ -210,6 +253,14 @@
     ) -> None:
         self._gateway_count = gateways
         self.descriptors = 0
+        self.link_megabits = 0.0
+        """Link of each gateway; 0 for no bound."""
+        self.routes: list[dict[str, Any]] = []
+        """Further routes of the configuration."""
+        self.configurations: list[tuple[float, int]] = []
+        """Monotonic time of each acknowledgement, and its version."""
+        self.probes: Counter[int] = Counter()
+        """Answers to requests for routes that must be in force, by status."""
         self.max_connections = 0
         """Connections that each server takes, as the configuration says; 0 for no bound."""
         self._program = program
@@ -271,10 +322,15 @@
             await self.add_server("app")
         for number in range(self._gateway_count):
             zone = ZONES[number * len(ZONES) // self._gateway_count]
-            proxy = FaultProxy(self.store.address)
-            await proxy.start()
-            gateway = GatewayProcess(f"front-{number + 1}", zone, proxy, self.folder, self._program)
-            await gateway.feed.start()
+            gateway = GatewayProcess(
+                f"front-{number + 1}",
+                zone,
+                self.store.address,
+                self.folder,
+                self._program,
+                self.link_megabits,
+            )
+            await gateway.open_ways()
             gateway.descriptors = self.descriptors
             gateway.shows_state = self.shows_state
             gateway.start()
@@ -485,7 +541,9 @@
         if self.max_connections:
             for service in document["Services"]:
                 service["MaxConnections"] = self.max_connections
+        document["Routes"] += [newest_route(self.configuration_version), *self.routes]
         self.store.put("config", "main", document)
+        self.configurations.append((time.monotonic(), self.configuration_version))
 
     def revoke(self, key: str) -> None:
         """Take a key away for good."""
@@ -512,8 +570,7 @@
             if gateway.process is not None:
                 gateway.process.wait()
             gateway.give_ports_back()
-            await gateway.store.close()
-            await gateway.feed.close()
+            await gateway.close_ways()
         for name in list(self.servers):
             await self.servers[name].crash()
             await self.server_proxies[name].close()
