--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -66,7 +66,7 @@
         self.duty_failed = asyncio.Event()
         self.readiness_address = settings.readiness
         self.frontend_address = settings.frontend
-        self._calls = CallClient(self.context.pool)
+        self._calls = CallClient(self.context.pool, self.context.record.store.call_given_up)
         self._store = ObjectStoreClient(
             settings.store,
             adapter.store,
--- a/src/milletcourse/gateway/servers/call_client.py
+++ b/src/milletcourse/gateway/servers/call_client.py
@@ -11,12 +11,16 @@
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.gateway.servers.descriptors import OwnMeansError
 from milletcourse.gateway.servers.server_connection import ServerConnection
+from milletcourse.gateway.telling.given_up_call import GivenUpCall
 from milletcourse.runtime.attended_timer import AttendedTimer
 from milletcourse.runtime.clock import elapsed_seconds
 
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 
 
+OnGivenUp = Callable[[GivenUpCall], None]
+
+
 class Call(msgspec.Struct, frozen=True):
     """One call.
 
@@ -57,8 +61,9 @@
 class CallClient:
     """Sends calls over pooled connections; a silent callee is noticed by the time-out."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionPool, on_given_up: OnGivenUp | None = None) -> None:
         self._pool = pool
+        self._on_given_up = on_given_up
 
     async def call(
         self,
@@ -90,14 +95,16 @@
         timer = AttendedTimer(self._pool.clock, connection.abort)
         timer.expect_within(timeout_seconds)
         try:
-            return await self._read(connection, sent_at)
+            return await self._read(connection, sent_at, address, call.target)
         except asyncio.CancelledError:
             connection.abort()
             raise
         finally:
             timer.stop()
 
-    async def _read(self, connection: ServerConnection, sent_at: float) -> Reply | None:
+    async def _read(
+        self, connection: ServerConnection, sent_at: float, address: str, target: str
+    ) -> Reply | None:
         head: AnswerHead | None = None
         pieces: list[bytes] = []
         size = 0
@@ -105,6 +112,9 @@
             event = await connection.next_event()
             if event.lost is not None or size > MAX_REPLY_BYTES:
                 connection.abort()
+                if self._on_given_up is not None:
+                    seconds = elapsed_seconds() - sent_at
+                    self._on_given_up(GivenUpCall(address, target, size, seconds))
                 return None
             if event.head is not None:
                 head = event.head
--- a/src/milletcourse/gateway/telling/store_recorder.py
+++ b/src/milletcourse/gateway/telling/store_recorder.py
@@ -7,6 +7,7 @@
 from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.gateway.telling.event_log import EventLog
 from milletcourse.gateway.telling.figures import Figures
+from milletcourse.gateway.telling.given_up_call import GivenUpCall
 
 MAX_NAMES = 8
 """Of objects that differ after a return, its line names no more."""
@@ -66,6 +67,16 @@
         """This gateway's own entry, which the store had lost, is there again."""
         self._log.emit("entry-written-again", place=_told(place))
 
+    def call_given_up(self, call: GivenUpCall) -> None:
+        """The answer to a call, to the store or to another machine, did not become whole."""
+        self._log.emit(
+            "call-given-up",
+            address=call.address,
+            target=call.target,
+            received_bytes=call.received_bytes,
+            seconds=round(call.seconds, 3),
+        )
+
     def era_unreadable(self) -> None:
         """The era of an answer is missing, or can't be understood; told once."""
         if not self._told_unreadable:
--- a/tests/soak/large.py
+++ b/tests/soak/large.py
@@ -78,12 +78,13 @@
         status = await _ask(world, gateway, f"/since-{version}/", request_id)
         world.probes[status] += 1
         since = acknowledged_at - CONFIG_APPLY_SECONDS
-        if status == NOT_FOUND and gateway.has_run_undisturbed(since, time.monotonic()):
-            if _due_version(world, time.monotonic())[1] == version:
-                age = sent_at - acknowledged_at
-                world.ledger.violate(
-                    "configuration", f"{gateway.name} said {status} for {version} after {age:.2f} s"
-                )
+        is_judged = gateway.has_run_undisturbed(since, time.monotonic())
+        is_newest = _due_version(world, time.monotonic())[1] == version
+        if status == NOT_FOUND and is_judged and is_newest:
+            age = sent_at - acknowledged_at
+            world.ledger.violate(
+                "configuration", f"{gateway.name} said {status} for {version} after {age:.2f} s"
+            )
 
 
 def _due_version(world: SoakWorld, now: float) -> tuple[float, int]:
