--- a/src/milletcourse/exchange/messages/feed_messages.py
+++ b/src/milletcourse/exchange/messages/feed_messages.py
@@ -9,10 +9,23 @@
 
 from __future__ import annotations
 
+import zlib
+from typing import TypeVar
+
 import msgspec
 
+from milletcourse.exchange.messages.content_patch import (
+    COMPRESSION_LEVEL,
+    ContentPatch,
+    inflate,
+)
 from milletcourse.exchange.messages.store_place import StorePlace
 
+COMPRESSED_FROM_BYTES = 4096
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Of an answer as it was before it was compressed."""
+_JSON_ARRAY = b"["
+
 
 class FeedPosition(msgspec.Struct, array_like=True, frozen=True):
     """How far a follower knows one kind of objects.
@@ -32,19 +45,36 @@
     Attributes:
         positions: What the follower knows, kind by kind.
         hold_seconds: Longest time that the reader waits for something to tell.
+        takes_patches: The follower understands patches and compressed answers.
     """
 
     positions: list[FeedPosition]
     hold_seconds: float
+    takes_patches: bool = False
 
 
 class FedObject(msgspec.Struct, array_like=True, frozen=True):
-    """An object that is there, or one that went, whose content isn't told."""
+    """An object that is there, or one that went, whose content isn't told.
+
+    Attributes:
+        name: Unique within its kind.
+        place: Its last change.
+        spec: Its content as JSON; null for one that went, and beside a patch.
+        gone: It went.
+        patch: Makes its content from the one before; an announcement when it is large, to be asked
+            for with a `ContentQuestion`.
+    """
 
     name: str
     place: StorePlace
     spec: msgspec.Raw
     gone: bool = False
+    patch: ContentPatch | None = None
+
+    @property
+    def is_announced(self) -> bool:
+        """Whether its content is still to come."""
+        return self.patch is not None and self.patch.is_announcement
 
 
 class FedKind(msgspec.Struct, array_like=True, frozen=True):
@@ -70,10 +100,28 @@
         kinds: Kinds with something to tell.
         proof_offset: Time at which the reader's latest proven call to the store was sent, less the
             time at which the question came in, in seconds; negative when the proof is older.
+        is_receiving: A change is on its way from the store to the reader, which has it in part.
     """
 
     kinds: list[FedKind]
     proof_offset: float
+    is_receiving: bool = False
+
+
+class ContentQuestion(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for a content that was announced.
+
+    Attributes:
+        kind: Kind of the object.
+        name: Its name.
+        base: Sum of the content that the follower has, as announced.
+        result: Sum of the content.
+    """
+
+    kind: str
+    name: str
+    base: int
+    result: int
 
 
 def encode_question(question: FeedQuestion) -> bytes:
@@ -83,20 +131,55 @@
 
 def decode_question(data: bytes) -> FeedQuestion | None:
     """Understand a question; None when it is none."""
-    try:
-        return msgspec.json.decode(data, type=FeedQuestion)
-    except msgspec.MsgspecError:
-        return None
+    return _decode(data, FeedQuestion)
 
 
-def encode_answer(answer: FeedAnswer) -> bytes:
+def encode_answer(answer: FeedAnswer, may_compress: bool) -> bytes:
     """Bytes of an answer."""
-    return msgspec.json.encode(answer)
+    data = msgspec.json.encode(answer)
+    if not may_compress or len(data) < COMPRESSED_FROM_BYTES:
+        return data
+    return zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def decode_answer(data: bytes) -> FeedAnswer | None:
     """Understand an answer; None when it is none."""
+    if data.startswith(_JSON_ARRAY):
+        return _decode(data, FeedAnswer)
+    try:
+        return _decode(inflate(data, MAX_ANSWER_BYTES), FeedAnswer)
+    except ValueError:
+        return None
+
+
+def encode_content_question(question: ContentQuestion) -> bytes:
+    """Bytes of a question."""
+    return msgspec.json.encode(question)
+
+
+def decode_content_question(data: bytes) -> ContentQuestion | None:
+    """Understand a question; None when it is none."""
+    return _decode(data, ContentQuestion)
+
+
+def encode_patch(patch: ContentPatch) -> bytes:
+    """Bytes of the answer to a `ContentQuestion`."""
+    return msgspec.msgpack.encode(patch)
+
+
+def decode_patch(data: bytes) -> ContentPatch | None:
+    """Understand an answer; None when it is none."""
+    try:
+        return msgspec.msgpack.decode(data, type=ContentPatch)
+    except msgspec.MsgspecError:
+        return None
+
+
+_Message = TypeVar("_Message")
+
+
+def _decode(data: bytes, message_type: type[_Message]) -> _Message | None:
     try:
-        return msgspec.json.decode(data, type=FeedAnswer)
+        return msgspec.json.decode(data, type=message_type)
     except msgspec.MsgspecError:
         return None
--- a/src/milletcourse/exchange/reading/freshness.py
+++ b/src/milletcourse/exchange/reading/freshness.py
@@ -34,12 +34,14 @@
         feed_hold: Longest time that a reader keeps a follower's question.
         max_proof_age: A reader whose own proof is older doesn't vouch for what it knows.
         calm_age: Age that a proof reaches on a calm day, at a follower.
+        max_receiving_age: Age up to which a reader vouches while a change is on its way to it.
     """
 
     watch_wait: float
     feed_hold: float
     max_proof_age: float
     calm_age: float
+    max_receiving_age: float
 
 
 def reading_times(bound_seconds: float, config_apply_seconds: float) -> ReadingTimes:
@@ -55,7 +57,10 @@
         config_apply_seconds / HOLDS_WITHIN_APPLY,
     )
     proof_age = WAITS_A_PROOF * wait
-    return ReadingTimes(wait, hold, proof_age + PROOF_SLACK_SECONDS, proof_age + hold)
+    calm_age = proof_age + hold
+    return ReadingTimes(
+        wait, hold, proof_age + PROOF_SLACK_SECONDS, calm_age, max(bound_seconds, calm_age)
+    )
 
 
 class ProofOfFreshness:
--- a/src/milletcourse/experiments/return_model.py
+++ b/src/milletcourse/experiments/return_model.py
@@ -104,6 +104,9 @@
     def on_new_era(self) -> None:
         """See `KindSink`."""
 
+    def on_change_announced(self) -> None:
+        """See `KindSink`."""
+
 
 class _Rate:
     """Calls a second that the store bears; the others are refused."""
--- /dev/null
+++ b/src/milletcourse/gateway/store/change_log.py
@@ -0,0 +1,116 @@
+"""The latest changes of one kind of objects, as they are told to followers."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TypeGuard
+
+import msgspec
+
+from milletcourse.exchange.messages.content_patch import ContentPatch, make_patch, whole_patch
+from milletcourse.exchange.messages.store_place import StorePlace
+from milletcourse.gateway.store.object_store import ObjectChange
+
+MAX_GAPS = 32
+MAX_CHANGES = 2048
+MAX_BYTES = 1024 * 1024
+"""Of all contents and patches; a follower that is further behind is told all objects."""
+PATCHED_BYTES = 1024
+"""A content of this size is told as a patch."""
+
+
+class LoggedChange(msgspec.Struct, frozen=True):
+    """One change.
+
+    Attributes:
+        at: State of the store with which it became known.
+        name: Name of the object.
+        place: Its change as the store counts it.
+        gone: The object went.
+        spec: Its content; empty for one that went, and beside a patch.
+        patch: Makes its content from the one before; None for a small one.
+    """
+
+    at: StorePlace
+    name: str
+    place: StorePlace
+    gone: bool
+    spec: bytes
+    patch: ContentPatch | None
+
+    @property
+    def size(self) -> int:
+        """Bytes that it brings."""
+        return len(self.spec) + (len(self.patch.steps) if self.patch is not None else 0)
+
+
+class ChangeLog:
+    """Changes in the order in which they became known, bounded in number and bytes."""
+
+    def __init__(self) -> None:
+        self._changes: deque[LoggedChange] = deque()
+        self._bytes = 0
+        self._start: StorePlace | None = None
+        self._gaps: deque[tuple[StorePlace, StorePlace]] = deque()
+        """States between which changes aren't known one by one, just how the ends differ."""
+
+    def begin(self, place: StorePlace) -> None:
+        """Nothing before this state is known."""
+        self._start = place
+
+    def note(self, change: ObjectChange, before: bytes | None, place: StorePlace) -> None:
+        """A change has become known.
+
+        Args:
+            change: The change.
+            before: The object's content until now, None without one.
+            place: State of the store with it.
+        """
+        stored = change.stored
+        is_large = not change.gone and len(stored.spec) >= PATCHED_BYTES
+        patch = change.patch or _patch(before, stored.spec) if is_large else None
+        spec = b"" if change.gone or is_large else stored.spec
+        logged = LoggedChange(place, stored.name, stored.place, change.gone, spec, patch)
+        self._changes.append(logged)
+        self._bytes += logged.size
+        while len(self._changes) > MAX_CHANGES or self._bytes > MAX_BYTES:
+            dropped = self._changes.popleft()
+            self._bytes -= dropped.size
+            self._start = dropped.at
+
+    def note_gap(self, begin: StorePlace, end: StorePlace) -> None:
+        """What lies between two states isn't known one by one."""
+        if begin == end:
+            return
+        self._gaps.append((begin, end))
+        while len(self._gaps) > MAX_GAPS:
+            _, last = self._gaps.popleft()
+            self._start = last if self._start is None else max(self._start, last)
+
+    def covers(self, place: StorePlace | None) -> TypeGuard[StorePlace]:
+        """Whether what differs from a state is kept: not from one within a gap."""
+        if place is None or self._start is None or place < self._start:
+            return False
+        return not any(begin < place < end for begin, end in self._gaps)
+
+    def has_after(self, place: StorePlace) -> bool:
+        """Whether a change became known after a state."""
+        return bool(self._changes) and self._changes[-1].at > place
+
+    def after(self, place: StorePlace) -> list[LoggedChange]:
+        """Changes that became known after a state."""
+        return [change for change in self._changes if change.at > place]
+
+    def patch(self, name: str, base: int, result: int) -> ContentPatch | None:
+        """A patch of an object's content by the sums of both contents."""
+        for change in reversed(self._changes):
+            patch = change.patch
+            if change.name != name or patch is None:
+                continue
+            if patch.base == base and patch.result == result:
+                return patch
+        return None
+
+
+def _patch(before: bytes | None, content: bytes) -> ContentPatch:
+    return make_patch(before, content) if before is not None else whole_patch(content)
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -141,6 +141,9 @@
         """See `KindSink`: what the store lost isn't gone yet."""
         self._kept_until = self._now() + KEPT_SECONDS
 
+    def on_change_announced(self) -> None:
+        """See `KindSink`: it is taken when it is here."""
+
     def expire_missing(self, now: float) -> None:
         """Drop gateways that did not write their entries again."""
         if self._missing and now >= self._kept_until:
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -2,20 +2,31 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import Protocol, TypeGuard
+from typing import Protocol
 
 import msgspec
 
+from milletcourse.exchange.messages.content_patch import (
+    NO_CONTENT_SUM,
+    ContentPatch,
+    apply_patch,
+    content_sum,
+    whole_patch,
+)
 from milletcourse.exchange.messages.feed_messages import FedKind, FedObject
 from milletcourse.exchange.messages.store_place import StorePlace
+from milletcourse.gateway.store.change_log import PATCHED_BYTES, ChangeLog, LoggedChange
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 from milletcourse.gateway.telling.store_recorder import StoreReturn
 
-MAX_GAPS = 32
-MAX_LOGGED_CHANGES = 2048
-"""A follower that is further behind is told all objects."""
+INLINE_BYTES = 4096
+"""A larger patch is announced, and told to those that ask for it."""
+PATCH_SHARE = 8
+"""Patches of one object that weigh as much as this part of its content may weigh more than the
+content, compressed."""
+_NO_SPEC = msgspec.Raw(b"null")
 
 
 class KindSink(Protocol):
@@ -33,6 +44,9 @@
     def on_new_era(self) -> None:
         """The store has come back from an older copy; what it holds now is handed on next."""
 
+    def on_change_announced(self) -> None:
+        """A change is out, and on its way here; ends with the next list or changes."""
+
 
 class MirrorListener(Protocol):
     """Told what a mirror learns of the store's history."""
@@ -53,6 +67,8 @@
         is_confirmed: False while all that is known rests on a list that was read stale: it may show
             what the store had lost just before, and no change tells of that.
         proved_at: Monotonic time at which they are known to have been so; minus infinity at first.
+        is_receiving: A change is on its way from the store to this gateway, or has just come, and
+            what came after it is being asked for.
         on_news: Called after each change.
     """
 
@@ -61,14 +77,14 @@
         self.place: StorePlace | None = None
         self.is_confirmed = True
         self.proved_at = float("-inf")
+        self.is_receiving = False
         self.on_news: Callable[[], None] | None = None
         self._sink = sink
         self._listener = listener
         self._objects: dict[str, StoredObject] = {}
-        self._log: deque[tuple[StorePlace, ObjectChange]] = deque()
-        self._log_start: StorePlace | None = None
-        self._gaps: deque[tuple[StorePlace, StorePlace]] = deque()
-        """States between which changes aren't known one by one, just how the ends differ."""
+        self._log = ChangeLog()
+        self._whole: dict[str, ContentPatch] = {}
+        """Patches from no content, as far as somebody needed them."""
 
     # -- learning -------------------------------------------------------------------------------
 
@@ -88,9 +104,10 @@
             self.is_confirmed = not is_stale
         listed = {stored.name: stored for stored in objects}
         news = tuple(self._differences(listed))
-        self._note_gap(place)
+        if self.place is not None:
+            self._log.note_gap(self.place, place)
         for change in news:
-            self._note(change, place)
+            self._log.note(change, self._content(change.stored.name), place)
         self._objects = listed
         self._advance(place, news, sent_at)
         self._sink.on_list(objects, sent_at)
@@ -102,11 +119,12 @@
             return
         news = changes.changes if changes.place > self.place else ()
         for change in news:
-            self._note(change, changes.place)
+            name = change.stored.name
+            self._log.note(change, self._content(name), changes.place)
             if change.gone:
-                self._objects.pop(change.stored.name, None)
+                self._objects.pop(name, None)
             else:
-                self._objects[change.stored.name] = change.stored
+                self._objects[name] = change.stored
         self._advance(max(changes.place, self.place), news, sent_at)
         self._sink.on_changes(news, sent_at)
         if news:
@@ -116,6 +134,15 @@
         """A call failed."""
         self._sink.on_unavailable()
 
+    def on_receiving(self) -> None:
+        """The answer to a call to the store carries content, and is coming."""
+        self.is_receiving = True
+        self._sink.on_change_announced()
+
+    def on_announced(self) -> None:
+        """A reader has announced a change whose content is still to come."""
+        self._sink.on_change_announced()
+
     def _differences(self, listed: dict[str, StoredObject]) -> Iterable[ObjectChange]:
         if self.place is None:
             # Followers that know nothing are told all; there is nothing to compare with.
@@ -128,22 +155,13 @@
             if known is None or known.spec != stored.spec:
                 yield ObjectChange(stored, gone=False)
 
-    def _note(self, change: ObjectChange, place: StorePlace) -> None:
-        self._log.append((place, change))
-        while len(self._log) > MAX_LOGGED_CHANGES:
-            self._log_start = self._log.popleft()[0]
-
-    def _note_gap(self, place: StorePlace) -> None:
-        if self.place is None or self.place == place:
-            return
-        self._gaps.append((self.place, place))
-        while len(self._gaps) > MAX_GAPS:
-            _, end = self._gaps.popleft()
-            self._log_start = end if self._log_start is None else max(self._log_start, end)
+    def _content(self, name: str) -> bytes | None:
+        known = self._objects.get(name)
+        return known.spec if known is not None else None
 
     def _advance(self, place: StorePlace, news: tuple[ObjectChange, ...], sent_at: float) -> None:
         if self.place is None:
-            self._log_start = place
+            self._log.begin(place)
         elif place.era > self.place.era:
             self._note_return(self.place, place, news)
         self.place = place
@@ -172,36 +190,101 @@
         """Whether something came after a state."""
         if self.place is None or (place is not None and place >= self.place):
             return False
-        if place is None or place.era < self.place.era or not self._logs_since(place):
+        if place is None or place.era < self.place.era or not self._log.covers(place):
             return True
-        return bool(self._log) and self._log[-1][0] > place
+        return self._log.has_after(place)
+
+    def since(self, place: StorePlace | None, as_patches: bool = False) -> FedKind | None:
+        """What came after a state, None when it is known up to there at most.
 
-    def since(self, place: StorePlace | None) -> FedKind | None:
-        """What came after a state, None when it is known up to there at most."""
+        Args:
+            place: The state.
+            as_patches: Large contents are told as patches, or announced; else as they are now.
+        """
         if self.place is None or (place is not None and place >= self.place):
             return None
-        if not self._logs_since(place):
-            objects = [_fed(stored, False) for stored in self._objects.values()]
+        if not self._log.covers(place):
+            objects = [self._fed(stored, as_patches) for stored in self._objects.values()]
             return FedKind(self.kind, self.place, True, objects)
-        changes = [_fed(change.stored, change.gone) for at, change in self._log if at > place]
-        return FedKind(self.kind, self.place, False, changes)
-
-    def _logs_since(self, place: StorePlace | None) -> TypeGuard[StorePlace]:
-        """Whether what differs from a state is kept: not from one within a gap."""
-        if place is None or self._log_start is None or place < self._log_start:
+        changes = self._without_overtaken(self._log.after(place), as_patches)
+        return FedKind(self.kind, self.place, False, [*changes])
+
+    def _without_overtaken(
+        self, changes: list[LoggedChange], as_patches: bool
+    ) -> Iterable[FedObject]:
+        """Changes in their order; large contents that a later one has overtaken don't go twice."""
+        patch_bytes: dict[str, int] = defaultdict(int)
+        last: dict[str, LoggedChange] = {}
+        for change in changes:
+            if change.patch is not None:
+                patch_bytes[change.name] += change.size
+                last[change.name] = change
+        for change in changes:
+            if change.patch is None:
+                spec = _NO_SPEC if change.gone else msgspec.Raw(change.spec)
+                yield FedObject(change.name, change.place, spec, change.gone)
+            elif as_patches and not self._costs_more(change.name, patch_bytes[change.name]):
+                yield _fed_patch(change.name, change.place, change.patch)
+            elif change is last[change.name] and (stored := self._objects.get(change.name)):
+                yield self._fed(stored, as_patches)
+
+    def _costs_more(self, name: str, patch_bytes: int) -> bool:
+        """Whether patches weigh more than the content that they lead to."""
+        stored = self._objects.get(name)
+        if stored is None or patch_bytes * PATCH_SHARE < len(stored.spec):
             return False
-        return not any(begin < place < end for begin, end in self._gaps)
+        return patch_bytes > len(self._whole_patch(stored).steps)
+
+    def _fed(self, stored: StoredObject, as_patch: bool) -> FedObject:
+        if as_patch and len(stored.spec) >= PATCHED_BYTES:
+            return _fed_patch(stored.name, stored.place, self._whole_patch(stored))
+        return FedObject(stored.name, stored.place, msgspec.Raw(stored.spec))
+
+    def _whole_patch(self, stored: StoredObject) -> ContentPatch:
+        kept = self._whole.get(stored.name)
+        if kept is None or kept.result != content_sum(stored.spec):
+            kept = self._whole[stored.name] = whole_patch(stored.spec)
+            self._whole = {name: self._whole[name] for name in self._whole if name in self._objects}
+        return kept
+
+    def patch(self, name: str, base: int, result: int) -> ContentPatch | None:
+        """A patch that was announced; None when its contents are forgotten."""
+        if base != NO_CONTENT_SUM:
+            return self._log.patch(name, base, result)
+        stored = self._objects.get(name)
+        if stored is None or content_sum(stored.spec) != result:
+            return None
+        return self._whole_patch(stored)
 
     def on_fed(self, fed: FedKind, sent_at: float) -> None:
-        """A reader tells what came."""
-        changes = tuple(ObjectChange(_stored(item), item.gone) for item in fed.objects)
+        """A reader tells what came, with all contents.
+
+        Raises:
+            PatchError: A content differs from what was announced; nothing is taken then.
+        """
+        if not fed.whole and self.place is not None and fed.place <= self.place:
+            # Learnt in another way meanwhile.
+            self.on_proof(sent_at)
+            return
+        changes = tuple(self._changes_of(fed))
         if fed.whole:
             self.on_list([change.stored for change in changes], fed.place, sent_at)
             return
         if self.place is not None and fed.place > self.place:
-            self._note_gap(fed.place)
+            self._log.note_gap(self.place, fed.place)
         self.on_changes(ObjectChanges(changes, fed.place), sent_at)
 
+    def _changes_of(self, fed: FedKind) -> Iterable[ObjectChange]:
+        contents: dict[str, bytes | None] = {}
+        for item in fed.objects:
+            spec = bytes(item.spec)
+            if item.patch is not None:
+                before = contents.get(item.name, self._content(item.name))
+                spec = apply_patch(item.patch, before)
+            contents[item.name] = None if item.gone else spec
+            stored = StoredObject(item.name, item.place, spec)
+            yield ObjectChange(stored, item.gone, item.patch)
+
     def on_proof(self, sent_at: float) -> None:
         """A reader proves that nothing else had come when a call was sent at this time."""
         if self.place is not None:
@@ -209,10 +292,6 @@
             self._sink.on_changes((), sent_at)
 
 
-def _fed(stored: StoredObject, gone: bool) -> FedObject:
-    spec = b"null" if gone else stored.spec
-    return FedObject(stored.name, stored.place, msgspec.Raw(spec), gone)
-
-
-def _stored(item: FedObject) -> StoredObject:
-    return StoredObject(item.name, item.place, bytes(item.spec))
+def _fed_patch(name: str, place: StorePlace, patch: ContentPatch) -> FedObject:
+    is_small = len(patch.steps) <= INLINE_BYTES
+    return FedObject(name, place, _NO_SPEC, patch=patch if is_small else patch.announcement())
--- a/src/milletcourse/gateway/store/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 from milletcourse.exchange.messages.store_place import StorePlace
@@ -24,6 +25,9 @@
 reaches the store, so its own calls matter less."""
 CONFIRM_SECONDS = 5.0
 """A first list that was read stale is read fresh after this time."""
+LATE_SECONDS = 0.2
+"""An answer that took so long beyond its wait proves little: what came after it is asked for at
+once."""
 SPREAD_SECONDS = 0.1
 """Watches that waited for their leader go on within this time, not all at once."""
 
@@ -59,12 +63,19 @@
         self._history_gone = False
         self._place = mirror.place
         self._failures = 0
+        self._is_late = False
         self._confirm_at = float("inf")
         if stale_lists and (mirror.place is None or not mirror.is_confirmed):
             self._confirm_at = elapsed_seconds() + CONFIRM_SECONDS
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
+        try:
+            await self._run()
+        finally:
+            self._mirror.is_receiving = False
+
+    async def _run(self) -> None:
         while True:
             try:
                 await self._step()
@@ -72,6 +83,7 @@
                 self.reached.set()
             except StoreError as error:
                 self._place = None
+                self._mirror.is_receiving = self._is_late = False
                 self._history_gone = error.problem is StoreProblem.HISTORY_GONE
                 if error.problem is StoreProblem.HISTORY_GONE and self._failures == 0:
                     self._failures = 1
@@ -85,9 +97,14 @@
             await self._list()
             return
         kind = self._mirror.kind
-        changes, sent_at = await self._store.watch(kind, self._place, self._wait_seconds)
+        wait_seconds = 0.0 if self._is_late else self._wait_seconds
+        changes, sent_at = await self._store.watch(
+            kind, self._place, wait_seconds, self._mirror.on_receiving
+        )
         self._mirror.on_changes(changes, sent_at)
         self._place = max(changes.place, self._place)
+        self._is_late = elapsed_seconds() - sent_at > self._wait_seconds + LATE_SECONDS
+        self._mirror.is_receiving = self._is_late
 
     async def _list(self) -> None:
         kind = self._mirror.kind
@@ -113,14 +130,20 @@
 
 
 async def list_as_of_now(
-    store: ObjectStoreClient, kind: str, stale: bool
+    store: ObjectStoreClient, kind: str, stale: bool, attempts_seconds: float = math.inf
 ) -> tuple[list[StoredObject], StorePlace, float]:
     """All objects of a kind as they are now: (objects, place, time of the proving call).
 
     A stale list is followed by a watch that doesn't wait, which brings what came since; when that
     history is gone, only a fresh list will do.
+
+    Args:
+        store: The store.
+        kind: Kind of the objects.
+        stale: Read a list that may be seconds old.
+        attempts_seconds: See `ObjectStoreClient.list_all`.
     """
-    objects, place, sent_at = await store.list_all(kind, stale)
+    objects, place, sent_at = await store.list_all(kind, stale, attempts_seconds)
     if not stale:
         return objects, place, sent_at
     # A stale page proves nothing about now; together with the watch it does.
--- a/src/milletcourse/gateway/store/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from enum import Enum
@@ -12,11 +13,16 @@
 
 import msgspec
 
+from milletcourse.exchange.messages.content_patch import ContentPatch
 from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
+from milletcourse.runtime.clock import elapsed_seconds
 
 CALL_TIMEOUT_SECONDS = 1.0
+"""A call whose answer doesn't begin by now is given up."""
 PAGE_ATTEMPTS = 4
+MIN_ATTEMPT_SECONDS = 0.1
+"""A page that is asked for at all may begin to come for so long."""
 FIRST_PAGE_PAUSE_SECONDS = 0.05
 """Before a refused page is asked for again; doubled each time, with jitter."""
 SERVER_ERROR_STATUS = 500
@@ -60,10 +66,17 @@
 
 
 class ObjectChange(msgspec.Struct, frozen=True):
-    """An object that changed or went."""
+    """An object that changed or went.
+
+    Attributes:
+        stored: The object; its last content for one that went.
+        gone: It went.
+        patch: Makes its content from the one before; None when nobody has made one yet.
+    """
 
     stored: StoredObject
     gone: bool
+    patch: ContentPatch | None = None
 
 
 class ObjectChanges(msgspec.Struct, frozen=True):
@@ -189,20 +202,27 @@
         self._outdated_watches: set[asyncio.Task[Reply]] = set()
 
     async def list_all(
-        self, kind: str, stale: bool = False
+        self, kind: str, stale: bool = False, attempts_seconds: float = math.inf
     ) -> tuple[list[StoredObject], StorePlace, float]:
         """All objects of a kind: (objects, place to watch from, time of the first call).
 
         The place is the earliest of all pages, so that changes between pages are seen again. A
         page that the store refuses is asked for again, since beginning anew would add to its load.
         Pages of two eras make no list: raises `HISTORY_GONE`.
+
+        Args:
+            kind: Kind of the objects.
+            stale: The list may be seconds old.
+            attempts_seconds: An answer that doesn't begin by now isn't waited for, and no page is
+                asked for again after it; what comes is taken however long it takes.
         """
+        attempts_end_at = elapsed_seconds() + attempts_seconds
         objects: list[StoredObject] = []
         after = ""
         place: StorePlace | None = None
         sent_at = 0.0
         while True:
-            page, page_sent_at = await self._page(kind, after, stale)
+            page, page_sent_at = await self._page(kind, after, stale, attempts_end_at)
             objects.extend(page.objects)
             if page.unreadable:
                 self._on_unreadable(kind, page.unreadable)
@@ -218,32 +238,44 @@
                 return objects, place, sent_at
             after = page.objects[-1].name
 
-    async def _page(self, kind: str, after: str, stale: bool) -> tuple[ObjectPage, float]:
+    async def _page(
+        self, kind: str, after: str, stale: bool, attempts_end_at: float
+    ) -> tuple[ObjectPage, float]:
         pause = FIRST_PAGE_PAUSE_SECONDS
-        for _ in range(PAGE_ATTEMPTS - 1):
+        call = self._dialect.list_call(kind, after, stale)
+        attempts = 1
+        while True:
+            left = max(attempts_end_at - elapsed_seconds(), MIN_ATTEMPT_SECONDS)
             try:
-                reply = await self._send(kind, self._dialect.list_call(kind, after, stale))
+                reply = await self._send(kind, call, min(CALL_TIMEOUT_SECONDS, left))
                 return self._dialect.read_page(reply), reply.sent_at
             except StoreError as error:
-                if error.problem is StoreProblem.HISTORY_GONE:
+                is_last = attempts >= PAGE_ATTEMPTS or elapsed_seconds() + pause > attempts_end_at
+                if is_last or error.problem is StoreProblem.HISTORY_GONE:
                     raise
                 await asyncio.sleep(pause * (0.5 + self._random.random()))
                 pause *= 2
-        reply = await self._send(kind, self._dialect.list_call(kind, after, stale))
-        return self._dialect.read_page(reply), reply.sent_at
+                attempts += 1
 
     async def watch(
-        self, kind: str, place: StorePlace, wait_seconds: float
+        self,
+        kind: str,
+        place: StorePlace,
+        wait_seconds: float,
+        on_content: Callable[[], None] | None = None,
     ) -> tuple[ObjectChanges, float]:
         """Changes after a state of the store, and the time at which the call was sent.
 
+        `on_content` is told when the answer that is coming carries some.
+
         Raises `HISTORY_GONE` when the store has come back from an older copy since that state, also
         while the call waits: what comes after the same revision then is another history.
         """
         if self._has_ended(place.era):
             raise StoreError(StoreProblem.HISTORY_GONE)
         call = self._dialect.watch_call(kind, place, wait_seconds)
-        reply = await self._send_within_era(kind, call, wait_seconds + WATCH_MARGIN_SECONDS)
+        first_byte_seconds = wait_seconds + WATCH_MARGIN_SECONDS
+        reply = await self._send_within_era(kind, call, first_byte_seconds, on_content)
         changes = self._dialect.read_changes(reply)
         if changes.place.era != place.era:
             raise StoreError(StoreProblem.HISTORY_GONE)
@@ -278,9 +310,15 @@
     def _has_ended(self, era: int) -> bool:
         return self.era is not None and era < self.era
 
-    async def _send_within_era(self, kind: str, call: Call, timeout_seconds: float) -> Reply:
+    async def _send_within_era(
+        self,
+        kind: str,
+        call: Call,
+        first_byte_seconds: float,
+        on_content: Callable[[], None] | None,
+    ) -> Reply:
         """Send a call that waits; given up when another one shows that the era has ended."""
-        task = asyncio.ensure_future(self._send(kind, call, timeout_seconds))
+        task = asyncio.ensure_future(self._send(kind, call, first_byte_seconds, on_content))
         self._watches.add(task)
         try:
             return await task
@@ -293,9 +331,15 @@
             self._outdated_watches.discard(task)
 
     async def _send(
-        self, kind: str, call: Call, timeout_seconds: float = CALL_TIMEOUT_SECONDS
+        self,
+        kind: str,
+        call: Call,
+        first_byte_seconds: float = CALL_TIMEOUT_SECONDS,
+        on_content: Callable[[], None] | None = None,
     ) -> Reply:
-        reply = await self._calls.call(self._address, call, timeout_seconds)
+        reply = await self._calls.call(
+            self._address, call, first_byte_seconds, on_content=on_content
+        )
         self._on_call(kind, reply is not None and reply.status < SERVER_ERROR_STATUS)
         if reply is None:
             raise StoreError(StoreProblem.UNAVAILABLE)
--- a/src/milletcourse/gateway/store/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -28,6 +28,9 @@
     def on_new_era(self) -> None:
         """See `KindSink`."""
 
+    def on_change_announced(self) -> None:
+        """See `KindSink`."""
+
     def _on_reached(self) -> None:
         self._context.record.store_call(self._kind, True)
 
--- a/src/milletcourse/gateway/store/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections.abc import Sequence
 
-from milletcourse.errors import MalformedRequest, NotReady
+from milletcourse.errors import MalformedRequest, NotFound, NotReady
 from milletcourse.exchange.messages.feed_messages import (
     FeedAnswer,
     FeedQuestion,
+    decode_content_question,
     decode_question,
     encode_answer,
+    encode_patch,
 )
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.gateway.clients.client_connection import ClientConnection
@@ -19,9 +21,13 @@
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.store.kind_mirror import KindMirror
 
+FEED_PATH = "/feed"
+CONTENT_PATH = "/content"
 MAX_HOLD_SECONDS = 5.0
 """No question is kept longer, whatever it asks for."""
-_CONTENT_TYPE = HeaderField(b"Content-Type", b"application/json")
+MIN_WAIT_SECONDS = 0.01
+_JSON = HeaderField(b"Content-Type", b"application/json")
+_BINARY = HeaderField(b"Content-Type", b"application/octet-stream")
 
 
 class StoreFeed:
@@ -50,6 +56,27 @@
 
     async def handle(self, request: ClientRequest, client: ClientConnection) -> None:
         """Answer one question; the handler of `ClientConnection`."""
+        if request.target == CONTENT_PATH.encode():
+            self._answer_content(request, client)
+        else:
+            await self._answer_news(request, client)
+
+    def _answer_content(self, request: ClientRequest, client: ClientConnection) -> None:
+        """Bring a content that was announced; its sums tell whether it is meant."""
+        question = decode_content_question(request.body)
+        if question is None:
+            refuse(client, MalformedRequest("no question about a content"))
+            return
+        mirror = self._mirrors.get(question.kind)
+        patch = None
+        if mirror is not None:
+            patch = mirror.patch(question.name, question.base, question.result)
+        if patch is None:
+            refuse(client, NotFound("this content isn't known here"))
+            return
+        client.send_whole(200, b"", [_BINARY], encode_patch(patch))
+
+    async def _answer_news(self, request: ClientRequest, client: ClientConnection) -> None:
         received_at = self._context.now()
         question = decode_question(request.body)
         if question is None:
@@ -61,13 +88,14 @@
             refuse(client, NotReady("the store isn't read here now"))
             return
         told = [
-            self._mirrors[position.kind].since(position.place)
+            self._mirrors[position.kind].since(position.place, question.takes_patches)
             for position in question.positions
             if position.kind in self._mirrors
         ]
         proof_offset = self._proven.proved_at - received_at
-        answer = FeedAnswer([kind for kind in told if kind is not None], proof_offset)
-        client.send_whole(200, b"", [_CONTENT_TYPE], encode_answer(answer))
+        news = [kind for kind in told if kind is not None]
+        answer = FeedAnswer(news, proof_offset, self._proven.is_receiving)
+        client.send_whole(200, b"", [_JSON], encode_answer(answer, question.takes_patches))
 
     def _note_positions(self, question: FeedQuestion) -> None:
         for position in question.positions:
@@ -90,11 +118,24 @@
         return False
 
     def _vouches(self) -> bool:
-        """Whether what is known here is current enough to be told."""
+        """Whether what is known here is current enough to be told.
+
+        While a change is on its way here, followers have nothing to gain from the store: each of
+        them would ask it for the same content.
+        """
         context = self._context
         if not context.reads_store or context.stopping:
             return False
-        return context.now() - self._proven.proved_at <= context.reading.max_proof_age
+        age = context.now() - self._proven.proved_at
+        if self._proven.is_receiving:
+            return age <= context.reading.max_receiving_age
+        return age <= context.reading.max_proof_age
+
+    def _is_proof_current(self) -> bool:
+        return self._context.now() <= self._proof_ends_at()
+
+    def _proof_ends_at(self) -> float:
+        return self._proven.proved_at + self._context.reading.max_proof_age
 
     async def _wait_for_news(self, question: FeedQuestion, received_at: float) -> None:
         """Wait until there is something to tell, or the question was kept long enough."""
@@ -102,12 +143,11 @@
         if self._is_an_era_behind(question):
             return
         while self._vouches() and not self._has_news(question):
-            context = self._context
-            proof_ends_at = self._proven.proved_at + context.reading.max_proof_age
-            seconds = min(until, proof_ends_at) - context.now()
-            if seconds <= 0:
+            ends_at = min(until, self._proof_ends_at()) if self._is_proof_current() else until
+            seconds = ends_at - self._context.now()
+            if seconds <= 0 and ends_at == until:
                 return
-            await self._wait(seconds)
+            await self._wait(max(seconds, MIN_WAIT_SECONDS))
 
     async def _wait(self, seconds: float) -> None:
         waiter = self._context.loop.create_future()
--- a/src/milletcourse/gateway/store/store_sync.py
+++ b/src/milletcourse/gateway/store/store_sync.py
@@ -4,22 +4,15 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Sequence
-from enum import Enum
 from typing import Any
 
 import msgspec
 
 from milletcourse.exchange.mechanisms import Mechanism
-from milletcourse.exchange.messages.feed_messages import (
-    FeedAnswer,
-    FeedPosition,
-    FeedQuestion,
-    decode_answer,
-    encode_question,
-)
 from milletcourse.exchange.reading.store_reading import GatewayRecord, ReadingPlan
-from milletcourse.gateway.servers.call_client import Call, CallClient
+from milletcourse.gateway.servers.call_client import CallClient
 from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.store.feed_client import QUICK_SECONDS, FeedClient, FeedOutcome
 from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.kind_watch import (
     MAX_FOLLOWER_PAUSE_SECONDS,
@@ -28,36 +21,19 @@
     list_as_of_now,
 )
 from milletcourse.gateway.store.object_store import ObjectStoreClient, StoreError
-from milletcourse.runtime.attended_timer import attended_timeout
 
-FEED_PATH = "/feed"
-FEED_MARGIN_SECONDS = 0.4
-"""A reader that answers this much later than asked for is taken as silent."""
 LOOK_SECONDS = 0.1
 """While the store is read here, a reader that may be followed is looked for this often."""
-QUICK_SECONDS = 0.1
-"""A refusal this soon shows a live machine, whose process may just be starting."""
 START_PATIENCE_SECONDS = 0.7
 """At a start a reader is waited for this long, since many gateways may start together."""
 FIRST_LISTS_SECONDS = 0.8
-"""A store that doesn't list all kinds by now is left; readers may know them."""
+"""A store whose lists don't begin to come by now is left; readers may know them."""
 FIRST_FEED_MEGABITS = 50.0
 """A reader with a narrower link isn't asked for all that there is: some 100 KB in 20 ms here."""
 MIN_QUESTION_SECONDS = 0.02
 """Between two questions, so that a burst of changes comes in few answers."""
 
 
-class _Outcome(Enum):
-    """What a question to a reader gave."""
-
-    FED = "fed"
-    REFUSED = "refused"
-    """It can't vouch for what it knows, or its process isn't there."""
-    SILENT = "silent"
-    OUTDATED = "outdated"
-    """Its proof is older than on any calm day."""
-
-
 class WatchedKind(msgspec.Struct, frozen=True):
     """How a kind is read from the store.
 
@@ -90,12 +66,13 @@
     ) -> None:
         self._context = context
         self._store = store
-        self._calls = calls
         self._plan = plan
         self._kinds = kinds
         self._gateways_kind = gateways_kind
         self._spawn = spawn
         self._mirrors = {kind.mirror.kind: kind.mirror for kind in kinds}
+        mirrors = [kind.mirror for kind in kinds]
+        self._feed = FeedClient(context, calls, plan, mirrors, spawn)
         self._watches: list[asyncio.Task[None]] = []
         self._leading_watch: KindWatch | None = None
 
@@ -107,13 +84,13 @@
         while True:
             reader = self._plan.choose(self._context.now())
             if reader is not None:
-                outcome = await self._ask(reader, 0.0)
-                if outcome is _Outcome.FED:
+                outcome = await self._feed.ask(reader, 0.0)
+                if outcome is FeedOutcome.FED:
                     patient_until = 0.0
                     self._stop_watches()
                     await self._follow(reader)
                     continue
-                if outcome is _Outcome.REFUSED and await self._is_fed_by_another():
+                if outcome is FeedOutcome.REFUSED and await self._is_fed_by_another():
                     continue
             if self._plan.is_reader or self._context.now() >= patient_until:
                 self._start_watches()
@@ -129,9 +106,10 @@
         """Whether it is known whom to ask: a list that is some seconds old is cheap, and does."""
         mirror = self._mirrors[self._gateways_kind]
         try:
-            async with attended_timeout(self._context.attended, FIRST_LISTS_SECONDS):
-                objects, place, sent_at = await self._store.list_all(mirror.kind, stale=True)
-        except (StoreError, TimeoutError):
+            objects, place, sent_at = await self._store.list_all(
+                mirror.kind, stale=True, attempts_seconds=FIRST_LISTS_SECONDS
+            )
+        except StoreError:
             # The watches go on asking.
             self._context.log.emit("gateways-unknown-at-start")
             return False
@@ -152,11 +130,7 @@
 
     async def _learn_all(self) -> None:
         """Know all kinds before the first choice of a reader; they come all at once."""
-        try:
-            async with attended_timeout(self._context.attended, FIRST_LISTS_SECONDS):
-                await asyncio.gather(*(self._learn(kind) for kind in self._kinds))
-        except TimeoutError:
-            self._context.log.emit("store-silent-at-start")
+        await asyncio.gather(*(self._learn(kind) for kind in self._kinds))
 
     async def _learn(self, kind: WatchedKind) -> None:
         mirror = kind.mirror
@@ -166,7 +140,7 @@
                 mirror.on_changes(changes, sent_at)
                 return
             objects, place, sent_at = await list_as_of_now(
-                self._store, mirror.kind, kind.stale_lists
+                self._store, mirror.kind, kind.stale_lists, FIRST_LISTS_SECONDS
             )
         except StoreError as error:
             # The watches, or a reader, bring it later.
@@ -180,21 +154,21 @@
         """Ask one reader again and again until it fails or another one goes before it."""
         self._context.followed_reader = reader.name
         self._context.log.emit("reader-followed", reader=reader.name)
-        outcome = _Outcome.FED
-        while outcome is _Outcome.FED and self._plan.choose(self._context.now()) == reader:
+        outcome = FeedOutcome.FED
+        while outcome is FeedOutcome.FED and self._plan.choose(self._context.now()) == reader:
             await asyncio.sleep(MIN_QUESTION_SECONDS)
-            outcome = await self._ask(reader, self._context.reading.feed_hold)
+            outcome = await self._feed.ask(reader, self._context.reading.feed_hold)
         self._context.followed_reader = ""
-        if outcome is _Outcome.FED:
+        if outcome is FeedOutcome.FED:
             return
         self._context.log.emit("reader-lost", reader=reader.name, outcome=outcome.value)
-        if outcome is _Outcome.REFUSED and await self._is_fed_by_another():
+        if await self._is_fed_by_another():
             return
         # Whatever the reader is silent about must not be missed here.
         self._start_watches()
 
     async def _is_fed_by_another(self) -> bool:
-        """Whether another reader tells what there is, after one said that it can't vouch for it.
+        """Whether another reader tells what there is, after one did not.
 
         All followers of a reader lose it in the same moment; were each to read the store at once,
         its trouble would cost a call a follower and kind whenever it comes.
@@ -204,7 +178,7 @@
 
     async def _is_fed_at_once(self, reader: GatewayRecord) -> bool:
         """Whether a reader tells what there is without keeping the question."""
-        return await self._ask(reader, 0.0, QUICK_SECONDS) is _Outcome.FED
+        return await self._feed.ask(reader, 0.0, QUICK_SECONDS) is FeedOutcome.FED
 
     def _has_lost_store(self) -> bool:
         """Whether this gateway reads the store, and its latest call about it failed."""
@@ -217,58 +191,14 @@
         out when that is over; what is learnt is as old as the other reader's proof says.
         """
         reader = self._plan.choose_substitute(self._context.now())
-        if reader is None or await self._ask(reader, 0.0) is not _Outcome.FED:
+        if reader is None or await self._feed.ask(reader, 0.0) is not FeedOutcome.FED:
             return
         self._context.log.emit("substitute-asked", reader=reader.name)
         while self._has_lost_store():
             await asyncio.sleep(MIN_QUESTION_SECONDS)
-            if await self._ask(reader, self._context.reading.feed_hold) is not _Outcome.FED:
+            if await self._feed.ask(reader, self._context.reading.feed_hold) is not FeedOutcome.FED:
                 return
 
-    async def _ask(
-        self,
-        reader: GatewayRecord,
-        hold_seconds: float,
-        margin_seconds: float = FEED_MARGIN_SECONDS,
-    ) -> _Outcome:
-        """Ask a reader what came, and take it.
-
-        Args:
-            reader: The reader.
-            hold_seconds: How long it keeps the question while there is no news.
-            margin_seconds: Time beyond that after which it is taken as silent.
-        """
-        question = encode_question(FeedQuestion(self._positions(), hold_seconds))
-        asked_at = self._context.now()
-        reply = await self._calls.call(
-            reader.feed, Call("POST", FEED_PATH, question), hold_seconds + margin_seconds
-        )
-        answer = decode_answer(reply.body) if reply is not None and reply.status == 200 else None
-        if reply is None or answer is None:
-            now = self._context.now()
-            answered = reply is not None or now - asked_at < QUICK_SECONDS
-            self._plan.on_failed(reader.name, now, answered)
-            return _Outcome.REFUSED if answered else _Outcome.SILENT
-        self._plan.on_fed(reader.name)
-        proved_at = reply.sent_at + answer.proof_offset
-        self._take(answer, proved_at)
-        is_current = self._context.now() - proved_at <= self._context.reading.calm_age
-        return _Outcome.FED if is_current else _Outcome.OUTDATED
-
-    def _positions(self) -> list[FeedPosition]:
-        return [FeedPosition(kind, mirror.place) for kind, mirror in self._mirrors.items()]
-
-    def _take(self, answer: FeedAnswer, proved_at: float) -> None:
-        told = set()
-        for fed in answer.kinds:
-            mirror = self._mirrors.get(fed.kind)
-            if mirror is not None:
-                mirror.on_fed(fed, proved_at)
-                told.add(fed.kind)
-        for kind, mirror in self._mirrors.items():
-            if kind not in told:
-                mirror.on_proof(proved_at)
-
     # -- reading the store ----------------------------------------------------------------------
 
     def _start_watches(self) -> None:
--- a/src/milletcourse/gateway/telling/store_recorder.py
+++ b/src/milletcourse/gateway/telling/store_recorder.py
@@ -77,6 +77,16 @@
             seconds=round(call.seconds, 3),
         )
 
+    def content_differs(self, kind: str, reader: str, problem: str) -> None:
+        """A content that a reader told gives something else than it announced.
+
+        Args:
+            kind: Kind of the object.
+            reader: Name of the reader.
+            problem: What is wrong with it.
+        """
+        self._log.emit("content-differs", kind=kind, reader=reader, problem=problem)
+
     def era_unreadable(self) -> None:
         """The era of an answer is missing, or can't be understood; told once."""
         if not self._told_unreadable:
--- a/tests/exchange/test_exchange_cores.py
+++ b/tests/exchange/test_exchange_cores.py
@@ -52,7 +52,7 @@
 from milletcourse.exchange.servers.instance_table import BACK_SECONDS, Instance, InstanceTable
 from milletcourse.exchange.servers.server_health import ServerHealth
 from milletcourse.gateway.state.settings import GatewayBounds
-from milletcourse.gateway.store.store_sync import FEED_MARGIN_SECONDS
+from milletcourse.gateway.store.feed_client import FEED_MARGIN_SECONDS
 from milletcourse.platform.documents import decode_configuration, read_settings
 
 SOURCES = Path(__file__).parents[2] / "src" / "milletcourse"
--- a/tests/gateway/store/test_store_eras.py
+++ b/tests/gateway/store/test_store_eras.py
@@ -12,8 +12,9 @@
 from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
 from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
+from milletcourse.gateway.store.change_log import MAX_GAPS
 from milletcourse.gateway.store.directory import KEPT_SECONDS, GatewayDirectory
-from milletcourse.gateway.store.kind_mirror import MAX_GAPS, KindMirror
+from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import (
     ObjectChange,
     ObjectChanges,
@@ -56,6 +57,9 @@
     def on_new_era(self) -> None:
         self.eras += 1
 
+    def on_change_announced(self) -> None:
+        pass
+
 
 def _stored(name: str, place: StorePlace, spec: bytes = b"{}") -> StoredObject:
     return StoredObject(name, place, spec)
@@ -190,7 +194,7 @@
         self.replies = list(replies)
         self.targets: list[str] = []
 
-    async def call(self, address: str, call: Call, *rest: object) -> Reply | None:  # type: ignore[override]
+    async def call(self, address: str, call: Call, *_: object, **__: object) -> Reply | None:  # type: ignore[override]
         self.targets.append(call.target)
         status, body, era = self.replies.pop(0)
         fields = [] if era is None else [HeaderField(b"Store-Era", era)]
--- a/tests/gateway/store/test_store_feed.py
+++ b/tests/gateway/store/test_store_feed.py
@@ -116,6 +116,9 @@
     def on_new_era(self) -> None:
         pass
 
+    def on_change_announced(self) -> None:
+        pass
+
 
 def _at(revision: int, era: int = 1) -> StorePlace:
     return StorePlace(era, revision)
--- /dev/null
+++ b/tests/gateway/store/test_told_contents_machine.py
@@ -0,0 +1,306 @@
+"""Whatever readers tell and bring, a follower's state is one that the store went through."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from milletcourse.exchange.messages.content_patch import ContentPatch, PatchError
+from milletcourse.exchange.messages.feed_messages import FedKind
+from milletcourse.exchange.messages.store_place import StorePlace
+from milletcourse.exchange.reading.pending_contents import PendingContents
+from milletcourse.gateway.store import change_log, kind_mirror
+from milletcourse.gateway.store.kind_mirror import KindMirror
+from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
+
+NAMES = ("main", "other")
+READERS = 2
+FOLLOWERS = 2
+
+
+class _Sink:
+    def on_list(self, objects: list[StoredObject], sent_at: float) -> None:
+        pass
+
+    def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
+        pass
+
+    def on_unavailable(self) -> None:
+        pass
+
+    def on_new_era(self) -> None:
+        pass
+
+    def on_change_announced(self) -> None:
+        pass
+
+
+class _Follower:
+    """What `FeedClient` does, one step at a time."""
+
+    def __init__(self) -> None:
+        self.mirror = KindMirror("kind", _Sink())
+        self.pending = PendingContents()
+        self.reader = 0
+        self.asks_whole = False
+
+    def ask(self, reader: KindMirror) -> None:
+        place = None if self.asks_whole else self.pending.place("kind") or self.mirror.place
+        fed = reader.since(place, as_patches=True)
+        if fed is not None:
+            self.take(self.pending.take(fed))
+
+    def fetch(self, reader: KindMirror) -> None:
+        question = self.pending.missing("kind")
+        if question is None:
+            return
+        patch = reader.patch(question.name, question.base, question.result)
+        if patch is None:
+            self.pending.drop("kind")
+            return
+        self.take(self.pending.on_patch(question, patch))
+
+    def take(self, ready: FedKind | None) -> None:
+        if ready is None:
+            return
+        try:
+            self.mirror.on_fed(ready, 0.0)
+            self.asks_whole = False
+        except PatchError:
+            self.asks_whole = True
+
+
+def _content(draw: int, previous: bytes | None) -> bytes:
+    """A content that shares most entries with the one before; some are small."""
+    source = random.Random(draw)
+    entries = (previous or b"").split(b"},")[:-1]
+    if source.random() < 0.3:
+        entries = entries[source.randrange(3) :]
+    if source.random() < 0.2:
+        return b"{}"
+    if source.random() < 0.5:
+        entries += [source.randbytes(60).hex().encode() for _ in range(source.randrange(60))]
+    else:
+        entries.insert(0, b'{"n":%d' % draw)
+    return b"},".join([*entries, b""]) or b"{}"
+
+
+class ToldContents(RuleBasedStateMachine):
+    """A store, readers that follow it, and followers that ask either of them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.place = StorePlace(1, 1)
+        self.objects: dict[str, StoredObject] = {}
+        self.history: dict[StorePlace, dict[str, bytes]] = {self.place: {}}
+        self.events: list[tuple[StorePlace, ObjectChange]] = []
+        self.readers = [KindMirror("kind", _Sink()) for _ in range(READERS)]
+        for reader in self.readers:
+            reader.on_list([], self.place, 0.0)
+        self.followers = [_Follower() for _ in range(FOLLOWERS)]
+
+    def _commit(self, change: ObjectChange) -> None:
+        self.events.append((self.place, change))
+        self.history[self.place] = {name: item.spec for name, item in self.objects.items()}
+
+    @rule(name=st.sampled_from(NAMES), draw=st.integers(0, 10**6), is_told=st.booleans())
+    def change(self, name: str, draw: int, is_told: bool) -> None:
+        """An object gets another content; followers may hear of it at once."""
+        self.place = StorePlace(self.place.era, self.place.revision + 1)
+        known = self.objects.get(name)
+        stored = StoredObject(name, self.place, _content(draw, known.spec if known else None))
+        self.objects[name] = stored
+        self._commit(ObjectChange(stored, gone=False))
+        if is_told:
+            for reader in self.readers:
+                self._watch(reader)
+            for follower in self.followers:
+                follower.ask(self.readers[follower.reader])
+
+    @rule(name=st.sampled_from(NAMES))
+    def remove(self, name: str) -> None:
+        """An object goes."""
+        if name in self.objects:
+            self.place = StorePlace(self.place.era, self.place.revision + 1)
+            self._commit(ObjectChange(self.objects.pop(name), gone=True))
+
+    @rule(number=st.integers(0, READERS - 1))
+    def watch(self, number: int) -> None:
+        """A reader hears of all changes since its state."""
+        self._watch(self.readers[number])
+
+    @rule(number=st.integers(0, FOLLOWERS - 1))
+    def follower_reads_the_store(self, number: int) -> None:
+        """While it has no reader."""
+        mirror = self.followers[number].mirror
+        if mirror.place is not None:
+            self._watch(mirror)
+
+    def _watch(self, mirror: KindMirror) -> None:
+        known = mirror.place
+        assert known is not None
+        if known.era != self.place.era:
+            self._list(mirror)
+            return
+        news = tuple(change for place, change in self.events if place > known)
+        mirror.on_changes(ObjectChanges(news, self.place), 0.0)
+
+    @rule(number=st.integers(0, READERS - 1))
+    def list(self, number: int) -> None:
+        """A reader reads all objects again."""
+        self._list(self.readers[number])
+
+    def _list(self, mirror: KindMirror) -> None:
+        mirror.on_list(list_of(self.objects), self.place, 0.0)
+
+    @rule(draw=st.integers(1, 5))
+    def come_back(self, draw: int) -> None:
+        """The store comes back from an older copy, and a change is written again."""
+        places = [place for place in self.history if place.era == self.place.era]
+        kept = places[-min(draw, len(places))]
+        self.objects = {
+            name: StoredObject(name, kept, spec) for name, spec in self.history[kept].items()
+        }
+        self.place = StorePlace(self.place.era + 1, kept.revision)
+        self.events.clear()
+        self.history[self.place] = dict(self.history[kept])
+
+    @rule(number=st.integers(0, FOLLOWERS - 1))
+    def ask(self, number: int) -> None:
+        """A follower asks its reader, which tells or announces."""
+        follower = self.followers[number]
+        follower.ask(self.readers[follower.reader])
+
+    @rule(number=st.integers(0, FOLLOWERS - 1))
+    def fetch(self, number: int) -> None:
+        """A content that was announced comes, or isn't there any more."""
+        follower = self.followers[number]
+        follower.fetch(self.readers[follower.reader])
+
+    @rule(number=st.integers(0, FOLLOWERS - 1), reader=st.integers(0, READERS - 1))
+    def change_reader(self, number: int, reader: int) -> None:
+        """It follows another one; what was announced is left."""
+        follower = self.followers[number]
+        follower.pending.clear()
+        follower.reader = reader
+
+    @invariant()
+    def followers_know_states_of_the_store(self) -> None:
+        """What a mirror knows is what the store held at its place."""
+        for mirror in (*self.readers, *(follower.mirror for follower in self.followers)):
+            if mirror.place is not None:
+                assert mirror.specs() == self.history[mirror.place]
+
+    def teardown(self) -> None:
+        """In the end all know what the store holds."""
+        for reader in self.readers:
+            self._watch(reader)
+        for follower in self.followers:
+            reader = self.readers[follower.reader]
+            for _ in range(12):
+                follower.ask(reader)
+                follower.fetch(reader)
+            held = {name: item.spec for name, item in self.objects.items()}
+            assert follower.mirror.specs() == held
+
+
+def list_of(objects: dict[str, StoredObject]) -> list[StoredObject]:
+    """All objects of a list."""
+    return [*objects.values()]
+
+
+@pytest.fixture(autouse=True)
+def _most_contents_are_announced(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(kind_mirror, "INLINE_BYTES", 100)
+
+
+RUNS = settings(
+    max_examples=150,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+    deadline=None,
+    report_multiple_bugs=False,
+)
+FINDING_RUNS = settings(RUNS, phases=[Phase.generate])
+"""Without making the example smaller."""
+
+
+def test_followers_only_know_states_that_the_store_went_through() -> None:
+    """Across announcements, lost contents, other readers and returns of the store."""
+    run_state_machine_as_test(ToldContents, settings=RUNS)
+
+
+@contextmanager
+def _announced_contents_count_as_known() -> Iterator[None]:
+    original = PendingContents._settle
+    PendingContents._settle = lambda pending, fed: fed  # type: ignore[method-assign]
+    try:
+        yield
+    finally:
+        PendingContents._settle = original  # type: ignore[method-assign]
+
+
+@contextmanager
+def _announcements_get_lost_and_nothing_is_checked() -> Iterator[None]:
+    apply, take = kind_mirror.apply_patch, PendingContents.take
+
+    def apply_any(patch: ContentPatch, base: bytes | None) -> bytes:
+        try:
+            return apply(patch, base)
+        except PatchError:
+            return base or b""
+
+    def take_latest(pending: PendingContents, fed: FedKind) -> FedKind | None:
+        pending.clear()
+        return take(pending, fed)
+
+    kind_mirror.apply_patch = apply_any
+    PendingContents.take = take_latest  # type: ignore[method-assign]
+    try:
+        yield
+    finally:
+        kind_mirror.apply_patch = apply
+        PendingContents.take = take  # type: ignore[method-assign]
+
+
+@contextmanager
+def _two_lists_count_as_all_changes_between_them() -> Iterator[None]:
+    original = change_log.ChangeLog.note_gap
+    change_log.ChangeLog.note_gap = lambda *_: None  # type: ignore[method-assign]
+    try:
+        yield
+    finally:
+        change_log.ChangeLog.note_gap = original  # type: ignore[method-assign]
+
+
+@contextmanager
+def _a_trimmed_log_counts_as_complete() -> Iterator[None]:
+    original = change_log.ChangeLog.covers
+    changes, change_log.MAX_CHANGES = change_log.MAX_CHANGES, 2
+    change_log.ChangeLog.covers = lambda log, place: place is not None  # type: ignore[assignment,method-assign]
+    try:
+        yield
+    finally:
+        change_log.ChangeLog.covers = original  # type: ignore[method-assign]
+        change_log.MAX_CHANGES = changes
+
+
+DEFECTS = (
+    _announced_contents_count_as_known,
+    _announcements_get_lost_and_nothing_is_checked,
+    _two_lists_count_as_all_changes_between_them,
+    _a_trimmed_log_counts_as_complete,
+)
+
+
+@pytest.mark.parametrize("defect", DEFECTS)
+def test_a_known_defect_is_found(defect: Callable[[], AbstractContextManager[None]]) -> None:
+    """Each breaks the same invariant."""
+    with defect(), pytest.raises(AssertionError):
+        run_state_machine_as_test(ToldContents, settings=FINDING_RUNS)
