--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -249,12 +249,11 @@
 
     def patch(self, name: str, base: int, result: int) -> ContentPatch | None:
         """A patch that was announced; None when its contents are forgotten."""
-        if base != NO_CONTENT_SUM:
-            return self._log.patch(name, base, result)
+        logged = self._log.patch(name, base, result)
         stored = self._objects.get(name)
-        if stored is None or content_sum(stored.spec) != result:
-            return None
-        return self._whole_patch(stored)
+        if logged is not None or base != NO_CONTENT_SUM or stored is None:
+            return logged
+        return self._whole_patch(stored) if content_sum(stored.spec) == result else None
 
     def on_fed(self, fed: FedKind, sent_at: float) -> None:
         """A reader tells what came, with all contents.
@@ -268,7 +267,7 @@
             return
         changes = tuple(self._changes_of(fed))
         if fed.whole:
-            self.on_list([change.stored for change in changes], fed.place, sent_at)
+            self.on_list(_left_after(changes), fed.place, sent_at)
             return
         if self.place is not None and fed.place > self.place:
             self._log.note_gap(self.place, fed.place)
@@ -292,6 +291,16 @@
             self._sink.on_changes((), sent_at)
 
 
+def _left_after(changes: Iterable[ObjectChange]) -> list[StoredObject]:
+    """Objects that are there after all changes."""
+    left: dict[str, StoredObject] = {}
+    for change in changes:
+        left.pop(change.stored.name, None)
+        if not change.gone:
+            left[change.stored.name] = change.stored
+    return [*left.values()]
+
+
 def _fed_patch(name: str, place: StorePlace, patch: ContentPatch) -> FedObject:
     is_small = len(patch.steps) <= INLINE_BYTES
     return FedObject(name, place, _NO_SPEC, patch=patch if is_small else patch.announcement())
