A follower takes what a reader told only on top of the state that it asked from

Found by the state machine in 6,000 runs of 50 steps: a follower that had read the store itself between its question and the answer put the differences from another state on top of its own, and kept a content that the store had lost. The same race was there before patches, for a gateway that learns from a substitute while its own watches go on. Answers carry the state they go on from; one that is for another state is dropped, and the question asked again.

The known defects of the machine follow: what lost announcements and unchecked sums broke is now refused at once, so all three checks are off in that one.

--- a/src/milletcourse/exchange/reading/pending_contents.py
+++ b/src/milletcourse/exchange/reading/pending_contents.py
@@ -19,11 +19,23 @@
 leaves out what has been overtaken."""
 
 
+class FedUpdate(msgspec.Struct, frozen=True):
+    """What a reader told of a kind.
+
+    Attributes:
+        since: State from which it goes on; it says nothing about any other one.
+        fed: What it told.
+    """
+
+    since: StorePlace | None
+    fed: FedKind
+
+
 class PendingContents:
     """Answers that wait for contents, kind by kind."""
 
     def __init__(self) -> None:
-        self._waiting: dict[str, deque[FedKind]] = {}
+        self._waiting: dict[str, deque[FedUpdate]] = {}
         self._misfits: set[str] = set()
         """Kinds whose patches didn't fit: all is asked for, once."""
 
@@ -40,10 +52,10 @@
         if kind in self._misfits:
             return None
         waiting = self._waiting.get(kind)
-        return waiting[-1].place if waiting else known
+        return waiting[-1].fed.place if waiting else known
 
-    def take(self, fed: FedKind) -> list[FedKind]:
-        """What a reader told of a kind; returns what can be taken at once."""
+    def take(self, fed: FedKind, since: StorePlace | None) -> list[FedUpdate]:
+        """What a reader told of a kind from a state on; returns what can be taken at once."""
         waiting = self._waiting.setdefault(fed.kind, deque())
         if fed.whole:
             self._misfits.discard(fed.kind)
@@ -53,28 +65,29 @@
             waiting.clear()
             waiting.append(first)
         else:
-            waiting.append(fed)
+            waiting.append(FedUpdate(since, fed))
         return self._settle(fed.kind)
 
     def missing(self, kind: str) -> ContentQuestion | None:
         """The first content that a kind waits for, None when it waits for none."""
         waiting = self._waiting.get(kind)
-        for item in waiting[0].objects if waiting else ():
+        for item in waiting[0].fed.objects if waiting else ():
             if item.is_announced and item.patch is not None:
                 return ContentQuestion(kind, item.name, item.patch.base, item.patch.result)
         return None
 
-    def on_patch(self, question: ContentQuestion, patch: ContentPatch) -> list[FedKind]:
+    def on_patch(self, question: ContentQuestion, patch: ContentPatch) -> list[FedUpdate]:
         """A content that was asked for has come; returns what can be taken now."""
         waiting = self._waiting.get(question.kind)
         if not waiting or patch.result != question.result:
             return []
-        first = waiting[0]
+        first = waiting[0].fed
         objects = [
             msgspec.structs.replace(item, patch=patch) if _is_meant(item, question) else item
             for item in first.objects
         ]
-        waiting[0] = FedKind(first.kind, first.place, first.whole, objects)
+        fed = FedKind(first.kind, first.place, first.whole, objects)
+        waiting[0] = FedUpdate(waiting[0].since, fed)
         return self._settle(question.kind)
 
     def drop(self, kind: str) -> None:
@@ -91,10 +104,10 @@
         self._waiting.clear()
         self._misfits.clear()
 
-    def _settle(self, kind: str) -> list[FedKind]:
+    def _settle(self, kind: str) -> list[FedUpdate]:
         waiting = self._waiting[kind]
         ready = []
-        while waiting and not waiting[0].is_announced:
+        while waiting and not waiting[0].fed.is_announced:
             ready.append(waiting.popleft())
         if not waiting:
             del self._waiting[kind]
--- a/src/milletcourse/gateway/store/feed_client.py
+++ b/src/milletcourse/gateway/store/feed_client.py
@@ -10,7 +10,6 @@
 from milletcourse.exchange.messages.content_patch import ContentPatch, PatchError
 from milletcourse.exchange.messages.feed_messages import (
     ContentQuestion,
-    FedKind,
     FeedAnswer,
     FeedPosition,
     FeedQuestion,
@@ -19,7 +18,8 @@
     encode_content_question,
     encode_question,
 )
-from milletcourse.exchange.reading.pending_contents import PendingContents
+from milletcourse.exchange.messages.store_place import StorePlace
+from milletcourse.exchange.reading.pending_contents import FedUpdate, PendingContents
 from milletcourse.exchange.reading.store_reading import GatewayRecord, ReadingPlan
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
 from milletcourse.gateway.state.context import GatewayContext
@@ -100,7 +100,8 @@
             self._reader = reader.name
         table = self._context.table
         version = table.version if table is not None else 0
-        question = encode_question(FeedQuestion(self._positions(), hold_seconds, True, version))
+        positions = self._positions()
+        question = encode_question(FeedQuestion(positions, hold_seconds, True, version))
         asked_at = self._context.now()
         reply = await self._calls.call(
             reader.feed, Call("POST", FEED_PATH, question), hold_seconds + margin_seconds
@@ -109,7 +110,7 @@
         if reply is None or answer is None:
             return self._on_no_answer(reader, reply, asked_at)
         self._proved_at = reply.sent_at + answer.proof_offset
-        self._take(answer, reader)
+        self._take(answer, {item.kind: item.place for item in positions}, reader)
         if self._is_content_missing:
             self.leave()
             self._plan.on_failed(reader.name, self._context.now(), answered=False)
@@ -150,11 +151,13 @@
 
     # -- taking ---------------------------------------------------------------------------------
 
-    def _take(self, answer: FeedAnswer, reader: GatewayRecord) -> None:
+    def _take(
+        self, answer: FeedAnswer, asked: dict[str, StorePlace | None], reader: GatewayRecord
+    ) -> None:
         for fed in answer.kinds:
             if fed.kind not in self._mirrors:
                 continue
-            self._apply_all(self._pending.take(fed))
+            self._apply_all(self._pending.take(fed, asked[fed.kind]))
             if fed.kind in self._pending:
                 is_proven = fed.kind == self._proven.kind
                 self._mirrors[fed.kind].on_announced(answer.effect if is_proven else None)
@@ -168,18 +171,22 @@
         if answer.is_receiving:
             self._proven.on_announced(None)
 
-    def _apply_all(self, ready: list[FedKind]) -> None:
-        for fed in ready:
-            mirror = self._mirrors[fed.kind]
+    def _apply_all(self, updates: list[FedUpdate]) -> None:
+        for update in updates:
+            kind = update.fed.kind
+            mirror = self._mirrors[kind]
+            # While more waits behind it, it isn't all that there is.
+            is_all = kind not in self._pending and update is updates[-1]
+            proved_at = self._proved_at if is_all else mirror.proved_at
             try:
-                # While more waits behind it, it isn't all that there is.
-                is_all = fed.kind not in self._pending and fed is ready[-1]
-                mirror.on_fed(fed, self._proved_at if is_all else mirror.proved_at)
+                if not mirror.on_fed(update, proved_at):
+                    self._pending.drop(kind)
+                    return
             except PatchError as error:
                 problem = error.problem.value
-                self._context.record.store.content_differs(fed.kind, self._reader, problem)
-                self._pending.on_misfit(fed.kind)
-                self._is_content_missing = fed.whole
+                self._context.record.store.content_differs(kind, self._reader, problem)
+                self._pending.on_misfit(kind)
+                self._is_content_missing = update.fed.whole
                 return
 
     # -- contents -------------------------------------------------------------------------------
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -18,6 +18,7 @@
 )
 from milletcourse.exchange.messages.feed_messages import FedKind, FedObject
 from milletcourse.exchange.messages.store_place import StorePlace
+from milletcourse.exchange.reading.pending_contents import FedUpdate
 from milletcourse.gateway.store.change_log import PATCHED_BYTES, ChangeLog, LoggedChange
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 from milletcourse.gateway.telling.store_recorder import StoreReturn
@@ -267,23 +268,24 @@
             return logged
         return self._whole_patch(stored) if content_sum(stored.spec) == result else None
 
-    def on_fed(self, fed: FedKind, sent_at: float) -> None:
-        """A reader tells what came, with all contents.
+    def on_fed(self, update: FedUpdate, sent_at: float) -> bool:
+        """A reader tells what came, with all contents; False for what goes on from another state.
 
         Raises:
             PatchError: A content differs from what was announced; nothing is taken then.
         """
-        if not fed.whole and self.place is not None and fed.place <= self.place:
-            # Learnt in another way meanwhile.
-            self.on_proof(sent_at)
-            return
+        fed = update.fed
+        if not fed.whole and update.since != self.place:
+            # Something was learnt in another way meanwhile.
+            return False
         changes = tuple(self._changes_of(fed))
         if fed.whole:
             self.on_list(_left_after(changes), fed.place, sent_at)
-            return
+            return True
         if self.place is not None and fed.place > self.place:
             self._log.note_gap(self.place, fed.place)
         self.on_changes(ObjectChanges(changes, fed.place), sent_at)
+        return True
 
     def _changes_of(self, fed: FedKind) -> Iterable[ObjectChange]:
         contents: dict[str, bytes | None] = {}
--- a/tests/exchange/reading/test_content_patches.py
+++ b/tests/exchange/reading/test_content_patches.py
@@ -35,7 +35,7 @@
     encode_question,
 )
 from milletcourse.exchange.messages.store_place import StorePlace
-from milletcourse.exchange.reading.pending_contents import PendingContents
+from milletcourse.exchange.reading.pending_contents import FedUpdate, PendingContents
 
 ENTRIES = st.lists(st.sampled_from([b'{"a":1},', b'{"b":[2,{"c":3},4]},', b"},", b"x", b""]))
 CONTENTS = st.one_of(st.binary(max_size=200), ENTRIES.map(b"".join))
@@ -153,26 +153,29 @@
         FedKind("config", StorePlace(1, 8), False, [small]),
         FedKind("config", StorePlace(1, 9), False, [_announced("main", 9, second)]),
     ]
-    assert [pending.take(fed) for fed in told] == [[], [], []]
-    assert pending.position("config", StorePlace(1, 6)) == StorePlace(1, 9)
+    known = StorePlace(1, 6)
+    for fed in told:
+        assert pending.take(fed, pending.position("config", known)) == []
+    assert pending.position("config", known) == StorePlace(1, 9)
     asked = pending.missing("config")
     assert asked == ContentQuestion("config", "main", first.base, first.result)
     assert pending.on_patch(asked, second) == [], "another content than was asked for"
     ready = pending.on_patch(asked, first)
-    assert [fed.place.revision for fed in ready] == [7, 8]
+    assert [update.fed.place.revision for update in ready] == [7, 8]
+    assert [update.since for update in ready] == [known, StorePlace(1, 7)]
     asked = pending.missing("config")
     assert asked is not None and "config" in pending
     ready = pending.on_patch(asked, second)
-    assert [fed.place.revision for fed in ready] == [9] and "config" not in pending
+    assert [update.fed.place.revision for update in ready] == [9] and "config" not in pending
 
 
 def test_all_objects_replace_what_was_announced() -> None:
     """A reader that tells all again needn't bring what it had announced."""
     pending = PendingContents()
     told = [_announced("main", 7, make_patch(b"1", b"2"))]
-    pending.take(FedKind("config", StorePlace(1, 7), False, told))
+    pending.take(FedKind("config", StorePlace(1, 7), False, told), StorePlace(1, 6))
     whole = FedKind("config", StorePlace(2, 3), True, [])
-    assert pending.take(whole) == [whole]
+    assert pending.take(whole, None) == [FedUpdate(None, whole)]
     assert "config" not in pending and pending.missing("config") is None
 
 
@@ -181,11 +184,11 @@
     pending = PendingContents()
     known = StorePlace(1, 6)
     told = [_announced("main", 7, make_patch(b"1", b"2"))]
-    pending.take(FedKind("config", StorePlace(1, 7), False, told))
+    pending.take(FedKind("config", StorePlace(1, 7), False, told), StorePlace(1, 6))
     pending.on_misfit("config")
     assert pending.position("config", known) is None and "config" not in pending
     told = [_announced("main", 8, whole_patch(b"3")), _announced("other", 8, whole_patch(b"4"))]
-    pending.take(FedKind("config", StorePlace(1, 8), True, told))
+    pending.take(FedKind("config", StorePlace(1, 8), True, told), None)
     assert pending.position("config", known) == StorePlace(1, 8), "and not for all again"
 
 
@@ -195,7 +198,9 @@
     patches = [make_patch(b"%d" % number, b"%d" % (number + 1)) for number in range(40)]
     for number, patch in enumerate(patches):
         told = [_announced("main", number, patch)]
-        pending.take(FedKind("config", StorePlace(1, number), False, told))
+        since = pending.position("config", StorePlace(1, 0))
+        pending.take(FedKind("config", StorePlace(1, number), False, told), since)
     asked = pending.missing("config")
     assert asked == ContentQuestion("config", "main", patches[0].base, patches[0].result)
-    assert [fed.place.revision for fed in pending.on_patch(asked, patches[0])] == [0]
+    ready = pending.on_patch(asked, patches[0])
+    assert [update.fed.place.revision for update in ready] == [0]
--- a/tests/gateway/store/test_store_eras.py
+++ b/tests/gateway/store/test_store_eras.py
@@ -12,6 +12,7 @@
 from milletcourse.exchange.messages.feed_messages import FedKind
 from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
 from milletcourse.exchange.messages.store_place import UNKNOWN_ERA, StorePlace
+from milletcourse.exchange.reading.pending_contents import FedUpdate
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
 from milletcourse.gateway.store.change_log import MAX_GAPS
 from milletcourse.gateway.store.directory import KEPT_SECONDS, GatewayDirectory
@@ -82,7 +83,7 @@
 def _feed(reader: KindMirror, follower: KindMirror) -> FedKind | None:
     fed = reader.since(follower.place)
     if fed is not None:
-        follower.on_fed(fed, 0.0)
+        follower.on_fed(FedUpdate(follower.place, fed), 0.0)
     return fed
 
 
--- a/tests/gateway/store/test_store_feed.py
+++ b/tests/gateway/store/test_store_feed.py
@@ -11,6 +11,7 @@
 from gateway_standin import configuration, serve_whole
 from milletcourse.exchange.messages.configuration_effect import ConfigurationEffect
 from milletcourse.exchange.messages.store_place import StorePlace
+from milletcourse.exchange.reading.pending_contents import FedUpdate
 from milletcourse.exchange.reading.store_reading import (
     MAX_STARTING_SECONDS,
     SET_ASIDE_SECONDS,
@@ -143,7 +144,7 @@
     def feed() -> None:
         fed = reader.since(follower.place)
         if fed is not None:
-            follower.on_fed(fed, 0.0)
+            follower.on_fed(FedUpdate(follower.place, fed), 0.0)
 
     feed()
     assert sink.names == {"a", "b"} and follower.place == _at(10)
--- a/tests/gateway/store/test_told_contents_machine.py
+++ b/tests/gateway/store/test_told_contents_machine.py
@@ -15,7 +15,7 @@
 from milletcourse.exchange.messages.content_patch import ContentPatch, PatchError
 from milletcourse.exchange.messages.feed_messages import FedKind
 from milletcourse.exchange.messages.store_place import StorePlace
-from milletcourse.exchange.reading.pending_contents import PendingContents
+from milletcourse.exchange.reading.pending_contents import FedUpdate, PendingContents
 from milletcourse.gateway.store import change_log, kind_mirror
 from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
@@ -59,7 +59,7 @@
         place = self.pending.position("kind", self.mirror.place)
         fed = reader.since(place, as_patches=True)
         if fed is not None:
-            self.take(self.pending.take(fed))
+            self.take(self.pending.take(fed, place))
 
     def fetch(self, reader: KindMirror) -> None:
         question = self.pending.missing("kind")
@@ -71,10 +71,12 @@
             return
         self.take(self.pending.on_patch(question, patch))
 
-    def take(self, ready: list[FedKind]) -> None:
-        for fed in ready:
+    def take(self, ready: list[FedUpdate]) -> None:
+        for update in ready:
             try:
-                self.mirror.on_fed(fed, 0.0)
+                if not self.mirror.on_fed(update, 0.0):
+                    self.pending.drop("kind")
+                    return
             except PatchError:
                 self.pending.on_misfit("kind")
                 return
@@ -243,7 +245,7 @@
 @contextmanager
 def _announced_contents_count_as_known() -> Iterator[None]:
     original = PendingContents.take
-    PendingContents.take = lambda _, fed: [fed]  # type: ignore[method-assign]
+    PendingContents.take = lambda _, fed, since: [FedUpdate(since, fed)]  # type: ignore[method-assign]
     try:
         yield
     finally:
@@ -252,7 +254,7 @@
 
 @contextmanager
 def _announcements_get_lost_and_nothing_is_checked() -> Iterator[None]:
-    apply, take = kind_mirror.apply_patch, PendingContents.take
+    apply, take, on_fed = kind_mirror.apply_patch, PendingContents.take, KindMirror.on_fed
 
     def apply_any(patch: ContentPatch, base: bytes | None) -> bytes:
         try:
@@ -260,16 +262,23 @@
         except PatchError:
             return base or b""
 
-    def take_latest(pending: PendingContents, fed: FedKind) -> list[FedKind]:
+    def take_latest(
+        pending: PendingContents, fed: FedKind, since: StorePlace | None
+    ) -> list[FedUpdate]:
         pending.clear()
-        return take(pending, fed)
+        return take(pending, fed, since)
+
+    def on_any(mirror: KindMirror, update: FedUpdate, sent_at: float) -> bool:
+        return on_fed(mirror, FedUpdate(mirror.place, update.fed), sent_at)
 
     kind_mirror.apply_patch = apply_any
+    KindMirror.on_fed = on_any  # type: ignore[method-assign]
     PendingContents.take = take_latest  # type: ignore[method-assign]
     try:
         yield
     finally:
         kind_mirror.apply_patch = apply
+        KindMirror.on_fed = on_fed  # type: ignore[method-assign]
         PendingContents.take = take  # type: ignore[method-assign]
 
 
