A change that isn't concerned costs neither time nor memory; lists when behind

What a gateway did with each version grew with the whole configuration, on the event loop that serves callers, and a reader behind a narrow link fell further behind with each answer, since a watch brings every version that it missed.

- A late answer with 64 KB and more of overtaken contents makes a watch read lists, which have each object once, until one brings nothing new.
- A moment at which a change wasn't out is told with it: the send of the call that brings it, less what the call before took beyond its wait.

--- a/src/milletcourse/exchange/messages/feed_messages.py
+++ b/src/milletcourse/exchange/messages/feed_messages.py
@@ -108,15 +108,19 @@
         kinds: Kinds with something to tell.
         proof_offset: Time at which the reader's latest proven call to the store was sent, less the
             time at which the question came in, in seconds; negative when the proof is older.
-        is_receiving: A change is on its way from the store to the reader, which has it in part.
+        is_receiving: A change is on its way from the store to the reader, which has it in part, or
+            has it and asks what came after it: an old proof will soon be followed by another one.
         effect: What the announced configuration changes from the follower's; None when none is
             announced, or that isn't known.
+        not_out_offset: Time at which the change that is on its way, or announced, wasn't out yet,
+            as `proof_offset` tells times; None when none is, or that isn't known.
     """
 
     kinds: list[FedKind]
     proof_offset: float
     is_receiving: bool = False
     effect: ConfigurationEffect | None = None
+    not_out_offset: float | None = None
 
 
 class ContentQuestion(msgspec.Struct, array_like=True, frozen=True):
--- a/src/milletcourse/exchange/placement/route_table.py
+++ b/src/milletcourse/exchange/placement/route_table.py
@@ -12,6 +12,31 @@
 )
 
 
+class _HostRoutes:
+    """Routes of one host by their prefixes, which end with a slash."""
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, RouteRecord] = {}
+        self._most_slashes = 0
+
+    def add(self, route: RouteRecord) -> None:
+        """Add a route; the first one of a prefix holds."""
+        prefix = route.path_prefix
+        self._by_prefix.setdefault(prefix, route)
+        self._most_slashes = max(self._most_slashes, prefix.count("/"))
+
+    def find(self, path: str) -> RouteRecord | None:
+        """The route with the longest prefix that begins the path."""
+        found = self._by_prefix.get("")
+        end = 0
+        for _ in range(self._most_slashes):
+            end = path.find("/", end) + 1
+            if not end:
+                return found
+            found = self._by_prefix.get(path[:end], found)
+        return found
+
+
 class RouteTable:
     """One configuration, ready for look-ups; swapped as a whole."""
 
@@ -19,11 +44,9 @@
         self.configuration = configuration
         self.version = configuration.version
         self.limits = configuration.limits
-        self._routes: dict[str, list[RouteRecord]] = {}
+        self._hosts: dict[str, _HostRoutes] = {}
         for route in configuration.routes:
-            self._routes.setdefault(route.host, []).append(route)
-        for routes in self._routes.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            self._hosts.setdefault(route.host, _HostRoutes()).add(route)
         self._services = {service.name: service for service in configuration.services}
         self._tenants = {
             key: tenant for tenant in configuration.tenants for key in tenant.keys if key
@@ -41,10 +64,8 @@
             host: Value of the Host header.
             path: Path without its query.
         """
-        for route in self._routes.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        routes = self._hosts.get(host)
+        return routes.find(path) if routes is not None else None
 
     def find_tenant(self, key: str) -> TenantRecord | None:
         """The tenant that has the key."""
--- a/src/milletcourse/exchange/reading/configuration_effect.py
+++ b/src/milletcourse/exchange/reading/configuration_effect.py
@@ -21,27 +21,56 @@
 _SUM_BYTES = 4
 
 
+class _Step(msgspec.Struct, frozen=True):
+    """One configuration replaced another one.
+
+    Attributes:
+        before: Version of the one before.
+        effect: What it changed, None when it was too much to tell.
+        not_out_at: Monotonic time at which it wasn't out yet, None when none is known.
+    """
+
+    before: int
+    effect: ConfigurationEffect | None
+    not_out_at: float | None
+
+
 class EffectHistory:
     """Effects of the latest configurations of one gateway, one after the other."""
 
     def __init__(self) -> None:
-        self._steps: deque[tuple[int, int, ConfigurationEffect | None]] = deque(maxlen=MAX_STEPS)
-
-    def note(self, before: ExchangeConfiguration, after: ExchangeConfiguration) -> None:
-        """A configuration has replaced another one."""
-        self._steps.append((before.version, after.version, effect_of(before, after)))
+        self._steps: deque[_Step] = deque(maxlen=MAX_STEPS)
+
+    def note(
+        self,
+        before: ExchangeConfiguration,
+        after: ExchangeConfiguration,
+        not_out_at: float | None,
+    ) -> None:
+        """A configuration has replaced another one.
+
+        Args:
+            before: The one before.
+            after: The one in force now.
+            not_out_at: Monotonic time at which it wasn't out yet, None when none is known.
+        """
+        self._steps.append(_Step(before.version, effect_of(before, after), not_out_at))
 
     def since(self, version: int) -> ConfigurationEffect | None:
         """What has changed since a version; None when that isn't known."""
         found: list[ConfigurationEffect] = []
-        for before, _, effect in self._steps:
-            if before < version:
+        for step in self._steps:
+            if step.before < version:
                 continue
-            if effect is None or (not found and before != version):
+            if step.effect is None or (not found and step.before != version):
                 return None
-            found.append(effect)
+            found.append(step.effect)
         return _joined(found) if found else None
 
+    def not_out_at(self, version: int) -> float | None:
+        """When what replaced a version wasn't out yet; None when that isn't known."""
+        return next((step.not_out_at for step in self._steps if step.before == version), None)
+
 
 def effect_of(
     before: ExchangeConfiguration, after: ExchangeConfiguration
--- a/src/milletcourse/exchange/reading/configuration_lag.py
+++ b/src/milletcourse/exchange/reading/configuration_lag.py
@@ -1,8 +1,9 @@
 """Which requests may be decided by a configuration that a newer one is about to replace; no I/O.
 
 A gateway may know that a change is out before it has it: its content is still coming, from the
-store or from a reader. The change is due some time after its acknowledgement, which was later than
-the latest proof without it.
+store or from a reader. The change is due some time after its acknowledgement, which isn't known;
+what is known is a moment at which it wasn't out. That is the latest proof without it, or the moment
+at which the call was sent that brings it: its predecessor had just come back without the change.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 from milletcourse.exchange.messages.configuration_effect import ConfigurationEffect
 from milletcourse.exchange.reading.configuration_effect import EffectView
 
-LAG_MARGIN_SECONDS = 0.1
+LAG_MARGIN_SECONDS = 0.05
 """Requests are refused this long before the change is due."""
 
 
@@ -27,7 +28,12 @@
 
 
 class ConfigurationLag:
-    """Follows one change, or several on top of each other, until all are in force."""
+    """Follows one change, or several on top of each other, until all are in force.
+
+    Attributes:
+        not_out_at: Latest monotonic time at which no change was out that isn't in force here; None
+            while none is out.
+    """
 
     def __init__(self, apply_seconds: float) -> None:
         """No change is out.
@@ -36,29 +42,29 @@
             apply_seconds: A configuration is due so long after its acknowledgement.
         """
         self.apply_seconds = apply_seconds
-        self._due_at: float | None = None
+        self.not_out_at: float | None = None
         self._effect: EffectView | None = None
 
     @property
     def is_behind(self) -> bool:
         """Whether a change is out that isn't in force here."""
-        return self._due_at is not None
+        return self.not_out_at is not None
 
     @property
     def knows_effect(self) -> bool:
         """Whether it is known what the change concerns."""
         return self._effect is not None
 
-    def on_announced(self, proved_at: float, effect: ConfigurationEffect | None) -> None:
+    def on_announced(self, not_out_at: float, effect: ConfigurationEffect | None) -> None:
         """A change is out.
 
         Args:
-            proved_at: Monotonic time of the latest proof without it.
+            not_out_at: Monotonic time at which it wasn't out yet.
             effect: All that is out changes this from what is in force here, None when that isn't
                 known.
         """
-        if self._due_at is None:
-            self._due_at = proved_at + self.apply_seconds - LAG_MARGIN_SECONDS
+        if self.not_out_at is None:
+            self.not_out_at = not_out_at
         try:
             self._effect = EffectView(effect) if effect is not None else None
         except ValueError:
@@ -67,7 +73,7 @@
 
     def on_current(self) -> None:
         """All that is known to be out is in force."""
-        self._due_at = None
+        self.not_out_at = None
         self._effect = None
 
     def judge(self, now: float, host: str, path: str, key: str) -> LagVerdict:
@@ -79,16 +85,17 @@
             path: Its path.
             key: Its key, empty without one.
         """
-        if self._due_at is None:
+        if self.not_out_at is None:
             return LagVerdict.AS_BEFORE
         if key and self._effect is not None and self._effect.revokes(key):
             return LagVerdict.REVOKED
-        if now < self._due_at or not self.may_concern(host, path, key):
+        due_at = self.not_out_at + self.apply_seconds - LAG_MARGIN_SECONDS
+        if now < due_at or not self.may_concern(host, path, key):
             return LagVerdict.AS_BEFORE
         return LagVerdict.STALE
 
     def may_concern(self, host: str, path: str, key: str) -> bool:
         """Whether the change may treat a request otherwise."""
-        if self._due_at is None:
+        if self.not_out_at is None:
             return False
         return self._effect is None or self._effect.concerns(host, path, key)
--- a/src/milletcourse/experiments/return_model.py
+++ b/src/milletcourse/experiments/return_model.py
@@ -105,7 +105,9 @@
     def on_new_era(self) -> None:
         """See `KindSink`."""
 
-    def on_change_announced(self, effect: ConfigurationEffect | None) -> None:
+    def on_change_announced(
+        self, effect: ConfigurationEffect | None, not_out_at: float | None
+    ) -> None:
         """See `KindSink`."""
 
     def on_pending_proof(self, sent_at: float) -> None:
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -142,7 +142,9 @@
         """See `KindSink`: what the store lost isn't gone yet."""
         self._kept_until = self._now() + KEPT_SECONDS
 
-    def on_change_announced(self, effect: ConfigurationEffect | None) -> None:
+    def on_change_announced(
+        self, effect: ConfigurationEffect | None, not_out_at: float | None
+    ) -> None:
         """See `KindSink`: it is taken when it is here."""
 
     def on_pending_proof(self, sent_at: float) -> None:
--- a/src/milletcourse/gateway/store/feed_client.py
+++ b/src/milletcourse/gateway/store/feed_client.py
@@ -154,13 +154,16 @@
     def _take(
         self, answer: FeedAnswer, asked: dict[str, StorePlace | None], reader: GatewayRecord
     ) -> None:
+        offset = answer.not_out_offset
+        not_out_at = self._proved_at - answer.proof_offset + offset if offset is not None else None
         for fed in answer.kinds:
             if fed.kind not in self._mirrors:
                 continue
             self._apply_all(self._pending.take(fed, asked[fed.kind]))
             if fed.kind in self._pending:
                 is_proven = fed.kind == self._proven.kind
-                self._mirrors[fed.kind].on_announced(answer.effect if is_proven else None)
+                effect = answer.effect if is_proven else None
+                self._mirrors[fed.kind].on_announced(effect, not_out_at)
                 self._fetch(reader, fed.kind)
         told = {fed.kind for fed in answer.kinds}
         for kind, mirror in self._mirrors.items():
@@ -168,8 +171,8 @@
                 mirror.on_pending_proof(self._proved_at)
             elif kind not in told:
                 mirror.on_proof(self._proved_at)
-        if answer.is_receiving:
-            self._proven.on_announced(None)
+        if answer.is_receiving and not_out_at is not None and self._proven.kind not in told:
+            self._proven.on_announced(None, not_out_at)
 
     def _apply_all(self, updates: list[FedUpdate]) -> None:
         for update in updates:
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -46,11 +46,14 @@
     def on_new_era(self) -> None:
         """The store has come back from an older copy; what it holds now is handed on next."""
 
-    def on_change_announced(self, effect: ConfigurationEffect | None) -> None:
+    def on_change_announced(
+        self, effect: ConfigurationEffect | None, not_out_at: float | None
+    ) -> None:
         """A change is out, and on its way here; ends with the next list or changes.
 
         Args:
             effect: What it changes for requests, None when that isn't known.
+            not_out_at: Monotonic time at which it wasn't out yet, None when only proofs tell.
         """
 
     def on_pending_proof(self, sent_at: float) -> None:
@@ -143,14 +146,18 @@
         """A call failed."""
         self._sink.on_unavailable()
 
-    def on_receiving(self) -> None:
-        """The answer to a call to the store carries content, and is coming."""
+    def on_receiving(self, not_out_at: float | None) -> None:
+        """The answer to a call to the store carries content, and is coming.
+
+        Args:
+            not_out_at: Monotonic time at which it wasn't out yet, None when only proofs tell.
+        """
         self.is_receiving = True
-        self._sink.on_change_announced(None)
+        self._sink.on_change_announced(None, not_out_at)
 
-    def on_announced(self, effect: ConfigurationEffect | None) -> None:
+    def on_announced(self, effect: ConfigurationEffect | None, not_out_at: float | None) -> None:
         """A reader has announced a change whose content is still to come."""
-        self._sink.on_change_announced(effect)
+        self._sink.on_change_announced(effect, not_out_at)
 
     def on_pending_proof(self, sent_at: float) -> None:
         """A reader proves that only what it announced had come."""
--- a/src/milletcourse/gateway/store/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 
 from milletcourse.exchange.messages.store_place import StorePlace
 from milletcourse.gateway.store.kind_mirror import KindMirror
@@ -28,6 +29,9 @@
 LATE_SECONDS = 0.2
 """An answer that took so long beyond its wait proves little: what came after it is asked for at
 once."""
+OVERTAKEN_BYTES = 64 * 1024
+"""Contents that a late answer brought in vain; with so much, lists are read in place of changes."""
+LIST_PAUSE_SECONDS = 0.05
 SPREAD_SECONDS = 0.1
 """Watches that waited for their leader go on within this time, not all at once."""
 
@@ -64,6 +68,8 @@
         self._place = mirror.place
         self._failures = 0
         self._is_late = False
+        self._overrun_seconds = 0.0
+        self._lists = False
         self._confirm_at = float("inf")
         if stale_lists and (mirror.place is None or not mirror.is_confirmed):
             self._confirm_at = elapsed_seconds() + CONFIRM_SECONDS
@@ -93,29 +99,44 @@
     async def _step(self) -> None:
         if elapsed_seconds() >= self._confirm_at and not self._mirror.is_confirmed:
             self._place, self._history_gone = None, True
-        if self._place is None:
+        if self._place is None or self._lists:
             await self._list()
             return
         kind = self._mirror.kind
         wait_seconds = 0.0 if self._is_late else self._wait_seconds
+        # The call before came back without what this one brings; the store had answered it no
+        # earlier than by how much it took longer than its wait.
+        not_out_at = None if self._is_late else elapsed_seconds() - self._overrun_seconds
         changes, sent_at = await self._store.watch(
-            kind, self._place, wait_seconds, self._mirror.on_receiving
+            kind, self._place, wait_seconds, lambda: self._mirror.on_receiving(not_out_at)
         )
         self._mirror.on_changes(changes, sent_at)
         self._place = max(changes.place, self._place)
-        self._is_late = elapsed_seconds() - sent_at > self._wait_seconds + LATE_SECONDS
+        self._overrun_seconds = max(elapsed_seconds() - sent_at - wait_seconds, 0.0)
+        self._is_late = self._overrun_seconds > LATE_SECONDS
         self._mirror.is_receiving = self._is_late
+        if self._is_late and _overtaken_bytes(changes) >= OVERTAKEN_BYTES:
+            # Changes come faster than their contents: a list has each object once.
+            self._lists = True
 
     async def _list(self) -> None:
         kind = self._mirror.kind
         stale = self._stale_lists and not self._history_gone
-        objects, place, sent_at = await list_as_of_now(self._store, kind, stale)
+        before = self._mirror.specs() if self._lists else {}
+        objects, place, sent_at = await list_as_of_now(
+            self._store, kind, stale, on_content=lambda: self._mirror.on_receiving(None)
+        )
         known = self._mirror.place
         if stale and known is not None and place.era > known.era:
             # It may show what the store has lost since.
             raise StoreError(StoreProblem.HISTORY_GONE)
         self._mirror.on_list(objects, place, sent_at, stale)
         self._place = place
+        self._is_late = elapsed_seconds() - sent_at > LATE_SECONDS
+        self._mirror.is_receiving = self._is_late
+        if self._lists:
+            self._lists = self._is_late and before != self._mirror.specs()
+            await asyncio.sleep(LIST_PAUSE_SECONDS)
 
     async def _pause(self) -> None:
         self.reached.clear()
@@ -130,7 +151,11 @@
 
 
 async def list_as_of_now(
-    store: ObjectStoreClient, kind: str, stale: bool, attempts_seconds: float = math.inf
+    store: ObjectStoreClient,
+    kind: str,
+    stale: bool,
+    attempts_seconds: float = math.inf,
+    on_content: Callable[[], None] | None = None,
 ) -> tuple[list[StoredObject], StorePlace, float]:
     """All objects of a kind as they are now: (objects, place, time of the proving call).
 
@@ -142,8 +167,9 @@
         kind: Kind of the objects.
         stale: Read a list that may be seconds old.
         attempts_seconds: See `ObjectStoreClient.list_all`.
+        on_content: See there.
     """
-    objects, place, sent_at = await store.list_all(kind, stale, attempts_seconds)
+    objects, place, sent_at = await store.list_all(kind, stale, attempts_seconds, on_content)
     if not stale:
         return objects, place, sent_at
     # A stale page proves nothing about now; together with the watch it does.
@@ -158,3 +184,13 @@
         if not change.gone:
             listed[change.stored.name] = change.stored
     return list(listed.values())
+
+
+def _overtaken_bytes(changes: ObjectChanges) -> int:
+    """Bytes of contents that later changes of the same answer replace."""
+    last = {change.stored.name: change for change in changes.changes}
+    return sum(
+        len(change.stored.spec)
+        for change in changes.changes
+        if change is not last[change.stored.name]
+    )
--- a/src/milletcourse/gateway/store/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -202,7 +202,11 @@
         self._outdated_watches: set[asyncio.Task[Reply]] = set()
 
     async def list_all(
-        self, kind: str, stale: bool = False, attempts_seconds: float = math.inf
+        self,
+        kind: str,
+        stale: bool = False,
+        attempts_seconds: float = math.inf,
+        on_content: Callable[[], None] | None = None,
     ) -> tuple[list[StoredObject], StorePlace, float]:
         """All objects of a kind: (objects, place to watch from, time of the first call).
 
@@ -215,6 +219,7 @@
             stale: The list may be seconds old.
             attempts_seconds: An answer that doesn't begin by now isn't waited for, and no page is
                 asked for again after it; what comes is taken however long it takes.
+            on_content: Told when a page that is coming carries content.
         """
         attempts_end_at = elapsed_seconds() + attempts_seconds
         objects: list[StoredObject] = []
@@ -222,7 +227,7 @@
         place: StorePlace | None = None
         sent_at = 0.0
         while True:
-            page, page_sent_at = await self._page(kind, after, stale, attempts_end_at)
+            page, page_sent_at = await self._page(kind, after, stale, attempts_end_at, on_content)
             objects.extend(page.objects)
             if page.unreadable:
                 self._on_unreadable(kind, page.unreadable)
@@ -239,7 +244,12 @@
             after = page.objects[-1].name
 
     async def _page(
-        self, kind: str, after: str, stale: bool, attempts_end_at: float
+        self,
+        kind: str,
+        after: str,
+        stale: bool,
+        attempts_end_at: float,
+        on_content: Callable[[], None] | None,
     ) -> tuple[ObjectPage, float]:
         pause = FIRST_PAGE_PAUSE_SECONDS
         call = self._dialect.list_call(kind, after, stale)
@@ -247,7 +257,7 @@
         while True:
             left = max(attempts_end_at - elapsed_seconds(), MIN_ATTEMPT_SECONDS)
             try:
-                reply = await self._send(kind, call, min(CALL_TIMEOUT_SECONDS, left))
+                reply = await self._send(kind, call, min(CALL_TIMEOUT_SECONDS, left), on_content)
                 return self._dialect.read_page(reply), reply.sent_at
             except StoreError as error:
                 is_last = attempts >= PAGE_ATTEMPTS or elapsed_seconds() + pause > attempts_end_at
--- a/src/milletcourse/gateway/store/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -29,7 +29,9 @@
     def on_new_era(self) -> None:
         """See `KindSink`."""
 
-    def on_change_announced(self, effect: ConfigurationEffect | None) -> None:
+    def on_change_announced(
+        self, effect: ConfigurationEffect | None, not_out_at: float | None
+    ) -> None:
         """See `KindSink`."""
 
     def on_pending_proof(self, sent_at: float) -> None:
@@ -79,12 +81,15 @@
         if self._understood:
             self._context.freshness.on_proof(sent_at)
 
-    def on_change_announced(self, effect: ConfigurationEffect | None) -> None:
+    def on_change_announced(
+        self, effect: ConfigurationEffect | None, not_out_at: float | None
+    ) -> None:
         """See `KindSink`."""
         context = self._context
         if not context.lag.is_behind:
             context.record.store.configuration_announced(effect is not None)
-        context.lag.on_announced(context.freshness.proved_at, effect)
+        proved_at = context.freshness.proved_at
+        context.lag.on_announced(max(proved_at, not_out_at or proved_at), effect)
 
     def on_pending_proof(self, sent_at: float) -> None:
         """See `KindSink`: what the announced change doesn't concern is proved."""
@@ -109,7 +114,8 @@
                 )
             return configuration.version == current.version
         if current is not None:
-            self._context.effects.note(current.configuration, configuration)
+            lag = self._context.lag
+            self._context.effects.note(current.configuration, configuration, lag.not_out_at)
         self._context.table = RouteTable(configuration)
         self._context.tenant_limits.configure(configuration.tenants, self._context.now())
         self._context.log.emit(
--- a/src/milletcourse/gateway/store/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Sequence
 
+import msgspec
+
 from milletcourse.errors import MalformedRequest, NotFound, NotReady
 from milletcourse.exchange.messages.feed_messages import (
     FeedAnswer,
@@ -94,12 +96,27 @@
         ]
         proof_offset = self._proven.proved_at - received_at
         news = [kind for kind in told if kind is not None]
-        effect = None
-        if any(kind.kind == self._proven.kind and kind.is_announced for kind in news):
-            effect = self._context.effects.since(question.configuration)
-        answer = FeedAnswer(news, proof_offset, self._proven.is_receiving, effect)
+        answer = self._with_effect(FeedAnswer(news, proof_offset), question, received_at)
         client.send_whole(200, b"", [_JSON], encode_answer(answer, question.takes_patches))
 
+    def _with_effect(
+        self, answer: FeedAnswer, question: FeedQuestion, received_at: float
+    ) -> FeedAnswer:
+        """The answer with what is known of a configuration that it doesn't bring."""
+        context = self._context
+        effect = not_out_at = None
+        if any(kind.kind == self._proven.kind and kind.is_announced for kind in answer.kinds):
+            effect = context.effects.since(question.configuration)
+            not_out_at = context.effects.not_out_at(question.configuration)
+        else:
+            not_out_at = context.lag.not_out_at
+        return msgspec.structs.replace(
+            answer,
+            is_receiving=self._proven.is_receiving,
+            effect=effect,
+            not_out_offset=not_out_at - received_at if not_out_at is not None else None,
+        )
+
     def _note_positions(self, question: FeedQuestion) -> None:
         for position in question.positions:
             mirror = self._mirrors.get(position.kind)
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -135,6 +135,9 @@
     gap_aim_ms: float = 0.0
 
 
+_ROUTE_DECODER = msgspec.json.Decoder(_Route)
+
+
 class _Model(_Document, frozen=True):
     name: str
 
@@ -178,19 +181,45 @@
 
 class _Configuration(_Document, frozen=True):
     version: int
-    routes: list[_Route] = []
+    routes: list[msgspec.Raw] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
     tenants: list[_Tenant] = []
 
 
+class ConfigurationDecoder:
+    """Reads the configuration's object; routes that are written as before keep their records.
+
+    With many routes that takes a tenth of the time, and next to no memory, when few have changed.
+    """
+
+    def __init__(self) -> None:
+        self._routes: dict[bytes, RouteRecord] = {}
+
+    def decode(self, spec: bytes) -> ExchangeConfiguration:
+        """The configuration; raises `msgspec.MsgspecError` for what is none."""
+        document = msgspec.json.decode(spec, type=_Configuration)
+        written = [bytes(route) for route in document.routes]
+        routes = {
+            route: self._routes.get(route) or _route(_ROUTE_DECODER.decode(route))
+            for route in written
+        }
+        self._routes = routes
+        return _configuration(document, tuple(routes[route] for route in written))
+
+
 def decode_configuration(spec: bytes) -> ExchangeConfiguration:
     """The configuration's object."""
-    document = msgspec.json.decode(spec, type=_Configuration)
+    return ConfigurationDecoder().decode(spec)
+
+
+def _configuration(
+    document: _Configuration, routes: tuple[RouteRecord, ...]
+) -> ExchangeConfiguration:
     limits = document.limits
     return ExchangeConfiguration(
         version=document.version,
-        routes=tuple(_route(route) for route in document.routes),
+        routes=routes,
         services=tuple(_service(service) for service in document.services),
         limits=EdgeLimits(
             max_header_bytes=limits.max_header_bytes,
--- a/src/milletcourse/platform/start.py
+++ b/src/milletcourse/platform/start.py
@@ -11,7 +11,7 @@
 from milletcourse.gateway.process import run_gateway
 from milletcourse.platform.cache_events import PlatformCacheEvents
 from milletcourse.platform.documents import (
-    decode_configuration,
+    ConfigurationDecoder,
     decode_instance,
     decode_target,
     read_settings,
@@ -32,7 +32,7 @@
         kinds=KINDS,
         orders=PlatformOrderDialect(),
         cache_store=PlatformCacheEvents(),
-        decode_configuration=decode_configuration,
+        decode_configuration=ConfigurationDecoder().decode,
         decode_instance=decode_instance,
         decode_target=decode_target,
         ready_path=READY_PATH,
--- a/tests/gateway/store/test_announced_changes.py
+++ b/tests/gateway/store/test_announced_changes.py
@@ -94,15 +94,16 @@
     """And knows nothing of versions that it did not see."""
     history = EffectHistory()
     assert history.since(1) is None
-    history.note(BEFORE, AFTER)
+    history.note(BEFORE, AFTER, 3.0)
     last = version(5, [*AFTER.routes, route("/e/")], {"u": ("x",)})
-    history.note(AFTER, last)
+    history.note(AFTER, last, None)
     effect = history.since(1)
     assert effect is not None
     view = EffectView(effect)
     assert view.concerns("site", "/e/", "") and view.concerns("site", "/b/", "")
     assert view.revokes("old") and view.revokes("kept")
     assert history.since(2) == effect_of(AFTER, last)
+    assert history.not_out_at(1) == 3.0 and history.not_out_at(2) is None
     assert history.since(0) is None and history.since(3) is None and history.since(5) is None
 
 
--- a/tests/gateway/store/test_store_eras.py
+++ b/tests/gateway/store/test_store_eras.py
@@ -59,7 +59,9 @@
     def on_new_era(self) -> None:
         self.eras += 1
 
-    def on_change_announced(self, effect: ConfigurationEffect | None) -> None:
+    def on_change_announced(
+        self, effect: ConfigurationEffect | None, not_out_at: float | None
+    ) -> None:
         pass
 
     def on_pending_proof(self, sent_at: float) -> None:
