A gateway that starts between a return of the store and the second writing

Gateways tell each other which version they have in force, with the questions and answers about the store. One that finds that the store holds no later state than it knows, and another gateway a later version, holds its proofs void until that version, or a later one, is written again: keys get 503, not run.

Ruled out: to vouch for a version that the store doesn't hold, or to hand its content on: what the operator writes again may differ.

The new test got 200 for the revoked key on the code before, as a follower and as a reader, and 503 now.

--- a/src/milletcourse/exchange/messages/feed_messages.py
+++ b/src/milletcourse/exchange/messages/feed_messages.py
@@ -114,6 +114,7 @@
             announced, or that isn't known.
         not_out_offset: Time at which the change that is on its way, or announced, wasn't out yet,
             as `proof_offset` tells times; None when none is, or that isn't known.
+        configuration: Version of the configuration that is in force at the reader, 0 for none.
     """
 
     kinds: list[FedKind]
@@ -121,6 +122,7 @@
     is_receiving: bool = False
     effect: ConfigurationEffect | None = None
     not_out_offset: float | None = None
+    configuration: int = 0
 
 
 class ContentQuestion(msgspec.Struct, array_like=True, frozen=True):
--- a/src/milletcourse/exchange/reading/freshness.py
+++ b/src/milletcourse/exchange/reading/freshness.py
@@ -86,6 +86,10 @@
         """A call that was sent at this time has completed and its result is in force."""
         self._proved_at = max(self._proved_at, sent_at)
 
+    def forget(self) -> None:
+        """All proofs so far are void: the store had lost what is in force elsewhere."""
+        self._proved_at = float("-inf")
+
     @property
     def proved_at(self) -> float:
         """When the call of the latest proof was sent; minus infinity before the first."""
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -109,6 +109,7 @@
         )
         self.lag = ConfigurationLag(bounds.config_apply)
         self.effects = EffectHistory()
+        self._lost_version = 0
         self.instances = InstanceTable()
         self.on_instance_ended: Callable[[Instance], None] | None = None
         self.restart_listeners: list[Callable[[Instance], None]] = []
@@ -255,6 +256,28 @@
         """Whether answers ask clients to close their connections: others need the room."""
         return self.stopping or self.now() < self.short_of_room_until
 
+    @property
+    def configuration_version(self) -> int:
+        """Version in force, 0 before the first."""
+        return self.table.version if self.table is not None else 0
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether another gateway has a configuration in force that the store doesn't hold now."""
+        return self._lost_version > self.configuration_version
+
+    def on_lost_configuration(self, version: int) -> None:
+        """A version that is in force at another gateway isn't in the store.
+
+        It has come back from an older copy, and this process began after that. Until the version,
+        or a later one, is written again, no proof says that a key still holds.
+        """
+        if version <= max(self._lost_version, self.configuration_version):
+            return
+        self._lost_version = version
+        self.freshness.forget()
+        self.record.store.configuration_lost(version, self.configuration_version)
+
     def on_unanswered(self, request: UnansweredRequest) -> None:
         """A request that was read ends without a whole answer."""
         self.record.unanswered(request, self.dialect.request_id_of(request.fields), self.stopping)
--- a/src/milletcourse/gateway/store/feed_client.py
+++ b/src/milletcourse/gateway/store/feed_client.py
@@ -98,8 +98,7 @@
         if reader.name != self._reader:
             self.leave()
             self._reader = reader.name
-        table = self._context.table
-        version = table.version if table is not None else 0
+        version = self._context.configuration_version
         positions = self._positions()
         question = encode_question(FeedQuestion(positions, hold_seconds, True, version))
         asked_at = self._context.now()
@@ -171,6 +170,9 @@
                 mirror.on_pending_proof(self._proved_at)
             elif kind not in told:
                 mirror.on_proof(self._proved_at)
+        is_news = self._proven.kind in told or answer.is_receiving
+        if not is_news and self._proven.kind not in self._pending:
+            self._context.on_lost_configuration(answer.configuration)
         if answer.is_receiving and not_out_at is not None and self._proven.kind not in told:
             self._proven.on_announced(None, not_out_at)
 
--- a/src/milletcourse/gateway/store/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -68,8 +68,7 @@
             if stored.name == self._object_name:
                 self._understood = self._apply(stored)
         self._context.lag.on_current()
-        if self._understood:
-            self._context.freshness.on_proof(sent_at)
+        self._prove(sent_at)
 
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindSink`."""
@@ -78,8 +77,7 @@
             if change.stored.name == self._object_name:
                 self._understood = not change.gone and self._apply(change.stored)
         self._context.lag.on_current()
-        if self._understood:
-            self._context.freshness.on_proof(sent_at)
+        self._prove(sent_at)
 
     def on_change_announced(
         self, effect: ConfigurationEffect | None, not_out_at: float | None
@@ -93,7 +91,11 @@
 
     def on_pending_proof(self, sent_at: float) -> None:
         """See `KindSink`: what the announced change doesn't concern is proved."""
-        if self._understood and self._context.lag.knows_effect:
+        if self._context.lag.knows_effect:
+            self._prove(sent_at)
+
+    def _prove(self, sent_at: float) -> None:
+        if self._understood and not self._context.is_outdated:
             self._context.freshness.on_proof(sent_at)
 
     def _apply(self, stored: StoredObject) -> bool:
--- a/src/milletcourse/gateway/store/store_feed.py
+++ b/src/milletcourse/gateway/store/store_feed.py
@@ -85,6 +85,7 @@
             refuse(client, MalformedRequest("no question about the store"))
             return
         self._note_positions(question)
+        self._note_configuration(question)
         await self._wait_for_news(question, received_at)
         if not self._vouches() or self._is_an_era_behind(question):
             refuse(client, NotReady("the store isn't read here now"))
@@ -115,8 +116,18 @@
             is_receiving=self._proven.is_receiving,
             effect=effect,
             not_out_offset=not_out_at - received_at if not_out_at is not None else None,
+            configuration=context.configuration_version,
         )
 
+    def _note_configuration(self, question: FeedQuestion) -> None:
+        """A follower that knows no later state of the store, but a later configuration."""
+        known = self._proven.place
+        asked = next(
+            (item.place for item in question.positions if item.kind == self._proven.kind), None
+        )
+        if known is not None and asked is not None and asked <= known:
+            self._context.on_lost_configuration(question.configuration)
+
     def _note_positions(self, question: FeedQuestion) -> None:
         for position in question.positions:
             mirror = self._mirrors.get(position.kind)
--- a/src/milletcourse/gateway/telling/store_recorder.py
+++ b/src/milletcourse/gateway/telling/store_recorder.py
@@ -77,6 +77,15 @@
             seconds=round(call.seconds, 3),
         )
 
+    def configuration_lost(self, version: int, in_force: int) -> None:
+        """Another gateway has a configuration in force that the store has lost.
+
+        Args:
+            version: Its version.
+            in_force: Version in force here.
+        """
+        self._log.emit("configuration-lost", version=version, in_force=in_force)
+
     def configuration_announced(self, knows_effect: bool) -> None:
         """A newer configuration is out, and on its way here.
 
--- a/tests/gateway/store/test_store_copies.py
+++ b/tests/gateway/store/test_store_copies.py
@@ -134,6 +134,36 @@
     run_with_gateway(scenario)
 
 
+@pytest.mark.parametrize("is_reader", [False, True])
+def test_a_gateway_that_starts_before_the_second_writing_serves_no_revoked_key(
+    is_reader: bool,
+) -> None:
+    """It knows the copy alone; another gateway tells it that a later version was in force."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = SignallingFleet(harness)
+        await fleet.start({"s-1": Mood(), "s-2": Mood()})
+        copy = harness.store.copy()
+        harness.store.put("config", "main", configuration(2, Tenants=ONE_TENANT))
+        for node in fleet.nodes:
+            await harness.until(lambda node=node: _has_version(node, 2))
+        harness.store.come_back(copy, writes_again=False)
+        await asyncio.sleep(SETTLED_SECONDS)
+        link_megabits = 1000.0 if is_reader else 0.0
+        started = await harness.add_gateway("front-9", link_megabits=link_megabits)
+        context = started.context
+        await harness.until(lambda: _has_version(started, 1) and context.is_outdated)
+        assert context.reads_store is is_reader
+        fleet.nodes = [started]
+        assert await _statuses_with(fleet, "key-2") == [503]
+        harness.store.put("config", "main", configuration(2, Tenants=ONE_TENANT))
+        await harness.until(lambda: _has_version(started, 2) and context.is_ready())
+        assert await _statuses_with(fleet, "key-2") == [401]
+        assert await _statuses_with(fleet, "key-1") == [200]
+
+    run_with_gateway(scenario)
+
+
 def test_gateways_whose_entries_the_store_lost_are_listed_again() -> None:
     """Each looked at its entry only when it had something to write."""
 
