Operators see a version that is on its way, and how long one took

configuration-in-force tells the content's bytes and, where the change was known before its content, for how long it was out at most; a gauge is 1 meanwhile.

--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -151,7 +151,8 @@
 def set_gauges(context: GatewayContext, metrics: GatewayMetrics) -> None:
     """Figures that are read when they are asked for."""
     now = context.now()
-    metrics.configuration.set(context.table.version if context.table is not None else 0)
+    metrics.configuration.set(context.configuration_version)
+    metrics.configuration_behind.set(context.lag.is_behind)
     metrics.proof_age.set(min(context.freshness.age(now), MAX_SHOWN_AGE_SECONDS))
     metrics.ready.set(context.is_ready())
     metrics.instances.set(len(list(context.instances)))
--- a/src/milletcourse/gateway/store/sinks.py
+++ b/src/milletcourse/gateway/store/sinks.py
@@ -79,6 +79,18 @@
         self._context.lag.on_current()
         self._prove(sent_at)
 
+    def _tell_in_force(self, configuration: ExchangeConfiguration, size: int) -> None:
+        not_out_at = self._context.lag.not_out_at
+        late = {} if not_out_at is None else {"out_for_at_most": self._context.now() - not_out_at}
+        self._context.log.emit(
+            "configuration-in-force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            tenants=len(configuration.tenants),
+            bytes=size,
+            **{name: round(seconds, 3) for name, seconds in late.items()},
+        )
+
     def on_change_announced(
         self, effect: ConfigurationEffect | None, not_out_at: float | None
     ) -> None:
@@ -120,12 +132,7 @@
             self._context.effects.note(current.configuration, configuration, lag.not_out_at)
         self._context.table = RouteTable(configuration)
         self._context.tenant_limits.configure(configuration.tenants, self._context.now())
-        self._context.log.emit(
-            "configuration-in-force",
-            version=configuration.version,
-            routes=len(configuration.routes),
-            tenants=len(configuration.tenants),
-        )
+        self._tell_in_force(configuration, len(stored.spec))
         for tenant in configuration.tenants:
             if tenant.limit_problem:
                 self._context.log.emit(
--- a/src/milletcourse/gateway/telling/metrics.py
+++ b/src/milletcourse/gateway/telling/metrics.py
@@ -55,6 +55,9 @@
         self._answers_by_bucket = [0] * (len(ANSWER_BUCKETS_SECONDS) + 1)
         self._answer_seconds = 0.0
         self.configuration = GaugeValue("configuration_version", "Version in force")
+        self.configuration_behind = GaugeValue(
+            "configuration_behind", "1 while a newer version is known, and on its way here"
+        )
         self.proof_age = GaugeValue(
             "proof_age_seconds", "Age of the latest proof that the configuration is in force"
         )
@@ -227,6 +230,7 @@
     def _gauges(self) -> tuple[GaugeValue, ...]:
         return (
             self.configuration,
+            self.configuration_behind,
             self.proof_age,
             self.ready,
             self.instances,
