--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,11 @@
 soak: $(STAMP)
 	$(VENV)/bin/python tests/soak/run.py $(if $(SEEDS),--seeds $(SEEDS)) --seconds $(or $(SECONDS),20)
 
-# The same with fixed seeds, and planned work alone, for CI: about two and a half minutes.
+# The same with fixed seeds, and planned work alone, for CI: about three minutes.
 soak-short: $(STAMP)
 	$(VENV)/bin/python tests/soak/run.py --seeds 1:3 --seconds 12
 	$(VENV)/bin/python tests/soak/run.py --seeds 4:4 --seconds 15 --limits
+	$(VENV)/bin/python tests/soak/run.py --seeds 5:5 --seconds 12 --large
 	$(VENV)/bin/python tests/soak/planned.py --seeds 1:1 --seconds 15 --at-a-time 3
 	$(VENV)/bin/python tests/soak/planned.py --seeds 2:2 --seconds 15 --resting 0.3 --leaving 0.3
 	$(VENV)/bin/python tests/soak/planned.py --seeds 3:3 --seconds 20 --copies
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -199,6 +199,7 @@
         world.descriptors = run.descriptors
         world.max_connections = run.connections
         world.link_megabits = run.link_megabits
+        world.link_callers = bool(run.link_megabits) and not run.stops
         world.shows_state = run.copies
         await world.start()
         for server in world.servers.values():
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,8 +21,9 @@
 from milletcourse.exchange.evidence.request_identity import identity_text, request_identity
 from soak.answers import LOST
 from soak.clients import CRASHING_BODIES, CrashingCaller, SoakClient
-from soak.copies import begin_copies, check_after_returns, store_figures
+from soak.copies import begin_copies, check_after_returns, store_figures, watch_store
 from soak.faults import FAULTS
+from soak.large import probe_routes, resize_configuration
 from soak.limits import limit_servers
 from soak.seeds import Report, play_seeds
 from soak.signals import RESTS, leave_servers, replace_leaving_servers, rest_servers
@@ -30,6 +31,8 @@
 from soak.writers import restart_servers, write_strange_entries
 
 CLIENTS = 12
+LINK_MEGABITS = 10.0
+"""Of each gateway, on demand."""
 LIMITED = 0.5
 """Share of the servers that limit their requests on demand."""
 LIMIT = 2.0
@@ -54,9 +57,11 @@
     limits: bool = False,
     signals: bool = False,
     copies: bool = False,
+    large: bool = False,
 ) -> Report:
     """One soak; returns its report."""
     world = SoakWorld(seed, folder, gateways)
+    world.link_megabits = LINK_MEGABITS if large else 0.0
     world.servers_are_sound = False
     world.shows_state = copies
     try:
@@ -80,6 +85,11 @@
             speaking.append(asyncio.create_task(leave_servers(world, LEAVING)))
         if copies:
             speaking += begin_copies(world)
+        if large:
+            series = (resize_configuration, probe_routes)
+            speaking += [asyncio.create_task(work(world)) for work in series]
+            if not copies:
+                speaking.append(asyncio.create_task(watch_store(world)))
         running = await draw_faults(world, seconds)
         await asyncio.gather(*running)
         for task in speaking:
@@ -108,6 +118,7 @@
     finally:
         await world.stop()
     ledger = world.ledger
+    probes = {str(status): count for status, count in sorted(world.probes.items())}
     return {
         "seed": seed,
         "verdicts": dict(Counter(verdict.value for verdict in world.verdicts().values())),
@@ -120,6 +131,7 @@
         "limits": ledger.limits.figures(time.monotonic()),
         "signals": ledger.signals.figures(),
         "store": store_figures(world),
+        "probes": probes,
         "violations": ledger.violations[:20],
     }
 
@@ -200,6 +212,7 @@
     parser.add_argument("--limits", action="store_true", help="servers limit their requests")
     parser.add_argument("--signals", action="store_true", help="servers ask for rest, and leave")
     parser.add_argument("--copies", action="store_true", help="the store comes back from copies")
+    parser.add_argument("--large", action="store_true", help="many routes, on narrow links")
     arguments = parser.parse_args()
 
     def play(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
@@ -212,6 +225,7 @@
             arguments.limits,
             arguments.signals,
             arguments.copies,
+            arguments.large,
         )
 
     return play_seeds(arguments.seeds, arguments.keep, play)
