Experiment: how a changed configuration reaches a zone's gateways, four ways

Whole copies within the time of an answer, whole ones compressed, patches from the reader, patches passed on: zones of 27, 65 and 140, 1 KB to 30 MB, links of 5 to 100 Mbit/s.

--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -11,6 +11,7 @@
 
 from milletcourse.errors import FailureError, InvalidObject
 from milletcourse.experiments.allowance_model import compare_allowances
+from milletcourse.experiments.change_model import compare_changes
 from milletcourse.experiments.cluster_model import FarImports
 from milletcourse.experiments.containment_model import compare_containment
 from milletcourse.experiments.faults import PLANS
@@ -56,6 +57,15 @@
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
 
 
+@app.command("changes")
+def changes(
+    seed: Annotated[int, typer.Option(help="Of all that is random.")] = 1,
+) -> None:
+    """Ways to tell gateways a changed configuration, over links of a given width."""
+    for figures in compare_changes(seed):
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+
+
 @app.command("allowances")
 def allowances(
     gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5,79",
