Only answers with content are late, and lists announce no change; effects cheaper

A slow store made every watch come back at once and without a wait, since its answers took longer than their wait: more calls to a store that has no time for them. Only an answer that carries content counts as late now. A list that was coming, and broke off, left the gateway waiting for a change that nobody had announced; lists say nothing of that. Callees that send the head of an answer which they hold keep the time of their first byte until the body begins. Effects look at records that aren't shared by both versions.

--- a/src/milletcourse/exchange/reading/answer_progress.py
+++ b/src/milletcourse/exchange/reading/answer_progress.py
@@ -28,7 +28,8 @@
         """Nothing has come.
 
         Args:
-            first_byte_seconds: Longest time until the head.
+            first_byte_seconds: Longest time until the head, and then until the body begins: some
+                callees send the head of an answer that they hold.
         """
         self.received_bytes = 0
         self._first_byte_seconds = first_byte_seconds
@@ -49,6 +50,11 @@
         """A piece of the body has come."""
         self.received_bytes += size
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head has come."""
+        return self._began_at is not None
+
     @property
     def has_content(self) -> bool:
         """Whether the answer is, or will be, larger than one that tells nothing new."""
@@ -56,7 +62,7 @@
 
     def wait_seconds(self, now: float) -> float:
         """How long to wait for more; 0 or less when the answer is given up."""
-        if self._began_at is None:
+        if self._began_at is None or not self.received_bytes:
             return self._first_byte_seconds
         if self._will_take_too_long(now):
             return 0.0
--- a/src/milletcourse/exchange/reading/configuration_effect.py
+++ b/src/milletcourse/exchange/reading/configuration_effect.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from milletcourse.exchange.messages.configuration_effect import ConfigurationEffect
-from milletcourse.exchange.messages.records import ExchangeConfiguration, TenantRecord
+from milletcourse.exchange.messages.records import ExchangeConfiguration, RouteRecord, TenantRecord
 
 MAX_ENTRIES = 16384
 """An effect on more routes or keys isn't told: all requests count as concerned."""
@@ -76,10 +76,7 @@
     before: ExchangeConfiguration, after: ExchangeConfiguration
 ) -> ConfigurationEffect | None:
     """What a configuration changes; None when it is too much to tell."""
-    routes = _changed(
-        {route_sum(route.host, route.path_prefix): route for route in before.routes},
-        {route_sum(route.host, route.path_prefix): route for route in after.routes},
-    )
+    routes = _changed(_only_in(before, after), _only_in(after, before))
     tenants_before, tenants_after = _by_key(before.tenants), _by_key(after.tenants)
     revoked = [key_sum(key) for key in tenants_before if key not in tenants_after]
     keys = [
@@ -133,9 +130,19 @@
         end = path.find("/", end + 1)
 
 
-def _changed(before: dict[int, object], after: dict[int, object]) -> list[int]:
+def _only_in(one: ExchangeConfiguration, other: ExchangeConfiguration) -> dict[int, RouteRecord]:
+    """Routes whose very records another configuration doesn't have, by their sums."""
+    shared = set(map(id, other.routes))
+    return {
+        route_sum(route.host, route.path_prefix): route
+        for route in one.routes
+        if id(route) not in shared
+    }
+
+
+def _changed(before: dict[int, RouteRecord], after: dict[int, RouteRecord]) -> list[int]:
     gone = [place for place in before if place not in after]
-    return gone + [place for place, item in after.items() if before.get(place) != item]
+    return gone + [place for place, route in after.items() if before.get(place) != route]
 
 
 def _by_key(tenants: Iterable[TenantRecord]) -> dict[str, TenantRecord]:
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -146,8 +146,12 @@
         """A call failed."""
         self._sink.on_unavailable()
 
-    def on_receiving(self, not_out_at: float | None) -> None:
-        """The answer to a call to the store carries content, and is coming.
+    def on_list_coming(self) -> None:
+        """A list is coming from the store; it may show nothing new."""
+        self.is_receiving = True
+
+    def on_change_coming(self, not_out_at: float | None) -> None:
+        """A change is coming from the store.
 
         Args:
             not_out_at: Monotonic time at which it wasn't out yet, None when only proofs tell.
--- a/src/milletcourse/gateway/store/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -27,8 +27,8 @@
 CONFIRM_SECONDS = 5.0
 """A first list that was read stale is read fresh after this time."""
 LATE_SECONDS = 0.2
-"""An answer that took so long beyond its wait proves little: what came after it is asked for at
-once."""
+"""An answer with content that took so long beyond its wait proves little: what came after it is
+asked for at once."""
 OVERTAKEN_BYTES = 64 * 1024
 """Contents that a late answer brought in vain; with so much, lists are read in place of changes."""
 LIST_PAUSE_SECONDS = 0.05
@@ -108,23 +108,31 @@
         # earlier than by how much it took longer than its wait.
         not_out_at = None if self._is_late else elapsed_seconds() - self._overrun_seconds
         changes, sent_at = await self._store.watch(
-            kind, self._place, wait_seconds, lambda: self._mirror.on_receiving(not_out_at)
+            kind, self._place, wait_seconds, lambda: self._mirror.on_change_coming(not_out_at)
         )
         self._mirror.on_changes(changes, sent_at)
         self._place = max(changes.place, self._place)
         self._overrun_seconds = max(elapsed_seconds() - sent_at - wait_seconds, 0.0)
-        self._is_late = self._overrun_seconds > LATE_SECONDS
-        self._mirror.is_receiving = self._is_late
+        self._note_lateness(self._overrun_seconds)
         if self._is_late and _overtaken_bytes(changes) >= OVERTAKEN_BYTES:
             # Changes come faster than their contents: a list has each object once.
             self._lists = True
 
+    def _note_lateness(self, seconds: float) -> None:
+        """An answer has come, so much later than it could have; without content it proves enough.
+
+        Args:
+            seconds: How long it took beyond the time for which it was held.
+        """
+        self._is_late = self._mirror.is_receiving and seconds > LATE_SECONDS
+        self._mirror.is_receiving = self._is_late
+
     async def _list(self) -> None:
         kind = self._mirror.kind
         stale = self._stale_lists and not self._history_gone
         before = self._mirror.specs() if self._lists else {}
         objects, place, sent_at = await list_as_of_now(
-            self._store, kind, stale, on_content=lambda: self._mirror.on_receiving(None)
+            self._store, kind, stale, on_content=self._mirror.on_list_coming
         )
         known = self._mirror.place
         if stale and known is not None and place.era > known.era:
@@ -132,8 +140,7 @@
             raise StoreError(StoreProblem.HISTORY_GONE)
         self._mirror.on_list(objects, place, sent_at, stale)
         self._place = place
-        self._is_late = elapsed_seconds() - sent_at > LATE_SECONDS
-        self._mirror.is_receiving = self._is_late
+        self._note_lateness(elapsed_seconds() - sent_at)
         if self._lists:
             self._lists = self._is_late and before != self._mirror.specs()
             await asyncio.sleep(LIST_PAUSE_SECONDS)
--- a/src/milletcourse/gateway/telling/given_up_call.py
+++ b/src/milletcourse/gateway/telling/given_up_call.py
@@ -1,4 +1,4 @@
-"""A call to the object store, a server or a gateway whose answer did not become whole."""
+"""A call to another machine whose answer began, and did not become whole."""
 
 from __future__ import annotations
 
--- a/src/milletcourse/gateway/telling/store_recorder.py
+++ b/src/milletcourse/gateway/telling/store_recorder.py
@@ -68,7 +68,7 @@
         self._log.emit("entry-written-again", place=_told(place))
 
     def call_given_up(self, call: GivenUpCall) -> None:
-        """The answer to a call, to the store or to another machine, did not become whole."""
+        """The answer to a call began, and did not become whole."""
         self._log.emit(
             "call-given-up",
             address=call.address,
--- a/tests/exchange/reading/test_answer_progress.py
+++ b/tests/exchange/reading/test_answer_progress.py
@@ -28,6 +28,14 @@
     assert AnswerProgress(FIRST_BYTE_SECONDS).wait_seconds(99.0) == FIRST_BYTE_SECONDS
 
 
+def test_an_answer_that_is_held_behind_its_head_has_its_whole_time() -> None:
+    """Until its body begins."""
+    progress = begun(100)
+    assert progress.wait_seconds(10.9) == FIRST_BYTE_SECONDS
+    progress.on_bytes(1)
+    assert progress.wait_seconds(10.9) == QUIET_SECONDS
+
+
 def test_an_answer_that_keeps_coming_is_waited_for() -> None:
     """Piece by piece, beyond the time for its first byte."""
     progress = begun(400_000)
