--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -69,6 +69,7 @@
         sent_at: Monotonic time of the send.
         server_retry_after_seconds: Retry-After of a server that rejected the request, None when it
             gave none.
+        connect_seconds: Time spent on a connection to the server.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self.abort_cause: AbortCause | None = None
         self.silence = Silence()
         self.server_retry_after_seconds: float | None = None
+        self.connect_seconds = 0.0
         self._listener = listener
         self._context = context
         self._job = job
@@ -171,6 +173,7 @@
         pool = self._context.pool
         address = self._instance.record.address
         self._relay.note_phase(RequestPhase.CONNECTING)
+        started_at = self._context.now()
         try:
             connection = await pool.acquire(address, self._seconds_left())
         except LocalResourceError:
@@ -179,6 +182,8 @@
             self.abort_cause = AbortCause.LOCAL_RESOURCES
             self._context.record.descriptors_exhausted()
             return AttemptResult.NOT_SENT
+        finally:
+            self.connect_seconds = self._context.now() - started_at
         if connection is None:
             return AttemptResult.NOT_SENT
         if not self._may_still_be_sent():
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -212,7 +212,10 @@
         seconds = self._context.now() - self._job.request.received_at
         self._servers.append(server_attempt.stream_record(result, seconds))
         if result is not AttemptResult.ANSWERED:
-            failed = server_attempt.failure_record(result, self._job.identity)
+            answers_others = self._context.server_answer_rates.answered_recently(
+                server_attempt.instance
+            )
+            failed = server_attempt.failure_record(result, self._job.identity, answers_others)
             record.attempt_failed(self._job.request, self._job.route, failed, step)
 
     async def _check_for_crash(self, server_attempt: ServerAttempt, result: AttemptResult) -> None:
@@ -345,7 +348,11 @@
 
     def _refuse(self, failure: Failure) -> None:
         self._context.record.failure(
-            failure, self._job.request, self._job.route, self._search.signals_by_server
+            failure,
+            self._job.request,
+            self._job.route,
+            self._search.signals_by_server,
+            self._search.overload,
         )
         refuse(self._client, failure)
 
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -51,12 +51,15 @@
             round(silence.stall_seconds, 3),
         )
 
-    def failure_record(self, result: AttemptResult, identity: int) -> FailedAttempt:
+    def failure_record(
+        self, result: AttemptResult, identity: int, answers_others: bool
+    ) -> FailedAttempt:
         """The record of this attempt for the log line of a failed attempt.
 
         Args:
             result: Result of the attempt.
             identity: Identity of the request's content.
+            answers_others: Whether the server has recently answered requests of any gateway.
         """
         loss = self.attempt.loss
         return FailedAttempt(
@@ -66,4 +69,6 @@
             loss.value if loss is not None else None,
             self.abort_cause,
             identity,
+            self.attempt.connect_seconds,
+            answers_others,
         )
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -20,6 +20,7 @@
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.telemetry.recorder import OverloadState
 
 MAX_DENIALS = 3
 """How many servers may deny a request a permit before all servers with limits are left out. Each
@@ -52,6 +53,8 @@
         self._selected_at = float("-inf")
         self.signals_by_server: dict[str, str] = {}
         """Servers that were left out for a signal of theirs, and that signal."""
+        self.overload: OverloadState | None = None
+        """What the refusal for an expected wait was decided by; None before one."""
 
     @property
     def met_limit(self) -> bool:
@@ -102,6 +105,7 @@
             wait = choice.wait_seconds
             if wait > longest_wait_seconds:
                 detail = f"the expected wait at the best server is {wait:.2f} s"
+                self.overload = self._overload_state(choice.instance)
                 return Overloaded(detail, context.retry_after())
             permit = await context.permits.take(choice.instance, self._job.rank)
             if permit is not None:
@@ -113,6 +117,23 @@
             choice = self.best()
         return self.failure()
 
+    def _overload_state(self, best: Instance) -> OverloadState:
+        context = self._context
+        now = context.now()
+        others = context.loads.others_load(best.key, now)
+        allowed = self._allowed(now)
+        candidates = context.selector.candidates
+        return OverloadState(
+            best.name,
+            best.in_flight,
+            best.in_flight_tokens,
+            others.running,
+            others.waiting_tokens,
+            len(allowed),
+            sum(instance.health.is_ejected(now) for instance in allowed),
+            sum(candidates.is_suspected(instance, now) for instance in allowed),
+        )
+
     def failure(self) -> Failure:
         """The failure that says why no server may take the request now."""
         retry_after = self._context.retry_after()
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -39,6 +39,8 @@
         abort_cause: Why this gateway aborted the attempt, None when it did not.
         identity: Identity of the request's content: shows whether the same request fails at any
             server.
+        connect_seconds: Time spent on a connection to the server before the request was sent.
+        answers_others: The server has recently answered requests of this or other gateways.
     """
 
     instance: str
@@ -47,6 +49,32 @@
     loss: str | None
     abort_cause: str | None
     identity: int
+    connect_seconds: float
+    answers_others: bool
+
+
+class OverloadState(msgspec.Struct, frozen=True):
+    """The best server's load, and the servers left out, when a request was refused for its wait.
+
+    Attributes:
+        instance: The best server.
+        own_requests: Requests of this gateway there.
+        own_tokens: Prompt tokens of this gateway that wait there.
+        other_requests: Requests that the other gateways report there.
+        other_tokens: Prompt tokens that the other gateways report there.
+        servers: Servers that may run the request.
+        ejected: Those of them that failed for this gateway.
+        suspected: Those of them that failed for several gateways.
+    """
+
+    instance: str
+    own_requests: int
+    own_tokens: int
+    other_requests: int
+    other_tokens: int
+    servers: int
+    ejected: int
+    suspected: int
 
 
 class VisitedServer(msgspec.Struct, frozen=True):
@@ -136,6 +164,7 @@
         request: ExchangeRequest,
         route: RouteRecord,
         excluded_servers: dict[str, str],
+        overload: OverloadState | None = None,
     ) -> None:
         """A routed request ended with a failure that this gateway generated.
 
@@ -144,6 +173,7 @@
             request: The request.
             route: Its route.
             excluded_servers: Servers excluded for a signal of their own -> that signal.
+            overload: State behind a refusal for the expected wait, None for other failures.
         """
         has_not_run = failure.run_state is RunState.NOT_RUN
         self.tally.on_end(route.name, Outcome.REFUSED if has_not_run else Outcome.FAILED)
@@ -154,6 +184,7 @@
             code=failure.code,
             detail=failure.detail,
             **_excluded_servers_field(excluded_servers),
+            **({"load": msgspec.to_builtins(overload)} if overload is not None else {}),
             **self._request_fields(request),
             **self._reported_state(),
         )
@@ -182,6 +213,8 @@
             left=failed.abort_cause,
             step=step.value,
             content=identity_text(failed.identity),
+            connect=round(failed.connect_seconds, 3),
+            answers_others=failed.answers_others,
             **self._request_fields(request),
         )
 
