--- a/src/milletcourse/gateway/servers/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -10,9 +10,9 @@
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.server_connection import (
     CONNECT_TIMEOUT_SECONDS,
+    Dial,
     ServerConnection,
     connect,
-    open_connection,
 )
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.responsive_clock import ResponsiveClock
@@ -26,6 +26,7 @@
 
     Attributes:
         clock: Responsive time of the event loop, used for timeouts of callees.
+        dial: Opens connections; tests replace it to cut the links of one gateway.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
                 closed after its answer.
         """
         self.clock = clock
+        self.dial: Dial = connect
         self._max_idle = max_idle
         self._max_open_to = max_open_to
         self._open_counts: Counter[str] = Counter()
@@ -85,18 +87,28 @@
 
     async def _open(self, address: str, timeout_seconds: float) -> ServerConnection | None:
         try:
-            return await open_connection(address, self._dialect, timeout_seconds, self.clock)
+            return await self._dial_or_none(address, timeout_seconds)
         except LocalResourceError:
             # The pending request has priority over idle connections. Their descriptors are free
             # after the next iteration of the event loop.
             self.close()
             await asyncio.sleep(0)
-            return await open_connection(address, self._dialect, timeout_seconds, self.clock)
+            return await self._dial_or_none(address, timeout_seconds)
+
+    async def _dial_or_none(self, address: str, timeout_seconds: float) -> ServerConnection | None:
+        try:
+            return await self.dial(address, self._dialect, timeout_seconds, self.clock)
+        except LocalResourceError:
+            raise
+        except (OSError, TimeoutError):
+            return None
 
     async def is_refused(self, address: str) -> bool:
         """Whether nothing listens at an address; a connection that is established is pooled."""
         try:
-            connection = await connect(address, self._dialect, CONNECT_TIMEOUT_SECONDS, self.clock)
+            connection = await self.dial(
+                address, self._dialect, CONNECT_TIMEOUT_SECONDS, self.clock
+            )
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError):
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import cast
 
@@ -244,22 +244,6 @@
             self._waiter.set_result(None)
 
 
-async def open_connection(
-    address: str, dialect: HeaderDialect, timeout_seconds: float, clock: ResponsiveClock
-) -> ServerConnection | None:
-    """Connect to a server; None when no connection was established in time.
-
-    Raises:
-        LocalResourceError: This process lacks a descriptor or another local resource for it.
-    """
-    try:
-        return await connect(address, dialect, timeout_seconds, clock)
-    except LocalResourceError:
-        raise
-    except (OSError, TimeoutError):
-        return None
-
-
 async def connect(
     address: str, dialect: HeaderDialect, timeout_seconds: float, clock: ResponsiveClock
 ) -> ServerConnection:
@@ -294,3 +278,7 @@
             raise LocalResourceError(*error.args) from error
         raise
     return protocol
+
+
+Dial = Callable[[str, HeaderDialect, float, ResponsiveClock], Awaitable[ServerConnection]]
+"""Opens a connection; arguments, result and errors as of `connect`."""
--- a/tests/gateway/servers/test_descriptors.py
+++ b/tests/gateway/servers/test_descriptors.py
@@ -13,14 +13,16 @@
 import errno
 import resource
 from pathlib import Path
+from typing import Any
 
 import pytest
 import uvloop
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import Client, open_socket, serve_whole
-from milletcourse.gateway.servers import connection_pool, descriptors
+from milletcourse.gateway.servers import descriptors
 from milletcourse.gateway.servers.descriptors import LocalResourceError, descriptor_plan
+from milletcourse.gateway.servers.server_connection import ServerConnection, connect
 from milletcourse.runtime.acceptor import Acceptor, listening_socket
 from soak.planned import PlannedRun, planned_soak
 
@@ -79,26 +81,25 @@
 
 @pytest.mark.parametrize("failures", [1, 9])
 def test_lack_of_descriptors_does_not_affect_server_health(
-    failures: int, monkeypatch: pytest.MonkeyPatch
+    failures: int,
 ) -> None:
     """Idle connections are closed for the request; if that fails, it is refused without being run.
 
     In neither case is the server ejected.
     """
-    real = connection_pool.open_connection
     left = [failures]
 
-    async def open_connection(*arguments: object) -> object:
+    async def dial(*arguments: Any) -> ServerConnection:
         if left[0]:
             left[0] -= 1
             raise LocalResourceError(errno.EMFILE, "no descriptor")
-        return await real(*arguments)  # type: ignore[arg-type]
+        return await connect(*arguments)
 
     async def scenario(harness: Harness) -> None:
         server = await harness.add_server("s-1", "app", serve_whole)
         await harness.start()
         assert harness.node is not None
-        monkeypatch.setattr(connection_pool, "open_connection", open_connection)
+        harness.node.context.pool.dial = dial
         client = await Client.connect(harness.node.frontend_address)
         result = await client.ask("/unsafe/")
         context = harness.node.context
