Gateways tell each other of a request's load only once its server has it

Callers of sound gateways were refused as overloaded while no server was busy: requests that hang on their way to a server counted there, in what their gateway tells the others, as waiting tokens, requests and memory.

RequestLoad counts a request at its own gateway from the choice of its server on, as before, so that the next choice takes it into account; the part that has not been sent over an open connection is left out of what is told.

--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -26,6 +26,20 @@
 INITIAL_LATENCY_SECONDS = 0.05
 
 
+class UndeliveredLoad(msgspec.Struct):
+    """The part of a gateway's load on a server that has not reached the server.
+
+    Attributes:
+        requests: Requests.
+        tokens: Their prompt tokens.
+        memory_tokens: Memory that they will use, in tokens.
+    """
+
+    requests: int = 0
+    tokens: int = 0
+    memory_tokens: int = 0
+
+
 class Instance:
     """One incarnation of a server with its observed state.
 
@@ -36,6 +50,7 @@
         in_flight: Requests of this gateway that the server works on.
         in_flight_tokens: Prompt tokens of this gateway's requests that have no first event yet.
         memory_tokens: Memory that this gateway's requests use at the server, in tokens.
+        undelivered: The part of these three that has not reached the server.
         latency_seconds: Mean time of complete answers.
         missing_since: Monotonic time at which its entry became unverified; None while it is listed.
         terminated: Another incarnation answers at its address, whatever its entry states.
@@ -48,6 +63,7 @@
         self.in_flight = 0
         self.in_flight_tokens = 0
         self.memory_tokens = 0
+        self.undelivered = UndeliveredLoad()
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.missing_since: float | None = None
         self.terminated = False
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -16,6 +16,7 @@
 from milletcourse.exchange.messages.messages import AbortCause, AnswerHead, AttemptResult
 from milletcourse.exchange.placement.engine_load import memory_tokens
 from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.exchange.servers.request_load import RequestLoad
 from milletcourse.gateway.requests.answer_relay import AnswerRelay, ServerFailure
 from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
@@ -96,7 +97,7 @@
         self._ended = False
         self._connection: ServerConnection | None = None
         self._silence_timer = ResponsiveTimer(context.responsive_clock, self._on_silent)
-        self._waiting_tokens = 0
+        self._load: RequestLoad | None = None
         self._dispatch = DispatchBuilder(context, job, instance)
         self.sent_at = float("inf")
         self._last_received_at = float("inf")
@@ -131,27 +132,16 @@
         tokens = self._context.selector.work_tokens(
             instance, job.request, job.scope, self._context.now()
         )
-        instance.in_flight += 1
-        instance.in_flight_tokens += tokens
-        memory = memory_tokens(job.request)
-        instance.memory_tokens += memory
+        load = self._load = RequestLoad(instance, tokens, memory_tokens(job.request))
         instance.health.on_dispatch(self._context.now())
-        self._waiting_tokens = tokens
         result = AttemptResult.NOT_SENT
         try:
             result = await self._connect_and_send()
         finally:
-            instance.in_flight -= 1
-            instance.memory_tokens -= memory
-            self._release_tokens()
+            load.close()
             self._note_health(result)
         return result
 
-    def _release_tokens(self) -> None:
-        """Release the tokens counted as in flight: the prompt was read or the attempt is over."""
-        self._instance.in_flight_tokens -= self._waiting_tokens
-        self._waiting_tokens = 0
-
     def _note_health(self, result: AttemptResult) -> None:
         if self.abort_cause is AbortCause.HANDED_OVER:
             # The silence of the server has already been recorded in its health.
@@ -198,6 +188,8 @@
         self._note_received()
         self._context.signal_monitor.on_send(self._instance)
         self._send(connection)
+        if self._load is not None:
+            self._load.on_delivered()
         self._listener.on_sent(self)
         try:
             result = await self._receive(connection)
@@ -314,7 +306,8 @@
                 return self._lost(connection, event.lost or LossCause.ABORTED)
             whole = splitter.feed(event.body) if event.body else b""
             if whole:
-                self._release_tokens()
+                if self._load is not None:
+                    self._load.on_prompt_read()
                 self._note_received()
                 self._listener.on_events(self)
                 self._relay.pass_events(head, whole, splitter.last_event_id)
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -225,18 +225,22 @@
         return replication_times(self._key_bound(settings), settings.bounds.config_apply)
 
     def own_loads(self) -> list[InstanceLoad]:
-        """This gateway's load and recent results on each server that has some."""
+        """This gateway's load and recent results on each server that has some.
+
+        Requests that have not reached their server are not part of it.
+        """
         now = self.now()
         loads = []
         for instance in self.instances:
             tally = instance.health.tally(now)
+            undelivered = instance.undelivered
             load = InstanceLoad(
                 instance.key,
-                instance.in_flight_tokens,
-                instance.in_flight,
+                instance.in_flight_tokens - undelivered.tokens,
+                instance.in_flight - undelivered.requests,
                 tally.failures,
                 tally.successes,
-                instance.memory_tokens,
+                instance.memory_tokens - undelivered.memory_tokens,
             )
             if not load.is_zero:
                 loads.append(load)
