--- a/src/milletcourse/errors/requests.py
+++ b/src/milletcourse/errors/requests.py
@@ -89,6 +89,14 @@
     run_state = RunState.NOT_RUN
 
 
+class ServersUnreachable(Failure, frozen=True):
+    """Neither this gateway nor another one reaches a server that may run the request."""
+
+    code = "servers-unreachable"
+    status = 503
+    run_state = RunState.NOT_RUN
+
+
 class ServersAtLimit(Failure, frozen=True):
     """All eligible servers have a request limit, and the limit of each is used up."""
 
--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -155,6 +155,15 @@
         """Incarnations of a service by name."""
         return self._services.get(service, {})
 
+    def at_address(self, address: str) -> Instance | None:
+        """The server at an address, None when no server is known there."""
+        found = (instance for instance in self if instance.record.address == address)
+        return next(found, None)
+
+    def services_by_address(self) -> dict[str, str]:
+        """Service of each server by its address."""
+        return {instance.record.address: instance.record.service for instance in self}
+
     def service_at(self, address: str) -> str:
         """Service of the server at an address; empty when no server is known there."""
         return self._services_by_address.get(address, "")
--- /dev/null
+++ b/src/milletcourse/exchange/servers/relay_selector.py
@@ -0,0 +1,107 @@
+"""Selects the gateways through which a server is reached; no input/output.
+
+Gateways that recently couldn't help are left out for a growing time, so that a gateway whose peers
+are cut off too soon asks only those that reach the server. Among the others the load is spread by
+the number of connections that this gateway already has through each.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+import msgspec
+
+FIRST_PAUSE_SECONDS = 0.5
+"""How long a gateway is left out after it couldn't reach a server."""
+MAX_PAUSE_SECONDS = 4.0
+"""The pause doubles with each failure in a row up to this."""
+ZONE_CROSSING_CONNECTIONS = 4
+"""A zone boundary on the way weighs as much as this many open connections: its traffic is slower
+and is billed."""
+
+
+class RelayPeer(msgspec.Struct):
+    """Another gateway that may relay connections.
+
+    Attributes:
+        name: Its name.
+        address: `host:port` at which it takes requests for a relayed connection.
+        zone: Its zone.
+        connections: Open connections through it.
+        failures: Failures in a row.
+        paused_until: Monotonic time until which it isn't asked.
+    """
+
+    name: str
+    address: str
+    zone: str
+    connections: int = 0
+    failures: int = 0
+    paused_until: float = float("-inf")
+
+
+class RelaySelector:
+    """The other gateways, and what came of asking them."""
+
+    def __init__(self, own_zone: str, random_source: random.Random) -> None:
+        """Start without any other gateway.
+
+        Args:
+            own_zone: This gateway's zone.
+            random_source: Decides between equals, so that gateways select different ones.
+        """
+        self._own_zone = own_zone
+        self._random = random_source
+        self._peers: dict[str, RelayPeer] = {}
+
+    @property
+    def has_peers(self) -> bool:
+        """Whether there is any other gateway that may relay."""
+        return bool(self._peers)
+
+    def set_peers(self, peers: Iterable[RelayPeer]) -> None:
+        """Set the other gateways; what is known of those that stay is kept."""
+        before = self._peers
+        self._peers = {}
+        for peer in peers:
+            known = before.get(peer.name)
+            if known is not None and known.address == peer.address:
+                known.zone = peer.zone
+                peer = known
+            self._peers[peer.name] = peer
+
+    def candidates(self, server_zone: str, count: int, now: float) -> list[RelayPeer]:
+        """The gateways to ask for a connection to a server, the best first.
+
+        Args:
+            server_zone: Zone of the server.
+            count: Maximum number of gateways.
+            now: Monotonic time.
+        """
+        usable = [peer for peer in self._peers.values() if now >= peer.paused_until]
+        ranked = [(self._cost(peer, server_zone), peer.name, peer) for peer in usable]
+        ranked.sort(key=lambda item: item[:2])
+        return [peer for _, _, peer in ranked[:count]]
+
+    def _cost(self, peer: RelayPeer, server_zone: str) -> float:
+        crossings = (peer.zone != self._own_zone) + (peer.zone != server_zone)
+        return peer.connections + ZONE_CROSSING_CONNECTIONS * crossings + self._random.random()
+
+    def on_opened(self, peer: RelayPeer) -> None:
+        """A connection through a gateway came up."""
+        peer.connections += 1
+        peer.failures = 0
+
+    def on_closed(self, peer: RelayPeer) -> None:
+        """A connection through a gateway was closed."""
+        peer.connections -= 1
+
+    def on_failed(self, peer: RelayPeer, now: float) -> None:
+        """A gateway couldn't help: leave it out for a while."""
+        if now < peer.paused_until:
+            # Requests that were sent at the same time fail together.
+            return
+        pause = min(FIRST_PAUSE_SECONDS * 2**peer.failures, MAX_PAUSE_SECONDS)
+        peer.failures += 1
+        peer.paused_until = now + pause
--- /dev/null
+++ b/src/milletcourse/gateway/fleet/answer_head_reader.py
@@ -0,0 +1,53 @@
+"""Reads the head of an answer from bytes that are passed on unchanged."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import httptools
+
+from milletcourse.exchange.messages.dialect import HeaderDialect
+from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
+
+
+class AnswerHeadReader:
+    """Parses data until the first final head; interim heads (1xx) are skipped."""
+
+    def __init__(self, dialect: HeaderDialect, on_head: Callable[[AnswerHead], None]) -> None:
+        self._dialect = dialect
+        self._on_head = on_head
+        self._parser = httptools.HttpResponseParser(self)
+        self._reason = b""
+        self._fields: list[HeaderField] = []
+        self._is_done = False
+
+    def feed(self, data: bytes) -> bool:
+        """Parse data; returns whether more is needed."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return False
+        return not self._is_done
+
+    # -- httptools callbacks --------------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """Start of an answer."""
+        self._reason = b""
+        self._fields = []
+
+    def on_status(self, reason: bytes) -> None:
+        """Reason phrase, possibly in several parts."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header field."""
+        self._fields.append(HeaderField(name, value or b""))
+
+    def on_headers_complete(self) -> None:
+        """End of a head."""
+        status = self._parser.get_status_code()
+        if self._is_done or status < 200:
+            return
+        self._is_done = True
+        self._on_head(self._dialect.read_answer(status, self._reason, self._fields))
--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -51,6 +51,11 @@
         self._context.permits.owner_selector.set_peers(list(self._peers))
         self._context.set_gateways(len(self._peers) + 1)
 
+    def is_listed(self, name: str, host: str) -> bool:
+        """Whether a gateway of this name is listed with this IP address."""
+        address = self._peers.get(name)
+        return address is not None and address[0] == host
+
     # -- datagrams ------------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -11,9 +11,11 @@
 from milletcourse.exchange.evidence.crash_evidence import MAX_REPORTS_PER_MESSAGE
 from milletcourse.exchange.messages.store_position import UNKNOWN_ERA, StorePosition
 from milletcourse.exchange.replication.reader_selection import GatewayRecord, ReaderSelection
+from milletcourse.exchange.servers.relay_selector import RelayPeer
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.clients.client_connection import Handler
 from milletcourse.gateway.fleet.peers import PeerExchange
+from milletcourse.gateway.fleet.relay_listener import RelayListener
 from milletcourse.gateway.servers.call_client import CallClient
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.store.directory import ContainedRequest, GatewayDirectory, GatewayEntry
@@ -35,8 +37,9 @@
 GATEWAY_WAIT_SECONDS = 10.0
 """The list of gateways changes rarely, and only speed depends on it."""
 
-Listen = Callable[[str, Handler], Awaitable[str]]
-"""Listens at an address with a handler; returns the address in use."""
+Listen = Callable[[str, Handler, RelayListener], Awaitable[str]]
+"""Listens at an address with a handler for HTTP requests and a listener for gateways that ask for
+connections; returns the address in use."""
 Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
 """Starts a task whose failure stops the gateway."""
 
@@ -46,6 +49,7 @@
 
     Attributes:
         peers: Datagrams to and from the other gateways.
+        relays: Connections to servers that it relays for other gateways.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
     ) -> None:
         settings = context.settings
         self.peers = PeerExchange(context)
+        self.relays = RelayListener(context, self.peers.is_listed)
         self._context = context
         self._store = store
         self._listen = listen
@@ -126,6 +131,7 @@
     def sweep(self, now: float) -> None:
         """Remove state whose time limit has passed."""
         self._directory.expire_missing(now)
+        self.relays.sweep(now)
 
     def _current_entry(self, base_entry: GatewayEntry) -> GatewayEntry:
         """The entry that this gateway's registration must have now."""
@@ -166,6 +172,11 @@
         self._reader_selection.set_gateways(others)
         readers = [name for name in self._reader_selection.primary_readers if name != own_name]
         self.peers.set_gateways(others, readers)
+        self._context.relays.set_peers(
+            RelayPeer(gateway.name, gateway.feed, gateway.zone)
+            for gateway in others
+            if gateway.feed
+        )
         self._context.crash_evidence.on_peers_known()
 
     async def _listen_for_followers(self) -> str:
@@ -179,7 +190,7 @@
         first, last = settings.internal_ports
         for port in range(first, last + 1):
             try:
-                return await self._listen(f"{settings.host}:{port}", feed.handle)
+                return await self._listen(f"{settings.host}:{port}", feed.handle, self.relays)
             except OSError:
                 continue
         self._context.log.emit("feed-unavailable", ports=settings.internal_ports)
@@ -202,6 +213,7 @@
         """Stop following the store and exchanging messages."""
         self._store_sync.close()
         self.peers.close()
+        self.relays.close()
 
 
 def _watched_kinds(
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -11,13 +11,16 @@
 from milletcourse.exchange.attempts.planned_stop import PlannedStop, StopPhase
 from milletcourse.exchange.counting.service_tally import TALLY_INTERVAL_SECONDS
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
+from milletcourse.exchange.messages.relay_messages import RELAY_MARK
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.clients.client_connection import ClientConnection, Handler
 from milletcourse.gateway.clients.connection_limiter import ConnectionLimiter
 from milletcourse.gateway.clients.refusals import refuse
 from milletcourse.gateway.clients.request_reader import ClientRequest
 from milletcourse.gateway.fleet.cache_store_probe import CacheStoreProbe
+from milletcourse.gateway.fleet.relay_listener import RelayListener
 from milletcourse.gateway.fleet.rollout_service import RolloutService
+from milletcourse.gateway.fleet.shared_port import SharedPortConnection
 from milletcourse.gateway.fleet_member import FleetMember
 from milletcourse.gateway.operator_api import OperatorApi, set_gauges
 from milletcourse.gateway.requests.exchange_runner import ExchangeRunner
@@ -106,14 +109,31 @@
         self._spawn(rollout.run())
         probe = CacheStoreProbe(self.context, self._calls, self._adapter.cache_store)
         self._spawn(probe.run())
+        self._spawn(self.context.server_links.run_probes())
         self._spawn(self._sweep())
         self._spawn(self._log_tallies())
 
-    async def _listen(self, address: str, handler: Handler) -> str:
-        """Listen at an address; port 0 takes a free one. Returns the address in use."""
+    async def _listen(
+        self, address: str, handler: Handler, relays: RelayListener | None = None
+    ) -> str:
+        """Listen at an address; port 0 takes a free one. Returns the address in use.
+
+        Args:
+            address: `host:port`.
+            handler: Handles HTTP requests.
+            relays: Takes connections of gateways that ask for one to a server; None for no such.
+        """
         host, _, port = address.rpartition(":")
+
+        def new_connection() -> asyncio.Protocol:
+            return ClientConnection(self.context, handler, refuse, self._clients)
+
+        def new_shared_connection() -> asyncio.Protocol:
+            assert relays is not None
+            return SharedPortConnection(RELAY_MARK, relays.new_connection, new_connection)
+
         server = await asyncio.get_running_loop().create_server(
-            lambda: ClientConnection(self.context, handler, refuse, self._clients),
+            new_connection if relays is None else new_shared_connection,
             host,
             int(port),
             backlog=LISTEN_BACKLOG,
@@ -164,6 +184,9 @@
         set_gauges(self.context, metrics)
         metrics.holds_lease.set(self._fleet.peers.holds_lease)
         metrics.clients.set(len(self._clients))
+        metrics.lost_paths.set(len(self.context.paths.lost_addresses()))
+        metrics.isolated.set(self.context.paths.is_isolated)
+        metrics.relayed_connections.set(len(self._fleet.relays.connections))
 
     async def _sweep(self) -> None:
         """Enforce time limits periodically, without a timer for each connection."""
@@ -224,7 +247,8 @@
             # yet.
             await asyncio.sleep(STOP_POLL_SECONDS)
             now = self.context.now()
-            if not self._clients or stop.phase(now) is StopPhase.EXPIRED:
+            is_idle = not self._clients and not self._fleet.relays.connections
+            if is_idle or stop.phase(now) is StopPhase.EXPIRED:
                 return
             for client in list(self._clients):
                 client.check_timeouts(now)
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -18,10 +18,12 @@
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.exchange.servers.request_load import RequestLoad
 from milletcourse.gateway.requests.answer_relay import AnswerRelay, ServerFailure
+from milletcourse.gateway.requests.delivery_check import DeliveryCheck
 from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.server_connection import LossCause, ServerConnection
+from milletcourse.gateway.servers.server_links import LinkFailure, ServerLink
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telemetry.unanswered import RequestPhase
@@ -31,6 +33,10 @@
 """Largest body of an answer that is not a stream."""
 
 
+CLOSED_BY_SERVER = (LossCause.RESET, LossCause.CLOSED)
+"""Losses that may mean that the server's process has terminated."""
+
+
 @dataclass(frozen=True)
 class Silence:
     """How long a server sent nothing.
@@ -71,6 +77,7 @@
         server_retry_after_seconds: Retry-After of a server that rejected the request, None when it
             gave none.
         connect_seconds: Time spent on a connection to the server.
+        through: Name of the gateway that relays the connection; empty for a direct one.
     """
 
     def __init__(
@@ -88,6 +95,9 @@
         self.silence = Silence()
         self.server_retry_after_seconds: float | None = None
         self.connect_seconds = 0.0
+        self.through = ""
+        self._delivery_check: DeliveryCheck | None = None
+        self._path_failed = False
         self._listener = listener
         self._context = context
         self._job = job
@@ -143,7 +153,10 @@
         return result
 
     def _note_health(self, result: AttemptResult) -> None:
-        if self.abort_cause is AbortCause.HANDED_OVER:
+        if self.loss in CLOSED_BY_SERVER:
+            # Counts when it is known whether the path or the server was at fault.
+            self._instance.health.on_aborted()
+        elif self.abort_cause is AbortCause.HANDED_OVER:
             # The silence of the server has already been recorded in its health.
             self._instance.health.on_aborted()
         elif result is AttemptResult.ANSWERED or self._reflects_server_health():
@@ -151,8 +164,20 @@
         else:
             self._instance.health.on_aborted()
 
+    def note_closed_connection(self, result: AttemptResult) -> None:
+        """Count a closed connection against its server, once the path to it has been checked.
+
+        Args:
+            result: Result of the attempt.
+        """
+        # The gateway that relayed a connection may have closed it.
+        if not self.through and not self._has_lost_path():
+            self._context.note_result(self._instance, result)
+
     def _reflects_server_health(self) -> bool:
         """Whether an attempt that ended without an answer counts against the server's health."""
+        if self._path_failed and self._context.paths.is_lost(self._instance.record.address):
+            return False
         if not self._ended:
             return True
         return not self._answer_started and self.silence.seconds >= MIN_SILENCE_SECONDS
@@ -161,11 +186,13 @@
 
     async def _connect_and_send(self) -> AttemptResult:
         pool = self._context.pool
-        address = self._instance.record.address
+        record = self._instance.record
         self._relay.note_phase(RequestPhase.CONNECTING)
         started_at = self._context.now()
         try:
-            connection = await pool.acquire(address, self._seconds_left())
+            link = await self._context.server_links.open(
+                record.address, record.zone, self._seconds_left(), self._job.request.request_id
+            )
         except LocalResourceError:
             # Marked as ended, since the server must not be ejected for a lack of local resources.
             self._ended = True
@@ -174,8 +201,11 @@
             return AttemptResult.NOT_SENT
         finally:
             self.connect_seconds = self._context.now() - started_at
+        connection = link.connection
         if connection is None:
+            self._on_no_connection(link)
             return AttemptResult.NOT_SENT
+        self.through = link.through
         if not self._may_still_be_sent():
             # Marked as ended, since the server must not be ejected for a request it never got.
             self._ended = True
@@ -188,8 +218,6 @@
         self._note_received()
         self._context.signal_monitor.on_send(self._instance)
         self._send(connection)
-        if self._load is not None:
-            self._load.on_delivered()
         self._listener.on_sent(self)
         try:
             result = await self._receive(connection)
@@ -199,10 +227,41 @@
         finally:
             self._connection = None
             self._silence_timer.stop()
+            self._stop_delivery_check()
         if result is AttemptResult.ANSWERED and not self._relay.has_started:
             self._instance.on_answer_time(self._context.now() - self.sent_at)
         return result
 
+    def _on_no_connection(self, link: ServerLink) -> None:
+        if link.failure is LinkFailure.SERVER_DOWN:
+            return
+        # Marked as ended, since nothing is known of the server.
+        self._ended = True
+        if link.failure is LinkFailure.UNREACHABLE:
+            self.abort_cause = AbortCause.SERVER_UNREACHABLE
+
+    def _on_delivery_change(self, is_delivered: bool) -> None:
+        if self._load is None:
+            return
+        if is_delivered:
+            self._load.on_delivered()
+        else:
+            self._load.on_undelivered()
+
+    def _on_undeliverable(self) -> None:
+        """The request doesn't arrive: send it elsewhere if it may run twice.
+
+        It may have arrived without the acknowledgement coming back, so that another request waits
+        for the path to work again.
+        """
+        if self._job.route.repeatable and not self._relay.has_started:
+            self._abort(AbortCause.REQUEST_UNDELIVERED)
+
+    def _stop_delivery_check(self) -> None:
+        if self._delivery_check is not None:
+            self._delivery_check.stop()
+            self._delivery_check = None
+
     def _note_received(self) -> None:
         self._last_received_at = self._context.responsive_clock.seconds()
         self._stall_seconds_before = self._context.responsive_clock.stalled_seconds
@@ -227,7 +286,18 @@
         self._context.selector.note_sent(
             self._instance, request, self._job.scope, self._context.now()
         )
-        connection.send(head + request.body, request.request_id, request.method == b"HEAD")
+        data = head + request.body
+        connection.send(data, request.request_id, request.method == b"HEAD")
+        self._on_delivery_change(True)
+        if not connection.is_relayed:
+            self._delivery_check = DeliveryCheck(
+                self._context,
+                self._instance,
+                connection,
+                len(data),
+                self._on_delivery_change,
+                self._on_undeliverable,
+            )
 
     def _seconds_left(self) -> float:
         return self._job.deadline_at - self._context.now()
@@ -243,6 +313,8 @@
             return self._lost(connection, event.lost)
         head = event.head
         self._answer_started = True
+        self._stop_delivery_check()
+        self._note_heard(connection)
         self._context.signal_monitor.on_answer(self._instance, head, self.sent_at)
         if head.weight_version is not None and self._job.request.model:
             self._instance.note_version(self._job.request.model, head.weight_version)
@@ -250,8 +322,14 @@
             return await self._receive_stream(connection, head)
         return await self._receive_whole(connection, head)
 
+    def _note_heard(self, connection: ServerConnection) -> None:
+        if not connection.is_relayed:
+            self._context.paths.on_heard(self._context.now())
+
     def _lost(self, connection: ServerConnection, loss: LossCause | None) -> AttemptResult:
         self.loss = loss or LossCause.MALFORMED
+        check = self._delivery_check
+        self._path_failed = check is not None and check.is_undelivered
         connection.abort()
         return AttemptResult.TRUNCATED if self._relay.has_started else AttemptResult.LOST
 
@@ -306,6 +384,7 @@
                 return self._lost(connection, event.lost or LossCause.ABORTED)
             whole = splitter.feed(event.body) if event.body else b""
             if whole:
+                self._note_heard(connection)
                 if self._load is not None:
                     self._load.on_prompt_read()
                 self._note_received()
@@ -353,12 +432,17 @@
         if self._job.route.repeatable and not self._relay.has_started:
             self._abort(AbortCause.SERVER_SILENT)
             return
-        self._context.note_result(self._instance, AttemptResult.LOST)
+        if not self._has_lost_path():
+            self._context.note_result(self._instance, AttemptResult.LOST)
         repeat_seconds = MIN_SILENCE_SECONDS if self._relay.has_started else float("inf")
         self._silence_timer.expect_within(min(seconds_to_start, repeat_seconds))
         if self._job.route.repeatable:
             self._listener.on_silent()
 
+    def _has_lost_path(self) -> bool:
+        """Whether the silence is that of the path, not of the server."""
+        return not self.through and self._context.paths.is_lost(self._instance.record.address)
+
     def _remaining_tolerance_seconds(self) -> float:
         """Seconds for which to wait on; a silent server that answers other requests gets longer."""
         route = self._job.route
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -12,6 +12,7 @@
     Failure,
     GatewayExhausted,
     Overloaded,
+    ServersUnreachable,
 )
 from milletcourse.exchange.attempts.attempt_plan import AttemptPlan, NextStep
 from milletcourse.exchange.evidence.crash_evidence import Containment
@@ -30,19 +31,16 @@
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
 from milletcourse.gateway.requests.answer_relay import AnswerRelay
-from milletcourse.gateway.requests.attempt import Attempt
+from milletcourse.gateway.requests.attempt import CLOSED_BY_SERVER, Attempt
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.requests.server_attempt import ServerAttempt
 from milletcourse.gateway.requests.server_search import Destination, ServerSearch
 from milletcourse.gateway.requests.stream_handover import StreamHandover
-from milletcourse.gateway.servers.server_connection import LossCause
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telemetry.recorder import StreamTruncation, VisitedServer
 from milletcourse.runtime.responsive_clock import STALL_THRESHOLD_SECONDS
 from milletcourse.runtime.responsive_timer import RECHECK_DELAY_SECONDS
 
-CLOSED_BY_SERVER = (LossCause.RESET, LossCause.CLOSED)
-"""Losses that may mean that the server's process has terminated."""
 MAX_CRASH_CHECK_SECONDS = 0.05
 """How long a request that may be retried waits for the check of whether its server crashed. Nothing
 listens at a crashed server's port, and the refused connection shows that within a round trip."""
@@ -81,6 +79,8 @@
         self._server_retry_afters: list[float] = []
         """Retry-After seconds of the servers that rejected the request."""
         self._lacks_local_resources = False
+        self._is_unreachable = False
+        self._through = ""
         self._end_cause: AbortCause | None = None
         self._servers: list[VisitedServer] = []
         self._deadline_timer: asyncio.TimerHandle | None = None
@@ -154,6 +154,7 @@
             following, step = await self._next_attempt(result, successor)
             self._record_end(server_attempt, result, step)
             if following is None:
+                self._through = server_attempt.attempt.through
                 self._finish(step, server_attempt.instance)
                 return
             server_attempt = following
@@ -186,10 +187,7 @@
         """Another server did not continue the stream; the first one still serves it."""
         self._note_attempt_end(server_attempt, result)
         if server_attempt.attempt.loss in CLOSED_BY_SERVER:
-            detector = self._context.crash_detector
-            detector.on_loss(
-                self._job.identity, server_attempt.instance, server_attempt.attempt.sent_at
-            )
+            self._check_server(server_attempt, result)
         self._record_end(server_attempt, result, NextStep.FIRST_CONTINUES)
 
     def _note_attempt_end(self, server_attempt: ServerAttempt, result: AttemptResult) -> None:
@@ -200,6 +198,8 @@
             self._search.on_tried(server_attempt.instance)
         if server_attempt.attempt.abort_cause is AbortCause.LOCAL_RESOURCES:
             self._lacks_local_resources = True
+        if server_attempt.attempt.abort_cause is AbortCause.SERVER_UNREACHABLE:
+            self._is_unreachable = True
         if server_attempt.attempt.server_retry_after_seconds is not None:
             self._server_retry_afters.append(server_attempt.attempt.server_retry_after_seconds)
         self._plan.on_result(result)
@@ -229,13 +229,21 @@
             return
         if server_attempt.attempt.loss not in CLOSED_BY_SERVER:
             return
-        check = detector.on_loss(
-            self._job.identity, server_attempt.instance, server_attempt.attempt.sent_at
-        )
+        check = self._check_server(server_attempt, result)
         if self._plan.may_retry(self._seconds_left()):
             # Without the result of this check, the request might crash one more server.
             await asyncio.wait((check,), timeout=MAX_CRASH_CHECK_SECONDS)
 
+    def _check_server(
+        self, server_attempt: ServerAttempt, result: AttemptResult
+    ) -> asyncio.Task[None]:
+        """Check why a server closed a connection; then it counts against the server or the path."""
+        attempt = server_attempt.attempt
+        detector = self._context.crash_detector
+        check = detector.on_loss(self._job.identity, server_attempt.instance, attempt.sent_at)
+        check.add_done_callback(lambda _: attempt.note_closed_connection(result))
+        return check
+
     def _truncated_stream(self) -> StreamTruncation:
         table = self._context.route_table
         return StreamTruncation(
@@ -296,6 +304,9 @@
         # Without local resources this gateway cannot connect to any other server either.
         if self._lacks_local_resources or not self._may_continue(self._plan.may_retry):
             return None
+        if self._is_unreachable and self._context.paths.is_isolated:
+            # Other servers are not reached either, and other gateways have been asked.
+            return None
         choice = self._search.best()
         # A request that has not been sent to any server spends no retry.
         if choice is None or (self._plan.sends and not self._try_retry()):
@@ -317,6 +328,7 @@
                 relay.first_byte_seconds,
                 relay.longest_gap_seconds,
                 self._search.signals_by_server,
+                self._through,
             )
         elif self._relay.has_started:
             record.stream_truncated(self._job.request, self._job.route, self._truncated_stream())
@@ -341,6 +353,9 @@
             return DeadlineUnreachable("no server accepted the request in time", retry_after)
         if self._lacks_local_resources:
             return GatewayExhausted("this gateway cannot open a connection", retry_after)
+        if self._is_unreachable:
+            detail = "no gateway that was asked reaches a server of the service"
+            return ServersUnreachable(detail, retry_after)
         if self._search.met_limit or self._search.is_blocked_by_signals:
             return self._search.failure()
         soonest = min(self._server_retry_afters, default=0.0)
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -70,5 +70,6 @@
             self.abort_cause,
             identity,
             self.attempt.connect_seconds,
+            self.attempt.through,
             answers_others,
         )
--- a/src/milletcourse/gateway/servers/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -62,16 +62,52 @@
         Raises:
             LocalResourceError: This process lacks a descriptor or another local resource for it.
         """
+        idle = self.take_idle(address)
+        if idle is not None:
+            return idle
+        try:
+            return await self.open(address, timeout_seconds)
+        except LocalResourceError:
+            raise
+        except (OSError, TimeoutError):
+            return None
+
+    def take_idle(
+        self, address: str, heard_since: float = float("-inf")
+    ) -> ServerConnection | None:
+        """An idle connection to the address, None when there is none.
+
+        Args:
+            address: `host:port` of the server.
+            heard_since: Connections on which nothing has arrived since this monotonic time are
+                closed.
+        """
         now = elapsed_seconds()
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
-            if connection.is_reusable(now):
+            if connection.is_reusable(now) and connection.heard_at >= heard_since:
                 return connection
             connection.abort()
-        opened = await self._open(address, timeout_seconds)
-        if opened is not None:
-            self._note_opened(opened)
+        return None
+
+    async def open(self, address: str, timeout_seconds: float) -> ServerConnection:
+        """A new connection to the address.
+
+        Raises:
+            OSError: It was not established; `LocalResourceError` when this process lacks a
+                descriptor or another local resource for it.
+            TimeoutError: It was not established in time.
+        """
+        try:
+            opened = await self.dial(address, self._dialect, timeout_seconds, self.clock)
+        except LocalResourceError:
+            # The pending request has priority over idle connections. Their descriptors are free
+            # after the next iteration of the event loop.
+            self.close()
+            await asyncio.sleep(0)
+            opened = await self.dial(address, self._dialect, timeout_seconds, self.clock)
+        self._note_opened(opened)
         return opened
 
     def _note_opened(self, connection: ServerConnection) -> None:
@@ -85,35 +121,17 @@
         if not self._open_counts[address]:
             del self._open_counts[address]
 
-    async def _open(self, address: str, timeout_seconds: float) -> ServerConnection | None:
-        try:
-            return await self._dial_or_none(address, timeout_seconds)
-        except LocalResourceError:
-            # The pending request has priority over idle connections. Their descriptors are free
-            # after the next iteration of the event loop.
-            self.close()
-            await asyncio.sleep(0)
-            return await self._dial_or_none(address, timeout_seconds)
-
-    async def _dial_or_none(self, address: str, timeout_seconds: float) -> ServerConnection | None:
-        try:
-            return await self.dial(address, self._dialect, timeout_seconds, self.clock)
-        except LocalResourceError:
-            raise
-        except (OSError, TimeoutError):
-            return None
+    async def is_refused(self, address: str) -> bool | None:
+        """Whether nothing listens at an address; None when that can't be told.
 
-    async def is_refused(self, address: str) -> bool:
-        """Whether nothing listens at an address; a connection that is established is pooled."""
+        A connection that is established is pooled.
+        """
         try:
-            connection = await self.dial(
-                address, self._dialect, CONNECT_TIMEOUT_SECONDS, self.clock
-            )
+            connection = await self.open(address, CONNECT_TIMEOUT_SECONDS)
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError):
-            return False
-        self._note_opened(connection)
+            return None
         self.release(connection)
         return False
 
--- a/src/milletcourse/gateway/servers/crash_detector.py
+++ b/src/milletcourse/gateway/servers/crash_detector.py
@@ -15,7 +15,7 @@
 
 from milletcourse.exchange.evidence.crash_evidence import Containment, CrashEvidence
 from milletcourse.exchange.servers.instance_table import Instance
-from milletcourse.gateway.servers.connection_pool import ConnectionPool
+from milletcourse.gateway.servers.server_links import ServerLinks
 from milletcourse.gateway.telemetry.recorder import Recorder
 
 UNVERIFIED_SECONDS = 5.0
@@ -46,7 +46,7 @@
     def __init__(
         self,
         evidence: CrashEvidence,
-        pool: ConnectionPool,
+        links: ServerLinks,
         record: Recorder,
         on_update: Callable[[], None],
     ) -> None:
@@ -54,13 +54,13 @@
 
         Args:
             evidence: Where crashes of servers are recorded.
-            pool: Connections to servers.
+            links: Connections to servers.
             record: Reports containments to operators; its clock is used.
             on_update: Called when there is evidence that must be sent to the other gateways.
         """
         self.listeners: list[Callable[[], None]] = []
         self._evidence = evidence
-        self._pool = pool
+        self._links = links
         self._record = record
         self._now = record.now
         self._notify_gateways = on_update
@@ -98,7 +98,7 @@
 
     async def _check(self, instance: Instance) -> None:
         try:
-            if await self._pool.is_refused(instance.record.address):
+            if await self._links.is_refused(instance.record.address, instance.record.zone):
                 self.on_instance_terminated(instance.name)
         finally:
             del self._checks[instance.name]
--- a/src/milletcourse/gateway/servers/descriptors.py
+++ b/src/milletcourse/gateway/servers/descriptors.py
@@ -14,6 +14,8 @@
 """Share of the remaining descriptors for clients, below one half because each client may need a
 connection to a server in addition to its own."""
 IDLE_SHARE = 0.2
+RELAYED_SHARE = 0.1
+"""Share for connections that are relayed for other gateways; each takes two descriptors."""
 MIN_CLIENTS = 4
 UNBOUNDED_DESCRIPTORS = 1 << 20
 LOCAL_RESOURCE_ERRNOS = frozenset(
@@ -33,11 +35,13 @@
         total: All descriptors that the process may have open.
         clients: Connections of clients.
         idle_servers: Idle connections to servers.
+        relayed: Connections that are relayed for other gateways.
     """
 
     total: int
     clients: int
     idle_servers: int
+    relayed: int
 
 
 def descriptor_plan(settings_bound: int) -> DescriptorPlan:
@@ -54,4 +58,5 @@
     total = min(bounds)
     remaining = max(total - RESERVED_DESCRIPTORS, 0)
     clients = max(int(remaining * CLIENT_SHARE), MIN_CLIENTS)
-    return DescriptorPlan(total, clients, int(remaining * IDLE_SHARE))
+    relayed = int(remaining * RELAYED_SHARE) // 2
+    return DescriptorPlan(total, clients, int(remaining * IDLE_SHARE), relayed)
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -22,7 +22,7 @@
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.responsive_clock import ResponsiveClock
 from milletcourse.runtime.responsive_timer import responsive_timeout
-from milletcourse.runtime.sockets import reset_on_close
+from milletcourse.runtime.sockets import reset_on_close, unacknowledged_bytes
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """A live server in the same region accepts within milliseconds."""
@@ -53,9 +53,19 @@
 class ServerConnection(asyncio.Protocol):
     """Sends one request at a time and delivers the answer as events."""
 
-    def __init__(self, address: str, dialect: HeaderDialect) -> None:
+    def __init__(self, address: str, dialect: HeaderDialect, is_relayed: bool = False) -> None:
+        """Start without a transport.
+
+        Args:
+            address: `host:port` of the server.
+            dialect: Parses the heads of answers.
+            is_relayed: Another gateway relays the connection, which carries one exchange only.
+        """
         self.address = address
+        self.is_relayed = is_relayed
         self.usable_until = 0.0
+        self.heard_at = elapsed_seconds()
+        """Monotonic time at which the latest answer ended, or the connection was opened."""
         self.on_closed: Callable[[str], None] | None = None
         """Called with the address when the connection is closed."""
         self._loop = asyncio.get_running_loop()
@@ -67,7 +77,7 @@
         self._expected_id = ""
         self._bodyless = False
         self._busy = False
-        self._tainted = False
+        self._tainted = is_relayed
         self._lost = False
         self._aborted = False
         self._head: AnswerHead | None = None
@@ -105,6 +115,21 @@
                 self._waiter = None
         return self._events.popleft()
 
+    def unacknowledged_bytes(self) -> int:
+        """Bytes that were written and that the other end hasn't acknowledged."""
+        if self._transport is None:
+            return 0
+        unsent = self._transport.get_write_buffer_size()
+        return unsent + unacknowledged_bytes(self._transport.get_extra_info("socket"))
+
+    def take_transport(self) -> asyncio.Transport:
+        """The transport of an open, unused connection, for another protocol.
+
+        The taker must call `connection_lost` when the transport is closed.
+        """
+        assert self._transport is not None and not self._busy
+        return self._transport
+
     def abort(self) -> None:
         """Close the connection at once, so that the server notices and drops the request."""
         self._aborted = True
@@ -225,7 +250,8 @@
             self._tainted = True
         idle = head.keep_alive_seconds
         usable = DEFAULT_KEEP_ALIVE_SECONDS if idle is None else idle - KEEP_ALIVE_MARGIN_SECONDS
-        self.usable_until = elapsed_seconds() + usable
+        self.heard_at = elapsed_seconds()
+        self.usable_until = self.heard_at + usable
         self._emit(AnswerEvent(complete=True))
 
     def _taint(self) -> None:
--- /dev/null
+++ b/src/milletcourse/gateway/servers/server_links.py
@@ -0,0 +1,341 @@
+"""Opens connections to servers: directly, or through another gateway while that path is lost.
+
+A direct connection that doesn't come up within a moment is raced by one through another gateway.
+The outcome of the race also tells whether the path or the server is at fault.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from milletcourse.exchange.servers.server_paths import PROBE_INTERVAL_SECONDS, ServerPaths
+from milletcourse.gateway.servers.connection_pool import ConnectionPool
+from milletcourse.gateway.servers.descriptors import LocalResourceError
+from milletcourse.gateway.servers.relay_client import (
+    RelayClient,
+    RelayResult,
+    RelayVerdict,
+    close_unused,
+)
+from milletcourse.gateway.servers.server_connection import (
+    CONNECT_TIMEOUT_SECONDS,
+    ServerConnection,
+)
+from milletcourse.gateway.telemetry.path_recorder import PathRecorder
+from milletcourse.runtime.clock import elapsed_seconds
+from milletcourse.runtime.responsive_timer import responsive_timeout
+
+HEAD_START_SECONDS = 0.1
+"""How long a direct connection may take before another gateway is asked; longer than a round trip
+between regions."""
+LOST_HEAD_START_SECONDS = 0.01
+"""The same for a path that was lost."""
+PROBE_TIMEOUT_SECONDS = 0.2
+RELAYED_DIAL_SECONDS = 0.15
+"""How long a server may take to accept a connection that is opened for another gateway."""
+FIRST = asyncio.FIRST_COMPLETED
+
+
+class LinkFailure(Enum):
+    """Why there is no connection to a server."""
+
+    SERVER_DOWN = "server-down"
+    """Others don't reach the server either, or this gateway hears other servers."""
+    UNREACHABLE = "unreachable"
+    """This gateway reaches no server, and no other gateway helped: nothing is known of the server.
+    """
+    EXCLUDED = "excluded"
+    """The server asked a gateway that reaches it to send it nothing."""
+
+
+class ServerLink(msgspec.Struct):
+    """A connection to a server, or why there is none.
+
+    Attributes:
+        connection: The connection, None when none came up.
+        through: Name of the gateway that relays it; empty for a direct connection.
+        failure: Why there is none, None when there is one.
+    """
+
+    connection: ServerConnection | None = None
+    through: str = ""
+    failure: LinkFailure | None = None
+
+
+class ServerLinks:
+    """Opens connections, probes lost paths, and reports what changes."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        paths: ServerPaths,
+        relays: RelayClient,
+        record: PathRecorder,
+        services: Callable[[], dict[str, str]],
+    ) -> None:
+        """Start with all paths in use.
+
+        Args:
+            pool: Direct connections.
+            paths: Which servers are reached.
+            relays: Connections through other gateways.
+            record: Reports changes to operators.
+            services: Returns the service of each known server by its address.
+        """
+        self._pool = pool
+        self._paths = paths
+        self._relays = relays
+        self._record = record
+        self._services = services
+        self._probe_needed = asyncio.Event()
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._abandoned: set[asyncio.Task[ServerConnection | None]] = set()
+
+    # -- connections ----------------------------------------------------------------------------
+
+    async def open(
+        self, address: str, zone: str, timeout_seconds: float, request_id: str = ""
+    ) -> ServerLink:
+        """A connection to a server.
+
+        Args:
+            address: `host:port` of the server.
+            zone: Its zone.
+            timeout_seconds: Timeout for the connection to be established.
+            request_id: Id of the request that it will carry, for the log of a relaying gateway.
+
+        Raises:
+            LocalResourceError: This process lacks a descriptor or another local resource for it.
+        """
+        idle = self._pool.take_idle(address, self._paths.silent_at)
+        if idle is not None:
+            return ServerLink(idle)
+        is_lost = self._relays.has_peers and self._paths.is_lost(address)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                if is_lost and not self._paths.may_try(address, elapsed_seconds()):
+                    return await self._open_relayed(address, zone, request_id)
+                return await self._race(address, zone, request_id)
+        except TimeoutError:
+            return ServerLink(failure=LinkFailure.UNREACHABLE)
+
+    async def _open_relayed(self, address: str, zone: str, request_id: str) -> ServerLink:
+        relayed = await self._relays.open(address, zone, request_id)
+        if relayed.connection is not None:
+            return ServerLink(relayed.connection, relayed.through)
+        return ServerLink(failure=_failure(relayed, False))
+
+    async def _race(self, address: str, zone: str, request_id: str) -> ServerLink:
+        began_at = elapsed_seconds()
+        dial = asyncio.get_running_loop().create_task(self._dial(address, began_at))
+        link = ServerLink()
+        try:
+            link = await self._win_race(dial, address, zone, request_id, began_at)
+            return link
+        finally:
+            if link.connection is None or link.through:
+                self._abandon(dial)
+
+    async def _win_race(
+        self,
+        dial: asyncio.Task[ServerConnection | None],
+        address: str,
+        zone: str,
+        request_id: str,
+        began_at: float,
+    ) -> ServerLink:
+        head_start = HEAD_START_SECONDS if self._relays.has_peers else CONNECT_TIMEOUT_SECONDS
+        if self._paths.is_lost(address):
+            head_start = LOST_HEAD_START_SECONDS
+        try:
+            async with responsive_timeout(self._pool.clock, head_start):
+                connection = await asyncio.shield(dial)
+        except TimeoutError:
+            # Further requests need not wait for the outcome of this one.
+            self._on_failed(address, began_at)
+        else:
+            if connection is not None:
+                return ServerLink(connection)
+        if not self._relays.has_peers:
+            return ServerLink(failure=LinkFailure.SERVER_DOWN)
+        relay = asyncio.get_running_loop().create_task(self._relays.open(address, zone, request_id))
+        try:
+            await asyncio.wait({relay} if dial.done() else {dial, relay}, return_when=FIRST)
+            if dial.done() and (connection := dial.result()) is not None:
+                return ServerLink(connection)
+            relayed = await relay
+        finally:
+            _abandon_relay(relay)
+        if relayed.connection is not None:
+            self._on_reached_by_other(address, relayed.through)
+            return ServerLink(relayed.connection, relayed.through)
+        self._report_isolation()
+        return ServerLink(failure=_failure(relayed, self._paths.heard_at > began_at))
+
+    def _abandon(self, dial: asyncio.Task[ServerConnection | None]) -> None:
+        """Let a dial that isn't waited for any more go on: its outcome tells about the path."""
+        self._abandoned.add(dial)
+        dial.add_done_callback(self._on_abandoned_end)
+
+    def _on_abandoned_end(self, dial: asyncio.Task[ServerConnection | None]) -> None:
+        self._abandoned.discard(dial)
+        if dial.cancelled() or dial.exception() is not None:
+            return
+        connection = dial.result()
+        if connection is not None:
+            self._pool.release(connection)
+
+    async def _dial(
+        self, address: str, began_at: float, timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
+    ) -> ServerConnection | None:
+        try:
+            connection = await self._pool.open(address, timeout_seconds)
+        except LocalResourceError:
+            raise
+        except ConnectionError:
+            self._on_failed(address, began_at, is_refused=True)
+        except (OSError, TimeoutError):
+            self._on_failed(address, began_at)
+        else:
+            self._on_connected(address)
+            return connection
+        return None
+
+    async def open_for_other(self, address: str) -> ServerLink:
+        """A new direct connection for another gateway; never through a third one.
+
+        Raises:
+            LocalResourceError: This process lacks a descriptor or another local resource for it.
+        """
+        if self._paths.is_lost(address):
+            return ServerLink(failure=LinkFailure.UNREACHABLE)
+        began_at = elapsed_seconds()
+        connection = await self._dial(address, began_at, RELAYED_DIAL_SECONDS)
+        if connection is not None:
+            return ServerLink(connection)
+        self._report_isolation()
+        if self._paths.heard_at > began_at:
+            return ServerLink(failure=LinkFailure.SERVER_DOWN)
+        return ServerLink(failure=LinkFailure.UNREACHABLE)
+
+    # -- checks ---------------------------------------------------------------------------------
+
+    def check(self, address: str, zone: str) -> asyncio.Task[None]:
+        """Find out whether a server is reached, since it doesn't acknowledge what was sent."""
+        task = self._checks.get(address)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._check(address, zone))
+            self._checks[address] = task
+            task.add_done_callback(lambda _: self._checks.pop(address, None))
+        return task
+
+    async def _check(self, address: str, zone: str) -> None:
+        if self._paths.is_lost(address):
+            return
+        try:
+            link = await self._race(address, zone, "")
+        except LocalResourceError:
+            return
+        if link.connection is None:
+            return
+        if link.through:
+            link.connection.abort()
+        else:
+            self._pool.release(link.connection)
+
+    async def is_refused(self, address: str, zone: str) -> bool:
+        """Whether nothing listens at a server's address, as far as any gateway can tell."""
+        began_at = elapsed_seconds()
+        refused = await self._pool.is_refused(address)
+        if refused is None:
+            return False
+        if not refused:
+            self._on_connected(address)
+            return False
+        if not self._relays.has_peers:
+            return True
+        self._on_failed(address, began_at, is_refused=True)
+        relayed = await self._relays.open(address, zone, "")
+        if relayed.connection is not None:
+            relayed.connection.abort()
+            self._on_reached_by_other(address, relayed.through)
+            return False
+        self._report_isolation()
+        return _failure(relayed, self._paths.heard_at > began_at) is LinkFailure.SERVER_DOWN
+
+    # -- probes ---------------------------------------------------------------------------------
+
+    async def run_probes(self) -> None:
+        """Probe lost paths until cancelled, and use them again as soon as they work."""
+        while True:
+            await self._probe_needed.wait()
+            self._probe_needed.clear()
+            while self._paths.needs_probes:
+                await self._probe_next()
+                await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+
+    async def _probe_next(self) -> None:
+        began_at = elapsed_seconds()
+        self._paths.set_services(self._services())
+        address = self._paths.next_probe(began_at)
+        if address is None:
+            return
+        try:
+            connection = await self._dial(address, began_at, PROBE_TIMEOUT_SECONDS)
+        except LocalResourceError:
+            return
+        if connection is not None:
+            self._pool.release(connection)
+        self._report_isolation()
+
+    # -- changes --------------------------------------------------------------------------------
+
+    def _on_connected(self, address: str) -> None:
+        was_lost = self._paths.is_lost(address)
+        self._paths.on_connected(address, elapsed_seconds())
+        if was_lost:
+            self._record.path_restored(address)
+        self._report_isolation()
+
+    def on_undelivered(self, address: str, sent_at: float) -> None:
+        """A server hasn't acknowledged a request that was sent at this monotonic time."""
+        self._on_failed(address, sent_at)
+
+    def _on_failed(self, address: str, began_at: float, is_refused: bool = False) -> None:
+        if not self._paths.needs_probes:
+            self._paths.set_services(self._services())
+        self._paths.on_failed(address, began_at, is_refused)
+        self._probe_needed.set()
+        self._report_isolation()
+
+    def _on_reached_by_other(self, address: str, through: str) -> None:
+        was_lost = self._paths.is_lost(address)
+        self._paths.on_reached_by_other(address)
+        if self._paths.is_lost(address) and not was_lost:
+            self._record.path_lost(address, through)
+        self._report_isolation()
+
+    def _report_isolation(self) -> None:
+        is_isolated = self._paths.take_isolation_change()
+        if is_isolated is None:
+            return
+        self._record.isolation(is_isolated, len(self._services()))
+
+
+def _abandon_relay(relay: asyncio.Task[RelayResult]) -> None:
+    """Close the connection of a relay that lost the race."""
+    if not relay.done():
+        relay.cancel()
+        relay.add_done_callback(close_unused)
+
+
+def _failure(relayed: RelayResult, hears_others: bool) -> LinkFailure:
+    if relayed.verdict is RelayVerdict.EXCLUDED:
+        return LinkFailure.EXCLUDED
+    if relayed.verdict is RelayVerdict.SERVER_DOWN or hears_others:
+        return LinkFailure.SERVER_DOWN
+    return LinkFailure.UNREACHABLE
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -36,9 +36,13 @@
 from milletcourse.exchange.replication.lost_configuration import LostConfiguration
 from milletcourse.exchange.rollout.version_gate import VersionGate
 from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
+from milletcourse.exchange.servers.relay_selector import RelaySelector
+from milletcourse.exchange.servers.server_paths import ServerPaths
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.gateway.servers.crash_detector import CrashDetector
 from milletcourse.gateway.servers.descriptors import descriptor_plan
+from milletcourse.gateway.servers.relay_client import RelayClient
+from milletcourse.gateway.servers.server_links import ServerLinks
 from milletcourse.gateway.servers.server_permits import ServerPermits
 from milletcourse.gateway.servers.signal_monitor import SignalMonitor
 from milletcourse.gateway.state.answer_rates import ServerAnswerRates
@@ -73,6 +77,9 @@
         planned_stop: The planned stop in progress, None before.
         replication_times: Wait times and proof ages for replication of the object store.
         descriptors: Partition of the file descriptors of this process.
+        paths: Which servers this gateway reaches itself.
+        relays: The gateways through which it reaches the others.
+        server_links: Connections to servers, direct ones and others.
         short_of_descriptors_until: Until this monotonic time client connections count as waiting to
             be accepted for lack of descriptors.
         responsive_clock: Time during which the event loop ran, by which timeouts on the silence of
@@ -180,8 +187,20 @@
             self.descriptors.idle_servers,
             self._connection_quota,
         )
+        self.paths = ServerPaths()
+        self.relays = RelaySelector(settings.zone, random_source)
+        relay_client = RelayClient(
+            settings.name, self.relays, dialect, self.responsive_clock, metrics
+        )
+        self.server_links = ServerLinks(
+            self.pool,
+            self.paths,
+            relay_client,
+            self.record.paths,
+            self.instances.services_by_address,
+        )
         self.crash_detector = CrashDetector(
-            self.crash_evidence, self.pool, self.record, self._announce_update
+            self.crash_evidence, self.server_links, self.record, self._announce_update
         )
         self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
--- a/src/milletcourse/gateway/telemetry/metrics.py
+++ b/src/milletcourse/gateway/telemetry/metrics.py
@@ -52,6 +52,8 @@
         self._permit_requests: Counter[str] = Counter()
         self._quota_owner_timeouts = 0
         self._descriptors_exhausted = 0
+        self._relays_asked: Counter[str] = Counter()
+        self._relay_replies: Counter[str] = Counter()
         self._answers_by_bucket = [0] * (len(ANSWER_BUCKETS_SECONDS) + 1)
         self._answer_seconds = 0.0
         self.configuration = GaugeValue("configuration_version", "Version in force")
@@ -78,6 +80,13 @@
         self.signalling_servers = GaugeValue(
             "signalling_servers", "Servers that are shutting down or backing off"
         )
+        self.lost_paths = GaugeValue(
+            "lost_paths", "Servers that other gateways reach and this one doesn't"
+        )
+        self.isolated = GaugeValue("isolated", "1 while this gateway reaches no server")
+        self.relayed_connections = GaugeValue(
+            "relayed_connections", "Open connections to servers that it relays for other gateways"
+        )
         self.log_lines_left_out = GaugeValue(
             "log_lines_left_out", "Log lines suppressed or dropped since the start"
         )
@@ -133,6 +142,14 @@
         """See `MetricsSink`."""
         self._descriptors_exhausted += 1
 
+    def on_relay_asked(self, reply: str) -> None:
+        """See `MetricsSink`."""
+        self._relays_asked[reply] += 1
+
+    def on_relay_reply(self, reply: str) -> None:
+        """See `MetricsSink`."""
+        self._relay_replies[reply] += 1
+
     def on_store_failure(self) -> None:
         """See `MetricsSink`."""
         self._store_failures += 1
@@ -180,6 +197,18 @@
                 "reply",
                 self._permit_requests,
             ),
+            (
+                "relays_asked",
+                "Requests to other gateways for a connection to a server, by their reply",
+                "reply",
+                self._relays_asked,
+            ),
+            (
+                "relay_replies",
+                "Requests of other gateways for a connection to a server, by the reply",
+                "reply",
+                self._relay_replies,
+            ),
         ):
             family = CounterMetricFamily(PREFIX + name, description, labels=[label])
             for value, count in counts.items():
@@ -247,6 +276,9 @@
             self.clients,
             self.limited_servers,
             self.signalling_servers,
+            self.lost_paths,
+            self.isolated,
+            self.relayed_connections,
             self.log_lines_left_out,
         )
 
--- a/src/milletcourse/gateway/telemetry/metrics_sink.py
+++ b/src/milletcourse/gateway/telemetry/metrics_sink.py
@@ -48,6 +48,12 @@
     def on_descriptors_exhausted(self) -> None:
         """A connection could not be opened: the process has no free file descriptor."""
 
+    def on_relay_asked(self, reply: str) -> None:
+        """Another gateway replied to a request for a connection to a server."""
+
+    def on_relay_reply(self, reply: str) -> None:
+        """A request of another gateway for a connection to a server was replied to."""
+
     def on_store_failure(self) -> None:
         """A call to the object store failed."""
 
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -18,6 +18,7 @@
 from milletcourse.exchange.rollout.weight_rollout import OrderReply, WeightOrder
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
+from milletcourse.gateway.telemetry.path_recorder import PathRecorder
 from milletcourse.gateway.telemetry.signal_recorder import SignalRecorder
 from milletcourse.gateway.telemetry.store_recorder import StoreRecorder
 from milletcourse.gateway.telemetry.unanswered import UnansweredRequest
@@ -40,6 +41,7 @@
         identity: Identity of the request's content: shows whether the same request fails at any
             server.
         connect_seconds: Time spent on a connection to the server before the request was sent.
+        through: Name of the gateway that relayed the connection; empty for a direct one.
         answers_others: The server has recently answered requests of this or other gateways.
     """
 
@@ -50,6 +52,7 @@
     abort_cause: str | None
     identity: int
     connect_seconds: float
+    through: str
     answers_others: bool
 
 
@@ -121,6 +124,7 @@
         now: Monotonic time.
         signals: Recorder of the signals that servers report about themselves.
         store: Recorder of events in the history of the object store.
+        paths: Recorder of lost paths to servers and relayed connections.
         tally: Counts for the periodic `service-tally` line.
     """
 
@@ -138,6 +142,7 @@
         self._reachable: dict[str, bool] = {}
         self.signals = SignalRecorder(log, metrics)
         self.store = StoreRecorder(log, metrics)
+        self.paths = PathRecorder(log, metrics)
         self.tally = ServiceTally()
 
     # -- requests -------------------------------------------------------------------------------
@@ -214,6 +219,7 @@
             step=step.value,
             content=identity_text(failed.identity),
             connect=round(failed.connect_seconds, 3),
+            **_through_field(failed.through),
             answers_others=failed.answers_others,
             **self._request_fields(request),
         )
@@ -231,6 +237,7 @@
         first: float,
         gap: float,
         excluded_servers: dict[str, str],
+        through: str = "",
     ) -> None:
         """A complete answer was relayed to the client.
 
@@ -242,6 +249,7 @@
             first: Seconds to its first byte.
             gap: Longest pause within the answer in seconds.
             excluded_servers: Servers excluded for a signal of their own -> that signal.
+            through: Gateway that relayed the connection to the server; empty for a direct one.
         """
         self.tally.on_end(route.name, served_outcome(route, first, gap))
         self._metrics.on_request_finished("served")
@@ -252,6 +260,7 @@
             sends=sends,
             first=round(first, 3),
             gap=round(gap, 3),
+            **_through_field(through),
             **_excluded_servers_field(excluded_servers),
             **self._request_fields(request),
         )
@@ -407,6 +416,11 @@
         return {"request_id": request.request_id, "seconds": seconds}
 
 
+def _through_field(gateway: str) -> dict[str, Any]:
+    """Log field that names the gateway that relayed a connection; usually empty."""
+    return {"through": gateway} if gateway else {}
+
+
 def _excluded_servers_field(servers: dict[str, str]) -> dict[str, Any]:
     """Log field that names the excluded servers with their signals; usually empty."""
     if not servers:
--- a/src/milletcourse/runtime/sockets.py
+++ b/src/milletcourse/runtime/sockets.py
@@ -33,6 +33,16 @@
         return 0
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Number of sent bytes that the other end hasn't acknowledged; 0 where it isn't reported."""
+    count = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return int.from_bytes(count, "little")
+
+
 def unread_bytes(sock: socket.socket) -> int:
     """Number of received bytes not read yet; 0 where the kernel does not report it."""
     count = bytearray(4)
--- a/tests/gateway/requests/test_silent_servers.py
+++ b/tests/gateway/requests/test_silent_servers.py
@@ -38,6 +38,7 @@
     stream_head,
 )
 from milletcourse.gateway.servers.call_client import Call, CallClient
+from milletcourse.gateway.servers.server_links import ServerLink
 
 SILENT_SECONDS = 1.7
 """Longer than the timeout after which a silent server's stream is offered to another one."""
@@ -189,13 +190,15 @@
     await harness.start()
     assert harness.node is not None
     context = harness.node.context
-    acquire = context.pool.acquire
+    open_link = context.server_links.open
 
-    async def stalled_acquire(address: str, timeout_seconds: float) -> object:
+    async def stalled_open(
+        address: str, zone: str, timeout_seconds: float, request_id: str = ""
+    ) -> ServerLink:
         context.loop.call_soon(time.sleep, STALL_SECONDS)
-        return await acquire(address, timeout_seconds)
+        return await open_link(address, zone, timeout_seconds, request_id)
 
-    context.pool.acquire = stalled_acquire  # type: ignore[method-assign,assignment]
+    context.server_links.open = stalled_open  # type: ignore[method-assign]
     await (await harness.client()).ask("/unsafe/", Deadline_Ms="9000")
     instance = context.instances.get("s-1")
     assert instance is not None
--- a/tests/gateway/requests/test_stream_handover.py
+++ b/tests/gateway/requests/test_stream_handover.py
@@ -29,6 +29,7 @@
     HandoverSide,
     HandoverState,
 )
+from milletcourse.gateway.servers.server_links import ServerLink
 
 ALLOWED_OVERLAP_SECONDS = 0.4
 SILENT_SECONDS = 1.0
@@ -250,17 +251,18 @@
     async def scenario(harness: Harness) -> None:
         await start_servers(harness, pausing_then(SILENT_SECONDS + 0.1, stream_of_four), count=3)
         assert harness.node is not None
-        pool = harness.node.context.pool
-        acquire = pool.acquire
+        links = harness.node.context.server_links
+        open_link = links.open
         acquired: list[str] = []
 
-        async def slow_acquire(address: str, timeout_seconds: float) -> object:
-            if address in {server.address for server in harness.servers.values()}:
-                acquired.append(address)
-                await asyncio.sleep(0.4 * (len(acquired) > 1))
-            return await acquire(address, timeout_seconds)
+        async def slow_open(
+            address: str, zone: str, timeout_seconds: float, request_id: str = ""
+        ) -> ServerLink:
+            acquired.append(address)
+            await asyncio.sleep(0.4 * (len(acquired) > 1))
+            return await open_link(address, zone, timeout_seconds, request_id)
 
-        pool.acquire = slow_acquire  # type: ignore[method-assign,assignment]
+        links.open = slow_open  # type: ignore[method-assign]
         client = await harness.client()
         got = await client.ask("/stream/", Deadline_Ms="6000", **PROMPT)
         assert (got.whole, got.body) == (True, WHOLE_STREAM)
--- a/tests/gateway/servers/test_server_limits.py
+++ b/tests/gateway/servers/test_server_limits.py
@@ -41,7 +41,7 @@
 from milletcourse.experiments.server_quota_model import WINDOW_SECONDS, tolerated_in_window
 from milletcourse.experiments.sliding_window import most_in_window
 from milletcourse.gateway.node import GatewayNode
-from milletcourse.gateway.servers.server_connection import ServerConnection
+from milletcourse.gateway.servers.server_links import ServerLink
 
 PROPAGATION_SECONDS = 1.0
 UNLIMITED_DELAY_SECONDS = 0.05
@@ -227,18 +227,20 @@
         await fleet.start({"s-1": "", "s-2": ""}, gateways=1)
         context = fleet.nodes[0].context
         by_address = {server.address: name for name, server in harness.servers.items()}
-        acquire = context.pool.acquire
+        open_link = context.server_links.open
         met: list[str] = []
 
-        async def slow_acquire(address: str, seconds: float) -> ServerConnection | None:
+        async def slow_open(
+            address: str, zone: str, seconds: float, request_id: str = ""
+        ) -> ServerLink:
             if not met:
                 name = by_address[address]
                 met.append(name)
                 key = fleet.instance(fleet.nodes[0], name).key
                 context.server_signals.on_answer(key, 1.0, context.now(), context.now())
-            return await acquire(address, seconds)
+            return await open_link(address, zone, seconds, request_id)
 
-        setattr(context.pool, "acquire", slow_acquire)  # noqa: B010
+        setattr(context.server_links, "open", slow_open)  # noqa: B010
         client = await harness.client()
         result = await client.ask("/unsafe/")
         assert result.status == 200
--- a/tests/link_cuts.py
+++ b/tests/link_cuts.py
@@ -50,17 +50,17 @@
         return self._is_aborted
 
     def get_write_buffer_size(self) -> int:
-        """Bytes that the kernel has not taken; the kernel takes all."""
-        return 0
+        """Bytes that the other end has not acknowledged."""
+        return sum(map(len, self._held))
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        """See `asyncio.BaseTransport`."""
+        self._transport.set_protocol(protocol)
 
     def get_extra_info(self, name: str) -> Any:
         """See `asyncio.BaseTransport`."""
         return self._transport.get_extra_info(name)
 
-    def unacknowledged_bytes(self) -> int:
-        """Bytes that the other end has not acknowledged."""
-        return sum(map(len, self._held))
-
     def heal(self) -> asyncio.Transport | None:
         """Deliver what was held back; the real transport, None if this end was closed."""
         if self._is_aborted:
