The lease of a roll-out goes to a gateway that reaches the servers

A gateway that doesn't reach half of the model servers neither takes nor renews the lease. Readers of the store compete for it as before; gateways that relay connections for others do so too, since all readers may be cut off.

--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -116,9 +116,7 @@
             instance.health.on_order(now + INITIAL_LOAD_SECONDS)
 
     def _on_cache_store_notice(self, notice: ServerNotice) -> None:
-        table = self._context.route_table
-        stores = table.cache_stores if table is not None else []
-        if any(store.store_address == notice.subject for store in stores):
+        if self._context.is_cache_store(notice.subject):
             reachable = notice.state is ServerState.STORE_REACHABLE
             self._context.cache_store_availability.set_reachable(notice.subject, reachable)
 
--- a/src/milletcourse/gateway/fleet/relay_listener.py
+++ b/src/milletcourse/gateway/fleet/relay_listener.py
@@ -154,8 +154,8 @@
         return str((self._transport.get_extra_info("peername") or ("",))[0])
 
     async def _connect(self, request: RelayRequest) -> None:
-        reply, instance = self._judge(request)
-        if instance is None:
+        reply = self._judge(request)
+        if reply is not RelayReply.CONNECTED:
             self._refuse(reply)
             return
         try:
@@ -166,26 +166,26 @@
         if link.connection is None:
             self._refuse(_REPLIES[link.failure or LinkFailure.UNREACHABLE])
             return
-        self._join(instance, link.connection)
+        self._join(link.connection)
 
-    def _judge(self, request: RelayRequest) -> tuple[RelayReply, Instance | None]:
-        """The server to connect to, or the reply that refuses the request."""
+    def _judge(self, request: RelayRequest) -> RelayReply:
+        """`CONNECTED` if the request may be met, else the reply that refuses it."""
         context = self._context
         if not self._listener.is_listed(request.sender, self._remote_host()):
-            return RelayReply.NOT_PERMITTED, None
+            return RelayReply.NOT_PERMITTED
         if context.stopping or self._listener.is_full():
-            return RelayReply.BUSY, None
-        instance = context.instances.at_address(request.server)
-        if instance is None:
-            return RelayReply.UNKNOWN_SERVER, None
-        if context.server_signals.signal(instance.key, context.now()) is not None:
-            return RelayReply.EXCLUDED, None
-        return RelayReply.CONNECTED, instance
-
-    def _join(self, instance: Instance, connection: ServerConnection) -> None:
+            return RelayReply.BUSY
+        self._instance = context.instances.at_address(request.server)
+        if self._instance is None:
+            is_store = context.is_cache_store(request.server)
+            return RelayReply.CONNECTED if is_store else RelayReply.UNKNOWN_SERVER
+        if context.server_signals.signal(self._instance.key, context.now()) is not None:
+            return RelayReply.EXCLUDED
+        return RelayReply.CONNECTED
+
+    def _join(self, connection: ServerConnection) -> None:
         """Connect the two ends with each other."""
         assert self._transport is not None
-        self._instance = instance
         self._head_reader = AnswerHeadReader(self._context.dialect, self._on_answer_head)
         sender_end = RelayEnd(self._transport, self._on_request_data, self._on_end)
         transport = connection.take_transport()
@@ -213,16 +213,17 @@
 
     def _on_answer_head(self, head: AnswerHead) -> None:
         """Apply the server's signals: they concern what this gateway sends it, too."""
-        assert self._instance is not None
-        self._context.signal_monitor.on_answer(self._instance, head, self._started_at)
+        if self._instance is not None:
+            self._context.signal_monitor.on_answer(self._instance, head, self._started_at)
 
     def _on_end(self, error: Exception | None) -> None:
         self._listener.connections.discard(self)
-        assert self._request is not None and self._instance is not None
+        assert self._request is not None
+        self._context.relayed_at = self._context.now()
         self._context.record.paths.relayed(
             self._request.request_id,
             self._request.sender,
-            self._instance.name,
+            self._instance.name if self._instance is not None else self._request.server,
             self._sent,
             self._answered,
             self._context.now() - self._started_at,
--- a/src/milletcourse/gateway/fleet/rollout_service.py
+++ b/src/milletcourse/gateway/fleet/rollout_service.py
@@ -38,6 +38,8 @@
 LEASE_POLL_SPREAD_SECONDS = 1.0
 """Other gateways check this often, plus a random addition, whether the holder still renews."""
 ORDER_TIMEOUT_SECONDS = 0.6
+RELAYING_SECONDS = 2.0
+"""Others don't reach the servers as long as a connection was relayed for them within this time."""
 LEASE_EXTRA_SECONDS = 0.3
 """The lease lasts this much longer than the minimum time between two holders."""
 
@@ -107,10 +109,17 @@
                 self._send_orders()
 
     def _may_hold_lease(self) -> bool:
-        """Whether this gateway may hold the lease; only readers of the store compete for it."""
-        if self._context.stopping:
+        """Whether this gateway may hold the lease.
+
+        Only readers of the store compete for it, and gateways that relay connections for others,
+        since all readers may have lost their paths to the servers.
+        """
+        context = self._context
+        if context.stopping or not context.reaches_engines():
             return False
-        return self._context.reads_store or self._lease.is_held(self._context.now())
+        now = context.now()
+        relays_for_others = now - context.relayed_at < RELAYING_SECONDS
+        return context.reads_store or relays_for_others or self._lease.is_held(now)
 
     # -- lease ----------------------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/servers/server_links.py
+++ b/src/milletcourse/gateway/servers/server_links.py
@@ -269,6 +269,16 @@
         is_suspect = self._is_suspect(address, relayed, began_at)
         return _failure(relayed, is_suspect) is LinkFailure.SERVER_DOWN
 
+    async def is_reached_by_other(self, address: str) -> bool:
+        """Whether another gateway reaches a server or a store that didn't answer this one."""
+        if not self._relays.has_peers:
+            return False
+        relayed = await self._relays.open(address, "", "")
+        if relayed.connection is None:
+            return False
+        relayed.connection.abort()
+        return True
+
     def _is_suspect(self, address: str, relayed: RelayResult, began_at: float) -> bool:
         """Whether a server that no gateway connected to is itself at fault."""
         if self._paths.heard_at > began_at:
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -80,6 +80,7 @@
         paths: Which servers this gateway reaches itself.
         relays: The gateways through which it reaches the others.
         server_links: Connections to servers, direct ones and others.
+        relayed_at: Monotonic time at which a connection was last relayed for another gateway.
         short_of_descriptors_until: Until this monotonic time client connections count as waiting to
             be accepted for lack of descriptors.
         responsive_clock: Time during which the event loop ran, by which timeouts on the silence of
@@ -178,6 +179,7 @@
             retry_delays,
         )
         self.weights = WeightedChoice(random_source)
+        self.relayed_at = float("-inf")
         self.short_of_descriptors_until = float("-inf")
         self.descriptors = descriptor_plan(settings.max_descriptors)
         self.pool = ConnectionPool(
@@ -322,6 +324,19 @@
         """Record a request that was read but ended without a complete answer."""
         self.record.unanswered(request, self.dialect.request_id_of(request.fields), self.stopping)
 
+    def is_cache_store(self, address: str) -> bool:
+        """Whether a prompt-cache store of the configuration is at an address."""
+        stores = self.route_table.cache_stores if self.route_table is not None else []
+        return any(store.store_address == address for store in stores)
+
+    def reaches_engines(self) -> bool:
+        """Whether this gateway reaches at least half of the model servers itself."""
+        if not self.paths.needs_probes:
+            return True
+        engines = [instance for instance in self.instances if instance.record.weight_versions]
+        lost = sum(self.paths.is_lost(instance.record.address) for instance in engines)
+        return 2 * lost <= len(engines)
+
     def is_ready(self) -> bool:
         """Whether clients should be sent here."""
         knows_all = self.route_table is not None and self.instances.is_listed
