A cache store that another gateway reaches is not reported as lost

A probe without answer now asks another gateway for a connection to the store; if one comes up, the path is at fault and nothing is reported.

--- a/src/milletcourse/gateway/fleet/cache_store_probe.py
+++ b/src/milletcourse/gateway/fleet/cache_store_probe.py
@@ -87,6 +87,9 @@
         reply = await self._calls.call(address, call, PROBE_TIMEOUT_SECONDS)
         if reply is not None:
             self._on_reply(address, self._dialect.read_probe_reply(reply))
+        elif await self._context.server_links.is_reached_by_other(address):
+            # The path from here is lost, which says nothing about the store.
+            return
         self._context.cache_store_availability.record_probe(address, reply is not None)
 
     def _on_reply(self, address: str, reply_content: ProbeReply | None) -> None:
