Soak with cut links; crashes are found out while links are cut

The cut is made inside the gateway's process, since a proxy's network stack would acknowledge what the server never gets.

A gateway whose paths are cut could not tell whether the server had terminated: a direct connection hung, and other gateways without traffic could not vouch for their own paths.

- a server that doesn't accept is judged by a connection to another server, unless one was heard since, by the gateway itself and by one that is asked;
- gateways say whether a server refuses connections or is silent;
- crash checks ask also gateways that recently couldn't help, and are repeated each half second while nobody can tell and the loss still counts.

--- a/src/milletcourse/exchange/messages/relay_messages.py
+++ b/src/milletcourse/exchange/messages/relay_messages.py
@@ -26,23 +26,27 @@
 
     CONNECTED = 0x80
     """The connection is up; the bytes that follow are the server's."""
-    SERVER_DOWN = 0x81
-    """The server doesn't accept connections, while others do."""
-    UNREACHABLE = 0x82
+    SERVER_REFUSES = 0x81
+    """The server refuses connections, while others accept them."""
+    SERVER_SILENT = 0x82
+    """The server doesn't reply, while others do."""
+    UNREACHABLE = 0x83
     """This gateway doesn't reach the server; that says nothing about the server."""
-    BUSY = 0x83
+    BUSY = 0x84
     """This gateway relays as many connections as it may, or is shutting down."""
-    EXCLUDED = 0x84
+    EXCLUDED = 0x85
     """The server asked this gateway to send it nothing."""
-    UNKNOWN_SERVER = 0x85
+    UNKNOWN_SERVER = 0x86
     """This gateway knows no server at the address."""
-    NOT_PERMITTED = 0x86
+    NOT_PERMITTED = 0x87
     """The caller isn't a listed gateway."""
-    MALFORMED = 0x87
+    MALFORMED = 0x88
     """The request can't be decoded."""
 
 
-CLEARS_RELAY = frozenset({RelayReply.SERVER_DOWN, RelayReply.EXCLUDED})
+SERVER_REPLIES = frozenset(
+    {RelayReply.SERVER_REFUSES, RelayReply.SERVER_SILENT, RelayReply.EXCLUDED}
+)
 """Replies that are about the server, not about the gateway that replies."""
 
 
--- a/src/milletcourse/exchange/servers/relay_selector.py
+++ b/src/milletcourse/exchange/servers/relay_selector.py
@@ -71,18 +71,24 @@
                 peer = known
             self._peers[peer.name] = peer
 
-    def candidates(self, server_zone: str, count: int, now: float) -> list[RelayPeer]:
+    def candidates(
+        self, server_zone: str, count: int, now: float, with_paused: bool = False
+    ) -> list[RelayPeer]:
         """The gateways to ask for a connection to a server, the best first.
 
         Args:
             server_zone: Zone of the server.
             count: Maximum number of gateways.
             now: Monotonic time.
+            with_paused: Also return gateways that recently couldn't help, after the others.
         """
-        usable = [peer for peer in self._peers.values() if now >= peer.paused_until]
-        ranked = [(self._cost(peer, server_zone), peer.name, peer) for peer in usable]
-        ranked.sort(key=lambda item: item[:2])
-        return [peer for _, _, peer in ranked[:count]]
+        ranked = [
+            (now < peer.paused_until, self._cost(peer, server_zone), peer.name, peer)
+            for peer in self._peers.values()
+            if with_paused or now >= peer.paused_until
+        ]
+        ranked.sort(key=lambda item: item[:3])
+        return [item[3] for item in ranked[:count]]
 
     def _cost(self, peer: RelayPeer, server_zone: str) -> float:
         crossings = (peer.zone != self._own_zone) + (peer.zone != server_zone)
--- a/src/milletcourse/exchange/servers/server_paths.py
+++ b/src/milletcourse/exchange/servers/server_paths.py
@@ -162,6 +162,19 @@
         self._note_probe(address, now)
         return True
 
+    def other_server(self, address: str, now: float) -> str | None:
+        """Another server, to find out whether any is reached; counts as a probe.
+
+        None when there is none, or a probe has just been made.
+        """
+        if self.is_isolated or now - self._probed_at < PROBE_INTERVAL_SECONDS:
+            return None
+        others = [item for item in self._services if item != address and item not in self._lost]
+        chosen = self._rotate(others)
+        if chosen is not None:
+            self._note_probe(chosen, now)
+        return chosen
+
     def next_probe(self, now: float) -> str | None:
         """The path to probe now, None when there is none."""
         self._forget_unconfirmed(now)
--- a/src/milletcourse/gateway/fleet/relay_listener.py
+++ b/src/milletcourse/gateway/fleet/relay_listener.py
@@ -27,7 +27,8 @@
 from milletcourse.runtime.sockets import reset_on_close
 
 _REPLIES = {
-    LinkFailure.SERVER_DOWN: RelayReply.SERVER_DOWN,
+    LinkFailure.SERVER_REFUSES: RelayReply.SERVER_REFUSES,
+    LinkFailure.SERVER_SILENT: RelayReply.SERVER_SILENT,
     LinkFailure.UNREACHABLE: RelayReply.UNREACHABLE,
     LinkFailure.EXCLUDED: RelayReply.EXCLUDED,
 }
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -23,7 +23,7 @@
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.server_connection import LossCause, ServerConnection
-from milletcourse.gateway.servers.server_links import LinkFailure, ServerLink
+from milletcourse.gateway.servers.server_links import SERVER_FAULTS, LinkFailure, ServerLink
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telemetry.unanswered import RequestPhase
@@ -233,7 +233,7 @@
         return result
 
     def _on_no_connection(self, link: ServerLink) -> None:
-        if link.failure is LinkFailure.SERVER_DOWN:
+        if link.failure in SERVER_FAULTS:
             return
         # Marked as ended, since nothing is known of the server.
         self._ended = True
--- a/src/milletcourse/gateway/servers/crash_detector.py
+++ b/src/milletcourse/gateway/servers/crash_detector.py
@@ -22,6 +22,8 @@
 """A loss counts as a crash if the server is found to have terminated within this time. Entries of
 terminated servers are removed after three missed heartbeats of 1.2 s, and the watch reports it soon
 after."""
+RECHECK_SECONDS = 0.5
+"""While no gateway can tell whether the server has terminated, it is checked this often."""
 MAX_UNVERIFIED_LOSSES = 512
 """Maximum number of unverified losses; beyond it the oldest are dropped."""
 
@@ -98,11 +100,19 @@
 
     async def _check(self, instance: Instance) -> None:
         try:
-            if await self._links.is_refused(instance.record.address, instance.record.zone):
+            record = instance.record
+            is_refused = await self._links.is_refused(record.address, record.zone)
+            while is_refused is None and self._has_unverified_loss(instance.name):
+                await asyncio.sleep(RECHECK_SECONDS)
+                is_refused = await self._links.is_refused(record.address, record.zone)
+            if is_refused:
                 self.on_instance_terminated(instance.name)
         finally:
             del self._checks[instance.name]
 
+    def _has_unverified_loss(self, name: str) -> bool:
+        return any(loss.instance == name for loss in self._unverified_losses)
+
     def on_instance_terminated(self, name: str) -> None:
         """An incarnation has terminated: recent losses there count against their requests."""
         confirmed = [loss for loss in self._unverified_losses if loss.instance == name]
--- a/src/milletcourse/gateway/servers/relay_client.py
+++ b/src/milletcourse/gateway/servers/relay_client.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 from typing import cast
 
 import msgspec
 
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.relay_messages import (
-    CLEARS_RELAY,
+    SERVER_REPLIES,
     RelayReply,
     RelayRequest,
     decode_relay_reply,
@@ -34,31 +33,24 @@
 MAX_CONCURRENT_ASKS = 3
 
 
-class RelayVerdict(Enum):
-    """What the asked gateways say of a server that none of them connected to."""
-
-    NONE = "none"
-    """None of them reaches any server, or there is none to ask."""
-    SERVER_DOWN = "server-down"
-    """One that reaches other servers doesn't reach this one."""
-    EXCLUDED = "excluded"
-    """The server asked one of them to send it nothing."""
-
-
 class RelayResult(msgspec.Struct):
     """Result of asking other gateways for a connection.
 
     Attributes:
         connection: The connection, None when none came up.
         through: Name of the gateway that relays it; empty for none.
-        verdict: What the gateways said, if there is no connection.
-        asked_all: All other gateways were asked, and replied or timed out.
+        server_reply: What one that reaches other servers said of this one, if there is no
+            connection; None when nothing was said.
     """
 
     connection: ServerConnection | None = None
     through: str = ""
-    verdict: RelayVerdict = RelayVerdict.NONE
-    asked_all: bool = False
+    server_reply: RelayReply | None = None
+
+    @property
+    def is_conclusive(self) -> bool:
+        """Whether no other gateway needs to be asked."""
+        return self.connection is not None or self.server_reply is not None
 
 
 class _Ask(asyncio.Protocol):
@@ -117,17 +109,19 @@
         """Whether there is any gateway to ask."""
         return self._selector.peer_count > 0
 
-    async def open(self, address: str, zone: str, request_id: str) -> RelayResult:
+    async def open(
+        self, address: str, zone: str, request_id: str = "", is_check: bool = False
+    ) -> RelayResult:
         """Open a connection to a server through the first gateway that reaches it.
 
         Args:
             address: `host:port` of the server.
             zone: Its zone.
             request_id: Id of the request that the connection will carry; empty for none.
+            is_check: Only the reply matters, so that each gateway is worth asking.
         """
         result = RelayResult()
-        peers = self._selector.candidates(zone, MAX_ASKS, elapsed_seconds())
-        asked = len(peers)
+        peers = self._selector.candidates(zone, MAX_ASKS, elapsed_seconds(), is_check)
         pending: dict[asyncio.Task[RelayResult], RelayPeer] = {}
         try:
             while peers or pending:
@@ -143,9 +137,8 @@
                 for task in done:
                     del pending[task]
                     result = _better(result, task.result())
-                if result.connection is not None or result.verdict is not RelayVerdict.NONE:
-                    return result
-            result.asked_all = asked == self._selector.peer_count > 0
+                if result.is_conclusive:
+                    break
             return result
         finally:
             for task in pending:
@@ -177,15 +170,10 @@
         if ask is not None and ask.transport is not None and is_connected:
             connection = self._take_over(peer, address, ask.transport, data[1:])
             return RelayResult(connection, peer.name)
-        return RelayResult(verdict=self._verdict(peer, reply))
-
-    def _verdict(self, peer: RelayPeer, reply: RelayReply | None) -> RelayVerdict:
-        if reply not in CLEARS_RELAY:
-            self._selector.on_failed(peer, elapsed_seconds())
-            return RelayVerdict.NONE
-        if reply is RelayReply.EXCLUDED:
-            return RelayVerdict.EXCLUDED
-        return RelayVerdict.SERVER_DOWN
+        if reply in SERVER_REPLIES:
+            return RelayResult(server_reply=reply)
+        self._selector.on_failed(peer, elapsed_seconds())
+        return RelayResult()
 
     def _take_over(
         self, peer: RelayPeer, address: str, transport: asyncio.Transport, data: bytes
@@ -206,7 +194,7 @@
         if new.connection is not None:
             new.connection.abort()
         return known
-    return known if new.connection is None and new.verdict is RelayVerdict.NONE else new
+    return new if new.is_conclusive else known
 
 
 def close_unused(task: asyncio.Task[RelayResult]) -> None:
--- a/src/milletcourse/gateway/servers/server_links.py
+++ b/src/milletcourse/gateway/servers/server_links.py
@@ -12,13 +12,13 @@
 
 import msgspec
 
+from milletcourse.exchange.messages.relay_messages import RelayReply
 from milletcourse.exchange.servers.server_paths import PROBE_INTERVAL_SECONDS, ServerPaths
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.relay_client import (
     RelayClient,
     RelayResult,
-    RelayVerdict,
     close_unused,
 )
 from milletcourse.gateway.servers.server_connection import (
@@ -43,9 +43,10 @@
 class LinkFailure(Enum):
     """Why there is no connection to a server."""
 
-    SERVER_DOWN = "server-down"
-    """Others don't reach the server either, while this gateway or they hear other servers; or it
-    refuses the connections of all gateways."""
+    SERVER_REFUSES = "server-refuses"
+    """The server refuses connections, and other servers accept them."""
+    SERVER_SILENT = "server-silent"
+    """The server doesn't reply, and other servers do."""
     UNREACHABLE = "unreachable"
     """This gateway reaches no server, and no other gateway helped: nothing is known of the server.
     """
@@ -53,6 +54,14 @@
     """The server asked a gateway that reaches it to send it nothing."""
 
 
+SERVER_FAULTS = frozenset({LinkFailure.SERVER_REFUSES, LinkFailure.SERVER_SILENT})
+_FAILURES = {
+    RelayReply.SERVER_REFUSES: LinkFailure.SERVER_REFUSES,
+    RelayReply.SERVER_SILENT: LinkFailure.SERVER_SILENT,
+    RelayReply.EXCLUDED: LinkFailure.EXCLUDED,
+}
+
+
 class ServerLink(msgspec.Struct):
     """A connection to a server, or why there is none.
 
@@ -128,7 +137,8 @@
         relayed = await self._relays.open(address, zone, request_id)
         if relayed.connection is not None:
             return ServerLink(relayed.connection, relayed.through)
-        return ServerLink(failure=_failure(relayed, is_server_suspect=False))
+        reply = relayed.server_reply
+        return ServerLink(failure=_FAILURES[reply] if reply else LinkFailure.UNREACHABLE)
 
     async def _race(self, address: str, zone: str, request_id: str) -> ServerLink:
         began_at = elapsed_seconds()
@@ -162,7 +172,7 @@
             if connection is not None:
                 return ServerLink(connection)
         if not self._relays.has_peers:
-            return ServerLink(failure=LinkFailure.SERVER_DOWN)
+            return ServerLink(failure=self._server_fault(address))
         relay = asyncio.get_running_loop().create_task(self._relays.open(address, zone, request_id))
         try:
             await asyncio.wait({relay} if dial.done() else {dial, relay}, return_when=FIRST)
@@ -175,7 +185,9 @@
             self._on_reached_by_other(address, relayed.through)
             return ServerLink(relayed.connection, relayed.through)
         self._report_isolation()
-        return ServerLink(failure=_failure(relayed, self._is_suspect(address, relayed, began_at)))
+        if relayed.server_reply is not None:
+            return ServerLink(failure=_FAILURES[relayed.server_reply])
+        return ServerLink(failure=await self._judge_failure(address, began_at))
 
     def _abandon(self, dial: asyncio.Task[ServerConnection | None]) -> None:
         """Let a dial that isn't waited for any more go on: its outcome tells about the path."""
@@ -218,10 +230,7 @@
         connection = await self._dial(address, began_at, RELAYED_DIAL_SECONDS)
         if connection is not None:
             return ServerLink(connection)
-        self._report_isolation()
-        if self._paths.heard_at > began_at:
-            return ServerLink(failure=LinkFailure.SERVER_DOWN)
-        return ServerLink(failure=LinkFailure.UNREACHABLE)
+        return ServerLink(failure=await self._judge_failure(address, began_at))
 
     # -- checks ---------------------------------------------------------------------------------
 
@@ -248,42 +257,68 @@
         else:
             self._pool.release(link.connection)
 
-    async def is_refused(self, address: str, zone: str) -> bool:
-        """Whether nothing listens at a server's address, as far as any gateway can tell."""
+    async def is_refused(self, address: str, zone: str) -> bool | None:
+        """Whether nothing listens at a server's address; None when no gateway can tell now."""
         began_at = elapsed_seconds()
-        refused = await self._pool.is_refused(address)
-        if refused is None:
-            return False
-        if not refused:
+        is_refused: bool | None = None
+        if not self._paths.is_lost(address):
+            is_refused = await self._pool.is_refused(address)
+        if is_refused is False:
             self._on_connected(address)
             return False
         if not self._relays.has_peers:
-            return True
-        self._on_failed(address, began_at, is_refused=True)
-        relayed = await self._relays.open(address, zone, "")
+            return is_refused is True
+        self._on_failed(address, began_at, is_refused=is_refused is True)
+        relayed = await self._relays.open(address, zone, is_check=True)
         if relayed.connection is not None:
             relayed.connection.abort()
             self._on_reached_by_other(address, relayed.through)
             return False
-        self._report_isolation()
-        is_suspect = self._is_suspect(address, relayed, began_at)
-        return _failure(relayed, is_suspect) is LinkFailure.SERVER_DOWN
+        if relayed.server_reply is not None:
+            return relayed.server_reply is RelayReply.SERVER_REFUSES
+        failure = await self._judge_failure(address, began_at)
+        return None if failure is LinkFailure.UNREACHABLE else failure is LinkFailure.SERVER_REFUSES
 
     async def is_reached_by_other(self, address: str) -> bool:
         """Whether another gateway reaches a server or a store that didn't answer this one."""
         if not self._relays.has_peers:
             return False
-        relayed = await self._relays.open(address, "", "")
+        relayed = await self._relays.open(address, zone="", is_check=True)
         if relayed.connection is None:
             return False
         relayed.connection.abort()
         return True
 
-    def _is_suspect(self, address: str, relayed: RelayResult, began_at: float) -> bool:
-        """Whether a server that no gateway connected to is itself at fault."""
+    async def _judge_failure(self, address: str, began_at: float) -> LinkFailure:
+        """What a failed direct attempt says: another server that is reached clears the path.
+
+        Args:
+            address: The server.
+            began_at: Monotonic time at which the attempt began.
+        """
+        self._report_isolation()
+        if self._paths.heard_at <= began_at:
+            await self._dial_another(address)
         if self._paths.heard_at > began_at:
-            return True
-        return relayed.asked_all and self._paths.is_refused(address)
+            return self._server_fault(address)
+        return LinkFailure.UNREACHABLE
+
+    async def _dial_another(self, address: str) -> None:
+        """Connect to any other server, unless that has just been tried."""
+        now = elapsed_seconds()
+        other = self._paths.other_server(address, now)
+        if other is None:
+            return
+        try:
+            connection = await self._dial(other, now, PROBE_TIMEOUT_SECONDS)
+        except LocalResourceError:
+            return
+        if connection is not None:
+            self._pool.release(connection)
+
+    def _server_fault(self, address: str) -> LinkFailure:
+        is_refused = self._paths.is_refused(address)
+        return LinkFailure.SERVER_REFUSES if is_refused else LinkFailure.SERVER_SILENT
 
     # -- probes ---------------------------------------------------------------------------------
 
@@ -349,11 +384,3 @@
     if not relay.done():
         relay.cancel()
         relay.add_done_callback(close_unused)
-
-
-def _failure(relayed: RelayResult, is_server_suspect: bool) -> LinkFailure:
-    if relayed.verdict is RelayVerdict.EXCLUDED:
-        return LinkFailure.EXCLUDED
-    if relayed.verdict is RelayVerdict.SERVER_DOWN or is_server_suspect:
-        return LinkFailure.SERVER_DOWN
-    return LinkFailure.UNREACHABLE
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,7 @@
 from soak.faults import FAULTS
 from soak.large_configuration import probe_routes, resize_configuration
 from soak.limits import limit_servers
+from soak.link_faults import CUT_PROGRAM, cut_links
 from soak.seeds import Report, run_seeds
 from soak.signals import (
     BACK_OFF_SECONDS,
@@ -32,7 +33,13 @@
     replace_draining_servers,
 )
 from soak.store_restores import check_after_restores, start_restores, store_figures, watch_store
-from soak.world import DEFAULT_GATEWAYS, LISTEN_TIMEOUT_SECONDS, TENANTS, SoakWorld
+from soak.world import (
+    DEFAULT_GATEWAYS,
+    GATEWAY_PROGRAM,
+    LISTEN_TIMEOUT_SECONDS,
+    TENANTS,
+    SoakWorld,
+)
 from soak.writers import restart_servers, write_malformed_entries
 
 CLIENTS = 12
@@ -65,9 +72,11 @@
     signals: bool = False,
     restores_store: bool = False,
     large: bool = False,
+    cuts: bool = False,
 ) -> Report:
     """Run one soak and return its report."""
-    world = SoakWorld(seed, folder, gateways)
+    program = CUT_PROGRAM if cuts else GATEWAY_PROGRAM
+    world = SoakWorld(seed, folder, gateways, program)
     world.link_megabits = LINK_MEGABITS if large else 0.0
     world.servers_are_healthy = False
     world.serves_state = restores_store
@@ -94,6 +103,8 @@
             server_signals.append(
                 asyncio.create_task(drain_and_replace_servers(world, DRAINING_SHARE))
             )
+        if cuts:
+            server_signals.append(asyncio.create_task(cut_links(world)))
         if restores_store:
             server_signals += start_restores(world)
         if large:
@@ -145,6 +156,8 @@
         "signals": ledger.signals.figures(),
         "store": store_figures(world),
         "probes": probes,
+        "cuts": world.link_cuts,
+        "relayed": count_relayed(world),
         "violations": ledger.violations[:20],
     }
 
@@ -206,6 +219,15 @@
     return SoakClient(number, world, world.random, lambda: world.random.choice(world.gateways))
 
 
+def count_relayed(world: SoakWorld) -> int:
+    """Number of connections that gateways logged to have relayed for others."""
+    return sum(
+        line["event"] == "connection-relayed"
+        for gateway in world.gateways
+        for line in gateway.log_lines()
+    )
+
+
 def check_lost(world: SoakWorld) -> None:
     """Check that completely sent requests got complete answers, unless a fault excuses them."""
     verdicts = world.verdicts()
@@ -247,6 +269,9 @@
     parser.add_argument(
         "--large", action="store_true", help="many routes, over links of low bandwidth"
     )
+    parser.add_argument(
+        "--cuts", action="store_true", help="links between single gateways and servers are cut"
+    )
     arguments = parser.parse_args()
 
     def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
@@ -260,6 +285,7 @@
             arguments.signals,
             arguments.copies,
             arguments.large,
+            arguments.cuts,
         )
 
     return run_seeds(arguments.seeds, arguments.keep, run_seed)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -126,6 +126,9 @@
         self.starts = 0
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
+        self.cut_file = self._settings.with_suffix(".cut")
+        """Names the links that a gateway of `cut_launcher.py` must cut."""
+        self.links_are_cut = False
         self.feed = FaultProxy(f"{HOST}:{internal}", links, link_megabits)
         self._callers = FaultProxy(self.frontend, links) if link_callers else None
         document = {
@@ -344,6 +347,7 @@
         """Number of checks after restores in which a gateway knew the store's contents."""
         self.stops = 0
         self.suspensions = 0
+        self.link_cuts = 0
         self.clock = ResponsiveClock()
         # A close that waits in this process's proxies is not a delay of the gateway.
         self.ledger.now = self.clock.seconds
