--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -18,6 +18,7 @@
 from milletcourse.experiments.faults import PLANS
 from milletcourse.experiments.limit_model import compare_limit_strategies
 from milletcourse.experiments.parameters import load_deployment
+from milletcourse.experiments.relay_model import compare_relays
 from milletcourse.experiments.report import plot, summarize, table
 from milletcourse.experiments.run import POLICIES, ExperimentRun
 from milletcourse.experiments.server_quota_model import compare_server_quotas
@@ -61,6 +62,16 @@
         sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
 
 
+@app.command("relays")
+def relays(
+    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "7,79,420",
+    seed: Annotated[int, typer.Option(help="Seed of all random draws.")] = 1,
+) -> None:
+    """Compare how gateways that reach no server find one that does."""
+    for result in compare_relays(parse_sizes(gateways), seed):
+        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
+
+
 @app.command("changes")
 def changes(
     seed: Annotated[int, typer.Option(help="Seed of all random draws.")] = 1,
--- a/src/milletcourse/cli/explain_request.py
+++ b/src/milletcourse/cli/explain_request.py
@@ -29,11 +29,24 @@
         "lease-held",
         "lease-lost",
         "stopping",
+        "path-lost",
+        "path-restored",
+        "servers-unreachable",
+        "servers-reached",
     }
 )
 """Events that change the cached state of a gateway; the latest of each precedes the request."""
 
 
+ENDED_EVENTS = {
+    "path-restored": "path-lost",
+    "path-lost": "path-restored",
+    "servers-reached": "servers-unreachable",
+    "servers-unreachable": "servers-reached",
+}
+"""Events that end the state of another one."""
+
+
 def explain_request(
     request_id: Annotated[str, typer.Argument(help="Id of the request.")],
 ) -> None:
@@ -63,8 +76,7 @@
         if event == "started":
             states.pop(node, None)
         if event in STATE_EVENTS:
-            about = str(document.get("instance", document.get("kind", "")))
-            states.setdefault(node, {})[f"{event} {about}"] = document
+            _remember(states.setdefault(node, {}), event, document)
         if document.get("request_id") != request_id:
             continue
         if node not in shown:
@@ -75,6 +87,13 @@
         yield _render(document)
 
 
+def _remember(state: dict[str, dict[str, Any]], event: str, document: dict[str, Any]) -> None:
+    """Keep the latest line of an event; one that ends another replaces it."""
+    about = str(document.get("instance", document.get("address", document.get("kind", ""))))
+    state.pop(f"{ENDED_EVENTS.get(event, '')} {about}", None)
+    state[f"{event} {about}"] = document
+
+
 def _render(document: dict[str, Any]) -> str:
     fields = " ".join(
         f"{name}={value}" for name, value in document.items() if name not in SHARED_FIELDS
--- a/src/milletcourse/exchange/servers/relay_selector.py
+++ b/src/milletcourse/exchange/servers/relay_selector.py
@@ -1,8 +1,9 @@
 """Selects the gateways through which a server is reached; no input/output.
 
-Gateways that recently couldn't help are left out for a growing time, so that a gateway whose peers
-are cut off too soon asks only those that reach the server. Among the others the load is spread by
-the number of connections that this gateway already has through each.
+Gateways that recently couldn't help are left out for a growing time, and those that did come first
+meanwhile: when most of the others are cut off, too, a gateway soon asks only those that reach the
+servers. Among equals the load is spread by the number of connections that this gateway already has
+through each.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
         zone: Its zone.
         connections: Open connections through it.
         failures: Failures in a row.
+        has_helped: The latest request for a connection through it succeeded.
         paused_until: Monotonic time until which it isn't asked.
     """
 
@@ -38,6 +40,7 @@
     zone: str
     connections: int = 0
     failures: int = 0
+    has_helped: bool = False
     paused_until: float = float("-inf")
 
 
@@ -54,6 +57,7 @@
         self._own_zone = own_zone
         self._random = random_source
         self._peers: dict[str, RelayPeer] = {}
+        self._failed_at = float("-inf")
 
     @property
     def peer_count(self) -> int:
@@ -83,13 +87,19 @@
             with_paused: Also return gateways that recently couldn't help, after the others.
         """
         ranked = [
-            (now < peer.paused_until, self._cost(peer, server_zone), peer.name, peer)
+            (self._rank(peer, now), self._cost(peer, server_zone), peer.name, peer)
             for peer in self._peers.values()
             if with_paused or now >= peer.paused_until
         ]
         ranked.sort(key=lambda item: item[:3])
         return [item[3] for item in ranked[:count]]
 
+    def _rank(self, peer: RelayPeer, now: float) -> int:
+        """While gateways fail to help, those that did come first, and paused ones last."""
+        if now < peer.paused_until:
+            return 2
+        return int(now - self._failed_at < MAX_PAUSE_SECONDS and not peer.has_helped)
+
     def _cost(self, peer: RelayPeer, server_zone: str) -> float:
         crossings = (peer.zone != self._own_zone) + (peer.zone != server_zone)
         return peer.connections + ZONE_CROSSING_CONNECTIONS * crossings + self._random.random()
@@ -98,6 +108,7 @@
         """A connection through a gateway came up."""
         peer.connections += 1
         peer.failures = 0
+        peer.has_helped = True
 
     def on_closed(self, peer: RelayPeer) -> None:
         """A connection through a gateway was closed."""
@@ -105,6 +116,8 @@
 
     def on_failed(self, peer: RelayPeer, now: float) -> None:
         """A gateway couldn't help: leave it out for a while."""
+        self._failed_at = now
+        peer.has_helped = False
         if now < peer.paused_until:
             # Requests that were sent at the same time fail together.
             return
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -398,3 +398,26 @@
         await stop
 
     run_with_gateway(scenario)
+
+
+def test_a_relayed_request_is_explained_by_both_gateways() -> None:
+    """The first gateway names the second one, whose line has the same request id.
+
+    A path that works again is no longer shown as lost.
+    """
+    lines = [
+        '{"timestamp": "1", "node": "a", "event": "path-lost", "address": "s:1"}',
+        '{"timestamp": "2", "node": "a", "event": "path-lost", "address": "s:2"}',
+        '{"timestamp": "3", "node": "a", "event": "path-restored", "address": "s:2"}',
+        '{"timestamp": "5", "node": "a", "event": "request-served", "request_id": "x",'
+        ' "through": "b"}',
+        '{"timestamp": "4", "node": "b", "event": "connection-relayed", "request_id": "x",'
+        ' "sender": "a"}',
+    ]
+    explained = list(explain_lines(lines, "x"))
+    assert explained == [
+        "4 b connection-relayed request_id=x sender=a",
+        "  believed: 1 a path-lost address=s:1",
+        "  believed: 3 a path-restored address=s:2",
+        "5 a request-served request_id=x through=b",
+    ]
