Revert the try on servers that fail when they reject too much

What is left to try: permits of single slots from one owner a server, returned at the end of a request, as rates are lent today.

--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -18,7 +18,6 @@
 from milletcourse.experiments.faults import PLANS
 from milletcourse.experiments.limit_model import compare_limit_strategies
 from milletcourse.experiments.parameters import load_deployment
-from milletcourse.experiments.rejection_model import compare_rejections
 from milletcourse.experiments.relay_model import compare_relays
 from milletcourse.experiments.report import plot, summarize, table
 from milletcourse.experiments.run import POLICIES, ExperimentRun
@@ -73,16 +72,6 @@
         sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
 
 
-@app.command("rejections")
-def rejections(
-    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5,79,420",
-    seed: Annotated[int, typer.Option(help="Seed of all random draws.")] = 1,
-) -> None:
-    """Compare ways to keep servers from rejecting too many requests."""
-    for result in compare_rejections(parse_sizes(gateways), seed):
-        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
-
-
 @app.command("changes")
 def changes(
     seed: Annotated[int, typer.Option(help="Seed of all random draws.")] = 1,
--- a/src/milletcourse/exchange/messages/dialect.py
+++ b/src/milletcourse/exchange/messages/dialect.py
@@ -78,8 +78,6 @@
     """In answers: requests per second that the server accepts from all gateways together."""
     leaving: str = "Milletcourse-Leaving"
     """In answers: whether the server is shutting down."""
-    rejection_limit: str = "Milletcourse-Rejection-Limit"
-    """In answers: rejections per second above which the servers of the service fail."""
     router_only: tuple[str, ...] = ()
     """Further fields that only a router may set; dropped from client requests."""
 
@@ -102,7 +100,6 @@
         self._answer_version = names.answer_weight_version.lower().encode()
         self._request_limit = names.request_limit.lower().encode()
         self._leaving = names.leaving.lower().encode()
-        self._rejection_limit = names.rejection_limit.lower().encode()
         set_by_router = (
             names.key,
             names.tenant,
@@ -260,7 +257,6 @@
             limit=read_limit(_all_values(self._request_limit, values, fields)),
             leaving=read_leaving(_all_values(self._leaving, values, fields)),
             back_off=_read_back_off(status, values, fields),
-            rejection_limit=read_limit(_all_values(self._rejection_limit, values, fields)),
         )
 
 
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -134,7 +134,6 @@
         limit: Request limit that the server reports.
         leaving: Whether the server reports that it is shutting down.
         back_off: Back-off that a refusing server requests.
-        rejection_limit: Rejections per second above which the server fails.
     """
 
     status: int
@@ -154,7 +153,6 @@
     limit: LimitHeader = NO_LIMIT
     leaving: LeavingHeader = NOT_LEAVING
     back_off: BackOffHeader = NO_BACK_OFF
-    rejection_limit: LimitHeader = NO_LIMIT
 
     @property
     def framed(self) -> bool:
--- a/src/milletcourse/exchange/messages/records.py
+++ b/src/milletcourse/exchange/messages/records.py
@@ -182,7 +182,6 @@
         weight_versions: Model -> version of the weights that it has loaded.
         started_ms: Start time by its own clock, in Unix milliseconds; 0 when not given. A later
             start is another incarnation, which has no state of the previous one.
-        slots: Requests that it works on at once; 0 when not given.
     """
 
     name: str
@@ -192,7 +191,6 @@
     draining: bool = False
     weight_versions: dict[str, int] = {}
     started_ms: int = 0
-    slots: int = 0
 
 
 class ModelTarget(msgspec.Struct, frozen=True):
--- a/src/milletcourse/exchange/placement/instance_selector.py
+++ b/src/milletcourse/exchange/placement/instance_selector.py
@@ -15,7 +15,6 @@
 
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.load.load_exchange import LoadExchange
-from milletcourse.exchange.load.rejection_limits import RejectionLimits
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages.messages import ExchangeRequest
 from milletcourse.exchange.messages.records import ServiceRecord
@@ -90,7 +89,6 @@
         random_source: random.Random,
         mechanisms: frozenset[Mechanism] = ALL_MECHANISMS,
         retry_delays: PermitRetryDelays | None = None,
-        rejection_limits: RejectionLimits | None = None,
     ) -> None:
         self._table = table
         self._gate = gate
@@ -105,7 +103,6 @@
             loads,
             mechanisms,
             retry_delays if retry_delays is not None else PermitRetryDelays(),
-            rejection_limits if rejection_limits is not None else RejectionLimits(),
         )
         self.holders = RecentCacheHolders(CACHE_LIFETIME_SECONDS)
         table.on_forgotten = self.holders.forget
--- a/src/milletcourse/exchange/placement/server_candidates.py
+++ b/src/milletcourse/exchange/placement/server_candidates.py
@@ -9,7 +9,6 @@
 
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.load.load_exchange import LoadExchange
-from milletcourse.exchange.load.rejection_limits import RejectionLimits
 from milletcourse.exchange.mechanisms import Mechanism
 from milletcourse.exchange.messages.records import ServiceRecord
 from milletcourse.exchange.rollout.version_gate import VersionGate
@@ -27,10 +26,8 @@
         loads: LoadExchange,
         mechanisms: frozenset[Mechanism],
         retry_delays: PermitRetryDelays,
-        rejection_limits: RejectionLimits,
     ) -> None:
         self._retry_delays = retry_delays
-        self._rejection_limits = rejection_limits
         self._table = table
         self._gate = gate
         self._loads = loads
@@ -42,8 +39,7 @@
         """Servers that may get a request; unhealthy and busy ones only while there are no others.
 
         A server that reported that it accepts no requests is never included, even when there is no
-        other one: it is draining, has requested a back-off, has used up its quota, or would have to
-        reject the request and fails when it rejects too many.
+        other one: it is draining, has requested a back-off, or has used up its quota.
 
         Args:
             service: Service that the request goes to.
@@ -93,16 +89,8 @@
         allowed = self.allowed(service, model, tried, now)
         delayed = self._retry_delays.delayed(now)
         signals = self._loads.signals.active_signals((instance.key for instance in allowed), now)
-        accepting = [
+        return [
             instance
             for instance in allowed
             if instance.key not in delayed and instance.key not in signals
         ]
-        if not self._rejection_limits.applies(service):
-            return accepting
-        return [instance for instance in accepting if self._has_slot(service, instance, now)]
-
-    def _has_slot(self, service: ServiceRecord, instance: Instance, now: float) -> bool:
-        others = self._loads.others_load(instance.key, now)
-        gateways = self._loads.known_gateways(now)
-        return self._rejection_limits.admits(service, instance, others.running, gateways, now)
--- a/src/milletcourse/gateway/fleet/relay_listener.py
+++ b/src/milletcourse/gateway/fleet/relay_listener.py
@@ -216,7 +216,6 @@
         """Apply the server's signals: they concern what this gateway sends it, too."""
         if self._instance is not None:
             self._context.signal_monitor.on_answer(self._instance, head, self._started_at)
-            self._context.note_rejection_limit(self._instance, head, self._started_at)
 
     def _on_end(self, error: Exception | None) -> None:
         self._listener.connections.discard(self)
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -316,7 +316,6 @@
         self._stop_delivery_check()
         self._note_heard(connection)
         self._context.signal_monitor.on_answer(self._instance, head, self.sent_at)
-        self._context.note_rejection_limit(self._instance, head, self.sent_at)
         if head.weight_version is not None and self._job.request.model:
             self._instance.note_version(self._job.request.model, head.weight_version)
         if head.successful and head.event_stream and self._job.route.streaming:
@@ -351,9 +350,8 @@
 
     def _evaluate_whole(self, head: AnswerHead, body: bytes) -> AttemptResult:
         result = classify_answer(head, self._instance.name, self._dispatch.weight_version)
-        if result is AttemptResult.REJECTED:
+        if result is AttemptResult.REJECTED and head.back_off.seconds is not None:
             self.server_retry_after_seconds = head.back_off.seconds
-            self._context.note_rejection(self._job.service, self._instance)
         if result is AttemptResult.WRONG_INSTANCE and head.instance not in (
             "",
             self._instance.name,
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -152,8 +152,6 @@
             )
         if Signal.LEAVING in signals:
             return ServersLeaving("all servers are shutting down", retry_after)
-        if self._context.rejection_limits.applies(self._job.service):
-            return Overloaded("every server works on as many requests as it can", retry_after)
         return NoEngineAvailable("no server is available for the request", retry_after)
 
     def _signals_of_all(self, now: float) -> set[Signal]:
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -16,13 +16,12 @@
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.limits.tenant_limits import TenantLimits
 from milletcourse.exchange.load.load_exchange import LoadExchange
-from milletcourse.exchange.load.rejection_limits import RejectionLimits
 from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages.dialect import HeaderDialect
-from milletcourse.exchange.messages.messages import AnswerHead, AttemptResult
+from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.messages.peer_messages import InstanceLoad
-from milletcourse.exchange.messages.records import EdgeLimits, ServiceRecord, TenantRecord
+from milletcourse.exchange.messages.records import EdgeLimits, TenantRecord
 from milletcourse.exchange.placement.cache_store_plan import CacheStorePlan
 from milletcourse.exchange.placement.instance_selector import InstanceSelector
 from milletcourse.exchange.placement.route_table import RouteTable
@@ -81,7 +80,6 @@
         paths: Which servers this gateway reaches itself.
         relays: The gateways through which it reaches the others.
         server_links: Connections to servers, direct ones and others.
-        rejection_limits: Services whose servers fail when they reject too many requests.
         relayed_at: Monotonic time at which a connection was last relayed for another gateway.
         short_of_descriptors_until: Until this monotonic time client connections count as waiting to
             be accepted for lack of descriptors.
@@ -171,7 +169,6 @@
         )
         self.cache_stores = CacheStorePlan()
         self.cache_store_availability = CacheStoreAvailability(self.cache_stores, log)
-        self.rejection_limits = RejectionLimits()
         self.selector = InstanceSelector(
             self.instances,
             self.gate,
@@ -180,7 +177,6 @@
             random_source,
             mechanisms,
             retry_delays,
-            self.rejection_limits,
         )
         self.weights = WeightedChoice(random_source)
         self.relayed_at = float("-inf")
@@ -262,9 +258,7 @@
             load = InstanceLoad(
                 instance.key,
                 instance.in_flight_tokens - undelivered.tokens,
-                instance.in_flight
-                - undelivered.requests
-                + self.rejection_limits.reported_requests(instance.key, now),
+                instance.in_flight - undelivered.requests,
                 tally.failures,
                 tally.successes,
                 instance.memory_tokens - undelivered.memory_tokens,
@@ -386,20 +380,6 @@
         elif was_ejected and not is_ejected:
             self.record.ejection_ended(instance.name, result)
 
-    def note_rejection_limit(self, instance: Instance, head: AnswerHead, sent_at: float) -> None:
-        """Apply what an answer says of the rejections that the servers of its service bear."""
-        limit = head.rejection_limit
-        if limit.unreadable:
-            return
-        service = instance.record.service
-        if self.rejection_limits.on_answer(service, limit.per_second, sent_at):
-            self.record.signals.rejection_limit(service, limit.per_second)
-
-    def note_rejection(self, service: ServiceRecord, instance: Instance) -> None:
-        """Report a server that rejected a request as full, if its service limits rejections."""
-        if self.rejection_limits.on_rejected(service, instance, self.now()):
-            self._announce_update()
-
     def note_successor(self, instance: Instance, successor: str) -> None:
         """Retire an incarnation at whose address another one answered."""
         is_new = self.retire_instance(instance.name, successor, instance.record.started_ms)
--- a/src/milletcourse/gateway/telemetry/signal_recorder.py
+++ b/src/milletcourse/gateway/telemetry/signal_recorder.py
@@ -21,11 +21,6 @@
         self._metrics = metrics
         self._logged_unreadable: dict[tuple[str, str], str] = {}
 
-    def rejection_limit(self, service: str, per_second: float | None) -> None:
-        """Servers of a service say that they fail when they reject more, or no longer say so."""
-        event = "rejection-limit-ended" if per_second is None else "rejection-limit-named"
-        self._log.emit(event, service=service, per_second=per_second)
-
     def limit(
         self, instance: str, change: LimitChange, per_second: float | None, source: str
     ) -> None:
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -332,7 +332,6 @@
     zone: str = ""
     state: str = "ready"
     models: list[_ModelState] = []
-    slots: int = 0
     born: int = msgspec.field(name="born", default=0)
 
 
@@ -362,7 +361,6 @@
             model.name: _whole_number(model.version, "weight version") for model in document.models
         },
         started_ms=_whole_number(document.born, "start time"),
-        slots=_whole_number(document.slots, "slots"),
     )
 
 
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -26,7 +26,6 @@
     answer_weight_version="Weight-Versions",
     request_limit="Server-Limit",
     leaving="Server-Leaving",
-    rejection_limit="Server-Brittle",
     router_only=("Kv-From", "Kv-Backup", "Hold", "Pin-Ms"),
 )
 KINDS = ObjectKinds(
--- a/tests/exchange/placement/test_server_candidates.py
+++ b/tests/exchange/placement/test_server_candidates.py
@@ -6,7 +6,6 @@
 
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.load.load_exchange import LoadExchange
-from milletcourse.exchange.load.rejection_limits import RejectionLimits
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS
 from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.messages.records import InstanceRecord, ServiceRecord
@@ -26,12 +25,7 @@
         self.table = InstanceTable()
         self.loads = LoadExchange("g-1")
         self.candidates = ServerCandidates(
-            self.table,
-            VersionGate(8.0),
-            self.loads,
-            ALL_MECHANISMS,
-            PermitRetryDelays(),
-            RejectionLimits(),
+            self.table, VersionGate(8.0), self.loads, ALL_MECHANISMS, PermitRetryDelays()
         )
         for name in ("s-1", "s-2"):
             self.table.upsert(InstanceRecord(name, "app", f"{name}:1"))
--- a/tests/gateway/servers/test_signal_machine.py
+++ b/tests/gateway/servers/test_signal_machine.py
@@ -23,7 +23,6 @@
 
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.load.load_exchange import LoadExchange
-from milletcourse.exchange.load.rejection_limits import RejectionLimits
 from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS
 from milletcourse.exchange.messages.messages import AnswerHead, AttemptResult
@@ -89,9 +88,7 @@
         )
         loads = LoadExchange(name, signals=self.signals)
         gate = VersionGate(8.0)
-        self.candidates = ServerCandidates(
-            self.table, gate, loads, ALL_MECHANISMS, pauses, RejectionLimits()
-        )
+        self.candidates = ServerCandidates(self.table, gate, loads, ALL_MECHANISMS, pauses)
         self.permits = ServerPermits(
             name,
             self.signals,
