Paths are judged by servers of the same service, and by two other gateways

A path is vouched for by another server of the same service only, unless the server is alone in it. A server counts as down when two gateways say so, or all that know. Silence, like a closed connection, counts after a check of the path. The part that dials, judges and probes is a module of its own (path_monitor); idle connections are put in doubt by an unacknowledged request or a confirmed lost path, no longer by any slow connection.

--- a/src/milletcourse/exchange/servers/server_paths.py
+++ b/src/milletcourse/exchange/servers/server_paths.py
@@ -41,12 +41,14 @@
 
     Attributes:
         heard_at: Monotonic time at which any server was last heard over a direct connection.
-        silent_at: Monotonic time at which the latest attempt began that got no reply at all, or
-            failed on a lost path. Connections on which nothing has arrived since may be dead.
+        silent_at: Monotonic time at which the latest attempt began that failed on a lost path, or
+            whose request wasn't acknowledged. Connections on which nothing has arrived since may be
+            dead.
     """
 
     def __init__(self) -> None:
         self.heard_at = float("-inf")
+        self._heard_by_service: dict[str, float] = {}
         self.silent_at = float("-inf")
         self._lost: dict[str, LostPath] = {}
         self._services: Mapping[str, str] = {}
@@ -66,9 +68,10 @@
 
     # -- events ---------------------------------------------------------------------------------
 
-    def on_heard(self, now: float) -> None:
-        """A server sent data over a direct connection."""
+    def on_heard(self, service: str, now: float) -> None:
+        """A server of a service sent data over a direct connection."""
         self.heard_at = now
+        self._heard_by_service[service] = now
 
     def on_connected(self, address: str, now: float) -> None:
         """A direct connection to a server came up."""
@@ -79,10 +82,10 @@
                 lost.probed_at = float("-inf")
             self._probed_at = float("-inf")
         self._lost.pop(address, None)
-        self.heard_at = now
+        self.on_heard(self._services.get(address, ""), now)
 
     def on_failed(self, address: str, began_at: float, is_refused: bool = False) -> None:
-        """A direct connection didn't come up, or a request on one wasn't acknowledged.
+        """A direct connection didn't come up, or doesn't work.
 
         Args:
             address: The server.
@@ -94,8 +97,10 @@
             lost = self._lost[address] = LostPath(began_at)
         lost.failed_at = max(lost.failed_at, began_at)
         lost.is_refused = is_refused
-        if not is_refused:
-            self.silent_at = max(self.silent_at, began_at)
+
+    def on_unacknowledged(self, sent_at: float) -> None:
+        """A server hasn't acknowledged a request that was sent at this time."""
+        self.silent_at = max(self.silent_at, sent_at)
 
     def on_reached_by_other(self, address: str) -> None:
         """Another gateway reached a server whose direct connection failed here."""
@@ -126,6 +131,30 @@
         lost = self._lost.get(address)
         return lost is not None and lost.is_refused
 
+    def is_vouched_for(self, address: str, began_at: float) -> bool:
+        """Whether this gateway's path is likely to work, so that a failure is the server's.
+
+        Servers of one service may be behind the same broken link, so that only one of the same
+        service vouches for the path, unless the server is the only one.
+
+        Args:
+            address: The server.
+            began_at: Monotonic time at which the failed attempt began.
+        """
+        if not self._peers_of(address):
+            return self.heard_at > began_at
+        service = self._services[address]
+        return self._heard_by_service.get(service, float("-inf")) > began_at
+
+    def _peers_of(self, address: str) -> list[str]:
+        """The other servers of a server's service."""
+        service = self._services.get(address)
+        return [
+            other
+            for other, its_service in self._services.items()
+            if its_service == service and other != address
+        ]
+
     def lost_addresses(self) -> list[str]:
         """Servers that other gateways reach and this one doesn't."""
         return [address for address, lost in self._lost.items() if lost.is_confirmed]
@@ -163,13 +192,14 @@
         return True
 
     def other_server(self, address: str, now: float) -> str | None:
-        """Another server, to find out whether any is reached; counts as a probe.
+        """A server that would vouch for the path to another one; counts as a probe.
 
         None when there is none, or a probe has just been made.
         """
         if self.is_isolated or now - self._probed_at < PROBE_INTERVAL_SECONDS:
             return None
-        others = [item for item in self._services if item != address and item not in self._lost]
+        candidates = self._peers_of(address) or [item for item in self._services if item != address]
+        others = [item for item in candidates if item not in self._lost]
         chosen = self._rotate(others)
         if chosen is not None:
             self._note_probe(chosen, now)
--- a/src/milletcourse/gateway/fleet/relay_listener.py
+++ b/src/milletcourse/gateway/fleet/relay_listener.py
@@ -21,8 +21,8 @@
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.fleet.answer_head_reader import AnswerHeadReader
 from milletcourse.gateway.servers.descriptors import LocalResourceError
+from milletcourse.gateway.servers.path_monitor import LinkFailure
 from milletcourse.gateway.servers.server_connection import ServerConnection
-from milletcourse.gateway.servers.server_links import LinkFailure
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.runtime.sockets import reset_on_close
 
@@ -160,7 +160,9 @@
             self._refuse(reply)
             return
         try:
-            link = await self._context.server_links.open_for_other(request.server)
+            link = await self._context.server_links.open_for_other(
+                request.server, request.timeout_ms / 1000
+            )
         except LocalResourceError:
             self._refuse(RelayReply.BUSY)
             return
@@ -208,7 +210,8 @@
     def _on_answer_data(self, data: bytes) -> None:
         self._active_at = self._context.now()
         self._answered += len(data)
-        self._context.paths.on_heard(self._active_at)
+        if self._instance is not None:
+            self._context.paths.on_heard(self._instance.record.service, self._active_at)
         if self._head_reader is not None and not self._head_reader.feed(data):
             self._head_reader = None
 
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -109,7 +109,7 @@
         self._spawn(rollout.run())
         probe = CacheStoreProbe(self.context, self._calls, self._adapter.cache_store)
         self._spawn(probe.run())
-        self._spawn(self.context.server_links.run_probes())
+        self._spawn(self.context.server_links.monitor.run_probes())
         self._spawn(self._sweep())
         self._spawn(self._log_tallies())
 
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -22,8 +22,9 @@
 from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.servers.descriptors import LocalResourceError
+from milletcourse.gateway.servers.path_monitor import LinkFailure
 from milletcourse.gateway.servers.server_connection import LossCause, ServerConnection
-from milletcourse.gateway.servers.server_links import SERVER_FAULTS, LinkFailure, ServerLink
+from milletcourse.gateway.servers.server_links import ServerLink
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telemetry.unanswered import RequestPhase
@@ -156,6 +157,9 @@
         if self.loss in CLOSED_BY_SERVER:
             # Counts when it is known whether the path or the server was at fault.
             self._instance.health.on_aborted()
+        elif self.abort_cause is AbortCause.SERVER_SILENT:
+            self._instance.health.on_aborted()
+            self._count_silence()
         elif self.abort_cause is AbortCause.HANDED_OVER:
             # The silence of the server has already been recorded in its health.
             self._instance.health.on_aborted()
@@ -164,8 +168,8 @@
         else:
             self._instance.health.on_aborted()
 
-    def note_closed_connection(self, result: AttemptResult) -> None:
-        """Count a closed connection against its server, once the path to it has been checked.
+    def on_path_checked(self, result: AttemptResult) -> None:
+        """Count a closed or silent connection against its server, if the path to it works.
 
         Args:
             result: Result of the attempt.
@@ -233,7 +237,7 @@
         return result
 
     def _on_no_connection(self, link: ServerLink) -> None:
-        if link.failure in SERVER_FAULTS:
+        if link.failure is not None and link.failure.is_servers_fault:
             return
         # Marked as ended, since nothing is known of the server.
         self._ended = True
@@ -324,7 +328,7 @@
 
     def _note_heard(self, connection: ServerConnection) -> None:
         if not connection.is_relayed:
-            self._context.paths.on_heard(self._context.now())
+            self._context.paths.on_heard(self._job.service.name, self._context.now())
 
     def _lost(self, connection: ServerConnection, loss: LossCause | None) -> AttemptResult:
         self.loss = loss or LossCause.MALFORMED
@@ -432,13 +436,21 @@
         if self._job.route.repeatable and not self._relay.has_started:
             self._abort(AbortCause.SERVER_SILENT)
             return
-        if not self._has_lost_path():
-            self._context.note_result(self._instance, AttemptResult.LOST)
+        self._count_silence()
         repeat_seconds = MIN_SILENCE_SECONDS if self._relay.has_started else float("inf")
         self._silence_timer.expect_within(min(seconds_to_start, repeat_seconds))
         if self._job.route.repeatable:
             self._listener.on_silent()
 
+    def _count_silence(self) -> None:
+        """Count the silence against the server, once the path to it has been checked."""
+        if self.through:
+            self._context.note_result(self._instance, AttemptResult.LOST)
+            return
+        record = self._instance.record
+        check = self._context.server_links.check(record.address, record.zone)
+        check.add_done_callback(lambda _: self.on_path_checked(AttemptResult.LOST))
+
     def _has_lost_path(self) -> bool:
         """Whether the silence is that of the path, not of the server."""
         return not self.through and self._context.paths.is_lost(self._instance.record.address)
--- a/src/milletcourse/gateway/requests/delivery_check.py
+++ b/src/milletcourse/gateway/requests/delivery_check.py
@@ -69,7 +69,7 @@
         if not self.is_undelivered:
             self.is_undelivered = True
             self._on_change(False)
-            self._context.server_links.on_undelivered(address, self._sent_at)
+            self._context.server_links.monitor.on_undelivered(address, self._sent_at)
         waited = self._context.now() - self._sent_at
         if paths.is_lost(address) or waited > DEAD_CONNECTION_SECONDS:
             self._on_lost()
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -247,7 +247,7 @@
         attempt = server_attempt.attempt
         detector = self._context.crash_detector
         check = detector.on_loss(self._job.identity, server_attempt.instance, attempt.sent_at)
-        check.add_done_callback(lambda _: attempt.note_closed_connection(result))
+        check.add_done_callback(lambda _: attempt.on_path_checked(result))
         return check
 
     def _truncated_stream(self) -> StreamTruncation:
--- a/src/milletcourse/gateway/servers/relay_client.py
+++ b/src/milletcourse/gateway/servers/relay_client.py
@@ -31,15 +31,17 @@
 MAX_ASKS = 12
 """Maximum number of gateways that are asked for one connection."""
 MAX_CONCURRENT_ASKS = 3
+CONFIRMING_REPLIES = 2
+"""A server counts as down when so many gateways say so, or all that were asked and know."""
 
 
-class RelayResult(msgspec.Struct):
+class RelayResult(msgspec.Struct, frozen=True):
     """Result of asking other gateways for a connection.
 
     Attributes:
         connection: The connection, None when none came up.
         through: Name of the gateway that relays it; empty for none.
-        server_reply: What one that reaches other servers said of this one, if there is no
+        server_reply: What those that reach other servers said of this one, if there is no
             connection; None when nothing was said.
     """
 
@@ -47,11 +49,6 @@
     through: str = ""
     server_reply: RelayReply | None = None
 
-    @property
-    def is_conclusive(self) -> bool:
-        """Whether no other gateway needs to be asked."""
-        return self.connection is not None or self.server_reply is not None
-
 
 class _Ask(asyncio.Protocol):
     """One request to one gateway, until its reply."""
@@ -120,26 +117,29 @@
             request_id: Id of the request that the connection will carry; empty for none.
             is_check: Only the reply matters, so that each gateway is worth asking.
         """
-        result = RelayResult()
         peers = self._selector.candidates(zone, MAX_ASKS, elapsed_seconds(), is_check)
-        pending: dict[asyncio.Task[RelayResult], RelayPeer] = {}
+        replies: list[RelayReply] = []
+        pending: set[asyncio.Task[RelayResult]] = set()
         try:
             while peers or pending:
                 if peers and len(pending) < MAX_CONCURRENT_ASKS:
-                    peer = peers.pop(0)
-                    ask = self._ask(peer, address, request_id)
-                    pending[asyncio.get_running_loop().create_task(ask)] = peer
-                done, _ = await asyncio.wait(
+                    ask = self._ask(peers.pop(0), address, request_id)
+                    pending.add(asyncio.get_running_loop().create_task(ask))
+                done, pending = await asyncio.wait(
                     pending,
                     timeout=NEXT_ASK_SECONDS if peers else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                for task in done:
-                    del pending[task]
-                    result = _better(result, task.result())
-                if result.is_conclusive:
+                results = [task.result() for task in done]
+                connected = _first_connected(results)
+                if connected is not None:
+                    return connected
+                replies += [item.server_reply for item in results if item.server_reply is not None]
+                if RelayReply.EXCLUDED in replies:
+                    return RelayResult(server_reply=RelayReply.EXCLUDED)
+                if len(replies) >= CONFIRMING_REPLIES:
                     break
-            return result
+            return RelayResult(server_reply=max(replies, key=replies.count, default=None))
         finally:
             for task in pending:
                 task.add_done_callback(close_unused)
@@ -189,12 +189,13 @@
         return connection
 
 
-def _better(known: RelayResult, new: RelayResult) -> RelayResult:
-    if known.connection is not None:
-        if new.connection is not None:
-            new.connection.abort()
-        return known
-    return new if new.is_conclusive else known
+def _first_connected(results: list[RelayResult]) -> RelayResult | None:
+    """The first result with a connection; closes the connections of the others."""
+    connected = [item for item in results if item.connection is not None]
+    for unused in connected[1:]:
+        if unused.connection is not None:
+            unused.connection.abort()
+    return connected[0] if connected else None
 
 
 def close_unused(task: asyncio.Task[RelayResult]) -> None:
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -41,6 +41,7 @@
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.gateway.servers.crash_detector import CrashDetector
 from milletcourse.gateway.servers.descriptors import descriptor_plan
+from milletcourse.gateway.servers.path_monitor import PathMonitor
 from milletcourse.gateway.servers.relay_client import RelayClient
 from milletcourse.gateway.servers.server_links import ServerLinks
 from milletcourse.gateway.servers.server_permits import ServerPermits
@@ -194,13 +195,10 @@
         relay_client = RelayClient(
             settings.name, self.relays, dialect, self.responsive_clock, metrics
         )
-        self.server_links = ServerLinks(
-            self.pool,
-            self.paths,
-            relay_client,
-            self.record.paths,
-            self.instances.services_by_address,
+        path_monitor = PathMonitor(
+            self.pool, self.paths, self.record.paths, self.instances.services_by_address
         )
+        self.server_links = ServerLinks(self.pool, self.paths, path_monitor, relay_client)
         self.crash_detector = CrashDetector(
             self.crash_evidence, self.server_links, self.record, self._announce_update
         )
--- a/tests/exchange/test_server_paths.py
+++ b/tests/exchange/test_server_paths.py
@@ -26,7 +26,7 @@
     """Paths to five servers of two services, heard at time 10."""
     paths = ServerPaths()
     paths.set_services(SERVICES)
-    paths.on_heard(10.0)
+    paths.on_heard("engine", 10.0)
     return paths
 
 
@@ -49,10 +49,31 @@
     assert not paths.is_isolated
     paths.on_failed("a-1", 11.1)
     assert paths.is_isolated and paths.is_lost("a-2")
-    paths.on_heard(11.2)
+    paths.on_heard("app", 11.2)
     assert not paths.is_isolated
 
 
+def test_only_a_server_of_the_same_service_vouches_for_a_path() -> None:
+    """A gateway cut off from one service blamed its servers, since it heard another service."""
+    paths = new_paths()
+    paths.on_failed("e-1", 11.0)
+    paths.on_heard("app", 11.1)
+    assert not paths.is_vouched_for("e-1", 11.0)
+    assert paths.other_server("e-1", 11.1) in ("e-2", "e-3")
+    paths.on_heard("engine", 11.2)
+    assert paths.is_vouched_for("e-1", 11.0)
+
+
+def test_a_server_that_is_alone_in_its_service_is_vouched_for_by_any() -> None:
+    """Else its crash would never count."""
+    paths = ServerPaths()
+    paths.set_services({"e-1": "engine", "a-1": "app"})
+    paths.on_failed("e-1", 11.0)
+    assert paths.other_server("e-1", 11.1) == "a-1"
+    paths.on_heard("app", 11.1)
+    assert paths.is_vouched_for("e-1", 11.0)
+
+
 def test_servers_of_unaffected_services_are_probed_first() -> None:
     """Only they tell a lost service from a gateway that is cut off."""
     paths = new_paths()
@@ -90,7 +111,7 @@
     """A server that came back must not be probed for ever."""
     paths = new_paths()
     paths.on_failed("e-1", 11.0)
-    paths.on_heard(11.5)
+    paths.on_heard("app", 11.5)
     assert paths.next_probe(11.0 + UNCONFIRMED_SECONDS) is None
     assert not paths.needs_probes
 
@@ -103,6 +124,8 @@
     paths.on_reached_by_other("e-1")
     assert paths.silent_at == 11.0
     paths.on_failed("e-2", 12.0)
+    assert paths.silent_at == 11.0
+    paths.on_unacknowledged(12.0)
     assert paths.silent_at == 12.0
 
 
@@ -132,10 +155,10 @@
         """Another gateway reached a server."""
         self.paths.on_reached_by_other(address)
 
-    @rule()
-    def hear(self) -> None:
+    @rule(service=st.sampled_from(["engine", "app"]))
+    def hear(self, service: str) -> None:
         """A server was heard."""
-        self.paths.on_heard(self.now)
+        self.paths.on_heard(service, self.now)
 
     @rule(address=addresses)
     def connect(self, address: str) -> None:
