--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -80,6 +80,7 @@
         """Retry-After seconds of the servers that rejected the request."""
         self._lacks_local_resources = False
         self._is_unreachable = False
+        """The latest server was reached neither from here nor through another gateway."""
         self._through = ""
         self._end_cause: AbortCause | None = None
         self._servers: list[VisitedServer] = []
@@ -204,8 +205,7 @@
             self._search.on_tried(server_attempt.instance)
         if cause is AbortCause.LOCAL_RESOURCES:
             self._lacks_local_resources = True
-        if cause is AbortCause.SERVER_UNREACHABLE:
-            self._is_unreachable = True
+        self._is_unreachable = cause is AbortCause.SERVER_UNREACHABLE
         if server_attempt.attempt.server_retry_after_seconds is not None:
             self._server_retry_afters.append(server_attempt.attempt.server_retry_after_seconds)
         self._plan.on_result(result)
