--- a/src/milletcourse/exchange/servers/server_paths.py
+++ b/src/milletcourse/exchange/servers/server_paths.py
@@ -48,8 +48,8 @@
 
     def __init__(self) -> None:
         self.heard_at = float("-inf")
-        self._heard_by_service: dict[str, float] = {}
         self.silent_at = float("-inf")
+        self._heard_by_service: dict[str, float] = {}
         self._lost: dict[str, LostPath] = {}
         self._services: Mapping[str, str] = {}
         self._was_isolated = False
@@ -131,22 +131,22 @@
         lost = self._lost.get(address)
         return lost is not None and lost.is_refused
 
-    def is_vouched_for(self, address: str, began_at: float) -> bool:
-        """Whether this gateway's path is likely to work, so that a failure is the server's.
+    def is_path_proven(self, address: str, began_at: float) -> bool:
+        """Whether another server was heard since, so that a failure is the server's own.
 
-        Servers of one service may be behind the same broken link, so that only one of the same
-        service vouches for the path, unless the server is the only one.
+        All servers of a service may be behind the same broken link, so that only one of the same
+        service proves the path to work, unless the server is alone in it.
 
         Args:
             address: The server.
             began_at: Monotonic time at which the failed attempt began.
         """
-        if not self._peers_of(address):
+        if not self._same_service(address):
             return self.heard_at > began_at
         service = self._services[address]
         return self._heard_by_service.get(service, float("-inf")) > began_at
 
-    def _peers_of(self, address: str) -> list[str]:
+    def _same_service(self, address: str) -> list[str]:
         """The other servers of a server's service."""
         service = self._services.get(address)
         return [
@@ -192,13 +192,15 @@
         return True
 
     def other_server(self, address: str, now: float) -> str | None:
-        """A server that would vouch for the path to another one; counts as a probe.
+        """A server whose connection would prove the path to another one; counts as a probe.
 
         None when there is none, or a probe has just been made.
         """
         if self.is_isolated or now - self._probed_at < PROBE_INTERVAL_SECONDS:
             return None
-        candidates = self._peers_of(address) or [item for item in self._services if item != address]
+        candidates = self._same_service(address) or [
+            item for item in self._services if item != address
+        ]
         others = [item for item in candidates if item not in self._lost]
         chosen = self._rotate(others)
         if chosen is not None:
--- a/src/milletcourse/gateway/servers/path_monitor.py
+++ b/src/milletcourse/gateway/servers/path_monitor.py
@@ -97,9 +97,9 @@
             address: The server.
             began_at: Monotonic time at which the attempt began.
         """
-        if not self._paths.is_vouched_for(address, began_at):
+        if not self._paths.is_path_proven(address, began_at):
             await self._dial_another(address)
-        if self._paths.is_vouched_for(address, began_at):
+        if self._paths.is_path_proven(address, began_at):
             return self.server_fault(address)
         return LinkFailure.UNREACHABLE
 
--- a/tests/exchange/test_server_paths.py
+++ b/tests/exchange/test_server_paths.py
@@ -53,25 +53,25 @@
     assert not paths.is_isolated
 
 
-def test_only_a_server_of_the_same_service_vouches_for_a_path() -> None:
+def test_only_a_server_of_the_same_service_proves_a_path() -> None:
     """A gateway cut off from one service blamed its servers, since it heard another service."""
     paths = new_paths()
     paths.on_failed("e-1", 11.0)
     paths.on_heard("app", 11.1)
-    assert not paths.is_vouched_for("e-1", 11.0)
+    assert not paths.is_path_proven("e-1", 11.0)
     assert paths.other_server("e-1", 11.1) in ("e-2", "e-3")
     paths.on_heard("engine", 11.2)
-    assert paths.is_vouched_for("e-1", 11.0)
+    assert paths.is_path_proven("e-1", 11.0)
 
 
-def test_a_server_that_is_alone_in_its_service_is_vouched_for_by_any() -> None:
+def test_a_server_that_is_alone_in_its_service_is_path_proven_by_any() -> None:
     """Else its crash would never count."""
     paths = ServerPaths()
     paths.set_services({"e-1": "engine", "a-1": "app"})
     paths.on_failed("e-1", 11.0)
     assert paths.other_server("e-1", 11.1) == "a-1"
     paths.on_heard("app", 11.1)
-    assert paths.is_vouched_for("e-1", 11.0)
+    assert paths.is_path_proven("e-1", 11.0)
 
 
 def test_servers_of_unaffected_services_are_probed_first() -> None:
