--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -18,6 +18,7 @@
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.exchange.servers.request_load import RequestLoad
 from milletcourse.gateway.requests.answer_relay import AnswerRelay, ServerFailure
+from milletcourse.gateway.requests.attempt_health import AttemptHealth
 from milletcourse.gateway.requests.delivery_check import DeliveryCheck
 from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
@@ -34,10 +35,6 @@
 """Largest body of an answer that is not a stream."""
 
 
-CLOSED_BY_SERVER = (LossCause.RESET, LossCause.CLOSED)
-"""Losses that may mean that the server's process has terminated."""
-
-
 @dataclass(frozen=True)
 class Silence:
     """How long a server sent nothing.
@@ -78,7 +75,7 @@
         server_retry_after_seconds: Retry-After of a server that rejected the request, None when it
             gave none.
         connect_seconds: Time spent on a connection to the server.
-        through: Name of the gateway that relays the connection; empty for a direct one.
+        health: Counts its result for or against the server.
     """
 
     def __init__(
@@ -96,7 +93,7 @@
         self.silence = Silence()
         self.server_retry_after_seconds: float | None = None
         self.connect_seconds = 0.0
-        self.through = ""
+        self.health = AttemptHealth(context, instance)
         self._delivery_check: DeliveryCheck | None = None
         self._path_failed = False
         self._listener = listener
@@ -116,6 +113,11 @@
         self._stall_seconds_before = 0.0
         self._answer_started = False
 
+    @property
+    def through(self) -> str:
+        """Name of the gateway that relays the connection; empty for a direct one."""
+        return self.health.through
+
     @property
     def is_at_server(self) -> bool:
         """Whether the server may be processing the request now."""
@@ -150,34 +152,10 @@
             result = await self._connect_and_send()
         finally:
             load.close()
-            self._note_health(result)
+            counts = self._reflects_server_health()
+            self.health.on_end(result, self.loss, self.abort_cause, counts)
         return result
 
-    def _note_health(self, result: AttemptResult) -> None:
-        if self.loss in CLOSED_BY_SERVER:
-            # Counts when it is known whether the path or the server was at fault.
-            self._instance.health.on_aborted()
-        elif self.abort_cause is AbortCause.SERVER_SILENT:
-            self._instance.health.on_aborted()
-            self._count_silence()
-        elif self.abort_cause is AbortCause.HANDED_OVER:
-            # The silence of the server has already been recorded in its health.
-            self._instance.health.on_aborted()
-        elif result is AttemptResult.ANSWERED or self._reflects_server_health():
-            self._context.note_result(self._instance, result)
-        else:
-            self._instance.health.on_aborted()
-
-    def on_path_checked(self, result: AttemptResult) -> None:
-        """Count a closed or silent connection against its server, if the path to it works.
-
-        Args:
-            result: Result of the attempt.
-        """
-        # The gateway that relayed a connection may have closed it.
-        if not self.through and not self._has_lost_path():
-            self._context.note_result(self._instance, result)
-
     def _reflects_server_health(self) -> bool:
         """Whether an attempt that ended without an answer counts against the server's health."""
         if self._path_failed and self._context.paths.is_lost(self._instance.record.address):
@@ -209,7 +187,7 @@
         if connection is None:
             self._on_no_connection(link)
             return AttemptResult.NOT_SENT
-        self.through = link.through
+        self.health.through = link.through
         if not self._may_still_be_sent():
             # Marked as ended, since the server must not be ejected for a request it never got.
             self._ended = True
@@ -436,25 +414,12 @@
         if self._job.route.repeatable and not self._relay.has_started:
             self._abort(AbortCause.SERVER_SILENT)
             return
-        self._count_silence()
+        self.health.on_silence()
         repeat_seconds = MIN_SILENCE_SECONDS if self._relay.has_started else float("inf")
         self._silence_timer.expect_within(min(seconds_to_start, repeat_seconds))
         if self._job.route.repeatable:
             self._listener.on_silent()
 
-    def _count_silence(self) -> None:
-        """Count the silence against the server, once the path to it has been checked."""
-        if self.through:
-            self._context.note_result(self._instance, AttemptResult.LOST)
-            return
-        record = self._instance.record
-        check = self._context.server_links.check(record.address, record.zone)
-        check.add_done_callback(lambda _: self.on_path_checked(AttemptResult.LOST))
-
-    def _has_lost_path(self) -> bool:
-        """Whether the silence is that of the path, not of the server."""
-        return not self.through and self._context.paths.is_lost(self._instance.record.address)
-
     def _remaining_tolerance_seconds(self) -> float:
         """Seconds for which to wait on; a silent server that answers other requests gets longer."""
         route = self._job.route
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -31,7 +31,8 @@
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
 from milletcourse.gateway.requests.answer_relay import AnswerRelay
-from milletcourse.gateway.requests.attempt import CLOSED_BY_SERVER, Attempt
+from milletcourse.gateway.requests.attempt import Attempt
+from milletcourse.gateway.requests.attempt_health import CLOSED_BY_SERVER
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.requests.server_attempt import ServerAttempt
 from milletcourse.gateway.requests.server_search import Destination, ServerSearch
@@ -247,7 +248,7 @@
         attempt = server_attempt.attempt
         detector = self._context.crash_detector
         check = detector.on_loss(self._job.identity, server_attempt.instance, attempt.sent_at)
-        check.add_done_callback(lambda _: attempt.on_path_checked(result))
+        check.add_done_callback(lambda _: attempt.health.on_path_checked(result))
         return check
 
     def _truncated_stream(self) -> StreamTruncation:
