A gateway reports failures only of servers that it reaches itself

A gateway that had just been cut off told the others of failing servers: requests that were at a server when the link went, and that ended at their deadline or when their client left, counted as the server's silence without a check of the path (only requests that this gateway gave up itself were checked).

All silence counts after a check of the path now. What ends badly at a server whose path is lost, or through another gateway, keeps this gateway away from the server, and is told to nobody: gateways that reach it see for themselves.

test_a_gateway_without_paths_reports_no_failure_of_any_server: failed before with hanging connections (a server reported), passes now in both modes.

--- a/src/milletcourse/exchange/servers/server_health.py
+++ b/src/milletcourse/exchange/servers/server_health.py
@@ -59,8 +59,14 @@
         self._failures = DecayingCount(TALLY_HALF_LIFE_SECONDS)
         self._successes = DecayingCount(TALLY_HALF_LIFE_SECONDS)
 
-    def on_result(self, result: AttemptResult, now: float) -> None:
-        """Record the result of an attempt at the server."""
+    def on_result(self, result: AttemptResult, now: float, is_reported: bool = True) -> None:
+        """Record the result of an attempt at the server.
+
+        Args:
+            result: How the attempt ended.
+            now: Monotonic time.
+            is_reported: Whether a failure is reported to the other gateways.
+        """
         self._probe_running = False
         if result is AttemptResult.ANSWERED:
             self._successes.add(1.0, now)
@@ -74,7 +80,8 @@
         weight = _WEIGHTS.get(result, 0.0)
         if weight == 0.0:
             return
-        self._failures.add(weight, now)
+        if is_reported:
+            self._failures.add(weight, now)
         self._penalty.add(weight, now)
         if self._penalty.value(now) >= EJECTION_PENALTY and now >= self._ejected_until:
             self._ejected_until = now + self._pause_seconds
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -95,7 +95,6 @@
         self.connect_seconds = 0.0
         self.health = AttemptHealth(context, instance)
         self._delivery_check: DeliveryCheck | None = None
-        self._path_failed = False
         self._listener = listener
         self._context = context
         self._job = job
@@ -152,13 +151,13 @@
             result = await self._connect_and_send()
         finally:
             load.close()
-            counts = self._reflects_server_health()
-            self.health.on_end(result, self.loss, self.abort_cause, counts)
+            self.health.on_end(result, self.loss, self._reflects_server_health())
         return result
 
     def _reflects_server_health(self) -> bool:
         """Whether an attempt that ended without an answer counts against the server's health."""
-        if self._path_failed and self._context.paths.is_lost(self._instance.record.address):
+        if self.abort_cause is AbortCause.HANDED_OVER:
+            # The silence of the server has already been recorded in its health.
             return False
         if not self._ended:
             return True
@@ -310,8 +309,6 @@
 
     def _lost(self, connection: ServerConnection, loss: LossCause | None) -> AttemptResult:
         self.loss = loss or LossCause.MALFORMED
-        check = self._delivery_check
-        self._path_failed = check is not None and check.is_undelivered
         connection.abort()
         return AttemptResult.TRUNCATED if self._relay.has_started else AttemptResult.LOST
 
--- a/src/milletcourse/gateway/requests/attempt_health.py
+++ b/src/milletcourse/gateway/requests/attempt_health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.messages.messages import AbortCause, AttemptResult
+from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.servers.server_connection import LossCause
 from milletcourse.gateway.state.context import GatewayContext
@@ -27,7 +27,6 @@
         self,
         result: AttemptResult,
         loss: LossCause | None,
-        abort_cause: AbortCause | None,
         counts: bool,
     ) -> None:
         """Count the result of an attempt.
@@ -35,27 +34,23 @@
         Args:
             result: How it ended.
             loss: Why its connection delivered no complete answer, None if it did.
-            abort_cause: Why this gateway aborted it, None if it did not.
             counts: Whether a result without an answer tells something about the server.
         """
-        if loss in CLOSED_BY_SERVER:
-            # Counts when it is known whether the path or the server was at fault.
-            self._instance.health.on_aborted()
-        elif abort_cause is AbortCause.SERVER_SILENT:
-            self._instance.health.on_aborted()
+        if result is AttemptResult.ANSWERED:
+            self._note(result)
+            return
+        if counts and loss is not LossCause.ABORTED and loss not in CLOSED_BY_SERVER:
+            self._note(result)
+            return
+        # A closed connection counts when the exchange has checked why the server closed it.
+        self._instance.health.on_aborted()
+        if counts and loss is LossCause.ABORTED:
             self.on_silence()
-        elif abort_cause is AbortCause.HANDED_OVER:
-            # The silence of the server has already been recorded in its health.
-            self._instance.health.on_aborted()
-        elif result is AttemptResult.ANSWERED or counts:
-            self._context.note_result(self._instance, result)
-        else:
-            self._instance.health.on_aborted()
 
     def on_silence(self) -> None:
         """Count the server's silence against it, once the path to it has been checked."""
         if self.through:
-            self._context.note_result(self._instance, AttemptResult.LOST)
+            self._note(AttemptResult.LOST)
             return
         record = self._instance.record
         check = self._context.server_links.check(record.address, record.zone)
@@ -68,5 +63,13 @@
             result: How the attempt ended.
         """
         # The gateway that relayed a connection may have closed it.
-        if not self.through and not self._context.paths.is_lost(self._instance.record.address):
-            self._context.note_result(self._instance, result)
+        if not self.through and not self._has_lost_path():
+            self._note(result)
+
+    def _note(self, result: AttemptResult) -> None:
+        """Update the server's health; only gateways that reach it report its failures."""
+        is_reported = not self.through and not self._has_lost_path()
+        self._context.note_result(self._instance, result, is_reported)
+
+    def _has_lost_path(self) -> bool:
+        return self._context.paths.is_lost(self._instance.record.address)
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -367,11 +367,19 @@
         """Whether a request of a tenant may be forwarded now; public ones always may."""
         return tenant is None or self.freshness.allows_keys(self.now())
 
-    def note_result(self, instance: Instance, result: AttemptResult) -> None:
-        """Update a server's health by a result, and record when it is ejected or returns."""
+    def note_result(
+        self, instance: Instance, result: AttemptResult, is_reported: bool = True
+    ) -> None:
+        """Update a server's health by a result, and record when it is ejected or returns.
+
+        Args:
+            instance: The server.
+            result: How an attempt there ended.
+            is_reported: Whether a failure is reported to the other gateways.
+        """
         now = self.now()
         was_ejected = instance.health.is_ejected(now)
-        instance.health.on_result(result, now)
+        instance.health.on_result(result, now, is_reported)
         is_ejected = instance.health.is_ejected(now)
         if is_ejected and not was_ejected:
             self.record.ejection(instance.name, result)
--- a/tests/gateway/fleet/test_cut_off_holders.py
+++ b/tests/gateway/fleet/test_cut_off_holders.py
@@ -6,15 +6,29 @@
 from collections.abc import Awaitable, Callable
 from itertools import count
 
+import pytest
+
 from gateway_harness import Harness, run_with_gateway
-from gateway_standin import Client, configuration, serve_whole
+from gateway_standin import (
+    Behaviour,
+    Client,
+    ReceivedRequest,
+    StandinServer,
+    configuration,
+    serve_whole,
+)
 from link_cuts import CutMode, LinkCuts
 from milletcourse.gateway.fleet.cache_store_probe import CacheStoreProbe
 from milletcourse.gateway.node import GatewayNode
 from milletcourse.platform.cache_events import PlatformCacheEvents
 
+WORK_SECONDS = 0.3
+OBSERVED_SECONDS = 3.0
+
 
-async def start_gateways(harness: Harness, gateways: int) -> tuple[list[GatewayNode], LinkCuts]:
+async def start_gateways(
+    harness: Harness, gateways: int, behaviour: Behaviour = serve_whole
+) -> tuple[list[GatewayNode], LinkCuts]:
     """Start gateways in one zone with two model servers, one application and a cache store."""
     harness.internal_ports = harness.free_ports()
     for name, service, version in (
@@ -23,7 +37,7 @@
         ("app-1", "app", None),
         ("kept-1", "kept", None),
     ):
-        await harness.add_server(name, service, serve_whole, version)
+        await harness.add_server(name, service, behaviour, version)
     kept = harness.servers["kept-1"].address
     harness.store.remove("servers", "kept-1")
     services = [*configuration()["Services"], {"Name": "kept", "KvStoreAddr": kept}]
@@ -100,3 +114,35 @@
         await harness.until(lambda: other.context.cache_store_availability.unreachable == {store})
 
     run(scenario)
+
+
+@pytest.mark.parametrize("mode", [CutMode.HANG, CutMode.RESET])
+def test_a_gateway_without_paths_reports_no_failure_of_any_server(mode: CutMode) -> None:
+    """Requests that were at a server when the link was cut counted as failures of that server."""
+
+    async def slow(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if request.request_id:
+            await asyncio.sleep(WORK_SECONDS)
+        await serve_whole(server, request, writer)
+
+    async def scenario(harness: Harness) -> None:
+        nodes, cuts = await start_gateways(harness, 3, slow)
+        cut_off = nodes[0]
+        clients = [await Client.connect(cut_off.frontend_address) for _ in range(8)]
+        for number, client in enumerate(clients):
+            client.send(("/unsafe/", "/safe/")[number % 2], f"id-{number}", Deadline_Ms="1600")
+        await asyncio.sleep(WORK_SECONDS / 2)
+        cuts.cut(cut_off.context.settings.name, mode)
+        load = [asyncio.create_task(send_until_cancelled(node)) for node in nodes]
+        reported = set()
+        ends_at = asyncio.get_running_loop().time() + OBSERVED_SECONDS
+        while asyncio.get_running_loop().time() < ends_at:
+            reported |= {item.key for item in cut_off.context.own_loads() if item.failures}
+            await asyncio.sleep(0.02)
+        for task in load:
+            task.cancel()
+        assert not reported
+
+    run(scenario)
