Modules with a second job split; what stood twice stands once

Found by reading the change: attempt.py also measured silence (silence_watch), context.py also kept what was found out about servers (server_states), recorder.py also held the records of attempts and streams (request_records). The callbacks that collect an answer's head, two probes of a path and two queries of a socket's queue stood twice, as did a fleet with links that can be cut and a soak's wait for its gateways in the tests. A request's last attempt is passed on instead of kept in a field. No change of behaviour; assertions as before.

--- a/src/milletcourse/experiments/relay_model.py
+++ b/src/milletcourse/experiments/relay_model.py
@@ -114,7 +114,7 @@
             return 0, False
         selector = self._selectors[name]
         zone = self._random.choice(list(self._zones.values()))
-        peers = selector.candidates(zone, MAX_ASKS, now, self._strategy is RelayStrategy.RANDOM)
+        peers = selector.candidates(zone, MAX_ASKS, now)
         if self._strategy is RelayStrategy.RANDOM:
             everyone = selector.candidates(zone, len(self._zones), now, True)
             peers = self._random.sample(everyone, min(MAX_ASKS, len(everyone)))
--- a/src/milletcourse/gateway/fleet/answer_head_reader.py
+++ b/src/milletcourse/gateway/fleet/answer_head_reader.py
@@ -7,18 +7,18 @@
 import httptools
 
 from milletcourse.exchange.messages.dialect import HeaderDialect
-from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
+from milletcourse.exchange.messages.messages import AnswerHead
+from milletcourse.gateway.servers.answer_head_collector import AnswerHeadCollector
 
 
-class AnswerHeadReader:
+class AnswerHeadReader(AnswerHeadCollector):
     """Parses data until the first final head; interim heads (1xx) are skipped."""
 
     def __init__(self, dialect: HeaderDialect, on_head: Callable[[AnswerHead], None]) -> None:
+        super().__init__()
         self._dialect = dialect
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
-        self._reason = b""
-        self._fields: list[HeaderField] = []
         self._is_done = False
 
     def feed(self, data: bytes) -> bool:
@@ -33,16 +33,7 @@
 
     def on_message_begin(self) -> None:
         """Start of an answer."""
-        self._reason = b""
-        self._fields = []
-
-    def on_status(self, reason: bytes) -> None:
-        """Reason phrase, possibly in several parts."""
-        self._reason += reason
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """One header field."""
-        self._fields.append(HeaderField(name, value or b""))
+        self.reset_head()
 
     def on_headers_complete(self) -> None:
         """End of a head."""
@@ -50,4 +41,4 @@
         if self._is_done or status < 200:
             return
         self._is_done = True
-        self._on_head(self._dialect.read_answer(status, self._reason, self._fields))
+        self._on_head(self._dialect.read_answer(status, self.reason, self.fields))
--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -38,7 +38,7 @@
         self._addresses: set[tuple[str, int]] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self.holds_lease = False
-        context.on_instance_terminated = self._notify_terminated
+        context.server_states.on_terminated = self._notify_terminated
         context.cache_store_availability.on_observed = self._notify_cache_store
         context.update_listeners.append(self._tick)
         context.permits.send = self._send_permit_message
@@ -102,7 +102,7 @@
             self._on_cache_store_notice(notice)
             return
         if notice.state is ServerState.TERMINATED:
-            self._context.retire_instance(notice.subject, "told", notice.started_ms)
+            self._context.server_states.retire_instance(notice.subject, "told", notice.started_ms)
             return
         table = self._context.instances
         table.on_start_seen(notice.subject, notice.started_ms)
@@ -145,7 +145,7 @@
         reader = context.followed_reader
         now = context.now()
         uses = context.tenant_limits.tick(now)
-        for outgoing in context.loads.tick(now, context.own_loads(), reader, uses):
+        for outgoing in context.loads.tick(now, context.server_states.own_loads(), reader, uses):
             self._send(outgoing)
 
     def _send(self, outgoing: Outgoing) -> None:
--- a/src/milletcourse/gateway/fleet/rollout_service.py
+++ b/src/milletcourse/gateway/fleet/rollout_service.py
@@ -91,7 +91,7 @@
             signal_monitor.is_leaving,
             signal_monitor.is_backing_off,
         )
-        context.restart_listeners.append(self._rollout.on_restarted)
+        context.server_states.restart_listeners.append(self._rollout.on_restarted)
         self._next_lease_call = 0.0
         self._was_holder = False
         self._running: set[asyncio.Task[None]] = set()
@@ -115,7 +115,7 @@
         since all readers may have lost their paths to the servers.
         """
         context = self._context
-        if context.stopping or not context.reaches_engines():
+        if context.stopping or not context.server_states.reaches_engines():
             return False
         now = context.now()
         relays_for_others = now - context.relayed_at < RELAYING_SECONDS
@@ -231,7 +231,7 @@
             if result is not OrderReply.WRONG_INSTANCE:
                 self._apply_signals(instance, reply)
             elif reply.instance not in ("", order.instance):
-                self._context.note_successor(instance, reply.instance)
+                self._context.server_states.note_successor(instance, reply.instance)
         self._rollout.on_reply(instance, result, self._context.now())
         if result is OrderReply.ACCEPTED:
             self._notify(instance, order.model, order.version, ServerState.LOADING)
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -204,7 +204,7 @@
             self.context.instances.expire_unverified(now)
             self._fleet.sweep(now)
             self.context.gate.forget_before(now)
-            self.context.report_suspicions()
+            self.context.server_states.report_suspicions()
             self.context.report_limits()
             self.context.crash_detector.sweep()
             self.context.permits.sweep(self._server_keys)
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -2,16 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from milletcourse.exchange.attempts.answer_rules import classify_answer
-from milletcourse.exchange.attempts.silence_timeouts import (
-    MIN_SILENCE_SECONDS,
-    event_gap_timeout,
-    extra_silence_seconds,
-    first_event_timeout,
-)
+from milletcourse.exchange.attempts.silence_timeouts import MIN_SILENCE_SECONDS
 from milletcourse.exchange.messages.event_stream import EventSplitter
 from milletcourse.exchange.messages.messages import AbortCause, AnswerHead, AttemptResult
 from milletcourse.exchange.placement.engine_load import memory_tokens
@@ -22,6 +16,7 @@
 from milletcourse.gateway.requests.delivery_check import DeliveryCheck
 from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.requests.silence_watch import Silence, SilenceWatch
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.path_monitor import LinkFailure
 from milletcourse.gateway.servers.server_connection import LossCause, ServerConnection
@@ -29,27 +24,11 @@
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telemetry.unanswered import RequestPhase
-from milletcourse.runtime.responsive_timer import ResponsiveTimer
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest body of an answer that is not a stream."""
 
 
-@dataclass(frozen=True)
-class Silence:
-    """How long a server sent nothing.
-
-    Attributes:
-        seconds: Responsive time of this gateway's event loop since the request was sent or the
-            latest chunk was handled.
-        stall_seconds: Time in the same period during which the event loop was stalled. It is not
-            part of `seconds`.
-    """
-
-    seconds: float = 0.0
-    stall_seconds: float = 0.0
-
-
 class AttemptListener(Protocol):
     """Receives the progress of a stream that another server may continue."""
 
@@ -103,13 +82,10 @@
         self._permit = permit
         self._ended = False
         self._connection: ServerConnection | None = None
-        self._silence_timer = ResponsiveTimer(context.responsive_clock, self._on_silent)
+        self._silence_watch = SilenceWatch(context, job.route, instance, self._on_silent)
         self._load: RequestLoad | None = None
         self._dispatch = DispatchBuilder(context, job, instance)
         self.sent_at = float("inf")
-        self._last_received_at = float("inf")
-        """Responsive time of the event loop at which data was last received from the server."""
-        self._stall_seconds_before = 0.0
         self._answer_started = False
 
     @property
@@ -131,10 +107,7 @@
         self.abort_cause = self.abort_cause or cause
         if self._connection is None:
             return
-        self.silence = Silence(
-            self._silent_seconds(),
-            self._context.responsive_clock.stalled_seconds - self._stall_seconds_before,
-        )
+        self.silence = self._silence_watch.silence()
         self._connection.abort()
 
     async def run(self) -> AttemptResult:
@@ -196,7 +169,7 @@
         self._relay.note_phase(RequestPhase.AT_SERVER)
         self._connection = connection
         self.sent_at = self._context.now()
-        self._note_received()
+        self._silence_watch.on_received()
         self._context.signal_monitor.on_send(self._instance)
         self._send(connection)
         self._listener.on_sent(self)
@@ -207,7 +180,7 @@
             raise
         finally:
             self._connection = None
-            self._silence_timer.stop()
+            self._silence_watch.stop()
             self._stop_delivery_check()
         if result is AttemptResult.ANSWERED and not self._relay.has_started:
             self._instance.on_answer_time(self._context.now() - self.sent_at)
@@ -243,13 +216,6 @@
             self._delivery_check.stop()
             self._delivery_check = None
 
-    def _note_received(self) -> None:
-        self._last_received_at = self._context.responsive_clock.seconds()
-        self._stall_seconds_before = self._context.responsive_clock.stalled_seconds
-
-    def _silent_seconds(self) -> float:
-        return self._context.responsive_clock.seconds() - self._last_received_at
-
     def _may_still_be_sent(self) -> bool:
         """Check again, after the connection is established, that the request may be sent."""
         if self._ended or not self._context.may_use_keys(self._job.tenant):
@@ -286,9 +252,7 @@
     # -- answers --------------------------------------------------------------------------------
 
     async def _receive(self, connection: ServerConnection) -> AttemptResult:
-        self._silence_timer.expect_within(
-            min(first_event_timeout(self._job.route), self._seconds_until_start_bound())
-        )
+        self._silence_watch.expect_first_event(self._seconds_until_start_bound())
         event = await connection.next_event()
         if event.head is None:
             return self._lost(connection, event.lost)
@@ -335,7 +299,7 @@
             "",
             self._instance.name,
         ):
-            self._context.note_successor(self._instance, head.instance)
+            self._context.server_states.note_successor(self._instance, head.instance)
         elif result is AttemptResult.WRONG_VERSION and self._dispatch.weight_version is not None:
             model = self._job.request.model
             newest = self._context.gate.newest(model)
@@ -366,10 +330,10 @@
                 self._note_heard(connection)
                 if self._load is not None:
                     self._load.on_prompt_read()
-                self._note_received()
+                self._silence_watch.on_received()
                 self._listener.on_events(self)
                 self._relay.pass_events(head, whole, splitter.last_event_id)
-                self._silence_timer.expect_within(event_gap_timeout(self._job.route))
+                self._silence_watch.expect_next_event()
             if event.complete:
                 self._listener.on_events(self)
                 self._relay.pass_events(head, splitter.take_remainder(), splitter.last_event_id)
@@ -401,9 +365,9 @@
         seconds_to_start = (
             float("inf") if self._relay.has_started else self._seconds_until_start_bound()
         )
-        remaining = self._remaining_tolerance_seconds()
+        remaining = self._silence_watch.remaining_seconds(self._relay.has_started)
         if seconds_to_start > 0.0 and remaining > 0.0:
-            self._silence_timer.expect_within(min(seconds_to_start, remaining))
+            self._silence_watch.expect_within(min(seconds_to_start, remaining))
             return
         if seconds_to_start <= 0.0:
             self._abort(AbortCause.VERSION_BOUND)
@@ -413,15 +377,6 @@
             return
         self.health.on_silence()
         repeat_seconds = MIN_SILENCE_SECONDS if self._relay.has_started else float("inf")
-        self._silence_timer.expect_within(min(seconds_to_start, repeat_seconds))
+        self._silence_watch.expect_within(min(seconds_to_start, repeat_seconds))
         if self._job.route.repeatable:
             self._listener.on_silent()
-
-    def _remaining_tolerance_seconds(self) -> float:
-        """Seconds for which to wait on; a silent server that answers other requests gets longer."""
-        route = self._job.route
-        usual = event_gap_timeout(route) if self._relay.has_started else first_event_timeout(route)
-        silent = self._silent_seconds()
-        return extra_silence_seconds(
-            usual, silent, self._context.server_answer_rates.answered_recently(self._instance)
-        )
--- a/src/milletcourse/gateway/requests/attempt_health.py
+++ b/src/milletcourse/gateway/requests/attempt_health.py
@@ -69,7 +69,7 @@
     def _note(self, result: AttemptResult) -> None:
         """Update the server's health; only gateways that reach it report its failures."""
         is_reported = not self.through and not self._has_lost_path()
-        self._context.note_result(self._instance, result, is_reported)
+        self._context.server_states.note_result(self._instance, result, is_reported)
 
     def _has_lost_path(self) -> bool:
         return self._context.paths.is_lost(self._instance.record.address)
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -38,7 +38,7 @@
 from milletcourse.gateway.requests.server_search import Destination, ServerSearch
 from milletcourse.gateway.requests.stream_handover import StreamHandover
 from milletcourse.gateway.state.context import GatewayContext
-from milletcourse.gateway.telemetry.recorder import StreamTruncation, VisitedServer
+from milletcourse.gateway.telemetry.request_records import StreamTruncation, VisitedServer
 from milletcourse.runtime.responsive_clock import STALL_THRESHOLD_SECONDS
 from milletcourse.runtime.responsive_timer import RECHECK_DELAY_SECONDS
 
@@ -82,7 +82,6 @@
         self._lacks_local_resources = False
         self._is_unreachable = False
         """The latest server was reached neither from here nor through another gateway."""
-        self._through = ""
         self._end_cause: AbortCause | None = None
         self._servers: list[VisitedServer] = []
         self._deadline_timer: asyncio.TimerHandle | None = None
@@ -156,8 +155,7 @@
             following, step = await self._next_attempt(result, successor)
             self._record_end(server_attempt, result, step)
             if following is None:
-                self._through = server_attempt.attempt.through
-                self._finish(step, server_attempt.instance)
+                self._finish(step, server_attempt)
                 return
             server_attempt = following
 
@@ -323,19 +321,19 @@
 
     # -- ends -----------------------------------------------------------------------------------
 
-    def _finish(self, step: NextStep, instance: Instance) -> None:
+    def _finish(self, step: NextStep, last: ServerAttempt) -> None:
         record = self._context.record
         if step is NextStep.FINISHED:
             relay = self._relay
             record.served(
                 self._job.request,
                 self._job.route,
-                instance.name,
+                last.instance.name,
                 self._plan.sends,
                 relay.first_byte_seconds,
                 relay.longest_gap_seconds,
                 self._search.signals_by_server,
-                self._through,
+                last.attempt.through,
             )
         elif self._relay.has_started:
             record.stream_truncated(self._job.request, self._job.route, self._truncated_stream())
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -8,7 +8,7 @@
 from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.requests.attempt import Attempt
-from milletcourse.gateway.telemetry.recorder import FailedAttempt, VisitedServer
+from milletcourse.gateway.telemetry.request_records import FailedAttempt, VisitedServer
 
 
 @dataclass
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -20,7 +20,7 @@
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
-from milletcourse.gateway.telemetry.recorder import OverloadState
+from milletcourse.gateway.telemetry.request_records import OverloadState
 
 MAX_DENIALS = 3
 """How many servers may deny a request a permit before all servers with limits are left out. Each
--- a/src/milletcourse/gateway/servers/path_monitor.py
+++ b/src/milletcourse/gateway/servers/path_monitor.py
@@ -107,10 +107,13 @@
         """Connect to any other server, unless that has just been tried."""
         now = elapsed_seconds()
         other = self._paths.other_server(address, now)
-        if other is None:
-            return
+        if other is not None:
+            await self._probe(other, now)
+
+    async def _probe(self, address: str, began_at: float) -> None:
+        """Dial a server, and pool the connection."""
         try:
-            connection = await self.dial(other, now, PROBE_TIMEOUT_SECONDS)
+            connection = await self.dial(address, began_at, PROBE_TIMEOUT_SECONDS)
         except LocalResourceError:
             return
         if connection is not None:
@@ -138,12 +141,7 @@
         address = self._paths.next_probe(began_at)
         if address is None:
             return
-        try:
-            connection = await self.dial(address, began_at, PROBE_TIMEOUT_SECONDS)
-        except LocalResourceError:
-            return
-        if connection is not None:
-            self._pool.release(connection)
+        await self._probe(address, began_at)
         self._report_isolation()
 
     # -- changes --------------------------------------------------------------------------------
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -16,7 +16,8 @@
 import msgspec
 
 from milletcourse.exchange.messages.dialect import HeaderDialect
-from milletcourse.exchange.messages.messages import AnswerHead, HeaderField
+from milletcourse.exchange.messages.messages import AnswerHead
+from milletcourse.gateway.servers.answer_head_collector import AnswerHeadCollector
 from milletcourse.gateway.servers.descriptors import LOCAL_RESOURCE_ERRNOS, LocalResourceError
 from milletcourse.runtime.addresses import split_address
 from milletcourse.runtime.clock import elapsed_seconds
@@ -50,7 +51,7 @@
     lost: LossCause | None = None
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(AnswerHeadCollector, asyncio.Protocol):
     """Sends one request at a time and delivers the answer as events."""
 
     def __init__(self, address: str, dialect: HeaderDialect, is_relayed: bool = False) -> None:
@@ -61,6 +62,7 @@
             dialect: Parses the heads of answers.
             is_relayed: Another gateway relays the connection, which carries one exchange only.
         """
+        super().__init__()
         self.address = address
         self.is_relayed = is_relayed
         self.usable_until = 0.0
@@ -81,8 +83,6 @@
         self._lost = False
         self._aborted = False
         self._head: AnswerHead | None = None
-        self._reason = b""
-        self._fields: list[HeaderField] = []
         self._skipping = False
 
     # -- use ------------------------------------------------------------------------------------
@@ -190,21 +190,13 @@
             self._tainted = True
         self._reset_answer()
 
-    def on_status(self, reason: bytes) -> None:
-        """Reason phrase, possibly in several parts."""
-        self._reason += reason
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """One header field."""
-        self._fields.append(HeaderField(name, value or b""))
-
     def on_headers_complete(self) -> None:
         """End of the head: check whether this is the expected answer."""
         status = self._parser.get_status_code()
         if not self._busy or status < 200:
             self._skipping = True
             return
-        head = self._dialect.read_answer(status, self._reason, self._fields)
+        head = self._dialect.read_answer(status, self.reason, self.fields)
         self._skipping = not self._is_expected(head)
         if self._skipping:
             self._tainted = True
@@ -238,8 +230,7 @@
 
     def _reset_answer(self) -> None:
         self._head = None
-        self._reason = b""
-        self._fields = []
+        self.reset_head()
         self._skipping = False
 
     def _finish_answer(self) -> None:
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -19,8 +19,6 @@
 from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages.dialect import HeaderDialect
-from milletcourse.exchange.messages.messages import AttemptResult
-from milletcourse.exchange.messages.peer_messages import InstanceLoad
 from milletcourse.exchange.messages.records import EdgeLimits, TenantRecord
 from milletcourse.exchange.placement.cache_store_plan import CacheStorePlan
 from milletcourse.exchange.placement.instance_selector import InstanceSelector
@@ -48,6 +46,7 @@
 from milletcourse.gateway.servers.signal_monitor import SignalMonitor
 from milletcourse.gateway.state.answer_rates import ServerAnswerRates
 from milletcourse.gateway.state.cache_store_availability import CacheStoreAvailability
+from milletcourse.gateway.state.server_states import ServerStates
 from milletcourse.gateway.state.settings import GatewaySettings
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
@@ -94,8 +93,7 @@
         reads_store: This gateway reads the store itself, so that it may serve followers.
         followed_reader: Name of the gateway that it follows instead; empty when there is none.
         cache_store_availability: Which prompt-cache stores answer.
-        on_instance_terminated: Called when an answer showed that an incarnation has terminated.
-        restart_listeners: Called with the previous incarnation when a server has restarted.
+        server_states: What this gateway has found out about the servers.
         resume_listeners: Called when the machine has resumed from suspension.
         update_listeners: Called when there is an update that the other gateways need at once.
         on_restore_update: Called when this gateway has new information about a restore of the store
@@ -133,9 +131,6 @@
         self.confirmed_era = ConfirmedEra(self._on_era_confirmed)
         self.lost_configuration = LostConfiguration(lambda: self.configuration_version)
         self.instances = InstanceTable()
-        self.on_instance_terminated: Callable[[Instance], None] | None = None
-        self.restart_listeners: list[Callable[[Instance], None]] = []
-        self.instances.on_restarted = self._on_restarted
         self.resume_listeners: set[Callable[[], None]] = set()
         self._suspension_detector = SuspensionDetector()
         self.responsive_clock = ResponsiveClock()
@@ -202,9 +197,16 @@
         self.crash_detector = CrashDetector(
             self.crash_evidence, self.server_links, self.record, self._announce_update
         )
+        self.server_states = ServerStates(
+            self.instances,
+            self.selector.candidates,
+            self.paths,
+            self.crash_detector,
+            self.record,
+            mechanisms,
+        )
         self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
-        self._suspected: set[str] = set()
 
     def now(self) -> float:
         """Monotonic seconds, including the time while the machine is suspended."""
@@ -243,28 +245,6 @@
     def _replication_times_of(self, settings: GatewaySettings) -> ReplicationTimes:
         return replication_times(self._key_bound(settings), settings.bounds.config_apply)
 
-    def own_loads(self) -> list[InstanceLoad]:
-        """This gateway's load and recent results on each server that has some.
-
-        Requests that have not reached their server are not part of it.
-        """
-        now = self.now()
-        loads = []
-        for instance in self.instances:
-            tally = instance.health.tally(now)
-            undelivered = instance.undelivered
-            load = InstanceLoad(
-                instance.key,
-                instance.in_flight_tokens - undelivered.tokens,
-                instance.in_flight - undelivered.requests,
-                tally.failures,
-                tally.successes,
-                instance.memory_tokens - undelivered.memory_tokens,
-            )
-            if not load.is_zero:
-                loads.append(load)
-        return loads
-
     def set_gateways(self, count: int) -> None:
         """Set the number of gateways that share the retry budget, including this one."""
         if count != self.gateways:
@@ -327,14 +307,6 @@
         stores = self.route_table.cache_stores if self.route_table is not None else []
         return any(store.store_address == address for store in stores)
 
-    def reaches_engines(self) -> bool:
-        """Whether this gateway reaches at least half of the model servers itself."""
-        if not self.paths.needs_probes:
-            return True
-        engines = [instance for instance in self.instances if instance.record.weight_versions]
-        lost = sum(self.paths.is_lost(instance.record.address) for instance in engines)
-        return 2 * lost <= len(engines)
-
     def is_ready(self) -> bool:
         """Whether clients should be sent here."""
         knows_all = self.route_table is not None and self.instances.is_listed
@@ -367,31 +339,6 @@
         """Whether a request of a tenant may be forwarded now; public ones always may."""
         return tenant is None or self.freshness.allows_keys(self.now())
 
-    def note_result(
-        self, instance: Instance, result: AttemptResult, is_reported: bool = True
-    ) -> None:
-        """Update a server's health by a result, and record when it is ejected or returns.
-
-        Args:
-            instance: The server.
-            result: How an attempt there ended.
-            is_reported: Whether a failure is reported to the other gateways.
-        """
-        now = self.now()
-        was_ejected = instance.health.is_ejected(now)
-        instance.health.on_result(result, now, is_reported)
-        is_ejected = instance.health.is_ejected(now)
-        if is_ejected and not was_ejected:
-            self.record.ejection(instance.name, result)
-        elif was_ejected and not is_ejected:
-            self.record.ejection_ended(instance.name, result)
-
-    def note_successor(self, instance: Instance, successor: str) -> None:
-        """Retire an incarnation at whose address another one answered."""
-        is_new = self.retire_instance(instance.name, successor, instance.record.started_ms)
-        if is_new and self.on_instance_terminated is not None:
-            self.on_instance_terminated(instance)
-
     def _connection_quota(self, address: str) -> int:
         """Most connections to a server that this gateway may keep."""
         service = (
@@ -406,52 +353,12 @@
         """Close connections to a server that is draining, each after its next answer."""
         self.pool.close_to(instance.record.address)
 
-    def _on_restarted(self, before: Instance) -> None:
-        """Handle a restart of a server under its name, which aborted all its running requests."""
-        self.record.instance_restarted(before.name)
-        self.crash_detector.on_instance_terminated(before.name)
-        for listener in self.restart_listeners:
-            listener(before)
-
-    def retire_instance(self, name: str, successor: str, started_ms: int) -> bool:
-        """Take a terminated incarnation out of use; True when its end wasn't known yet.
-
-        Args:
-            name: The server.
-            successor: Incarnation that answers in its place, or the source of the report.
-            started_ms: Start of the terminated incarnation in ms, 0 when it isn't known.
-        """
-        known = self.instances.get(name)
-        if known is not None and started_ms and started_ms < known.record.started_ms:
-            # The server has restarted since.
-            return False
-        if Mechanism.INCARNATION_CHECK not in self.mechanisms or not self.instances.terminate(name):
-            return False
-        self.record.instance_replaced(name, successor)
-        self.crash_detector.on_instance_terminated(name)
-        return True
-
     def _announce_update(self) -> None:
         """Send an update to the other gateways at once."""
         self.loads.on_update()
         for listener in self.update_listeners:
             listener()
 
-    def report_suspicions(self) -> None:
-        """Log the servers that became suspected, or stopped being so, since the last call.
-
-        A server is suspected by the results of all gateways together.
-        """
-        now = self.now()
-        suspected = {
-            instance.name
-            for instance in self.instances
-            if self.selector.candidates.is_suspected(instance, now)
-        }
-        for name in sorted(suspected ^ self._suspected):
-            self.record.suspicion(name, name in suspected)
-        self._suspected = suspected
-
     def _on_opened(self, address: str) -> None:
         if address != self.settings.store:
             self.record.tally.on_connection()
--- /dev/null
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -0,0 +1,95 @@
+"""What log lines say of single attempts, streams and refusals."""
+
+from __future__ import annotations
+
+import msgspec
+
+from milletcourse.exchange.messages.messages import AttemptResult
+
+
+class FailedAttempt(msgspec.Struct, frozen=True):
+    """An attempt at a server that returned no answer.
+
+    Attributes:
+        instance: Incarnation of the server.
+        address: `host:port` of the server: shows whether successive incarnations fail alike.
+        result: How the attempt ended.
+        loss: Why the connection was lost before a complete answer, None when it was not.
+        abort_cause: Why this gateway aborted the attempt, None when it did not.
+        identity: Identity of the request's content: shows whether the same request fails at any
+            server.
+        connect_seconds: Time spent on a connection to the server before the request was sent.
+        through: Name of the gateway that relayed the connection; empty for a direct one.
+        answers_others: The server has recently answered requests of this or other gateways.
+    """
+
+    instance: str
+    address: str
+    result: AttemptResult
+    loss: str | None
+    abort_cause: str | None
+    identity: int
+    connect_seconds: float
+    through: str
+    answers_others: bool
+
+
+class OverloadState(msgspec.Struct, frozen=True):
+    """The best server's load, and the servers left out, when a request was refused for its wait.
+
+    Attributes:
+        instance: The best server.
+        own_requests: Requests of this gateway there.
+        own_tokens: Prompt tokens of this gateway that wait there.
+        other_requests: Requests that the other gateways report there.
+        other_tokens: Prompt tokens that the other gateways report there.
+        servers: Servers that may run the request.
+        ejected: Those of them that failed for this gateway.
+        suspected: Those of them that failed for several gateways.
+    """
+
+    instance: str
+    own_requests: int
+    own_tokens: int
+    other_requests: int
+    other_tokens: int
+    servers: int
+    ejected: int
+    suspected: int
+
+
+class VisitedServer(msgspec.Struct, frozen=True):
+    """Outcome of a stream at one of its servers.
+
+    Attributes:
+        instance: Incarnation of the server.
+        result: How the attempt ended.
+        left: Why this gateway aborted the attempt, None when it did not.
+        at: Seconds from the request to the attempt's end.
+        silent: Seconds of responsive time without data from the server, when this gateway aborted
+            the attempt for silence.
+        absent: Additional seconds in which this gateway's event loop was stalled.
+    """
+
+    instance: str
+    result: AttemptResult
+    left: str | None
+    at: float
+    silent: float
+    absent: float
+
+
+class StreamTruncation(msgspec.Struct, frozen=True):
+    """Why a stream was truncated after a part of it had been sent to its client.
+
+    Attributes:
+        servers: All servers that it was sent to, in the order in which their attempts ended.
+        ended_for: Cause that ended the request, None when no server was left for it.
+        admitted_under: Version of the configuration under which it was admitted.
+        configuration: Version in force at the truncation.
+    """
+
+    servers: list[VisitedServer]
+    ended_for: str | None
+    admitted_under: int
+    configuration: int
--- a/src/milletcourse/runtime/sockets.py
+++ b/src/milletcourse/runtime/sockets.py
@@ -35,19 +35,18 @@
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
     """Number of sent bytes that the other end hasn't acknowledged; 0 where it isn't reported."""
-    count = bytearray(4)
-    try:
-        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
-    except OSError:
-        return 0
-    return int.from_bytes(count, "little")
+    return _queued_bytes(sock, termios.TIOCOUTQ)
 
 
 def unread_bytes(sock: socket.socket) -> int:
     """Number of received bytes not read yet; 0 where the kernel does not report it."""
+    return _queued_bytes(sock, termios.FIONREAD)
+
+
+def _queued_bytes(sock: socket.socket, query: int) -> int:
     count = bytearray(4)
     try:
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+        fcntl.ioctl(sock.fileno(), query, count)
     except OSError:
         return 0
     return int.from_bytes(count, "little")
--- a/tests/gateway/fleet/test_cut_off_holders.py
+++ b/tests/gateway/fleet/test_cut_off_holders.py
@@ -87,7 +87,7 @@
             cuts.cut(node.context.settings.name, CutMode.HANG)
         load = [asyncio.create_task(send_until_cancelled(node)) for node in nodes]
         await harness.until(lambda: readers[0].context.paths.is_isolated)
-        assert not readers[0].context.reaches_engines()
+        assert not readers[0].context.server_states.reaches_engines()
         harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 2})
         await harness.until(lambda: any(node._fleet.peers.holds_lease for node in others))
         assert not readers[0]._fleet.peers.holds_lease
@@ -139,7 +139,9 @@
         reported = set()
         ends_at = asyncio.get_running_loop().time() + OBSERVED_SECONDS
         while asyncio.get_running_loop().time() < ends_at:
-            reported |= {item.key for item in cut_off.context.own_loads() if item.failures}
+            reported |= {
+                item.key for item in cut_off.context.server_states.own_loads() if item.failures
+            }
             await asyncio.sleep(0.02)
         for task in load:
             task.cancel()
--- a/tests/gateway/fleet/test_relayed_connections.py
+++ b/tests/gateway/fleet/test_relayed_connections.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cut_fleet import PROMPT, CutFleet
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
     Behaviour,
@@ -20,7 +21,7 @@
     signed,
     stream_head,
 )
-from link_cuts import CutMode, LinkCuts
+from link_cuts import CutMode
 from milletcourse.exchange.messages.relay_messages import (
     RELAY_MARK,
     RelayReply,
@@ -30,48 +31,18 @@
 from milletcourse.gateway.node import GatewayNode
 from milletcourse.runtime.sockets import reset_on_close
 
-PROMPT = {
-    "Model": "model-1",
-    "Token_Usage": "40,8",
-    "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20",
-}
 Scenario = Callable[["RelayPair"], Awaitable[None]]
 
 
-class RelayPair:
+class RelayPair(CutFleet):
     """A gateway without a link to the servers, and one with."""
 
-    def __init__(self, harness: Harness) -> None:
-        self.harness = harness
-        self.cuts = LinkCuts(self._is_server)
-        self.nodes: list[GatewayNode] = []
-
-    def _is_server(self, address: str) -> bool:
-        return any(server.address == address for server in self.harness.servers.values())
-
     async def start(self, behaviour: Behaviour, gateways: int = 2, servers: int = 1) -> None:
         """Start servers of both services, and the gateways, and cut the first one off."""
-        harness = self.harness
-        harness.internal_ports = harness.free_ports()
         for number in range(servers):
-            await harness.add_server(f"app-{number}", "app", behaviour)
-            await harness.add_server(f"engine-{number}", "engine", behaviour, 1)
-        harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
-        await harness.start()
-        assert harness.node is not None
-        self.nodes = [harness.node]
-        for number in range(1, gateways):
-            self.nodes.append(await harness.add_gateway(f"front-{number + 1}"))
-        for node in self.nodes:
-            self.cuts.install(node.context.settings.name, node.context.pool)
-            await harness.until(
-                lambda node=node: node.context.is_ready() and node.context.gateways == gateways
-            )
-            await harness.until(
-                lambda node=node: (
-                    {item.name for item in node.context.instances} >= set(harness.servers)
-                )
-            )
+            await self.harness.add_server(f"app-{number}", "app", behaviour)
+            await self.harness.add_server(f"engine-{number}", "engine", behaviour, 1)
+        await self.start_gateways(gateways)
         self.cuts.cut("front-1", CutMode.HANG)
 
     @property
--- a/tests/gateway/servers/test_unreachable_servers.py
+++ b/tests/gateway/servers/test_unreachable_servers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from gateway_fleet import GatewayFleet
+from cut_fleet import PROMPT, CutFleet
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
     Client,
@@ -19,7 +19,7 @@
     signed,
     stream_head,
 )
-from link_cuts import CutMode, LinkCuts
+from link_cuts import CutMode
 from milletcourse.gateway.node import GatewayNode
 
 ENGINES = 3
@@ -29,11 +29,6 @@
 """Time after a cut within which requests may fail."""
 JUDGED_SECONDS = 1.5
 PAUSE_SECONDS = 0.03
-PROMPT = {
-    "Model": "model-1",
-    "Token_Usage": "40,8",
-    "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20",
-}
 PATHS = ("/safe/", "/unsafe/", "/stream/", "/single/")
 MIN_SERVED_SHARE = 0.95
 
@@ -54,29 +49,20 @@
     writer.write(answer(200, server.name.encode(), signed(request)))
 
 
-class CutFleet(GatewayFleet):
-    """Gateways with links that can be cut."""
+class LoadedFleet(CutFleet):
+    """Gateways with links that can be cut, under requests of all kinds."""
 
     def __init__(self, harness: Harness) -> None:
         super().__init__(harness)
-        self.cuts = LinkCuts(self._is_server)
         self.outcomes: dict[str, Counter[int]] = {}
 
-    def _is_server(self, address: str) -> bool:
-        return any(server.address == address for server in self.harness.servers.values())
-
     async def start(self, gateways: int) -> None:
         """Start servers and gateways."""
-        harness = self.harness
-        harness.internal_ports = harness.free_ports()
         for number in range(ENGINES):
-            await harness.add_server(f"engine-{number}", "engine", work, 1)
+            await self.harness.add_server(f"engine-{number}", "engine", work, 1)
         for number in range(APPLICATIONS):
-            await harness.add_server(f"app-{number}", "app", work)
-        harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
+            await self.harness.add_server(f"app-{number}", "app", work)
         await self.start_gateways(gateways)
-        for node in self.nodes:
-            self.cuts.install(node.context.settings.name, node.context.pool)
 
     def cut(self, gateways: int, mode: CutMode) -> list[str]:
         """Cut the first gateways off from all servers; returns their names."""
@@ -119,7 +105,7 @@
     were failing and full."""
 
     async def scenario(harness: Harness) -> None:
-        fleet = CutFleet(harness)
+        fleet = LoadedFleet(harness)
         await fleet.start(5)
         await fleet.serve(0.5)
         cut = fleet.cut(3, mode)
--- a/tests/gateway/store/test_store_feed.py
+++ b/tests/gateway/store/test_store_feed.py
@@ -245,7 +245,7 @@
             await harness.until(lambda node=node: node.context.instances.get("app-2") is not None)
         ended = follower.context.instances.get("app-1")
         assert ended is not None
-        follower.context.note_successor(ended, "app-3")
+        follower.context.server_states.note_successor(ended, "app-3")
         known = reader.context.instances
         await harness.until(lambda: set(known.of_service("app")) == {"app-2"})
 
--- a/tests/soak/load_balancer.py
+++ b/tests/soak/load_balancer.py
@@ -36,6 +36,12 @@
         """Whether a gateway receives new connections."""
         return self._misses[gateway.name] < MISSES_UNTIL_REMOVED
 
+    async def wait_for_all(self, timeout_seconds: float) -> None:
+        """Wait until all gateways are in rotation; raises `TimeoutError` after the timeout."""
+        async with asyncio.timeout(timeout_seconds):
+            while not all(self.is_in_rotation(gateway) for gateway in self._gateways):
+                await asyncio.sleep(0.05)
+
     async def run(self) -> None:
         """Probe all gateways until cancelled, each with its own random phase."""
         await asyncio.gather(*(self._watch(gateway) for gateway in self._gateways))
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -213,9 +213,7 @@
         balancer = LoadBalancer(world.gateways, world.random)
         background_work = (balancer.run(), world.send_heartbeats(), world.watch_event_loop())
         background = [asyncio.create_task(work) for work in background_work]
-        async with asyncio.timeout(READY_SECONDS):
-            while not all(balancer.is_in_rotation(gateway) for gateway in world.gateways):
-                await asyncio.sleep(0.05)
+        await balancer.wait_for_all(READY_SECONDS)
         callers = [
             asyncio.create_task(new_client(number, world, balancer, run.direct).run())
             for number in range(run.clients)
