Log lines say how an answer ended: its framing, and what was left of an event

What was missing: neither a served nor a failed answer's line told whether the body had a length, came in chunks or ended with its connection, nor whether a part of an event was left, so that the hypotheses on streams that end as complete could not be told apart. Usual ends add nothing to a line. No decision changes.

--- a/src/milletcourse/exchange/messages/event_stream.py
+++ b/src/milletcourse/exchange/messages/event_stream.py
@@ -28,6 +28,11 @@
         self._record_ids(whole)
         return whole
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes received of an event that is not complete."""
+        return len(self._partial)
+
     def take_remainder(self) -> bytes:
         """Removes and returns the bytes after the last blank line of a complete stream."""
         remainder = self._partial
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from milletcourse.exchange.messages.answer_end import Framing
 from milletcourse.exchange.messages.signal_headers import (
     NO_BACK_OFF,
     NO_LIMIT,
@@ -15,6 +16,9 @@
     LimitHeader,
 )
 
+BODYLESS_STATUSES = frozenset({204, 304})
+"""Statuses of answers that have no body."""
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """One declared part of a prompt, in its order; parts are shared between requests.
@@ -155,9 +159,13 @@
     back_off: BackOffHeader = NO_BACK_OFF
 
     @property
-    def framed(self) -> bool:
-        """Whether the end of the body is known without the end of the connection."""
-        return self.chunked or self.content_length is not None or self.status in (204, 304)
+    def framing(self) -> Framing:
+        """What marks the end of the body, unless the request was a HEAD."""
+        if self.status in BODYLESS_STATUSES:
+            return Framing.NO_BODY
+        if self.chunked:
+            return Framing.CHUNKED
+        return Framing.CONNECTION if self.content_length is None else Framing.LENGTH
 
     @property
     def successful(self) -> bool:
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -6,6 +6,7 @@
 
 from milletcourse.exchange.attempts.answer_rules import classify_answer
 from milletcourse.exchange.attempts.silence_timeouts import MIN_SILENCE_SECONDS
+from milletcourse.exchange.messages.answer_end import AnswerEnd, LossCause
 from milletcourse.exchange.messages.event_stream import EventSplitter
 from milletcourse.exchange.messages.messages import AbortCause, AnswerHead, AttemptResult
 from milletcourse.exchange.placement.engine_load import memory_tokens
@@ -19,7 +20,7 @@
 from milletcourse.gateway.requests.silence_watch import Silence, SilenceWatch
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.path_monitor import LinkFailure
-from milletcourse.gateway.servers.server_connection import LossCause, ServerConnection
+from milletcourse.gateway.servers.server_connection import ServerConnection
 from milletcourse.gateway.servers.server_links import ServerLink
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
@@ -48,6 +49,7 @@
     Attributes:
         was_sent: Whether the request, or a part of it, was sent to the server.
         loss: Why the connection did not deliver a complete answer, None while it still may.
+        answer_end: How its answer ended, None before it has started.
         abort_cause: Why this gateway aborted the attempt, None when it did not.
         silence: How long the server had been silent when the attempt was aborted.
         sent_at: Monotonic time of the send.
@@ -68,6 +70,7 @@
     ) -> None:
         self.was_sent = False
         self.loss: LossCause | None = None
+        self.answer_end: AnswerEnd | None = None
         self.abort_cause: AbortCause | None = None
         self.silence = Silence()
         self.server_retry_after_seconds: float | None = None
@@ -258,6 +261,7 @@
             return self._lost(connection, event.lost)
         head = event.head
         self._answer_started = True
+        self.answer_end = AnswerEnd(head.framing)
         self._stop_delivery_check()
         self._note_heard(connection)
         self._context.signal_monitor.on_answer(self._instance, head, self.sent_at)
@@ -326,6 +330,7 @@
                 # Another server may have sent these events since this attempt was aborted.
                 return self._lost(connection, event.lost or LossCause.ABORTED)
             whole = splitter.feed(event.body) if event.body else b""
+            self.answer_end = AnswerEnd(head.framing, splitter.partial_bytes)
             if whole:
                 self._note_heard(connection)
                 if self._load is not None:
--- a/src/milletcourse/gateway/requests/attempt_health.py
+++ b/src/milletcourse/gateway/requests/attempt_health.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from milletcourse.exchange.messages.answer_end import LossCause
 from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.servers.instance_table import Instance
-from milletcourse.gateway.servers.server_connection import LossCause
 from milletcourse.gateway.state.context import GatewayContext
 
 CLOSED_BY_SERVER = (LossCause.RESET, LossCause.CLOSED)
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -334,6 +334,7 @@
                 relay.longest_gap_seconds,
                 self._search.signals_by_server,
                 last.attempt.through,
+                last.attempt.answer_end,
             )
         elif self._relay.has_started:
             record.stream_truncated(self._job.request, self._job.route, self._truncated_stream())
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -67,6 +67,7 @@
             self.instance.record.address,
             result,
             loss.value if loss is not None else None,
+            self.attempt.answer_end,
             self.abort_cause,
             identity,
             self.attempt.connect_seconds,
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -9,12 +9,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from enum import Enum
 from typing import cast
 
 import httptools
 import msgspec
 
+from milletcourse.exchange.messages.answer_end import Framing, LossCause
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.gateway.servers.answer_head_collector import AnswerHeadCollector
@@ -33,15 +33,6 @@
 """Keep-alive time assumed when a server does not send one."""
 
 
-class LossCause(Enum):
-    """Why a connection did not deliver a complete answer."""
-
-    RESET = "reset"
-    CLOSED = "closed"
-    MALFORMED = "garbled"
-    ABORTED = "aborted"
-
-
 class AnswerEvent(msgspec.Struct):
     """One step of an answer: its head, a part of its body, its end, or its loss."""
 
@@ -169,7 +160,8 @@
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
         self._tainted = True
-        if self._busy and self._head is not None and not self._head.framed and not self._skipping:
+        is_awaited = self._busy and self._head is not None and not self._skipping
+        if is_awaited and self._framing is Framing.CONNECTION:
             self._finish_answer()
         return False
 
@@ -200,7 +192,7 @@
         self._skipping = not self._is_expected(head)
         if self._skipping:
             self._tainted = True
-            if not head.framed:
+            if head.framing is Framing.CONNECTION:
                 self._on_malformed()
             return
         self._head = head
@@ -222,6 +214,12 @@
 
     # -- internals ------------------------------------------------------------------------------
 
+    @property
+    def _framing(self) -> Framing:
+        if self._head is None or self._bodyless:
+            return Framing.NO_BODY
+        return self._head.framing
+
     def _is_expected(self, head: AnswerHead) -> bool:
         if not self._expected_id or head.request_id == self._expected_id:
             return True
@@ -237,7 +235,11 @@
         head = self._head
         assert head is not None and self._transport is not None
         self._busy = False
-        if head.closing or not head.framed or self._transport.get_write_buffer_size() > 0:
+        if (
+            head.closing
+            or self._framing is Framing.CONNECTION
+            or self._transport.get_write_buffer_size() > 0
+        ):
             self._tainted = True
         idle = head.keep_alive_seconds
         usable = DEFAULT_KEEP_ALIVE_SECONDS if idle is None else idle - KEEP_ALIVE_MARGIN_SECONDS
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -13,6 +13,7 @@
 from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
+from milletcourse.exchange.messages.answer_end import AnswerEnd
 from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.messages.records import RouteRecord
 from milletcourse.exchange.rollout.weight_rollout import OrderReply, WeightOrder
@@ -132,6 +133,7 @@
             address=failed.address,
             result=failed.result.value,
             loss=failed.loss,
+            **_answer_end_fields(failed.answer_end),
             left=failed.abort_cause,
             step=step.value,
             content=identity_text(failed.identity),
@@ -155,6 +157,7 @@
         gap: float,
         excluded_servers: dict[str, str],
         through: str = "",
+        answer_end: AnswerEnd | None = None,
     ) -> None:
         """A complete answer was relayed to the client.
 
@@ -167,6 +170,7 @@
             gap: Longest pause within the answer in seconds.
             excluded_servers: Servers excluded for a signal of their own -> that signal.
             through: Gateway that relayed the connection to the server; empty for a direct one.
+            answer_end: How the last server's answer ended, None when it is unknown.
         """
         self.tally.on_end(route.name, served_outcome(route, first, gap))
         self._metrics.on_request_finished("served")
@@ -177,6 +181,7 @@
             sends=sends,
             first=round(first, 3),
             gap=round(gap, 3),
+            **_answer_end_fields(answer_end),
             **_through_field(through),
             **_excluded_servers_field(excluded_servers),
             **self._request_fields(request),
@@ -333,6 +338,13 @@
         return {"request_id": request.request_id, "seconds": seconds}
 
 
+def _answer_end_fields(end: AnswerEnd | None) -> dict[str, Any]:
+    """Log fields for an answer that ended with its connection or within an event."""
+    if end is None or end.is_usual:
+        return {}
+    return {"framing": end.framing.value, "partial_event_bytes": end.partial_event_bytes}
+
+
 def _through_field(gateway: str) -> dict[str, Any]:
     """Log field that names the gateway that relayed a connection; usually empty."""
     return {"through": gateway} if gateway else {}
--- a/src/milletcourse/gateway/telemetry/request_records.py
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from milletcourse.exchange.messages.answer_end import AnswerEnd
 from milletcourse.exchange.messages.messages import AttemptResult
 
 
@@ -15,6 +16,7 @@
         address: `host:port` of the server: shows whether successive incarnations fail alike.
         result: How the attempt ended.
         loss: Why the connection was lost before a complete answer, None when it was not.
+        answer_end: How the answer ended, None when none had started.
         abort_cause: Why this gateway aborted the attempt, None when it did not.
         identity: Identity of the request's content: shows whether the same request fails at any
             server.
@@ -27,6 +29,7 @@
     address: str
     result: AttemptResult
     loss: str | None
+    answer_end: AnswerEnd | None
     abort_cause: str | None
     identity: int
     connect_seconds: float
