A stream that ends within an event is broken off, whatever its framing says

Cause: the end of an answer was decided by its framing alone. A stream without length or chunks ends with its connection, and a server that breaks off closes it in order; the attempt passed on what was left of an event and ended the stream. The same with a last chunk after a part of an event. Class: the end of the transport is taken for the end of the message. Ruled out: a second server's part (one send each), a reset, chunks without the last one, a length (all handled). Change: exchange/messages/answer_end.py decides from framing, partial event and the connection's end whether an answer is whole; connections and attempts ask it. A partial event is never passed on; the stream is resumed after its last whole event where it may be, else the client's connection is cut, or 502 if nothing was passed on. It counts as a lost answer: a closed connection after the check of its path, an early last chunk at once. Why it works: every event ends with a blank line, so a stream that ends elsewhere has lost something.

--- a/src/milletcourse/exchange/messages/answer_end.py
+++ b/src/milletcourse/exchange/messages/answer_end.py
@@ -1,4 +1,4 @@
-"""How answers of servers end; no input/output."""
+"""Decides whether the answer of a server ended whole; no input/output."""
 
 from __future__ import annotations
 
@@ -26,6 +26,32 @@
     ABORTED = "aborted"
 
 
+def loss_at_close(framing: Framing) -> LossCause | None:
+    """Why an answer is incomplete whose connection was closed before its body had ended.
+
+    Args:
+        framing: What marks the end of the body.
+
+    Returns:
+        None if the answer is whole. A connection that was reset never completes an answer.
+    """
+    return None if framing is Framing.CONNECTION else LossCause.CLOSED
+
+
+def stream_loss(framing: Framing, partial_event_bytes: int) -> LossCause | None:
+    """Why a stream of events is incomplete that has ended by its framing; None if it is whole.
+
+    A server that is stopped may close its connection, or end its last chunk, within an event.
+
+    Args:
+        framing: What marks the end of the body.
+        partial_event_bytes: Bytes received of an event that was not completed.
+    """
+    if not partial_event_bytes:
+        return None
+    return LossCause.CLOSED if framing is Framing.CONNECTION else LossCause.MALFORMED
+
+
 class AnswerEnd(msgspec.Struct, frozen=True):
     """How the answer of one server ended, for log lines.
 
--- a/src/milletcourse/exchange/messages/event_stream.py
+++ b/src/milletcourse/exchange/messages/event_stream.py
@@ -33,12 +33,6 @@
         """Bytes received of an event that is not complete."""
         return len(self._partial)
 
-    def take_remainder(self) -> bytes:
-        """Removes and returns the bytes after the last blank line of a complete stream."""
-        remainder = self._partial
-        self._partial = b""
-        return remainder
-
     @staticmethod
     def _last_boundary(data: bytes) -> int:
         lf_end = data.rfind(b"\n\n")
--- a/src/milletcourse/gateway/requests/answer_relay.py
+++ b/src/milletcourse/gateway/requests/answer_relay.py
@@ -58,10 +58,7 @@
 
     def pass_events(self, head: AnswerHead, data: bytes, last_event_id: str) -> None:
         """Relay events of a stream. The client gets only the head of the first server."""
-        if not self.has_started:
-            self.has_started = True
-            self._begin()
-            self._client.begin_stream(head.status, head.reason, head.fields)
+        self._begin_stream(head)
         now = self._recorder.now()
         self.longest_gap_seconds = max(self.longest_gap_seconds, now - self._last_chunk_at)
         self._last_chunk_at = now
@@ -73,6 +70,14 @@
         self.first_byte_seconds = self._last_chunk_at - self._request.received_at
         self._recorder.first_answer(self.first_byte_seconds)
 
-    def end_stream(self) -> None:
-        """Mark the stream as complete."""
+    def _begin_stream(self, head: AnswerHead) -> None:
+        if self.has_started:
+            return
+        self.has_started = True
+        self._begin()
+        self._client.begin_stream(head.status, head.reason, head.fields)
+
+    def end_stream(self, head: AnswerHead) -> None:
+        """Mark the stream as complete; one that is resumed after its last event has no events."""
+        self._begin_stream(head)
         self._client.end_stream()
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -6,7 +6,7 @@
 
 from milletcourse.exchange.attempts.answer_rules import classify_answer
 from milletcourse.exchange.attempts.silence_timeouts import MIN_SILENCE_SECONDS
-from milletcourse.exchange.messages.answer_end import AnswerEnd, LossCause
+from milletcourse.exchange.messages.answer_end import AnswerEnd, LossCause, stream_loss
 from milletcourse.exchange.messages.event_stream import EventSplitter
 from milletcourse.exchange.messages.messages import AbortCause, AnswerHead, AttemptResult
 from milletcourse.exchange.placement.engine_load import memory_tokens
@@ -340,9 +340,11 @@
                 self._relay.pass_events(head, whole, splitter.last_event_id)
                 self._silence_watch.expect_next_event()
             if event.complete:
+                loss = stream_loss(head.framing, splitter.partial_bytes)
+                if loss is not None:
+                    return self._lost(connection, loss)
                 self._listener.on_events(self)
-                self._relay.pass_events(head, splitter.take_remainder(), splitter.last_event_id)
-                self._relay.end_stream()
+                self._relay.end_stream(head)
                 self._dispatch.on_whole_answer()
                 self._context.pool.release(connection)
                 return AttemptResult.ANSWERED
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -14,7 +14,7 @@
 import httptools
 import msgspec
 
-from milletcourse.exchange.messages.answer_end import Framing, LossCause
+from milletcourse.exchange.messages.answer_end import Framing, LossCause, loss_at_close
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.gateway.servers.answer_head_collector import AnswerHeadCollector
@@ -161,7 +161,7 @@
         """See `asyncio.Protocol`."""
         self._tainted = True
         is_awaited = self._busy and self._head is not None and not self._skipping
-        if is_awaited and self._framing is Framing.CONNECTION:
+        if is_awaited and loss_at_close(self._framing) is None:
             self._finish_answer()
         return False
 
