A stream that ends without any event is broken off

Change: stream_loss also asks whether there was a whole event. A stream that continues another may be empty if its framing says where it ends, since then only the end of the first one was lost; so may the answer to a HEAD. The tests failed before (framed as complete, not run at another server).

--- a/src/milletcourse/exchange/messages/answer_end.py
+++ b/src/milletcourse/exchange/messages/answer_end.py
@@ -38,16 +38,22 @@
     return None if framing is Framing.CONNECTION else LossCause.CLOSED
 
 
-def stream_loss(framing: Framing, partial_event_bytes: int) -> LossCause | None:
+def stream_loss(
+    framing: Framing, partial_event_bytes: int, has_events: bool, resumes: bool
+) -> LossCause | None:
     """Why a stream of events is incomplete that has ended by its framing; None if it is whole.
 
-    A server that is stopped may close its connection, or end its last chunk, within an event.
+    A server that is stopped may close its connection, or send its last chunk, within an event or
+    before the first one.
 
     Args:
         framing: What marks the end of the body.
         partial_event_bytes: Bytes received of an event that was not completed.
+        has_events: Whether it had a complete event.
+        resumes: It continues a stream, and has no events if only the end of that one was lost.
     """
-    if not partial_event_bytes:
+    may_be_empty = framing is Framing.NO_BODY or (resumes and framing is not Framing.CONNECTION)
+    if not partial_event_bytes and (has_events or may_be_empty):
         return None
     return LossCause.CLOSED if framing is Framing.CONNECTION else LossCause.MALFORMED
 
--- a/src/milletcourse/exchange/messages/event_stream.py
+++ b/src/milletcourse/exchange/messages/event_stream.py
@@ -10,11 +10,13 @@
 
     Attributes:
         last_event_id: Id of the latest whole event; empty before the first.
+        has_events: Whether there was a whole event.
     """
 
     def __init__(self) -> None:
         self._partial = b""
         self.last_event_id = ""
+        self.has_events = False
 
     def feed(self, data: bytes) -> bytes:
         """Adds bytes of the body and returns the events that are now complete."""
@@ -25,6 +27,7 @@
             return b""
         whole = pending[:end]
         self._partial = pending[end:]
+        self.has_events = True
         self._record_ids(whole)
         return whole
 
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -6,8 +6,7 @@
 
 from milletcourse.exchange.attempts.answer_rules import classify_answer
 from milletcourse.exchange.attempts.silence_timeouts import MIN_SILENCE_SECONDS
-from milletcourse.exchange.messages.answer_end import AnswerEnd, LossCause, stream_loss
-from milletcourse.exchange.messages.event_stream import EventSplitter
+from milletcourse.exchange.messages.answer_end import AnswerEnd, LossCause
 from milletcourse.exchange.messages.messages import AbortCause, AnswerHead, AttemptResult
 from milletcourse.exchange.placement.engine_load import memory_tokens
 from milletcourse.exchange.servers.instance_table import Instance
@@ -18,6 +17,7 @@
 from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.requests.silence_watch import Silence, SilenceWatch
+from milletcourse.gateway.requests.stream_receiver import StreamReceiver
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.path_monitor import LinkFailure
 from milletcourse.gateway.servers.server_connection import ServerConnection
@@ -261,7 +261,7 @@
             return self._lost(connection, event.lost)
         head = event.head
         self._answer_started = True
-        self.answer_end = AnswerEnd(head.framing)
+        self.answer_end = AnswerEnd(connection.framing)
         self._stop_delivery_check()
         self._note_heard(connection)
         self._context.signal_monitor.on_answer(self._instance, head, self.sent_at)
@@ -323,31 +323,26 @@
     ) -> AttemptResult:
         if not head.signed or head.encoded:
             return self._lost(connection, LossCause.MALFORMED)
-        splitter = EventSplitter()
-        while True:
-            event = await connection.next_event()
-            if event.lost is not None or self._ended:
-                # Another server may have sent these events since this attempt was aborted.
-                return self._lost(connection, event.lost or LossCause.ABORTED)
-            whole = splitter.feed(event.body) if event.body else b""
-            self.answer_end = AnswerEnd(head.framing, splitter.partial_bytes)
-            if whole:
-                self._note_heard(connection)
-                if self._load is not None:
-                    self._load.on_prompt_read()
-                self._silence_watch.on_received()
-                self._listener.on_events(self)
-                self._relay.pass_events(head, whole, splitter.last_event_id)
-                self._silence_watch.expect_next_event()
-            if event.complete:
-                loss = stream_loss(head.framing, splitter.partial_bytes)
-                if loss is not None:
-                    return self._lost(connection, loss)
-                self._listener.on_events(self)
-                self._relay.end_stream(head)
-                self._dispatch.on_whole_answer()
-                self._context.pool.release(connection)
-                return AttemptResult.ANSWERED
+        receiver = StreamReceiver(
+            connection, head, self._relay, self._on_events, lambda: self._ended
+        )
+        loss = await receiver.receive()
+        self.answer_end = receiver.answer_end
+        if loss is not None:
+            return self._lost(connection, loss)
+        self._dispatch.on_whole_answer()
+        self._context.pool.release(connection)
+        return AttemptResult.ANSWERED
+
+    def _on_events(self) -> None:
+        """Whole events of the stream, or its end, are about to be relayed."""
+        if self._connection is not None:
+            self._note_heard(self._connection)
+        if self._load is not None:
+            self._load.on_prompt_read()
+        self._silence_watch.on_received()
+        self._silence_watch.expect_next_event()
+        self._listener.on_events(self)
 
     # -- silence --------------------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -128,6 +128,13 @@
             self._transport.abort()
         self._emit(AnswerEvent(lost=LossCause.ABORTED))
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body of the answer that is being received."""
+        if self._head is None or self._bodyless:
+            return Framing.NO_BODY
+        return self._head.framing
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is open."""
@@ -161,7 +168,7 @@
         """See `asyncio.Protocol`."""
         self._tainted = True
         is_awaited = self._busy and self._head is not None and not self._skipping
-        if is_awaited and loss_at_close(self._framing) is None:
+        if is_awaited and loss_at_close(self.framing) is None:
             self._finish_answer()
         return False
 
@@ -214,12 +221,6 @@
 
     # -- internals ------------------------------------------------------------------------------
 
-    @property
-    def _framing(self) -> Framing:
-        if self._head is None or self._bodyless:
-            return Framing.NO_BODY
-        return self._head.framing
-
     def _is_expected(self, head: AnswerHead) -> bool:
         if not self._expected_id or head.request_id == self._expected_id:
             return True
@@ -237,7 +238,7 @@
         self._busy = False
         if (
             head.closing
-            or self._framing is Framing.CONNECTION
+            or self.framing is Framing.CONNECTION
             or self._transport.get_write_buffer_size() > 0
         ):
             self._tainted = True
--- a/tests/gateway/requests/test_broken_off_streams.py
+++ b/tests/gateway/requests/test_broken_off_streams.py
@@ -60,20 +60,30 @@
         return b"".join(event(number) for number in range(1, self.number))
 
 
+NO_EVENTS = 0
+"""Bytes of the first event that a stream without any event sends."""
 LINE_ENDS = (1, len(b"id: 1\n"), len(b"id: 1\ndata"), len(event(1)) - 2, len(event(1)) - 1)
 """Cuts of an event: within and after a line, before and within its blank line."""
 
 
-def _breaks(framing: StreamFraming) -> list[Break]:
+def _ends(framing: StreamFraming) -> list[StreamEnd]:
     ends = [StreamEnd.CLOSED, StreamEnd.RESET]
     if framing is StreamFraming.CHUNKED:
         ends.append(StreamEnd.LAST_CHUNK)
+    return ends
+
+
+def _breaks_within_events(framing: StreamFraming) -> list[Break]:
     return [
         Break(framing, end, number, sent)
-        for end, number, sent in itertools.product(ends, (1, 3), LINE_ENDS)
+        for end, number, sent in itertools.product(_ends(framing), (1, 3), LINE_ENDS)
     ]
 
 
+def _breaks_before_events(framing: StreamFraming) -> list[Break]:
+    return [Break(framing, end, 1, NO_EVENTS) for end in _ends(framing)]
+
+
 def _head(request: ReceivedRequest, framing: StreamFraming) -> bytes:
     version = "1.0" if framing is StreamFraming.HTTP_1_0 else "1.1"
     fields = signed(request, **{"Content-Type": "text/event-stream"})
@@ -111,10 +121,11 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         body = b"".join(event(number) for number in range(first, EVENTS + 1))
         if case is None:
-            writer.write(_head(request, StreamFraming.CHUNKED) + chunk(body) + b"0\r\n\r\n")
+            chunks = chunk(body) if body else b""
+            writer.write(_head(request, StreamFraming.CHUNKED) + chunks + b"0\r\n\r\n")
             return
         body = case.whole_events + event(case.number)[: case.sent]
-        framed = chunk(body) if case.framing is StreamFraming.CHUNKED else body
+        framed = chunk(body) if body and case.framing is StreamFraming.CHUNKED else body
         writer.write(_head(request, case.framing) + framed)
         await _end(writer, case.end)
 
@@ -135,9 +146,8 @@
     return "" if got.body == case.whole_events else f"part of an event: {got.body!r}"
 
 
-def _problems(framing: StreamFraming, resumable: bool) -> list[str]:
+def _problems(breaks: list[Break], resumable: bool) -> list[str]:
     problems: list[str] = []
-    breaks = _breaks(framing)
 
     async def scenario(harness: Harness) -> None:
         behaviour = breaking_once(breaks)
@@ -159,9 +169,35 @@
 
 def test_a_stream_that_ends_within_an_event_is_not_passed_on_as_complete() -> None:
     """A stream that may not be resumed is cut after its last whole event, or answered with 502."""
-    assert not [problem for framing in StreamFraming for problem in _problems(framing, False)]
+    for framing in StreamFraming:
+        assert not _problems(_breaks_within_events(framing), resumable=False)
 
 
 def test_a_stream_that_ends_within_an_event_is_resumed_after_its_last_whole_event() -> None:
     """The client gets each event once, and no part of an event."""
-    assert not [problem for framing in StreamFraming for problem in _problems(framing, True)]
+    for framing in StreamFraming:
+        assert not _problems(_breaks_within_events(framing), resumable=True)
+
+
+def test_a_stream_that_ends_without_any_event_is_not_passed_on_as_complete() -> None:
+    """An empty answer can't be told from one whose server ended before its first event."""
+    for framing in StreamFraming:
+        assert not _problems(_breaks_before_events(framing), resumable=False)
+
+
+def test_a_stream_that_ends_without_any_event_is_run_at_another_server() -> None:
+    """The client gets the whole stream of the other server."""
+    for framing in StreamFraming:
+        assert not _problems(_breaks_before_events(framing), resumable=True)
+
+
+def test_a_stream_that_is_resumed_after_its_last_event_may_be_empty() -> None:
+    """A client that missed only the end of the stream gets it."""
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("e-1", "engine", breaking_once([]), 1)
+        await harness.start()
+        got = await (await harness.client()).ask("/stream/", Last_Event_Id=str(EVENTS), **PROMPT)
+        assert (got.status, got.whole, got.body) == (200, True, b"")
+
+    run_with_gateway(scenario)
