Log lines name a server's software version and the attempt that a request resumes

What was missing: whether a request takes up a stream, and of which software version the servers were that it was sent to, so that streams of two versions by a retry and those by a client's next try could not be told apart. The entry's version is decoded once in the adapter and kept with the incarnation. No decision changes.

--- a/src/milletcourse/exchange/messages/dialect.py
+++ b/src/milletcourse/exchange/messages/dialect.py
@@ -58,6 +58,8 @@
     tenant: str = "Milletcourse-Tenant"
     deadline_ms: str = "Milletcourse-Deadline-Ms"
     last_event_id: str = "Last-Event-ID"
+    resumes: str = "Milletcourse-Resumes"
+    """In requests that resume a stream: id of the client's attempt that got its first event."""
     model: str = "Milletcourse-Model"
     token_usage: str = "Milletcourse-Tokens"
     prompt_parts: str = "Milletcourse-Prompt-Parts"
@@ -91,6 +93,7 @@
         self._key = names.key.lower().encode()
         self._deadline = names.deadline_ms.lower().encode()
         self._last_event_id = names.last_event_id.lower().encode()
+        self._resumes = names.resumes.lower().encode()
         self._model = names.model.lower().encode()
         self._token_usage = names.token_usage.lower().encode()
         self._prompt_parts = names.prompt_parts.lower().encode()
@@ -147,6 +150,7 @@
             key=_text(values.get(self._key)),
             deadline_seconds=self._read_deadline(values.get(self._deadline)),
             last_event_id=_text(values.get(self._last_event_id)),
+            resumes=_text(values.get(self._resumes)),
             model=_text(values.get(self._model)),
             prompt_parts=self._read_parts(values.get(self._prompt_parts)),
             prompt_tokens=usage[0],
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -58,6 +58,8 @@
         output_tokens: Maximum number of generated tokens.
         received_at: Monotonic time of the first byte.
         declares_tokens: Whether the client declared both token counts.
+        resumes: Id of the client's attempt that got the first event of the stream that this one
+            resumes; empty for none.
     """
 
     method: bytes
@@ -75,6 +77,7 @@
     output_tokens: int
     received_at: float
     declares_tokens: bool = True
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/src/milletcourse/exchange/messages/records.py
+++ b/src/milletcourse/exchange/messages/records.py
@@ -182,6 +182,8 @@
         weight_versions: Model -> version of the weights that it has loaded.
         started_ms: Start time by its own clock, in Unix milliseconds; 0 when not given. A later
             start is another incarnation, which has no state of the previous one.
+        software_version: Version of the server's software, not of its weights; empty when not
+            given, None while only a restart is known.
     """
 
     name: str
@@ -191,6 +193,7 @@
     draining: bool = False
     weight_versions: dict[str, int] = {}
     started_ms: int = 0
+    software_version: str | None = ""
 
 
 class ModelTarget(msgspec.Struct, frozen=True):
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -328,13 +328,11 @@
             record.served(
                 self._job.request,
                 self._job.route,
-                last.instance.name,
+                last.answer_record(),
                 self._plan.sends,
                 relay.first_byte_seconds,
                 relay.longest_gap_seconds,
                 self._search.signals_by_server,
-                last.attempt.through,
-                last.attempt.answer_end,
             )
         elif self._relay.has_started:
             record.stream_truncated(self._job.request, self._job.route, self._truncated_stream())
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -8,7 +8,11 @@
 from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.requests.attempt import Attempt
-from milletcourse.gateway.telemetry.request_records import FailedAttempt, VisitedServer
+from milletcourse.gateway.telemetry.request_records import (
+    AnsweredAttempt,
+    FailedAttempt,
+    VisitedServer,
+)
 
 
 @dataclass
@@ -51,6 +55,15 @@
             round(silence.stall_seconds, 3),
         )
 
+    def answer_record(self) -> AnsweredAttempt:
+        """The record of this attempt for the log line of a served request."""
+        return AnsweredAttempt(
+            self.instance.name,
+            self.instance.record.software_version,
+            self.attempt.through,
+            self.attempt.answer_end,
+        )
+
     def failure_record(
         self, result: AttemptResult, identity: int, answers_others: bool
     ) -> FailedAttempt:
@@ -64,6 +77,7 @@
         loss = self.attempt.loss
         return FailedAttempt(
             self.instance.name,
+            self.instance.record.software_version,
             self.instance.record.address,
             result,
             loss.value if loss is not None else None,
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -21,6 +21,7 @@
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
 from milletcourse.gateway.telemetry.path_recorder import PathRecorder
 from milletcourse.gateway.telemetry.request_records import (
+    AnsweredAttempt,
     FailedAttempt,
     OverloadState,
     StreamTruncation,
@@ -130,6 +131,7 @@
             "attempt-failed",
             route=route.name,
             instance=failed.instance,
+            **_software_field(failed.software_version),
             address=failed.address,
             result=failed.result.value,
             loss=failed.loss,
@@ -151,38 +153,35 @@
         self,
         request: ExchangeRequest,
         route: RouteRecord,
-        instance: str,
+        answered: AnsweredAttempt,
         sends: int,
         first: float,
         gap: float,
         excluded_servers: dict[str, str],
-        through: str = "",
-        answer_end: AnswerEnd | None = None,
     ) -> None:
         """A complete answer was relayed to the client.
 
         Args:
             request: The request.
             route: Its route.
-            instance: Server that answered.
+            answered: The attempt that completed the answer.
             sends: Number of servers that it was sent to.
             first: Seconds to its first byte.
             gap: Longest pause within the answer in seconds.
             excluded_servers: Servers excluded for a signal of their own -> that signal.
-            through: Gateway that relayed the connection to the server; empty for a direct one.
-            answer_end: How the last server's answer ended, None when it is unknown.
         """
         self.tally.on_end(route.name, served_outcome(route, first, gap))
         self._metrics.on_request_finished("served")
         self._log.emit(
             "request-served",
             route=route.name,
-            instance=instance,
+            instance=answered.instance,
+            **_software_field(answered.software_version),
             sends=sends,
             first=round(first, 3),
             gap=round(gap, 3),
-            **_answer_end_fields(answer_end),
-            **_through_field(through),
+            **_answer_end_fields(answered.answer_end),
+            **_through_field(answered.through),
             **_excluded_servers_field(excluded_servers),
             **self._request_fields(request),
         )
@@ -335,7 +334,8 @@
 
     def _request_fields(self, request: ExchangeRequest) -> dict[str, Any]:
         seconds = round(self.now() - request.received_at, 3)
-        return {"request_id": request.request_id, "seconds": seconds}
+        resumes = {"resumes": request.resumes} if request.resumes else {}
+        return {"request_id": request.request_id, **resumes, "seconds": seconds}
 
 
 def _answer_end_fields(end: AnswerEnd | None) -> dict[str, Any]:
@@ -345,6 +345,11 @@
     return {"framing": end.framing.value, "partial_event_bytes": end.partial_event_bytes}
 
 
+def _software_field(version: str | None) -> dict[str, Any]:
+    """Log field of the version of a server's software; empty when servers don't state one."""
+    return {} if version == "" else {"software": version}
+
+
 def _through_field(gateway: str) -> dict[str, Any]:
     """Log field that names the gateway that relayed a connection; usually empty."""
     return {"through": gateway} if gateway else {}
--- a/src/milletcourse/gateway/telemetry/request_records.py
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -8,11 +8,28 @@
 from milletcourse.exchange.messages.messages import AttemptResult
 
 
+class AnsweredAttempt(msgspec.Struct, frozen=True):
+    """An attempt at a server that completed the answer.
+
+    Attributes:
+        instance: Incarnation of the server.
+        software_version: Version of the server's software.
+        through: Name of the gateway that relayed the connection; empty for a direct one.
+        answer_end: How the answer ended, None when it is unknown.
+    """
+
+    instance: str
+    software_version: str | None
+    through: str
+    answer_end: AnswerEnd | None
+
+
 class FailedAttempt(msgspec.Struct, frozen=True):
     """An attempt at a server that returned no answer.
 
     Attributes:
         instance: Incarnation of the server.
+        software_version: Version of the server's software.
         address: `host:port` of the server: shows whether successive incarnations fail alike.
         result: How the attempt ended.
         loss: Why the connection was lost before a complete answer, None when it was not.
@@ -26,6 +43,7 @@
     """
 
     instance: str
+    software_version: str | None
     address: str
     result: AttemptResult
     loss: str | None
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -332,6 +332,8 @@
     zone: str = ""
     state: str = "ready"
     models: list[_ModelState] = []
+    version: str | int | None = None
+    """Of the server's software; weights have versions of their own in `models`."""
     born: int = msgspec.field(name="born", default=0)
 
 
@@ -361,6 +363,7 @@
             model.name: _whole_number(model.version, "weight version") for model in document.models
         },
         started_ms=_whole_number(document.born, "start time"),
+        software_version=str(document.version) if document.version is not None else "",
     )
 
 
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -11,6 +11,7 @@
     tenant="Tenant",
     deadline_ms="Deadline-Ms",
     last_event_id="Last-Event-Id",
+    resumes="Resumes",
     model="Model",
     token_usage="Token-Usage",
     prompt_parts="Prompt-Prefix",
