--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -44,6 +44,7 @@
         self.node: GatewayNode | None = None
         self.adapter = new_adapter()
         self.internal_ports: list[int] = []
+        self.configuration = configuration()
         self.mechanisms = ALL_MECHANISMS
         self.others: list[GatewayNode] = []
 
@@ -60,10 +61,15 @@
         await self.store.start()
 
     async def add_server(
-        self, name: str, service: str, behaviour: Behaviour, version: int | None = None
+        self,
+        name: str,
+        service: str,
+        behaviour: Behaviour,
+        version: int | None = None,
+        software: str = "v1",
     ) -> StandinServer:
         """Start a server and write its entry to the store."""
-        server = StandinServer(name, behaviour)
+        server = StandinServer(name, behaviour, software=software)
         await server.start()
         self.servers[name] = server
         self.store.put("servers", name, server.entry(service, version))
@@ -110,7 +116,7 @@
 
     async def start(self, **bounds: Any) -> None:
         """Start the gateway with the default configuration and wait until it is ready."""
-        self.store.put("config", "main", configuration())
+        self.store.put("config", "main", self.configuration)
         await self.start_gateway(**bounds)
         await self.until(self.is_ready)
 
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -345,6 +345,7 @@
     closed: list[int] = field(default_factory=list)
     resets: int = 0
     address: str = ""
+    software: str = "v1"
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, predecessor: StandinServer | None = None) -> None:
@@ -407,7 +408,7 @@
             "Service": service,
             "Address": self.address,
             "Zone": "zone-1",
-            "Version": "v1",
+            "Version": self.software,
             "Slots": 8,
             "State": state,
             "ColdRemainingMs": 0,
