Within an answer, a stream goes on only at the software version that began it

Cause: the search for the next server took any server of the service; nothing read the software version. Class: a condition on who may continue work is known when the work begins and not kept with it. Change: StreamContinuity keeps the version with the exchange from its first whole events on; retries, offers to a second server and the last check before a send ask it. A server whose restart is known before its new entry has no known version and continues nothing; another version in an entry is a restart, also without a start time. With no other server of the version the client's connection is cut, so that it can come back. The tests' fleet has retries for all streams now, since 4 of 8 each were cut for the retry budget.

--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -258,7 +258,10 @@
             return False
         self.upsert(
             msgspec.structs.replace(
-                known.record, started_ms=started_ms, weight_versions=weight_versions or {}
+                known.record,
+                started_ms=started_ms,
+                weight_versions=weight_versions or {},
+                software_version=None,
             )
         )
         return True
@@ -340,4 +343,8 @@
     """Whether both records may be of the same incarnation."""
     if known.service != record.service:
         return False
+    versions = {known.software_version, record.software_version} - {None}
+    if len(versions) > 1:
+        # Software is replaced by a restart, also where entries name no start.
+        return False
     return not known.started_ms or known.started_ms == record.started_ms
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -17,6 +17,7 @@
 from milletcourse.gateway.requests.dispatch_builder import DispatchBuilder
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.requests.silence_watch import Silence, SilenceWatch
+from milletcourse.gateway.requests.stream_continuity import StreamContinuity
 from milletcourse.gateway.requests.stream_receiver import StreamReceiver
 from milletcourse.gateway.servers.descriptors import LocalResourceError
 from milletcourse.gateway.servers.path_monitor import LinkFailure
@@ -67,6 +68,7 @@
         instance: Instance,
         permit: Permit,
         listener: AttemptListener,
+        continuity: StreamContinuity,
     ) -> None:
         self.was_sent = False
         self.loss: LossCause | None = None
@@ -78,6 +80,7 @@
         self.health = AttemptHealth(context, instance)
         self._delivery_check: DeliveryCheck | None = None
         self._listener = listener
+        self._continuity = continuity
         self._context = context
         self._job = job
         self._relay = relay
@@ -223,6 +226,8 @@
         """Check again, after the connection is established, that the request may be sent."""
         if self._ended or not self._context.may_use_keys(self._job.tenant):
             return False
+        if not self._continuity.permits(self._instance):
+            return False
         self.abort_cause = self._context.permits.blocking_cause(self._permit, self._instance)
         if self.abort_cause is not None:
             return False
@@ -342,6 +347,7 @@
             self._load.on_prompt_read()
         self._silence_watch.on_received()
         self._silence_watch.expect_next_event()
+        self._continuity.on_events(self._instance.record.software_version)
         self._listener.on_events(self)
 
     # -- silence --------------------------------------------------------------------------------
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -36,6 +36,7 @@
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.requests.server_attempt import ServerAttempt
 from milletcourse.gateway.requests.server_search import Destination, ServerSearch
+from milletcourse.gateway.requests.stream_continuity import StreamContinuity
 from milletcourse.gateway.requests.stream_handover import StreamHandover
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telemetry.request_records import StreamTruncation, VisitedServer
@@ -75,7 +76,8 @@
         self._client = client
         self._relay = AnswerRelay(request, client, context.record)
         self._plan = AttemptPlan(route.repeatable, route.max_attempts)
-        self._search = ServerSearch(context, self._job)
+        self._continuity = StreamContinuity()
+        self._search = ServerSearch(context, self._job, self._continuity)
         self._handover = StreamHandover(context, self._open_successor, self._on_offer_failed)
         self._server_retry_afters: list[float] = []
         """Retry-After seconds of the servers that rejected the request."""
@@ -168,6 +170,7 @@
             destination.instance,
             destination.permit,
             self._handover,
+            self._continuity,
         )
         if self._end_cause is not None:
             attempt.end(self._end_cause)
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -18,6 +18,7 @@
 from milletcourse.exchange.placement.instance_selector import Choice
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.requests.stream_continuity import StreamContinuity
 from milletcourse.gateway.servers.server_permits import Permit
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.telemetry.request_records import OverloadState
@@ -38,13 +39,17 @@
 class ServerSearch:
     """Selects among the servers that a request may still be sent to, and acquires permits."""
 
-    def __init__(self, context: GatewayContext, job: ExchangeJob) -> None:
+    def __init__(
+        self, context: GatewayContext, job: ExchangeJob, continuity: StreamContinuity
+    ) -> None:
         """Start without any server tried.
 
         Args:
             context: Shared state of the gateway.
             job: The request.
+            continuity: The servers at which its stream may go on.
         """
+        self._continuity = continuity
         self._context = context
         self._job = job
         self._tried: set[str] = set()
@@ -163,7 +168,8 @@
     def _allowed(self, now: float) -> list[Instance]:
         job = self._job
         candidates = self._context.selector.candidates
-        return candidates.allowed(job.service, job.request.model, (), now)
+        excluded = self._continuity.excluded(self._servers())
+        return candidates.allowed(job.service, job.request.model, excluded, now)
 
     def _seconds_until_retry(self) -> float:
         """Seconds until the caller may retry, spread after the first server's back-off ends."""
@@ -187,7 +193,7 @@
             job.service,
             job.request,
             job.scope,
-            left_out,
+            left_out | self._continuity.excluded(self._servers()),
             self._selected_at,
             job.route.gap_seconds,
         )
--- a/tests/gateway/requests/test_software_versions.py
+++ b/tests/gateway/requests/test_software_versions.py
@@ -151,13 +151,13 @@
         for node in self.nodes:
             await self.harness.until(lambda node=node: self.knows_all(node, len(self.nodes)))
 
-    async def start_gateways(self, gateways: int = GATEWAYS) -> None:
-        """Start gateways that are found through their entries."""
+    async def start_gateways(self, gateways: int = GATEWAYS, **bounds: float) -> None:
+        """Start gateways that are found through their entries, with retries for all streams."""
         self.harness.internal_ports = self.harness.free_ports()
         engine = self.harness.configuration["Services"][1]["Engine"]
         engine.update(Slots=4 * STREAMS, KvCapacity=1_000_000)
         self.harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
-        await super().start_gateways(gateways)
+        await super().start_gateways(gateways, RetrySlack=50.0 * STREAMS, **bounds)
 
     async def each(self, act: Callable[[ReceivedStream, int], Awaitable[None]]) -> None:
         """Do something with each stream and its number, all at the same time."""
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -22,14 +22,14 @@
         self.answers: list[ClientAnswer] = []
         self._number = 0
 
-    async def start_gateways(self, gateways: int) -> None:
+    async def start_gateways(self, gateways: int, **bounds: float) -> None:
         """Start gateways, and wait until all know each other and the servers."""
         harness = self.harness
-        await harness.start()
+        await harness.start(**bounds)
         assert harness.node is not None
         self.nodes = [harness.node]
         for number in range(1, gateways):
-            self.nodes.append(await harness.add_gateway(f"front-{number + 1}"))
+            self.nodes.append(await harness.add_gateway(f"front-{number + 1}", **bounds))
         for node in self.nodes:
             await harness.until(lambda node=node: self.knows_all(node, gateways))
 
