A stream that a client resumes goes on only at the software version that began it

Cause: what a gateway knew of a stream ended with the gateway's part in it; Resumes was read by nothing. Class: a condition on who may continue work is known where the work began and not where it goes on. Change: exchange/resumption and gateway/state/stream_resumption.py. Before the first whole events of an answer are relayed, the gateway keeps (tenant, first id) -> service and version; while several versions serve or may have served, it tells the stream's holders, five gateways by rendezvous hashing, with one datagram each and no wait. On the sight of a second version it tells what it began before; resumable streams begin at a version that is new beside others 0.5 s after it is seen. A client's next try is answered from the own record, else from the holders (0.15 s at most). What isn't known is refused at once (stream-not-resumable, 503, with Retry-After), except while one version alone can have begun it: the gateway's view of the servers is current, or more than half of the holders don't know the stream and have seen no other version. Untrusted input: keys are hashes with the tenant, 32,768 at most, the oldest dropped; an id under which two versions began is unknown until both have expired. The check of crashes is a module of its own, gateway/requests/crash_check.py.

--- a/src/milletcourse/errors/requests.py
+++ b/src/milletcourse/errors/requests.py
@@ -97,6 +97,14 @@
     run_state = RunState.NOT_RUN
 
 
+class StreamNotResumable(Failure, frozen=True):
+    """No server may continue a stream, or it isn't known which software version began it."""
+
+    code = "stream-not-resumable"
+    status = 503
+    run_state = RunState.NOT_RUN
+
+
 class ServersAtLimit(Failure, frozen=True):
     """All eligible servers have a request limit, and the limit of each is used up."""
 
--- /dev/null
+++ b/src/milletcourse/exchange/resumption/origin_holders.py
@@ -0,0 +1,43 @@
+"""Which gateways keep the origin of a stream; no input/output.
+
+They are found by rendezvous hashing over the list of gateways, so that the gateway that begins a
+stream and the one at which its client resumes it agree without exchanging messages.
+"""
+
+from __future__ import annotations
+
+from heapq import nlargest
+
+import xxhash
+
+HOLDERS_PER_STREAM = 5
+"""With half of the gateways lost at once, 1 in 32 streams loses all its holders."""
+
+
+class OriginHolders:
+    """Holders of all streams, as seen by one gateway."""
+
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
+        self._members: list[str] = []
+
+    def set_peers(self, others: list[str]) -> None:
+        """Replace the list of the other gateways."""
+        self._members = [self._own_name, *others]
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether the list of gateways is known and has no other one."""
+        return self._members == [self._own_name]
+
+    def of_stream(self, key: int) -> list[str]:
+        """Names of the holders of a stream, which may include this gateway."""
+        return nlargest(HOLDERS_PER_STREAM, self._members, lambda name: _weight(key, name))
+
+    def others(self, key: int) -> list[str]:
+        """Names of the holders of a stream, without this gateway."""
+        return [name for name in self.of_stream(key) if name != self._own_name]
+
+
+def _weight(key: int, name: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(name.encode(), seed=key), name
--- a/src/milletcourse/exchange/servers/instance_table.py
+++ b/src/milletcourse/exchange/servers/instance_table.py
@@ -142,6 +142,8 @@
         """Called with an incarnation whose entry reports that it is draining."""
         self.on_renamed: Callable[[int, int], None] | None = None
         """Called with the previous and the new key when an incarnation's start becomes known."""
+        self.on_seen: Callable[[InstanceRecord], None] | None = None
+        """Called with each entry that is applied, and with that of a server that is dropped."""
 
     def __iter__(self) -> Iterator[Instance]:
         """All incarnations that aren't known to be terminated."""
@@ -155,6 +157,11 @@
         """Incarnations of a service by name."""
         return self._services.get(service, {})
 
+    def has_software(self, service: str, version: str) -> bool:
+        """Whether a server of a service and software version is listed."""
+        members = self.of_service(service).values()
+        return any(instance.record.software_version == version for instance in members)
+
     def at_address(self, address: str) -> Instance | None:
         """The server at an address, None when no server is known there."""
         found = (instance for instance in self if instance.record.address == address)
@@ -214,6 +221,8 @@
         if known is not None and record.started_ms < known.record.started_ms:
             return
         self._apply(known, record)
+        if self.on_seen is not None:
+            self.on_seen(record)
         self._services_by_address[record.address] = record.service
         if record.draining and self.on_draining is not None:
             self.on_draining(self._instances[record.name])
@@ -333,6 +342,8 @@
         self.generation += 1
         if self.on_forgotten is not None:
             self.on_forgotten(instance.name)
+        if self.on_seen is not None:
+            self.on_seen(instance.record)
         members = self._services.get(instance.record.service, {})
         members.pop(instance.name, None)
         if not members:
--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -6,6 +6,12 @@
 from typing import cast
 
 from milletcourse.exchange.load.load_exchange import TICK_SECONDS, Outgoing
+from milletcourse.exchange.messages.origin_messages import (
+    OriginMessage,
+    decode_origin_message,
+    encode_origin_message,
+    is_origin_message,
+)
 from milletcourse.exchange.messages.peer_messages import (
     LoadScope,
     ServerNotice,
@@ -42,6 +48,7 @@
         context.cache_store_availability.on_observed = self._notify_cache_store
         context.update_listeners.append(self._tick)
         context.permits.send = self._send_permit_message
+        context.stream_resumption.send = self._send_origin_message
 
     def set_gateways(self, gateways: list[GatewayRecord], readers: list[str]) -> None:
         """Set the list of the other gateways, and of the zones' readers among them."""
@@ -49,6 +56,7 @@
         self._addresses = set(self._peers.values())
         self._context.loads.set_gateways(list(self._peers), readers)
         self._context.permits.owner_selector.set_peers(list(self._peers))
+        self._context.stream_resumption.holders.set_peers(list(self._peers))
         self._context.set_gateways(len(self._peers) + 1)
 
     def is_listed(self, name: str, host: str) -> bool:
@@ -67,6 +75,9 @@
         if is_permit_message(data):
             self._on_permit_message(data, addr)
             return
+        if is_origin_message(data):
+            self._on_origin_message(data, addr)
+            return
         message = decode_message(data)
         if message is None:
             self._context.record.peer_message_refused(addr[0])
@@ -97,6 +108,18 @@
         if address is not None and self._transport is not None:
             self._transport.sendto(encode_permit_message(message), address)
 
+    def _on_origin_message(self, data: bytes, addr: tuple[str, int]) -> None:
+        message = decode_origin_message(data)
+        if message is None:
+            self._context.record.peer_message_refused(addr[0])
+        elif addr == self._peers.get(message.sender):
+            self._context.stream_resumption.on_message(message)
+
+    def _send_origin_message(self, name: str, message: OriginMessage) -> None:
+        address = self._peers.get(name)
+        if address is not None and self._transport is not None:
+            self._transport.sendto(encode_origin_message(message), address)
+
     def _on_notice(self, notice: ServerNotice, now: float) -> None:
         if notice.state in (ServerState.STORE_UNREACHABLE, ServerState.STORE_REACHABLE):
             self._on_cache_store_notice(notice)
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -208,6 +208,7 @@
             self.context.report_limits()
             self.context.crash_detector.sweep()
             self.context.permits.sweep(self._server_keys)
+            self.context.stream_resumption.sweep()
 
     def _server_keys(self) -> set[int]:
         return {instance.key for instance in self.context.instances}
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -32,20 +32,18 @@
 from milletcourse.gateway.clients.refusals import refuse
 from milletcourse.gateway.requests.answer_relay import AnswerRelay
 from milletcourse.gateway.requests.attempt import Attempt
-from milletcourse.gateway.requests.attempt_health import CLOSED_BY_SERVER
+from milletcourse.gateway.requests.crash_check import CrashCheck
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.requests.server_attempt import ServerAttempt
 from milletcourse.gateway.requests.server_search import Destination, ServerSearch
 from milletcourse.gateway.requests.stream_continuity import StreamContinuity
 from milletcourse.gateway.requests.stream_handover import StreamHandover
 from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.state.stream_resumption import ResumePoint
 from milletcourse.gateway.telemetry.request_records import StreamTruncation, VisitedServer
 from milletcourse.runtime.responsive_clock import STALL_THRESHOLD_SECONDS
 from milletcourse.runtime.responsive_timer import RECHECK_DELAY_SECONDS
 
-MAX_CRASH_CHECK_SECONDS = 0.05
-"""How long a request that may be retried waits for the check of whether its server crashed. Nothing
-listens at a crashed server's port, and the refused connection shows that within a round trip."""
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Used for requests without a deadline of the client."""
 
@@ -61,8 +59,21 @@
         route: RouteRecord,
         tenant: TenantRecord | None,
         client: ClientConnection,
+        resume_point: ResumePoint | None = None,
     ) -> None:
-        service_name = context.weights.choose(route)
+        """Create an exchange that has not sent anything yet.
+
+        Args:
+            context: Shared state of the gateway.
+            table: The configuration under which the request was admitted.
+            request: The request.
+            route: Its route.
+            tenant: Its tenant, None on public routes.
+            client: Connection of its client.
+            resume_point: Where a stream goes on that the client resumes, None for a new one.
+        """
+        service_name = resume_point.service if resume_point else context.weights.choose(route)
+        client_deadline_at = request.received_at + _client_seconds(request)
         self._context = context
         self._job = ExchangeJob(
             request=request,
@@ -71,13 +82,15 @@
             service=table.service(service_name) or ServiceRecord(service_name),
             scope=reuse_scope(request.model, tenant),
             table=table,
-            deadline_at=request.received_at + _timeout_seconds(request, route),
+            deadline_at=min(client_deadline_at, request.received_at + route.timeout_seconds),
+            client_deadline_at=client_deadline_at,
         )
         self._client = client
         self._relay = AnswerRelay(request, client, context.record)
         self._plan = AttemptPlan(route.repeatable, route.max_attempts)
-        self._continuity = StreamContinuity()
+        self._continuity = StreamContinuity(context, self._job, resume_point)
         self._search = ServerSearch(context, self._job, self._continuity)
+        self._crash_check = CrashCheck(context.crash_detector, self._job)
         self._handover = StreamHandover(context, self._open_successor, self._on_offer_failed)
         self._server_retry_afters: list[float] = []
         """Retry-After seconds of the servers that rejected the request."""
@@ -147,7 +160,8 @@
             result = await server_attempt.result()
             successor = None if result is AttemptResult.ANSWERED else self._handover.take_over()
             self._note_attempt_end(server_attempt, result)
-            await self._check_for_crash(server_attempt, result)
+            may_retry = self._plan.may_retry(self._seconds_left())
+            await self._crash_check.on_attempt_end(server_attempt, result, may_retry)
             if self._end_cause is AbortCause.CLIENT_DISCONNECTED:
                 record.client_left(
                     request, self._job.route, server_attempt.instance.name, self._relay.has_started
@@ -189,8 +203,7 @@
     def _on_offer_failed(self, server_attempt: ServerAttempt, result: AttemptResult) -> None:
         """Another server did not continue the stream; the first one still serves it."""
         self._note_attempt_end(server_attempt, result)
-        if server_attempt.attempt.loss in CLOSED_BY_SERVER:
-            self._check_server(server_attempt, result)
+        self._crash_check.on_attempt_lost(server_attempt, result)
         self._record_end(server_attempt, result, NextStep.FIRST_CONTINUES)
 
     def _note_attempt_end(self, server_attempt: ServerAttempt, result: AttemptResult) -> None:
@@ -226,32 +239,6 @@
             failed = server_attempt.failure_record(result, self._job.identity, answers_others)
             record.attempt_failed(self._job.request, self._job.route, failed, step)
 
-    async def _check_for_crash(self, server_attempt: ServerAttempt, result: AttemptResult) -> None:
-        """Record evidence of whether the request crashes servers.
-
-        An answer is evidence against it, and a crashed server is evidence for it.
-        """
-        detector = self._context.crash_detector
-        if result in (AttemptResult.ANSWERED, AttemptResult.FAILED):
-            detector.on_answer(self._job.identity)
-            return
-        if server_attempt.attempt.loss not in CLOSED_BY_SERVER:
-            return
-        check = self._check_server(server_attempt, result)
-        if self._plan.may_retry(self._seconds_left()):
-            # Without the result of this check, the request might crash one more server.
-            await asyncio.wait((check,), timeout=MAX_CRASH_CHECK_SECONDS)
-
-    def _check_server(
-        self, server_attempt: ServerAttempt, result: AttemptResult
-    ) -> asyncio.Task[None]:
-        """Check why a server closed a connection; then it counts against the server or the path."""
-        attempt = server_attempt.attempt
-        detector = self._context.crash_detector
-        check = detector.on_loss(self._job.identity, server_attempt.instance, attempt.sent_at)
-        check.add_done_callback(lambda _: attempt.health.on_path_checked(result))
-        return check
-
     def _truncated_stream(self) -> StreamTruncation:
         table = self._context.route_table
         return StreamTruncation(
@@ -392,8 +379,6 @@
         self._handover.end(cause)
 
 
-def _timeout_seconds(request: ExchangeRequest, route: RouteRecord) -> float:
-    deadline = request.deadline_seconds
-    if deadline is None:
-        deadline = DEFAULT_DEADLINE_SECONDS
-    return min(deadline, route.timeout_seconds)
+def _client_seconds(request: ExchangeRequest) -> float:
+    declared = request.deadline_seconds
+    return DEFAULT_DEADLINE_SECONDS if declared is None else declared
--- a/src/milletcourse/gateway/requests/exchange_job.py
+++ b/src/milletcourse/gateway/requests/exchange_job.py
@@ -24,6 +24,7 @@
         scope: Reuse scope of the prompt state, without the weight version.
         table: The configuration under which the request was admitted.
         deadline_at: Monotonic time by which the final answer is due.
+        client_deadline_at: Monotonic time until which the client waits, over all its attempts.
     """
 
     request: ExchangeRequest
@@ -33,6 +34,7 @@
     scope: str
     table: RouteTable
     deadline_at: float
+    client_deadline_at: float
 
     @property
     def rank(self) -> int:
--- a/src/milletcourse/gateway/requests/exchange_runner.py
+++ b/src/milletcourse/gateway/requests/exchange_runner.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from milletcourse.errors import (
     ConfigurationStale,
     Draining,
     FailureError,
     NotFound,
     NotReady,
+    StreamNotResumable,
     TenantLimitExceeded,
     Unauthenticated,
 )
@@ -20,10 +23,21 @@
 from milletcourse.gateway.clients.request_reader import ClientRequest
 from milletcourse.gateway.requests.exchange import Exchange
 from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.state.stream_resumption import ResumePoint
 
 CONFIGURATION_PENDING_DETAIL = "this gateway has not applied the newest configuration yet"
 
 
+@dataclass(frozen=True)
+class _AdmittedRequest:
+    """A request that the configuration in force allows."""
+
+    table: RouteTable
+    request: ExchangeRequest
+    route: RouteRecord
+    tenant: TenantRecord | None
+
+
 class ExchangeRunner:
     """Serves the requests of all client connections."""
 
@@ -33,7 +47,9 @@
     async def handle(self, received: ClientRequest, client: ClientConnection) -> None:
         """Serve one request; the handler of `ClientConnection`."""
         try:
-            exchange = self._open(received, client)
+            admitted = self._admit(received)
+            resume_point = await self._resume_point(admitted)
+            exchange = self._open(admitted, resume_point, client)
         except FailureError as error:
             request_id = self._context.dialect.request_id_of(received.fields)
             self._context.record.refusal(error.failure, request_id, received.target)
@@ -41,7 +57,7 @@
             return
         await exchange.run()
 
-    def _open(self, received: ClientRequest, client: ClientConnection) -> Exchange:
+    def _admit(self, received: ClientRequest) -> _AdmittedRequest:
         context = self._context
         context.handle_suspension()
         if context.refusing:
@@ -55,10 +71,46 @@
         request.body = received.body
         self._refuse_stale(request)
         route = self._find_route(table, request)
-        tenant = self._find_tenant(table, route, request)
+        return _AdmittedRequest(table, request, route, self._find_tenant(table, route, request))
+
+    async def _resume_point(self, admitted: _AdmittedRequest) -> ResumePoint | None:
+        """Where a stream goes on that the client resumes; None for other requests."""
+        context = self._context
+        request, route, tenant = admitted.request, admitted.route, admitted.tenant
+        if not route.streaming or not request.last_event_id:
+            return None
+        preferred = context.weights.choose(route)
+        services = dict.fromkeys((preferred, *(backend.service for backend in route.backends)))
+        resume_point = await context.stream_resumption.resolve(
+            tenant.name if tenant is not None else "", request.resumes, list(services)
+        )
+        if resume_point is None:
+            context.record.resumption.resumption_refused()
+            detail = "no gateway knows which software version began the stream"
+            raise FailureError(StreamNotResumable(detail, context.retry_after()))
+        context.record.resumption.stream_resumed(
+            request.request_id, request.resumes, resume_point.software_version
+        )
+        return resume_point
+
+    def _open(
+        self,
+        admitted: _AdmittedRequest,
+        resume_point: ResumePoint | None,
+        client: ClientConnection,
+    ) -> Exchange:
+        tenant = admitted.tenant
         if tenant is not None:
-            self._enforce_limit(tenant, request)
-        return Exchange(context, table, request, route, tenant, client)
+            self._enforce_limit(tenant, admitted.request)
+        return Exchange(
+            self._context,
+            admitted.table,
+            admitted.request,
+            admitted.route,
+            tenant,
+            client,
+            resume_point,
+        )
 
     def _refuse_stale(self, request: ExchangeRequest) -> None:
         """Refuse a request that an overdue configuration change may affect."""
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -12,6 +12,7 @@
     ServersAtLimit,
     ServersBackingOff,
     ServersLeaving,
+    StreamNotResumable,
 )
 from milletcourse.exchange.limits.back_off_retry import back_off_retry_seconds
 from milletcourse.exchange.load.signal_record import Signal
@@ -150,6 +151,10 @@
         return ServersAtLimit(detail, retry_after + (seconds or 0.0))
 
     def _unavailable(self, retry_after: float) -> Failure:
+        version = self._continuity.required_version
+        if version is not None and not any(map(self._continuity.permits, self._servers())):
+            detail = f"no server of software version {version!r} serves, which began the stream"
+            return StreamNotResumable(detail, retry_after)
         signals = self._signals_of_all(self._selected_at)
         if Signal.BACKING_OFF in signals:
             return ServersBackingOff(
@@ -186,14 +191,20 @@
         )
 
     def _choose(self, left_out: set[str]) -> Choice | None:
-        job = self._job
         self._selected_at = self._context.now()
         self._note_signals()
+        left_out = left_out | self._continuity.excluded(self._servers())
+        held = self._continuity.held(self._servers())
+        choice = self._select(left_out | held)
+        return self._select(left_out) if choice is None and held else choice
+
+    def _select(self, left_out: set[str]) -> Choice | None:
+        job = self._job
         return self._context.selector.choose(
             job.service,
             job.request,
             job.scope,
-            left_out | self._continuity.excluded(self._servers()),
+            left_out,
             self._selected_at,
             job.route.gap_seconds,
         )
--- a/src/milletcourse/gateway/requests/stream_continuity.py
+++ b/src/milletcourse/gateway/requests/stream_continuity.py
@@ -5,19 +5,42 @@
 from collections.abc import Iterable
 
 from milletcourse.exchange.servers.instance_table import Instance
+from milletcourse.gateway.requests.exchange_job import ExchangeJob
+from milletcourse.gateway.state.context import GatewayContext
+from milletcourse.gateway.state.stream_resumption import ResumePoint
 
 
 class StreamContinuity:
-    """The software version at which one request's stream may go on.
+    """The software version at which one request's stream begins or goes on.
 
     What servers of two software versions write doesn't fit together, and servers don't check who
     began a stream.
     """
 
-    def __init__(self) -> None:
-        """Start with a stream that hasn't begun."""
-        self._has_begun = False
+    def __init__(
+        self, context: GatewayContext, job: ExchangeJob, resume_point: ResumePoint | None
+    ) -> None:
+        """Start before the first event of the answer.
+
+        Args:
+            context: Shared state of the gateway.
+            job: The request.
+            resume_point: Where a stream goes on that the client resumes, None for a new one.
+        """
+        self._context = context
+        self._job = job
+        self._has_begun = resume_point is not None
+        self._is_relayed = False
         self._software_version: str | None = None
+        self._first_id = job.request.request_id
+        if resume_point is not None:
+            self._software_version = resume_point.software_version
+            self._first_id = job.request.resumes or job.request.request_id
+
+    @property
+    def required_version(self) -> str | None:
+        """Version of the servers that may continue the stream; None for a new one."""
+        return self._software_version
 
     def on_events(self, software_version: str | None) -> None:
         """Whole events of a server are about to be relayed.
@@ -25,9 +48,24 @@
         Args:
             software_version: Version of the server's software, None when it isn't known.
         """
+        if self._is_relayed:
+            return
+        self._is_relayed = True
         if not self._has_begun:
             self._has_begun = True
             self._software_version = software_version
+        if self._software_version is not None:
+            self._announce(self._software_version)
+
+    def _announce(self, software_version: str) -> None:
+        job = self._job
+        self._context.stream_resumption.on_relayed(
+            job.tenant.name if job.tenant is not None else "",
+            self._first_id,
+            job.service.name,
+            software_version,
+            job.client_deadline_at,
+        )
 
     def permits(self, instance: Instance) -> bool:
         """Whether the request may be sent to a server."""
@@ -41,3 +79,13 @@
         if not self._has_begun:
             return set()
         return {instance.name for instance in instances if not self.permits(instance)}
+
+    def held(self, instances: Iterable[Instance]) -> set[str]:
+        """Names of the servers at which a resumable stream should not begin yet."""
+        if self._has_begun or not self._job.route.resumable:
+            return set()
+        versions = self._context.stream_resumption.versions
+        held = versions.held(self._job.service.name, self._context.now())
+        if not held:
+            return set()
+        return {item.name for item in instances if item.record.software_version in held}
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -19,7 +19,7 @@
 from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS, Mechanism
 from milletcourse.exchange.messages.dialect import HeaderDialect
-from milletcourse.exchange.messages.records import EdgeLimits, TenantRecord
+from milletcourse.exchange.messages.records import EdgeLimits, InstanceRecord, TenantRecord
 from milletcourse.exchange.placement.cache_store_plan import CacheStorePlan
 from milletcourse.exchange.placement.instance_selector import InstanceSelector
 from milletcourse.exchange.placement.route_table import RouteTable
@@ -48,6 +48,7 @@
 from milletcourse.gateway.state.cache_store_availability import CacheStoreAvailability
 from milletcourse.gateway.state.server_states import ServerStates
 from milletcourse.gateway.state.settings import GatewaySettings
+from milletcourse.gateway.state.stream_resumption import StreamResumption
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
 from milletcourse.gateway.telemetry.recorder import Recorder
@@ -94,6 +95,7 @@
         followed_reader: Name of the gateway that it follows instead; empty when there is none.
         cache_store_availability: Which prompt-cache stores answer.
         server_states: What this gateway has found out about the servers.
+        stream_resumption: At which software version streams go on that clients resume.
         resume_listeners: Called when the machine has resumed from suspension.
         update_listeners: Called when there is an update that the other gateways need at once.
         on_restore_update: Called when this gateway has new information about a restore of the store
@@ -205,6 +207,15 @@
             self.record,
             mechanisms,
         )
+        self.stream_resumption = StreamResumption(
+            settings.name,
+            self._knows_servers,
+            self.instances.has_software,
+            self.responsive_clock,
+            self.now,
+            self.record.resumption,
+        )
+        self.instances.on_seen = self._on_server_seen
         self.gateways = 0
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -339,6 +350,13 @@
         """Whether a request of a tenant may be forwarded now; public ones always may."""
         return tenant is None or self.freshness.allows_keys(self.now())
 
+    def _knows_servers(self) -> bool:
+        """Whether no server can have been listed for long without being known here."""
+        return self.instances.is_listed and self.freshness.allows_not_found(self.now())
+
+    def _on_server_seen(self, record: InstanceRecord) -> None:
+        self.stream_resumption.versions.on_seen(record.service, record.software_version, self.now())
+
     def _connection_quota(self, address: str) -> int:
         """Most connections to a server that this gateway may keep."""
         service = (
--- /dev/null
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -0,0 +1,294 @@
+"""Finds out at which software version a stream may go on that a client resumes.
+
+A gateway that begins a stream while servers of several software versions serve tells it to the
+holders of the stream before it relays the first event, and asks them when a client resumes a stream
+that it doesn't know itself. While a single version serves, no message is sent: it alone can have
+begun any stream. What isn't known is never guessed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Collection, Iterable, Sequence
+from itertools import count
+
+import msgspec
+
+from milletcourse.exchange.messages.origin_messages import (
+    MAX_NAME_LENGTH,
+    MAX_REMAINING_MS,
+    MAX_REPORTS,
+    OriginMessage,
+    OriginReport,
+    OriginStep,
+)
+from milletcourse.exchange.resumption.origin_holders import OriginHolders
+from milletcourse.exchange.resumption.software_versions import MAX_HORIZON_SECONDS, SoftwareVersions
+from milletcourse.exchange.resumption.stream_origins import StreamOrigin, StreamOrigins, stream_key
+from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
+from milletcourse.runtime.responsive_clock import ResponsiveClock
+from milletcourse.runtime.responsive_timer import responsive_timeout
+
+ASK_TIMEOUT_SECONDS = 0.15
+"""How long a request waits for the holders of a stream; one in another region replies in less."""
+RETURN_SECONDS = 2.0
+"""A client that resumes a stream just before its deadline may be served a little later."""
+
+SendMessage = Callable[[str, OriginMessage], None]
+"""Sends a message to a gateway by name."""
+
+
+class ResumePoint(msgspec.Struct, frozen=True):
+    """Where a stream may go on.
+
+    Attributes:
+        service: Service that began it.
+        software_version: Version of the servers that may continue it.
+    """
+
+    service: str
+    software_version: str
+
+
+class _Question:
+    """A question to the holders of one stream, until it is decided."""
+
+    def __init__(self, own_name: str, holders: Collection[str]) -> None:
+        self.decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.origin: StreamOrigin | None = None
+        self._holders = holders
+        self._asked = [name for name in holders if name != own_name]
+        self._sole_versions: dict[str, dict[str, str]] = {}
+        """By holder that replied, and by service."""
+
+    def on_reply(
+        self, holder: str, origin: StreamOrigin | None, sole_versions: dict[str, str]
+    ) -> None:
+        """A holder replied."""
+        if holder not in self._asked:
+            return
+        self._sole_versions[holder] = sole_versions
+        if origin is not None:
+            self.origin = origin
+        is_complete = len(self._sole_versions) == len(self._asked)
+        if (origin is not None or is_complete) and not self.decided.done():
+            self.decided.set_result(None)
+
+    def confirms(self, service: str, version: str) -> bool:
+        """Whether a version alone can have begun the stream.
+
+        More than half of the holders don't know the stream and have seen no other version. A
+        gateway that has seen one would have told them before it relayed the first event.
+        """
+        replies = self._sole_versions.values()
+        agrees = all(versions.get(service) == version for versions in replies)
+        knowing = len(replies) + len(self._holders) - len(self._asked)
+        return agrees and bool(replies) and 2 * knowing > len(self._holders)
+
+
+class StreamResumption:
+    """Origins of streams as known to this gateway and to the holders among the others.
+
+    Attributes:
+        versions: Software versions that may have begun streams.
+        holders: Which gateways keep the origin of a stream.
+        send: Sends messages; messages sent before it is set are lost.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        is_view_current: Callable[[], bool],
+        is_listed: Callable[[str, str], bool],
+        clock: ResponsiveClock,
+        now: Callable[[], float],
+        record: ResumptionRecorder,
+    ) -> None:
+        """Start without any stream.
+
+        Args:
+            own_name: Name of this gateway.
+            is_view_current: Whether this gateway has recently been in contact with the store, so
+                that it knows all servers that have been serving for a while.
+            is_listed: Whether a server of a service and software version is listed now.
+            clock: Responsive time of the event loop, used for the timeout of holders.
+            now: Monotonic time.
+            record: Counts streams by version.
+        """
+        self.versions = SoftwareVersions(is_listed, self._tell_own)
+        self.holders = OriginHolders(own_name)
+        self.send: SendMessage = lambda name, message: None
+        self._own_name = own_name
+        self._is_view_current = is_view_current
+        self._clock = clock
+        self._now = now
+        self._record = record
+        self._origins = StreamOrigins()
+        self._request_numbers = count(1)
+        self._questions: dict[int, _Question] = {}
+
+    # -- streams that begin or go on here -------------------------------------------------------
+
+    def on_relayed(
+        self, tenant: str, first_id: str, service: str, version: str, expires_at: float
+    ) -> None:
+        """The first whole events of an answer are about to be relayed.
+
+        Args:
+            tenant: Name of the tenant; empty on public routes.
+            first_id: Id of the client's attempt that gets, or got, the first event of the stream.
+            service: Service of the server.
+            version: Version of the server's software.
+            expires_at: Monotonic time at which the client stops waiting.
+        """
+        now = self._now()
+        kept_seconds = min(expires_at + RETURN_SECONDS - now, MAX_HORIZON_SECONDS)
+        self.versions.extend_horizon(kept_seconds)
+        origin = StreamOrigin(service, version, now + kept_seconds, is_own=True)
+        key = stream_key(tenant, first_id)
+        self._origins.record(key, origin, now)
+        self._record.stream_relayed(service, version)
+        if self.versions.is_mixed(service, now):
+            self._tell({key: origin})
+
+    def _tell_own(self, service: str) -> None:
+        """Tell the holders of the streams that began while there was nothing to tell."""
+        self._tell(dict(self._origins.own_of_service(service, self._now())))
+
+    def _tell(self, origins: dict[int, StreamOrigin]) -> None:
+        now = self._now()
+        reports: dict[str, list[OriginReport]] = defaultdict(list)
+        for key, origin in origins.items():
+            report = _report(key, origin, now)
+            if report is not None:
+                for name in self.holders.others(key):
+                    reports[name].append(report)
+        for name, told in reports.items():
+            for start in range(0, len(told), MAX_REPORTS):
+                batch = told[start : start + MAX_REPORTS]
+                self.send(name, OriginMessage(OriginStep.TELL, self._own_name, batch))
+
+    # -- streams that clients resume ------------------------------------------------------------
+
+    async def resolve(
+        self, tenant: str, first_id: str, services: Sequence[str]
+    ) -> ResumePoint | None:
+        """Where a stream may go on; None when that isn't known.
+
+        Args:
+            tenant: Name of the tenant; empty on public routes.
+            first_id: Id of the client's attempt that got its first event; empty for unknown.
+            services: Services that may continue it, the preferred one first.
+        """
+        key = stream_key(tenant, first_id)
+        origin = self._origins.find(key, self._now()) if first_id else None
+        sole = self._sole_versions(services)
+        is_sole_certain = len(sole) == len(services) and self._is_view_current()
+        question: _Question | None = None
+        preferred = services[0]
+        version = sole.get(preferred)
+        if origin is None and not is_sole_certain and (first_id or version is not None):
+            question = await self._ask(key, services)
+            origin = question.origin
+        if origin is not None and origin.service in services:
+            return _resume_point(origin.service, origin.software_version)
+        if version is None or is_sole_certain or self.holders.is_alone:
+            return _resume_point(preferred, version)
+        is_confirmed = question is not None and question.confirms(preferred, version)
+        return _resume_point(preferred, version if is_confirmed else None)
+
+    def _sole_versions(self, services: Iterable[str]) -> dict[str, str]:
+        """By service, the version that alone may have begun streams as far as is known here."""
+        now = self._now()
+        versions = {service: self.versions.sole(service, now) for service in services}
+        return {service: version for service, version in versions.items() if version is not None}
+
+    async def _ask(self, key: int, services: Sequence[str]) -> _Question:
+        """Ask the holders of a stream for its origin."""
+        question = _Question(self._own_name, self.holders.of_stream(key))
+        names = self.holders.others(key)
+        if not names:
+            return question
+        number = next(self._request_numbers)
+        self._questions[number] = question
+        message = OriginMessage(
+            OriginStep.ASK,
+            self._own_name,
+            key=key,
+            request_number=number,
+            services=dict.fromkeys(services, ""),
+        )
+        for name in names:
+            self.send(name, message)
+        try:
+            async with responsive_timeout(self._clock, ASK_TIMEOUT_SECONDS):
+                await question.decided
+        except TimeoutError:
+            self._record.holders_silent()
+        finally:
+            del self._questions[number]
+        return question
+
+    # -- messages -------------------------------------------------------------------------------
+
+    def on_message(self, message: OriginMessage) -> None:
+        """Handle origins that another gateway tells, its question, or its reply to one."""
+        if message.step is OriginStep.TELL:
+            for report in message.reports:
+                self._on_told(report)
+        elif message.step is OriginStep.ASK:
+            self._on_asked(message)
+        else:
+            self._on_reply(message)
+
+    def _on_told(self, report: OriginReport) -> None:
+        now = self._now()
+        self._origins.record(report.key, _origin(report, now), now)
+        # The sender may have seen a version that isn't listed here yet.
+        self.versions.on_seen(report.service, report.software_version, now)
+
+    def _on_asked(self, message: OriginMessage) -> None:
+        now = self._now()
+        origin = self._origins.find(message.key, now)
+        report = _report(message.key, origin, now) if origin is not None else None
+        self.send(
+            message.sender,
+            OriginMessage(
+                OriginStep.REPLY,
+                self._own_name,
+                [report] if report is not None else [],
+                message.key,
+                message.request_number,
+                self._sole_versions(message.services),
+            ),
+        )
+
+    def _on_reply(self, message: OriginMessage) -> None:
+        question = self._questions.get(message.request_number)
+        if question is None:
+            return
+        origin = _origin(message.reports[0], self._now()) if message.reports else None
+        question.on_reply(message.sender, origin, message.services)
+
+    def sweep(self) -> None:
+        """Drop expired state."""
+        self._origins.drop_expired(self._now())
+
+
+def _resume_point(service: str, version: str | None) -> ResumePoint | None:
+    return ResumePoint(service, version) if version is not None else None
+
+
+def _report(key: int, origin: StreamOrigin, now: float) -> OriginReport | None:
+    """The message form of an origin; None when a name in it is too long."""
+    version = origin.software_version
+    if max(len(origin.service), len(version or "")) > MAX_NAME_LENGTH:
+        return None
+    remaining_ms = min(max(round((origin.expires_at - now) * 1000.0), 0), MAX_REMAINING_MS)
+    return OriginReport(key, origin.service, version, remaining_ms)
+
+
+def _origin(report: OriginReport, now: float) -> StreamOrigin:
+    expires_at = now + report.remaining_ms / 1000.0
+    return StreamOrigin(report.service, report.software_version, expires_at, is_own=False)
--- a/src/milletcourse/gateway/telemetry/metrics.py
+++ b/src/milletcourse/gateway/telemetry/metrics.py
@@ -54,6 +54,9 @@
         self._descriptors_exhausted = 0
         self._relays_asked: Counter[str] = Counter()
         self._relay_replies: Counter[str] = Counter()
+        self._streams: Counter[tuple[str, str]] = Counter()
+        self._streams_resumed: Counter[str] = Counter()
+        self._origin_holder_timeouts = 0
         self._answers_by_bucket = [0] * (len(ANSWER_BUCKETS_SECONDS) + 1)
         self._answer_seconds = 0.0
         self.configuration = GaugeValue("configuration_version", "Version in force")
@@ -105,6 +108,18 @@
         """See `MetricsSink`."""
         self._attempts[result.value] += 1
 
+    def on_stream_relayed(self, service: str, software_version: str) -> None:
+        """See `MetricsSink`."""
+        self._streams[service, software_version] += 1
+
+    def on_stream_resumed(self, outcome: str) -> None:
+        """See `MetricsSink`."""
+        self._streams_resumed[outcome] += 1
+
+    def on_origin_holders_silent(self) -> None:
+        """See `MetricsSink`."""
+        self._origin_holder_timeouts += 1
+
     def on_first_answer(self, seconds: float) -> None:
         """See `MetricsSink`."""
         self._answers_by_bucket[bisect_left(ANSWER_BUCKETS_SECONDS, seconds)] += 1
@@ -209,6 +224,12 @@
                 "reply",
                 self._relay_replies,
             ),
+            (
+                "streams_resumed",
+                "Streams that clients resume, by whether the version that began them is known",
+                "outcome",
+                self._streams_resumed,
+            ),
         ):
             family = CounterMetricFamily(PREFIX + name, description, labels=[label])
             for value, count in counts.items():
@@ -222,6 +243,19 @@
         for labels, count in self._exclusions.items():
             exclusions.add_metric(labels, count)
         yield exclusions
+        streams = CounterMetricFamily(
+            f"{PREFIX}streams",
+            "Answers that are streams, by the software version of the server that began them",
+            labels=["service", "software_version"],
+        )
+        for names, count in self._streams.items():
+            streams.add_metric(names, count)
+        yield streams
+        yield CounterMetricFamily(
+            f"{PREFIX}origin_holders_silent",
+            "Questions for the origin of a stream that not all holders replied to in time",
+            self._origin_holder_timeouts,
+        )
         yield CounterMetricFamily(
             f"{PREFIX}ejections", "Servers ejected as outliers", self._ejections
         )
--- a/src/milletcourse/gateway/telemetry/metrics_sink.py
+++ b/src/milletcourse/gateway/telemetry/metrics_sink.py
@@ -48,6 +48,15 @@
     def on_descriptors_exhausted(self) -> None:
         """A connection could not be opened: the process has no free file descriptor."""
 
+    def on_stream_relayed(self, service: str, software_version: str) -> None:
+        """The first events of an answer of a server were relayed."""
+
+    def on_stream_resumed(self, outcome: str) -> None:
+        """A client resumes a stream: `known` or `unknown` tells whether the version is known."""
+
+    def on_origin_holders_silent(self) -> None:
+        """Not all gateways that keep the origin of a stream replied in time."""
+
     def on_relay_asked(self, reply: str) -> None:
         """Another gateway replied to a request for a connection to a server."""
 
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -26,6 +26,7 @@
     OverloadState,
     StreamTruncation,
 )
+from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
 from milletcourse.gateway.telemetry.signal_recorder import SignalRecorder
 from milletcourse.gateway.telemetry.store_recorder import StoreRecorder
 from milletcourse.gateway.telemetry.unanswered import UnansweredRequest
@@ -44,6 +45,7 @@
         signals: Recorder of the signals that servers report about themselves.
         store: Recorder of events in the history of the object store.
         paths: Recorder of lost paths to servers and relayed connections.
+        resumption: Recorder of streams by software version, and of resumed streams.
         tally: Counts for the periodic `service-tally` line.
     """
 
@@ -62,6 +64,7 @@
         self.signals = SignalRecorder(log, metrics)
         self.store = StoreRecorder(log, metrics)
         self.paths = PathRecorder(log, metrics)
+        self.resumption = ResumptionRecorder(log, metrics)
         self.tally = ServiceTally()
 
     # -- requests -------------------------------------------------------------------------------
--- /dev/null
+++ b/src/milletcourse/gateway/telemetry/resumption_recorder.py
@@ -0,0 +1,33 @@
+"""Log lines and metrics of streams by software version, and of streams that clients resume."""
+
+from __future__ import annotations
+
+from milletcourse.gateway.telemetry.event_log import EventLog
+from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
+
+
+class ResumptionRecorder:
+    """Writes log lines and counts metrics of streams that begin and go on."""
+
+    def __init__(self, log: EventLog, metrics: MetricsSink) -> None:
+        self._log = log
+        self._metrics = metrics
+
+    def stream_relayed(self, service: str, software_version: str) -> None:
+        """The first events of an answer were relayed."""
+        self._metrics.on_stream_relayed(service, software_version)
+
+    def stream_resumed(self, request_id: str, first_id: str, software_version: str) -> None:
+        """It is known at which version a stream goes on that a client resumes."""
+        self._metrics.on_stream_resumed("known")
+        self._log.emit(
+            "stream-resumed", request_id=request_id, resumes=first_id, software=software_version
+        )
+
+    def resumption_refused(self) -> None:
+        """It isn't known which version began a stream that a client resumes."""
+        self._metrics.on_stream_resumed("unknown")
+
+    def holders_silent(self) -> None:
+        """Not all holders of a stream replied in time."""
+        self._metrics.on_origin_holders_silent()
--- /dev/null
+++ b/tests/exchange/resumption/test_stream_origins.py
@@ -0,0 +1,198 @@
+"""What is known of the streams that clients resume, and which versions may have begun them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from milletcourse.exchange.messages.origin_messages import (
+    MAX_NAME_LENGTH,
+    OriginMessage,
+    OriginReport,
+    OriginStep,
+    decode_origin_message,
+    encode_origin_message,
+    is_origin_message,
+)
+from milletcourse.exchange.messages.peer_messages import PeerMessage, encode_message
+from milletcourse.exchange.resumption import stream_origins
+from milletcourse.exchange.resumption.origin_holders import HOLDERS_PER_STREAM, OriginHolders
+from milletcourse.exchange.resumption.software_versions import (
+    HOLD_SECONDS,
+    MAX_HORIZON_SECONDS,
+    MIN_HORIZON_SECONDS,
+    SoftwareVersions,
+)
+from milletcourse.exchange.resumption.stream_origins import (
+    StreamOrigin,
+    StreamOrigins,
+    stream_key,
+)
+
+KEY = stream_key("tenant-1", "request-1")
+
+
+def origin(version: str | None, expires_at: float = 10.0) -> StreamOrigin:
+    """An origin that another gateway told."""
+    return StreamOrigin("engine", version, expires_at, is_own=False)
+
+
+# -- origins ------------------------------------------------------------------------------------
+
+
+def test_a_reused_request_id_makes_the_version_unknown_until_both_streams_are_over() -> None:
+    """Two streams under one id can't be told apart, so neither version is guessed."""
+    origins = StreamOrigins()
+    origins.record(KEY, origin("v1", 10.0), 0.0)
+    origins.record(KEY, origin("v2", 8.0), 1.0)
+    origins.record(KEY, origin("v2", 9.0), 2.0)
+    found = origins.find(KEY, 9.5)
+    assert found is not None and found.software_version is None
+    assert origins.find(KEY, 10.0) is None
+    origins.record(KEY, origin("v2", 20.0), 10.5)
+    found = origins.find(KEY, 11.0)
+    assert found is not None and found.software_version == "v2"
+
+
+def test_a_renewed_origin_lives_until_the_latest_try_has_expired() -> None:
+    """A try that ends earlier doesn't shorten it, and an own stream stays an own one."""
+    origins = StreamOrigins()
+    origins.record(KEY, StreamOrigin("engine", "v1", 10.0, is_own=True), 0.0)
+    origins.record(KEY, origin("v1", 5.0), 1.0)
+    assert [key for key, _ in origins.own_of_service("engine", 9.0)] == [KEY]
+    origins.drop_expired(10.0)
+    assert len(origins) == 0
+
+
+def test_the_oldest_origins_are_dropped_beyond_the_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A dropped stream is unknown; the others are kept."""
+    monkeypatch.setattr(stream_origins, "MAX_ORIGINS", 3)
+    origins = StreamOrigins()
+    for key in range(5):
+        origins.record(key, origin("v1"), 0.0)
+        origins.record(0, origin("v1"), 0.0)
+    assert [key for key in range(5) if origins.find(key, 1.0) is not None] == [0, 3, 4]
+
+
+@given(st.text(), st.text(), st.text(), st.text())
+def test_streams_of_other_tenants_have_other_keys(
+    tenant: str, request_id: str, other_tenant: str, other_id: str
+) -> None:
+    """No split of the two names gives the same key, whatever they contain."""
+    is_same = (tenant, request_id) == (other_tenant, other_id)
+    assert (stream_key(tenant, request_id) == stream_key(other_tenant, other_id)) is is_same
+
+
+def test_a_long_request_id_takes_no_more_memory_than_a_short_one() -> None:
+    """Ids come from clients."""
+    assert 0 <= stream_key("tenant-1", "x" * 65536) < 2**64
+
+
+# -- versions -----------------------------------------------------------------------------------
+
+
+class Versions:
+    """Versions of a service whose listed servers a test sets."""
+
+    def __init__(self) -> None:
+        self.listed: set[str] = set()
+        self.mixed: list[str] = []
+        self.core = SoftwareVersions(
+            lambda service, version: version in self.listed, self.mixed.append
+        )
+
+    def start(self, version: str, now: float) -> None:
+        """A server of a version is listed."""
+        self.listed.add(version)
+        self.core.on_seen("engine", version, now)
+
+    def stop(self, version: str, now: float) -> None:
+        """The last server of a version goes."""
+        self.listed.discard(version)
+        self.core.on_seen("engine", version, now)
+
+
+def test_a_version_may_have_begun_streams_until_the_horizon_after_its_last_server() -> None:
+    """A version with a listed server never expires."""
+    versions = Versions()
+    versions.start("v1", 0.0)
+    assert versions.core.sole("engine", 10 * MIN_HORIZON_SECONDS) == "v1"
+    at = 20 * MIN_HORIZON_SECONDS
+    versions.start("v2", at)
+    versions.stop("v1", at + 1.0)
+    assert versions.core.sole("engine", at + 1.0 + 0.9 * MIN_HORIZON_SECONDS) is None
+    assert versions.core.sole("engine", at + 1.1 + MIN_HORIZON_SECONDS) == "v2"
+    assert versions.mixed == ["engine"]
+
+
+def test_a_long_stream_extends_the_horizon_up_to_its_bound() -> None:
+    """Clients choose how long they wait."""
+    versions = Versions()
+    versions.core.extend_horizon(24 * 3600.0)
+    assert versions.core.horizon_seconds == MAX_HORIZON_SECONDS
+
+
+def test_a_version_that_appears_beside_an_older_one_is_held_for_a_while() -> None:
+    """Versions that are listed together at a start aren't."""
+    versions = Versions()
+    versions.start("v1", 0.0)
+    versions.start("v2", 0.01)
+    assert versions.core.held("engine", 0.02) == set()
+    versions.start("v3", 5.0)
+    assert versions.core.held("engine", 5.0 + 0.9 * HOLD_SECONDS) == {"v3"}
+    assert versions.core.held("engine", 5.0 + HOLD_SECONDS) == set()
+
+
+def test_versions_before_the_start_are_taken_from_other_gateways_for_one_horizon() -> None:
+    """A gateway that has just started sees one version, and can't know the others."""
+    versions = Versions()
+    versions.core.on_reported(["engine"])
+    versions.start("v1", 0.0)
+    assert versions.core.sole("engine", 1.0) is None
+    assert versions.core.mixed_services(1.0) == ["engine"]
+    assert versions.core.sole("engine", MIN_HORIZON_SECONDS + 0.1) == "v1"
+
+
+def test_an_unknown_version_is_no_second_version() -> None:
+    """A server whose restart is known before its new entry."""
+    versions = Versions()
+    versions.start("v1", 0.0)
+    versions.core.on_seen("engine", None, 1.0)
+    assert versions.core.sole("engine", 1.0) == "v1"
+
+
+# -- holders and messages -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("gateways", [2, 7, 79, 420])
+def test_all_gateways_agree_on_the_holders_of_a_stream(gateways: int) -> None:
+    """Whatever the order in which they know each other."""
+    names = [f"front-{number}" for number in range(gateways)]
+    count = min(HOLDERS_PER_STREAM, gateways)
+    found = set()
+    for own in names[:10]:
+        holders = OriginHolders(own)
+        holders.set_peers([name for name in reversed(names) if name != own])
+        found.add(frozenset(holders.of_stream(KEY)))
+        assert own not in holders.others(KEY)
+    assert len(found) == 1 and len(found.pop()) == count
+
+
+@given(st.binary(max_size=200))
+def test_malformed_datagrams_are_refused(data: bytes) -> None:
+    """Whatever follows the first byte."""
+    message = decode_origin_message(b"\xc2" + data)
+    assert message is None or isinstance(message, OriginMessage)
+
+
+def test_messages_survive_encoding_and_are_told_from_load_reports() -> None:
+    """Both arrive at the same port."""
+    report = OriginReport(KEY, "engine", "v1", 1500)
+    message = OriginMessage(OriginStep.TELL, "front-1", [report])
+    assert decode_origin_message(encode_origin_message(message)) == message
+    assert is_origin_message(encode_origin_message(message))
+    assert not is_origin_message(encode_message(PeerMessage("front-1", 1)))
+    long_name = OriginReport(KEY, "engine", "v" * (MAX_NAME_LENGTH + 1), 1500)
+    told = OriginMessage(OriginStep.TELL, "front-1", [long_name])
+    assert decode_origin_message(encode_origin_message(told)) is None
--- a/tests/gateway/requests/test_software_versions.py
+++ b/tests/gateway/requests/test_software_versions.py
@@ -305,6 +305,27 @@
     run_fleet(scenario)
 
 
+def test_streams_of_a_single_software_version_go_on_while_the_store_is_away() -> None:
+    """No gateway can prove its list of servers, but the holders of a stream know of no other."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await fleet.add_servers(pausing_at(2), "v1")
+        await fleet.start_gateways()
+        fleet.harness.store.unavailable = True
+        fleet.harness.store.reset_connections()
+        for node in fleet.nodes:
+            context = node.context
+            await fleet.harness.until(
+                lambda context=context: not context.freshness.allows_not_found(context.now())
+            )
+        await fleet.begin(gateways=1)
+        fleet.nodes[0].close()
+        await fleet.each(lambda stream, number: stream.resume(fleet.nodes[1 + number % 2]))
+        fleet.judge()
+
+    run_fleet(scenario)
+
+
 # -- what can't be known ------------------------------------------------------------------------
 
 
@@ -348,6 +369,46 @@
     run_fleet(scenario)
 
 
+def test_a_gateway_without_contact_does_not_guess_a_streams_software_version() -> None:
+    """It reaches neither the store nor another gateway, and may have missed a second version."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await fleet.add_servers(pausing_at(2), "v1")
+        await fleet.start_gateways()
+        await fleet.begin(gateways=1)
+        for node in fleet.nodes[:2]:
+            node.close()
+        await fleet.harness.store.stop()
+        context = fleet.nodes[2].context
+        await fleet.harness.until(lambda: not context.freshness.allows_not_found(context.now()))
+        await fleet.each(lambda stream, number: stream.resume(fleet.nodes[2]))
+        _assert_refused(fleet)
+
+    run_fleet(scenario)
+
+
+def test_a_request_id_that_two_streams_use_is_refused() -> None:
+    """A tenant reuses its ids, and the versions of both streams differ."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await fleet.add_servers(pausing_at(2), "v1", 1)
+        await fleet.start_gateways()
+        first = fleet.streams[0]
+        await first.read(fleet.nodes[0], first.request_id, 2)
+        await fleet.add_servers(pausing_at(2), "v1.2", 1)
+        await fleet.harness.servers.pop("e-v1-0").stop()
+        fleet.harness.store.remove("servers", "e-v1-0")
+        context = fleet.nodes[1].context
+        await fleet.harness.until(lambda: context.instances.get("e-v1-0") is None)
+        fleet.streams = [ReceivedStream(first.request_id)]
+        await fleet.streams[0].read(fleet.nodes[1], first.request_id, 2)
+        assert (first.versions[0], fleet.streams[0].versions[0]) == ("v1", "v1.2")
+        await fleet.resume(shift=2)
+        _assert_refused(fleet)
+
+    run_fleet(scenario)
+
+
 def test_a_stream_is_refused_at_once_when_no_server_of_its_software_version_is_left() -> None:
     """The refusal says that it has not run and when to come back."""
 
