A gateway that has just started does not guess which software version began a stream

Cause: "one version alone can have begun it" was judged from the servers seen since the gateway's own start. Class: absence of evidence in a young process is taken for evidence. Change: a gateway's view counts only once it has lasted as long as streams may be resumed; until then the holders are asked and more than half of them must agree.

--- a/src/milletcourse/exchange/resumption/software_versions.py
+++ b/src/milletcourse/exchange/resumption/software_versions.py
@@ -94,10 +94,12 @@
             if now - sighting.first_at < HOLD_SECONDS <= sighting.first_at - oldest_at
         }
 
+    def has_seen_horizon(self, now: float) -> bool:
+        """Whether no version that may have begun streams left before this gateway started."""
+        return self._since is not None and now - self._since >= self.horizon_seconds
+
     def _is_reported(self, service: str, now: float) -> bool:
-        """Whether this gateway started too recently to know the versions before by itself."""
-        is_young = self._since is None or now - self._since < self.horizon_seconds
-        return is_young and service in self._reported
+        return service in self._reported and not self.has_seen_horizon(now)
 
     def _current(self, service: str, now: float) -> dict[str, _Sighting]:
         versions = self._sightings.get(service, {})
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -184,7 +184,7 @@
         key = stream_key(tenant, first_id)
         origin = self._origins.find(key, self._now()) if first_id else None
         sole = self._sole_versions(services)
-        is_sole_certain = len(sole) == len(services) and self._is_view_current()
+        is_sole_certain = len(sole) == len(services) and self._knows_all_versions()
         question: _Question | None = None
         preferred = services[0]
         version = sole.get(preferred)
@@ -198,6 +198,10 @@
         is_confirmed = question is not None and question.confirms(preferred, version)
         return _resume_point(preferred, version if is_confirmed else None)
 
+    def _knows_all_versions(self) -> bool:
+        """Whether no version can have begun streams without being known to this gateway."""
+        return self._is_view_current() and self.versions.has_seen_horizon(self._now())
+
     def _sole_versions(self, services: Iterable[str]) -> dict[str, str]:
         """By service, the version that alone may have begun streams as far as is known here."""
         now = self._now()
--- a/tests/gateway/requests/test_software_versions.py
+++ b/tests/gateway/requests/test_software_versions.py
@@ -326,6 +326,26 @@
     run_fleet(scenario)
 
 
+def test_a_gateway_that_has_just_started_does_not_guess_a_streams_software_version() -> None:
+    """The version that began the streams has left before it started."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await fleet.add_servers(pausing_at(2), "v1")
+        await fleet.start_gateways()
+        await fleet.add_servers(pausing_at(2), "v1.2")
+        await fleet.begin()
+        harness = fleet.harness
+        for name in ("e-v1-0", "e-v1-1"):
+            await harness.servers.pop(name).stop()
+            harness.store.remove("servers", name)
+        started = await harness.add_gateway("front-late")
+        await harness.until(lambda: fleet.knows_all(started, GATEWAYS + 1))
+        await fleet.each(lambda stream, number: stream.resume(started))
+        fleet.judge(min_share=0.0)
+
+    run_fleet(scenario)
+
+
 # -- what can't be known ------------------------------------------------------------------------
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Sequence
 
+from milletcourse.runtime.sockets import reset_on_close
 from soak.links import Link
 
 HOST = "127.0.0.1"
@@ -66,7 +67,7 @@
     def reset_all(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -114,6 +115,13 @@
                 await sink.drain()
             sink.close()
         except (OSError, asyncio.CancelledError):
-            sink.transport.abort()
+            _reset(sink)
         finally:
             self._writers.discard(sink)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without the option the kernel may close it in order."""
+    if not writer.is_closing():
+        reset_on_close(writer.get_extra_info("socket"))
+    writer.transport.abort()
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -60,6 +60,8 @@
     """It announces in all its answers that it is draining."""
     back_off_seconds: float = 0.0
     """Back-off that it asks for while it rejects all requests; 0 if it accepts requests."""
+    software: str = "v1"
+    """Version of its software."""
     max_connections: int = 0
     """Connections that it accepts from all clients; 0 for no limit."""
     resets: int = 0
@@ -93,7 +95,7 @@
             "Service": self.service,
             "Address": address,
             "Zone": "zone-1",
-            "Version": "v1",
+            "Version": self.software,
             "Slots": 16,
             "State": "draining" if self.draining else "ready",
             "ColdRemainingMs": 0,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,7 +14,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import datetime
 from pathlib import Path
@@ -353,6 +353,7 @@
         self.ledger.now = self.clock.seconds
         self.requests: list[ClientRequest] = []
         self.servers_are_healthy = True
+        self.new_server: Callable[..., SoakServer] = SoakServer
         self._numbers = 0
         self._restarts: set[asyncio.Task[None]] = set()
 
@@ -388,7 +389,7 @@
         version = self.version if service == "engine" else None
         # The PID makes names unique: a server of a concurrent soak may get a port freed here.
         name = f"{service}-{self._numbers}-{os.getpid()}"
-        server = SoakServer(name, service, self.ledger, self.random, version)
+        server = self.new_server(name, service, self.ledger, self.random, version)
         server.on_crash = self._on_crash
         server.max_connections = self.max_connections
         await server.start()
