Which services had several software versions outlives a restart of all gateways

After a restart of all gateways, with one version left, no gateway knew that another one had begun streams, so that they agreed on the only one they saw. Class: what must outlast every process is kept in processes. Change: readers name such services in their entries in the store; a gateway counts a service as mixed on their word until it has seen for itself as long as streams are resumed. Left: readers that restart again and again repeat the mark of the others, and unknown streams are refused that much longer.

--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -113,6 +113,7 @@
         self._spawn(registration.run())
         self._context.crash_detector.listeners.append(registration.on_change)
         self._context.on_restore_update = registration.on_change
+        self._context.stream_resumption.on_mixed = registration.on_change
 
     def _gateways_position(self) -> StorePosition | None:
         mirrors = [kind.mirror for kind in self._watched]
@@ -145,13 +146,22 @@
             contained=[ContainedRequest.from_report(report) for report in reports],
             confirmed_era=confirmed_era,
             lost_configuration=context.lost_configuration.version if context.reads_store else 0,
+            mixed_services=self._mixed_services(),
         )
 
+    def _mixed_services(self) -> list[str]:
+        """Services with several software versions; the readers write them for all gateways."""
+        context = self._context
+        if not context.reads_store:
+            return []
+        return context.stream_resumption.versions.mixed_services(context.now())
+
     def _on_entry(self, entry: GatewayEntry, is_own: bool) -> None:
         """Apply the entry of a gateway; it persists even when all gateways have stopped since."""
         self._context.confirmed_era.on_peer_confirmed(entry.confirmed_era)
         if entry.lost_configuration:
             self._context.on_lost_configuration(entry.lost_configuration)
+        self._context.stream_resumption.versions.on_reported(entry.mixed_services)
         if entry.contained:
             self._on_contained_requests(entry, is_own)
 
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -97,6 +97,8 @@
         versions: Software versions that may have begun streams.
         holders: Which gateways keep the origin of a stream.
         send: Sends messages; messages sent before it is set are lost.
+        on_mixed: Called when a second version of a service has been seen, which has to be stored
+            for gateways that start after all others have stopped.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.versions = SoftwareVersions(is_listed, self._on_mixed)
         self.holders = OriginHolders(own_name)
         self.send: SendMessage = lambda name, message: None
+        self.on_mixed: Callable[[], None] = lambda: None
         self._own_name = own_name
         self._is_view_current = is_view_current
         self._clock = clock
@@ -160,6 +163,7 @@
         """Tell the holders of the streams that began while there was nothing to tell."""
         self._tell(dict(self._origins.own_of_service(service, self._now())))
         self._join()
+        self.on_mixed()
 
     def set_peers(self, others: list[str]) -> None:
         """Replace the list of the other gateways."""
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -65,6 +65,8 @@
             used by a gateway that starts after all others have stopped.
         lost_configuration: Version of a configuration that was in force, and that the store had
             lost when this entry was written; 0 for none.
+        mixed_services: Services of which several software versions may have begun streams that
+            clients still resume; used by a gateway that starts after all others have stopped.
     """
 
     address: str
@@ -75,6 +77,7 @@
     contained_at: float = 0.0
     confirmed_era: int = UNKNOWN_ERA
     lost_configuration: int = 0
+    mixed_services: list[str] = []
 
 
 class GatewayDirectory(NoOpEventHandler):
--- a/tests/gateway/requests/test_software_versions.py
+++ b/tests/gateway/requests/test_software_versions.py
@@ -366,6 +366,34 @@
     run_fleet(scenario)
 
 
+def test_versions_that_served_before_a_restart_of_all_gateways_are_not_forgotten() -> None:
+    """Only one version is left, and no gateway remembers which streams it didn't begin."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await fleet.add_servers(pausing_at(2), "v1")
+        await fleet.start_gateways()
+        await fleet.add_servers(pausing_at(2), "v1.2")
+        await fleet.begin()
+        harness = fleet.harness
+        entries = harness.store.objects["milletcourse-gateways"]
+        await harness.until(
+            lambda: any(entry["Spec"]["mixed_services"] for entry in entries.values())
+        )
+        for name in ("e-v1-0", "e-v1-1"):
+            await harness.servers.pop(name).stop()
+            harness.store.remove("servers", name)
+        for node in fleet.nodes:
+            node.close()
+        for number in range(GATEWAYS):
+            fleet.nodes[number] = await harness.add_gateway(f"front-{number + 1}")
+        for node in fleet.nodes:
+            await harness.until(lambda node=node: fleet.knows_all(node, GATEWAYS))
+        await fleet.resume()
+        fleet.judge(min_share=0.0)
+
+    run_fleet(scenario)
+
+
 # -- what can't be known ------------------------------------------------------------------------
 
 
