explain-request follows a stream over the attempts of its client

An operator with the id of one try saw that try alone. All tries that name the same first one are shown in order now, with the software version at which the stream went on.

--- a/src/milletcourse/cli/explain_request.py
+++ b/src/milletcourse/cli/explain_request.py
@@ -52,6 +52,7 @@
 ) -> None:
     """Print a request's log lines from standard input in order, with the state of each gateway.
 
+    The lines of the client's other attempts at the same stream are included.
     Lines may have a prefix before the JSON object. The exit code is 1 if no line concerns the
     request; successes and frequent events are logged at a bounded rate.
     """
@@ -64,10 +65,14 @@
 
 
 def explain_lines(lines: Iterable[str], request_id: str) -> Iterator[str]:
-    """The lines of one request in order of time, preceded by the known state of each node."""
+    """The lines of one request in order of time, preceded by the known state of each node.
+
+    If its client resumed a stream, the lines of all attempts at that stream are included.
+    """
     documents = sorted(
         read_documents(lines), key=lambda document: str(document.get("timestamp", ""))
     )
+    request_ids = _attempts_at_stream(documents, request_id)
     states: dict[str, dict[str, dict[str, Any]]] = {}
     shown: set[str] = set()
     for document in documents:
@@ -77,7 +82,7 @@
             states.pop(node, None)
         if event in STATE_EVENTS:
             _remember(states.setdefault(node, {}), event, document)
-        if document.get("request_id") != request_id:
+        if document.get("request_id") not in request_ids:
             continue
         if node not in shown:
             shown.add(node)
@@ -87,6 +92,22 @@
         yield _render(document)
 
 
+def _attempts_at_stream(documents: list[dict[str, Any]], request_id: str) -> set[str]:
+    """Ids of the attempts at the stream that a request began or resumed, with its own id."""
+    resumed = (
+        str(document["resumes"])
+        for document in documents
+        if document.get("request_id") == request_id and document.get("resumes")
+    )
+    first_id = next(resumed, request_id)
+    later = {
+        str(document["request_id"])
+        for document in documents
+        if document.get("resumes") == first_id and document.get("request_id")
+    }
+    return {request_id, first_id} | later
+
+
 def _remember(state: dict[str, dict[str, Any]], event: str, document: dict[str, Any]) -> None:
     """Keep the latest line of an event; one that ends another replaces it."""
     about = str(document.get("instance", document.get("address", document.get("kind", ""))))
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -377,6 +377,22 @@
     assert list(explain_lines(lines, "z")) == []
 
 
+def test_explain_request_follows_a_stream_over_the_attempts_of_its_client() -> None:
+    """From any of its ids, over gateways, to the software version that began it."""
+    lines = [
+        '{"event": "attempt-failed", "node": "a", "request_id": "x", "software": "v1", '
+        '"timestamp": "1"}',
+        '{"event": "stream-resumed", "node": "b", "request_id": "y", "resumes": "x", '
+        '"software": "v1", "timestamp": "2"}',
+        '{"event": "request-served", "node": "c", "request_id": "z", "resumes": "x", '
+        '"timestamp": "3"}',
+        '{"event": "request-served", "node": "c", "request_id": "other", "timestamp": "4"}',
+    ]
+    for request_id in ("x", "y", "z"):
+        explained = list(explain_lines(lines, request_id))
+        assert [line.split()[0] for line in explained] == ["1", "2", "3"]
+
+
 # -- planned stop -------------------------------------------------------------------------------
 
 
