--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -23,6 +23,7 @@
 from milletcourse.experiments.run import POLICIES, ExperimentRun
 from milletcourse.experiments.server_quota_model import compare_server_quotas
 from milletcourse.experiments.store_restore_model import compare_store_restores
+from milletcourse.experiments.stream_origin_model import compare_origin_strategies
 
 DEFAULT_LOAD = 0.8
 
@@ -122,6 +123,18 @@
         sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
 
 
+@app.command("stream-origins")
+def stream_origins(
+    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "7,79,420",
+    seed: Annotated[
+        int, typer.Option(help="Seed of all random draws, the same for each strategy.")
+    ] = 1,
+) -> None:
+    """Compare strategies that keep where streams began, while gateways are killed."""
+    for result in compare_origin_strategies(parse_sizes(gateways), seed):
+        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
+
+
 @app.command("containment")
 def containment(
     gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "8,79",
