Refused resumptions are logged with the try that they name; a gateway without peers is alone

A refused resumption had a line without the id in question. A server that restarts with other software between its selection and the send gets no resumed stream.

--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -88,6 +88,7 @@
         port = await self._bind_datagrams(settings.host, settings.internal_ports)
         if port is None:
             self._context.log.emit("peers-unavailable", ports=settings.internal_ports)
+            self._context.stream_resumption.set_peers([])
         else:
             await self._join(f"{settings.host}:{port}")
         self._spawn(self._store_sync.run())
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -226,7 +226,7 @@
         """Check again, after the connection is established, that the request may be sent."""
         if self._ended or not self._context.may_use_keys(self._job.tenant):
             return False
-        if not self._continuity.permits(self._instance):
+        if not self._continuity.still_permits(self._instance):
             return False
         self.abort_cause = self._context.permits.blocking_cause(self._permit, self._instance)
         if self.abort_cause is not None:
--- a/src/milletcourse/gateway/requests/exchange_runner.py
+++ b/src/milletcourse/gateway/requests/exchange_runner.py
@@ -49,6 +49,9 @@
         try:
             admitted = self._admit(received)
             resume_point = await self._resume_point(admitted)
+            if isinstance(resume_point, StreamNotResumable):
+                self._refuse_resumption(resume_point, admitted, client)
+                return
             exchange = self._open(admitted, resume_point, client)
         except FailureError as error:
             request_id = self._context.dialect.request_id_of(received.fields)
@@ -73,8 +76,21 @@
         route = self._find_route(table, request)
         return _AdmittedRequest(table, request, route, self._find_tenant(table, route, request))
 
-    async def _resume_point(self, admitted: _AdmittedRequest) -> ResumePoint | None:
-        """Where a stream goes on that the client resumes; None for other requests."""
+    def _refuse_resumption(
+        self, failure: StreamNotResumable, admitted: _AdmittedRequest, client: ClientConnection
+    ) -> None:
+        record = self._context.record
+        record.resumption.resumption_refused()
+        record.failure(failure, admitted.request, admitted.route, {})
+        refuse(client, failure)
+
+    async def _resume_point(
+        self, admitted: _AdmittedRequest
+    ) -> ResumePoint | StreamNotResumable | None:
+        """Where a stream goes on that the client resumes; None for other requests.
+
+        A failure when it isn't known.
+        """
         context = self._context
         request, route, tenant = admitted.request, admitted.route, admitted.tenant
         if not route.streaming or not request.last_event_id:
@@ -85,9 +101,8 @@
             tenant.name if tenant is not None else "", request.resumes, list(services)
         )
         if resume_point is None:
-            context.record.resumption.resumption_refused()
             detail = "no gateway knows which software version began the stream"
-            raise FailureError(StreamNotResumable(detail, context.retry_after()))
+            return StreamNotResumable(detail, context.retry_after())
         context.record.resumption.stream_resumed(
             request.request_id, request.resumes, resume_point.software_version
         )
--- a/src/milletcourse/gateway/requests/stream_continuity.py
+++ b/src/milletcourse/gateway/requests/stream_continuity.py
@@ -74,6 +74,11 @@
         version = self._software_version
         return version is not None and instance.record.software_version == version
 
+    def still_permits(self, instance: Instance) -> bool:
+        """The same, if the server hasn't restarted with other software since it was selected."""
+        current = self._context.instances.get(instance.name)
+        return self.permits(current if current is not None else instance)
+
     def excluded(self, instances: Iterable[Instance]) -> set[str]:
         """Names of the servers that it may not be sent to."""
         if not self._has_begun:
