A gateway that has just started trusts its own current view unless another one contradicts it

Cause: a majority of holders was asked for where the store already tells a young gateway which services had several versions. Change: with a current view a contradiction refuses, silence doesn't; without one the majority stays. The tests on young gateways pass unchanged.

--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -78,16 +78,20 @@
         if (origin is not None or is_complete) and not self.decided.done():
             self.decided.set_result(None)
 
-    def confirms(self, service: str, version: str) -> bool:
-        """Whether a version alone can have begun the stream.
+    def is_contradicted(self, service: str, version: str) -> bool:
+        """Whether a holder has seen several versions, or another one."""
+        replies = self._sole_versions.values()
+        return any(versions.get(service) != version for versions in replies)
+
+    def has_majority(self) -> bool:
+        """Whether more than half of the holders don't know the stream.
 
-        More than half of the holders don't know the stream and have seen no other version. A
-        gateway that has seen one would have told them before it relayed the first event.
+        A gateway that has seen several versions would have told them before it relayed the first
+        event.
         """
-        replies = self._sole_versions.values()
-        agrees = all(versions.get(service) == version for versions in replies)
-        knowing = len(replies) + len(self._holders) - len(self._asked)
-        return agrees and bool(replies) and 2 * knowing > len(self._holders)
+        own = len(self._holders) - len(self._asked)
+        replies = len(self._sole_versions)
+        return replies > 0 and 2 * (replies + own) > len(self._holders)
 
 
 class StreamResumption:
@@ -222,7 +226,12 @@
             return _resume_point(origin.service, origin.software_version)
         if version is None or is_sole_certain or self.holders.is_alone:
             return _resume_point(preferred, version)
-        is_confirmed = question is not None and question.confirms(preferred, version)
+        is_confirmed = (
+            question is not None
+            and not question.is_contradicted(preferred, version)
+            # A gateway that has just started knows from the store which services were mixed.
+            and (self._is_view_current() or question.has_majority())
+        )
         return _resume_point(preferred, version if is_confirmed else None)
 
     def _knows_all_versions(self) -> bool:
