--- a/src/milletcourse/experiments/stream_origin_model.py
+++ b/src/milletcourse/experiments/stream_origin_model.py
@@ -27,7 +27,7 @@
 """Time for which a stream runs."""
 RECORD_SECONDS = 15.0
 """Time for which a client may return."""
-RECORD_BYTES = 300
+RECORD_BYTES = 154
 """Memory of one record: a dictionary entry with its key and a structure of four fields."""
 BATCH_SECONDS = 0.1
 SAMPLED_STREAMS = 4000
