--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -304,16 +304,9 @@
         result = classify_answer(head, self._instance.name, self._dispatch.weight_version)
         if result is AttemptResult.REJECTED and head.back_off.seconds is not None:
             self.server_retry_after_seconds = head.back_off.seconds
-        if result is AttemptResult.WRONG_INSTANCE and head.instance not in (
-            "",
-            self._instance.name,
-        ):
-            self._context.server_states.note_successor(self._instance, head.instance)
-        elif result is AttemptResult.WRONG_VERSION and self._dispatch.weight_version is not None:
+        if result in (AttemptResult.WRONG_INSTANCE, AttemptResult.WRONG_VERSION):
             model = self._job.request.model
-            newest = self._context.gate.newest(model)
-            now = self._context.now()
-            self._instance.on_version_refused(model, self._dispatch.weight_version, newest, now)
+            self.health.on_misdirected(result, head.instance, model, self._dispatch.weight_version)
         elif self._relay.has_started and result in (AttemptResult.ANSWERED, AttemptResult.FAILED):
             # A complete answer cannot continue the stream that the client is already reading.
             return AttemptResult.TRUNCATED
--- a/src/milletcourse/gateway/requests/attempt_health.py
+++ b/src/milletcourse/gateway/requests/attempt_health.py
@@ -47,6 +47,24 @@
         if counts and loss is LossCause.ABORTED:
             self.on_silence()
 
+    def on_misdirected(
+        self, result: AttemptResult, instance: str, model: str, weight_version: int | None
+    ) -> None:
+        """Record what a server tells that didn't run the request.
+
+        Args:
+            result: `WRONG_INSTANCE` or `WRONG_VERSION`.
+            instance: Incarnation that answered; empty when not given.
+            model: Model of the request.
+            weight_version: Version of the weights that it required, None if none.
+        """
+        if result is AttemptResult.WRONG_INSTANCE and instance not in ("", self._instance.name):
+            self._context.server_states.note_successor(self._instance, instance)
+        elif result is AttemptResult.WRONG_VERSION and weight_version is not None:
+            newest = self._context.gate.newest(model)
+            now = self._context.now()
+            self._instance.on_version_refused(model, weight_version, newest, now)
+
     def on_silence(self) -> None:
         """Count the server's silence against it, once the path to it has been checked."""
         if self.through:
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -8,9 +8,8 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from itertools import count
 
 import msgspec
@@ -26,6 +25,7 @@
 from milletcourse.exchange.resumption.origin_holders import OriginHolders
 from milletcourse.exchange.resumption.software_versions import MAX_HORIZON_SECONDS, SoftwareVersions
 from milletcourse.exchange.resumption.stream_origins import StreamOrigin, StreamOrigins, stream_key
+from milletcourse.gateway.state.origin_question import OriginQuestion
 from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
 from milletcourse.runtime.responsive_clock import ResponsiveClock
 from milletcourse.runtime.responsive_timer import responsive_timeout
@@ -54,46 +54,6 @@
     software_version: str
 
 
-class _Question:
-    """A question to the holders of one stream, until it is decided."""
-
-    def __init__(self, own_name: str, holders: Collection[str]) -> None:
-        self.decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.origin: StreamOrigin | None = None
-        self._holders = holders
-        self._asked = [name for name in holders if name != own_name]
-        self._sole_versions: dict[str, dict[str, str]] = {}
-        """By holder that replied, and by service."""
-
-    def on_reply(
-        self, holder: str, origin: StreamOrigin | None, sole_versions: dict[str, str]
-    ) -> None:
-        """A holder replied."""
-        if holder not in self._asked:
-            return
-        self._sole_versions[holder] = sole_versions
-        if origin is not None:
-            self.origin = origin
-        is_complete = len(self._sole_versions) == len(self._asked)
-        if (origin is not None or is_complete) and not self.decided.done():
-            self.decided.set_result(None)
-
-    def is_contradicted(self, service: str, version: str) -> bool:
-        """Whether a holder has seen several versions, or another one."""
-        replies = self._sole_versions.values()
-        return any(versions.get(service) != version for versions in replies)
-
-    def has_majority(self) -> bool:
-        """Whether more than half of the holders don't know the stream.
-
-        A gateway that has seen several versions would have told them before it relayed the first
-        event.
-        """
-        own = len(self._holders) - len(self._asked)
-        replies = len(self._sole_versions)
-        return replies > 0 and 2 * (replies + own) > len(self._holders)
-
-
 class StreamResumption:
     """Origins of streams as known to this gateway and to the holders among the others.
 
@@ -137,7 +97,7 @@
         self._origins = StreamOrigins()
         self._has_joined = False
         self._request_numbers = count(1)
-        self._questions: dict[int, _Question] = {}
+        self._questions: dict[int, OriginQuestion] = {}
 
     # -- streams that begin or go on here -------------------------------------------------------
 
@@ -214,25 +174,32 @@
         """
         key = stream_key(tenant, first_id)
         origin = self._origins.find(key, self._now()) if first_id else None
-        sole = self._sole_versions(services)
-        is_sole_certain = len(sole) == len(services) and self._knows_all_versions()
-        question: _Question | None = None
-        preferred = services[0]
-        version = sole.get(preferred)
-        if origin is None and not is_sole_certain and (first_id or version is not None):
+        sole_versions = self._sole_versions(services)
+        is_certain = len(sole_versions) == len(services) and self._knows_all_versions()
+        version = sole_versions.get(services[0])
+        may_help = bool(first_id) or version is not None
+        question: OriginQuestion | None = None
+        if origin is None and may_help and not is_certain:
             question = await self._ask(key, services)
             origin = question.origin
         if origin is not None and origin.service in services:
             return _resume_point(origin.service, origin.software_version)
-        if version is None or is_sole_certain or self.holders.is_alone:
-            return _resume_point(preferred, version)
-        is_confirmed = (
-            question is not None
-            and not question.is_contradicted(preferred, version)
-            # A gateway that has just started knows from the store which services were mixed.
-            and (self._is_view_current() or question.has_majority())
-        )
-        return _resume_point(preferred, version if is_confirmed else None)
+        if version is None or is_certain:
+            return _resume_point(services[0], version)
+        is_confirmed = question is not None and self._is_confirmed(question, services[0], version)
+        return _resume_point(services[0], version if is_confirmed else None)
+
+    def _is_confirmed(self, question: OriginQuestion, service: str, version: str) -> bool:
+        """Whether the only version seen here may be taken for the one that began a stream.
+
+        Nobody knows the stream. A gateway with a current view needs no majority: if it has started
+        too recently to have seen earlier versions, the store names the services that had several.
+        """
+        if self.holders.is_alone:
+            return True
+        if question.is_contradicted(service, version):
+            return False
+        return self._is_view_current() or question.has_majority()
 
     def _knows_all_versions(self) -> bool:
         """Whether no version can have begun streams without being known to this gateway."""
@@ -244,11 +211,10 @@
         versions = {service: self.versions.sole(service, now) for service in services}
         return {service: version for service, version in versions.items() if version is not None}
 
-    async def _ask(self, key: int, services: Sequence[str]) -> _Question:
+    async def _ask(self, key: int, services: Sequence[str]) -> OriginQuestion:
         """Ask the holders of a stream for its origin."""
-        question = _Question(self._own_name, self.holders.of_stream(key))
-        names = self.holders.others(key)
-        if not names:
+        question = OriginQuestion(self._own_name, self.holders.of_stream(key))
+        if not question.asked:
             return question
         number = next(self._request_numbers)
         self._questions[number] = question
@@ -259,7 +225,7 @@
             request_number=number,
             services=dict.fromkeys(services, ""),
         )
-        for name in names:
+        for name in question.asked:
             self.send(name, message)
         try:
             async with responsive_timeout(self._clock, ASK_TIMEOUT_SECONDS):
