--- a/tests/gateway/requests/test_software_versions.py
+++ b/tests/gateway/requests/test_software_versions.py
@@ -159,6 +159,12 @@
         self.harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
         await super().start_gateways(gateways, RetrySlack=50.0 * STREAMS, **bounds)
 
+    async def start_with_two_versions(self, behaviour: Behaviour, count: int = 2) -> None:
+        """Start servers of v1 and v1.2, and the gateways."""
+        await self.add_servers(behaviour, "v1", count)
+        await self.add_servers(behaviour, "v1.2", count)
+        await self.start_gateways()
+
     async def each(self, act: Callable[[ReceivedStream, int], Awaitable[None]]) -> None:
         """Do something with each stream and its number, all at the same time."""
         await asyncio.gather(*(act(stream, number) for number, stream in enumerate(self.streams)))
@@ -203,9 +209,7 @@
 
     async def scenario(fleet: VersionsFleet) -> None:
         behaviour = breaking_off_once()
-        await fleet.add_servers(behaviour, "v1")
-        await fleet.add_servers(behaviour, "v1.2")
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(behaviour)
         await fleet.begin(until=EVENTS)
         assert len({stream.versions[0] for stream in fleet.streams}) == 2
         fleet.judge()
@@ -218,9 +222,7 @@
 
     async def scenario(fleet: VersionsFleet) -> None:
         behaviour = breaking_off_once()
-        await fleet.add_servers(behaviour, "v1", 1)
-        await fleet.add_servers(behaviour, "v1.2", 1)
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(behaviour, 1)
         await fleet.begin(until=EVENTS)
         assert all(stream.numbers == [1, 2] for stream in fleet.streams)
         fleet.judge(min_share=0.0)
@@ -235,9 +237,7 @@
     """The second gateway did not begin the stream."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await fleet.add_servers(pausing_at(2), "v1")
-        await fleet.add_servers(pausing_at(2), "v1.2")
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(pausing_at(2))
         await fleet.begin()
         await fleet.resume()
         fleet.judge()
@@ -249,9 +249,7 @@
     """The third try names the first one, at a gateway that saw neither."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await fleet.add_servers(pausing_at(2, 3), "v1")
-        await fleet.add_servers(pausing_at(2, 3), "v1.2")
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(pausing_at(2, 3))
         await fleet.begin()
         await fleet.resume(until=3)
         await fleet.resume(shift=2)
@@ -264,9 +262,7 @@
     """What the first gateway knew of its streams outlives it."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await fleet.add_servers(pausing_at(2), "v1")
-        await fleet.add_servers(pausing_at(2), "v1.2")
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(pausing_at(2))
         await fleet.begin(gateways=1)
         fleet.nodes[0].close()
         await fleet.each(lambda stream, number: stream.resume(fleet.nodes[1 + number % 2]))
@@ -350,9 +346,7 @@
     """All holders of a stream restart one after the other, and the client comes back afterwards."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await fleet.add_servers(pausing_at(2), "v1")
-        await fleet.add_servers(pausing_at(2), "v1.2")
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(pausing_at(2))
         await fleet.begin()
         for number in range(GATEWAYS):
             name = f"front-{number + 1}"
@@ -407,9 +401,7 @@
     """Whether and where another tenant began a stream under that id plays no part."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await fleet.add_servers(pausing_at(2), "v1")
-        await fleet.add_servers(pausing_at(2), "v1.2")
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(pausing_at(2))
         await fleet.begin()
         await fleet.each(
             lambda stream, number: stream.resume(fleet.nodes[number % GATEWAYS], key="key-2")
@@ -423,9 +415,7 @@
     """No gateway guesses the version."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await fleet.add_servers(pausing_at(2), "v1")
-        await fleet.add_servers(pausing_at(2), "v1.2")
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(pausing_at(2))
         await fleet.begin()
         await fleet.each(
             lambda stream, number: stream.resume(
@@ -481,9 +471,7 @@
     """The refusal says that it has not run and when to come back."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await fleet.add_servers(pausing_at(2), "v1", 1)
-        await fleet.add_servers(pausing_at(2), "v1.2", 1)
-        await fleet.start_gateways()
+        await fleet.start_with_two_versions(pausing_at(2), 1)
         await fleet.begin()
         harness = fleet.harness
         await harness.servers.pop("e-v1-0").stop()
