--- /dev/null
+++ b/tests/soak/brittle.py
@@ -0,0 +1,483 @@
+"""Soaks of brittle servers: `python3 tests/soak/brittle.py [--seeds FIRST:LAST] [--seconds N]`.
+
+The model servers of a fleet are brittle by turns: they announce how many rejections a second they
+bear; some seconds later they accept fewer waiting requests, and crash when they must reject more.
+More clients than they have slots for send through real gateway processes, which are killed, stopped
+and suspended on request. Rejections and crashes are counted at the servers. Prints one JSON line
+per seed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import math
+import random
+import re
+import signal
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from gateway_standin import Client, ReceivedRequest, answer, chunk
+from soak.clients import SHORT_PROMPT
+from soak.seeds import Report, run_seeds
+from soak.server import SoakServer
+from soak.world import ENGINES, GatewayProcess, SoakWorld
+
+SLOTS = 4
+QUEUE = 4
+"""Requests that may wait at a sound server."""
+SHRINK_SECONDS = 4.0
+"""Time from the first announcement until servers accept fewer waiting requests."""
+KNOWN_SECONDS = 1.0
+"""From this long after the room has shrunk, no server may have to reject more than it bears."""
+BRITTLE_SECONDS = 12.0
+SOUND_SECONDS = 3.0
+ALLOWED_CRASHES = 2.0
+ALLOWED_CRASH_SHARE = 0.1
+"""Crashes allowed while servers are brittle, per server, beside `ALLOWED_CRASHES`."""
+MIN_USED_SHARE = 0.9
+"""Share of the slots that must be used while the room is small."""
+MIN_DEMAND = 1.5
+"""Clients per slot from which that share is checked."""
+WORK_SECONDS = (0.1, 0.4)
+EVENTS = 4
+DEADLINE_SECONDS = 8.0
+READY_SECONDS = 40.0
+WARM_SECONDS = 1.5
+FAULT_SECONDS = (0.4, 1.2)
+SUSPEND_SECONDS = (0.3, 1.4)
+MAX_RETRY_AFTER_SECONDS = 5.0
+SAMPLE_SECONDS = 0.01
+
+
+@dataclass
+class Brittleness:
+    """State that all model servers of the fleet share.
+
+    Attributes:
+        announced: Rejections a second that they announce; None while they are sound.
+        room: Requests that may wait at each of them.
+        since: Monotonic time of the announcement.
+    """
+
+    announced: float | None = None
+    room: int = QUEUE
+    since: float = math.inf
+
+    def has_shrunk(self, now: float) -> bool:
+        """Whether fewer requests may wait, and servers crash when they must reject too many."""
+        return now - self.since >= SHRINK_SECONDS
+
+    def is_small(self, now: float) -> bool:
+        """Whether the room has shrunk for long enough that all gateways know it."""
+        return now - self.since >= SHRINK_SECONDS + KNOWN_SECONDS
+
+
+@dataclass
+class Account:
+    """What the servers had to reject, and how their slots were used.
+
+    Attributes:
+        rejections: Monotonic time of each rejection, by server.
+        crashes: Monotonic time of each crash for too many rejections.
+        busy: Slots in use, summed over samples while the room was small.
+        slots: Slots there were, summed over the same samples.
+        worst_second: Most rejections of one server in a second while the room was known as small.
+    """
+
+    rejections: dict[str, list[float]] = field(default_factory=dict)
+    crashes: list[float] = field(default_factory=list)
+    busy: int = 0
+    slots: int = 0
+    worst_second: int = 0
+
+
+class BrittleServer(SoakServer):
+    """A model server with few slots that crashes when it must reject too many requests."""
+
+    brittleness: Brittleness
+    account: Account
+
+    def prepare(self, brittleness: Brittleness, account: Account) -> None:
+        """Set the state that it shares with the other servers."""
+        self.brittleness = brittleness
+        self.account = account
+        self.running = 0
+        self.waiting: deque[asyncio.Future[None]] = deque()
+        self._recent: deque[float] = deque()
+        self._has_crashed = False
+
+    def entry(self, address: str) -> dict[str, Any]:
+        """See `SoakServer.entry`."""
+        return {**super().entry(address), "Slots": SLOTS}
+
+    def _signal_fields(self, request_id: str) -> dict[str, str]:
+        fields = super()._signal_fields(request_id)
+        if self.brittleness.announced is not None:
+            fields["Server-Brittle"] = f"{self.brittleness.announced:g}"
+        return fields
+
+    async def _run(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if self.running >= SLOTS and len(self.waiting) >= self.brittleness.room:
+            self._reject(request, writer)
+            return
+        with self.ledger.running(request.request_id, self.name):
+            await self._take_slot()
+            try:
+                await self._answer(request, writer)
+            finally:
+                self._return_slot()
+
+    async def _take_slot(self) -> None:
+        if self.running < SLOTS:
+            self.running += 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._return_slot()
+            elif turn in self.waiting:
+                self.waiting.remove(turn)
+            raise
+
+    def _return_slot(self) -> None:
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+    def _reject(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        now = time.monotonic()
+        fields = {
+            "Request-Id": request.request_id,
+            "Instance-Id": self.name,
+            "Not-Executed": "1",
+            **self._signal_fields(request.request_id),
+        }
+        writer.write(answer(503, b"", fields))
+        self.account.rejections.setdefault(self.name, []).append(now)
+        self._recent.append(now)
+        while now - self._recent[0] > 1.0:
+            self._recent.popleft()
+        if self.brittleness.is_small(now):
+            self.account.worst_second = max(self.account.worst_second, len(self._recent))
+        announced = self.brittleness.announced
+        if announced is None or not self.brittleness.has_shrunk(now):
+            return
+        if len(self._recent) > announced and not self._has_crashed:
+            self._has_crashed = True
+            self.account.crashes.append(now)
+            self.on_crash(self.name)
+
+    async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        fields = {
+            "Request-Id": request.request_id,
+            "Server-Signature": f"s-{self.name}",
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            **self._signal_fields(request.request_id),
+        }
+        writer.write(answer(200, b"", fields, length=False))
+        seconds = self.random.uniform(*WORK_SECONDS)
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(seconds / EVENTS)
+            writer.write(chunk(b"id: %d\ndata: %d\n\n" % (number, number)))
+        writer.write(b"0\r\n\r\n")
+
+
+@dataclass(frozen=True)
+class BrittleRun:
+    """Parameters of one run.
+
+    Attributes:
+        gateways: Number of gateway processes.
+        clients: Number of clients, each with one request at a time.
+        seconds: Duration of the series of brittle and sound times.
+        rejections: Rejections a second that brittle servers bear.
+        room: Requests that may wait at a brittle server once its room has shrunk.
+        kills: Gateways are killed, stopped and suspended in overlapping series.
+        stops: Gateways get SIGTERM in turn.
+    """
+
+    gateways: int = 5
+    clients: int = 40
+    seconds: float = 14.0
+    rejections: float = 5.0
+    room: int = 0
+    kills: bool = False
+    stops: bool = False
+
+
+class BrittleWorld:
+    """A soak's processes, servers and clients."""
+
+    def __init__(self, world: SoakWorld, run: BrittleRun) -> None:
+        self.world = world
+        self.run = run
+        self.brittleness = Brittleness()
+        self.account = Account()
+        self.counts: Counter[str] = Counter()
+        self.refused_after: list[float] = []
+        self.violations: list[str] = []
+        self.first_shrunk_at: float | None = None
+        world.new_server = self._new_server
+
+    def _new_server(self, *given: Any) -> SoakServer:
+        _, service, *_ = given
+        if service != "engine":
+            return SoakServer(*given)
+        server = BrittleServer(*given)
+        server.prepare(self.brittleness, self.account)
+        return server
+
+    def engines(self) -> Iterator[BrittleServer]:
+        """The model servers that run now."""
+        for server in self.world.servers.values():
+            if isinstance(server, BrittleServer):
+                yield server
+
+    # -- servers --------------------------------------------------------------------------------
+
+    async def alternate(self) -> None:
+        """Make the servers brittle and sound by turns, and judge each brittle time."""
+        while True:
+            await self._be_brittle()
+            await asyncio.sleep(SOUND_SECONDS)
+
+    async def _be_brittle(self) -> None:
+        with self._judged():
+            self.brittleness.announced = self.run.rejections
+            self.brittleness.since = time.monotonic()
+            await asyncio.sleep(SHRINK_SECONDS)
+            self.brittleness.room = self.run.room
+            self.first_shrunk_at = self.first_shrunk_at or time.monotonic()
+            await asyncio.sleep(BRITTLE_SECONDS - SHRINK_SECONDS)
+
+    @contextmanager
+    def _judged(self) -> Iterator[None]:
+        before = len(self.account.crashes)
+        try:
+            yield
+        finally:
+            self.brittleness.announced = None
+            self.brittleness.since = math.inf
+            self.brittleness.room = QUEUE
+            self.counts["brittle-times"] += 1
+            crashes = len(self.account.crashes) - before
+            if crashes > ALLOWED_CRASHES + ALLOWED_CRASH_SHARE * ENGINES:
+                self.violations.append(f"crashes: {crashes} crashes in one brittle time")
+
+    async def sample_slots(self) -> None:
+        """Sample how many slots are in use while the room is small."""
+        while True:
+            await asyncio.sleep(SAMPLE_SECONDS)
+            if self.brittleness.is_small(time.monotonic()):
+                self.account.busy += sum(server.running for server in self.engines())
+                self.account.slots += SLOTS * ENGINES
+
+    # -- gateways -------------------------------------------------------------------------------
+
+    async def disturb_gateways(self) -> None:
+        """Kill, stop and suspend single gateways in overlapping series."""
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                await asyncio.sleep(self.world.random.uniform(*FAULT_SECONDS))
+                gateway = self.world.random.choice(self.world.gateways)
+                drawn = self.world.random.random()
+                if drawn < 0.4:
+                    gateway.send(signal.SIGKILL)
+                elif drawn < 0.7:
+                    gateway.send(signal.SIGTERM)
+                else:
+                    tasks.create_task(self._suspend(gateway))
+
+    async def _suspend(self, gateway: GatewayProcess) -> None:
+        gateway.send(signal.SIGSTOP)
+        await asyncio.sleep(self.world.random.uniform(*SUSPEND_SECONDS))
+        gateway.send(signal.SIGCONT)
+
+    async def stop_gateways(self) -> None:
+        """Stop gateways in turn."""
+        while True:
+            for gateway in self.world.gateways:
+                await asyncio.sleep(self.world.random.uniform(*FAULT_SECONDS))
+                gateway.send(signal.SIGTERM)
+
+    # -- clients --------------------------------------------------------------------------------
+
+    async def run_client(self, client: int) -> None:
+        """Send one request after the other until the soak ends."""
+        source = random.Random(f"{self.world.random.random()}:{client}")
+        number = 0
+        while not self.world.ended:
+            number += 1
+            retry_after = await self._send(source, f"b-{client}-{number}")
+            await asyncio.sleep(retry_after)
+
+    async def _send(self, source: random.Random, request_id: str) -> float:
+        """Send a request to a gateway that listens; returns the seconds until the next one."""
+        started = [gateway for gateway in self.world.gateways if gateway.has_started()]
+        if not started:
+            return 0.05
+        gateway = source.choice(started)
+        began_at = time.monotonic()
+        try:
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                client = await Client.connect(gateway.frontend)
+                try:
+                    fields = {**SHORT_PROMPT, "Deadline_Ms": str(int(DEADLINE_SECONDS * 1000))}
+                    key = next(iter(self.world.keys))
+                    client.send("/single/", request_id, key=key, **fields)
+                    got = await client.read_answer()
+                finally:
+                    client.close()
+        except OSError:
+            return 0.02
+        except TimeoutError:
+            got = None
+        now = time.monotonic()
+        if got is not None and got.whole and got.status == 200:
+            self.counts["served"] += 1
+            return 0.0
+        if got is not None and got.whole and got.status in (429, 503):
+            return self._on_refused(got.status, got.body, got.headers, now - began_at)
+        self._on_lost(gateway, began_at, now, got.status if got is not None else 0)
+        return 0.02
+
+    def _on_refused(
+        self, status: int, body: bytes, headers: dict[str, str], seconds: float
+    ) -> float:
+        code = re.search(rb"problem:([a-z-]+)", body)
+        self.counts[f"refused-{code.group(1).decode() if code else status}"] += 1
+        if self.brittleness.is_small(time.monotonic()):
+            self.refused_after.append(seconds)
+        return min(float(headers.get("retry-after", "0.05")), MAX_RETRY_AFTER_SECONDS)
+
+    def _on_lost(self, gateway: GatewayProcess, begin: float, end: float, status: int) -> None:
+        is_excused = gateway.was_disturbed(begin, end) or gateway.was_starting(begin, end)
+        self.counts["lost-excused" if is_excused else f"lost-{status}"] += 1
+
+    # -- report ---------------------------------------------------------------------------------
+
+    def judge(self) -> None:
+        """Check rejections and use over the whole run."""
+        if self.account.worst_second > self.run.rejections:
+            self.violations.append(
+                f"rejections: {self.account.worst_second} in a second,"
+                f" {self.run.rejections:g} announced"
+            )
+        if self.run.clients >= MIN_DEMAND * SLOTS * ENGINES and self.used() < MIN_USED_SHARE:
+            self.violations.append(f"used: only {self.used():.3f} of the slots")
+
+    def used(self) -> float:
+        """Share of the slots that were used while the room was small."""
+        return self.account.busy / self.account.slots if self.account.slots else 1.0
+
+    def first_crash_seconds(self) -> float | None:
+        """Seconds from the first shrinking of the room to the first crash, None without one."""
+        if not self.account.crashes or self.first_shrunk_at is None:
+            return None
+        return round(self.account.crashes[0] - self.first_shrunk_at, 3)
+
+    def figures(self) -> Report:
+        """Figures of the report."""
+        times = sorted(self.refused_after)
+        return {
+            "crashes": len(self.account.crashes),
+            "first_crash": self.first_crash_seconds(),
+            "rejections": sum(map(len, self.account.rejections.values())),
+            "worst_second": self.account.worst_second,
+            "used": round(self.used(), 3),
+            "refused_p50": round(times[len(times) // 2], 3) if times else None,
+            "refused_p99": round(times[int(len(times) * 0.99)], 3) if times else None,
+            "counts": dict(sorted(self.counts.items())),
+        }
+
+
+async def brittle_soak(seed: int, folder: Path, run: BrittleRun) -> Report:
+    """Run one seed and return its report."""
+    world = SoakWorld(seed, folder, run.gateways)
+    fleet = BrittleWorld(world, run)
+    try:
+        await world.start()
+        background = [
+            asyncio.create_task(work)
+            for work in (
+                world.send_heartbeats(),
+                world.restart_exited_gateways(),
+                world.watch_event_loop(),
+                fleet.sample_slots(),
+            )
+        ]
+        async with asyncio.timeout(READY_SECONDS):
+            while not all(gateway.has_started() for gateway in world.gateways):
+                await asyncio.sleep(0.05)
+        clients = [asyncio.create_task(fleet.run_client(number)) for number in range(run.clients)]
+        await asyncio.sleep(WARM_SECONDS)
+        series = [asyncio.create_task(fleet.alternate())]
+        if run.kills:
+            series.append(asyncio.create_task(fleet.disturb_gateways()))
+        if run.stops:
+            series.append(asyncio.create_task(fleet.stop_gateways()))
+        await asyncio.sleep(run.seconds)
+        for task in series:
+            task.cancel()
+        await asyncio.gather(*series, return_exceptions=True)
+        world.check_own_tasks([*background, *clients])
+    finally:
+        await world.stop()
+    fleet.judge()
+    return {
+        "seed": seed,
+        **fleet.figures(),
+        "own_absence": round(world.clock.stalled_seconds, 2),
+        "starts": sum(gateway.starts for gateway in world.gateways),
+        "violations": [*fleet.violations[:10], *world.ledger.violations[:5]],
+    }
+
+
+def main() -> int:
+    """Run all seeds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="", help="FIRST:LAST; default: one new seed")
+    parser.add_argument("--seconds", type=float, default=14.0, help="duration per seed")
+    parser.add_argument("--gateways", type=int, default=5, help="processes")
+    parser.add_argument("--clients", type=int, default=40)
+    parser.add_argument("--rejections", type=float, default=5.0, help="borne by a server a second")
+    parser.add_argument("--room", type=int, default=0, help="requests that may wait when brittle")
+    parser.add_argument("--kills", action="store_true", help="kill, stop and suspend gateways")
+    parser.add_argument("--stops", action="store_true", help="stop gateways in turn")
+    parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
+    arguments = parser.parse_args()
+    run = BrittleRun(
+        arguments.gateways,
+        arguments.clients,
+        arguments.seconds,
+        arguments.rejections,
+        arguments.room,
+        arguments.kills,
+        arguments.stops,
+    )
+
+    def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
+        return brittle_soak(seed, folder, run)
+
+    return run_seeds(arguments.seeds, arguments.keep, run_seed)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
