Rejection limits of servers are read, told to all gateways and logged; rejections are counted by server

The logs couldn't tell whether a server had announced anything, nor how many requests it rejected: single rejections are logged at a bounded rate. The header is parsed like a request limit (malformed values are logged once and ignored), kept by incarnation, and sent with the signal reports. AnnouncedLimit holds either limit, so that both follow the same rules: the latest answer applies, an answer to an earlier request doesn't end it.

Tests: tests/exchange/load/test_rejection_limits.py.

--- a/src/milletcourse/exchange/counting/service_tally.py
+++ b/src/milletcourse/exchange/counting/service_tally.py
@@ -47,6 +47,7 @@
         limited_sends: Server that reports a limit -> requests sent to it under the limit.
         leaving_sends: Server that is shutting down -> requests sent to it after it reported so.
         resting_sends: Server that requested a back-off -> requests sent to it during the back-off.
+        rejections: Server -> requests that it rejected without running them.
     """
 
     ends: dict[str, dict[str, int]]
@@ -58,6 +59,7 @@
     limited_sends: dict[str, int] = {}
     leaving_sends: dict[str, int] = {}
     resting_sends: dict[str, int] = {}
+    rejections: dict[str, int] = {}
 
 
 class ServiceTally:
@@ -76,6 +78,7 @@
         self._limited_sends: Counter[str] = Counter()
         self._leaving_sends: Counter[str] = Counter()
         self._back_off_sends: Counter[str] = Counter()
+        self._rejections: Counter[str] = Counter()
 
     def on_end(self, route: str, outcome: Outcome) -> None:
         """Counts the outcome of a routed request."""
@@ -101,6 +104,10 @@
         """Counts a request sent to a server during the back-off that it requested."""
         self._back_off_sends[instance] += 1
 
+    def on_rejection(self, instance: str) -> None:
+        """Counts a request that a server rejected without running it."""
+        self._rejections[instance] += 1
+
     def on_connection(self) -> None:
         """Counts a new connection to a server."""
         self._connections += 1
@@ -126,6 +133,7 @@
             dict(self._limited_sends),
             dict(self._leaving_sends),
             dict(self._back_off_sends),
+            dict(self._rejections),
         )
         self._reset()
         return report
--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -1,7 +1,7 @@
 """Servers' self-reported state, from answers to this gateway and reports of other gateways; no I/O.
 
-Each incarnation has one record of its request limit, its shutdown and its back-off. The limit that
-a server reported last applies. A shutdown applies until another incarnation replaces the server.
+Each incarnation has one record of its limits, its shutdown and its back-off. The limit that a
+server reported last applies. A shutdown applies until another incarnation replaces the server.
 Both concern the server as a whole and are sent with the load reports, so that a gateway has them
 for a server that it hasn't used yet. A back-off is requested from one gateway and applies only
 there.
@@ -15,6 +15,7 @@
     SOURCE_ANSWER,
     SOURCE_ENTRY,
     SOURCE_PEER,
+    AnnouncedLimit,
     ChangedSignal,
     CurrentBackOff,
     LimitChange,
@@ -35,6 +36,8 @@
 """A server with a limit of zero still gets one request per this interval: only its answers show
 that it accepts requests again."""
 MAX_RECORDS = 4096
+LimitOf = Callable[[SignalRecord], AnnouncedLimit]
+"""Selects one of the limits of a record."""
 
 
 class ServerSignals:
@@ -55,7 +58,16 @@
             key: Key of the incarnation.
         """
         record = self._records.get(key)
-        return record.per_second if record is not None else None
+        return record.limit.per_second if record is not None else None
+
+    def rejections_per_second(self, key: int) -> float | None:
+        """Rejections per second beyond which a server crashes, None for no limit.
+
+        Args:
+            key: Key of the incarnation.
+        """
+        record = self._records.get(key)
+        return record.rejection_limit.per_second if record is not None else None
 
     def send_rate(self, key: int) -> float | None:
         """Requests per second that may be sent to a server; None for no limit."""
@@ -65,18 +77,20 @@
     def limit_age(self, key: int, now: float) -> float:
         """Seconds since the server last reported a limit; infinite when it didn't."""
         record = self._records.get(key)
-        return now - record.limit_seen_at if record is not None else float("inf")
+        return now - record.limit.seen_at if record is not None else float("inf")
 
     def limited(self) -> dict[int, SignalRecord]:
         """Records of all servers that have a limit, by key."""
         return {
-            key: record for key, record in self._records.items() if record.per_second is not None
+            key: record
+            for key, record in self._records.items()
+            if record.limit.per_second is not None
         }
 
     def on_answer(
         self, key: int, per_second: float | None, sent_at: float, now: float
     ) -> LimitChange | None:
-        """Applies the limit that an answer reports; returns the change, None for none.
+        """Applies the request limit that an answer reports; returns the change, None for none.
 
         Args:
             key: Key of the incarnation.
@@ -84,26 +98,37 @@
             sent_at: Monotonic time of the request's send.
             now: Monotonic time.
         """
+        return self._on_answer_limit(key, _request_limit, per_second, sent_at, now)
+
+    def on_answer_rejection_limit(
+        self, key: int, per_second: float | None, sent_at: float, now: float
+    ) -> LimitChange | None:
+        """Applies the rejection limit that an answer reports; arguments and result as above."""
+        return self._on_answer_limit(key, _rejection_limit, per_second, sent_at, now)
+
+    def _on_answer_limit(
+        self,
+        key: int,
+        limit_of: LimitOf,
+        per_second: float | None,
+        sent_at: float,
+        now: float,
+    ) -> LimitChange | None:
         record = self._records.get(key)
-        has_reported = record is not None and record.limit_seen_at > float("-inf")
-        if per_second is None and not has_reported:
+        seen_at = limit_of(record).seen_at if record is not None else float("-inf")
+        # The server may have sent an answer without the limit before it first reported one.
+        if per_second is None and (seen_at == float("-inf") or sent_at <= seen_at):
             return None
-        if per_second is None and record is not None and sent_at <= record.limit_seen_at:
-            # The server may have sent this answer before it first reported the limit.
-            return None
-        return self._take_limit(key, per_second, now, relay=True)
+        return self._take_limit(key, limit_of, per_second, now, relay=True)
 
     def _take_limit(
-        self, key: int, per_second: float | None, seen_at: float, relay: bool
+        self, key: int, limit_of: LimitOf, per_second: float | None, seen_at: float, relay: bool
     ) -> LimitChange | None:
         record = self._record_for(key)
-        before, record.per_second, record.limit_seen_at = record.per_second, per_second, seen_at
-        if before == per_second:
-            return None
-        self._schedule_reports(record, relay)
-        if before is None:
-            return LimitChange.ADDED
-        return LimitChange.REMOVED if per_second is None else LimitChange.CHANGED
+        change = limit_of(record).take(per_second, seen_at)
+        if change is not None:
+            self._schedule_reports(record, relay)
+        return change
 
     # -- shutdown and back-off ------------------------------------------------------------------
 
@@ -248,7 +273,8 @@
     @staticmethod
     def _may_forget(record: SignalRecord, is_present: bool, now: float) -> bool:
         if is_present:
-            return record.per_second is None and not record.is_leaving
+            limits = (record.limit.per_second, record.rejection_limit.per_second)
+            return limits == (None, None) and not record.is_leaving
         return not record.is_leaving or now - record.first_leaving_at > LEAVING_RETENTION_SECONDS
 
     # -- reports between gateways ---------------------------------------------------------------
@@ -270,23 +296,49 @@
         """
         changes = []
         for report in reports:
-            change = self._merge_limit(report, now, relay)
+            change = self._merge_limit(
+                report.key, _request_limit, report.per_second, report.limit_age_ms, now, relay
+            )
+            rejection_change = self._merge_limit(
+                report.key,
+                _rejection_limit,
+                report.rejections_per_second,
+                report.rejection_limit_age_ms,
+                now,
+                relay,
+            )
             is_leaving = report.leaving_age_ms is not None and self.on_leaving(
                 report.key, now - report.leaving_age_ms / 1000.0, relay, SOURCE_PEER
             )
-            if change is not None or is_leaving:
-                changes.append(ChangedSignal(report.key, change, report.per_second, is_leaving))
+            if change is not None or rejection_change is not None or is_leaving:
+                changed = ChangedSignal(
+                    report.key,
+                    change,
+                    report.per_second,
+                    is_leaving,
+                    rejection_change,
+                    report.rejections_per_second,
+                )
+                changes.append(changed)
         return changes
 
-    def _merge_limit(self, report: SignalReport, now: float, relay: bool) -> LimitChange | None:
-        if report.per_second is None and report.limit_age_ms >= MAX_AGE_MS:
+    def _merge_limit(
+        self,
+        key: int,
+        limit_of: LimitOf,
+        per_second: float | None,
+        age_ms: int,
+        now: float,
+        relay: bool,
+    ) -> LimitChange | None:
+        if per_second is None and age_ms >= MAX_AGE_MS:
             # The server never reported a limit.
             return None
-        seen_at = now - report.limit_age_ms / 1000.0
-        record = self._records.get(report.key)
-        if record is not None and seen_at <= record.limit_seen_at:
+        seen_at = now - age_ms / 1000.0
+        record = self._records.get(key)
+        if record is not None and seen_at <= limit_of(record).seen_at:
             return None
-        return self._take_limit(report.key, report.per_second, seen_at, relay)
+        return self._take_limit(key, limit_of, per_second, seen_at, relay)
 
     def due_reports(self, now: float, resend_seconds: float) -> list[SignalReport]:
         """Returns the reports for a message now: changes, and periodically all current records.
@@ -340,3 +392,11 @@
         if relay:
             record.reports_left = REPORT_REPEATS
             self._has_updates = True
+
+
+def _request_limit(record: SignalRecord) -> AnnouncedLimit:
+    return record.limit
+
+
+def _rejection_limit(record: SignalRecord) -> AnnouncedLimit:
+    return record.rejection_limit
--- a/src/milletcourse/exchange/load/signal_record.py
+++ b/src/milletcourse/exchange/load/signal_record.py
@@ -37,6 +37,33 @@
     REMOVED = "ended"
 
 
+class AnnouncedLimit(msgspec.Struct):
+    """A limit that a server announces in its answers; the latest answer applies.
+
+    Attributes:
+        per_second: The limit, None for no limit or a removed one.
+        seen_at: Monotonic time of the answer that reported the limit or its removal; minus infinity
+            when none did.
+    """
+
+    per_second: float | None = None
+    seen_at: float = float("-inf")
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any answer has reported the limit."""
+        return self.seen_at > float("-inf")
+
+    def take(self, per_second: float | None, seen_at: float) -> LimitChange | None:
+        """Applies a newer report; returns the change, None for none."""
+        before, self.per_second, self.seen_at = self.per_second, per_second, seen_at
+        if before == per_second:
+            return None
+        if before is None:
+            return LimitChange.ADDED
+        return LimitChange.REMOVED if per_second is None else LimitChange.CHANGED
+
+
 class ChangedSignal(msgspec.Struct, frozen=True):
     """A change of a server's state that another gateway reported.
 
@@ -45,12 +72,16 @@
         change: Change of its limit, None for no change.
         per_second: Its limit in requests per second, None for none.
         is_leaving: Its shutdown is newly reported.
+        rejection_change: Change of its rejection limit, None for no change.
+        rejections_per_second: Its rejection limit, None for none.
     """
 
     key: int
     change: LimitChange | None
     per_second: float | None
     is_leaving: bool
+    rejection_change: LimitChange | None = None
+    rejections_per_second: float | None = None
 
 
 class CurrentBackOff(msgspec.Struct, frozen=True):
@@ -69,9 +100,8 @@
     """Latest self-reported state of one server.
 
     Attributes:
-        per_second: Its limit in requests per second, None for no limit or a removed one.
-        limit_seen_at: Monotonic time of the answer that reported the limit or its removal; minus
-            infinity when none did.
+        limit: Its limit of requests per second.
+        rejection_limit: Its limit of rejections per second, beyond which it crashes.
         leaving_at: When an answer first reported its shutdown; infinite when none did.
         entry_leaving_at: When its discovery entry first reported its shutdown; infinite when it
             didn't.
@@ -83,8 +113,8 @@
         reported_at: When it was last reported to other gateways.
     """
 
-    per_second: float | None = None
-    limit_seen_at: float = float("-inf")
+    limit: AnnouncedLimit = msgspec.field(default_factory=AnnouncedLimit)
+    rejection_limit: AnnouncedLimit = msgspec.field(default_factory=AnnouncedLimit)
     leaving_at: float = float("inf")
     entry_leaving_at: float = float("inf")
     leaving_source: str = ""
@@ -107,7 +137,8 @@
     @property
     def last_signal_at(self) -> float:
         """Time of its last limit report or first shutdown report; minus infinity for neither."""
-        return max(self.limit_seen_at, self.first_leaving_at if self.is_leaving else float("-inf"))
+        limit_seen_at = max(self.limit.seen_at, self.rejection_limit.seen_at)
+        return max(limit_seen_at, self.first_leaving_at if self.is_leaving else float("-inf"))
 
     def signal(self, now: float) -> Signal | None:
         """The signal that excludes it from new requests now, None for none."""
@@ -126,12 +157,19 @@
     def report(self, key: int, now: float) -> SignalReport:
         """The report on this server for other gateways."""
         leaving_ms = _age_ms(self.leaving_at, now) if self.leaving_at < float("inf") else None
-        return SignalReport(key, self.per_second, _age_ms(self.limit_seen_at, now), leaving_ms)
+        return SignalReport(
+            key,
+            self.limit.per_second,
+            _age_ms(self.limit.seen_at, now),
+            leaving_ms,
+            self.rejection_limit.per_second,
+            _age_ms(self.rejection_limit.seen_at, now),
+        )
 
     def is_reported(self, now: float) -> bool:
         """Whether it is reported to others; a back-off isn't, as it concerns one gateway only."""
         is_shutdown_reported = 0.0 <= now - self.leaving_at < LEAVING_REPORT_SECONDS
-        return self.limit_seen_at > float("-inf") or is_shutdown_reported
+        return self.limit.is_known or self.rejection_limit.is_known or is_shutdown_reported
 
     def is_expired(self, now: float) -> bool:
         """Whether its latest signal and back-off ended longer ago than `TOMBSTONE_SECONDS`."""
--- a/src/milletcourse/exchange/messages/dialect.py
+++ b/src/milletcourse/exchange/messages/dialect.py
@@ -78,6 +78,8 @@
     answer_weight_version: str = "Milletcourse-Answer-Weight-Version"
     request_limit: str = "Milletcourse-Request-Limit"
     """In answers: requests per second that the server accepts from all gateways together."""
+    rejection_limit: str = "Milletcourse-Rejection-Limit"
+    """In answers: a server that must reject more requests than this in a second crashes."""
     leaving: str = "Milletcourse-Leaving"
     """In answers: whether the server is shutting down."""
     router_only: tuple[str, ...] = ()
@@ -102,6 +104,7 @@
         self._answer_instance = names.answer_instance.lower().encode()
         self._answer_version = names.answer_weight_version.lower().encode()
         self._request_limit = names.request_limit.lower().encode()
+        self._rejection_limit = names.rejection_limit.lower().encode()
         self._leaving = names.leaving.lower().encode()
         set_by_router = (
             names.key,
@@ -259,6 +262,7 @@
             encoded=b"content-encoding" in values,
             event_stream=values.get(b"content-type", b"").lower().startswith(b"text/event-stream"),
             limit=read_limit(_all_values(self._request_limit, values, fields)),
+            rejection_limit=read_limit(_all_values(self._rejection_limit, values, fields)),
             leaving=read_leaving(_all_values(self._leaving, values, fields)),
             back_off=_read_back_off(status, values, fields),
         )
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -139,6 +139,7 @@
         encoded: The body has a content encoding, so the server itself did not produce it.
         event_stream: The body is an event stream.
         limit: Request limit that the server reports.
+        rejection_limit: Rejections per second beyond which the server crashes, as it reports.
         leaving: Whether the server reports that it is shutting down.
         back_off: Back-off that a refusing server requests.
     """
@@ -158,6 +159,7 @@
     encoded: bool
     event_stream: bool
     limit: LimitHeader = NO_LIMIT
+    rejection_limit: LimitHeader = NO_LIMIT
     leaving: LeavingHeader = NOT_LEAVING
     back_off: BackOffHeader = NO_BACK_OFF
 
--- a/src/milletcourse/exchange/messages/peer_messages.py
+++ b/src/milletcourse/exchange/messages/peer_messages.py
@@ -24,6 +24,7 @@
 
 AgeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_MS)]
 """Milliseconds before the message was sent; ages are used since the gateways' clocks differ."""
+LimitPerSecond = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_LIMIT_PER_SECOND)]
 
 
 class ServerState(IntEnum):
@@ -183,12 +184,17 @@
             limit.
         limit_age_ms: Age of the answer that reported this limit.
         leaving_age_ms: Age of the first answer that reported a shutdown, None when none did.
+        rejections_per_second: Rejections per second beyond which it crashes, None for no limit.
+        rejection_limit_age_ms: Age of the answer that reported this limit; the maximum when none
+            did.
     """
 
     key: int
-    per_second: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_LIMIT_PER_SECOND)] | None
+    per_second: LimitPerSecond | None
     limit_age_ms: AgeMs
     leaving_age_ms: AgeMs | None = None
+    rejections_per_second: LimitPerSecond | None = None
+    rejection_limit_age_ms: AgeMs = MAX_AGE_MS
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
--- a/src/milletcourse/exchange/messages/signal_headers.py
+++ b/src/milletcourse/exchange/messages/signal_headers.py
@@ -21,11 +21,10 @@
 
 
 class LimitHeader(msgspec.Struct, frozen=True):
-    """The request limit that a server reports in an answer.
+    """A limit that a server reports in an answer: of the requests or rejections in a second.
 
     Attributes:
-        per_second: Requests per second that the server accepts from all gateways together, None
-            for no limit.
+        per_second: The limit for all gateways together, None for no limit.
         unreadable: Beginning of a value that can't be parsed as a limit; empty otherwise.
     """
 
@@ -37,7 +36,7 @@
 
 
 def read_limit(values: Sequence[bytes]) -> LimitHeader:
-    """Parses a request limit.
+    """Parses a limit per second.
 
     Args:
         values: Values of all fields of that name; more than one distinct value is malformed.
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -302,7 +302,8 @@
 
     def _evaluate_whole(self, head: AnswerHead, body: bytes) -> AttemptResult:
         result = classify_answer(head, self._instance.name, self._dispatch.weight_version)
-        if result is AttemptResult.REJECTED and head.back_off.seconds is not None:
+        if result is AttemptResult.REJECTED:
+            self._context.record.tally.on_rejection(self._instance.name)
             self.server_retry_after_seconds = head.back_off.seconds
         if result in (AttemptResult.WRONG_INSTANCE, AttemptResult.WRONG_VERSION):
             model = self._job.request.model
--- a/src/milletcourse/gateway/servers/signal_monitor.py
+++ b/src/milletcourse/gateway/servers/signal_monitor.py
@@ -62,6 +62,7 @@
         if not _is_from(head, instance):
             return
         self._apply_limit(instance, head, sent_at)
+        self._apply_rejection_limit(instance, head, sent_at)
         self._apply_leaving(instance, head)
         self._apply_back_off(instance, head)
 
@@ -78,6 +79,8 @@
         """
         if head.limit.per_second is not None or head.limit.unreadable:
             self._apply_limit(instance, head, sent_at)
+        if head.rejection_limit.per_second is not None or head.rejection_limit.unreadable:
+            self._apply_rejection_limit(instance, head, sent_at)
         self._apply_leaving(instance, head)
         self._apply_back_off(instance, head)
 
@@ -98,6 +101,10 @@
                 continue
             if item.change is not None:
                 self._on_limit_change(instance, item.change, item.per_second, SOURCE_PEER)
+            if item.rejection_change is not None:
+                self._record.signals.rejection_limit(
+                    instance.name, item.rejection_change, item.rejections_per_second, SOURCE_PEER
+                )
             if item.is_leaving:
                 self._report_leaving(instance, SOURCE_PEER)
         if is_relayed:
@@ -135,6 +142,19 @@
             self._on_limit_change(instance, change, per_second, SOURCE_ANSWER)
             self._on_update()
 
+    def _apply_rejection_limit(self, instance: Instance, head: AnswerHead, sent_at: float) -> None:
+        if head.rejection_limit.unreadable:
+            # The previous limit stays in force.
+            shown = head.rejection_limit.unreadable
+            self._record.signals.unreadable(instance.name, "rejection-limit", shown)
+            return
+        per_second = head.rejection_limit.per_second
+        now = self._record.now()
+        change = self._signals.on_answer_rejection_limit(instance.key, per_second, sent_at, now)
+        if change is not None:
+            self._record.signals.rejection_limit(instance.name, change, per_second, SOURCE_ANSWER)
+            self._on_update()
+
     def _apply_leaving(self, instance: Instance, head: AnswerHead) -> None:
         if head.leaving.unreadable:
             self._record.signals.unreadable(instance.name, "leaving", head.leaving.unreadable)
--- a/src/milletcourse/gateway/telemetry/signal_recorder.py
+++ b/src/milletcourse/gateway/telemetry/signal_recorder.py
@@ -40,6 +40,24 @@
             told_by=source,
         )
 
+    def rejection_limit(
+        self, instance: str, change: LimitChange, per_second: float | None, source: str
+    ) -> None:
+        """A server reports beyond how many rejections per second it crashes, or that it doesn't.
+
+        Args:
+            instance: The server.
+            change: Whether the limit is new, changed or removed.
+            per_second: Rejections per second that it bears, None for no limit.
+            source: As for a request limit.
+        """
+        self._log.emit(
+            f"server-rejection-limit-{change.value}",
+            instance=instance,
+            per_second=per_second,
+            told_by=source,
+        )
+
     def at_limit(self, state: ServerLimitState, request: ExchangeRequest) -> None:
         """A request was not sent to a server whose request limit is reached."""
         self._log.emit(
@@ -69,7 +87,7 @@
 
         Args:
             instance: The server.
-            field: The signal: `limit`, `leaving` or `rest`.
+            field: The signal: `limit`, `rejection-limit`, `leaving` or `rest`.
             shown: Text of the signal.
         """
         if self._logged_unreadable.get((instance, field)) == shown:
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -26,6 +26,7 @@
     answer_instance="Instance-Id",
     answer_weight_version="Weight-Versions",
     request_limit="Server-Limit",
+    rejection_limit="Server-Brittle",
     leaving="Server-Leaving",
     router_only=("Kv-From", "Kv-Backup", "Hold", "Pin-Ms"),
 )
--- /dev/null
+++ b/tests/exchange/load/test_rejection_limits.py
@@ -0,0 +1,38 @@
+"""Rejection limits that servers announce: who knows them, and when they end."""
+
+from __future__ import annotations
+
+from milletcourse.exchange.load.server_signals import ServerSignals
+from milletcourse.exchange.load.signal_record import LimitChange
+from milletcourse.exchange.messages.dialect import HeaderDialect
+from milletcourse.exchange.messages.messages import HeaderField
+from milletcourse.platform.names import HEADER_NAMES
+
+KEY = 7
+
+
+def test_a_rejection_limit_is_read_and_a_malformed_one_is_reported() -> None:
+    dialect = HeaderDialect(HEADER_NAMES)
+    for value, expected in ((b"5", 5.0), (b"0", 0.0), (b" 1.5 ", 1.5), (b"1000000000", 1e6)):
+        head = dialect.read_answer(200, b"OK", [HeaderField(b"Server-Brittle", value)])
+        assert head.rejection_limit.per_second == expected
+    for value in (b"-1", b"soon", b"", b"1e9", b"5, 6"):
+        head = dialect.read_answer(200, b"OK", [HeaderField(b"server-brittle", value)])
+        assert head.rejection_limit.per_second is None
+        assert head.rejection_limit.unreadable
+    twice = [HeaderField(b"Server-Brittle", b"5"), HeaderField(b"Server-Brittle", b"6")]
+    assert dialect.read_answer(200, b"OK", twice).rejection_limit.unreadable == "5, 6"
+
+
+def test_other_gateways_learn_a_rejection_limit_and_its_end_beside_a_request_limit() -> None:
+    here, there = ServerSignals(), ServerSignals()
+    here.on_answer(KEY, 2.0, 0.0, 1.0)
+    assert here.on_answer_rejection_limit(KEY, 5.0, 0.0, 1.0) is LimitChange.ADDED
+    [change] = there.merge(here.due_reports(1.1, 1.0), 1.1, relay=False)
+    assert (change.change, change.per_second) == (LimitChange.ADDED, 2.0)
+    assert (change.rejection_change, change.rejections_per_second) == (LimitChange.ADDED, 5.0)
+    # An answer to a request that was sent before the announcement doesn't end it.
+    assert here.on_answer_rejection_limit(KEY, None, 0.9, 1.2) is None
+    assert here.on_answer_rejection_limit(KEY, None, 1.1, 1.3) is LimitChange.REMOVED
+    [change] = there.merge(here.due_reports(1.4, 1.0), 1.4, relay=False)
+    assert (change.change, change.rejection_change) == (None, LimitChange.REMOVED)
