Answers without end are cut at bounds in bytes: head, framing, trailers, events

What was seen: a head, trailer or event that a server never ends was bounded by a second's silence timeout or the route's, not by bytes: 58 to 207 MB of memory from four requests.

Cause: the parser and the event splitter collect a part until it ends, and nothing counts what they hold. Class: a time bound where the peer sets the rate.

Change: AnswerBounds counts what a connection receives besides the body: 64 KB in a head or between two parts of a body, 1 MB and 16 bytes for each byte of body in all, 256 fields, 256 KB in an event with its comments. Beyond that the answer counts as malformed: the connection is closed, the server's health takes it, a repeatable request goes to another server, the client gets what a broken-off answer gets. The same connection class serves orders, reports, cache stores and the platform's store; a relaying gateway stops parsing the head that it reads along.

Left: bodies of up to 16 MB are still collected whole (answers and replies); the router's own way in keeps its HTTP library's limits.

--- /dev/null
+++ b/src/milletcourse/exchange/messages/answer_bounds.py
@@ -0,0 +1,44 @@
+"""Bounds in bytes on the parts of an answer that carry no body; no input/output.
+
+A peer that never ends such a part would otherwise be bounded by a timeout and its bandwidth only.
+Bodies have bounds of their own where they are collected.
+"""
+
+from __future__ import annotations
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Status line and header fields, with informational answers before them, and each stretch of
+framing between two parts of a body: chunk sizes, chunk extensions, trailers."""
+MAX_OVERHEAD_BYTES = 1024 * 1024
+"""All of these together, besides what is in proportion to the body."""
+OVERHEAD_PER_BODY_BYTE = 16
+"""A chunk of one byte has less framing than this."""
+MAX_FIELDS = 256
+"""Header fields of an answer, with its trailers."""
+MAX_EVENT_BYTES = 256 * 1024
+"""One event of a stream, with the comments before it."""
+
+
+class AnswerBounds:
+    """Counts the bytes of one answer that carry no body."""
+
+    def __init__(self) -> None:
+        self._stretch = 0
+        self._received = 0
+        self._body = 0
+
+    def on_received(self, size: int) -> None:
+        """Counts received bytes of any part; those of the body are then reported to `on_body`."""
+        self._stretch += size
+        self._received += size
+
+    def on_body(self, size: int) -> None:
+        """Counts received bytes of the body."""
+        self._stretch = 0
+        self._body += size
+
+    def is_within(self) -> bool:
+        """Whether the bounds are kept by all that was received and reported."""
+        overhead = self._received - self._body
+        allowed = MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * self._body
+        return self._stretch <= MAX_HEAD_BYTES and overhead <= allowed
--- a/src/milletcourse/exchange/messages/event_stream.py
+++ b/src/milletcourse/exchange/messages/event_stream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from milletcourse.exchange.messages.answer_bounds import MAX_EVENT_BYTES
+
 _ID_FIELD = b"id:"
 
 
@@ -36,6 +38,11 @@
         """Bytes received of an event that is not complete."""
         return len(self._partial)
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the event that is being received is larger than any may be."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     @staticmethod
     def _last_boundary(data: bytes) -> int:
         lf_end = data.rfind(b"\n\n")
--- a/src/milletcourse/gateway/fleet/answer_head_reader.py
+++ b/src/milletcourse/gateway/fleet/answer_head_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from milletcourse.exchange.messages.answer_bounds import AnswerBounds
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.gateway.servers.answer_head_collector import AnswerHeadCollector
@@ -20,14 +21,16 @@
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._is_done = False
+        self._bounds = AnswerBounds()
 
     def feed(self, data: bytes) -> bool:
         """Parse data; returns whether more is needed."""
+        self._bounds.on_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
-        return not self._is_done
+        return not self._is_done and self._bounds.is_within()
 
     # -- httptools callbacks --------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/requests/stream_receiver.py
+++ b/src/milletcourse/gateway/requests/stream_receiver.py
@@ -52,6 +52,8 @@
                 # Another server may have sent these events since the attempt was aborted.
                 return event.lost or LossCause.ABORTED
             self._relay_events(event.body)
+            if self._splitter.is_oversized:
+                return LossCause.MALFORMED
             if event.complete:
                 return self._end()
 
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -14,6 +14,7 @@
 import httptools
 import msgspec
 
+from milletcourse.exchange.messages.answer_bounds import AnswerBounds
 from milletcourse.exchange.messages.answer_end import Framing, LossCause, loss_at_close
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.messages import AnswerHead
@@ -75,6 +76,7 @@
         self._aborted = False
         self._head: AnswerHead | None = None
         self._skipping = False
+        self._bounds = AnswerBounds()
 
     # -- use ------------------------------------------------------------------------------------
 
@@ -88,6 +90,7 @@
         """
         assert self._transport is not None
         self._events.clear()
+        self._bounds = AnswerBounds()
         self._expected_id = request_id
         self._bodyless = bodyless
         self._busy = True
@@ -159,10 +162,15 @@
         if not self._busy:
             self._taint()
             return
+        self._bounds.on_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._on_malformed()
+            return
+        is_bounded = self._bounds.is_within() and not self.has_too_many_fields
+        if self._busy and not is_bounded:
+            self._on_malformed()
 
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
@@ -191,6 +199,8 @@
 
     def on_headers_complete(self) -> None:
         """End of the head: check whether this is the expected answer."""
+        if self.has_too_many_fields:
+            return
         status = self._parser.get_status_code()
         if not self._busy or status < 200:
             self._skipping = True
@@ -210,6 +220,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
+        self._bounds.on_body(len(body))
         if not self._skipping and self._busy:
             self._emit(AnswerEvent(body=body))
 
