Operators see the leased slots of brittle servers, and which request found none

server-full names, by request id, the server that was asked, who grants its slots and in which role; milletcourse limits lists slots, leases held here and, at a gateway that keeps account, what is leased, the bound and recent rejections.

--- a/src/milletcourse/exchange/limits/lease_book.py
+++ b/src/milletcourse/exchange/limits/lease_book.py
@@ -44,6 +44,10 @@
         """Whether a lease is held or requested."""
         return number in self._held.get(key, ())
 
+    def count(self, key: int) -> int:
+        """Number of leases at a server that are held or requested."""
+        return len(self._held.get(key, ()))
+
     def end(self, key: int, number: int) -> bool:
         """Record the end of a lease; returns False when it had ended before."""
         numbers = self._held.get(key)
--- a/src/milletcourse/exchange/load/signal_record.py
+++ b/src/milletcourse/exchange/load/signal_record.py
@@ -194,6 +194,32 @@
     standing: str
 
 
+class ServerSlotState(msgspec.Struct, frozen=True):
+    """A gateway's view of the leased slots of a server with a rejection limit, for operators.
+
+    Attributes:
+        instance: Name of the server.
+        rejections_per_second: Rejections per second that the servers of its service bear.
+        slots: Its slots by its entry; 0 when unknown.
+        held: Leases that this gateway holds.
+        owner: Gateway that grants the leases.
+        role: Role in which that gateway grants them: home, deputy or alone.
+        leased: Requests of all gateways at the server; None unless this gateway keeps account.
+        limit: Requests that may be there at once; None likewise.
+        rejected: Rejections within the last second; None likewise.
+    """
+
+    instance: str
+    rejections_per_second: float
+    slots: int
+    held: int
+    owner: str
+    role: str
+    leased: int | None
+    limit: int | None
+    rejected: int | None
+
+
 class ServerSignalState(msgspec.Struct, frozen=True):
     """A server's self-reported state that excludes it from new requests, for operators.
 
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -13,7 +13,11 @@
 from milletcourse.errors import NotFound
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.load.signal_record import ServerLimitState, ServerSignalState
+from milletcourse.exchange.load.signal_record import (
+    ServerLimitState,
+    ServerSignalState,
+    ServerSlotState,
+)
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
@@ -54,10 +58,12 @@
     Attributes:
         servers: Servers with a request limit.
         tenants: Tenants with a limit; `refused` counts since the latest log line about the tenant.
+        slots: Servers whose slots are leased, since they crash when they must reject too much.
     """
 
     servers: list[ServerLimitState]
     tenants: list[LimitState]
+    slots: list[ServerSlotState] = []
 
 
 class OperatorApi:
@@ -122,10 +128,13 @@
 
     def _limits(self) -> LimitsView:
         context = self._context
-        servers = (context.permits.state(instance) for instance in context.instances)
+        instances = sorted(context.instances, key=lambda instance: instance.name)
+        servers = [context.permits.state(instance) for instance in instances]
+        slots = [context.permits.slots.state(instance) for instance in instances]
         return LimitsView(
-            sorted((item for item in servers if item is not None), key=lambda item: item.instance),
+            [item for item in servers if item is not None],
             context.tenant_limits.states(context.now()),
+            [item for item in slots if item is not None],
         )
 
     def _signals(self) -> list[ServerSignalState]:
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -123,6 +123,9 @@
             state = context.permits.state(choice.instance)
             if state is not None:
                 context.record.signals.at_limit(state, self._job.request)
+            slot_state = context.permits.slots.state(choice.instance)
+            if slot_state is not None:
+                context.record.signals.full(slot_state, self._job.request)
             choice = self.best()
         return self.failure()
 
--- a/src/milletcourse/gateway/servers/slot_leases.py
+++ b/src/milletcourse/gateway/servers/slot_leases.py
@@ -7,11 +7,15 @@
 
 from milletcourse.exchange.limits.lease_book import LeaseBook
 from milletcourse.exchange.limits.quota_owner import OwnerRole, PermitReply
-from milletcourse.exchange.limits.quota_owner_selector import QuotaOwnerSelector
-from milletcourse.exchange.limits.slot_owner import REPORT_SECONDS, SlotAccountState, SlotOwner
+from milletcourse.exchange.limits.quota_owner_selector import (
+    OWNERS_PER_SLOTS,
+    QuotaOwnerSelector,
+)
+from milletcourse.exchange.limits.slot_owner import REPORT_SECONDS, SlotOwner
 from milletcourse.exchange.load.load_exchange import LoadExchange
 from milletcourse.exchange.load.rejection_limits import RejectionLimits
 from milletcourse.exchange.load.server_signals import ServerSignals
+from milletcourse.exchange.load.signal_record import ServerSlotState
 from milletcourse.exchange.messages.slot_messages import (
     EndedLease,
     HeldLeases,
@@ -204,6 +208,22 @@
             self._owner.on_end(ended.key, message.sender, ended.number, ended.end, now)
         self._owner.on_report(message.sender, message.latest_number, message.held, now)
 
-    def state(self, key: int) -> SlotAccountState | None:
-        """What this gateway knows of a server's slots as their owner, None when nothing."""
-        return self._owner.state(key, self._clock.seconds())
+    def state(self, instance: Instance) -> ServerSlotState | None:
+        """What this gateway knows of a server's slots, None when none are leased."""
+        key = instance.key
+        per_second = self._limits.of_service(instance.record.service, self._now())
+        if per_second is None:
+            return None
+        owner = self._owner_selector.select(key, self._now(), OWNERS_PER_SLOTS)
+        account = self._owner.state(key, self._clock.seconds())
+        return ServerSlotState(
+            instance.name,
+            per_second,
+            instance.record.slots,
+            self.book.count(key),
+            owner.name,
+            owner.role.value,
+            account.leased if account is not None else None,
+            account.limit if account is not None else None,
+            account.rejections if account is not None else None,
+        )
--- a/src/milletcourse/gateway/telemetry/signal_recorder.py
+++ b/src/milletcourse/gateway/telemetry/signal_recorder.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from milletcourse.exchange.load.signal_record import LimitChange, ServerLimitState, Signal
+from milletcourse.exchange.load.signal_record import (
+    LimitChange,
+    ServerLimitState,
+    ServerSlotState,
+    Signal,
+)
 from milletcourse.exchange.messages.messages import ExchangeRequest
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
@@ -64,6 +69,12 @@
             "server-at-limit", **msgspec.structs.asdict(state), request_id=request.request_id
         )
 
+    def full(self, state: ServerSlotState, request: ExchangeRequest) -> None:
+        """A request was not sent to a server whose slots are all leased."""
+        self._log.emit(
+            "server-full", **msgspec.structs.asdict(state), request_id=request.request_id
+        )
+
     def server_excluded(self, service: str, signal: Signal) -> None:
         """A server was excluded for a request, since it is shutting down or backing off."""
         self._metrics.on_server_excluded(service, signal.value)
--- a/tests/gateway/servers/test_brittle_servers.py
+++ b/tests/gateway/servers/test_brittle_servers.py
@@ -7,13 +7,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections import Counter, deque
+from typing import Any
 
 import pytest
+from click.testing import Result
+from typer.testing import CliRunner
 
 from gateway_fleet import GatewayFleet
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import Client, ReceivedRequest, StandinServer, answer, signed
+from milletcourse.cli.main import app
 
 SLOTS = 4
 WORK_SECONDS = 0.04
@@ -114,3 +119,45 @@
         assert set(statuses) <= {200, 503}
 
     run_with_gateway(scenario)
+
+
+def test_operators_see_leased_slots_and_which_request_found_none() -> None:
+    """The command at any gateway shows who grants them, and the log shows it by request id."""
+
+    async def scenario(harness: Harness) -> None:
+        server = BrittleServer(announces=True)
+        harness.internal_ports = harness.free_ports()
+        standin = await harness.add_server("app-0", "app", server.behave)
+        harness.store.put("servers", "app-0", {**standin.entry("app"), "Slots": SLOTS})
+        fleet = GatewayFleet(harness)
+        await fleet.start_gateways(GATEWAYS)
+        denied: list[dict[str, Any]] = []
+
+        def emit(event: str, **fields: Any) -> None:
+            if event == "server-full":
+                denied.append(fields)
+
+        for node in fleet.nodes:
+            setattr(node.context.record._log, "emit", emit)  # noqa: B010
+        clients = [await Client.connect(node.frontend_address) for node in fleet.nodes * 4]
+        for _ in range(2):
+            await asyncio.gather(
+                *(
+                    fleet.ask(client, fleet.nodes[number % GATEWAYS], "/unsafe/")
+                    for number, client in enumerate(clients)
+                )
+            )
+        for client in clients:
+            client.close()
+        assert denied
+        assert denied[0]["instance"] == "app-0"
+        assert denied[0]["request_id"].startswith("request-")
+        port = await fleet.nodes[1].listen_for_operators(0, "/metrics")
+        listed: Result = await asyncio.to_thread(
+            CliRunner().invoke, app, ["limits", "--gateway", port]
+        )
+        [shown] = [json.loads(line) for line in listed.output.splitlines()]
+        assert (shown["instance"], shown["slots"]) == ("app-0", SLOTS)
+        assert shown["owner"] in {node.context.settings.name for node in fleet.nodes}
+
+    run_with_gateway(scenario)
