What a server rejected is tried out again less and less often

A server whose memory is used up takes fewer requests than it has slots.

The interval between tries quadruples with each rejection, up to 16 times, and halves with each success.

--- a/src/milletcourse/exchange/limits/slot_owner.py
+++ b/src/milletcourse/exchange/limits/slot_owner.py
@@ -33,6 +33,9 @@
 """Servers count rejections per second; a little more covers the way of the answers."""
 MIN_GROWTH_SECONDS = 0.1
 """Shortest interval in which one more slot than is known to be free is tried out."""
+MAX_GROWTH_BACKOFF = 16
+"""The interval doubles up to this factor while what is tried out is rejected: memory, unlike a
+slot that another gateway has just used, may be missing for long."""
 MIN_ENDS_PER_SECOND = 0.5
 MAX_ENDS = 64
 """Ends of requests from which their rate is estimated."""
@@ -88,6 +91,7 @@
         self.demand = SlotDemand(0, 0.0)
         self.limit = 1
         self.grows_at = float("-inf")
+        self.growth_backoff = 1
         self.has_rejected = False
         self.rejections: deque[float] = deque()
         self.local_turn_at = float("-inf")
@@ -150,7 +154,8 @@
     @property
     def growth_seconds(self) -> float:
         """Interval in which one more slot may be tried out."""
-        return max(REJECTION_WINDOW_SECONDS / self.allowed_rejections, MIN_GROWTH_SECONDS)
+        seconds = max(REJECTION_WINDOW_SECONDS / self.allowed_rejections, MIN_GROWTH_SECONDS)
+        return seconds * self.growth_backoff
 
     def ends_per_second(self, now: float) -> float:
         if len(self.ends) < 2:
@@ -165,12 +170,14 @@
         grows_freely = not self.has_rejected and self.limit < self.demand.slots
         if grows_freely or now >= self.grows_at:
             self.limit += 1
+            self.growth_backoff = max(self.growth_backoff // 2, 1)
             self.grows_at = now + self.growth_seconds
 
     def on_rejected(self, now: float) -> None:
         self.rejections.append(now)
         self.limit = max(min(self.limit, self.leased), 1)
         self.has_rejected = True
+        self.growth_backoff = min(4 * self.growth_backoff, MAX_GROWTH_BACKOFF)
         self.grows_at = now + self.growth_seconds
 
     def bound(self) -> int:
--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -69,11 +69,14 @@
         announced: Rejections a second that they announce; None while they are sound.
         room: Requests that may wait at each of them.
         since: Monotonic time of the announcement.
+        usable: Requests that each of them works on at once; fewer than its slots when its memory is
+            used up.
     """
 
     announced: float | None = None
     room: int = QUEUE
     since: float = math.inf
+    usable: int = SLOTS
 
     def has_shrunk(self, now: float) -> bool:
         """Whether fewer requests may wait, and servers crash when they must reject too many."""
@@ -142,7 +145,7 @@
         return fields
 
     async def _run(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-        if self.running >= SLOTS and len(self.waiting) >= self.brittleness.room:
+        if self.running >= self.brittleness.usable and len(self.waiting) >= self.brittleness.room:
             self._reject(request, writer)
             return
         with self.ledger.running(request.request_id, self.name):
@@ -153,7 +156,7 @@
                 self._return_slot()
 
     async def _take_slot(self) -> None:
-        if self.running < SLOTS:
+        if self.running < self.brittleness.usable:
             self.running += 1
             return
         turn = asyncio.get_running_loop().create_future()
@@ -226,6 +229,7 @@
         seconds: Duration of the series of brittle and sound times.
         rejections: Rejections a second that brittle servers bear.
         room: Requests that may wait at a brittle server once its room has shrunk.
+        usable: Requests that each server works on at once.
         kills: Gateways are killed, stopped and suspended in overlapping series.
         stops: Gateways get SIGTERM in turn.
     """
@@ -235,6 +239,7 @@
     seconds: float = 14.0
     rejections: float = 5.0
     room: int = 0
+    usable: int = SLOTS
     kills: bool = False
     stops: bool = False
 
@@ -245,7 +250,7 @@
     def __init__(self, world: SoakWorld, run: BrittleRun) -> None:
         self.world = world
         self.run = run
-        self.brittleness = Brittleness()
+        self.brittleness = Brittleness(usable=run.usable)
         self.account = Account()
         self.counts: Counter[str] = Counter()
         self.refused_after: list[float] = []
@@ -315,7 +320,7 @@
             await asyncio.sleep(SAMPLE_SECONDS)
             if self.brittleness.is_small(time.monotonic()):
                 self.account.busy += sum(server.running for server in self.engines())
-                self.account.slots += SLOTS * ENGINES
+                self.account.slots += self.run.usable * ENGINES
 
     # -- gateways -------------------------------------------------------------------------------
 
@@ -413,7 +418,8 @@
                 f"rejections: {self.account.worst_second} in a second,"
                 f" {self.run.rejections:g} announced"
             )
-        if self.run.clients >= MIN_DEMAND * SLOTS * ENGINES and self.used() < MIN_USED_SHARE:
+        is_judged = self.run.usable == SLOTS and self.run.clients >= MIN_DEMAND * SLOTS * ENGINES
+        if is_judged and self.used() < MIN_USED_SHARE:
             self.violations.append(f"used: only {self.used():.3f} of the slots")
 
     def used(self) -> float:
@@ -493,6 +499,7 @@
     parser.add_argument("--clients", type=int, default=40)
     parser.add_argument("--rejections", type=float, default=5.0, help="borne by a server a second")
     parser.add_argument("--room", type=int, default=0, help="requests that may wait when brittle")
+    parser.add_argument("--usable", type=int, default=SLOTS, help="slots that servers can use")
     parser.add_argument("--kills", action="store_true", help="kill, stop and suspend gateways")
     parser.add_argument("--stops", action="store_true", help="stop gateways in turn")
     parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
@@ -503,6 +510,7 @@
         arguments.seconds,
         arguments.rejections,
         arguments.room,
+        arguments.usable,
         arguments.kills,
         arguments.stops,
     )
