Gateways that restart know brittle services from the entries, and ask owners that were silent

A gateway whose three owners had all been silent lately took turns by its own share, as if it were cut off, beside owners that lease all slots. While it hears any gateway it asks the owner that it skipped least recently; turns are left for one that hears nobody.

Test: tests/exchange/load/test_rejection_limits.py.

--- a/src/milletcourse/exchange/limits/quota_owner_selector.py
+++ b/src/milletcourse/exchange/limits/quota_owner_selector.py
@@ -77,6 +77,22 @@
                 return SelectedOwner(name, OwnerRole.DEPUTY if number else OwnerRole.HOME)
         return SelectedOwner(self._own_name, OwnerRole.LOCAL_SHARE)
 
+    def least_skipped(self, key: int) -> SelectedOwner:
+        """The owner that is skipped no more or not for long, though none of them replied lately.
+
+        Args:
+            key: Identity of the quota.
+        """
+        owners = self._owners_of(key)
+        if not owners:
+            return SelectedOwner(self._own_name, OwnerRole.LOCAL_SHARE)
+        name = min(owners, key=self._skipped_until)
+        return SelectedOwner(name, OwnerRole.HOME if name == owners[0] else OwnerRole.DEPUTY)
+
+    def _skipped_until(self, name: str) -> float:
+        skip = self._skipped.get(name)
+        return skip.until if skip is not None else float("-inf")
+
     def owners(self, key: int) -> list[str]:
         """The gateways that may own the slots of a server, the home first."""
         return self._owners_of(key)
--- a/src/milletcourse/exchange/load/rejection_limits.py
+++ b/src/milletcourse/exchange/load/rejection_limits.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
 from milletcourse.exchange.load.server_signals import ServerSignals
@@ -43,6 +45,21 @@
         limit = self._services.get(service)
         return limit.per_second if limit is not None else None
 
+    def by_service(self) -> dict[str, float]:
+        """Rejections per second that each server bears, by service."""
+        return {service: limit.per_second for service, limit in self._services.items()}
+
+    def on_reported(self, limits: Mapping[str, float], now: float) -> None:
+        """Apply limits that another gateway knew, until servers announce them here.
+
+        Args:
+            limits: Rejections per second that each server bears, by service.
+            now: Monotonic time.
+        """
+        for service, per_second in limits.items():
+            reported = _ServiceLimit(per_second, now + RETENTION_SECONDS)
+            self._services.setdefault(service, reported)
+
     def limited_servers(self) -> list[Instance]:
         """The servers of all services that have a limit."""
         if not self._services:
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -115,6 +115,7 @@
         self._context.crash_detector.listeners.append(registration.on_change)
         self._context.on_restore_update = registration.on_change
         self._context.stream_resumption.on_mixed = registration.on_change
+        self._context.permits.slots.on_limits_changed = registration.on_change
 
     def _gateways_position(self) -> StorePosition | None:
         mirrors = [kind.mirror for kind in self._watched]
@@ -148,6 +149,7 @@
             confirmed_era=confirmed_era,
             lost_configuration=context.lost_configuration.version if context.reads_store else 0,
             mixed_services=self._mixed_services(),
+            rejection_limits=self._rejection_limits(),
         )
 
     def _mixed_services(self) -> list[str]:
@@ -157,12 +159,18 @@
             return []
         return context.stream_resumption.versions.mixed_services(context.now())
 
+    def _rejection_limits(self) -> dict[str, float]:
+        """Rejection limits by service; the readers write them for all gateways."""
+        context = self._context
+        return context.permits.slots.announced_limits() if context.reads_store else {}
+
     def _on_entry(self, entry: GatewayEntry, is_own: bool) -> None:
         """Apply the entry of a gateway; it persists even when all gateways have stopped since."""
         self._context.confirmed_era.on_peer_confirmed(entry.confirmed_era)
         if entry.lost_configuration:
             self._context.on_lost_configuration(entry.lost_configuration)
         self._context.stream_resumption.versions.on_reported(entry.mixed_services)
+        self._context.permits.slots.on_reported_limits(entry.rejection_limits)
         if entry.contained:
             self._on_contained_requests(entry, is_own)
 
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -14,7 +14,6 @@
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.limits.quota_owner import GRANTED, OwnerRole, PermitReply, QuotaOwner
 from milletcourse.exchange.limits.quota_owner_selector import (
-    OWNERS_PER_QUOTA,
     OWNERS_PER_SLOTS,
     QuotaOwnerSelector,
     SelectedOwner,
@@ -246,14 +245,22 @@
 
     async def _request_permit(self, request: _Request) -> tuple[SelectedOwner, PermitReply]:
         """Request a permit from the quota owner, and a slot from a deputy if that grants none."""
-        count = OWNERS_PER_QUOTA if request.slot_demand is None else OWNERS_PER_SLOTS
-        owner = self.owner_selector.select(request.key, self._now(), count)
+        owner = self._select_owner(request)
         reply = await self._request_from(owner, request)
         if reply is None and request.slot_demand is not None:
-            owner = self.owner_selector.select(request.key, self._now(), count)
+            owner = self._select_owner(request)
             reply = await self._request_from(owner, request)
         return owner, reply if reply is not None else PermitReply(False)
 
+    def _select_owner(self, request: _Request) -> SelectedOwner:
+        if request.slot_demand is None:
+            return self.owner_selector.select(request.key, self._now())
+        owner = self.owner_selector.select(request.key, self._now(), OWNERS_PER_SLOTS)
+        if owner.role is OwnerRole.LOCAL_SHARE and self.slots.hears_other_gateways():
+            # The others share all slots by an owner that they reach.
+            return self.owner_selector.least_skipped(request.key)
+        return owner
+
     async def _request_from(self, owner: SelectedOwner, request: _Request) -> PermitReply | None:
         """Reply of an owner; None if it is silent or grants no permits at present."""
         if owner.name == self._own_name:
--- a/src/milletcourse/gateway/servers/slot_leases.py
+++ b/src/milletcourse/gateway/servers/slot_leases.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from milletcourse.exchange.limits.lease_book import LeaseBook
 from milletcourse.exchange.limits.quota_owner import OwnerRole, PermitReply
@@ -39,6 +39,8 @@
     Attributes:
         book: The leases that this gateway holds or has requested.
         send: Sends messages; messages sent before it is set are lost.
+        on_limits_changed: Called when servers of a service announce a rejection limit, another one,
+            or none any more.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         """
         self.book = LeaseBook(int(now() * 1000.0))
         self.send: SendSlotMessage = lambda name, message: None
+        self.on_limits_changed: Callable[[], None] = lambda: None
         self._own_name = own_name
         self._owner_selector = owner_selector
         self._limits = RejectionLimits(signals, instances)
@@ -76,6 +79,7 @@
         self._now = now
         self._members = members
         self._reported_at = float("-inf")
+        self._swept_limits: dict[str, float] = {}
         self._started_at = now()
         self._loads = loads
 
@@ -97,6 +101,10 @@
         """Whether requests to the servers of a service need leases."""
         return self._limits.of_service(service, self._now()) is not None
 
+    def hears_other_gateways(self) -> bool:
+        """Whether the load of any other gateway is known here."""
+        return self._loads.known_gateways(self._now()) > 1
+
     def on_granted(self, instance: Instance, granted_by: str) -> None:
         """Tell the other gateway that may own a server's slots about a new lease."""
         report = self.book.report(instance.key, instance.in_flight)
@@ -147,9 +155,22 @@
             return None
         return self._loads.all_requests(key, self._members(), now)
 
+    def announced_limits(self) -> dict[str, float]:
+        """Rejections per second that servers bear, by service."""
+        return self._limits.by_service()
+
+    def on_reported_limits(self, limits: Mapping[str, float]) -> None:
+        """Apply limits that a gateway wrote into its entry, if this one has just started."""
+        if self._now() - self._started_at < LOAD_UNKNOWN_SECONDS:
+            self._limits.on_reported(limits, self._now())
+
     def sweep(self) -> None:
         """Drop expired state."""
         self._limits.refresh(self._now())
+        limits = self._limits.by_service()
+        if limits != self._swept_limits:
+            self._swept_limits = limits
+            self.on_limits_changed()
         self._owner.drop_idle(self._clock.seconds())
 
     def _deliver_end(self, ended: EndedLease) -> None:
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -67,6 +67,8 @@
             lost when this entry was written; 0 for none.
         mixed_services: Services of which several software versions may have begun streams that
             clients still resume; used by a gateway that starts after all others have stopped.
+        rejection_limits: Rejections per second that the servers of a service bear, by service; used
+            by a gateway that has just started and got no answer of a server yet.
     """
 
     address: str
@@ -78,6 +80,7 @@
     confirmed_era: int = UNKNOWN_ERA
     lost_configuration: int = 0
     mixed_services: list[str] = []
+    rejection_limits: dict[str, float] = {}
 
 
 class GatewayDirectory(NoOpEventHandler):
--- a/tests/exchange/load/test_rejection_limits.py
+++ b/tests/exchange/load/test_rejection_limits.py
@@ -65,6 +65,19 @@
     assert limits.of_service("engine", 1.0 + RETENTION_SECONDS) is None
 
 
+def test_a_gateway_that_has_just_started_knows_the_limits_that_others_knew() -> None:
+    """Guards against requests without leases from gateways that restart while servers are full."""
+    table, signals = InstanceTable(), ServerSignals()
+    limits = RejectionLimits(signals, table)
+    table.upsert(InstanceRecord("s-1", "engine", "127.0.0.1:1"))
+    limits.on_reported({"engine": 2.0}, 0.0)
+    assert limits.of_service("engine", 0.0) == 2.0
+    signals.on_answer_rejection_limit(_key(table, "s-1"), 5.0, 0.0, 1.0)
+    assert limits.of_service("engine", 1.0) == 5.0
+    limits.on_reported({"engine": 2.0}, 1.0)
+    assert limits.by_service() == {"engine": 5.0}
+
+
 def test_a_service_is_sound_again_when_its_answers_no_longer_announce_a_limit() -> None:
     table, signals = InstanceTable(), ServerSignals()
     limits = RejectionLimits(signals, table)
