--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -28,6 +28,10 @@
 MAX_DENIALS = 3
 """How many servers may deny a request a permit before all servers with limits are left out. Each
 denial costs a round trip to another gateway."""
+MAX_SLOT_DENIALS = 8
+"""The same where slots are leased: near full load most servers have none, and few have some."""
+SLOT_SEARCH_SECONDS = 0.03
+"""After this long in search of a slot, no more servers are asked than for a permit."""
 
 
 @dataclass(frozen=True)
@@ -58,6 +62,7 @@
         self._denied: set[str] = set()
         """Servers whose own limit left no capacity for the request."""
         self._selected_at = float("-inf")
+        self._searches_until = float("inf")
         self.signals_by_server: dict[str, str] = {}
         """Servers that were left out for a signal of theirs, and that signal."""
         self.overload: OverloadState | None = None
@@ -80,10 +85,17 @@
     def best(self) -> Choice | None:
         """The best server that has not been tried, None when there is none."""
         left_out = self._tried | self._denied
-        if len(self._denied) >= MAX_DENIALS:
+        if len(self._denied) >= self._max_denials():
             left_out.update(self._limited())
         return self._choose(left_out)
 
+    def _max_denials(self) -> int:
+        now = self._context.now()
+        if not self._denied:
+            self._searches_until = now + SLOT_SEARCH_SECONDS
+        are_slots_leased = self._context.permits.slots.are_needed(self._job.service.name)
+        return MAX_SLOT_DENIALS if are_slots_leased and now < self._searches_until else MAX_DENIALS
+
     def best_for_second_run(self, first: Instance) -> Destination | None:
         """The best server for a second run alongside a running one, None when there is none.
 
