--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -14,6 +14,7 @@
 from milletcourse.experiments.backoff_plot import plot_backoffs
 from milletcourse.experiments.change_model import compare_changes
 from milletcourse.experiments.cluster_model import FarImports
+from milletcourse.experiments.brittle_server_model import compare_brittle_servers
 from milletcourse.experiments.containment_model import compare_containment
 from milletcourse.experiments.faults import PLANS
 from milletcourse.experiments.limit_model import compare_limit_strategies
@@ -95,6 +96,20 @@
         sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
 
 
+@app.command("brittle")
+def brittle(
+    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5,79",
+    demand: Annotated[str, typer.Option(help="Requests, as shares of what servers run.")] = "2.5",
+    borne: Annotated[str, typer.Option(help="Rejections per second that a server bears.")] = "1,5",
+    seed: Annotated[int, typer.Option(help="Seed of all random draws.")] = 1,
+) -> None:
+    """Compare strategies that keep servers from rejecting more requests than they bear."""
+    demands = [float(item) for item in demand.split(",")]
+    limits = [float(item) for item in borne.split(",")]
+    for result in compare_brittle_servers(parse_sizes(gateways), demands, limits, seed):
+        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
+
+
 @app.command("rests")
 def rests(
     gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5,79",
