--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -12,9 +12,9 @@
 from milletcourse.errors import FailureError, InvalidObject
 from milletcourse.experiments.backoff_model import compare_backoffs
 from milletcourse.experiments.backoff_plot import plot_backoffs
+from milletcourse.experiments.brittle_server_model import compare_brittle_servers
 from milletcourse.experiments.change_model import compare_changes
 from milletcourse.experiments.cluster_model import FarImports
-from milletcourse.experiments.brittle_server_model import compare_brittle_servers
 from milletcourse.experiments.containment_model import compare_containment
 from milletcourse.experiments.faults import PLANS
 from milletcourse.experiments.limit_model import compare_limit_strategies
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -30,6 +30,8 @@
 """A live server in the same region accepts within milliseconds."""
 KEEP_ALIVE_MARGIN_SECONDS = 0.6
 """A pooled connection is not reused during this time before the server closes it."""
+PARSED_BYTES = 16 * 1024
+"""Data is parsed in pieces, between which the bounds of the answer are checked."""
 DEFAULT_KEEP_ALIVE_SECONDS = 2.0
 """Keep-alive time assumed when a server does not send one."""
 
@@ -162,15 +164,22 @@
         if not self._busy:
             self._taint()
             return
+        view = memoryview(data)
+        for start in range(0, len(view), PARSED_BYTES):
+            if not self._parse(view[start : start + PARSED_BYTES]):
+                self._on_malformed()
+                return
+
+    def _parse(self, data: memoryview) -> bool:
+        """Parse received data; returns whether it is well-formed and within the bounds."""
         self._bounds.on_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._on_malformed()
-            return
-        is_bounded = self._bounds.is_within() and not self.has_too_many_fields
-        if self._busy and not is_bounded:
-            self._on_malformed()
+            return False
+        if not self._busy:
+            return True
+        return self._bounds.is_within() and not self.has_too_many_fields
 
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -26,7 +26,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from gateway_standin import Client, ReceivedRequest, answer, chunk
+from gateway_standin import Client, ReceivedRequest, answer, chunk, stream_head
 from soak.clients import SHORT_PROMPT
 from soak.seeds import Report, run_seeds
 from soak.server import SoakServer
@@ -57,6 +57,24 @@
 SUSPEND_SECONDS = (0.3, 1.4)
 MAX_RETRY_AFTER_SECONDS = 5.0
 SAMPLE_SECONDS = 0.01
+MAX_GROWTH_KILOBYTES = 16 * 1024
+"""Growth of a gateway's peak memory that endless answers may cause."""
+PIECE_BYTES = 64 * 1024
+ENDLESS_PARTS = (
+    (b"HTTP/1.1 200 ", b"x" * PIECE_BYTES),
+    (b"HTTP/1.1 200 OK\r\n", b"Some-Field: some value\r\n" * 2000),
+    (b"HTTP/1.1 200 OK\r\nSome-Field: ", b"x" * PIECE_BYTES),
+    (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2000),
+)
+"""What an endless answer begins with, and repeats."""
+ENDLESS_CHUNKS = (
+    b"0" * PIECE_BYTES,
+    b"1;" + b"x" * PIECE_BYTES,
+    b"0\r\n" + b"Some-Field: some value\r\n" * 2000,
+    chunk(b"x" * PIECE_BYTES),
+    chunk(b": comment\n" * 6000),
+)
+"""What an endless stream repeats behind its head."""
 
 
 @dataclass
@@ -67,6 +85,7 @@
         announced: Rejections a second that they announce; None while they are sound.
         room: Requests that may wait at each of them.
         since: Monotonic time of the announcement.
+        endless: Share of the answers of which one part never ends.
         usable: Requests that each of them works on at once; fewer than its slots when its memory is
             used up.
     """
@@ -74,6 +93,7 @@
     announced: float | None = None
     room: int = QUEUE
     since: float = math.inf
+    endless: float = 0.0
     usable: int = SLOTS
 
     def has_shrunk(self, now: float) -> bool:
@@ -105,6 +125,7 @@
     Attributes:
         rejections: Monotonic time of each rejection, and the id of its request, by server.
         crashes: Crashes for too many rejections.
+        endless: Ids of the requests whose answer never ended.
         busy: Slots in use, summed over samples while the room was small.
         slots: Slots there were, summed over the same samples.
         worst_second: Most rejections of one server in a second while the room was known as small.
@@ -112,6 +133,7 @@
 
     rejections: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
     crashes: list[Crash] = field(default_factory=list)
+    endless: set[str] = field(default_factory=set)
     busy: int = 0
     slots: int = 0
     worst_second: int = 0
@@ -202,6 +224,10 @@
             self.on_crash(self.name)
 
     async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if self.random.random() < self.brittleness.endless:
+            self.account.endless.add(request.request_id)
+            await self._answer_endlessly(request, writer)
+            return
         fields = {
             "Request-Id": request.request_id,
             "Server-Signature": f"s-{self.name}",
@@ -216,6 +242,18 @@
             writer.write(chunk(b"id: %d\ndata: %d\n\n" % (number, number)))
         writer.write(b"0\r\n\r\n")
 
+    async def _answer_endlessly(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send one part of an answer until the connection is closed."""
+        first, repeated = self.random.choice(ENDLESS_PARTS)
+        if self.random.random() < 0.5:
+            first, repeated = stream_head(request), self.random.choice(ENDLESS_CHUNKS)
+        writer.write(first)
+        while not writer.transport.is_closing():
+            writer.write(repeated)
+            await writer.drain()
+
 
 @dataclass(frozen=True)
 class BrittleRun:
@@ -230,8 +268,9 @@
         usable: Requests that each server works on at once.
         kills: Gateways are killed, stopped and suspended in overlapping series.
         stops: Gateways get SIGTERM in turn.
-        checks_use: The share of the slots that is used counts. It falls on a busy machine, and where
-            clients are few.
+        checks_use: The share of the slots that is used counts. It falls on a busy machine, and
+            where clients are few.
+        endless: Share of the answers of which one part never ends.
     """
 
     gateways: int = 5
@@ -243,6 +282,7 @@
     kills: bool = False
     stops: bool = False
     checks_use: bool = False
+    endless: float = 0.0
 
 
 class BrittleWorld:
@@ -251,13 +291,14 @@
     def __init__(self, world: SoakWorld, run: BrittleRun) -> None:
         self.world = world
         self.run = run
-        self.brittleness = Brittleness(usable=run.usable)
+        self.brittleness = Brittleness(endless=run.endless, usable=run.usable)
         self.account = Account()
         self.counts: Counter[str] = Counter()
         self.refused_after: list[float] = []
         self.violations: list[str] = []
         self.first_shrunk_at: float | None = None
         self._gateways: dict[str, GatewayProcess] = {}
+        self._peaks: dict[int, int] = {}
         world.new_server = self._new_server
 
     def _new_server(self, *given: Any) -> SoakServer:
@@ -389,6 +430,9 @@
             return 0.0
         if got is not None and got.whole and got.status in (429, 503):
             return self._on_refused(got.status, got.body, got.headers, now - began_at)
+        if request_id in self.account.endless:
+            self.counts["endless"] += 1
+            return 0.02
         self._on_lost(gateway, began_at, now, got.status if got is not None else 0)
         return 0.02
 
@@ -405,6 +449,20 @@
         is_excused = gateway.was_disturbed(begin, end) or gateway.was_starting(begin, end)
         self.counts["lost-excused" if is_excused else f"lost-{status}"] += 1
 
+    # -- memory ---------------------------------------------------------------------------------
+
+    def note_memory(self) -> None:
+        """Record the peak memory of all gateways before the servers are brittle."""
+        self._peaks = peak_kilobytes(self.world.gateways)
+
+    def check_memory(self) -> int:
+        """Check how far the peaks have grown since; returns the largest growth in kilobytes."""
+        now = peak_kilobytes(self.world.gateways)
+        grown = [peak - self._peaks[pid] for pid, peak in now.items() if pid in self._peaks]
+        if self.run.endless and max(grown, default=0) > MAX_GROWTH_KILOBYTES:
+            self.violations.append(f"memory: a gateway grew by {max(grown)} kB")
+        return max(grown, default=0)
+
     # -- report ---------------------------------------------------------------------------------
 
     def judge(self) -> None:
@@ -448,6 +506,19 @@
         }
 
 
+def peak_kilobytes(gateways: list[GatewayProcess]) -> dict[int, int]:
+    """Peak memory of the gateways that run now, by process id."""
+    peaks = {}
+    for gateway in gateways:
+        if gateway.process is None or not gateway.is_running():
+            continue
+        status = Path(f"/proc/{gateway.process.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        if found:
+            peaks[gateway.process.pid] = int(found.group(1))
+    return peaks
+
+
 async def brittle_soak(seed: int, folder: Path, run: BrittleRun) -> Report:
     """Run one seed and return its report."""
     world = SoakWorld(seed, folder, run.gateways)
@@ -468,6 +539,7 @@
                 await asyncio.sleep(0.05)
         clients = [asyncio.create_task(fleet.run_client(number)) for number in range(run.clients)]
         await asyncio.sleep(WARM_SECONDS)
+        fleet.note_memory()
         series = [asyncio.create_task(fleet.alternate())]
         if run.kills:
             series.append(asyncio.create_task(fleet.disturb_gateways()))
@@ -478,12 +550,14 @@
             task.cancel()
         await asyncio.gather(*series, return_exceptions=True)
         world.check_own_tasks([*background, *clients])
+        grown = fleet.check_memory()
     finally:
         await world.stop()
     fleet.judge()
     return {
         "seed": seed,
         **fleet.figures(),
+        "memory_growth_kilobytes": grown,
         "own_absence": round(world.clock.stalled_seconds, 2),
         "starts": sum(gateway.starts for gateway in world.gateways),
         "violations": [*fleet.violations[:10], *world.ledger.violations[:5]],
@@ -503,6 +577,9 @@
     parser.add_argument("--kills", action="store_true", help="kill, stop and suspend gateways")
     parser.add_argument("--stops", action="store_true", help="stop gateways in turn")
     parser.add_argument("--check-use", action="store_true", help="judge the share of used slots")
+    parser.add_argument(
+        "--endless", type=float, default=0.0, help="share of answers of which a part never ends"
+    )
     parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
     arguments = parser.parse_args()
     run = BrittleRun(
@@ -515,6 +592,7 @@
         arguments.kills,
         arguments.stops,
         arguments.check_use,
+        arguments.endless,
     )
 
     def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
