--- a/src/milletcourse/exchange/limits/quota_owner.py
+++ b/src/milletcourse/exchange/limits/quota_owner.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from milletcourse.exchange.limits.recent_accounts import MAX_ACCOUNTS, drop_idle_accounts
 from milletcourse.exchange.limits.urgent_reserve import UrgentReserve
 
 BURST_PERMITS = 4.0
@@ -28,9 +29,6 @@
 MAX_SPREAD_SECONDS = 2.0
 RESERVED_PERMITS = 1.0
 """Permits that are reserved for more urgent requests that were denied one."""
-IDLE_SECONDS = 60.0
-"""An account without requests for this long is dropped."""
-MAX_ACCOUNTS = 4096
 
 
 class OwnerRole(Enum):
@@ -152,15 +150,9 @@
 
     def drop_idle(self, now: float) -> None:
         """Drop accounts without recent requests; the longest unused ones if there are many."""
-        kept = {
-            account_key: account
-            for account_key, account in self._accounts.items()
-            if now - account.requested_at < IDLE_SECONDS
-        }
-        if len(kept) >= MAX_ACCOUNTS:
-            newest = sorted(kept.items(), key=lambda item: -item[1].requested_at)
-            kept = dict(newest[: MAX_ACCOUNTS // 2])
-        self._accounts = kept
+        self._accounts = drop_idle_accounts(
+            self._accounts, lambda account: account.requested_at, now
+        )
 
 
 def _share(role: OwnerRole, members: int) -> float:
--- a/src/milletcourse/exchange/limits/slot_owner.py
+++ b/src/milletcourse/exchange/limits/slot_owner.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from milletcourse.exchange.limits.quota_owner import GRANTED, OwnerRole, PermitReply
+from milletcourse.exchange.limits.recent_accounts import MAX_ACCOUNTS, drop_idle_accounts
 from milletcourse.exchange.limits.urgent_reserve import UrgentReserve
 from milletcourse.exchange.messages.slot_messages import HeldLeases, LeaseEnd, SlotDemand
 
@@ -48,9 +49,6 @@
 """Longer than most requests run."""
 ACTIVE_REQUESTER_SECONDS = 2.0
 """A gateway counts as a requester for this long after its latest request."""
-IDLE_SECONDS = 60.0
-"""An account without requests and reports for this long is dropped."""
-MAX_ACCOUNTS = 4096
 
 
 class SlotAccountState(msgspec.Struct, frozen=True):
@@ -315,15 +313,7 @@
 
     def drop_idle(self, now: float) -> None:
         """Drop accounts that haven't been used recently; the longest unused ones if many are."""
-        kept = {
-            key: account
-            for key, account in self._accounts.items()
-            if now - account.used_at < IDLE_SECONDS
-        }
-        if len(kept) >= MAX_ACCOUNTS:
-            newest = sorted(kept.items(), key=lambda item: -item[1].used_at)
-            kept = dict(newest[: MAX_ACCOUNTS // 2])
-        self._accounts = kept
+        self._accounts = drop_idle_accounts(self._accounts, lambda account: account.used_at, now)
 
     def _account(self, key: int, now: float) -> _Account:
         account = self._accounts.get(key)
--- a/src/milletcourse/exchange/load/server_signals.py
+++ b/src/milletcourse/exchange/load/server_signals.py
@@ -19,9 +19,12 @@
     ChangedSignal,
     CurrentBackOff,
     LimitChange,
+    LimitOf,
     ServerSignalState,
     Signal,
     SignalRecord,
+    rejection_limit_of,
+    request_limit_of,
 )
 from milletcourse.exchange.messages.peer_messages import MAX_AGE_MS, SignalReport
 
@@ -36,8 +39,6 @@
 """A server with a limit of zero still gets one request per this interval: only its answers show
 that it accepts requests again."""
 MAX_RECORDS = 4096
-LimitOf = Callable[[SignalRecord], AnnouncedLimit]
-"""Selects one of the limits of a record."""
 
 
 class ServerSignals:
@@ -84,13 +85,9 @@
         record = self._records.get(key)
         return now - record.limit.seen_at if record is not None else float("inf")
 
-    def limited(self) -> dict[int, SignalRecord]:
-        """Records of all servers that have a limit, by key."""
-        return {
-            key: record
-            for key, record in self._records.items()
-            if record.limit.per_second is not None
-        }
+    def limited(self) -> list[SignalRecord]:
+        """Records of all servers that have a request limit."""
+        return [item for item in self._records.values() if item.limit.per_second is not None]
 
     def on_answer(
         self, key: int, per_second: float | None, sent_at: float, now: float
@@ -103,13 +100,13 @@
             sent_at: Monotonic time of the request's send.
             now: Monotonic time.
         """
-        return self._on_answer_limit(key, _request_limit, per_second, sent_at, now)
+        return self._on_answer_limit(key, request_limit_of, per_second, sent_at, now)
 
     def on_answer_rejection_limit(
         self, key: int, per_second: float | None, sent_at: float, now: float
     ) -> LimitChange | None:
         """Applies the rejection limit that an answer reports; arguments and result as above."""
-        return self._on_answer_limit(key, _rejection_limit, per_second, sent_at, now)
+        return self._on_answer_limit(key, rejection_limit_of, per_second, sent_at, now)
 
     def _on_answer_limit(
         self,
@@ -131,7 +128,7 @@
     ) -> LimitChange | None:
         record = self._record_for(key)
         change = limit_of(record).take(per_second, seen_at)
-        if change is not None and limit_of is _rejection_limit:
+        if change is not None and limit_of is rejection_limit_of:
             self.rejection_limit_changes += 1
         if change is not None:
             self._schedule_reports(record, relay)
@@ -304,11 +301,11 @@
         changes = []
         for report in reports:
             change = self._merge_limit(
-                report.key, _request_limit, report.per_second, report.limit_age_ms, now, relay
+                report.key, request_limit_of, report.per_second, report.limit_age_ms, now, relay
             )
             rejection_change = self._merge_limit(
                 report.key,
-                _rejection_limit,
+                rejection_limit_of,
                 report.rejections_per_second,
                 report.rejection_limit_age_ms,
                 now,
@@ -399,11 +396,3 @@
         if relay:
             record.reports_left = REPORT_REPEATS
             self._has_updates = True
-
-
-def _request_limit(record: SignalRecord) -> AnnouncedLimit:
-    return record.limit
-
-
-def _rejection_limit(record: SignalRecord) -> AnnouncedLimit:
-    return record.rejection_limit
--- a/src/milletcourse/exchange/load/signal_record.py
+++ b/src/milletcourse/exchange/load/signal_record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -176,6 +177,20 @@
         return now - max(self.last_signal_at, self.back_off_until) > TOMBSTONE_SECONDS
 
 
+LimitOf = Callable[[SignalRecord], AnnouncedLimit]
+"""Selects one of the limits of a record."""
+
+
+def request_limit_of(record: SignalRecord) -> AnnouncedLimit:
+    """A server's limit of requests per second."""
+    return record.limit
+
+
+def rejection_limit_of(record: SignalRecord) -> AnnouncedLimit:
+    """A server's limit of rejections per second."""
+    return record.rejection_limit
+
+
 class ServerLimitState(msgspec.Struct, frozen=True):
     """A gateway's view of a server's limit, for operators.
 
--- a/tests/exchange/limits/test_server_quotas.py
+++ b/tests/exchange/limits/test_server_quotas.py
@@ -16,7 +16,6 @@
 from milletcourse.exchange.limits.quota_owner import (
     BURST_PERMITS,
     DEPUTY_BURST_PERMITS,
-    MAX_ACCOUNTS,
     OwnerRole,
     PermitReply,
     QuotaOwner,
@@ -26,6 +25,7 @@
     MAX_SKIP_SECONDS,
     QuotaOwnerSelector,
 )
+from milletcourse.exchange.limits.recent_accounts import MAX_ACCOUNTS
 from milletcourse.exchange.load.server_signals import (
     MAX_RECORDS,
     MAX_REPORTS_PER_MESSAGE,
