A denial by an earlier release no longer fails the request; a cancelled request holds no lease

Found in the read-through: a denial says at which rate permits become available since the leases; one by a gateway of an earlier release doesn't, and dividing by it failed the request (500) while a fleet is updated under a request limit. The known limit stands in. test_a_denial_by_an_earlier_release_is_understood failed before (500).

A request that is cancelled while it waits for a lease gives its number back. Names and docstrings of the leases say what they do; reports are sent one by one as before, without the grouping that had no effect.

--- a/src/milletcourse/exchange/limits/slot_owner.py
+++ b/src/milletcourse/exchange/limits/slot_owner.py
@@ -3,7 +3,7 @@
 Servers that crash when they must reject too many requests get no more of them at once than they
 have slots. Each of them has one owner among the gateways, which leases a slot for each request and
 gets it back when the request has ended. The gateways report the leases that they hold at an
-interval, also to the owner's deputy: a lease whose return was lost ends with the next report, the
+interval, also to the owner's deputies: a lease whose return was lost ends with the next report, the
 leases of a gateway that has died end when it has been silent for a while, and a deputy knows what
 is leased before it grants anything itself.
 """
@@ -35,8 +35,8 @@
 MIN_GROWTH_SECONDS = 0.1
 """Shortest interval in which one more slot than is known to be free is tried out."""
 MAX_GROWTH_BACKOFF = 16
-"""The interval doubles up to this factor while what is tried out is rejected: memory, unlike a
-slot that another gateway has just used, may be missing for long."""
+"""The interval grows up to this factor while what is tried out is rejected: memory, unlike a slot
+that another gateway has just used, may be missing for long."""
 MIN_ENDS_PER_SECOND = 0.5
 MAX_ENDS = 64
 """Ends of requests from which their rate is estimated."""
@@ -46,7 +46,8 @@
 slot doesn't stay unused, few enough that the owner for hundreds of gateways has little load."""
 MAX_SPREAD_SECONDS = 2.0
 LOCAL_TURN_SECONDS = 0.5
-"""Longer than most requests run."""
+"""How long a slot is left to one gateway when gateways that reach no owner take turns; longer than
+most requests run."""
 ACTIVE_REQUESTER_SECONDS = 2.0
 """A gateway counts as a requester for this long after its latest request."""
 
--- a/src/milletcourse/gateway/servers/server_permits.py
+++ b/src/milletcourse/gateway/servers/server_permits.py
@@ -169,7 +169,11 @@
         if demand is not None:
             self.slots.book.open(key, number)
         request = _Request(key, number, rank, demand)
-        owner, reply = await self._request_permit(request)
+        try:
+            owner, reply = await self._request_permit(request)
+        except BaseException:
+            self.slots.book.end(key, number)
+            raise
         self._metrics.on_permit_requested(reply.granted)
         if reply.granted:
             if demand is not None:
@@ -285,9 +289,13 @@
             message.permit_wait_ms / 1000.0,
             message.retry_after_ms / 1000.0,
             message.requesters,
-            message.permits_per_second,
+            self._permits_per_second(message),
         )
 
+    def _permits_per_second(self, message: PermitMessage) -> float:
+        """Rate at which permits become available; earlier releases reply without it."""
+        return message.permits_per_second or self._signals.send_rate(message.key) or 1.0
+
     async def _reply_of_owner(self, owner: SelectedOwner, request: _Request) -> PermitMessage:
         """Ask another gateway for a permit; raises `TimeoutError` when it is silent."""
         key = request.key
--- a/src/milletcourse/gateway/servers/slot_leases.py
+++ b/src/milletcourse/gateway/servers/slot_leases.py
@@ -27,7 +27,7 @@
 from milletcourse.runtime.responsive_clock import ResponsiveClock
 
 LOAD_UNKNOWN_SECONDS = 3.0
-"""For this long after its start, the load that it knows may lack that of some gateways."""
+"""For this long after its start, a gateway may not know the load of all others."""
 
 SendSlotMessage = Callable[[str, SlotMessage], None]
 """Sends a message to a gateway by name."""
@@ -106,7 +106,7 @@
         return self._loads.known_gateways(self._now()) > 1
 
     def on_granted(self, instance: Instance, granted_by: str) -> None:
-        """Tell the other gateway that may own a server's slots about a new lease."""
+        """Tell the other gateways that may own a server's slots about a new lease."""
         report = self.book.report(instance.key, instance.in_flight)
         for name in self._accountants(instance.key):
             if name != granted_by:
@@ -140,12 +140,8 @@
             return
         self._reported_at = now
         requests = {instance.key: instance.in_flight for instance in self._limits.limited_servers()}
-        by_owner: dict[str, list[HeldLeases]] = {}
         for report in self.book.due_reports(requests):
             for name in self._accountants(report.key):
-                by_owner.setdefault(name, []).append(report)
-        for name, held in by_owner.items():
-            for report in held:
                 self._deliver(name, held=[report])
 
     def _exchanged_requests(self, key: int) -> int | None:
@@ -178,7 +174,7 @@
             self._deliver(name, ended=[ended])
 
     def _accountants(self, key: int) -> list[str]:
-        """The gateways that keep account of a server's slots: its owners, and this one alone."""
+        """The gateways that keep account of this one's leases: the server's owners, and itself."""
         owners = self._owner_selector.owners(key)
         return owners if self._own_name in owners else [*owners, self._own_name]
 
--- a/tests/gateway/servers/test_server_limits.py
+++ b/tests/gateway/servers/test_server_limits.py
@@ -38,6 +38,7 @@
 )
 from milletcourse.cli.main import app
 from milletcourse.exchange.limits.quota_owner import PermitReply
+from milletcourse.exchange.messages.quota_messages import PermitMessage, PermitStep
 from milletcourse.experiments.server_quota_model import WINDOW_SECONDS, tolerated_in_window
 from milletcourse.experiments.sliding_window import most_in_window
 from milletcourse.gateway.node import GatewayNode
@@ -396,6 +397,31 @@
     run_with_gateway(scenario)
 
 
+def test_a_denial_by_an_earlier_release_is_understood() -> None:
+    """It does not say at which rate permits become available."""
+
+    async def scenario(harness: Harness) -> None:
+        fleet = LimitedFleet(harness)
+        await fleet.start({"s-1": "2"})
+        await fleet.load(PROPAGATION_SECONDS)
+        key = fleet.instance(fleet.nodes[0], "s-1").key
+        owner = fleet.nodes[0].context.permits.owner_selector.select(key, 0.0).name
+        requester = next(node for node in fleet.nodes if node.context.settings.name != owner)
+        permits = requester.context.permits
+        permits.retry_delays.clear(key)
+
+        def deny(name: str, message: PermitMessage) -> None:
+            reply = PermitMessage(PermitStep.DENY, name, key, message.request_number)
+            permits.on_message(reply)
+
+        permits.send = deny
+        client = await Client.connect(requester.frontend_address)
+        result = await client.ask("/safe/", "denied")
+        assert (result.status, _code(result)) == (503, "servers-at-limit")
+
+    run_with_gateway(scenario)
+
+
 def test_refusal_for_a_silent_quota_owner_names_the_limit() -> None:
     """The server is healthy, and only its limit keeps the request from it."""
 
