attempt-failed names the shared prompt parts of the request

Operators could see that servers crashed under requests whose contents all differ, but not what these requests share, so that the hypotheses of the incident could not be told apart. The parts are hashed with service and scope; nothing is decided by them.

--- a/src/milletcourse/exchange/evidence/request_identity.py
+++ b/src/milletcourse/exchange/evidence/request_identity.py
@@ -1,7 +1,7 @@
-"""Content identity of requests: equal for repeats of the same work; no input/output.
+"""Identities of requests and of the parts of their prompts; no input/output.
 
 Each attempt of a client has its own request ID, so a repeat is recognized only by its content:
-host, path, caller and body.
+host, path, caller and body. Requests that differ may still share parts of their prompts.
 """
 
 from __future__ import annotations
@@ -23,11 +23,26 @@
         body: Whole body.
     """
     path = target if not body else target.split(b"?", 1)[0]
+    return _hash((host.lower().encode(), path, caller.encode()), body)
+
+
+def part_identity(service: str, scope: str, name: str) -> int:
+    """Identity of a prompt part; never 0.
+
+    Args:
+        service: Service that runs the prompt.
+        scope: Reuse scope of its cached state: the model, and the tenant if it is isolated.
+        name: Identity of the part's content, as the client declares it.
+    """
+    return _hash((service.encode(), scope.encode()), name.encode())
+
+
+def _hash(fields: tuple[bytes, ...], rest: bytes) -> int:
     digest = blake3()
-    for part in (host.lower().encode(), path, caller.encode()):
-        digest.update(len(part).to_bytes(4, "big"))
-        digest.update(part)
-    digest.update(body)
+    for field in fields:
+        digest.update(len(field).to_bytes(4, "big"))
+        digest.update(field)
+    digest.update(rest)
     return int.from_bytes(digest.digest(length=IDENTITY_BYTES), "big") or 1
 
 
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -236,7 +236,7 @@
             answers_others = self._context.server_answer_rates.answered_recently(
                 server_attempt.instance
             )
-            failed = server_attempt.failure_record(result, self._job.identity, answers_others)
+            failed = server_attempt.failure_record(result, self._job, answers_others)
             record.attempt_failed(self._job.request, self._job.route, failed, step)
 
     def _truncated_stream(self) -> StreamTruncation:
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -8,6 +8,7 @@
 from milletcourse.exchange.messages.messages import AttemptResult
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.requests.attempt import Attempt
+from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.telemetry.request_records import (
     AnsweredAttempt,
     FailedAttempt,
@@ -65,13 +66,13 @@
         )
 
     def failure_record(
-        self, result: AttemptResult, identity: int, answers_others: bool
+        self, result: AttemptResult, job: ExchangeJob, answers_others: bool
     ) -> FailedAttempt:
         """The record of this attempt for the log line of a failed attempt.
 
         Args:
             result: Result of the attempt.
-            identity: Identity of the request's content.
+            job: The request.
             answers_others: Whether the server has recently answered requests of any gateway.
         """
         loss = self.attempt.loss
@@ -83,7 +84,8 @@
             loss.value if loss is not None else None,
             self.attempt.answer_end,
             self.abort_cause,
-            identity,
+            job.identity,
+            job.shared_part_identities,
             self.attempt.connect_seconds,
             self.attempt.through,
             answers_others,
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -33,6 +33,8 @@
 
 MAX_SHOWN_SERVERS = 8
 """Limit of the excluded servers that the log line of a request names."""
+MAX_SHOWN_PARTS = 16
+"""Limit of the prompt parts that the log line of a failed attempt names."""
 ReportedState = Callable[[], dict[str, Any]]
 """Returns the state that the gateway acts on now, as fields for the log lines of decisions."""
 
@@ -129,7 +131,7 @@
         failed: FailedAttempt,
         step: NextStep,
     ) -> None:
-        """A server returned no answer; logs the server, the cause and the content's identity."""
+        """A server returned no answer; logs the server, the cause and the request's identities."""
         self._log.emit(
             "attempt-failed",
             route=route.name,
@@ -142,6 +144,7 @@
             left=failed.abort_cause,
             step=step.value,
             content=identity_text(failed.identity),
+            **_parts_field(failed.parts),
             connect=round(failed.connect_seconds, 3),
             **_through_field(failed.through),
             answers_others=failed.answers_others,
@@ -353,6 +356,11 @@
     return {} if version == "" else {"software": version}
 
 
+def _parts_field(parts: tuple[int, ...]) -> dict[str, Any]:
+    """Log field of a prompt's shared parts; empty for requests without any."""
+    return {"parts": [identity_text(part) for part in parts[:MAX_SHOWN_PARTS]]} if parts else {}
+
+
 def _through_field(gateway: str) -> dict[str, Any]:
     """Log field that names the gateway that relayed a connection; usually empty."""
     return {"through": gateway} if gateway else {}
--- a/src/milletcourse/gateway/telemetry/request_records.py
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -37,6 +37,8 @@
         abort_cause: Why this gateway aborted the attempt, None when it did not.
         identity: Identity of the request's content: shows whether the same request fails at any
             server.
+        parts: Identities of its shared prompt parts: show what requests have in common under which
+            servers crash.
         connect_seconds: Time spent on a connection to the server before the request was sent.
         through: Name of the gateway that relayed the connection; empty for a direct one.
         answers_others: The server has recently answered requests of this or other gateways.
@@ -50,6 +52,7 @@
     answer_end: AnswerEnd | None
     abort_cause: str | None
     identity: int
+    parts: tuple[int, ...]
     connect_seconds: float
     through: str
     answers_others: bool
