--- a/tests/gateway/servers/test_crashing_requests.py
+++ b/tests/gateway/servers/test_crashing_requests.py
@@ -16,133 +16,30 @@
 from click.testing import Result
 from typer.testing import CliRunner
 
+from crashing_fleet import GATEWAYS, HELD_BODY, PROPAGATION_SECONDS, SERVERS, CrashingFleet, ask
 from gateway_behaviours import reset, stream_of_four
 from gateway_harness import Harness, run_with_gateway
-from gateway_standin import (
-    Behaviour,
-    Client,
-    ClientAnswer,
-    ReceivedRequest,
-    StandinServer,
-    chunk,
-    event,
-    stream_head,
-)
+from gateway_standin import ReceivedRequest, StandinServer
 from milletcourse.cli.main import app
 from milletcourse.exchange.evidence.crash_evidence import Containment
 from milletcourse.gateway.node import GatewayNode
 
 CRASHING_BODY = b"ends each server that runs it"
-HELD_BODY = b"a stream that goes on when the test says so"
 UNRELATED_REQUESTS = 12
-SERVERS = 6
-GATEWAYS = 3
 ALLOWED_CRASHES = 3
-SHORT_PROMPT = {
-    "Model": "model-1",
-    "Token_Usage": "40,8",
-    "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20",
-}
-"""A stand-in server can hold many of these at a time."""
 REPEATS = 8
 RESETS = 12
 """Enough to reach three servers, since each is skipped after two resets."""
-PROPAGATION_SECONDS = 0.5
-"""Pause between two repeats: several intervals of the messages between gateways."""
-RESTART_SECONDS = 0.2
 
 
-class CrashingFleet:
-    """Model servers that crash under one caller's request and restart as new incarnations."""
-
-    def __init__(self, harness: Harness) -> None:
-        self.harness = harness
-        self.crashed: list[str] = []
-        self.held = 0
-        self._released = asyncio.Event()
-        self._restarts: list[asyncio.Task[None]] = []
-
-    async def start(self) -> list[GatewayNode]:
-        """Start servers and gateways; returns the gateways once they know all servers."""
-        harness = self.harness
-        harness.internal_ports = harness.free_ports()
-        for number in range(SERVERS):
-            await harness.add_server(f"e-{number}", "engine", self._behaviour(), 1)
-        await harness.start()
-        assert harness.node is not None
-        nodes = [harness.node]
-        for number in range(1, GATEWAYS):
-            nodes.append(await harness.add_gateway(f"front-{number + 1}"))
-        for node in nodes:
-            await harness.until(lambda node=node: self._knows_all(node))
-        return nodes
-
-    def _knows_all(self, node: GatewayNode) -> bool:
-        known = {instance.name for instance in node.context.instances}
-        is_ready = node.context.is_ready() and known >= set(self.harness.servers)
-        return is_ready and node.context.gateways == GATEWAYS
-
-    def _behaviour(self) -> Behaviour:
-        async def behave(
-            server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
-        ) -> None:
-            if request.body == HELD_BODY:
-                await self._hold(request, writer)
-                return
-            of_caller = request.headers.get("tenant") == "tenant-1"
-            if request.body != CRASHING_BODY or not of_caller:
-                await stream_of_four(server, request, writer)
-                return
-            self.crashed.append(server.name)
-            self._restarts.append(asyncio.create_task(self._restart(server)))
-            await server.crash()
-
-        return behave
-
-    async def _hold(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-        """A stream that continues after its first event when the test releases it."""
-        writer.write(stream_head(request) + chunk(event(1)))
-        self.held += 1
-        await self._released.wait()
-        writer.write(chunk(event(2)) + b"0\r\n\r\n")
-
-    def release(self) -> None:
-        """Answer the held requests; later ones are held again."""
-        self.held = 0
-        self._released.set()
-        self._released = asyncio.Event()
-
-    def release_for_good(self) -> None:
-        """Stop holding requests: answer them at once from now on."""
-        self._released.set()
-
-    async def _restart(self, server: StandinServer) -> None:
-        """Restart the server after a delay, at its address, as another incarnation."""
-        await asyncio.sleep(RESTART_SECONDS)
-        successor = StandinServer(f"{server.name}+", server.behaviour)
-        await successor.start(server)
-        harness = self.harness
-        harness.servers[successor.name] = successor
-        harness.store.put("servers", successor.name, successor.entry("engine", 1))
-        harness.store.remove("servers", server.name)
-
-    async def close(self) -> None:
-        """Wait for all restarts."""
-        await asyncio.gather(*self._restarts)
-
-
-async def _ask(node: GatewayNode, body: bytes, request_id: str, key: str = "key-1") -> ClientAnswer:
-    client = await Client.connect(node.frontend_address)
-    try:
-        return await client.ask("/single/", request_id, body=body, key=key, **SHORT_PROMPT)
-    finally:
-        client.close()
+def _crashes(request: ReceivedRequest) -> bool:
+    return request.body == CRASHING_BODY and request.headers.get("tenant") == "tenant-1"
 
 
 async def _contain(nodes: list[GatewayNode]) -> None:
     """Repeat the request until three servers have crashed."""
     for number in range(ALLOWED_CRASHES):
-        await _ask(nodes[number], CRASHING_BODY, f"repeat-{number}")
+        await ask(nodes[number], CRASHING_BODY, f"repeat-{number}")
         await asyncio.sleep(PROPAGATION_SECONDS)
 
 
@@ -150,12 +47,12 @@
     """This holds at every gateway and under every request id."""
 
     async def scenario(harness: Harness) -> None:
-        fleet = CrashingFleet(harness)
+        fleet = CrashingFleet(harness, _crashes)
         nodes = await fleet.start()
         answers = []
         for number in range(REPEATS):
             node = nodes[number % GATEWAYS]
-            answers.append(await _ask(node, CRASHING_BODY, f"repeat-{number}"))
+            answers.append(await ask(node, CRASHING_BODY, f"repeat-{number}"))
             await asyncio.sleep(PROPAGATION_SECONDS)
         await fleet.close()
         assert len(fleet.crashed) == ALLOWED_CRASHES
@@ -167,8 +64,8 @@
             assert b"request-contained" in got.body
             assert float(got.headers["retry-after"]) > 0.0
         for number, node in enumerate(nodes):
-            assert (await _ask(node, b"other work", f"other-{number}")).status == 200
-            same_body = await _ask(node, CRASHING_BODY, f"same-{number}", key="key-2")
+            assert (await ask(node, b"other work", f"other-{number}")).status == 200
+            same_body = await ask(node, CRASHING_BODY, f"same-{number}", key="key-2")
             assert same_body.status == 200
 
     run_with_gateway(scenario)
@@ -178,12 +75,12 @@
     """The gateway receives the evidence from the others about a second after it joins."""
 
     async def scenario(harness: Harness) -> None:
-        fleet = CrashingFleet(harness)
+        fleet = CrashingFleet(harness, _crashes)
         nodes = await fleet.start()
         await _contain(nodes)
         late = await harness.add_gateway("front-9")
         await harness.until(lambda: bool(late.context.crash_evidence))
-        assert (await _ask(late, CRASHING_BODY, "late")).status == 503
+        assert (await ask(late, CRASHING_BODY, "late")).status == 503
         await fleet.close()
         assert len(fleet.crashed) == ALLOWED_CRASHES
 
@@ -198,7 +95,7 @@
     """
 
     async def scenario(harness: Harness) -> None:
-        fleet = CrashingFleet(harness)
+        fleet = CrashingFleet(harness, _crashes)
         nodes = await fleet.start()
         for node in nodes:
             node._fleet._directory._listeners.clear()
@@ -206,11 +103,11 @@
             node.context.crash_evidence.knows_peers = False
         answers = []
         for number in range(REPEATS):
-            answers.append(await _ask(nodes[number % GATEWAYS], CRASHING_BODY, f"r-{number}"))
+            answers.append(await ask(nodes[number % GATEWAYS], CRASHING_BODY, f"r-{number}"))
             await asyncio.sleep(PROPAGATION_SECONDS)
         assert len(fleet.crashed) == GATEWAYS
         assert {got.status for got in answers[GATEWAYS:]} == {503}
-        assert (await _ask(nodes[0], b"other work", "other")).status == 200
+        assert (await ask(nodes[0], b"other work", "other")).status == 200
         for node in nodes:
             node._fleet._on_gateways(list(node._fleet._directory._others.values()))
         await asyncio.sleep(PROPAGATION_SECONDS)
@@ -240,9 +137,9 @@
         await harness.start()
         assert harness.node is not None
         for number in range(RESETS):
-            assert (await _ask(harness.node, CRASHING_BODY, f"repeat-{number}")).status == 502
+            assert (await ask(harness.node, CRASHING_BODY, f"repeat-{number}")).status == 502
         assert len(set(resets)) >= ALLOWED_CRASHES
-        assert (await _ask(harness.node, CRASHING_BODY, "again")).status == 200
+        assert (await ask(harness.node, CRASHING_BODY, "again")).status == 200
 
     run_with_gateway(scenario)
 
@@ -251,26 +148,26 @@
     """Requests that ran alongside are interrupted by the crashes, and never refused."""
 
     async def scenario(harness: Harness) -> None:
-        fleet = CrashingFleet(harness)
+        fleet = CrashingFleet(harness, _crashes)
         nodes = await fleet.start()
         interrupted = 0
         for number, node in enumerate(nodes):
             running = []
             for copy in range(UNRELATED_REQUESTS):
-                ask = _ask(node, HELD_BODY, f"beside-{number}-{copy}")
-                running.append(asyncio.create_task(ask))
+                held = ask(node, HELD_BODY, f"beside-{number}-{copy}")
+                running.append(asyncio.create_task(held))
                 await harness.until(lambda running=running: fleet.held >= len(running))
-            await _ask(node, CRASHING_BODY, f"repeat-{number}")
+            await ask(node, CRASHING_BODY, f"repeat-{number}")
             fleet.release()
             answers = await asyncio.gather(*running)
             interrupted += sum(not got.whole for got in answers)
             assert {got.status for got in answers} == {200}
             await asyncio.sleep(PROPAGATION_SECONDS)
         assert interrupted >= 1
-        assert (await _ask(nodes[0], CRASHING_BODY, "repeat-9")).status == 503
+        assert (await ask(nodes[0], CRASHING_BODY, "repeat-9")).status == 503
         fleet.release_for_good()
         for number, node in enumerate(nodes):
-            assert (await _ask(node, HELD_BODY, f"after-{number}")).status == 200
+            assert (await ask(node, HELD_BODY, f"after-{number}")).status == 200
         await fleet.close()
 
     run_with_gateway(scenario)
@@ -285,7 +182,7 @@
     """
 
     async def scenario(harness: Harness) -> None:
-        fleet = CrashingFleet(harness)
+        fleet = CrashingFleet(harness, _crashes)
         nodes = await fleet.start()
         harness.store.shows_conflicts = shows_conflicts
         kind = harness.adapter.kinds.gateways
@@ -299,7 +196,7 @@
         await fleet.close()
         late = await harness.add_gateway("front-1")
         await harness.until(lambda: late.context.is_ready() and bool(late.context.crash_evidence))
-        assert (await _ask(late, CRASHING_BODY, "late")).status == 503
+        assert (await ask(late, CRASHING_BODY, "late")).status == 503
         assert len(fleet.crashed) == ALLOWED_CRASHES
         writes = [call for call in harness.store.calls if call.method in ("POST", "PUT")]
         # One write per gateway for its entry, and those for containments, which conflict at first.
@@ -312,7 +209,7 @@
     """The command works at any gateway and takes effect at all of them."""
 
     async def scenario(harness: Harness) -> None:
-        fleet = CrashingFleet(harness)
+        fleet = CrashingFleet(harness, _crashes)
         nodes = await fleet.start()
         await _contain(nodes)
         port = await nodes[1].listen_for_operators(0, "/metrics")
@@ -325,7 +222,7 @@
         assert released.exit_code == 0
         for node in nodes:
             await harness.until(lambda node=node: not node.context.crash_evidence.containments(0.0))
-        assert (await _ask(nodes[2], CRASHING_BODY, "again")).status == 502
+        assert (await ask(nodes[2], CRASHING_BODY, "again")).status == 502
         await fleet.close()
 
     run_with_gateway(scenario)
@@ -348,7 +245,7 @@
         contained = Containment(7, ALLOWED_CRASHES, 0.0, 60.0)
         answers = [None, contained, contained, contained]
         monkeypatch.setattr(context.crash_detector, "containment", lambda _: answers.pop(0))
-        got = await _ask(harness.node, CRASHING_BODY, "learnt-late")
+        got = await ask(harness.node, CRASHING_BODY, "learnt-late")
         assert (got.status, got.headers["retry-after"]) == (503, "60.00")
         assert server.received == []
         instance = context.instances.get("e-1")
--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -14,7 +14,6 @@
 import math
 import random
 import re
-import signal
 import sys
 import time
 from collections import Counter
@@ -37,6 +36,11 @@
     Crash,
 )
 from soak.clients import SHORT_PROMPT
+from soak.gateway_faults import (
+    disturb_gateways,
+    stop_gateways_in_turn,
+    until_all_have_started,
+)
 from soak.seeds import Report, run_seeds
 from soak.server import SoakServer
 from soak.world import ENGINES, GatewayProcess, SoakWorld
@@ -51,10 +55,7 @@
 MIN_USED_SHARE = 0.9
 """Share of the slots that must be used while the room is small."""
 DEADLINE_SECONDS = 8.0
-READY_SECONDS = 40.0
 WARM_SECONDS = 1.5
-FAULT_SECONDS = (0.4, 1.2)
-SUSPEND_SECONDS = (0.3, 1.4)
 MAX_RETRY_AFTER_SECONDS = 5.0
 SAMPLE_SECONDS = 0.01
 MAX_GROWTH_KILOBYTES = 16 * 1024
@@ -170,34 +171,6 @@
                 self.account.busy += sum(server.running for server in self.engines())
                 self.account.slots += self.run.usable * ENGINES
 
-    # -- gateways -------------------------------------------------------------------------------
-
-    async def disturb_gateways(self) -> None:
-        """Kill, stop and suspend single gateways in overlapping series."""
-        async with asyncio.TaskGroup() as tasks:
-            while True:
-                await asyncio.sleep(self.world.random.uniform(*FAULT_SECONDS))
-                gateway = self.world.random.choice(self.world.gateways)
-                drawn = self.world.random.random()
-                if drawn < 0.4:
-                    gateway.send(signal.SIGKILL)
-                elif drawn < 0.7:
-                    gateway.send(signal.SIGTERM)
-                else:
-                    tasks.create_task(self._suspend(gateway))
-
-    async def _suspend(self, gateway: GatewayProcess) -> None:
-        gateway.send(signal.SIGSTOP)
-        await asyncio.sleep(self.world.random.uniform(*SUSPEND_SECONDS))
-        gateway.send(signal.SIGCONT)
-
-    async def stop_gateways(self) -> None:
-        """Stop gateways in turn."""
-        while True:
-            for gateway in self.world.gateways:
-                await asyncio.sleep(self.world.random.uniform(*FAULT_SECONDS))
-                gateway.send(signal.SIGTERM)
-
     # -- clients --------------------------------------------------------------------------------
 
     async def run_client(self, client: int) -> None:
@@ -340,17 +313,15 @@
                 fleet.sample_slots(),
             )
         ]
-        async with asyncio.timeout(READY_SECONDS):
-            while not all(gateway.has_started() for gateway in world.gateways):
-                await asyncio.sleep(0.05)
+        await until_all_have_started(world)
         clients = [asyncio.create_task(fleet.run_client(number)) for number in range(run.clients)]
         await asyncio.sleep(WARM_SECONDS)
         fleet.note_memory()
         series = [asyncio.create_task(fleet.alternate())]
         if run.kills:
-            series.append(asyncio.create_task(fleet.disturb_gateways()))
+            series.append(asyncio.create_task(disturb_gateways(world)))
         if run.stops:
-            series.append(asyncio.create_task(fleet.stop_gateways()))
+            series.append(asyncio.create_task(stop_gateways_in_turn(world)))
         await asyncio.sleep(run.seconds)
         for task in series:
             task.cancel()
