--- a/src/milletcourse/experiments/containment_model.py
+++ b/src/milletcourse/experiments/containment_model.py
@@ -8,10 +8,8 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
-from collections.abc import Callable
 from enum import Enum
 from functools import partial
 
@@ -19,10 +17,9 @@
 
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
-from milletcourse.exchange.load.load_exchange import TICK_SECONDS, LoadExchange
 from milletcourse.experiments.containment_strategies import Strategy, containment_rule
+from milletcourse.experiments.evidence_fleet import ZONES, EvidenceFleet
 
-ZONES = 3
 GATEWAYS_PER_SERVER = 1.6
 """As in production fleets: 79 gateways for 45 servers."""
 SERVER_DOWN_SECONDS = 3.5
@@ -48,6 +45,7 @@
 """Times of spontaneous crashes, partitions and restarts."""
 EVENT_CRASH_SHARE = 0.2
 PARTITION_SECONDS = 4.0
+MESSAGE_LOSS = 0.1
 RATE_WINDOW_SECONDS = 10.0
 """The rate of all crashes is measured over this time."""
 MAX_ATTEMPTS = 4
@@ -138,14 +136,10 @@
         self._strategy = strategy
         self._trouble = trouble
         self._random = random.Random(seed)
-        self._names = [f"gateway-{number:03}" for number in range(gateways)]
+        self._fleet = EvidenceFleet(gateways, self._random)
+        self._fleet.loss = MESSAGE_LOSS if trouble is Trouble.LOSS else 0.0
         self._servers = [_Server(n) for n in range(max(round(gateways / GATEWAYS_PER_SERVER), 5))]
-        self._exchanges: dict[str, LoadExchange] = {}
-        self._partitioned: frozenset[str] = frozenset()
-        self._now = 100.0
         self._crash_times: list[float] = []
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._identities = itertools.count(FIRST_UNRELATED_IDENTITY)
         self._unrelated = self._unrelated_interrupted = self._unrelated_refused = 0
         at_once = trouble is Trouble.AT_ONCE
@@ -154,65 +148,40 @@
 
     def run(self) -> ContainmentFigures:
         """Run the simulation."""
-        started_at = self._now
-        for name in self._names:
+        started_at = self._fleet.now
+        for name in self._fleet.names:
             self._start(name)
         for caller in self._callers:
-            self._schedule(
+            self._fleet.schedule(
                 WARM_UP_SECONDS + self._random.random(),
                 partial(self._send_crashing_request, caller),
             )
         for _ in range(RUNNING_PER_SERVER * len(self._servers)):
-            self._schedule(self._random.uniform(0.0, STREAM_SECONDS), self._send_new_request)
+            self._fleet.schedule(self._random.uniform(0.0, STREAM_SECONDS), self._send_new_request)
         for seconds in EVENT_TIMES_SECONDS:
-            self._schedule(seconds, self._apply_trouble)
-        while self._now < started_at + RUN_SECONDS:
-            self._advance()
+            self._fleet.schedule(seconds, self._apply_trouble)
+        while self._fleet.now < started_at + RUN_SECONDS:
+            self._fleet.advance()
+            self._record_containment()
         return self._figures()
 
-    # -- time and messages ----------------------------------------------------------------------
-
-    def _schedule(self, seconds: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._queue, (self._now + seconds, next(self._order), action))
-
-    def _advance(self) -> None:
-        """Run the events due before the next tick, then tick all gateways."""
-        until = self._now + TICK_SECONDS
-        while self._queue and self._queue[0][0] <= until:
-            self._now, _, action = heapq.heappop(self._queue)
-            action()
-        self._now = until
-        for name in self._names:
-            self._tick(name)
-        self._record_containment()
-
-    def _tick(self, name: str) -> None:
-        index = self._names.index(name)
-        reader = self._names[index % ZONES]
-        sent = self._exchanges[name].tick(self._now, [], "" if reader == name else reader)
-        for outgoing in sent:
-            for receiver in outgoing.receivers:
-                lost = self._trouble is Trouble.LOSS and self._random.random() < 0.1
-                if not lost and not {name, receiver} & self._partitioned:
-                    self._exchanges[receiver].on_message(outgoing.message, self._now)
+    # -- gateways -------------------------------------------------------------------------------
 
     def _start(self, name: str) -> None:
-        evidence = CrashEvidence(containment_rule(self._strategy, self._crashes_per_second))
-        exchange = self._exchanges[name] = LoadExchange(name, evidence)
-        others = [other for other in self._names if other != name]
-        exchange.set_gateways(others, [other for other in self._names[:ZONES] if other != name])
+        rule = containment_rule(self._strategy, self._crashes_per_second)
+        self._fleet.start(name, CrashEvidence(rule))
 
     def _crashes_per_second(self) -> float:
         """Recent crash rate of one server."""
-        recent = [at for at in self._crash_times if self._now - at < RATE_WINDOW_SECONDS]
+        recent = [at for at in self._crash_times if self._fleet.now - at < RATE_WINDOW_SECONDS]
         return len(recent) / RATE_WINDOW_SECONDS / len(self._servers)
 
     def _record_containment(self) -> None:
         for caller in self._callers:
-            if caller.contained_at >= 0.0 or caller.third_crash_at > self._now:
+            if caller.contained_at >= 0.0 or caller.third_crash_at > self._fleet.now:
                 continue
-            if all(self._is_contained(name, caller.identity) for name in self._names):
-                caller.contained_at = self._now
+            if all(self._is_contained(name, caller.identity) for name in self._fleet.names):
+                caller.contained_at = self._fleet.now
 
     # -- disturbances ---------------------------------------------------------------------------
 
@@ -221,21 +190,25 @@
             share = max(round(EVENT_CRASH_SHARE * len(self._servers)), 1)
             for server in self._random.sample(self._servers, share):
                 self._crash(server)
-        elif self._trouble is Trouble.CUT and not self._partitioned:
-            self._partitioned = frozenset(self._names[:: ZONES + 1]) | frozenset(self._names[1::12])
-            self._schedule(PARTITION_SECONDS, self._heal)
+        elif self._trouble is Trouble.CUT and not self._fleet.partitioned:
+            self._fleet.partitioned = frozenset(self._fleet.names[:: ZONES + 1]) | frozenset(
+                self._fleet.names[1::12]
+            )
+            self._fleet.schedule(PARTITION_SECONDS, self._heal)
         elif self._trouble is Trouble.RESTARTS:
-            for name in self._random.sample(self._names, len(self._names) // 2):
+            for name in self._random.sample(self._fleet.names, len(self._fleet.names) // 2):
                 self._start(name)
 
     def _heal(self) -> None:
-        self._partitioned = frozenset()
+        self._fleet.partitioned = frozenset()
 
     # -- requests -------------------------------------------------------------------------------
 
     def _is_contained(self, gateway: str, identity: int) -> bool:
         return (
-            self._exchanges[gateway].evidence.containment(RequestFeatures(identity), self._now)
+            self._fleet.exchanges[gateway].evidence.containment(
+                RequestFeatures(identity), self._fleet.now
+            )
             is not None
         )
 
@@ -243,28 +216,28 @@
         """Choose a server for a request; None if no server may run it."""
         servers = self._servers
         if self._strategy is Strategy.ISOLATION:
-            suspected = self._exchanges[gateway].evidence.crash_count(identity) > 0
+            suspected = self._fleet.exchanges[gateway].evidence.crash_count(identity) > 0
             servers = servers[:1] if suspected else servers[1:]
-        live = [server for server in servers if server.down_until <= self._now]
+        live = [server for server in servers if server.down_until <= self._fleet.now]
         if self._strategy is Strategy.ISOLATION and len(servers) == 1:
             live = [server for server in live if len(server.running) < 2 * RUNNING_PER_SERVER]
         return self._random.choice(live) if live else None
 
     def _send_crashing_request(self, caller: _Caller) -> None:
         """Send a client's request that crashes servers."""
-        gateway = self._random.choice(self._names)
+        gateway = self._random.choice(self._fleet.names)
         repeat_after = self._random.uniform(*caller.repeat_delay_seconds)
         server = None
         if not self._is_contained(gateway, caller.identity):
             server = self._choose(gateway, caller.identity)
         if server is None:
-            self._schedule(repeat_after, lambda: self._send_crashing_request(caller))
+            self._fleet.schedule(repeat_after, lambda: self._send_crashing_request(caller))
             return
-        caller.late_sends += self._now > caller.third_crash_at + LATE_SEND_SECONDS
-        work = _Work(caller.identity, gateway, self._now, 1)
+        caller.late_sends += self._fleet.now > caller.third_crash_at + LATE_SEND_SECONDS
+        work = _Work(caller.identity, gateway, self._fleet.now, 1)
         server.running[id(work)] = work
-        self._schedule(CRASH_DELAY_SECONDS, lambda: self._crash_under(caller, server, work))
-        self._schedule(
+        self._fleet.schedule(CRASH_DELAY_SECONDS, lambda: self._crash_under(caller, server, work))
+        self._fleet.schedule(
             CRASH_DELAY_SECONDS + repeat_after, lambda: self._send_crashing_request(caller)
         )
 
@@ -273,22 +246,22 @@
             return
         caller.crashes += 1
         if caller.crashes == 3:
-            caller.third_crash_at = self._now
+            caller.third_crash_at = self._fleet.now
         self._crash(server)
 
     def _crash(self, server: _Server) -> None:
         """Crash a server with all of its requests."""
-        if server.down_until > self._now:
+        if server.down_until > self._fleet.now:
             return
-        self._crash_times.append(self._now)
+        self._crash_times.append(self._fleet.now)
         running, server.running = list(server.running.values()), {}
         key = server.key
         server.incarnation += 1
-        server.down_until = self._now + SERVER_DOWN_SECONDS
+        server.down_until = self._fleet.now + SERVER_DOWN_SECONDS
         for work in running:
-            exchange = self._exchanges[work.gateway]
+            exchange = self._fleet.exchanges[work.gateway]
             features = RequestFeatures(work.identity)
-            exchange.evidence.on_crash(features, key, work.sent_at, self._now)
+            exchange.evidence.on_crash(features, key, work.sent_at, self._fleet.now)
             exchange.on_update()
             if work.identity >= FIRST_UNRELATED_IDENTITY or work.identity < 0:
                 self._interrupt_unrelated(work)
@@ -297,9 +270,11 @@
         self._unrelated_interrupted += 1
         is_retried = work.attempts < MAX_ATTEMPTS and self._random.random() < RETRY_SHARE
         if not is_retried:
-            self._schedule(RETRY_DELAY_SECONDS, self._send_new_request)
+            self._fleet.schedule(RETRY_DELAY_SECONDS, self._send_new_request)
             return
-        self._schedule(RETRY_DELAY_SECONDS, lambda: self._send(work.identity, work.attempts + 1))
+        self._fleet.schedule(
+            RETRY_DELAY_SECONDS, lambda: self._send(work.identity, work.attempts + 1)
+        )
 
     def _send_new_request(self) -> None:
         """Send a new unrelated request."""
@@ -310,25 +285,25 @@
         self._send(identity, 1)
 
     def _send(self, identity: int, attempts: int) -> None:
-        gateway = self._random.choice(self._names)
+        gateway = self._random.choice(self._fleet.names)
         server = None
         if not self._is_contained(gateway, identity):
             server = self._choose(gateway, identity)
         if server is None:
             self._unrelated_refused += 1
-            self._schedule(RETRY_DELAY_SECONDS, self._send_new_request)
+            self._fleet.schedule(RETRY_DELAY_SECONDS, self._send_new_request)
             return
-        work = _Work(identity, gateway, self._now, attempts)
+        work = _Work(identity, gateway, self._fleet.now, attempts)
         server.running[id(work)] = work
         seconds = self._random.expovariate(1 / STREAM_SECONDS)
-        self._schedule(seconds, lambda: self._complete(server, work))
+        self._fleet.schedule(seconds, lambda: self._complete(server, work))
 
     def _complete(self, server: _Server, work: _Work) -> None:
         if server.running.pop(id(work), None) is None:
             return
         if self._strategy is not Strategy.COUNT:
-            exchange = self._exchanges[work.gateway]
-            if exchange.evidence.on_answer(RequestFeatures(work.identity), self._now):
+            exchange = self._fleet.exchanges[work.gateway]
+            if exchange.evidence.on_answer(RequestFeatures(work.identity), self._fleet.now):
                 exchange.on_update()
         self._send_new_request()
 
@@ -345,7 +320,7 @@
         return ContainmentFigures(
             way=self._strategy,
             trouble=self._trouble,
-            gateways=len(self._names),
+            gateways=len(self._fleet.names),
             crashing=len(self._callers),
             most_ends=max((caller.crashes for caller in self._callers), default=0),
             most_late=max((caller.late_sends for caller in self._callers), default=0),
