Model of a fleet that compares ways to find a crashing prompt part; gateways hear of trials

The model plays six ways on the production messages ('milletcourse experiment crashing-parts'). At 60 requests a second and crashes after 1 s it showed six crashes: the gateway whose turn it was found all servers down, and the next one's turn began before its trial had shown its effect.

--- a/src/milletcourse/cli/experiment.py
+++ b/src/milletcourse/cli/experiment.py
@@ -16,6 +16,7 @@
 from milletcourse.experiments.change_model import compare_changes
 from milletcourse.experiments.cluster_model import FarImports
 from milletcourse.experiments.containment_model import compare_containment
+from milletcourse.experiments.crashing_part_model import compare_crashing_parts
 from milletcourse.experiments.faults import PLANS
 from milletcourse.experiments.limit_model import compare_limit_strategies
 from milletcourse.experiments.parameters import load_deployment
@@ -163,6 +164,16 @@
         sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
 
 
+@app.command("crashing-parts")
+def crashing_parts(
+    gateways: Annotated[str, typer.Option(help="Numbers of gateways.")] = "5",
+    seed: Annotated[int, typer.Option(help="Seed of all random draws, the same for each way.")] = 1,
+) -> None:
+    """Compare ways to find a prompt part that crashes the servers that run it."""
+    for result in compare_crashing_parts(parse_sizes(gateways), seed):
+        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
+
+
 @app.command("routing")
 def routing(
     deployment: Annotated[str, typer.Option(help="roster-desk or whitcombe.")],
--- a/src/milletcourse/exchange/evidence/crash_evidence.py
+++ b/src/milletcourse/exchange/evidence/crash_evidence.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator
 from enum import Enum
 
@@ -59,6 +60,8 @@
 ISOLATED_RETRY_SECONDS = 1.0
 """Retry delay for a request refused by a gateway without a list of its peers. Once the object store
 is available again, the list of gateways is read at least this often."""
+LEARNING_SECONDS = 2.0
+"""Time from a gateway's first answer until a part that it knows no answer for may be suspected."""
 KIND_NAMES = {FeatureKind.CONTENT: "content", FeatureKind.PROMPT_PART: "prompt part"}
 
 
@@ -129,6 +132,8 @@
             FeatureKind.PROMPT_PART: AnswerMemory(MAX_ANSWERED_PARTS, MAX_ANSWERED_PARTS),
         }
         self._trials = TrialSchedule()
+        self._knows_answers_from = float("inf")
+        """Monotonic time before which popular parts may not be known as such."""
         self._has_updates = False
         self._changes: list[EvidenceChange] = []
 
@@ -156,7 +161,7 @@
         crash = ServerCrash(sent_at, crashed_at)
         for identity, kind in features.by_kind():
             record = self._record(identity, kind)
-            before = self._state(record)
+            before = self._state(record, crashed_at)
             if record.add(server, crash):
                 self._note_update(record)
             if record.is_conclusive and before is not EvidenceEvent.CONTAINED:
@@ -165,6 +170,8 @@
 
     def on_answer(self, features: RequestFeatures, now: float) -> bool:
         """Record a complete answer of a server; True when it clears crashes."""
+        if math.isinf(self._knows_answers_from):
+            self._knows_answers_from = now + LEARNING_SECONDS
         has_cleared = False
         for identity, kind in features.by_kind():
             record = self._records.get(identity)
@@ -185,8 +192,9 @@
         """Record that a request was sent, which is a trial if one of its features is held."""
         for identity, _ in features.by_kind():
             record = self._records.get(identity)
-            if record is not None and self._trial_at(identity, record, features) is not None:
-                record.tried_at = now
+            if record is not None and self._trial_at(identity, record, features, now) is not None:
+                record.on_tried(now)
+                self._note_update(record)
                 self._note(EvidenceEvent.TRIED, self._view(identity, record, now))
 
     def release(self, identity: int, now: float) -> None:
@@ -205,7 +213,7 @@
 
     def _clear(self, identity: int, record: CrashRecord, now: float) -> bool:
         had_crashes = bool(record.crashes)
-        view = self._view(identity, record, now) if self._state(record) is not None else None
+        view = self._view(identity, record, now) if self._state(record, now) is not None else None
         record.clear(now)
         if had_crashes:
             self._note_update(record)
@@ -230,7 +238,7 @@
     def _held(
         self, identity: int, record: CrashRecord, features: RequestFeatures, now: float
     ) -> Containment | None:
-        trial_at = self._trial_at(identity, record, features)
+        trial_at = self._trial_at(identity, record, features, now)
         if trial_at is None:
             return self._contain_without_peers(identity, record)
         if trial_at <= now:
@@ -239,14 +247,14 @@
         return msgspec.structs.replace(view, seconds_left=trial_at - now)
 
     def _trial_at(
-        self, identity: int, record: CrashRecord, features: RequestFeatures
+        self, identity: int, record: CrashRecord, features: RequestFeatures, now: float
     ) -> float | None:
         """When a request may be sent as a trial of one of its features.
 
         Returns:
             Monotonic time; None when the feature is not held against this request.
         """
-        if self._state(record) is None:
+        if self._state(record, now) is None:
             return None
         is_part = record.kind is FeatureKind.PROMPT_PART
         is_explained = is_part and is_explained_by_parts(record, self._contained_parts(features))
@@ -256,10 +264,12 @@
         delay_seconds = record.containment_seconds if is_proven else 0.0
         return self._trials.next_trial_at(identity, record, delay_seconds)
 
-    def _state(self, record: CrashRecord) -> EvidenceEvent | None:
+    def _state(self, record: CrashRecord, now: float) -> EvidenceEvent | None:
         """How requests with a feature are held; None when they are not."""
         if not record.is_conclusive and not record.is_suspect:
             return None
+        if not record.is_conclusive and now < self._knows_answers_from:
+            return None
         is_part = record.kind is FeatureKind.PROMPT_PART
         if is_part and is_explained_by_repeats(record, self._repeated_contents()):
             return None
@@ -267,7 +277,7 @@
 
     def _is_contained(self, record: CrashRecord, now: float) -> bool:
         is_recent = now < record.last_crash_at + record.containment_seconds
-        return is_recent and self._state(record) is EvidenceEvent.CONTAINED
+        return is_recent and self._state(record, now) is EvidenceEvent.CONTAINED
 
     def _repeated_contents(self) -> Iterator[CrashRecord]:
         for record in self._records.values():
@@ -399,7 +409,7 @@
         states = []
         for report in reports:
             record = self._record(report.identity, report.kind)
-            states.append((report.identity, record, self._state(record)))
+            states.append((report.identity, record, self._state(record, now)))
             is_update = merge_report(record, report, now) and relays
             if is_update or is_sender_behind(record, report, now):
                 self._note_update(record)
@@ -427,7 +437,7 @@
     def _note_change(
         self, identity: int, record: CrashRecord, before: EvidenceEvent | None, now: float
     ) -> None:
-        after = self._state(record)
+        after = self._state(record, now)
         if after is not None and after is not before:
             self._note(after, self._view(identity, record, now))
 
--- a/src/milletcourse/exchange/evidence/crash_record.py
+++ b/src/milletcourse/exchange/evidence/crash_record.py
@@ -124,7 +124,7 @@
         reported_at: Monotonic time of its latest report.
         is_persisted_here: Whether this gateway persists it in the object store, so that it
             survives a restart of all gateways.
-        tried_at: Monotonic time at which this gateway last sent a held request with the feature.
+        tried_at: Monotonic time at which any gateway last sent a request with the held feature.
     """
 
     __slots__ = (
@@ -204,6 +204,18 @@
         self.is_conclusive = self.suffices(self.crashes.values())
         return True
 
+    @property
+    def was_tried(self) -> bool:
+        """Whether any gateway is known to have sent a request with the held feature."""
+        return self.tried_at != float("-inf")
+
+    def on_tried(self, at: float, slack_seconds: float = 0.0) -> bool:
+        """Record a trial; True when it is later than the latest known one by more than a slack."""
+        if at <= self.tried_at + slack_seconds:
+            return False
+        self.tried_at = at
+        return True
+
     def is_expired(self, now: float) -> bool:
         """Whether the record has expired."""
         if self.crashes:
--- a/src/milletcourse/exchange/evidence/crash_reports.py
+++ b/src/milletcourse/exchange/evidence/crash_reports.py
@@ -24,7 +24,8 @@
         for server, crash in record.crashes.items()
     ]
     cleared_ms = _age_ms(record.cleared_at, now) if record.was_answered else None
-    return CrashReport(identity, crashes, cleared_ms, record.kind)
+    tried_ms = _age_ms(record.tried_at, now) if record.was_tried else None
+    return CrashReport(identity, crashes, cleared_ms, record.kind, tried_ms)
 
 
 def merge_report(record: CrashRecord, report: CrashReport, now: float) -> bool:
@@ -35,6 +36,8 @@
     for end in report.crashes:
         crash = ServerCrash(now - end.sent_ms / 1000.0, now - end.crashed_ms / 1000.0)
         is_update = record.add(end.server, crash) or is_update
+    if report.tried_ms is not None:
+        is_update = record.on_tried(now - report.tried_ms / 1000.0, AGE_SLACK_SECONDS) or is_update
     return is_update
 
 
--- a/src/milletcourse/exchange/evidence/trial_schedule.py
+++ b/src/milletcourse/exchange/evidence/trial_schedule.py
@@ -2,7 +2,8 @@
 
 All gateways learn of a crash within moments. From then on they take their turns in an order that is
 drawn for each feature by rendezvous hashing, so that they agree on it without exchanging messages.
-The first one that gets a request with the feature settles for all whether it still crashes servers.
+The first one that gets a request with the feature tells the others that it tries it, and settles
+for all whether it still crashes servers.
 """
 
 from __future__ import annotations
@@ -14,14 +15,12 @@
 from milletcourse.exchange.evidence.crash_record import CrashRecord
 
 REPORT_SECONDS = 0.3
-"""Time after a crash in which all gateways learn of it."""
+"""Time in which all gateways learn of a crash or of a trial; also the length of a turn."""
 MAX_RUN_SECONDS = 2.0
 """A longer time from a request to the crash of its server is that of work which another request
 interrupted."""
 ALL_TURNS_SECONDS = 10.0
 """In a large fleet turns are shorter, so that after this time any gateway may try."""
-TRIAL_INTERVAL_SECONDS = 2.0
-"""Minimum interval between two trials of one gateway: most answers are complete by then."""
 
 
 class TrialSchedule:
@@ -51,12 +50,12 @@
             record: Its record.
             delay_seconds: Time from its latest crash until the first gateway may try it.
         """
-        # What was sent before the crash was known must have shown its effect.
+        # What was sent before must have shown its effect.
         effect_seconds = min(record.longest_run_seconds, MAX_RUN_SECONDS) + REPORT_SECONDS
-        turn_seconds = min(effect_seconds, ALL_TURNS_SECONDS / (1 + len(self._others)))
+        turn_seconds = min(REPORT_SECONDS, ALL_TURNS_SECONDS / (1 + len(self._others)))
         first_at = record.last_crash_at + max(delay_seconds, effect_seconds)
         turn_at = first_at + self._rank(identity) * turn_seconds
-        return max(turn_at, record.tried_at + TRIAL_INTERVAL_SECONDS)
+        return max(turn_at, record.tried_at + effect_seconds)
 
     def _rank(self, identity: int) -> int:
         rank = self._ranks.get(identity)
--- a/src/milletcourse/exchange/messages/peer_messages.py
+++ b/src/milletcourse/exchange/messages/peer_messages.py
@@ -179,12 +179,15 @@
             answer.
         cleared_ms: Age of the latest answer to such a request, None when there was none.
         kind: What the feature is.
+        tried_ms: Age of the latest send of a request with it while it was held, None when there was
+            none.
     """
 
     identity: int
     crashes: Annotated[list[ReportedCrash], msgspec.Meta(max_length=MAX_REPORTED_CRASHES)] = []
     cleared_ms: AgeMs | None = None
     kind: FeatureKind = FeatureKind.CONTENT
+    tried_ms: AgeMs | None = None
 
 
 class SignalReport(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/src/milletcourse/experiments/crashing_part_model.py
@@ -0,0 +1,408 @@
+"""Model of a fleet that compares ways to find a prompt part that crashes servers.
+
+Each gateway runs the production evidence and messages; servers, clients and the network are
+simulated. No two requests have the same content. Sound requests share the first part and other
+parts of the requests that crash servers; parts of sessions are new now and then.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from milletcourse.exchange.evidence.crash_evidence import Containment, CrashEvidence
+from milletcourse.exchange.evidence.crash_record import ContainmentRule
+from milletcourse.exchange.evidence.request_identity import RequestFeatures
+from milletcourse.experiments.containment_strategies import Strategy, containment_rule
+from milletcourse.experiments.evidence_fleet import ZONES, EvidenceFleet
+
+GATEWAYS_PER_SERVER = 1.6
+MIN_SERVERS = 4
+MAX_SERVERS = 49
+SERVER_DOWN_SECONDS = 2.0
+RUNNING_PER_SERVER = 6
+STREAM_SECONDS = 1.0
+"""Mean duration of a sound stream."""
+RETRY_DELAY_SECONDS = 0.3
+WARM_UP_SECONDS = 3.0
+RUN_SECONDS = 20.0
+EVENT_SECONDS = 8.0
+"""Time of partitions, restarts and crashes of a zone."""
+PARTITION_SECONDS = 4.0
+CONTACT_SECONDS = 4.0
+FREE_CRASHES = 5
+MESSAGE_LOSS = 0.1
+OWN_CRASHES_PER_SECOND = 2.0
+POPULAR_PARTS = 3
+MIDDLE_PARTS = 30
+SESSION_REQUESTS = 4
+"""Requests of a session, which share a part that no other request has."""
+COMPANION_SHARE = 0.002
+"""Share of the sound requests with the part that otherwise comes with the crashing one only."""
+FIRST_BAD = 1
+COMPANION = 90
+FIRST_POPULAR = 100
+FIRST_MIDDLE = 200
+FIRST_CONTENT = 1_000_000
+
+
+class Way(Enum):
+    """How gateways find what requests that crash servers have in common."""
+
+    CONTENT = "whole contents"
+    """Parts are no evidence."""
+    COUNT = "count of crashes"
+    """Three crashes under a part; answers clear nothing."""
+    PREFIX = "first unanswered part"
+    """Only the first part that no server has answered is evidence, three crashes in turn."""
+    LIKELIHOOD = "likelihood ratio"
+    """Crashes in turn, against those expected from the rate of all crashes and the run time."""
+    IN_TURN = "crashes in turn"
+    """Three crashes in turn without an answer."""
+    TURNS = "crashes in turn, suspects tried in turns"
+    """The production rule: before the proof, gateways take turns in sending suspects."""
+
+
+class PartTrouble(Enum):
+    """Disturbance during the run."""
+
+    CALM = "calm"
+    OWN_CRASHES = "servers crash on their own"
+    ZONE = "a third of the servers crashes at once"
+    CUT = "a third of the gateways cut off"
+    RESTART = "all gateways restarted"
+    LOSS = "a tenth of the messages lost"
+
+
+class PartCase(msgspec.Struct, frozen=True):
+    """What is played.
+
+    Attributes:
+        gateways: Number of gateways.
+        rate: Requests with a crashing part a second.
+        crash_seconds: Time from their start to the crash.
+        parts: Number of crashing parts, which come in turn.
+        has_companion: Whether a sound part always comes with them.
+        trouble: Injected disturbance.
+    """
+
+    gateways: int
+    rate: float = 8.0
+    crash_seconds: float = 0.3
+    parts: int = 1
+    has_companion: bool = False
+    trouble: PartTrouble = PartTrouble.CALM
+
+
+class PartFigures(msgspec.Struct, frozen=True):
+    """Results of one run.
+
+    Attributes:
+        way: How gateways found the part.
+        case: What was played.
+        crashes: Most servers crashed by one part.
+        late: Most sends with one part later than `CONTACT_SECONDS` after its fifth crash.
+        refused: Sound requests that were held, per 1,000.
+        cut: Sound requests interrupted by a crash, per 1,000.
+        companions_refused: Share of the sound requests with the companion that were held.
+        popular_held: Whether a popular part was held at any gateway at any time.
+        seconds_to_know: Time from the third crash until all gateways hold the part; -1 for never.
+        bytes_per_gateway: Bytes of crash reports sent, per gateway.
+    """
+
+    way: Way
+    case: PartCase
+    crashes: int
+    late: int
+    refused: float
+    cut: float
+    companions_refused: float
+    popular_held: bool
+    seconds_to_know: float
+    bytes_per_gateway: int
+
+
+class _Server:
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.incarnation = 0
+        self.down_until = 0.0
+        self.running: dict[int, _Work] = {}
+
+    @property
+    def key(self) -> int:
+        return self.number * 10_000 + self.incarnation
+
+
+class _Work(msgspec.Struct, eq=False):
+    features: RequestFeatures
+    gateway: str
+    sent_at: float
+    is_bad: bool
+
+
+class _Counts(msgspec.Struct):
+    sound: int = 0
+    held: int = 0
+    cut: int = 0
+    companions: int = 0
+    companions_held: int = 0
+
+
+class CrashingPartModel:
+    """One run of one way."""
+
+    def __init__(self, way: Way, case: PartCase, seed: int) -> None:
+        """Initialise a run.
+
+        Args:
+            way: How gateways find the part.
+            case: What is played.
+            seed: Seed of all random draws.
+        """
+        self._way = way
+        self._case = case
+        self._random = random.Random(seed)
+        self._fleet = EvidenceFleet(case.gateways, self._random)
+        self._fleet.loss = MESSAGE_LOSS if case.trouble is PartTrouble.LOSS else 0.0
+        servers = round(case.gateways / GATEWAYS_PER_SERVER)
+        self._servers = [_Server(n) for n in range(min(max(servers, MIN_SERVERS), MAX_SERVERS))]
+        self._answered: dict[str, set[int]] = {}
+        self._crash_times: list[float] = []
+        self._bad = {FIRST_BAD + number: list[float]() for number in range(case.parts)}
+        self._late = dict.fromkeys(self._bad, 0)
+        self._known_at: dict[int, float] = {}
+        self._counts = _Counts()
+        self._popular_held = False
+        self._contents = itertools.count(FIRST_CONTENT)
+        self._session = (0, 0)
+
+    def run(self) -> PartFigures:
+        """Run the simulation."""
+        started_at = self._fleet.now
+        for name in self._fleet.names:
+            self._start(name)
+        for _ in range(RUNNING_PER_SERVER * len(self._servers)):
+            self._fleet.schedule(self._random.uniform(0.0, STREAM_SECONDS), self._send_sound)
+        if self._case.parts:
+            self._fleet.schedule(WARM_UP_SECONDS, self._send_bad)
+        self._fleet.schedule(EVENT_SECONDS, self._apply_trouble)
+        if self._case.trouble is PartTrouble.OWN_CRASHES:
+            self._fleet.schedule(WARM_UP_SECONDS, self._crash_any)
+        while self._fleet.now < started_at + RUN_SECONDS:
+            self._fleet.advance()
+            self._observe()
+        return self._figures()
+
+    def _start(self, name: str) -> None:
+        self._answered[name] = set()
+        self._fleet.start(name, CrashEvidence(self._rule()))
+
+    def _rule(self) -> ContainmentRule | None:
+        if self._way is Way.TURNS:
+            return None
+        strategies = {Way.COUNT: Strategy.COUNT, Way.LIKELIHOOD: Strategy.LIKELIHOOD}
+        strategy = strategies.get(self._way, Strategy.CONSECUTIVE)
+        return containment_rule(strategy, self._crashes_per_second)
+
+    def _crashes_per_second(self) -> float:
+        recent = [at for at in self._crash_times if self._fleet.now - at < RUN_SECONDS / 2]
+        return len(recent) / (RUN_SECONDS / 2) / len(self._servers)
+
+    # -- disturbances ---------------------------------------------------------------------------
+
+    def _apply_trouble(self) -> None:
+        trouble = self._case.trouble
+        names = self._fleet.names
+        if trouble is PartTrouble.ZONE:
+            for server in self._servers[::ZONES]:
+                self._crash(server)
+        elif trouble is PartTrouble.CUT:
+            self._fleet.partitioned = frozenset(names[:: ZONES + 1]) | frozenset(names[1::12])
+            self._fleet.schedule(PARTITION_SECONDS, self._heal)
+        elif trouble is PartTrouble.RESTART:
+            for name in names:
+                self._start(name)
+
+    def _heal(self) -> None:
+        self._fleet.partitioned = frozenset()
+
+    def _crash_any(self) -> None:
+        self._crash(self._random.choice(self._servers))
+        self._fleet.schedule(self._random.expovariate(OWN_CRASHES_PER_SECOND), self._crash_any)
+
+    # -- requests -------------------------------------------------------------------------------
+
+    def _features(self, gateway: str, parts: tuple[int, ...]) -> RequestFeatures:
+        """Features of a new request, as far as the way knows them."""
+        content = next(self._contents)
+        if self._way is Way.CONTENT:
+            return RequestFeatures(content)
+        if self._way is Way.PREFIX:
+            answered = self._answered[gateway]
+            return RequestFeatures(content, tuple(p for p in parts if p not in answered)[:1])
+        return RequestFeatures(content, parts)
+
+    def _held(self, gateway: str, features: RequestFeatures) -> Containment | None:
+        held = self._fleet.exchanges[gateway].evidence.containment(features, self._fleet.now)
+        return held if held is None or held.is_proven or self._way is Way.TURNS else None
+
+    def _sound_parts(self) -> tuple[int, ...]:
+        popular = FIRST_POPULAR + self._random.randrange(POPULAR_PARTS)
+        if self._random.random() < COMPANION_SHARE and self._case.has_companion:
+            return (popular, COMPANION)
+        session, left = self._session
+        if not left:
+            session, left = next(self._contents), SESSION_REQUESTS
+        self._session = (session, left - 1)
+        return (popular, FIRST_MIDDLE + self._random.randrange(MIDDLE_PARTS), session)
+
+    def _bad_parts(self, part: int) -> tuple[int, ...]:
+        popular = FIRST_POPULAR + self._random.randrange(POPULAR_PARTS)
+        middle = FIRST_MIDDLE + self._random.randrange(MIDDLE_PARTS)
+        return (popular, COMPANION if self._case.has_companion else middle, part)
+
+    def _live(self) -> list[_Server]:
+        return [server for server in self._servers if server.down_until <= self._fleet.now]
+
+    def _send_bad(self) -> None:
+        part = self._random.choice(list(self._bad))
+        self._fleet.schedule(self._random.expovariate(self._case.rate), self._send_bad)
+        work = self._dispatch(self._bad_parts(part), is_bad=True)
+        if work is None:
+            return
+        crashes = self._bad[part]
+        known_by = crashes[FREE_CRASHES - 1] if len(crashes) >= FREE_CRASHES else math.inf
+        is_in_touch = work[1].gateway not in self._fleet.partitioned
+        self._late[part] += is_in_touch and self._fleet.now > known_by + CONTACT_SECONDS
+        self._fleet.schedule(self._case.crash_seconds, self._crash_under(part, *work))
+
+    def _crash_under(self, part: int, server: _Server, work: _Work) -> Callable[[], None]:
+        def crash() -> None:
+            if id(work) in server.running:
+                self._bad[part].append(self._fleet.now)
+                self._crash(server)
+
+        return crash
+
+    def _send_sound(self) -> None:
+        parts = self._sound_parts()
+        has_companion = COMPANION in parts
+        self._counts.sound += 1
+        self._counts.companions += has_companion
+        held_before = self._counts.held
+        work = self._dispatch(parts, is_bad=False)
+        if work is None:
+            self._counts.companions_held += has_companion and self._counts.held > held_before
+            self._fleet.schedule(RETRY_DELAY_SECONDS, self._send_sound)
+            return
+        seconds = self._random.expovariate(1 / STREAM_SECONDS)
+        self._fleet.schedule(seconds, lambda: self._complete(*work, parts))
+
+    def _dispatch(self, parts: tuple[int, ...], is_bad: bool) -> tuple[_Server, _Work] | None:
+        """Send a request to a server, unless its gateway holds it or all servers are down."""
+        gateway = self._random.choice(self._fleet.names)
+        features = self._features(gateway, parts)
+        if self._held(gateway, features) is not None:
+            self._counts.held += not is_bad
+            return None
+        live = self._live()
+        if not live:
+            return None
+        server = self._random.choice(live)
+        work = _Work(features, gateway, self._fleet.now, is_bad)
+        self._fleet.exchanges[gateway].evidence.on_sent(features, self._fleet.now)
+        server.running[id(work)] = work
+        return server, work
+
+    def _complete(self, server: _Server, work: _Work, parts: tuple[int, ...]) -> None:
+        self._send_sound()
+        if server.running.pop(id(work), None) is None:
+            return
+        self._answered[work.gateway].update(parts)
+        if self._way is Way.COUNT:
+            return
+        exchange = self._fleet.exchanges[work.gateway]
+        if exchange.evidence.on_answer(work.features, self._fleet.now):
+            exchange.on_update()
+
+    def _crash(self, server: _Server) -> None:
+        if server.down_until > self._fleet.now:
+            return
+        now = self._fleet.now
+        self._crash_times.append(now)
+        running, server.running = list(server.running.values()), {}
+        key = server.key
+        server.incarnation += 1
+        server.down_until = now + SERVER_DOWN_SECONDS
+        for work in running:
+            exchange = self._fleet.exchanges[work.gateway]
+            exchange.evidence.on_crash(work.features, key, work.sent_at, now)
+            exchange.on_update()
+            self._counts.cut += not work.is_bad
+
+    # -- figures --------------------------------------------------------------------------------
+
+    def _observe(self) -> None:
+        """Record whether popular parts are held, and since when all gateways hold a bad one."""
+        popular = RequestFeatures(0, (FIRST_POPULAR,))
+        names = self._fleet.names
+        if self._crash_times and not self._popular_held:
+            self._popular_held = any(self._held(name, popular) is not None for name in names)
+        for part, crashes in self._bad.items():
+            if part in self._known_at or len(crashes) < 3:
+                continue
+            bad = RequestFeatures(0, (FIRST_POPULAR, part))
+            if all(self._held(name, bad) is not None for name in names):
+                self._known_at[part] = self._fleet.now
+
+    def _figures(self) -> PartFigures:
+        counts = self._counts
+        delays = [
+            self._known_at[part] - crashes[2] if part in self._known_at else -1.0
+            for part, crashes in self._bad.items()
+            if len(crashes) >= 3
+        ]
+        return PartFigures(
+            way=self._way,
+            case=self._case,
+            crashes=max(map(len, self._bad.values()), default=0),
+            late=max(self._late.values(), default=0),
+            refused=round(1000 * counts.held / counts.sound, 1),
+            cut=round(1000 * counts.cut / counts.sound, 1),
+            companions_refused=round(counts.companions_held / max(counts.companions, 1), 3),
+            popular_held=self._popular_held,
+            seconds_to_know=-1.0 if -1.0 in delays else round(max(delays, default=0.0), 2),
+            bytes_per_gateway=round(self._fleet.evidence_bytes / len(self._fleet.names)),
+        )
+
+
+def compare_crashing_parts(sizes: list[int], seed: int) -> list[PartFigures]:
+    """Results of each way in a set of cases, with the same seeds.
+
+    Args:
+        sizes: Numbers of gateways.
+        seed: Seed of all random draws.
+    """
+    found = []
+    for size in sizes:
+        cases = [
+            PartCase(size),
+            PartCase(size, rate=1.0, crash_seconds=0.03),
+            PartCase(size, rate=100.0, crash_seconds=0.03),
+            PartCase(size, rate=60.0, crash_seconds=1.0),
+            PartCase(size, parts=3),
+            PartCase(size, has_companion=True),
+            PartCase(size, parts=0, trouble=PartTrouble.OWN_CRASHES),
+            *(PartCase(size, trouble=trouble) for trouble in PartTrouble),
+        ]
+        # The calm case stands in both lists.
+        found += [
+            CrashingPartModel(way, case, seed).run() for case in dict.fromkeys(cases) for way in Way
+        ]
+    return found
--- a/src/milletcourse/gateway/servers/crash_detector.py
+++ b/src/milletcourse/gateway/servers/crash_detector.py
@@ -82,9 +82,11 @@
 
     def on_sent(self, features: Callable[[], RequestFeatures]) -> None:
         """A request that is not contained is sent to a server."""
-        if self._evidence:
-            self._evidence.on_sent(features(), self._now())
-            self.report_changes()
+        if not self._evidence:
+            return
+        self._evidence.on_sent(features(), self._now())
+        if self.report_changes():
+            self._notify_gateways()
 
     def on_answer(self, features: RequestFeatures) -> None:
         """A server answered the request completely, so the request does not crash servers."""
--- a/tests/exchange/evidence/test_prompt_parts.py
+++ b/tests/exchange/evidence/test_prompt_parts.py
@@ -16,11 +16,7 @@
 )
 from milletcourse.exchange.evidence.crash_reports import MAX_CRASHES_PER_MESSAGE
 from milletcourse.exchange.evidence.request_identity import RequestFeatures, part_identity
-from milletcourse.exchange.evidence.trial_schedule import (
-    ALL_TURNS_SECONDS,
-    REPORT_SECONDS,
-    TRIAL_INTERVAL_SECONDS,
-)
+from milletcourse.exchange.evidence.trial_schedule import ALL_TURNS_SECONDS, REPORT_SECONDS
 from milletcourse.exchange.messages.peer_messages import (
     CrashReport,
     FeatureKind,
@@ -43,6 +39,7 @@
     def __init__(self, evidence: CrashEvidence) -> None:
         self.evidence = evidence
         self.number = 100
+        self.answer(NOW - 10)
 
     def features(self, *parts: int) -> RequestFeatures:
         """Features of a new request with some prompt parts."""
@@ -117,6 +114,30 @@
     assert len(set(allowed_from)) == len(GATEWAYS)
 
 
+def test_a_trial_of_one_gateway_holds_the_part_at_the_others() -> None:
+    """They hear of it at once, and wait until it has shown its effect."""
+    tries, waits = Requests(CrashEvidence()), Requests(CrashEvidence())
+    for requests in (tries, waits):
+        requests.crash(NOW, FIRST, BAD)
+        requests.crash(NOW + 1, FIRST, BAD)
+    tries.evidence.on_sent(tries.features(FIRST, BAD), NOW + 5)
+    waits.evidence.merge(tries.evidence.due_reports(NOW + 5.1, 1.0), NOW + 5.1, relays=False)
+    assert waits.is_held(NOW + 5.1, FIRST, BAD)
+    assert not waits.is_held(NOW + 5 + RUN_SECONDS + REPORT_SECONDS, FIRST, BAD)
+
+
+def test_a_gateway_that_has_just_started_suspects_no_part() -> None:
+    """It doesn't know yet which parts are answered all the time; three in turn contain one."""
+    requests = Requests(CrashEvidence())
+    requests.evidence = CrashEvidence()
+    requests.crash(NOW, FIRST)
+    requests.answer(NOW + 0.5, COMPANION)
+    requests.crash(NOW + 1, FIRST)
+    assert not requests.is_held(NOW + 1.1, FIRST)
+    requests.crash(NOW + 2, FIRST)
+    assert requests.is_held(NOW + 2.1, FIRST)
+
+
 def test_simultaneous_crashes_and_one_trial_contain_a_part() -> None:
     """Many requests may be at servers when the first one crashes."""
     requests = Requests(CrashEvidence())
@@ -137,7 +158,7 @@
     trial = requests.features(COMPANION)
     assert requests.evidence.containment(trial, NOW + 3) is None
     requests.evidence.on_sent(trial, NOW + 3)
-    assert requests.is_held(NOW + 3 + TRIAL_INTERVAL_SECONDS / 2, COMPANION)
+    assert requests.is_held(NOW + 3 + REPORT_SECONDS, COMPANION)
     assert requests.is_held(NOW + 3, COMPANION, BAD)
     requests.evidence.on_answer(trial, NOW + 4)
     assert not requests.is_held(NOW + 4, COMPANION)
