Tests of stream handover tell a stall of their own process from the gateway's delay

Cause: the stand-ins pause by the wall clock, the gateway leaves a stall of its process out of a server's silence, and both share one process.

Change: the first server goes on when the second has its request, not after a time; bounds on the gateway's own delay are measured by a responsive clock of the test, their lower bound by the wall clock as before. The bounds are the same.

--- a/tests/gateway/requests/test_stream_handover.py
+++ b/tests/gateway/requests/test_stream_handover.py
@@ -15,6 +15,7 @@
     first_then,
     pausing_stream,
     stream_of_four,
+    stream_waiting_for,
 )
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
@@ -141,7 +142,8 @@
     """The first server continues if it sends an event before the successor does."""
 
     async def scenario(harness: Harness) -> None:
-        await start_servers(harness, pausing_then(SILENT_SECONDS + 0.1, delayed_stream(0.25)))
+        first = stream_waiting_for(lambda: runs(harness) == 2)
+        await start_servers(harness, first_then(first, delayed_stream(60.0)))
         got = await (await harness.client()).ask("/stream/", Deadline_Ms="6000", **PROMPT)
         assert (got.whole, got.body) == (True, WHOLE_STREAM)
         assert runs(harness) == 2
@@ -155,13 +157,13 @@
     """No event is lost or repeated, and the overlap stays within its bound."""
 
     async def scenario(harness: Harness) -> None:
-        await start_servers(harness, pausing_then(60.0, delayed_stream(0.1)))
+        await start_servers(harness, pausing_then(60.0, stream_of_four))
         client = await harness.client()
         asking = asyncio.ensure_future(client.ask("/stream/", Deadline_Ms="6000", **PROMPT))
         await harness.until(lambda: runs(harness) == 2)
-        offered_at = time.monotonic()
+        offered_at = harness.clock.seconds()
         await harness.until(lambda: any(s.closed for s in harness.servers.values()))
-        assert time.monotonic() - offered_at < ALLOWED_OVERLAP_SECONDS
+        assert harness.clock.seconds() - offered_at < ALLOWED_OVERLAP_SECONDS
         got = await asking
         assert (got.whole, got.body) == (True, WHOLE_STREAM)
 
@@ -172,13 +174,19 @@
     """Both servers may run a stream only for a bounded time, and no third one is asked."""
 
     async def scenario(harness: Harness) -> None:
-        await start_servers(harness, pausing_then(SILENT_SECONDS + 1.0, delayed_stream(60.0)))
+        def is_any_closed() -> bool:
+            return any(server.closed for server in harness.servers.values())
+
+        await start_servers(
+            harness, first_then(stream_waiting_for(is_any_closed), delayed_stream(60.0))
+        )
         client = await harness.client()
         asking = asyncio.ensure_future(client.ask("/stream/", Deadline_Ms="6000", **PROMPT))
         await harness.until(lambda: runs(harness) == 2)
-        offered_at = time.monotonic()
-        await harness.until(lambda: any(s.closed for s in harness.servers.values()))
-        assert MAX_OVERLAP_SECONDS - 0.05 < time.monotonic() - offered_at < ALLOWED_OVERLAP_SECONDS
+        offered_at, offered_at_responsive = time.monotonic(), harness.clock.seconds()
+        await harness.until(is_any_closed)
+        assert time.monotonic() - offered_at > MAX_OVERLAP_SECONDS - 0.05
+        assert harness.clock.seconds() - offered_at_responsive < ALLOWED_OVERLAP_SECONDS
         got = await asking
         assert (got.whole, got.body) == (True, WHOLE_STREAM)
         assert runs(harness) == 2
@@ -201,16 +209,19 @@
     run_with_gateway(scenario)
 
 
-def disconnecting_then(other: Behaviour) -> Behaviour:
-    """The first run closes its connection soon after it became silent; later runs differ."""
-    return first_then(pausing_stream(SILENT_SECONDS + 0.1, goes_on=False), other)
-
-
 def test_successor_continues_when_the_first_server_fails() -> None:
     """The successor that runs alongside continues, and no third server is asked."""
 
     async def scenario(harness: Harness) -> None:
-        await start_servers(harness, disconnecting_then(delayed_stream(0.25)), count=3)
+        first = stream_waiting_for(lambda: runs(harness) == 2, goes_on=False)
+
+        async def then(
+            server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await harness.until(lambda: any(other.closed for other in harness.servers.values()))
+            await stream_of_four(server, request, writer)
+
+        await start_servers(harness, first_then(first, then), count=3)
         got = await (await harness.client()).ask("/stream/", Deadline_Ms="6000", **PROMPT)
         assert (got.whole, got.body) == (True, WHOLE_STREAM)
         assert runs(harness) == 2
@@ -222,7 +233,8 @@
     """The first server's connection has closed, and the crash check is still running."""
 
     async def scenario(harness: Harness) -> None:
-        await start_servers(harness, disconnecting_then(delayed_stream(60.0)))
+        first = pausing_stream(SILENT_SECONDS + 0.1, goes_on=False)
+        await start_servers(harness, first_then(first, delayed_stream(60.0)))
         assert harness.node is not None
         detector = harness.node.context.crash_detector
         asked = asyncio.Event()
@@ -249,11 +261,12 @@
     """
 
     async def scenario(harness: Harness) -> None:
-        await start_servers(harness, pausing_then(SILENT_SECONDS + 0.1, stream_of_four), count=3)
+        acquired: list[str] = []
+        first = stream_waiting_for(lambda: len(acquired) == 2)
+        await start_servers(harness, first_then(first, stream_of_four), count=3)
         assert harness.node is not None
         links = harness.node.context.server_links
         open_link = links.open
-        acquired: list[str] = []
 
         async def slow_open(
             address: str, zone: str, timeout_seconds: float, request_id: str = ""
--- a/tests/gateway_behaviours.py
+++ b/tests/gateway_behaviours.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from gateway_standin import (
     Behaviour,
@@ -151,6 +152,23 @@
     return behave
 
 
+def stream_waiting_for(condition: Callable[[], bool], goes_on: bool = True) -> Behaviour:
+    """Two events, then the other two or an aborted connection once a condition is true."""
+
+    async def behave(
+        _: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(stream_head(request) + chunk(event(1)) + chunk(event(2)))
+        while not condition():
+            await asyncio.sleep(0.005)
+        if not goes_on:
+            writer.transport.abort()
+            return
+        writer.write(chunk(event(3)) + chunk(event(4)) + b"0\r\n\r\n")
+
+    return behave
+
+
 async def stream_broken_in_an_event(
     _: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -17,9 +17,12 @@
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.metrics import GatewayMetrics
 from milletcourse.platform.start import new_adapter
+from milletcourse.runtime.responsive_clock import ResponsiveClock
 
 WAIT_SECONDS = 8.0
 """Timeout for conditions that must become true."""
+POLL_SECONDS = 0.005
+"""Interval at which they are checked."""
 
 
 def settings_document(store: str, name: str = "front-1", **bounds: Any) -> dict[str, Any]:
@@ -47,6 +50,8 @@
         self.configuration = configuration()
         self.mechanisms = ALL_MECHANISMS
         self.others: list[GatewayNode] = []
+        self.clock = ResponsiveClock()
+        """Leaves out stalls of this process, in which no gateway can act; ticks in `until`."""
 
     @staticmethod
     def free_ports() -> list[int]:
@@ -131,7 +136,8 @@
         """Wait until a condition is true."""
         async with asyncio.timeout(WAIT_SECONDS):
             while not condition():
-                await asyncio.sleep(0.005)
+                self.clock.on_loop_tick(POLL_SECONDS)
+                await asyncio.sleep(POLL_SECONDS)
 
     async def client(self) -> Client:
         """A new client connection."""
