--- a/src/milletcourse/exchange/evidence/crash_record.py
+++ b/src/milletcourse/exchange/evidence/crash_record.py
@@ -38,6 +38,9 @@
 START_SLACK_SECONDS = 0.05
 """Work started up to this long before a crash counts as started after it: a caller that retries at
 once sends some milliseconds after the crash, and its report takes as long to reach a gateway."""
+SPAN_SLACK_SECONDS = 0.3
+"""A record that has dropped crashes explains those of its time span, extended by this: crashes
+become known one after the other."""
 CONTAINMENT_SECONDS = 600.0
 """A contained feature is tried again this long after its latest crash, since a release or new
 weights may have fixed the defect. One more crash contains it again, so it costs one server in this
@@ -169,6 +172,19 @@
         """Longest time from a request to the crash of its server; 0 without one."""
         return max((crash.crashed_at - crash.sent_at for crash in self.crashes.values()), default=0)
 
+    def explains(self, server: int, crash: ServerCrash) -> bool:
+        """Whether a crash is one of this record, or may be one that it has dropped."""
+        if server in self.crashes:
+            return True
+        if len(self.crashes) < MAX_REPORTED_CRASHES:
+            return False
+        first_crash_at = min(known.crashed_at for known in self.crashes.values())
+        return (
+            first_crash_at - SPAN_SLACK_SECONDS
+            <= crash.crashed_at
+            <= self.last_crash_at + SPAN_SLACK_SECONDS
+        )
+
     def suffices(self, crashes: Collection[ServerCrash]) -> bool:
         """Whether some of its crashes would suffice for containment."""
         return self._rule(crashes, self.was_answered)
--- a/src/milletcourse/exchange/evidence/crash_reports.py
+++ b/src/milletcourse/exchange/evidence/crash_reports.py
@@ -10,9 +10,9 @@
 AGE_SLACK_SECONDS = 0.05
 """Tolerance between two reports of one event: ages are rounded, and messages have latency."""
 MAX_REPORTS_PER_MESSAGE = 32
-"""Reports in one message: 990 bytes with one crash each."""
+"""Reports in one message: 963 bytes with one crash each."""
 MAX_CRASHES_PER_MESSAGE = 48
-"""Crashes in all reports of one message: 1,020 bytes with three in a report."""
+"""Crashes in all reports of one message: 995 bytes with three in a report."""
 
 RecordsByIdentity = Iterable[tuple[int, CrashRecord]]
 
--- a/src/milletcourse/exchange/evidence/explanations.py
+++ b/src/milletcourse/exchange/evidence/explanations.py
@@ -31,8 +31,10 @@
         record: The part.
         others: Parts that were never answered.
     """
-    remaining = dict(record.crashes)
-    for other in others:
-        for server in other.crashes:
-            remaining.pop(server, None)
-    return not record.suffices(remaining.values()) if record.was_answered else not remaining
+    known = list(others)
+    remaining = [
+        crash
+        for server, crash in record.crashes.items()
+        if not any(other.explains(server, crash) for other in known)
+    ]
+    return not record.suffices(remaining) if record.was_answered else not remaining
--- a/src/milletcourse/exchange/evidence/feature_records.py
+++ b/src/milletcourse/exchange/evidence/feature_records.py
@@ -14,7 +14,7 @@
 MAX_ANSWERED_PARTS = 2048
 """The same for prompt parts that were answered once, and again for those answered repeatedly."""
 MAX_RECORDS = 1024
-"""Features with crash evidence that are kept: about 0.7 MB (tracemalloc). A crash adds several for
+"""Features with crash evidence that are kept: about 0.8 MB (tracemalloc). A crash adds several for
 each request that ran on the server."""
 REPORT_COPIES = 3
 """A first crash is reported this many times, against message loss."""
--- a/tests/exchange/evidence/test_prompt_parts.py
+++ b/tests/exchange/evidence/test_prompt_parts.py
@@ -212,6 +212,18 @@
     assert not requests.is_held(NOW + 1, FIRST)
 
 
+def test_a_part_with_more_crashes_than_are_kept_explains_those_of_its_time() -> None:
+    """Records keep few crashes each, and not the same ones."""
+    requests = Requests(CrashEvidence())
+    requests.answer(NOW - 1, FIRST)
+    for server in range(40):
+        at = NOW + 0.02 * server
+        requests.evidence.on_crash(requests.features(BAD), server, NOW - 1, at)
+        if server % 3 == 0:
+            requests.evidence.on_crash(requests.features(FIRST), server, at - 0.01, at)
+    assert not requests.is_held(NOW + 1, FIRST)
+
+
 def test_a_part_that_was_answered_before_is_tried_sooner() -> None:
     """Many requests may have it, and the crashes another cause."""
     requests = Requests(CrashEvidence())
