--- a/src/milletcourse/exchange/evidence/containment.py
+++ b/src/milletcourse/exchange/evidence/containment.py
@@ -1,4 +1,4 @@
-"""What is decided about a feature of requests that crash servers, for callers and operators."""
+"""Containment of a feature of requests, as shown to callers and operators."""
 
 from __future__ import annotations
 
--- a/src/milletcourse/exchange/evidence/explanations.py
+++ b/src/milletcourse/exchange/evidence/explanations.py
@@ -1,7 +1,7 @@
 """Whether the crashes under one feature are explained by another one; no input/output.
 
-All features of the requests at a crashed server get the same crash as evidence. A prompt part that
-often comes together with one that crashes servers thus gets as many crashes, though it is sound.
+All features of the requests at a crashed server get the same crash as evidence. A harmless prompt
+part that often comes together with one that crashes servers thus gets as many crashes.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 def is_explained_by_parts(record: CrashRecord, others: Iterable[CrashRecord]) -> bool:
     """Whether other prompt parts explain the crashes under a part.
 
-    A part that was never answered must have no other crash: whether it is sound isn't known then.
+    A part that was never answered must have no other crash: nothing shows that it is harmless.
 
     Args:
         record: The part.
--- a/src/milletcourse/exchange/evidence/trial_schedule.py
+++ b/src/milletcourse/exchange/evidence/trial_schedule.py
@@ -2,8 +2,8 @@
 
 All gateways learn of a crash within moments. From then on they take their turns in an order that is
 drawn for each feature by rendezvous hashing, so that they agree on it without exchanging messages.
-The first one that gets a request with the feature tells the others that it tries it, and settles
-for all whether it still crashes servers.
+The first one that gets a request with the feature notifies the others of its trial, whose result
+shows all of them whether the feature still crashes servers.
 """
 
 from __future__ import annotations
--- a/src/milletcourse/experiments/crashing_part_model.py
+++ b/src/milletcourse/experiments/crashing_part_model.py
@@ -1,7 +1,7 @@
-"""Model of a fleet that compares ways to find a prompt part that crashes servers.
+"""Model of a fleet that compares strategies that find a prompt part that crashes servers.
 
 Each gateway runs the production evidence and messages; servers, clients and the network are
-simulated. No two requests have the same content. Sound requests share the first part and other
+simulated. No two requests have the same content. Harmless requests share the first part and other
 parts of the requests that crash servers; parts of sessions are new now and then.
 """
 
@@ -28,7 +28,7 @@
 SERVER_DOWN_SECONDS = 2.0
 RUNNING_PER_SERVER = 6
 STREAM_SECONDS = 1.0
-"""Mean duration of a sound stream."""
+"""Mean duration of a harmless stream."""
 RETRY_DELAY_SECONDS = 0.3
 WARM_UP_SECONDS = 3.0
 RUN_SECONDS = 20.0
@@ -44,7 +44,7 @@
 SESSION_REQUESTS = 4
 """Requests of a session, which share a part that no other request has."""
 COMPANION_SHARE = 0.002
-"""Share of the sound requests with the part that otherwise comes with the crashing one only."""
+"""Share of the harmless requests with the part that otherwise comes with the crashing one only."""
 FIRST_BAD = 1
 COMPANION = 90
 FIRST_POPULAR = 100
@@ -52,7 +52,7 @@
 FIRST_CONTENT = 1_000_000
 
 
-class Way(Enum):
+class PartStrategy(Enum):
     """How gateways find what requests that crash servers have in common."""
 
     CONTENT = "whole contents"
@@ -69,7 +69,7 @@
     """The production rule: before the proof, gateways take turns in sending suspects."""
 
 
-class PartTrouble(Enum):
+class Disturbance(Enum):
     """Disturbance during the run."""
 
     CALM = "calm"
@@ -88,8 +88,8 @@
         rate: Requests with a crashing part a second.
         crash_seconds: Time from their start to the crash.
         parts: Number of crashing parts, which come in turn.
-        has_companion: Whether a sound part always comes with them.
-        trouble: Injected disturbance.
+        has_companion: Whether a harmless part always comes with them.
+        disturbance: Injected disturbance.
     """
 
     gateways: int
@@ -97,26 +97,26 @@
     crash_seconds: float = 0.3
     parts: int = 1
     has_companion: bool = False
-    trouble: PartTrouble = PartTrouble.CALM
+    disturbance: Disturbance = Disturbance.CALM
 
 
 class PartFigures(msgspec.Struct, frozen=True):
     """Results of one run.
 
     Attributes:
-        way: How gateways found the part.
+        strategy: How gateways found the part.
         case: What was played.
         crashes: Most servers crashed by one part.
         late: Most sends with one part later than `CONTACT_SECONDS` after its fifth crash.
-        refused: Sound requests that were held, per 1,000.
-        cut: Sound requests interrupted by a crash, per 1,000.
-        companions_refused: Share of the sound requests with the companion that were held.
+        refused: Harmless requests that were held, per 1,000.
+        cut: Harmless requests interrupted by a crash, per 1,000.
+        companions_refused: Share of the harmless requests with the companion that were held.
         popular_held: Whether a popular part was held at any gateway at any time.
         seconds_to_know: Time from the third crash until all gateways hold the part; -1 for never.
         bytes_per_gateway: Bytes of crash reports sent, per gateway.
     """
 
-    way: Way
+    strategy: PartStrategy
     case: PartCase
     crashes: int
     late: int
@@ -148,7 +148,7 @@
 
 
 class _Counts(msgspec.Struct):
-    sound: int = 0
+    harmless: int = 0
     held: int = 0
     cut: int = 0
     companions: int = 0
@@ -156,21 +156,21 @@
 
 
 class CrashingPartModel:
-    """One run of one way."""
+    """One run of one strategy."""
 
-    def __init__(self, way: Way, case: PartCase, seed: int) -> None:
+    def __init__(self, strategy: PartStrategy, case: PartCase, seed: int) -> None:
         """Initialise a run.
 
         Args:
-            way: How gateways find the part.
+            strategy: How gateways find the part.
             case: What is played.
             seed: Seed of all random draws.
         """
-        self._way = way
+        self._strategy = strategy
         self._case = case
         self._random = random.Random(seed)
         self._fleet = EvidenceFleet(case.gateways, self._random)
-        self._fleet.loss = MESSAGE_LOSS if case.trouble is PartTrouble.LOSS else 0.0
+        self._fleet.loss = MESSAGE_LOSS if case.disturbance is Disturbance.LOSS else 0.0
         servers = round(case.gateways / GATEWAYS_PER_SERVER)
         self._servers = [_Server(n) for n in range(min(max(servers, MIN_SERVERS), MAX_SERVERS))]
         self._answered: dict[str, set[int]] = {}
@@ -189,11 +189,11 @@
         for name in self._fleet.names:
             self._start(name)
         for _ in range(RUNNING_PER_SERVER * len(self._servers)):
-            self._fleet.schedule(self._random.uniform(0.0, STREAM_SECONDS), self._send_sound)
+            self._fleet.schedule(self._random.uniform(0.0, STREAM_SECONDS), self._send_harmless)
         if self._case.parts:
             self._fleet.schedule(WARM_UP_SECONDS, self._send_bad)
-        self._fleet.schedule(EVENT_SECONDS, self._apply_trouble)
-        if self._case.trouble is PartTrouble.OWN_CRASHES:
+        self._fleet.schedule(EVENT_SECONDS, self._apply_disturbance)
+        if self._case.disturbance is Disturbance.OWN_CRASHES:
             self._fleet.schedule(WARM_UP_SECONDS, self._crash_any)
         while self._fleet.now < started_at + RUN_SECONDS:
             self._fleet.advance()
@@ -205,10 +205,13 @@
         self._fleet.start(name, CrashEvidence(self._rule()))
 
     def _rule(self) -> ContainmentRule | None:
-        if self._way is Way.TURNS:
+        if self._strategy is PartStrategy.TURNS:
             return None
-        strategies = {Way.COUNT: Strategy.COUNT, Way.LIKELIHOOD: Strategy.LIKELIHOOD}
-        strategy = strategies.get(self._way, Strategy.CONSECUTIVE)
+        strategies = {
+            PartStrategy.COUNT: Strategy.COUNT,
+            PartStrategy.LIKELIHOOD: Strategy.LIKELIHOOD,
+        }
+        strategy = strategies.get(self._strategy, Strategy.CONSECUTIVE)
         return containment_rule(strategy, self._crashes_per_second)
 
     def _crashes_per_second(self) -> float:
@@ -217,16 +220,16 @@
 
     # -- disturbances ---------------------------------------------------------------------------
 
-    def _apply_trouble(self) -> None:
-        trouble = self._case.trouble
+    def _apply_disturbance(self) -> None:
+        disturbance = self._case.disturbance
         names = self._fleet.names
-        if trouble is PartTrouble.ZONE:
+        if disturbance is Disturbance.ZONE:
             for server in self._servers[::ZONES]:
                 self._crash(server)
-        elif trouble is PartTrouble.CUT:
+        elif disturbance is Disturbance.CUT:
             self._fleet.partitioned = frozenset(names[:: ZONES + 1]) | frozenset(names[1::12])
             self._fleet.schedule(PARTITION_SECONDS, self._heal)
-        elif trouble is PartTrouble.RESTART:
+        elif disturbance is Disturbance.RESTART:
             for name in names:
                 self._start(name)
 
@@ -240,20 +243,22 @@
     # -- requests -------------------------------------------------------------------------------
 
     def _features(self, gateway: str, parts: tuple[int, ...]) -> RequestFeatures:
-        """Features of a new request, as far as the way knows them."""
+        """Features of a new request, as far as the strategy uses them."""
         content = next(self._contents)
-        if self._way is Way.CONTENT:
+        if self._strategy is PartStrategy.CONTENT:
             return RequestFeatures(content)
-        if self._way is Way.PREFIX:
+        if self._strategy is PartStrategy.PREFIX:
             answered = self._answered[gateway]
             return RequestFeatures(content, tuple(p for p in parts if p not in answered)[:1])
         return RequestFeatures(content, parts)
 
     def _held(self, gateway: str, features: RequestFeatures) -> Containment | None:
         held = self._fleet.exchanges[gateway].evidence.containment(features, self._fleet.now)
-        return held if held is None or held.is_proven or self._way is Way.TURNS else None
+        return (
+            held if held is None or held.is_proven or self._strategy is PartStrategy.TURNS else None
+        )
 
-    def _sound_parts(self) -> tuple[int, ...]:
+    def _harmless_parts(self) -> tuple[int, ...]:
         popular = FIRST_POPULAR + self._random.randrange(POPULAR_PARTS)
         if self._random.random() < COMPANION_SHARE and self._case.has_companion:
             return (popular, COMPANION)
@@ -291,16 +296,16 @@
 
         return crash
 
-    def _send_sound(self) -> None:
-        parts = self._sound_parts()
+    def _send_harmless(self) -> None:
+        parts = self._harmless_parts()
         has_companion = COMPANION in parts
-        self._counts.sound += 1
+        self._counts.harmless += 1
         self._counts.companions += has_companion
         held_before = self._counts.held
         work = self._dispatch(parts, is_bad=False)
         if work is None:
             self._counts.companions_held += has_companion and self._counts.held > held_before
-            self._fleet.schedule(RETRY_DELAY_SECONDS, self._send_sound)
+            self._fleet.schedule(RETRY_DELAY_SECONDS, self._send_harmless)
             return
         seconds = self._random.expovariate(1 / STREAM_SECONDS)
         self._fleet.schedule(seconds, lambda: self._complete(*work, parts))
@@ -322,11 +327,11 @@
         return server, work
 
     def _complete(self, server: _Server, work: _Work, parts: tuple[int, ...]) -> None:
-        self._send_sound()
+        self._send_harmless()
         if server.running.pop(id(work), None) is None:
             return
         self._answered[work.gateway].update(parts)
-        if self._way is Way.COUNT:
+        if self._strategy is PartStrategy.COUNT:
             return
         exchange = self._fleet.exchanges[work.gateway]
         if exchange.evidence.on_answer(work.features, self._fleet.now):
@@ -370,12 +375,12 @@
             if len(crashes) >= 3
         ]
         return PartFigures(
-            way=self._way,
+            strategy=self._strategy,
             case=self._case,
             crashes=max(map(len, self._bad.values()), default=0),
             late=max(self._late.values(), default=0),
-            refused=round(1000 * counts.held / counts.sound, 1),
-            cut=round(1000 * counts.cut / counts.sound, 1),
+            refused=round(1000 * counts.held / counts.harmless, 1),
+            cut=round(1000 * counts.cut / counts.harmless, 1),
             companions_refused=round(counts.companions_held / max(counts.companions, 1), 3),
             popular_held=self._popular_held,
             seconds_to_know=-1.0 if -1.0 in delays else round(max(delays, default=0.0), 2),
@@ -384,7 +389,7 @@
 
 
 def compare_crashing_parts(sizes: list[int], seed: int) -> list[PartFigures]:
-    """Results of each way in a set of cases, with the same seeds.
+    """Results of each strategy in a set of cases, with the same seeds.
 
     Args:
         sizes: Numbers of gateways.
@@ -399,11 +404,13 @@
             PartCase(size, rate=60.0, crash_seconds=1.0),
             PartCase(size, parts=3),
             PartCase(size, has_companion=True),
-            PartCase(size, parts=0, trouble=PartTrouble.OWN_CRASHES),
-            *(PartCase(size, trouble=trouble) for trouble in PartTrouble),
+            PartCase(size, parts=0, disturbance=Disturbance.OWN_CRASHES),
+            *(PartCase(size, disturbance=disturbance) for disturbance in Disturbance),
         ]
         # The calm case stands in both lists.
         found += [
-            CrashingPartModel(way, case, seed).run() for case in dict.fromkeys(cases) for way in Way
+            CrashingPartModel(strategy, case, seed).run()
+            for case in dict.fromkeys(cases)
+            for strategy in PartStrategy
         ]
     return found
