--- a/src/milletcourse/exchange/evidence/crash_record.py
+++ b/src/milletcourse/exchange/evidence/crash_record.py
@@ -153,6 +153,11 @@
         self.is_persisted_here = False
         self.tried_at = float("-inf")
 
+    def set_kind(self, kind: FeatureKind, rule: ContainmentRule) -> None:
+        """Correct what the feature is, and the rule that decides about it."""
+        self.kind = kind
+        self._rule = rule
+
     @property
     def is_suspect(self) -> bool:
         """Whether it is a prompt part that may crash servers, but isn't proven to."""
--- a/src/milletcourse/exchange/evidence/feature_records.py
+++ b/src/milletcourse/exchange/evidence/feature_records.py
@@ -61,11 +61,18 @@
         """The record of a feature, a new one without evidence so far."""
         record = self._records.get(identity)
         if record is None:
-            if len(self._records) >= MAX_RECORDS:
-                self._evict()
-            record = self._records[identity] = CrashRecord(self._rules[kind], kind)
-            answered_at = self._answers[kind].take(identity)
-            record.cleared_at = record.cleared_at if answered_at is None else answered_at
+            return self._create(identity, kind)
+        if kind is FeatureKind.PROMPT_PART and record.kind is FeatureKind.CONTENT:
+            # Gateways of an earlier release forward reports without the kind.
+            record.set_kind(kind, self._rules[kind])
+        return record
+
+    def _create(self, identity: int, kind: FeatureKind) -> CrashRecord:
+        if len(self._records) >= MAX_RECORDS:
+            self._evict()
+        record = self._records[identity] = CrashRecord(self._rules[kind], kind)
+        answered_at = self._answers[kind].take(identity)
+        record.cleared_at = record.cleared_at if answered_at is None else answered_at
         return record
 
     def _evict(self) -> None:
--- a/tests/exchange/evidence/test_prompt_parts.py
+++ b/tests/exchange/evidence/test_prompt_parts.py
@@ -268,6 +268,15 @@
     assert memory.take(100) is None
 
 
+def test_a_report_forwarded_without_the_kind_becomes_one_about_the_part() -> None:
+    """A gateway of the previous release forwards it; the part is suspected all the same."""
+    requests = Requests(CrashEvidence())
+    report = CrashReport(BAD, [ReportedCrash(1, 200, 100)])
+    requests.evidence.merge([report], NOW + 0.1, relays=True)
+    requests.crash(NOW + 1, FIRST, BAD)
+    assert requests.is_held(NOW + 1.1, FIRST, BAD)
+
+
 def test_a_part_is_another_one_in_another_scope_or_service() -> None:
     """A tenant whose prompts share no cached state shares no evidence either."""
     identities = {
