--- a/src/milletcourse/exchange/evidence/answer_memory.py
+++ b/src/milletcourse/exchange/evidence/answer_memory.py
@@ -24,13 +24,10 @@
 
     def record(self, identity: int, at: float) -> None:
         """Record an answer at a monotonic time."""
-        was_answered = self._single.pop(identity, None) is not None
-        was_answered = self._repeated.pop(identity, None) is not None or was_answered
-        kept, bound = (
-            (self._repeated, self._max_repeated)
-            if was_answered and self._max_repeated
-            else (self._single, self._max_single)
-        )
+        was_answered = self.take(identity) is not None
+        kept, bound = self._single, self._max_single
+        if was_answered and self._max_repeated:
+            kept, bound = self._repeated, self._max_repeated
         kept[identity] = at
         if len(kept) > bound:
             del kept[next(iter(kept))]
--- a/src/milletcourse/exchange/evidence/crash_evidence.py
+++ b/src/milletcourse/exchange/evidence/crash_evidence.py
@@ -24,12 +24,12 @@
     EvidenceChange,
     EvidenceEvent,
 )
-from milletcourse.exchange.evidence.crash_record import (
+from milletcourse.exchange.evidence.containment_rules import (
     PRODUCTION_RULES,
     ContainmentRule,
-    CrashRecord,
     ServerCrash,
 )
+from milletcourse.exchange.evidence.crash_record import CrashRecord
 from milletcourse.exchange.evidence.crash_reports import (
     MAX_REPORTS_PER_MESSAGE,
     is_sender_behind,
--- a/src/milletcourse/exchange/evidence/crash_reports.py
+++ b/src/milletcourse/exchange/evidence/crash_reports.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable
 
-from milletcourse.exchange.evidence.crash_record import CrashRecord, ServerCrash
+from milletcourse.exchange.evidence.containment_rules import ServerCrash
+from milletcourse.exchange.evidence.crash_record import CrashRecord
 from milletcourse.exchange.messages.peer_messages import CrashReport, FeatureKind, ReportedCrash
 
 AGE_SLACK_SECONDS = 0.05
--- a/src/milletcourse/exchange/evidence/feature_records.py
+++ b/src/milletcourse/exchange/evidence/feature_records.py
@@ -5,7 +5,8 @@
 from collections.abc import ItemsView, Mapping, ValuesView
 
 from milletcourse.exchange.evidence.answer_memory import AnswerMemory
-from milletcourse.exchange.evidence.crash_record import ContainmentRule, CrashRecord
+from milletcourse.exchange.evidence.containment_rules import ContainmentRule
+from milletcourse.exchange.evidence.crash_record import CrashRecord
 from milletcourse.exchange.evidence.crash_reports import fill_message, urgent_first, write_report
 from milletcourse.exchange.messages.peer_messages import CrashReport, FeatureKind
 
--- a/src/milletcourse/experiments/containment_strategies.py
+++ b/src/milletcourse/experiments/containment_strategies.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 from enum import Enum
 
-from milletcourse.exchange.evidence.crash_record import (
+from milletcourse.exchange.evidence.containment_rules import (
     CONTAINMENT_CRASHES,
     ContainmentRule,
     ServerCrash,
--- a/src/milletcourse/experiments/crashing_part_model.py
+++ b/src/milletcourse/experiments/crashing_part_model.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from milletcourse.exchange.evidence.containment import Containment
+from milletcourse.exchange.evidence.containment_rules import ContainmentRule
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
-from milletcourse.exchange.evidence.crash_record import ContainmentRule
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
 from milletcourse.experiments.containment_strategies import Strategy, containment_rule
 from milletcourse.experiments.evidence_fleet import ZONES, EvidenceFleet
--- a/src/milletcourse/simulation/scenarios/crashes.py
+++ b/src/milletcourse/simulation/scenarios/crashes.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 
-from milletcourse.exchange.evidence.crash_record import CONTAINMENT_CRASHES
+from milletcourse.exchange.evidence.containment_rules import CONTAINMENT_CRASHES
 from milletcourse.simulation.clients import SimulatedClients
 from milletcourse.simulation.cluster_records import SimulatedRouter
 from milletcourse.simulation.runner import Scenario
