--- a/src/milletcourse/exchange/evidence/crash_evidence.py
+++ b/src/milletcourse/exchange/evidence/crash_evidence.py
@@ -98,7 +98,7 @@
         """
         crash = ServerCrash(sent_at, crashed_at)
         for identity, kind in features.by_kind():
-            record = self.records.obtain(identity, kind)
+            record = self.records.get_or_create(identity, kind)
             before = self._state(record, crashed_at)
             if record.add(server, crash):
                 self.records.note_update(record)
@@ -114,7 +114,7 @@
         for identity, kind in features.by_kind():
             record = self.records.get(identity)
             if record is None:
-                self.records.on_answer_without_crash(identity, kind, now)
+                self.records.remember_answer(identity, kind, now)
                 continue
             has_cleared = self._clear(identity, record, now) or has_cleared
         return has_cleared
@@ -296,7 +296,7 @@
         """
         for report in reports:
             self.merge([report], now - age_seconds, relays=False)
-            record = self.records.obtain(report.identity, report.kind)
+            record = self.records.get_or_create(report.identity, report.kind)
             record.is_persisted_here = record.is_persisted_here or is_own
 
     # -- reports of other gateways --------------------------------------------------------------
@@ -311,7 +311,7 @@
         """
         states = []
         for report in reports:
-            record = self.records.obtain(report.identity, report.kind)
+            record = self.records.get_or_create(report.identity, report.kind)
             states.append((report.identity, record, self._state(record, now)))
             is_update = merge_report(record, report, now) and relays
             if is_update or is_sender_behind(record, report, now):
--- a/src/milletcourse/exchange/evidence/crash_record.py
+++ b/src/milletcourse/exchange/evidence/crash_record.py
@@ -112,7 +112,7 @@
             <= self.last_crash_at + SPAN_SLACK_SECONDS
         )
 
-    def suffices(self, crashes: Collection[ServerCrash]) -> bool:
+    def are_conclusive(self, crashes: Collection[ServerCrash]) -> bool:
         """Whether some of its crashes would suffice for containment."""
         return self._rule(crashes, self.was_answered)
 
@@ -131,7 +131,7 @@
         if server in self.crashes or crash.crashed_at <= self.cleared_at:
             return False
         self.crashes[server] = crash
-        self.is_conclusive = self.is_conclusive or self.suffices(self.crashes.values())
+        self.is_conclusive = self.is_conclusive or self.are_conclusive(self.crashes.values())
         if len(self.crashes) > MAX_REPORTED_CRASHES:
             # The first and the latest crashes show that the work was started again after a crash.
             in_order = sorted(self.crashes, key=lambda key: self.crashes[key].crashed_at)
@@ -144,7 +144,7 @@
             return False
         self.cleared_at = at
         self.crashes = {key: crash for key, crash in self.crashes.items() if crash.crashed_at > at}
-        self.is_conclusive = self.suffices(self.crashes.values())
+        self.is_conclusive = self.are_conclusive(self.crashes.values())
         return True
 
     @property
--- a/src/milletcourse/exchange/evidence/explanations.py
+++ b/src/milletcourse/exchange/evidence/explanations.py
@@ -37,4 +37,4 @@
         for server, crash in record.crashes.items()
         if not any(other.explains(server, crash) for other in known)
     ]
-    return not record.suffices(remaining) if record.was_answered else not remaining
+    return not record.are_conclusive(remaining) if record.was_answered else not remaining
--- a/src/milletcourse/exchange/evidence/feature_records.py
+++ b/src/milletcourse/exchange/evidence/feature_records.py
@@ -58,7 +58,7 @@
         """All records."""
         return self._records.values()
 
-    def obtain(self, identity: int, kind: FeatureKind) -> CrashRecord:
+    def get_or_create(self, identity: int, kind: FeatureKind) -> CrashRecord:
         """The record of a feature, a new one without evidence so far."""
         record = self._records.get(identity)
         if record is None:
@@ -85,7 +85,7 @@
 
         del self._records[min(self._records, key=retention_order)]
 
-    def on_answer_without_crash(self, identity: int, kind: FeatureKind, now: float) -> None:
+    def remember_answer(self, identity: int, kind: FeatureKind, now: float) -> None:
         """Remember the answer to a request with a feature that has no record."""
         self._answers[kind].record(identity, now)
 
--- a/src/milletcourse/experiments/containment_model.py
+++ b/src/milletcourse/experiments/containment_model.py
@@ -18,7 +18,7 @@
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
 from milletcourse.experiments.containment_strategies import Strategy, containment_rule
-from milletcourse.experiments.evidence_fleet import ZONES, EvidenceFleet
+from milletcourse.experiments.evidence_fleet import ZONES, EvidenceFleet, ModelServer
 
 GATEWAYS_PER_SERVER = 1.6
 """As in production fleets: 79 gateways for 45 servers."""
@@ -90,18 +90,6 @@
     seconds_to_know: float
 
 
-class _Server:
-    def __init__(self, number: int) -> None:
-        self.number = number
-        self.incarnation = 0
-        self.down_until = 0.0
-        self.running: dict[int, _Work] = {}
-
-    @property
-    def key(self) -> int:
-        return self.number * 10_000 + self.incarnation
-
-
 class _Work(msgspec.Struct, eq=False):
     identity: int
     gateway: str
@@ -109,6 +97,9 @@
     attempts: int
 
 
+_Server = ModelServer[_Work]
+
+
 class _Caller(msgspec.Struct, eq=False):
     identity: int
     repeat_delay_seconds: tuple[float, float]
@@ -138,7 +129,8 @@
         self._random = random.Random(seed)
         self._fleet = EvidenceFleet(gateways, self._random)
         self._fleet.loss = MESSAGE_LOSS if trouble is Trouble.LOSS else 0.0
-        self._servers = [_Server(n) for n in range(max(round(gateways / GATEWAYS_PER_SERVER), 5))]
+        servers = max(round(gateways / GATEWAYS_PER_SERVER), 5)
+        self._servers = [_Server(number) for number in range(servers)]
         self._crash_times: list[float] = []
         self._identities = itertools.count(FIRST_UNRELATED_IDENTITY)
         self._unrelated = self._unrelated_interrupted = self._unrelated_refused = 0
--- a/src/milletcourse/experiments/crashing_part_model.py
+++ b/src/milletcourse/experiments/crashing_part_model.py
@@ -20,7 +20,7 @@
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
 from milletcourse.experiments.containment_strategies import Strategy, containment_rule
-from milletcourse.experiments.evidence_fleet import ZONES, EvidenceFleet
+from milletcourse.experiments.evidence_fleet import ZONES, EvidenceFleet, ModelServer
 
 GATEWAYS_PER_SERVER = 1.6
 MIN_SERVERS = 4
@@ -128,18 +128,6 @@
     bytes_per_gateway: int
 
 
-class _Server:
-    def __init__(self, number: int) -> None:
-        self.number = number
-        self.incarnation = 0
-        self.down_until = 0.0
-        self.running: dict[int, _Work] = {}
-
-    @property
-    def key(self) -> int:
-        return self.number * 10_000 + self.incarnation
-
-
 class _Work(msgspec.Struct, eq=False):
     features: RequestFeatures
     gateway: str
@@ -147,6 +135,9 @@
     is_bad: bool
 
 
+_Server = ModelServer[_Work]
+
+
 class _Counts(msgspec.Struct):
     harmless: int = 0
     held: int = 0
--- a/src/milletcourse/experiments/evidence_fleet.py
+++ b/src/milletcourse/experiments/evidence_fleet.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import msgspec
 
@@ -14,6 +15,30 @@
 
 ZONES = 3
 FIRST_SECOND = 100.0
+Work = TypeVar("Work")
+"""What a server of a model runs."""
+
+
+class ModelServer(Generic[Work]):
+    """A server that runs work, and comes back as another incarnation after a crash.
+
+    Attributes:
+        number: Its number.
+        incarnation: Number of its crashes so far.
+        down_until: Simulated time until which it is down.
+        running: Work that it runs, by key.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.incarnation = 0
+        self.down_until = 0.0
+        self.running: dict[int, Work] = {}
+
+    @property
+    def key(self) -> int:
+        """Key of its incarnation."""
+        return self.number * 10_000 + self.incarnation
 
 
 class EvidenceFleet:
