--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -36,11 +36,7 @@
     Crash,
 )
 from soak.clients import SHORT_PROMPT
-from soak.gateway_faults import (
-    disturb_gateways,
-    stop_gateways_in_turn,
-    until_all_have_started,
-)
+from soak.gateway_faults import disturb_gateways, end_series, running_world, stop_gateways_in_turn
 from soak.seeds import Report, run_seeds
 from soak.server import SoakServer
 from soak.world import ENGINES, GatewayProcess, SoakWorld
@@ -302,18 +298,7 @@
     """Run one seed and return its report."""
     world = SoakWorld(seed, folder, run.gateways)
     fleet = BrittleWorld(world, run)
-    try:
-        await world.start()
-        background = [
-            asyncio.create_task(work)
-            for work in (
-                world.send_heartbeats(),
-                world.restart_exited_gateways(),
-                world.watch_event_loop(),
-                fleet.sample_slots(),
-            )
-        ]
-        await until_all_have_started(world)
+    async with running_world(world, fleet.sample_slots()) as background:
         clients = [asyncio.create_task(fleet.run_client(number)) for number in range(run.clients)]
         await asyncio.sleep(WARM_SECONDS)
         fleet.note_memory()
@@ -323,13 +308,9 @@
         if run.stops:
             series.append(asyncio.create_task(stop_gateways_in_turn(world)))
         await asyncio.sleep(run.seconds)
-        for task in series:
-            task.cancel()
-        await asyncio.gather(*series, return_exceptions=True)
+        await end_series(series)
         world.check_own_tasks([*background, *clients])
         grown = fleet.check_memory()
-    finally:
-        await world.stop()
     fleet.judge()
     return {
         "seed": seed,
--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -23,7 +23,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from gateway_standin import Client
-from soak.gateway_faults import disturb_gateways, until_all_have_started
+from soak.gateway_faults import disturb_gateways, end_series, running_world
 from soak.part_server import CrashAccount, PartServer
 from soak.seeds import Report, run_seeds
 from soak.server import SoakServer
@@ -294,17 +294,7 @@
     """Run one seed and return its report."""
     world = SoakWorld(seed, folder, run.gateways)
     fleet = PartWorld(world, run)
-    try:
-        await world.start()
-        background = [
-            asyncio.create_task(work)
-            for work in (
-                world.send_heartbeats(),
-                world.restart_exited_gateways(),
-                world.watch_event_loop(),
-            )
-        ]
-        await until_all_have_started(world)
+    async with running_world(world) as background:
         clients = [asyncio.create_task(fleet.run_client(number)) for number in range(run.clients)]
         await asyncio.sleep(SOUND_SECONDS)
         series = [asyncio.create_task(fleet.crash_servers())]
@@ -315,13 +305,9 @@
         else:
             fleet.parts_since = time.monotonic()
             await asyncio.sleep(run.seconds)
-        for task in series:
-            task.cancel()
-        await asyncio.gather(*series, return_exceptions=True)
+        await end_series(series)
         world.check_own_tasks([*background, *clients])
         figures = fleet.judge()
-    finally:
-        await world.stop()
     return {
         "seed": seed,
         **figures,
--- a/tests/soak/gateway_faults.py
+++ b/tests/soak/gateway_faults.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import signal
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
 
 from soak.world import GatewayProcess, SoakWorld
 
@@ -49,3 +52,35 @@
     async with asyncio.timeout(READY_SECONDS):
         while not all(gateway.has_started() for gateway in world.gateways):
             await asyncio.sleep(0.05)
+
+
+@asynccontextmanager
+async def running_world(
+    world: SoakWorld, *more: Coroutine[Any, Any, None]
+) -> AsyncIterator[list[asyncio.Task[None]]]:
+    """Run a world's processes, and its background tasks, which a soak checks at its end.
+
+    Args:
+        world: The world, which is stopped at the end.
+        more: Further background work of the soak.
+    """
+    try:
+        await world.start()
+        work = (
+            world.send_heartbeats(),
+            world.restart_exited_gateways(),
+            world.watch_event_loop(),
+            *more,
+        )
+        background = [asyncio.create_task(item) for item in work]
+        await until_all_have_started(world)
+        yield background
+    finally:
+        await world.stop()
+
+
+async def end_series(series: list[asyncio.Task[None]]) -> None:
+    """Cancel series of faults, and wait until they have ended."""
+    for task in series:
+        task.cancel()
+    await asyncio.gather(*series, return_exceptions=True)
