--- a/tests/exchange/evidence/test_crash_machine.py
+++ b/tests/exchange/evidence/test_crash_machine.py
@@ -8,25 +8,18 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from hypothesis.stateful import invariant, rule, run_state_machine_as_test
 
+from disturbed_fleet import CRASH_SECONDS, DisturbedFleet, gateways, machine_settings
 from load_fleet import Fleet
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
 
 CRASHING = 7
 POPULAR = 8
-SIZE = 9
 CONTACT_SECONDS = 3.0
 """After this time without a partition or restart, a gateway has the state of the others."""
 
-CRASH_SECONDS = 0.1
-REPORT_SECONDS = 0.4
-"""The others have received a gateway's reports, although messages are lost."""
-
-gateways = st.integers(0, SIZE - 1)
-
 
 class SwitchingFleet(Fleet):
     """A fleet in which a gateway whose reader is partitioned follows another zone's reader."""
@@ -39,30 +32,24 @@
         return next((reader for reader in self.readers if reader not in self.partitioned), own)
 
 
-class CrashingFleet(RuleBasedStateMachine):
-    """Nine gateways in three zones."""
+class CrashingFleet(DisturbedFleet):
+    """One request crashes servers, and another one is popular."""
+
+    fleet_type = SwitchingFleet
 
     contains_requests = True
 
     def __init__(self) -> None:
         super().__init__()
-        self.fleet = SwitchingFleet(SIZE, 11)
-        self.fleet.loss = 0.1
-        self.fleet.run(1.0)
-        self.connected_at = dict.fromkeys(self.fleet.names, self.fleet.now)
         self.crashes = 0
         self.third_crash_at = float("inf")
-        self.servers = 1000
-        self._answer_popular()
 
-    def _answer_popular(self) -> None:
-        for exchange in self.fleet.exchanges.values():
-            exchange.evidence.on_answer(RequestFeatures(POPULAR), self.fleet.now)
-
-    def _pass(self, seconds: float) -> None:
-        self.fleet.run(seconds)
-        for number in range(SIZE):
-            self.popular_is_answered(number)
+    def answer_popular(self, names: list[str]) -> None:
+        """See `DisturbedFleet.answer_popular`."""
+        for name in names:
+            exchange = self.fleet.exchanges[name]
+            if exchange.evidence.on_answer(RequestFeatures(POPULAR), self.fleet.now):
+                exchange.on_update()
 
     def _contains(self, name: str, identity: int) -> bool:
         evidence = self.fleet.exchanges[name].evidence
@@ -81,7 +68,7 @@
         known_by = max(self.third_crash_at, self._connected_since(name)) + CONTACT_SECONDS
         assert fleet.now < known_by, f"{name} sent it {fleet.now - self.third_crash_at:.2f} s after"
         sent_at = fleet.now
-        self._pass(CRASH_SECONDS)
+        self.pass_time(CRASH_SECONDS)
         self._crash_server([(name, CRASHING, sent_at)])
         # The evidence of a partitioned gateway may be lost with its process.
         self.crashes += name not in fleet.partitioned
@@ -103,34 +90,10 @@
         for number in witnesses:
             self._crash_server([(self.fleet.names[number], POPULAR, self.fleet.now - 0.5)])
 
-    def popular_is_answered(self, number: int) -> None:
-        """By a live server."""
-        exchange = self.fleet.exchanges[self.fleet.names[number]]
-        if exchange.evidence.on_answer(RequestFeatures(POPULAR), self.fleet.now):
-            exchange.on_update()
-
     @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5]))
     def time_passes(self, seconds: float) -> None:
         """Messages are sent, and a tenth is lost; popular requests are answered continuously."""
-        self._pass(seconds)
-
-    @rule(number=gateways)
-    def gateway_restarts(self, number: int) -> None:
-        """It loses its state after the others have received its reports."""
-        self._pass(REPORT_SECONDS)
-        name = self.fleet.names[number]
-        self.fleet.restart(name)
-        self.fleet.exchanges[name].evidence.on_answer(RequestFeatures(POPULAR), self.fleet.now)
-        self.connected_at[name] = self.fleet.now
-
-    @rule(cut=st.sets(gateways, max_size=4))
-    def some_are_cut_off(self, cut: set[int]) -> None:
-        """Partition gateways from all others, both ways; the previous partition heals."""
-        self._pass(REPORT_SECONDS)
-        before = self.fleet.partitioned
-        self.fleet.partitioned = {self.fleet.names[number] for number in cut}
-        for name in before - self.fleet.partitioned:
-            self.connected_at[name] = self.fleet.now
+        self.pass_time(seconds)
 
     @invariant()
     def popular_work_is_sent(self) -> None:
@@ -144,22 +107,12 @@
     contains_requests = False
 
 
-def _runs(examples: int) -> settings:
-    return settings(
-        max_examples=examples,
-        stateful_step_count=25,
-        derandomize=True,
-        deadline=None,
-        report_multiple_bugs=False,
-    )
-
-
-SEARCH = _runs(600)
+SEARCH = machine_settings(600, 25)
 
 
 def test_connected_gateways_do_not_send_a_contained_request() -> None:
     """For any sequence of partitions, restarts and lost messages."""
-    run_state_machine_as_test(CrashingFleet, settings=_runs(60))
+    run_state_machine_as_test(CrashingFleet, settings=machine_settings(60, 25))
 
 
 def test_a_fleet_without_containment_is_detected() -> None:
--- a/tests/exchange/evidence/test_part_machine.py
+++ b/tests/exchange/evidence/test_part_machine.py
@@ -10,40 +10,34 @@
 import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
-
-from load_fleet import Fleet
+from hypothesis.stateful import invariant, rule, run_state_machine_as_test
+
+from disturbed_fleet import (
+    CRASH_SECONDS,
+    SIZE,
+    DisturbedFleet,
+    gateways,
+    machine_settings,
+)
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
 
 FIRST, BAD, MIDDLE, COMPANION = 7, 8, 9, 10
-SIZE = 9
 CONTACT_SECONDS = 4.0
 """After this time without a partition or restart, a gateway has the state of the others."""
 FREE_CRASHES = 5
 MAX_LATE_SENDS = 3
-CRASH_SECONDS = 0.1
-REPORT_SECONDS = 0.4
-"""The others have received a gateway's reports, although messages are lost."""
 ANSWER_SECONDS = 0.5
 
-gateways = st.integers(0, SIZE - 1)
-
 
-class PartFleet(RuleBasedStateMachine):
-    """Nine gateways in three zones."""
+class PartFleet(DisturbedFleet):
+    """Requests that share a part crash servers."""
 
     def __init__(self) -> None:
-        super().__init__()
-        self.fleet = Fleet(SIZE, 11)
-        self.fleet.loss = 0.1
-        self.fleet.run(1.0)
-        self.connected_at = dict.fromkeys(self.fleet.names, self.fleet.now)
+        self.contents = 100
         self.crashes = 0
         self.fifth_crash_at = float("inf")
         self.late_sends = 0
-        self.servers = 1000
-        self.contents = 100
-        self._answer_sound()
+        super().__init__()
 
     # -- what gateways do with a request; known-bad variants differ here ------------------------
 
@@ -68,15 +62,11 @@
         self.contents += 1
         return self.features_of(self.contents, parts)
 
-    def _answer_sound(self) -> None:
-        for name in self.fleet.names:
+    def answer_popular(self, names: list[str]) -> None:
+        """See `DisturbedFleet.answer_popular`."""
+        for name in names:
             self.on_answer(name, self._new((FIRST, MIDDLE)))
 
-    def _pass(self, seconds: float) -> None:
-        """Messages are sent, and popular parts are answered all the time."""
-        self.fleet.run(seconds)
-        self._answer_sound()
-
     def _is_connected(self, name: str) -> bool:
         since = self.connected_at[name]
         return name not in self.fleet.partitioned and self.fleet.now >= since + CONTACT_SECONDS
@@ -95,7 +85,7 @@
         """One after the other, through any gateways."""
         for number in numbers:
             self._send_bad(number, has_companion, is_first)
-            self._pass(pause)
+            self.pass_time(pause)
 
     def _send_bad(self, number: int, has_companion: bool, is_first: bool) -> None:
         """A gateway sends a bad request unless it holds it; the request crashes its server."""
@@ -107,7 +97,7 @@
         self._count_late_send(name)
         features, sent_at = self._new(parts), self.fleet.now
         self.fleet.exchanges[name].evidence.on_sent(features, sent_at)
-        self._pass(CRASH_SECONDS)
+        self.pass_time(CRASH_SECONDS)
         bystander = self.fleet.names[(number + 4) % SIZE]
         running = [(name, features, sent_at), (bystander, self._new((FIRST, MIDDLE)), sent_at)]
         self._crash_server(running)
@@ -137,11 +127,11 @@
             return
         features = self._new(parts)
         self.fleet.exchanges[name].evidence.on_sent(features, self.fleet.now)
-        self._pass(ANSWER_SECONDS)
+        self.pass_time(ANSWER_SECONDS)
         self.on_answer(name, features)
         if name in self.fleet.partitioned:
             return
-        self._pass(2.0)
+        self.pass_time(2.0)
         held = [other for other in self.fleet.names if self.is_held(other, parts)]
         assert not [other for other in held if self._is_connected(other)]
 
@@ -151,30 +141,12 @@
         for number in witnesses:
             features = self._new((FIRST, MIDDLE))
             self._crash_server([(self.fleet.names[number], features, self.fleet.now - 0.5)])
-        self._pass(CRASH_SECONDS)
+        self.pass_time(CRASH_SECONDS)
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5, 5.0]))
     def time_passes(self, seconds: float) -> None:
         """Messages are sent, and a tenth is lost."""
-        self._pass(seconds)
-
-    @rule(number=gateways)
-    def gateway_restarts(self, number: int) -> None:
-        """It loses its state after the others have received its reports."""
-        self._pass(REPORT_SECONDS)
-        name = self.fleet.names[number]
-        self.fleet.restart(name)
-        self.connected_at[name] = self.fleet.now
-        self._answer_sound()
-
-    @rule(cut=st.sets(gateways, max_size=4))
-    def some_are_cut_off(self, cut: set[int]) -> None:
-        """Partition gateways from all others, both ways; the previous partition heals."""
-        self._pass(REPORT_SECONDS)
-        before = self.fleet.partitioned
-        self.fleet.partitioned = {self.fleet.names[number] for number in cut}
-        for name in before - self.fleet.partitioned:
-            self.connected_at[name] = self.fleet.now
+        self.pass_time(seconds)
 
     @invariant()
     def popular_work_is_sent(self) -> None:
@@ -205,23 +177,13 @@
         """See `PartFleet.on_answer`."""
 
 
-def _runs(examples: int, steps: int) -> settings:
-    return settings(
-        max_examples=examples,
-        stateful_step_count=steps,
-        derandomize=True,
-        deadline=None,
-        report_multiple_bugs=False,
-    )
-
-
-SEARCH = settings(_runs(60, 30), phases=[Phase.generate])
+SEARCH = settings(machine_settings(60, 30), phases=[Phase.generate])
 """Without shrinking, which takes minutes here."""
 
 
 def test_connected_gateways_do_not_send_a_contained_part_and_send_all_others() -> None:
     """For any sequence of partitions, restarts and lost messages."""
-    run_state_machine_as_test(PartFleet, settings=_runs(60, 30))
+    run_state_machine_as_test(PartFleet, settings=machine_settings(60, 30))
 
 
 @pytest.mark.parametrize("fleet", [KnowsContentsOnly, BlamesFirstParts, IgnoresAnswers])
