Stand-in servers answer 421 to requests for another server, for all tests

The fix of the leaving-server test stood in one fleet's behaviour; a request of another run can reach any stand-in. It is answered as the protocol says, is not run and not counted.

--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -377,6 +377,14 @@
         closed.add_done_callback(lambda end: end.cancelled() or end.exception())
         try:
             while (request := await read_request(reader, connection)) is not None:
+                if request.headers.get("expected-instance", self.name) != self.name:
+                    # A gateway of another test run may know this port from an earlier server.
+                    writer.write(
+                        answer(
+                            421, b"", {"Request-Id": request.request_id, "Instance-Id": self.name}
+                        )
+                    )
+                    continue
                 self.received.append(request)
                 pending = asyncio.create_task(self.behaviour(self, request, writer))
                 # Keep reading, so that a closed connection is noticed while the answer is written.
--- a/tests/signalling_fleet.py
+++ b/tests/signalling_fleet.py
@@ -99,10 +99,6 @@
         if not request.request_id:
             writer.write(answer(404))
             return
-        if request.headers.get("expected-instance", server.name) != server.name:
-            # A gateway of another test run may know this port from a server that has ended.
-            writer.write(answer(421, b"", {"Instance-Id": server.name}))
-            return
         signal_state = self.signal_states[server.name]
         arrivals = self.arrivals[server.name]
         gateway = request.headers.get("sent-through", "")
