Log lines of served prompts name the salt of their cached state

The log could not tell three causes apart: a gateway that still applied the old configuration (its configuration-in-force line would show that), a salt that stays the same although the set of tenants that share it has changed, or memory moved by a store of kept cache under another salt. The line request-served now names the salt. No decision changes.

--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -99,6 +99,11 @@
         """Name of the gateway that relays the connection; empty for a direct one."""
         return self.health.through
 
+    @property
+    def cache_salt(self) -> str:
+        """Salt of the prompt state that the request was sent with; empty for none."""
+        return self._dispatch.cache_salt
+
     @property
     def is_at_server(self) -> bool:
         """Whether the server may be processing the request now."""
--- a/src/milletcourse/gateway/requests/dispatch_builder.py
+++ b/src/milletcourse/gateway/requests/dispatch_builder.py
@@ -21,10 +21,12 @@
 
     Attributes:
         weight_version: Weight version that the server must run, None for plain applications.
+        cache_salt: Salt of the latest dispatch; empty without one.
     """
 
     def __init__(self, context: GatewayContext, job: ExchangeJob, instance: Instance) -> None:
         self.weight_version: int | None = None
+        self.cache_salt = ""
         self._context = context
         self._job = job
         self._instance = instance
@@ -58,7 +60,7 @@
         if context.gate.is_superseded(model, version, context.now()):
             context.record.tally.on_superseded(job.route.name)
         dispatch.weight_version = version
-        dispatch.cache_salt = cache_salt(job.scope, version)
+        dispatch.cache_salt = self.cache_salt = cache_salt(job.scope, version)
         if job.request.shared_tokens >= MIN_TRANSFERRED_SHARED_TOKENS:
             self._add_kv_cache_stores(dispatch)
 
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -63,6 +63,7 @@
             self.instance.record.software_version,
             self.attempt.through,
             self.attempt.answer_end,
+            self.attempt.cache_salt,
         )
 
     def failure_record(
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -188,6 +188,7 @@
             first=round(first, 3),
             gap=round(gap, 3),
             **_answer_end_fields(answered.answer_end),
+            **_salt_field(answered.cache_salt),
             **_through_field(answered.through),
             **_excluded_servers_field(excluded_servers),
             **self._request_fields(request),
@@ -360,6 +361,11 @@
     return {} if version == "" else {"software": version}
 
 
+def _salt_field(cache_salt: str) -> dict[str, Any]:
+    """Log field of the salt that a prompt was sent with; empty for requests without a prompt."""
+    return {"salt": cache_salt} if cache_salt else {}
+
+
 def _parts_field(parts: tuple[int, ...]) -> dict[str, Any]:
     """Log field of a prompt's shared parts; empty for requests without any."""
     return {"parts": [identity_text(part) for part in parts[:MAX_SHOWN_PARTS]]} if parts else {}
--- a/src/milletcourse/gateway/telemetry/request_records.py
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -17,12 +17,14 @@
         software_version: Version of the server's software.
         through: Name of the gateway that relayed the connection; empty for a direct one.
         answer_end: How the answer ended, None when it is unknown.
+        cache_salt: Salt under which the server read and kept prompt state; empty for none.
     """
 
     instance: str
     software_version: str | None
     through: str
     answer_end: AnswerEnd | None
+    cache_salt: str
 
 
 class FailedAttempt(msgspec.Struct, frozen=True):
