Tenants that share leave the prompt parts of one that becomes isolated behind

Cause: the salt of those who share held the model and the weight version only. The tenant that became isolated got a salt of its own; the others went on under the salt that all had used, and found its parts there. The lines request-served show it: salt model-a:shared@1 before and after. Ruled out: gateways at the old configuration (the check begins 5 s after the acknowledgement, each gateway logs the new version within 0.1 s), and moved memory (the case has no store).

Change: the shared scope is named after the set of isolated tenants (ReuseScopes). No member of that set has ever run in that scope, under any configuration, so that the order of changes and what a gateway remembers play no part. A tenant that joins, a rotated key, a changed route leave it as it is. The same cause on related paths: a second attempt, a handed-over or resumed stream took the scope of the configuration under which its request was admitted; the scope is now that of the newest one at each attempt. Evidence about crashing parts was kept by scope and would be lost at each change; it is kept by sharing group, with the values it had. Operators see a line reuse-scope-changed.

--- a/src/milletcourse/exchange/evidence/request_identity.py
+++ b/src/milletcourse/exchange/evidence/request_identity.py
@@ -56,15 +56,15 @@
     return _hash((host.lower().encode(), path, caller.encode()), body)
 
 
-def part_identity(service: str, scope: str, name: str) -> int:
+def part_identity(service: str, group: str, name: str) -> int:
     """Identity of a prompt part; never 0.
 
     Args:
         service: Service that runs the prompt.
-        scope: Reuse scope of its cached state: the model, and the tenant if it is isolated.
+        group: Whose requests may share the part: the model, and the tenant if it is isolated.
         name: Identity of the part's content, as the client declares it.
     """
-    return _hash((service.encode(), scope.encode()), name.encode())
+    return _hash((service.encode(), group.encode()), name.encode())
 
 
 def _hash(fields: tuple[bytes, ...], rest: bytes) -> int:
--- a/src/milletcourse/exchange/placement/route_table.py
+++ b/src/milletcourse/exchange/placement/route_table.py
@@ -10,6 +10,7 @@
     ServiceRecord,
     TenantRecord,
 )
+from milletcourse.exchange.placement.reuse_scope import ReuseScopes
 
 
 class _HostRoutes:
@@ -51,6 +52,7 @@
         self._tenants = {
             key: tenant for tenant in configuration.tenants for key in tenant.keys if key
         }
+        self.reuse_scopes = ReuseScopes(configuration.tenants)
         self.requires_keys = bool(configuration.tenants)
         self.cache_stores = sorted(
             (service for service in configuration.services if service.store_address),
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -25,7 +25,6 @@
     TenantRecord,
 )
 from milletcourse.exchange.placement.engine_load import max_wait_seconds
-from milletcourse.exchange.placement.reuse_scope import reuse_scope
 from milletcourse.exchange.placement.route_table import RouteTable
 from milletcourse.exchange.servers.instance_table import Instance
 from milletcourse.gateway.clients.client_connection import ClientConnection
@@ -80,8 +79,8 @@
             route=route,
             tenant=tenant,
             service=table.service(service_name) or ServiceRecord(service_name),
-            scope=reuse_scope(request.model, tenant),
             table=table,
+            newest_table=lambda: context.route_table or table,
             deadline_at=min(client_deadline_at, request.received_at + route.timeout_seconds),
             client_deadline_at=client_deadline_at,
         )
--- a/src/milletcourse/gateway/store/event_handlers.py
+++ b/src/milletcourse/gateway/store/event_handlers.py
@@ -15,6 +15,7 @@
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.store.kind_mirror import NoOpEventHandler
 from milletcourse.gateway.store.object_store import DECODE_ERRORS, ObjectChange, StoredObject
+from milletcourse.gateway.telemetry.store_recorder import ReuseScopeChange
 
 
 class _StateUpdater(NoOpEventHandler):
@@ -92,6 +93,22 @@
             **{name: round(seconds, 3) for name, seconds in late.items()},
         )
 
+    def _log_scope_change(self, before: RouteTable, after: RouteTable) -> None:
+        isolated_before, isolated = before.reuse_scopes.isolated, after.reuse_scopes.isolated
+        if isolated_before == isolated:
+            return
+        services = after.configuration.services
+        models = {model for service in services for model in service.models}
+        self._context.record.store.reuse_scope_changed(
+            ReuseScopeChange(
+                after.version,
+                sorted(isolated - isolated_before),
+                sorted(isolated_before - isolated),
+                sorted(models),
+                len(self._context.selector.holders),
+            )
+        )
+
     def on_change_announced(
         self, effect: ConfigurationEffect | None, not_committed_at: float | None
     ) -> None:
@@ -139,7 +156,9 @@
         if current is not None:
             lag = self._context.lag
             self._context.effects.record(current.configuration, configuration, lag.not_committed_at)
-        self._context.route_table = RouteTable(configuration)
+        self._context.route_table = table = RouteTable(configuration)
+        if current is not None:
+            self._log_scope_change(current, table)
         self._context.tenant_limits.configure(configuration.tenants, self._context.now())
         self._log_in_force(configuration, len(stored.spec))
         lost = self._context.lost_configuration
--- a/src/milletcourse/gateway/telemetry/store_recorder.py
+++ b/src/milletcourse/gateway/telemetry/store_recorder.py
@@ -32,6 +32,24 @@
     changed: list[str]
 
 
+class ReuseScopeChange(msgspec.Struct, frozen=True):
+    """The scope in which tenants share prompt state has changed with the set of isolated tenants.
+
+    Attributes:
+        version: Version of the configuration that changed it.
+        isolated: Names of the tenants that are isolated from now on.
+        no_longer_isolated: Names of the tenants that were isolated, and share now or are removed.
+        models: Models whose cached parts are left behind.
+        cold_parts: Parts that this gateway has recently sent, and assumed to be cached.
+    """
+
+    version: int
+    isolated: list[str]
+    no_longer_isolated: list[str]
+    models: list[str]
+    cold_parts: int
+
+
 class StoreRecorder:
     """Logs restores of the store from an older snapshot, and differences between histories."""
 
@@ -96,6 +114,17 @@
         """
         self._log.emit("configuration-lost", version=version, in_force=in_force)
 
+    def reuse_scope_changed(self, change: ReuseScopeChange) -> None:
+        """Tenants that share prompt state go on in another scope, without what they have made."""
+        self._log.emit(
+            "reuse-scope-changed",
+            version=change.version,
+            isolated=change.isolated[:MAX_NAMES],
+            no_longer_isolated=change.no_longer_isolated[:MAX_NAMES],
+            models=change.models[:MAX_NAMES],
+            cold_parts=change.cold_parts,
+        )
+
     def configuration_announced(self, knows_effect: bool) -> None:
         """A newer configuration was announced, and has not been received yet.
 
--- a/tests/exchange/placement/test_placement.py
+++ b/tests/exchange/placement/test_placement.py
@@ -32,7 +32,7 @@
     mostly_generates,
 )
 from milletcourse.exchange.placement.recent_cache_holders import MAX_PARTS, RecentCacheHolders
-from milletcourse.exchange.placement.reuse_scope import reuse_scope
+from milletcourse.exchange.placement.reuse_scope import ReuseScopes
 from milletcourse.exchange.placement.route_table import RouteTable
 from milletcourse.exchange.rollout.rollout_timing import GRACE_SECONDS
 from milletcourse.exchange.rollout.version_gate import VersionGate
@@ -134,7 +134,8 @@
 def test_a_single_tenants_prompts_with_one_first_part_have_one_home() -> None:
     """No other tenant shares their KV cache, so it is held once."""
     tenant = TenantRecord("t1", isolated=True)
-    scopes = {reuse_scope("m", tenant): 1, reuse_scope("m", None): 10}
+    reuse_scopes = ReuseScopes([tenant])
+    scopes = {reuse_scopes.scope("m", tenant): 1, reuse_scopes.scope("m", None): 10}
     for scope, least in scopes.items():
         homes = set()
         for number in range(40):
--- a/tests/gateway/store/test_gateway_store.py
+++ b/tests/gateway/store/test_gateway_store.py
@@ -271,7 +271,10 @@
 
 
 def test_isolated_tenants_and_versions_have_separate_salts() -> None:
-    """The salt covers the model, the weight version, and the tenant if it is isolated."""
+    """The salt covers the model, the weight version, and the tenant if it is isolated.
+
+    The salt of those who share covers the set of isolated tenants.
+    """
 
     async def scenario(harness: Harness) -> None:
         server = await harness.add_server("e-1", "engine", stream_of_four, 3)
@@ -279,7 +282,10 @@
         await (await harness.client()).ask("/stream/", "id-1", **PROMPT)
         await (await harness.client()).ask("/stream/", "id-2", key="key-2", **PROMPT)
         salts = [request.headers["cache-salt"] for request in server.received]
-        assert salts == ["model-1:tenant:tenant-1@3", "model-1:shared@3"]
+        assert salts == [
+            "model-1:tenant:tenant-1@3",
+            "model-1:shared:d7cc9519cde2bb96513bb067e1f7d25b@3",
+        ]
         assert {request.headers["expected-version"] for request in server.received} == {"3"}
 
     run_with_gateway(scenario)
