--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -354,6 +354,8 @@
         self.requests: list[ClientRequest] = []
         self.servers_are_healthy = True
         self.new_server: Callable[..., SoakServer] = SoakServer
+        self.isolated = ISOLATED
+        """Names of the tenants that the next configuration isolates."""
         self._numbers = 0
         self._restarts: set[asyncio.Task[None]] = set()
 
@@ -610,7 +612,7 @@
         """Write the next configuration version, with the keys that are valid now."""
         self.configuration_version += self.random.randint(1, 3)
         tenants = [
-            {"Name": tenant, "ApiKeys": [key], "Isolated": tenant in ISOLATED}
+            {"Name": tenant, "ApiKeys": [key], "Isolated": tenant in self.isolated}
             for key, tenant in self.keys.items()
         ]
         document = configuration(self.configuration_version, Tenants=tenants)
