Log lines of resumed streams say from what their software version is known

A line stream-resumed told the version but not whether a record named it or the gateway took the only version that it saw. It now names the evidence: an own record, a holder's reply, a single version for longer than clients resume, or one since this gateway's start.

No decision changes.

--- a/src/milletcourse/gateway/requests/exchange_runner.py
+++ b/src/milletcourse/gateway/requests/exchange_runner.py
@@ -104,7 +104,10 @@
             detail = "no gateway knows which software version began the stream"
             return StreamNotResumable(detail, context.retry_after())
         context.record.resumption.stream_resumed(
-            request.request_id, request.resumes, resume_point.software_version
+            request.request_id,
+            request.resumes,
+            resume_point.software_version,
+            resume_point.evidence.value,
         )
         return resume_point
 
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -10,6 +10,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
+from enum import Enum
 from itertools import count
 
 import msgspec
@@ -42,16 +43,31 @@
 """Sends a message to a gateway by name."""
 
 
+class OriginEvidence(Enum):
+    """From what a gateway knows which software version began a stream."""
+
+    OWN_RECORD = "own-record"
+    """It relayed the stream itself, or keeps its origin."""
+    HOLDER = "holder"
+    """A holder of the stream replied with its origin."""
+    SOLE_VERSION = "sole-version"
+    """No other version has been seen for longer than clients resume streams."""
+    SOLE_SINCE_START = "sole-since-start"
+    """No other version has been seen since this gateway started."""
+
+
 class ResumePoint(msgspec.Struct, frozen=True):
     """Where a stream may go on.
 
     Attributes:
         service: Service that began it.
         software_version: Version of the servers that may continue it.
+        evidence: From what that is known.
     """
 
     service: str
     software_version: str
+    evidence: OriginEvidence
 
 
 class StreamResumption:
@@ -174,6 +190,7 @@
         """
         key = stream_key(tenant, first_id)
         origin = self._origins.find(key, self._now()) if first_id else None
+        evidence = OriginEvidence.OWN_RECORD
         sole_versions = self._sole_versions(services)
         is_certain = len(sole_versions) == len(services) and self._knows_all_versions()
         version = sole_versions.get(services[0])
@@ -181,13 +198,14 @@
         question: OriginQuestion | None = None
         if origin is None and may_help and not is_certain:
             question = await self._ask(key, services)
-            origin = question.origin
+            origin, evidence = question.origin, OriginEvidence.HOLDER
         if origin is not None and origin.service in services:
-            return _resume_point(origin.service, origin.software_version)
+            return _resume_point(origin.service, origin.software_version, evidence)
         if version is None or is_certain:
-            return _resume_point(services[0], version)
+            return _resume_point(services[0], version, OriginEvidence.SOLE_VERSION)
         is_confirmed = question is not None and self._is_confirmed(question, services[0], version)
-        return _resume_point(services[0], version if is_confirmed else None)
+        confirmed_version = version if is_confirmed else None
+        return _resume_point(services[0], confirmed_version, OriginEvidence.SOLE_SINCE_START)
 
     def _is_confirmed(self, question: OriginQuestion, service: str, version: str) -> bool:
         """Whether the only version seen here may be taken for the one that began a stream.
@@ -294,8 +312,10 @@
         self._origins.drop_expired(self._now())
 
 
-def _resume_point(service: str, version: str | None) -> ResumePoint | None:
-    return ResumePoint(service, version) if version is not None else None
+def _resume_point(
+    service: str, version: str | None, evidence: OriginEvidence
+) -> ResumePoint | None:
+    return ResumePoint(service, version, evidence) if version is not None else None
 
 
 def _report(key: int, origin: StreamOrigin, now: float) -> OriginReport | None:
--- a/src/milletcourse/gateway/telemetry/resumption_recorder.py
+++ b/src/milletcourse/gateway/telemetry/resumption_recorder.py
@@ -17,11 +17,24 @@
         """The first events of an answer were relayed."""
         self._metrics.on_stream_relayed(service, software_version)
 
-    def stream_resumed(self, request_id: str, first_id: str, software_version: str) -> None:
-        """It is known at which version a stream goes on that a client resumes."""
+    def stream_resumed(
+        self, request_id: str, first_id: str, software_version: str, evidence: str
+    ) -> None:
+        """It is known at which version a stream goes on that a client resumes.
+
+        Args:
+            request_id: Id of the client's attempt.
+            first_id: Id of its attempt that got the first event.
+            software_version: Version that began the stream.
+            evidence: From what that is known.
+        """
         self._metrics.on_stream_resumed("known")
         self._log.emit(
-            "stream-resumed", request_id=request_id, resumes=first_id, software=software_version
+            "stream-resumed",
+            request_id=request_id,
+            resumes=first_id,
+            software=software_version,
+            evidence=evidence,
         )
 
     def resumption_refused(self) -> None:
