Gateways that start after a kill of all know which software versions may have begun a stream

Cause: a gateway with a current view took the only version that it saw for the one that began a stream, though it had started after that. Nothing spoke against it: the store named only services that had several versions at once, never which one they had (a replacement while no gateway ran left no trace), and a gateway that had just started wrote its entry without that mark, so that a second kill erased it.

Ruled out: holders' replies (none knew a stream), streams that go on within one answer (none).

Change: one record in the store names the versions that may have begun streams (VersionRecord, kept by compare-and-set in VersionRecordStore). What it names counts as seen at a gateway that starts, and no version is the sole one before it has been read as it is after the start. A missing record, or one of an earlier era of the store, makes versions unknown for as long as clients resume. It replaces mixed_services in the entries. A stream of a sole version goes on as before.

Tests that took all objects of the gateways' kind for entries now leave out the record; their assertions are the same.

--- a/src/milletcourse/exchange/resumption/software_versions.py
+++ b/src/milletcourse/exchange/resumption/software_versions.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
+ServiceVersion = tuple[str, str]
+"""A service and a version of its servers' software."""
+
 MIN_HORIZON_SECONDS = 60.0
 """A version may have begun streams that are resumed as long as this after its last server left."""
 MAX_HORIZON_SECONDS = 600.0
@@ -22,32 +25,38 @@
 class SoftwareVersions:
     """Software versions of each service, as seen by one gateway.
 
+    A gateway that has just started hasn't seen the versions that began the streams which clients
+    resume now. It learns them from the record in the store, and takes no version for the only one
+    before it has read that record.
+
     Attributes:
         horizon_seconds: For this long after the last sight of a version its streams may be resumed.
+        is_listed: Whether a server of a service and version is listed now.
     """
 
     def __init__(
-        self, is_listed: Callable[[str, str], bool], on_mixed: Callable[[str], None]
+        self, is_listed: Callable[[str, str], bool], on_new: Callable[[str], None]
     ) -> None:
         """Start without any version.
 
         Args:
             is_listed: Whether a server of a service and version is listed now.
-            on_mixed: Called with a service when a second version of it has been seen.
+            on_new: Called with a service when another version of it has been seen.
         """
         self.horizon_seconds = MIN_HORIZON_SECONDS
-        self._is_listed = is_listed
-        self._on_mixed = on_mixed
+        self.is_listed = is_listed
+        self._on_new = on_new
         self._sightings: dict[str, dict[str, _Sighting]] = {}
         self._since: float | None = None
-        self._reported: frozenset[str] = frozenset()
+        self._is_record_read = False
+        self._unknown_at = float("-inf")
 
     def extend_horizon(self, seconds: float) -> None:
         """Streams may be resumed for this long after they began."""
         self.horizon_seconds = max(self.horizon_seconds, min(seconds, MAX_HORIZON_SECONDS))
 
     def on_seen(self, service: str, version: str | None, now: float) -> None:
-        """A server is listed or has just gone; unknown versions (None) are ignored."""
+        """A server is listed, has just gone or is recorded; None for an unknown version."""
         if version is None:
             return
         if self._since is None:
@@ -58,31 +67,45 @@
             sighting.last_at = now
             return
         versions[version] = _Sighting(now, now)
-        if len(versions) > 1:
-            self._on_mixed(service)
+        self._on_new(service)
+
+    def on_record_read(self) -> None:
+        """The versions that served before this gateway started have been seen in the record."""
+        self._is_record_read = True
 
-    def on_reported(self, services: Iterable[str]) -> None:
-        """Several versions of these services served before this gateway started."""
-        self._reported = self._reported.union(services)
+    def on_unknown(self, now: float) -> None:
+        """Versions that nobody has recorded may have begun streams until now."""
+        self._unknown_at = now
 
     def sole(self, service: str, now: float) -> str | None:
-        """The only version that may have begun streams of a service, None when there are several.
+        """The only version that may have begun streams of a service.
 
-        Also None when no server of the service has been seen.
+        None when there are several, when none has been seen, or when it isn't known.
         """
-        if self._is_reported(service, now):
-            return None
         versions = self._current(service, now)
-        return next(iter(versions)) if len(versions) == 1 else None
+        if len(versions) != 1 or self._may_have_missed(now):
+            return None
+        return next(iter(versions))
 
     def is_mixed(self, service: str, now: float) -> bool:
         """Whether several versions may have begun streams of a service."""
-        return self._is_reported(service, now) or len(self._current(service, now)) > 1
+        return len(self._current(service, now)) > 1 or self._may_have_missed(now)
 
     def mixed_services(self, now: float) -> list[str]:
-        """Services of which several versions may have begun streams, in order."""
-        services = {*self._sightings, *self._reported}
-        return sorted(service for service in services if self.is_mixed(service, now))
+        """Services of which several versions have been seen, in order."""
+        return sorted(item for item in self._sightings if len(self._current(item, now)) > 1)
+
+    def seen(self, now: float) -> set[ServiceVersion]:
+        """All versions that may have begun streams, as far as they have been seen."""
+        return {
+            (service, version)
+            for service in list(self._sightings)
+            for version in self._current(service, now)
+        }
+
+    def has_unknown(self, now: float) -> bool:
+        """Whether versions that nobody has recorded may have begun streams."""
+        return now - self._unknown_at < self.horizon_seconds
 
     def held(self, service: str, now: float) -> set[str]:
         """Versions at which no resumable stream may begin yet, since they are new beside others."""
@@ -95,22 +118,23 @@
         }
 
     def has_started_within(self, seconds: float, now: float) -> bool:
-        """Whether the first server was seen less than this long ago."""
-        return self._since is not None and now - self._since < seconds
+        """Whether the first server was seen less than this long ago, or not yet."""
+        return self._since is None or now - self._since < seconds
 
     def has_seen_horizon(self, now: float) -> bool:
         """Whether no version that may have begun streams left before this gateway started."""
-        return self._since is not None and not self.has_started_within(self.horizon_seconds, now)
+        return not self.has_started_within(self.horizon_seconds, now)
 
-    def _is_reported(self, service: str, now: float) -> bool:
-        return service in self._reported and not self.has_seen_horizon(now)
+    def _may_have_missed(self, now: float) -> bool:
+        is_unread = not self._is_record_read and not self.has_seen_horizon(now)
+        return is_unread or self.has_unknown(now)
 
     def _current(self, service: str, now: float) -> dict[str, _Sighting]:
         versions = self._sightings.get(service, {})
         for version, sighting in list(versions.items()):
             if now - sighting.last_at < self.horizon_seconds:
                 continue
-            if self._is_listed(service, version):
+            if self.is_listed(service, version):
                 sighting.last_at = now
             else:
                 del versions[version]
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -11,6 +11,7 @@
 from milletcourse.exchange.evidence.crash_reports import MAX_REPORTS_PER_MESSAGE
 from milletcourse.exchange.messages.store_position import UNKNOWN_ERA, StorePosition
 from milletcourse.exchange.replication.reader_selection import GatewayRecord, ReaderSelection
+from milletcourse.exchange.resumption.version_record import VersionRecord
 from milletcourse.exchange.servers.relay_selector import RelayPeer
 from milletcourse.gateway.adapter import PlatformAdapter
 from milletcourse.gateway.clients.client_connection import Handler
@@ -24,12 +25,14 @@
     InstanceEventHandler,
     TargetEventHandler,
 )
+from milletcourse.gateway.store.gateway_objects import GatewayObjectsEventHandler
 from milletcourse.gateway.store.kind_mirror import KindEventHandler, KindMirror
 from milletcourse.gateway.store.object_store import ObjectStoreClient
 from milletcourse.gateway.store.registration import Registration
 from milletcourse.gateway.store.store_comparison import StoreState, compare_kinds
 from milletcourse.gateway.store.store_feed import StoreFeed
 from milletcourse.gateway.store.store_sync import StoreSync, WatchedKind
+from milletcourse.gateway.store.version_record_store import VersionRecordStore
 from milletcourse.runtime.clock import wall_seconds
 
 INSTANCE_WAIT_SECONDS = 1.5
@@ -73,7 +76,18 @@
         self._reader_selection = ReaderSelection(
             settings.name, settings.zone, settings.link_megabits
         )
-        self._watched = _watched_kinds(context, adapter, self._directory)
+        self._version_record = VersionRecordStore(
+            store,
+            self._gateways_kind,
+            VersionRecord(context.stream_resumption.versions),
+            context.now,
+            context.random,
+            context.log,
+            context.record.resumption,
+        )
+        context.stream_resumption.on_new_version = self._on_new_version
+        gateway_objects = GatewayObjectsEventHandler(self._directory, self._version_record)
+        self._watched = _watched_kinds(context, adapter, gateway_objects)
         self._store_sync = StoreSync(
             context, store, calls, self._reader_selection, self._watched, self._gateways_kind, spawn
         )
@@ -91,8 +105,17 @@
             self._context.stream_resumption.set_peers([])
         else:
             await self._join(f"{settings.host}:{port}")
+        self._spawn(self._version_record.run())
         self._spawn(self._store_sync.run())
 
+    def _on_new_version(self) -> None:
+        """Record a software version at once; gateways that follow a reader leave that to readers.
+
+        They record what readers haven't when they next compare.
+        """
+        if self._context.reads_store or self._reader_selection.is_reader:
+            self._version_record.write_soon()
+
     async def _join(self, address: str) -> None:
         settings = self._context.settings
         self._context.crash_evidence.knows_peers = False
@@ -114,7 +137,6 @@
         self._spawn(registration.run())
         self._context.crash_detector.listeners.append(registration.on_change)
         self._context.on_restore_update = registration.on_change
-        self._context.stream_resumption.on_mixed = registration.on_change
         self._context.permits.slots.on_limits_changed = registration.on_change
 
     def _gateways_position(self) -> StorePosition | None:
@@ -148,17 +170,9 @@
             contained=[ContainedRequest.from_report(report) for report in reports],
             confirmed_era=confirmed_era,
             lost_configuration=context.lost_configuration.version if context.reads_store else 0,
-            mixed_services=self._mixed_services(),
             rejection_limits=self._rejection_limits(),
         )
 
-    def _mixed_services(self) -> list[str]:
-        """Services with several software versions; the readers write them for all gateways."""
-        context = self._context
-        if not context.reads_store:
-            return []
-        return context.stream_resumption.versions.mixed_services(context.now())
-
     def _rejection_limits(self) -> dict[str, float]:
         """Rejection limits by service; the readers write them for all gateways."""
         context = self._context
@@ -169,7 +183,6 @@
         self._context.confirmed_era.on_peer_confirmed(entry.confirmed_era)
         if entry.lost_configuration:
             self._context.on_lost_configuration(entry.lost_configuration)
-        self._context.stream_resumption.versions.on_reported(entry.mixed_services)
         self._context.permits.slots.on_reported_limits(entry.rejection_limits)
         if entry.contained:
             self._on_contained_requests(entry, is_own)
@@ -236,7 +249,7 @@
 
 
 def _watched_kinds(
-    context: GatewayContext, adapter: PlatformAdapter, directory: GatewayDirectory
+    context: GatewayContext, adapter: PlatformAdapter, gateway_objects: GatewayObjectsEventHandler
 ) -> tuple[WatchedKind, ...]:
     """The kinds of objects that are followed in the store, with their handlers."""
     kinds = adapter.kinds
@@ -257,5 +270,5 @@
         # A list of many pages: a stale read is enough, since the first watch brings it up to date.
         WatchedKind(mirror(kinds.instances, instances), INSTANCE_WAIT_SECONDS, True),
         WatchedKind(mirror(kinds.targets, targets), TARGET_WAIT_SECONDS),
-        WatchedKind(mirror(kinds.gateways, directory), GATEWAY_WAIT_SECONDS, True),
+        WatchedKind(mirror(kinds.gateways, gateway_objects), GATEWAY_WAIT_SECONDS, True),
     )
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -53,7 +53,7 @@
     SOLE_VERSION = "sole-version"
     """No other version has been seen for longer than clients resume streams."""
     SOLE_SINCE_START = "sole-since-start"
-    """No other version has been seen since this gateway started."""
+    """No other version has been seen since this gateway started, and none was recorded before."""
 
 
 class ResumePoint(msgspec.Struct, frozen=True):
@@ -77,8 +77,8 @@
         versions: Software versions that may have begun streams.
         holders: Which gateways keep the origin of a stream.
         send: Sends messages; messages sent before it is set are lost.
-        on_mixed: Called when a second version of a service has been seen, which has to be stored
-            for gateways that start after all others have stopped.
+        on_new_version: Called when another version of a service has been seen, which has to be
+            stored for gateways that start after all others have stopped.
     """
 
     def __init__(
@@ -101,10 +101,10 @@
             now: Monotonic time.
             record: Counts streams by version.
         """
-        self.versions = SoftwareVersions(is_listed, self._on_mixed)
+        self.versions = SoftwareVersions(is_listed, self._on_new_version)
         self.holders = OriginHolders(own_name)
         self.send: SendMessage = lambda name, message: None
-        self.on_mixed: Callable[[], None] = lambda: None
+        self.on_new_version: Callable[[], None] = lambda: None
         self._own_name = own_name
         self._is_view_current = is_view_current
         self._clock = clock
@@ -139,11 +139,13 @@
         if self.versions.is_mixed(service, now):
             self._tell({key: origin})
 
-    def _on_mixed(self, service: str) -> None:
+    def _on_new_version(self, service: str) -> None:
         """Tell the holders of the streams that began while there was nothing to tell."""
-        self._tell(dict(self._origins.own_of_service(service, self._now())))
-        self._join()
-        self.on_mixed()
+        now = self._now()
+        if self.versions.is_mixed(service, now):
+            self._tell(dict(self._origins.own_of_service(service, now)))
+            self._join()
+        self.on_new_version()
 
     def set_peers(self, others: list[str]) -> None:
         """Replace the list of the other gateways."""
@@ -211,7 +213,7 @@
         """Whether the only version seen here may be taken for the one that began a stream.
 
         Nobody knows the stream. A gateway with a current view needs no majority: if it has started
-        too recently to have seen earlier versions, the store names the services that had several.
+        too recently to have seen earlier versions, it has read in the store which ones served.
         """
         if self.holders.is_alone:
             return True
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -67,8 +67,6 @@
             used by a gateway that starts after all others have stopped.
         lost_configuration: Version of a configuration that was in force, and that the store had
             lost when this entry was written; 0 for none.
-        mixed_services: Services of which several software versions may have begun streams that
-            clients still resume; used by a gateway that starts after all others have stopped.
         rejection_limits: Rejections per second that the servers of a service bear, by service; used
             by a gateway that has just started and got no answer of a server yet.
     """
@@ -81,7 +79,6 @@
     contained_at: float = 0.0
     confirmed_era: int = UNKNOWN_ERA
     lost_configuration: int = 0
-    mixed_services: list[str] = []
     rejection_limits: dict[str, float] = {}
 
 
@@ -92,6 +89,7 @@
         is_listed: Set once the list is known; the first list may be some seconds old.
         own_entry: This gateway's entry in the list; at first, that of an earlier process.
         own_position: Position of its latest change, None without an entry.
+        was_registered: The first list had an entry of an earlier process of this gateway.
     """
 
     def __init__(
@@ -116,6 +114,7 @@
         self.is_listed = asyncio.Event()
         self.own_entry: GatewayEntry | None = None
         self.own_position: StorePosition | None = None
+        self.was_registered = False
         self._others: dict[str, GatewayRecord] = {}
         self._missing: dict[str, GatewayRecord] = {}
         self._confirmed_eras: dict[str, int] = {}
@@ -139,6 +138,8 @@
         self.own_entry, self.own_position = None, None
         for stored in objects:
             self._apply_entry(stored)
+        if not self.is_listed.is_set():
+            self.was_registered = self.own_entry is not None
         for name, record in before.items():
             if name not in self._others:
                 self._retain(record)
--- a/src/milletcourse/gateway/store/kind_mirror.py
+++ b/src/milletcourse/gateway/store/kind_mirror.py
@@ -40,6 +40,12 @@
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """Handle the changes since the last list or changes; there may be none."""
 
+    def on_caught_up(self) -> None:
+        """Handle that the objects are known as they were after this gateway started; once.
+
+        A first list may be older than that.
+        """
+
     def on_unavailable(self) -> None:
         """Handle a failed call."""
 
@@ -78,6 +84,9 @@
     def on_changes(self, changes: tuple[ObjectChange, ...], sent_at: float) -> None:
         """See `KindEventHandler`."""
 
+    def on_caught_up(self) -> None:
+        """See `KindEventHandler`."""
+
     def on_unavailable(self) -> None:
         """See `KindEventHandler`."""
 
@@ -129,6 +138,7 @@
         self.on_change: Callable[[], None] | None = None
         self._handler = handler
         self._listener = listener
+        self._is_caught_up = False
         self._objects: dict[str, StoredObject] = {}
         self._log = ChangeLog()
         self._full_patches: dict[str, ContentPatch] = {}
@@ -159,6 +169,8 @@
         self._objects = listed
         self._advance(position, changes, sent_at)
         self._handler.on_list(objects, sent_at)
+        if not is_stale:
+            self.on_caught_up()
         self._notify()
 
     def on_changes(self, changes: ObjectChanges, sent_at: float) -> None:
@@ -175,9 +187,16 @@
                 self._objects[name] = change.stored
         self._advance(max(changes.position, self.position), new_changes, sent_at)
         self._handler.on_changes(new_changes, sent_at)
+        self.on_caught_up()
         if new_changes:
             self._notify()
 
+    def on_caught_up(self) -> None:
+        """Note that no change is missing up to a call that was sent after the start."""
+        if not self._is_caught_up:
+            self._is_caught_up = True
+            self._handler.on_caught_up()
+
     def on_unavailable(self) -> None:
         """Report a failed call to the handler."""
         self._handler.on_unavailable()
@@ -370,6 +389,7 @@
         if self.position is not None:
             self.proved_at = max(self.proved_at, sent_at)
             self._handler.on_changes((), sent_at)
+            self.on_caught_up()
 
 
 def _remaining_objects(changes: Iterable[ObjectChange]) -> list[StoredObject]:
--- a/src/milletcourse/gateway/store/kind_watch.py
+++ b/src/milletcourse/gateway/store/kind_watch.py
@@ -143,6 +143,7 @@
             # A stale list may show objects that the store has lost since.
             raise StoreError(StoreProblem.HISTORY_LOST)
         self._mirror.on_list(objects, position, sent_at, stale)
+        self._mirror.on_caught_up()
         self._position = position
         self._update_lateness(elapsed_seconds() - sent_at)
         if self._uses_lists:
--- a/src/milletcourse/gateway/store/registration.py
+++ b/src/milletcourse/gateway/store/registration.py
@@ -142,8 +142,6 @@
             return False
         if stored.rejection_limits != desired.rejection_limits:
             return True
-        if stored.mixed_services != desired.mixed_services:
-            return False
         return _content_identities(stored.contained) == _content_identities(desired.contained)
 
     async def _write(self, desired: GatewayEntry) -> bool:
--- a/src/milletcourse/gateway/store/store_sync.py
+++ b/src/milletcourse/gateway/store/store_sync.py
@@ -150,6 +150,7 @@
             self._context.log.emit("first-list-failed", kind=mirror.kind, problem=str(error))
             return
         mirror.on_list(objects, position, sent_at, kind.stale_lists)
+        mirror.on_caught_up()
 
     # -- following a reader ---------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/telemetry/resumption_recorder.py
+++ b/src/milletcourse/gateway/telemetry/resumption_recorder.py
@@ -44,3 +44,7 @@
     def holders_silent(self) -> None:
         """Not all holders of a stream replied in time."""
         self._metrics.on_origin_holders_silent()
+
+    def version_record_incomplete(self) -> None:
+        """Software versions may have served before this start that no gateway has recorded."""
+        self._log.emit("version-record-incomplete")
--- a/tests/exchange/resumption/test_stream_origins.py
+++ b/tests/exchange/resumption/test_stream_origins.py
@@ -97,10 +97,11 @@
 
     def __init__(self) -> None:
         self.listed: set[str] = set()
-        self.mixed: list[str] = []
+        self.new: list[str] = []
         self.core = SoftwareVersions(
-            lambda service, version: version in self.listed, self.mixed.append
+            lambda service, version: version in self.listed, self.new.append
         )
+        self.core.on_record_read()
 
     def start(self, version: str, now: float) -> None:
         """A server of a version is listed."""
@@ -123,7 +124,7 @@
     versions.stop("v1", at + 1.0)
     assert versions.core.sole("engine", at + 1.0 + 0.9 * MIN_HORIZON_SECONDS) is None
     assert versions.core.sole("engine", at + 1.1 + MIN_HORIZON_SECONDS) == "v2"
-    assert versions.mixed == ["engine"]
+    assert versions.new == ["engine", "engine"]
 
 
 def test_a_long_stream_extends_the_horizon_up_to_its_bound() -> None:
@@ -144,13 +145,21 @@
     assert versions.core.held("engine", 5.0 + HOLD_SECONDS) == set()
 
 
-def test_versions_before_the_start_are_taken_from_other_gateways_for_one_horizon() -> None:
-    """A gateway that has just started sees one version, and can't know the others."""
+def test_no_version_is_the_only_one_before_the_record_has_been_read() -> None:
+    """A gateway that has just started can't know the others; after a horizon it has seen them."""
     versions = Versions()
-    versions.core.on_reported(["engine"])
+    versions.core = SoftwareVersions(lambda service, version: version in versions.listed, print)
     versions.start("v1", 0.0)
-    assert versions.core.sole("engine", 1.0) is None
-    assert versions.core.mixed_services(1.0) == ["engine"]
+    assert versions.core.sole("engine", 1.0) is None and versions.core.is_mixed("engine", 1.0)
+    assert versions.core.sole("engine", MIN_HORIZON_SECONDS + 0.1) == "v1"
+
+
+def test_versions_that_nobody_recorded_count_for_one_horizon() -> None:
+    """They may have begun streams before this gateway started."""
+    versions = Versions()
+    versions.start("v1", 0.0)
+    versions.core.on_unknown(0.0)
+    assert versions.core.sole("engine", 1.0) is None and versions.core.is_mixed("engine", 1.0)
     assert versions.core.sole("engine", MIN_HORIZON_SECONDS + 0.1) == "v1"
 
 
--- a/tests/gateway/servers/test_crashing_requests.py
+++ b/tests/gateway/servers/test_crashing_requests.py
@@ -19,7 +19,7 @@
 from crashing_fleet import GATEWAYS, HELD_BODY, PROPAGATION_SECONDS, SERVERS, CrashingFleet, ask
 from gateway_behaviours import reset, stream_of_four
 from gateway_harness import Harness, run_with_gateway
-from gateway_standin import ReceivedRequest, StandinServer
+from gateway_standin import VERSION_RECORD, ReceivedRequest, StandinServer
 from milletcourse.cli.main import app
 from milletcourse.exchange.evidence.containment import Containment
 from milletcourse.gateway.node import GatewayNode
@@ -186,11 +186,14 @@
         nodes = await fleet.start()
         harness.store.shows_conflicts = shows_conflicts
         kind = harness.adapter.kinds.gateways
-        for name, entry in harness.store.objects[kind].items():
+        for name, entry in harness.store.gateway_entries().items():
             harness.store.put_unseen(kind, name, entry["Spec"])
         await _contain(nodes)
-        stored = harness.store.objects[kind]
-        await harness.until(lambda: any(entry["Spec"]["contained"] for entry in stored.values()))
+        await harness.until(
+            lambda: any(
+                entry["Spec"]["contained"] for entry in harness.store.gateway_entries().values()
+            )
+        )
         for node in nodes:
             node.close()
         await fleet.close()
@@ -200,7 +203,12 @@
         assert len(fleet.crashed) == ALLOWED_CRASHES
         writes = [call for call in harness.store.calls if call.method in ("POST", "PUT")]
         # One write per gateway for its entry, and those for containments, which conflict at first.
-        assert len([call for call in writes if f"/{kind}" in call.target]) <= GATEWAYS + 3
+        of_entries = [
+            call
+            for call in writes
+            if f"/{kind}" in call.target and VERSION_RECORD.encode() not in call.body
+        ]
+        assert len(of_entries) <= GATEWAYS + 3
 
     run_with_gateway(scenario)
 
--- a/tests/gateway/store/test_store_restores.py
+++ b/tests/gateway/store/test_store_restores.py
@@ -29,7 +29,6 @@
 from milletcourse.gateway.store.store_comparison import StoreState
 from signalling_fleet import SignallingFleet, SignalState
 
-GATEWAYS = "milletcourse-gateways"
 LEASES = "milletcourse-leases"
 LOST_VERSIONS = 6
 SETTLED_SECONDS = 0.6
@@ -175,9 +174,11 @@
 
     async def scenario(harness: Harness) -> None:
         fleet = await _revoke_and_restore(harness)
-        entries = harness.store.objects[GATEWAYS]
         await harness.until(
-            lambda: any(entry["Spec"]["lost_configuration"] == 2 for entry in entries.values())
+            lambda: any(
+                entry["Spec"]["lost_configuration"] == 2
+                for entry in harness.store.gateway_entries().values()
+            )
         )
         if ends:
             for node in fleet.nodes:
@@ -272,9 +273,11 @@
         for node in nodes:
             await harness.until(node.context.is_ready)
         assert await _answers_to(nodes, "key-2", PROPAGATION_SECONDS) == {200}
-        entries = harness.store.objects[GATEWAYS]
         await harness.until(
-            lambda: any(entry["Spec"]["confirmed_era"] == 1 for entry in entries.values())
+            lambda: any(
+                entry["Spec"]["confirmed_era"] == 1
+                for entry in harness.store.gateway_entries().values()
+            )
         )
         for node in nodes:
             node.close()
@@ -294,13 +297,18 @@
 
     async def scenario(harness: Harness) -> None:
         await _revoke_and_restore(harness)
-        entries = harness.store.objects[GATEWAYS]
         await harness.until(
-            lambda: any(entry["Spec"]["lost_configuration"] == 2 for entry in entries.values())
+            lambda: any(
+                entry["Spec"]["lost_configuration"] == 2
+                for entry in harness.store.gateway_entries().values()
+            )
         )
         harness.store.put("config", "main", configuration(2, Tenants=ONE_TENANT))
         await harness.until(
-            lambda: any(entry["Spec"]["confirmed_era"] == 1 for entry in entries.values())
+            lambda: any(
+                entry["Spec"]["confirmed_era"] == 1
+                for entry in harness.store.gateway_entries().values()
+            )
         )
 
     run_with_gateway(scenario)
@@ -327,10 +335,10 @@
         snapshot = harness.store.take_snapshot()
         await fleet.start({"s-1": SignalState(), "s-2": SignalState()})
         names = {node.context.settings.name for node in fleet.nodes}
-        await harness.until(lambda: set(harness.store.objects[GATEWAYS]) == names)
+        await harness.until(lambda: set(harness.store.gateway_entries()) == names)
         harness.store.restore(snapshot)
         await asyncio.sleep(REWRITE_SECONDS)
-        assert set(harness.store.objects.get(GATEWAYS, {})) == names
+        assert set(harness.store.gateway_entries()) == names
 
     run_with_gateway(scenario)
 
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -66,6 +66,9 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+GATEWAYS_KIND = "milletcourse-gateways"
+VERSION_RECORD = "software-versions"
+"""Object of the gateways' kind that isn't the entry of a gateway."""
 OPERATORS_KINDS = ("config", "versions", "servers")
 """Kinds of objects that the operator and the servers write."""
 
@@ -147,6 +150,11 @@
         self._note(kind, stored, False)
         return self.revision
 
+    def gateway_entries(self) -> dict[str, dict[str, Any]]:
+        """Entries of gateways by name, without the record that all gateways share."""
+        objects = self.objects.get(GATEWAYS_KIND, {})
+        return {name: entry for name, entry in objects.items() if name != VERSION_RECORD}
+
     def put_unseen(self, kind: str, name: str, spec: Any) -> None:
         """Write an object and compact the history before watches can deliver the change."""
         self.revision += 1
--- a/tests/soak/resumption.py
+++ b/tests/soak/resumption.py
@@ -2,8 +2,8 @@
 
 Servers of several software versions answer streams in chunks, without a length and as HTTP/1.0, and
 break them off within events. Releases go back and forth, servers crash, and gateways are killed,
-also half of them at once. Clients resume their streams at any gateway. The judge compares, event by
-event, what clients got with what the servers wrote. Prints one JSON line per seed.
+also half or all of them at once. Clients resume their streams at any gateway. The judge compares,
+event by event, what clients got with what the servers wrote. Prints one JSON line per seed.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -37,9 +38,20 @@
 """Share of the tries that a client leaves after an event, to come back elsewhere."""
 DEADLINE_SECONDS = 8.0
 MAX_TRIES = 8
+"""Tries that a gateway has answered."""
+UNANSWERED_PAUSE_SECONDS = 0.25
+"""Pause after a try that no gateway answered, so that clients are still there when all gateways
+have restarted."""
 READY_SECONDS = 15.0
 RELEASE_SECONDS = (1.0, 2.5)
 FAULT_SECONDS = (0.3, 1.2)
+ALL_KILLED_SHARE = 0.1
+"""Share of the faults that kill all gateways at once; the others hit half of them, or one."""
+REPLACED_SHARE = 0.7
+"""Share of the kills of all gateways during which one version replaces all others."""
+REPLACING_SERVERS = 3
+HALF_KILLED_SHARE = 0.15
+STOPPED_SHARE = 0.25
 SETTLED_SECONDS = 1.0
 """A version's servers count only if two have been listed for this long."""
 MIN_SHARE_THAT_GOES_ON = 0.9
@@ -196,6 +208,17 @@
                     self.watch_pairs()
                     await self.world.retire_server(name)
 
+    async def replace_all_servers(self) -> None:
+        """One version replaces all others at once."""
+        software = self.random.choice(VERSIONS)
+        for _ in range(REPLACING_SERVERS):
+            await self.add_engine(software)
+        for other in VERSIONS:
+            for name in self.listed(other) if other != software else ():
+                await self.world.remove_server(name)
+        self.watch_pairs()
+        self.counts["all-replaced"] += 1
+
     async def crash_servers(self) -> None:
         """Replace single servers that end without notice by others of their version."""
         while True:
@@ -203,22 +226,33 @@
             engines = [name for software in VERSIONS for name in self.listed(software)]
             name = self.random.choice(engines)
             software = self.world.servers[name].software
-            await self.world.remove_server(name)
+            if name in self.world.servers:
+                await self.world.remove_server(name)
             self.watch_pairs()
             await self.add_engine(software)
 
     # -- gateways -------------------------------------------------------------------------------
 
     async def kill_gateways(self) -> None:
-        """Kill, stop or suspend gateways in overlapping series, at times half of them at once."""
+        """Kill and stop gateways in overlapping series, at times half or all of them at once."""
         while True:
             await asyncio.sleep(self.random.uniform(*FAULT_SECONDS))
             gateways = self.world.gateways
             drawn = self.random.random()
-            count = len(gateways) // 2 if drawn < 0.15 else 1
-            number = signal.SIGTERM if 0.15 <= drawn < 0.4 else signal.SIGKILL
-            for gateway in self.random.sample(gateways, count):
+            number = signal.SIGKILL
+            if drawn < ALL_KILLED_SHARE:
+                killed = len(gateways)
+                self.counts["all-killed"] += 1
+            elif drawn < ALL_KILLED_SHARE + HALF_KILLED_SHARE:
+                killed = len(gateways) // 2
+            else:
+                killed = 1
+                is_stopped = drawn < ALL_KILLED_SHARE + HALF_KILLED_SHARE + STOPPED_SHARE
+                number = signal.SIGTERM if is_stopped else signal.SIGKILL
+            for gateway in self.random.sample(gateways, killed):
                 gateway.send(number)
+            if killed == len(gateways) and self.random.random() < REPLACED_SHARE:
+                await self.replace_all_servers()
 
     # -- clients --------------------------------------------------------------------------------
 
@@ -232,9 +266,10 @@
     async def _read_stream(self, stream: Stream) -> None:
         ends_at = time.monotonic() + DEADLINE_SECONDS
         self.counts["streams"] += 1
-        for attempt in range(MAX_TRIES):
+        answered = 0
+        for attempt in count():
             left = ends_at - time.monotonic()
-            if left <= 0.1 or self.world.ended:
+            if left <= 0.1 or self.world.ended or answered == MAX_TRIES:
                 return
             before = len(stream.numbers)
             may_go_on = bool(before) and self._has_to_go_on(stream)
@@ -248,7 +283,9 @@
             if got.is_whole and got.status == 200:
                 self._judge_complete(stream)
                 return
-            await asyncio.sleep(min(got.retry_after, 1.0) or self.random.uniform(0.0, 0.1))
+            answered += got.status != 0
+            drawn = self.random.uniform(0.0, 0.1) if got.status else UNANSWERED_PAUSE_SECONDS
+            await asyncio.sleep(min(got.retry_after, 1.0) or drawn)
 
     def _has_to_go_on(self, stream: Stream) -> bool:
         """Whether its version has servers, and enough gateways have run since it began."""
