Rejection limits that servers announce are written to the store, and kept at a start

Callers: after a restart of all gateways servers that crash when they must reject too much got requests without leases until the first answer of each, though the limits are meant to be known from the gateways' entries (found while looking for what else must outlast all gateways).

Cause: Registration._is_up_to_date returned True where the limits of the stored and the desired entry differ, the wrong way round, so that no limit was ever written, and while they differed neither was a containment. With the comparison put right alone, a gateway that starts and doesn't read the store yet would write its entry without them: the desired entry is now formed with the stored one at hand.

Test: test_limits_that_servers_announce_outlast_a_restart_of_all_gateways, failed before; two kills of all, limits known before any answer, and still in the store.

--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -128,7 +128,7 @@
             self._gateways_kind,
             settings.name,
             self._directory,
-            lambda: self._current_entry(base_entry),
+            lambda stored: self._current_entry(base_entry, stored),
             lambda found: self._on_entry(found, True),
             self._gateways_position,
             self._context.random,
@@ -158,8 +158,8 @@
         self._directory.expire_missing(now)
         self.relays.sweep(now)
 
-    def _current_entry(self, base_entry: GatewayEntry) -> GatewayEntry:
-        """The entry that this gateway's registration must have now."""
+    def _current_entry(self, base_entry: GatewayEntry, stored: GatewayEntry | None) -> GatewayEntry:
+        """The entry that this gateway's registration must have now, given the stored one."""
         context = self._context
         reports = context.crash_evidence.locally_persisted(context.now())
         confirmed_era = UNKNOWN_ERA
@@ -170,13 +170,19 @@
             contained=[ContainedRequest.from_report(report) for report in reports],
             confirmed_era=confirmed_era,
             lost_configuration=context.lost_configuration.version if context.reads_store else 0,
-            rejection_limits=self._rejection_limits(),
+            rejection_limits=self._rejection_limits(stored),
         )
 
-    def _rejection_limits(self) -> dict[str, float]:
-        """Rejection limits by service; the readers write them for all gateways."""
-        context = self._context
-        return context.permits.slots.announced_limits() if context.reads_store else {}
+    def _rejection_limits(self, stored: GatewayEntry | None) -> dict[str, float]:
+        """Rejection limits by service; the readers write them for all gateways.
+
+        One that has just started doesn't read the store yet, and keeps what it wrote before.
+        """
+        limits = self._context.permits.slots.announced_limits()
+        if self._context.reads_store:
+            return limits
+        kept = stored.rejection_limits if stored is not None else {}
+        return {service: limits[service] for service in limits if service in kept}
 
     def _on_entry(self, entry: GatewayEntry, is_own: bool) -> None:
         """Apply the entry of a gateway; it persists even when all gateways have stopped since."""
--- a/src/milletcourse/gateway/store/registration.py
+++ b/src/milletcourse/gateway/store/registration.py
@@ -52,7 +52,7 @@
         kind: str,
         name: str,
         directory: GatewayDirectory,
-        desired: Callable[[], GatewayEntry],
+        desired: Callable[[GatewayEntry | None], GatewayEntry],
         on_entry_found: Callable[[GatewayEntry], None],
         listed_position: Callable[[], StorePosition | None],
         random_source: random.Random,
@@ -65,7 +65,7 @@
             kind: Kind of the list of gateways.
             name: This gateway's name.
             directory: The known list of gateways.
-            desired: Returns the entry as it should be.
+            desired: Returns the entry as it should be, given the stored one.
             on_entry_found: Called with an entry of an earlier process that the list didn't show.
             listed_position: Returns the store position of the list, None before the first list.
             random_source: Spreads the checks.
@@ -98,7 +98,7 @@
         while True:
             self._compare_with_list()
             for _ in range(MAX_CONSECUTIVE_WRITES):
-                desired = self._desired()
+                desired = self._desired(self._stored)
                 if self._is_up_to_date(desired) or not await self._write(desired):
                     break
             await self._wait()
@@ -129,7 +129,7 @@
     def on_change(self) -> None:
         """Write a changed entry without delay, since all gateways may stop at any moment."""
         is_store_available = self._interval_seconds == CHECK_INTERVAL_SECONDS
-        if is_store_available and not self._is_up_to_date(self._desired()):
+        if is_store_available and not self._is_up_to_date(self._desired(self._stored)):
             self._changed.set()
 
     def _is_up_to_date(self, desired: GatewayEntry) -> bool:
@@ -141,7 +141,7 @@
         if stored.lost_configuration < desired.lost_configuration:
             return False
         if stored.rejection_limits != desired.rejection_limits:
-            return True
+            return False
         return _content_identities(stored.contained) == _content_identities(desired.contained)
 
     async def _write(self, desired: GatewayEntry) -> bool:
--- a/tests/gateway/servers/test_brittle_servers.py
+++ b/tests/gateway/servers/test_brittle_servers.py
@@ -161,3 +161,36 @@
         assert shown["owner"] in {node.context.settings.name for node in fleet.nodes}
 
     run_with_gateway(scenario)
+
+
+def test_limits_that_servers_announce_outlast_a_restart_of_all_gateways() -> None:
+    """A changed limit counted as no change of a gateway's entry, so that none was ever written."""
+
+    async def scenario(harness: Harness) -> None:
+        harness.internal_ports = harness.free_ports()
+        standin = await harness.add_server("app-1", "app", BrittleServer(announces=True).behave)
+        fleet = GatewayFleet(harness)
+        await fleet.start_gateways(2)
+        for node in fleet.nodes:
+            client = await Client.connect(node.frontend_address)
+            await fleet.ask(client, node, "/unsafe/")
+            client.close()
+
+        def stored_limits() -> list[dict[str, float]]:
+            entries = harness.store.gateway_entries().values()
+            return [entry["Spec"]["rejection_limits"] for entry in entries]
+
+        limits = {"app": float(BORNE_REJECTIONS)}
+        await harness.until(lambda: limits in stored_limits())
+        await standin.stop()
+        for kill in range(2):
+            for node in fleet.nodes:
+                node.close()
+            fleet.nodes = [await harness.add_gateway(f"front-{number}") for number in (1, 2)]
+            for node in fleet.nodes:
+                await harness.until(lambda node=node: fleet.knows_all(node, 2))
+                assert node.context.permits.slots.are_needed("app"), f"kill {kill}"
+            await asyncio.sleep(0.3)
+            assert limits in stored_limits()
+
+    run_with_gateway(scenario)
--- a/tests/gateway/store/test_registration.py
+++ b/tests/gateway/store/test_registration.py
@@ -89,7 +89,7 @@
             "gateways",
             "front-1",
             directory,
-            lambda: wanted[0],
+            lambda stored: wanted[0],
             lambda _: None,
             lambda: listed[0],
             random.Random(1),
