The version record settles when a restarted gateway and one that knows all versions both write it

A gateway that started after a restore of the store marked versions as unknown; one that had run all along removed the mark, and both wrote in turns, about once a second, for 60 s. The removal now counts as what it is: all versions are recorded, and the mark isn't set again. A record that another writer removed or overwrote came back without the versions that have no servers any more; all that are known are added again.

Tests: two in test_version_record.py, both failed before.

--- a/src/milletcourse/exchange/resumption/software_versions.py
+++ b/src/milletcourse/exchange/resumption/software_versions.py
@@ -77,6 +77,10 @@
         """Versions that nobody has recorded may have begun streams until now."""
         self._unknown_at = now
 
+    def on_all_recorded(self) -> None:
+        """A gateway that knows all versions has recorded them."""
+        self._unknown_at = float("-inf")
+
     def sole(self, service: str, now: float) -> str | None:
         """The only version that may have begun streams of a service.
 
--- a/src/milletcourse/exchange/resumption/version_record.py
+++ b/src/milletcourse/exchange/resumption/version_record.py
@@ -15,7 +15,7 @@
 from milletcourse.exchange.resumption.software_versions import ServiceVersion, SoftwareVersions
 
 MAX_RECORDED_VERSIONS = 256
-"""With more versions than this, only their number is remembered: streams count as unknown."""
+"""Further versions are recorded as unknown ones."""
 
 
 class StoredVersions(msgspec.Struct, frozen=True):
@@ -69,12 +69,23 @@
         before = self._stored or StoredVersions()
         self._stored = stored
         if stored is None:
+            # Another writer has removed or overwritten it.
+            self._recorded.clear()
             return
         for service, version in sorted(stored.pairs - before.pairs):
             self._versions.on_seen(service, version, now)
         self._recorded |= stored.pairs
-        is_new = stored.has_unknown and not before.has_unknown
-        if is_new and not self._versions.has_seen_horizon(now):
+        self._on_unknown_changed(before.has_unknown, stored.has_unknown, now)
+
+    def _on_unknown_changed(self, before: bool, after: bool, now: float) -> None:
+        """Adopt what the record says of versions that it doesn't name.
+
+        A gateway that has run for long enough knows them all; it has added them to the record
+        before it removes the mark.
+        """
+        if before and not after:
+            self._versions.on_all_recorded()
+        elif after and not before and not self._versions.has_seen_horizon(now):
             self._versions.on_unknown(now)
 
     def on_caught_up(self, has_run_before: bool, now: float) -> bool:
--- a/src/milletcourse/gateway/state/origin_question.py
+++ b/src/milletcourse/gateway/state/origin_question.py
@@ -38,8 +38,9 @@
         Args:
             holder: Its name.
             origin: Where the stream began, None when the holder doesn't know it.
-            sole_versions: By service, the only software version that the holder has seen; services
-                of which it has seen several are missing.
+            sole_versions: By service, the only software version that may have begun streams, as far
+                as the holder knows; services are missing of which it has seen several, or whose
+                earlier versions it doesn't know.
         """
         if holder not in self.asked:
             return
--- a/tests/exchange/resumption/test_version_record.py
+++ b/tests/exchange/resumption/test_version_record.py
@@ -180,6 +180,36 @@
     assert store.stored == StoredVersions({SERVICE: ["v1", "v2"]}, False, 1)
 
 
+def test_a_gateway_that_knows_all_versions_clears_the_mark_of_unknown_ones() -> None:
+    """One that started after the restore sets it, and they don't write it in turns."""
+    store = Store(listed={"v1"})
+    gateways = _started(store, 0.0, has_run_before=False)
+    _settled(store, gateways, 0.0)
+    snapshot = store.stored
+    store.listed = {"v1", "v2"}
+    _settled(store, gateways, MIN_HORIZON_SECONDS)
+    store.listed, store.stored, store.era = {"v1"}, snapshot, 1
+    late = Gateway(store, True, MIN_HORIZON_SECONDS + 1.0)
+    assert not late.is_complete
+    _settled(store, [late, *gateways], MIN_HORIZON_SECONDS + 1.0)
+    assert store.stored == StoredVersions({SERVICE: ["v1", "v2"]}, False, 1)
+    assert late.versions.sole(SERVICE, MIN_HORIZON_SECONDS + 2.0) is None
+    assert not late.versions.has_unknown(MIN_HORIZON_SECONDS + 2.0)
+
+
+def test_a_record_that_another_writer_has_destroyed_is_written_again() -> None:
+    """With the versions that have no servers any more."""
+    store = Store(listed={"v1", "v2"})
+    gateways = _started(store, 0.0, has_run_before=False)
+    _settled(store, gateways, 0.0)
+    store.listed = {"v2"}
+    _settled(store, gateways, 1.0)
+    store.stored = None
+    store.revision += 1
+    _settled(store, gateways, 2.0)
+    assert store.stored == StoredVersions({SERVICE: ["v1", "v2"]}, False, 0)
+
+
 def test_a_missing_record_is_complete_only_at_a_first_start() -> None:
     """An earlier release wrote none, or another writer removed it."""
     assert Gateway(Store(listed={"v1"}), False, 0.0).is_complete
