--- a/tests/gateway/requests/test_resumption_after_kills.py
+++ b/tests/gateway/requests/test_resumption_after_kills.py
@@ -112,8 +112,7 @@
     await fleet.add_servers(pausing_at(2), NEW)
     for seconds in (0.0, 0.02, 0.05, 0.1, 0.2):
         fleet.kill_all()
-        for number in range(3):
-            fleet.nodes.append(await fleet.harness.add_gateway(f"front-{number + 1}"))
+        await fleet.launch()
         await asyncio.sleep(seconds)
     await _kill(fleet)
 
@@ -137,8 +136,7 @@
     fleet.kill_all()
     store.unavailable = True
     store.reset_connections()
-    for number in range(3):
-        fleet.nodes.append(await fleet.harness.add_gateway(f"front-{number + 1}"))
+    await fleet.launch()
     await asyncio.sleep(1.5)
     for name in (f"e-{OLD}-0", f"e-{OLD}-1"):
         await fleet.harness.servers.pop(name).stop()
--- a/tests/versions_fleet.py
+++ b/tests/versions_fleet.py
@@ -206,11 +206,15 @@
             node.close()
         self.nodes = []
 
-    async def start_again(self, seconds_apart: float = 0.0) -> None:
-        """Start all gateways, without any memory, and wait until they are ready."""
+    async def launch(self, seconds_apart: float = 0.0) -> None:
+        """Start all gateways, without any memory."""
         for number in range(GATEWAYS):
             self.nodes.append(await self.harness.add_gateway(f"front-{number + 1}"))
             await asyncio.sleep(seconds_apart)
+
+    async def start_again(self, seconds_apart: float = 0.0) -> None:
+        """Start all gateways, without any memory, and wait until they are ready."""
+        await self.launch(seconds_apart)
         await self.until_ready()
 
     async def until_ready(self) -> None:
