--- a/src/milletcourse/exchange/resumption/software_versions.py
+++ b/src/milletcourse/exchange/resumption/software_versions.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
-ServiceVersion = tuple[str, str]
-"""A service and a version of its servers' software."""
-
 MIN_HORIZON_SECONDS = 60.0
 """A version may have begun streams that are resumed as long as this after its last server left."""
 MAX_HORIZON_SECONDS = 600.0
@@ -17,6 +15,13 @@
 gateways learn of it, and those that relay streams of other versions tell where these began."""
 
 
+class ServiceVersion(NamedTuple):
+    """A version of the software of a service's servers."""
+
+    service: str
+    version: str
+
+
 class _Sighting(msgspec.Struct):
     first_at: float
     last_at: float
@@ -100,9 +105,9 @@
         return sorted(item for item in self._sightings if len(self._current(item, now)) > 1)
 
     def seen(self, now: float) -> set[ServiceVersion]:
-        """All versions that may have begun streams, as far as they have been seen."""
+        """Versions of all services that may have begun streams, without unknown ones."""
         return {
-            (service, version)
+            ServiceVersion(service, version)
             for service in list(self._sightings)
             for version in self._current(service, now)
         }
--- a/src/milletcourse/exchange/resumption/version_record.py
+++ b/src/milletcourse/exchange/resumption/version_record.py
@@ -33,10 +33,12 @@
     era: int = UNKNOWN_ERA
 
     @property
-    def pairs(self) -> set[ServiceVersion]:
-        """All services with their versions."""
+    def recorded(self) -> set[ServiceVersion]:
+        """Versions of all services."""
         return {
-            (service, version) for service in self.versions for version in self.versions[service]
+            ServiceVersion(service, version)
+            for service, versions in self.versions.items()
+            for version in versions
         }
 
 
@@ -53,13 +55,13 @@
         self._stored: StoredVersions | None = None
         self._era = UNKNOWN_ERA
         self._is_read = False
-        self._recorded: set[ServiceVersion] = set()
+        self._recorded_in_era: set[ServiceVersion] = set()
         """Versions that have been in the record in the current era."""
 
     def on_era(self, era: int) -> None:
         """The store was found in another era, and may have lost the latest record."""
         self._era = era
-        self._recorded.clear()
+        self._recorded_in_era.clear()
 
     def on_stored(self, stored: StoredVersions | None, now: float) -> None:
         """The record was read from the store or written to it; None when there is none.
@@ -70,11 +72,11 @@
         self._stored = stored
         if stored is None:
             # Another writer has removed or overwritten it.
-            self._recorded.clear()
+            self._recorded_in_era.clear()
             return
-        for service, version in sorted(stored.pairs - before.pairs):
-            self._versions.on_seen(service, version, now)
-        self._recorded |= stored.pairs
+        for appeared in sorted(stored.recorded - before.recorded):
+            self._versions.on_seen(appeared.service, appeared.version, now)
+        self._recorded_in_era |= stored.recorded
         self._on_unknown_changed(before.has_unknown, stored.has_unknown, now)
 
     def _on_unknown_changed(self, before: bool, after: bool, now: float) -> None:
@@ -114,21 +116,22 @@
             return None
         stored = self._stored or StoredVersions(era=self._era)
         seen = self._versions.seen(now)
-        added = {item for item in seen - stored.pairs if self._is_missing(item)}
-        wanted = (stored.pairs & seen) | added
+        added = {version for version in seen - stored.recorded if self._is_missing(version)}
+        wanted = (stored.recorded & seen) | added
         desired = _bounded(wanted, self._versions.has_unknown(now), self._era)
         return desired if desired != stored else None
 
-    def _is_missing(self, item: ServiceVersion) -> bool:
+    def _is_missing(self, seen: ServiceVersion) -> bool:
         """Whether a version that isn't recorded has to be.
 
         One that was recorded in this era has been removed by a gateway at which it expired first.
         """
-        return item not in self._recorded or self._versions.is_listed(*item)
+        is_listed = self._versions.is_listed(seen.service, seen.version)
+        return is_listed or seen not in self._recorded_in_era
 
 
-def _bounded(pairs: set[ServiceVersion], has_unknown: bool, era: int) -> StoredVersions:
+def _bounded(wanted: set[ServiceVersion], has_unknown: bool, era: int) -> StoredVersions:
     versions: dict[str, list[str]] = {}
-    for service, version in sorted(pairs)[:MAX_RECORDED_VERSIONS]:
+    for service, version in sorted(wanted)[:MAX_RECORDED_VERSIONS]:
         versions.setdefault(service, []).append(version)
-    return StoredVersions(versions, has_unknown or len(pairs) > MAX_RECORDED_VERSIONS, era)
+    return StoredVersions(versions, has_unknown or len(wanted) > MAX_RECORDED_VERSIONS, era)
--- a/tests/exchange/resumption/test_version_record.py
+++ b/tests/exchange/resumption/test_version_record.py
@@ -143,7 +143,7 @@
     _settled(store, gateways, 2.0 + MIN_HORIZON_SECONDS)
     store.listed = {"v1", "v2"}
     _settled(store, gateways, 3.0 + MIN_HORIZON_SECONDS)
-    assert store.stored is not None and store.stored.pairs == {(SERVICE, "v1"), (SERVICE, "v2")}
+    assert store.stored is not None and store.stored.recorded == {(SERVICE, "v1"), (SERVICE, "v2")}
 
 
 def test_a_lost_record_makes_earlier_versions_unknown_for_one_horizon() -> None:
@@ -221,7 +221,7 @@
     store = Store(listed={f"v{number}" for number in range(2 * MAX_RECORDED_VERSIONS)})
     _settled(store, _started(store, 0.0, has_run_before=False), 0.0)
     assert store.stored is not None and store.stored.has_unknown
-    assert len(store.stored.pairs) == MAX_RECORDED_VERSIONS
+    assert len(store.stored.recorded) == MAX_RECORDED_VERSIONS
     assert msgspec.json.decode(msgspec.json.encode(store.stored), type=StoredVersions)
 
 
