--- a/src/milletcourse/experiments/store_restore_model.py
+++ b/src/milletcourse/experiments/store_restore_model.py
@@ -18,7 +18,8 @@
 import msgspec
 
 from milletcourse.exchange.messages.store_position import StorePosition
-from milletcourse.gateway.store.kind_mirror import KindMirror, NoOpEventHandler
+from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
+from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.kind_watch import (
     INITIAL_BACK_OFF_SECONDS,
     MAX_BACK_OFF_SECONDS,
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -26,7 +26,8 @@
     TargetEventHandler,
 )
 from milletcourse.gateway.store.gateway_objects import GatewayObjectsEventHandler
-from milletcourse.gateway.store.kind_mirror import KindEventHandler, KindMirror
+from milletcourse.gateway.store.kind_event_handler import KindEventHandler
+from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import ObjectStoreClient
 from milletcourse.gateway.store.registration import Registration
 from milletcourse.gateway.store.store_comparison import StoreState, compare_kinds
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -11,7 +11,7 @@
 from milletcourse.exchange.messages.peer_messages import CrashReport, FeatureKind, ReportedCrash
 from milletcourse.exchange.messages.store_position import UNKNOWN_ERA, StorePosition
 from milletcourse.exchange.replication.reader_selection import GatewayRecord
-from milletcourse.gateway.store.kind_mirror import NoOpEventHandler
+from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
 from milletcourse.gateway.store.object_store import DECODE_ERRORS, ObjectChange, StoredObject
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.runtime.addresses import split_address
--- a/src/milletcourse/gateway/store/gateway_objects.py
+++ b/src/milletcourse/gateway/store/gateway_objects.py
@@ -4,7 +4,7 @@
 
 from milletcourse.exchange.messages.store_position import StorePosition
 from milletcourse.gateway.store.directory import GatewayDirectory
-from milletcourse.gateway.store.kind_mirror import NoOpEventHandler
+from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
 from milletcourse.gateway.store.object_store import ObjectChange, StoredObject
 from milletcourse.gateway.store.version_record_store import RECORD_NAME, VersionRecordStore
 
--- a/tests/gateway/store/test_feed_contents_machine.py
+++ b/tests/gateway/store/test_feed_contents_machine.py
@@ -16,7 +16,8 @@
 from milletcourse.exchange.messages.store_position import StorePosition
 from milletcourse.exchange.replication.pending_contents import PendingContents, PendingUpdate
 from milletcourse.gateway.store import change_log, kind_mirror
-from milletcourse.gateway.store.kind_mirror import KindMirror, NoOpEventHandler
+from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
+from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 
 NAMES = ("main", "other")
--- a/tests/gateway/store/test_store_eras.py
+++ b/tests/gateway/store/test_store_eras.py
@@ -15,7 +15,8 @@
 from milletcourse.gateway.servers.call_client import Call, CallClient, Reply
 from milletcourse.gateway.store.change_log import MAX_GAPS
 from milletcourse.gateway.store.directory import MISSING_ENTRY_RETENTION_SECONDS, GatewayDirectory
-from milletcourse.gateway.store.kind_mirror import KindMirror, NoOpEventHandler
+from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
+from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import (
     ObjectChange,
     ObjectChanges,
--- a/tests/gateway/store/test_store_feed.py
+++ b/tests/gateway/store/test_store_feed.py
@@ -18,7 +18,8 @@
     ReaderSelection,
 )
 from milletcourse.gateway.node import GatewayNode
-from milletcourse.gateway.store.kind_mirror import KindMirror, NoOpEventHandler
+from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
+from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import ObjectChange, ObjectChanges, StoredObject
 from soak.proxy import FaultProxy
 
--- a/tests/soak/resumption.py
+++ b/tests/soak/resumption.py
@@ -239,20 +239,25 @@
             await asyncio.sleep(self.random.uniform(*FAULT_SECONDS))
             gateways = self.world.gateways
             drawn = self.random.random()
-            number = signal.SIGKILL
             if drawn < ALL_KILLED_SHARE:
-                killed = len(gateways)
-                self.counts["all-killed"] += 1
-            elif drawn < ALL_KILLED_SHARE + HALF_KILLED_SHARE:
+                await self.kill_all_gateways()
+                continue
+            drawn -= ALL_KILLED_SHARE
+            number, killed = signal.SIGKILL, 1
+            if drawn < HALF_KILLED_SHARE:
                 killed = len(gateways) // 2
-            else:
-                killed = 1
-                is_stopped = drawn < ALL_KILLED_SHARE + HALF_KILLED_SHARE + STOPPED_SHARE
-                number = signal.SIGTERM if is_stopped else signal.SIGKILL
+            elif drawn < HALF_KILLED_SHARE + STOPPED_SHARE:
+                number = signal.SIGTERM
             for gateway in self.random.sample(gateways, killed):
                 gateway.send(number)
-            if killed == len(gateways) and self.random.random() < REPLACED_SHARE:
-                await self.replace_all_servers()
+
+    async def kill_all_gateways(self) -> None:
+        """Kill all gateways at once; mostly, one version replaces all others meanwhile."""
+        self.counts["all-killed"] += 1
+        for gateway in self.world.gateways:
+            gateway.send(signal.SIGKILL)
+        if self.random.random() < REPLACED_SHARE:
+            await self.replace_all_servers()
 
     # -- clients --------------------------------------------------------------------------------
 
