Test of announced revocations waits until the announcement names the change's effect

Trace (each announcement with whether it names an effect): in each failing run the follower's first answers came while the reader was still receiving the content from the store; such an announcement names no effect, so that nothing tells yet which key was revoked, within RevokeMs. The test took the first announcement for one with its effect. The statuses that it asserts are the same.

--- a/tests/gateway/store/test_announced_changes.py
+++ b/tests/gateway/store/test_announced_changes.py
@@ -173,7 +173,8 @@
         document = _larger(2, {"tenant-1": ["key-1"], "tenant-2": ["key-3"]})
         document["Tenants"][0].update(Priority=1, Isolated=True)  # type: ignore[index]
         harness.store.put("config", "main", document)
-        await harness.until(lambda: context.lag.is_behind)
+        # While the reader is receiving the content itself, its announcement names no effect yet.
+        await harness.until(lambda: context.lag.is_behind and context.lag.knows_effect)
         client = await Client.connect(follower.frontend_address)
         statuses = []
         for number, key in enumerate(("key-1", "key-2", "key-3")):
