Log lines name the connection of an attempt, and data that doesn't answer the pending request

What was missing: a line of an attempt didn't say which connection carried it, and an answer that was ignored, or taken though it named no request, left no line. So two sends on one connection (hypothesis A), a refusal without an id (B) and a hand-over (C) looked alike. Change, no logic: attempt-failed and request-served carry connection, use and answered; surplus-data is written for each answer that doesn't name the pending request and for data between requests (rate-limited like all events); a counter by taken and ignored.

--- a/src/milletcourse/gateway/servers/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -14,6 +14,7 @@
     ServerConnection,
     connect,
 )
+from milletcourse.gateway.telemetry.connection_records import SurplusData
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.responsive_clock import ResponsiveClock
 
@@ -33,6 +34,7 @@
         self,
         dialect: HeaderDialect,
         on_opened: Callable[[str], None],
+        on_surplus: Callable[[SurplusData], None],
         clock: ResponsiveClock,
         max_idle: int,
         max_open_to: Callable[[str], int],
@@ -42,6 +44,7 @@
         Args:
             dialect: Parses the heads of answers.
             on_opened: Called with the address of each new connection.
+            on_surplus: Called with data that doesn't name the pending request.
             clock: Responsive time of the event loop, used for timeouts of callees.
             max_idle: Maximum number of idle connections.
             max_open_to: Number of open connections to an address above which a connection is
@@ -54,6 +57,7 @@
         self._open_counts: Counter[str] = Counter()
         self._dialect = dialect
         self._on_opened = on_opened
+        self._on_surplus = on_surplus
         self._idle: dict[str, deque[ServerConnection]] = {}
 
     async def acquire(self, address: str, timeout_seconds: float) -> ServerConnection | None:
@@ -112,6 +116,7 @@
 
     def _note_opened(self, connection: ServerConnection) -> None:
         self._on_opened(connection.address)
+        connection.on_surplus = self._on_surplus
         if connection.is_open:
             self._open_counts[connection.address] += 1
             connection.on_closed = self._on_closed
--- a/src/milletcourse/gateway/servers/relay_client.py
+++ b/src/milletcourse/gateway/servers/relay_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 
 import msgspec
@@ -17,6 +18,7 @@
 )
 from milletcourse.exchange.servers.relay_selector import RelayPeer, RelaySelector
 from milletcourse.gateway.servers.server_connection import ServerConnection
+from milletcourse.gateway.telemetry.connection_records import SurplusData
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
 from milletcourse.runtime.addresses import split_address
 from milletcourse.runtime.clock import elapsed_seconds
@@ -85,6 +87,7 @@
         dialect: HeaderDialect,
         clock: ResponsiveClock,
         metrics: MetricsSink,
+        on_surplus: Callable[[SurplusData], None],
     ) -> None:
         """Start without any connection.
 
@@ -94,12 +97,14 @@
             dialect: Parses the heads of answers.
             clock: Measures timeouts.
             metrics: Counts the replies.
+            on_surplus: Called with data that doesn't name the request of a connection.
         """
         self._own_name = own_name
         self._selector = selector
         self._dialect = dialect
         self._clock = clock
         self._metrics = metrics
+        self._on_surplus = on_surplus
 
     @property
     def has_peers(self) -> bool:
@@ -180,6 +185,7 @@
     ) -> ServerConnection:
         """Turn an accepted request into a connection to the server, used for one exchange."""
         connection = ServerConnection(address, self._dialect, is_relayed=True)
+        connection.on_surplus = self._on_surplus
         transport.set_protocol(connection)
         connection.connection_made(transport)
         self._selector.on_opened(peer)
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -20,6 +21,7 @@
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.gateway.servers.answer_head_collector import AnswerHeadCollector
 from milletcourse.gateway.servers.descriptors import LOCAL_RESOURCE_ERRNOS, LocalResourceError
+from milletcourse.gateway.telemetry.connection_records import ConnectionUse, SurplusData
 from milletcourse.runtime.addresses import split_address
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.responsive_clock import ResponsiveClock
@@ -34,6 +36,7 @@
 """Data is parsed in pieces, between which the bounds of the answer are checked."""
 DEFAULT_KEEP_ALIVE_SECONDS = 2.0
 """Keep-alive time assumed when a server does not send one."""
+_numbers = itertools.count(1)
 
 
 class AnswerEvent(msgspec.Struct):
@@ -59,6 +62,12 @@
         super().__init__()
         self.address = address
         self.is_relayed = is_relayed
+        self.number = next(_numbers)
+        """Identifies the connection in the log lines of this process."""
+        self.on_surplus: Callable[[SurplusData], None] | None = None
+        """Called with data that isn't the answer to the pending request."""
+        self._requests = 0
+        self._sent_at = self._answered_at = float("-inf")
         self.usable_until = 0.0
         self.heard_at = elapsed_seconds()
         """Monotonic time at which the latest answer ended, or the connection was opened."""
@@ -96,6 +105,8 @@
         self._expected_id = request_id
         self._bodyless = bodyless
         self._busy = True
+        self._requests += 1
+        self._sent_at = elapsed_seconds()
         if not self.is_open:
             self._events.append(AnswerEvent(lost=LossCause.CLOSED))
             return
@@ -133,6 +144,10 @@
             self._transport.abort()
         self._emit(AnswerEvent(lost=LossCause.ABORTED))
 
+    def last_use(self) -> ConnectionUse:
+        """The latest request on this connection, for log lines."""
+        return ConnectionUse(self.number, self._requests, self._answered_at - self._sent_at)
+
     @property
     def framing(self) -> Framing:
         """What marks the end of the body of the answer that is being received."""
@@ -162,6 +177,7 @@
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
         if not self._busy:
+            self._report_surplus(None, False)
             self._taint()
             return
         view = memoryview(data)
@@ -216,12 +232,15 @@
             return
         head = self._dialect.read_answer(status, self.reason, self.fields)
         self._skipping = not self._is_expected(head)
+        if self._skipping or (self._expected_id and not head.request_id):
+            self._report_surplus(head, not self._skipping)
         if self._skipping:
             self._tainted = True
             if head.framing is Framing.CONNECTION:
                 self._on_malformed()
             return
         self._head = head
+        self._answered_at = elapsed_seconds()
         self._emit(AnswerEvent(head=head))
         if self._bodyless:
             self._tainted = True
@@ -247,6 +266,24 @@
         # A refusal without a request id can only belong to the pending request.
         return not head.request_id and (head.not_executed or head.status == 421)
 
+    def _report_surplus(self, head: AnswerHead | None, is_taken: bool) -> None:
+        if self.on_surplus is None:
+            return
+        now = elapsed_seconds()
+        self.on_surplus(
+            SurplusData(
+                address=self.address,
+                connection=self.number,
+                requests=self._requests,
+                pending_id=self._expected_id if self._busy else "",
+                request_id=head.request_id if head is not None else "",
+                status=head.status if head is not None else 0,
+                not_executed=head is not None and head.not_executed,
+                seconds_after_send=now - self._sent_at,
+                is_taken=is_taken,
+            )
+        )
+
     def _reset_answer(self) -> None:
         self._head = None
         self.reset_head()
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -186,6 +186,7 @@
         self.pool = ConnectionPool(
             dialect,
             self._on_opened,
+            self.record.paths.surplus_data,
             self.responsive_clock,
             self.descriptors.idle_servers,
             self._connection_quota,
@@ -193,7 +194,12 @@
         self.paths = ServerPaths()
         self.relays = RelaySelector(settings.zone, random_source)
         relay_client = RelayClient(
-            settings.name, self.relays, dialect, self.responsive_clock, metrics
+            settings.name,
+            self.relays,
+            dialect,
+            self.responsive_clock,
+            metrics,
+            self.record.paths.surplus_data,
         )
         path_monitor = PathMonitor(
             self.pool, self.paths, self.record.paths, self.instances.services_by_address
--- a/src/milletcourse/gateway/telemetry/metrics.py
+++ b/src/milletcourse/gateway/telemetry/metrics.py
@@ -57,6 +57,7 @@
         self._streams: Counter[tuple[str, str]] = Counter()
         self._streams_resumed: Counter[str] = Counter()
         self._origin_holder_timeouts = 0
+        self._surplus_data: Counter[str] = Counter()
         self._answers_by_bucket = [0] * (len(ANSWER_BUCKETS_SECONDS) + 1)
         self._answer_seconds = 0.0
         self.configuration = GaugeValue("configuration_version", "Version in force")
@@ -165,6 +166,10 @@
         """See `MetricsSink`."""
         self._relay_replies[reply] += 1
 
+    def on_surplus_data(self, is_taken: bool) -> None:
+        """See `MetricsSink`."""
+        self._surplus_data["taken" if is_taken else "ignored"] += 1
+
     def on_store_failure(self) -> None:
         """See `MetricsSink`."""
         self._store_failures += 1
@@ -224,6 +229,12 @@
                 "reply",
                 self._relay_replies,
             ),
+            (
+                "surplus_data",
+                "Answers and other data of servers that don't name the pending request",
+                "outcome",
+                self._surplus_data,
+            ),
             (
                 "streams_resumed",
                 "Streams that clients resume, by whether the version that began them is known",
--- a/src/milletcourse/gateway/telemetry/metrics_sink.py
+++ b/src/milletcourse/gateway/telemetry/metrics_sink.py
@@ -63,6 +63,9 @@
     def on_relay_reply(self, reply: str) -> None:
         """A request of another gateway for a connection to a server was replied to."""
 
+    def on_surplus_data(self, is_taken: bool) -> None:
+        """A server sent data that doesn't name the pending request."""
+
     def on_store_failure(self) -> None:
         """A call to the object store failed."""
 
--- a/src/milletcourse/gateway/telemetry/path_recorder.py
+++ b/src/milletcourse/gateway/telemetry/path_recorder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from milletcourse.gateway.telemetry.connection_records import SurplusData
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
 
@@ -25,6 +26,22 @@
         """This gateway hears none of the known servers any more, or hears them again."""
         self._log.emit("servers-unreachable" if is_isolated else "servers-reached", servers=servers)
 
+    def surplus_data(self, data: SurplusData) -> None:
+        """A server sent data that doesn't name the pending request, or none was pending."""
+        self._metrics.on_surplus_data(data.is_taken)
+        self._log.emit(
+            "surplus-data",
+            address=data.address,
+            connection=data.connection,
+            requests=data.requests,
+            pending=data.pending_id,
+            answers=data.request_id,
+            status=data.status,
+            not_executed=data.not_executed,
+            after_send=round(data.seconds_after_send, 4),
+            taken=data.is_taken,
+        )
+
     def relayed(
         self, request_id: str, sender: str, instance: str, sent: int, received: int, seconds: float
     ) -> None:
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -18,6 +18,7 @@
 from milletcourse.exchange.messages.peer_messages import FeatureKind
 from milletcourse.exchange.messages.records import RouteRecord
 from milletcourse.exchange.rollout.weight_rollout import OrderReply, WeightOrder
+from milletcourse.gateway.telemetry.connection_records import ConnectionUse
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
 from milletcourse.gateway.telemetry.path_recorder import PathRecorder
@@ -149,6 +150,7 @@
             connect=round(failed.connect_seconds, 3),
             **_through_field(failed.through),
             answers_others=failed.answers_others,
+            **_connection_fields(failed.use),
             **self._request_fields(request),
         )
 
@@ -189,6 +191,7 @@
             gap=round(gap, 3),
             **_answer_end_fields(answered.answer_end),
             **_salt_field(answered.cache_salt),
+            **_connection_fields(answered.use),
             **_through_field(answered.through),
             **_excluded_servers_field(excluded_servers),
             **self._request_fields(request),
@@ -377,6 +380,14 @@
     return {name: identity_text(containment.identity)}
 
 
+def _connection_fields(use: ConnectionUse | None) -> dict[str, Any]:
+    """Log fields of the connection that carried a request; empty if it was not sent."""
+    if use is None:
+        return {}
+    answered = {"answered": round(use.answer_seconds, 4)} if use.answer_seconds >= 0.0 else {}
+    return {"connection": use.connection, "use": use.request, **answered}
+
+
 def _through_field(gateway: str) -> dict[str, Any]:
     """Log field that names the gateway that relayed a connection; usually empty."""
     return {"through": gateway} if gateway else {}
--- a/src/milletcourse/gateway/telemetry/request_records.py
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -7,6 +7,7 @@
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
 from milletcourse.exchange.messages.answer_end import AnswerEnd
 from milletcourse.exchange.messages.messages import AttemptResult
+from milletcourse.gateway.telemetry.connection_records import ConnectionUse
 
 
 class AnsweredAttempt(msgspec.Struct, frozen=True):
@@ -18,6 +19,7 @@
         through: Name of the gateway that relayed the connection; empty for a direct one.
         answer_end: How the answer ended, None when it is unknown.
         cache_salt: Salt under which the server read and kept prompt state; empty for none.
+        use: The request on its connection.
     """
 
     instance: str
@@ -25,6 +27,7 @@
     through: str
     answer_end: AnswerEnd | None
     cache_salt: str
+    use: ConnectionUse | None
 
 
 class FailedAttempt(msgspec.Struct, frozen=True):
@@ -43,6 +46,7 @@
         connect_seconds: Time spent on a connection to the server before the request was sent.
         through: Name of the gateway that relayed the connection; empty for a direct one.
         answers_others: The server has recently answered requests of this or other gateways.
+        use: The request on its connection, None when it was not sent.
     """
 
     instance: str
@@ -56,6 +60,7 @@
     connect_seconds: float
     through: str
     answers_others: bool
+    use: ConnectionUse | None
 
 
 class OverloadState(msgspec.Struct, frozen=True):
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -14,7 +14,7 @@
 from gateway_standin import Behaviour, Client, StandinServer, StandinStore, configuration
 from milletcourse.exchange.mechanisms import ALL_MECHANISMS
 from milletcourse.gateway.node import GatewayNode
-from milletcourse.gateway.telemetry.event_log import EventLog
+from milletcourse.gateway.telemetry.event_log import EventLog, NonBlockingWriter
 from milletcourse.gateway.telemetry.metrics import GatewayMetrics
 from milletcourse.platform.start import new_adapter
 from milletcourse.runtime.responsive_clock import ResponsiveClock
@@ -38,6 +38,22 @@
     }
 
 
+class LogLines(NonBlockingWriter):
+    """Keeps log lines in memory."""
+
+    def __init__(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+        self.dropped = 0
+
+    def msg(self, line: str) -> None:
+        """Keep one line."""
+        self.lines.append(json.loads(line))
+
+    def of_event(self, event: str) -> list[dict[str, Any]]:
+        """Lines of one event."""
+        return [line for line in self.lines if line["event"] == event]
+
+
 class Harness:
     """Store, servers and one gateway."""
 
@@ -50,6 +66,8 @@
         self.configuration = configuration()
         self.mechanisms = ALL_MECHANISMS
         self.others: list[GatewayNode] = []
+        self.log_lines: LogLines | None = None
+        """Collects the log lines of all gateways; set before they start."""
         self.clock = ResponsiveClock()
         """Leaves out stalls of this process, in which no gateway can act; ticks in `until`."""
 
@@ -114,7 +132,7 @@
         document["Limits"] = {"LinkMbps": link_megabits}
         document["InternalPorts"] = self.internal_ports
         settings = self.adapter.read_settings(json.dumps(document).encode())
-        log = EventLog(name, None)
+        log = EventLog(name, self.log_lines)
         node = GatewayNode(settings, self.adapter, random.Random(1), log, metrics, self.mechanisms)
         await node.start()
         return node
