--- /dev/null
+++ b/tests/gateway/requests/test_late_answers.py
@@ -0,0 +1,102 @@
+"""Late answers of earlier exchanges never decide over a request that a server is executing."""
+
+from __future__ import annotations
+
+import pytest
+
+from gateway_harness import Harness, run_with_gateway
+from gateway_standin import Behaviour
+from signalling_fleet import SHORT_PROMPT
+from surplus_servers import SurplusServers, unidentified_refusal
+
+REQUESTS = 12
+
+
+MODEL = "model-1"
+
+
+class _Outcome:
+    """What clients were told, and what servers executed."""
+
+    def __init__(self, servers: SurplusServers) -> None:
+        self.statuses: dict[str, int] = {}
+        self._servers = servers
+
+    def executed_twice(self) -> list[str]:
+        """Requests that servers executed more than once."""
+        return [name for name, count in self._servers.runs.items() if count > 1]
+
+    def refused_though_executed(self) -> list[str]:
+        """Requests whose client was told that they were not executed."""
+        return [name for name in self._servers.runs if self.statuses[name] in (421, 429, 503)]
+
+
+async def _ask_all(
+    harness: Harness, servers: SurplusServers, path: str, new_versions: bool = False
+) -> _Outcome:
+    """Ask one request after the other, each of them after a new weight version if asked for."""
+    outcome = _Outcome(servers)
+    for number in range(REQUESTS):
+        if new_versions:
+            await _name_next_version(harness, servers)
+        client = await harness.client()
+        name = f"id-{number}"
+        prompt = SHORT_PROMPT if path == "/single/" else {}
+        result = await client.ask(path, name, **prompt)
+        outcome.statuses[name] = result.status
+        client.close()
+    return outcome
+
+
+async def _name_next_version(harness: Harness, servers: SurplusServers) -> None:
+    """All servers have a newer version, which the gateway knows by name only."""
+    servers.weight_version += 1
+    harness.store.put("versions", MODEL, {"Model": MODEL, "Version": servers.weight_version})
+    assert harness.node is not None
+    gate = harness.node.context.gate
+    await harness.until(lambda: gate.newest(MODEL) == servers.weight_version)
+
+
+async def _start(harness: Harness, behaviour: Behaviour, path: str, count: int) -> None:
+    service = "engine" if path == "/single/" else "app"
+    version = 1 if path == "/single/" else None
+    for number in range(count):
+        await harness.add_server(f"s-{number}", service, behaviour, version)
+    harness.store.put("versions", MODEL, {"Model": MODEL, "Version": 1})
+    await harness.start()
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_repeated_refusal_does_not_answer_the_second_send(count: int) -> None:
+    """Guards against a second run, and against a refusal of a request that runs."""
+
+    async def scenario(harness: Harness) -> None:
+        servers = SurplusServers()
+        await _start(harness, servers.refuse_versions_twice, "/single/", count)
+        outcome = await _ask_all(harness, servers, "/single/", new_versions=True)
+        assert not outcome.executed_twice()
+        assert not outcome.refused_though_executed()
+        assert set(outcome.statuses.values()) == {200}
+        assert servers.surplus >= REQUESTS / 2
+
+    run_with_gateway(scenario)
+
+
+@pytest.mark.parametrize("path", ["/unsafe/", "/single/"])
+@pytest.mark.parametrize("status", [421, 429, 503])
+def test_a_late_refusal_without_an_id_does_not_answer_the_next_request(
+    status: int, path: str
+) -> None:
+    """Guards against a second run, and against a refusal of a request that runs."""
+
+    async def scenario(harness: Harness) -> None:
+        servers = SurplusServers()
+        behaviour = servers.answer_after(lambda server, _: unidentified_refusal(status, server))
+        await _start(harness, behaviour, path, count=2)
+        outcome = await _ask_all(harness, servers, path)
+        assert servers.surplus
+        assert not outcome.executed_twice()
+        assert not outcome.refused_though_executed()
+        assert set(outcome.statuses.values()) == {200}
+
+    run_with_gateway(scenario)
