A connection never carries one request twice

What callers saw: a stream that must not be resumed was executed at two servers, or refused with 503 though it ran. Cause: after a 421 for its weight version a request goes to the same server again, under the same id, and took the connection that had just been returned to the pool. A copy of the first 421 that comes late was taken for the answer to the second send. Evidence: attempt-failed, connection 5, use 1, then connection 5, use 2, answered after 0.3 ms, while the server ran it. Ruled out: the server's own second thought (it had begun to run before the copy left it); a hand-over (no such step). Change: a connection remembers the ids that it has carried (up to 256, then it is closed) and isn't taken for one of them. Why it works: on one connection an id names one send; answers can't change connections. Closing after refusals costs connections when servers are full, and doesn't cover a client that uses an id twice; waiting can't prove that nothing more will come.

--- a/src/milletcourse/gateway/servers/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -77,22 +77,26 @@
             return None
 
     def take_idle(
-        self, address: str, heard_since: float = float("-inf")
+        self, address: str, request_id: str = "", heard_since: float = float("-inf")
     ) -> ServerConnection | None:
         """An idle connection to the address, None when there is none.
 
         Args:
             address: `host:port` of the server.
+            request_id: Id of the request that it will carry; connections that have carried a
+                request of this id are left. Empty for calls without one.
             heard_since: Connections on which nothing has arrived since this monotonic time are
                 closed.
         """
         now = elapsed_seconds()
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable(now) and connection.heard_at >= heard_since:
+        idle = self._idle.get(address, deque())
+        for connection in reversed(tuple(idle)):
+            if not connection.is_reusable(now) or connection.heard_at < heard_since:
+                idle.remove(connection)
+                connection.abort()
+            elif connection.may_carry(request_id):
+                idle.remove(connection)
                 return connection
-            connection.abort()
         return None
 
     async def open(self, address: str, timeout_seconds: float) -> ServerConnection:
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -17,6 +17,7 @@
 
 from milletcourse.exchange.messages.answer_bounds import AnswerBounds
 from milletcourse.exchange.messages.answer_end import Framing, LossCause, loss_at_close
+from milletcourse.exchange.messages.connection_requests import ConnectionRequests
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.gateway.servers.answer_head_collector import AnswerHeadCollector
@@ -66,7 +67,7 @@
         """Identifies the connection in the log lines of this process."""
         self.on_surplus: Callable[[SurplusData], None] | None = None
         """Called with data that isn't the answer to the pending request."""
-        self._requests = 0
+        self._requests = ConnectionRequests()
         self._sent_at = self._answered_at = float("-inf")
         self.usable_until = 0.0
         self.heard_at = elapsed_seconds()
@@ -79,7 +80,6 @@
         self._parser = httptools.HttpResponseParser(self)
         self._events: deque[AnswerEvent] = deque()
         self._waiter: asyncio.Future[None] | None = None
-        self._expected_id = ""
         self._bodyless = False
         self._busy = False
         self._tainted = is_relayed
@@ -102,10 +102,9 @@
         assert self._transport is not None
         self._events.clear()
         self._bounds = AnswerBounds()
-        self._expected_id = request_id
         self._bodyless = bodyless
         self._busy = True
-        self._requests += 1
+        self._requests.on_send(request_id)
         self._sent_at = elapsed_seconds()
         if not self.is_open:
             self._events.append(AnswerEvent(lost=LossCause.CLOSED))
@@ -146,7 +145,7 @@
 
     def last_use(self) -> ConnectionUse:
         """The latest request on this connection, for log lines."""
-        return ConnectionUse(self.number, self._requests, self._answered_at - self._sent_at)
+        return ConnectionUse(self.number, self._requests.count, self._answered_at - self._sent_at)
 
     @property
     def framing(self) -> Framing:
@@ -164,7 +163,12 @@
 
     def is_reusable(self, now: float) -> bool:
         """Whether another request may be sent on it."""
-        return self.is_open and not self._tainted and not self._busy and now < self.usable_until
+        is_idle = self.is_open and not self._tainted and not self._busy
+        return is_idle and not self._requests.is_full and now < self.usable_until
+
+    def may_carry(self, request_id: str) -> bool:
+        """Whether it has not carried a request of this id; empty for calls without one."""
+        return self._requests.may_carry(request_id)
 
     # -- asyncio.Protocol -----------------------------------------------------------------------
 
@@ -231,8 +235,8 @@
             self._skipping = True
             return
         head = self._dialect.read_answer(status, self.reason, self.fields)
-        self._skipping = not self._is_expected(head)
-        if self._skipping or (self._expected_id and not head.request_id):
+        self._skipping = not self._requests.is_answered_by(head)
+        if self._skipping or (self._requests.latest_id and not head.request_id):
             self._report_surplus(head, not self._skipping)
         if self._skipping:
             self._tainted = True
@@ -260,12 +264,6 @@
 
     # -- internals ------------------------------------------------------------------------------
 
-    def _is_expected(self, head: AnswerHead) -> bool:
-        if not self._expected_id or head.request_id == self._expected_id:
-            return True
-        # A refusal without a request id can only belong to the pending request.
-        return not head.request_id and (head.not_executed or head.status == 421)
-
     def _report_surplus(self, head: AnswerHead | None, is_taken: bool) -> None:
         if self.on_surplus is None:
             return
@@ -274,8 +272,8 @@
             SurplusData(
                 address=self.address,
                 connection=self.number,
-                requests=self._requests,
-                pending_id=self._expected_id if self._busy else "",
+                requests=self._requests.count,
+                pending_id=self._requests.latest_id if self._busy else "",
                 request_id=head.request_id if head is not None else "",
                 status=head.status if head is not None else 0,
                 not_executed=head is not None and head.not_executed,
--- a/src/milletcourse/gateway/servers/server_links.py
+++ b/src/milletcourse/gateway/servers/server_links.py
@@ -114,7 +114,7 @@
         Raises:
             LocalResourceError: This process lacks a descriptor or another local resource for it.
         """
-        idle = self._pool.take_idle(address, self._paths.silent_at)
+        idle = self._pool.take_idle(address, request_id, self._paths.silent_at)
         if idle is not None:
             return ServerLink(idle)
         target = LinkTarget(address, zone, request_id, elapsed_seconds())
