A refusal without a request id answers only the one request that a connection has carried

What callers saw: a write or a stream ran at two servers, or was refused with 503 though it ran. Cause: a refusal (421, or with the marker that a request was not executed) without a request id was taken for the answer to the pending request. On a connection that has carried others it may be a late one of any of them. Evidence: surplus-data, pending id-1, answers nobody, 503, taken, connection 11, requests 2; served at another server, ran twice. Ruled out: the same request twice on a connection (mended before; this happens between different requests). Change: such a refusal counts if the pending request is the only one that the connection has carried, since then it can be about nothing else; otherwise it is ignored like any other answer that doesn't name the request, and the connection isn't used again. Ways: never taken (a server that is full and leaves the id out would cost a second of silence on a new connection too); the attempt ends as lost (a late one would cost a sound answer); this one.

--- a/src/milletcourse/exchange/attempts/answer_rules.py
+++ b/src/milletcourse/exchange/attempts/answer_rules.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.messages.messages import AnswerHead, AttemptResult
+from milletcourse.exchange.messages.messages import MISDIRECTED, AnswerHead, AttemptResult
 
-MISDIRECTED = 421
 NEVER_RUN_STATUSES = frozenset({408, 429, 503})
 """Statuses by which a gateway guarantees a client that its request has not run and never will."""
 
--- a/src/milletcourse/exchange/messages/connection_requests.py
+++ b/src/milletcourse/exchange/messages/connection_requests.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from milletcourse.exchange.messages.messages import AnswerHead
+from milletcourse.exchange.messages.messages import MISDIRECTED, AnswerHead
 
 MAX_REQUEST_IDS = 256
 """Bounds the memory of a connection; it is closed when it has carried so many requests."""
@@ -46,8 +46,12 @@
             self._ids.add(request_id)
 
     def is_answered_by(self, head: AnswerHead) -> bool:
-        """Whether an answer belongs to the latest request."""
+        """Whether an answer belongs to the latest request.
+
+        A refusal without a request id belongs to the only request that there is, if there is only
+        one; on any other connection it may be a late answer to an earlier one.
+        """
         if not self.latest_id or head.request_id == self.latest_id:
             return True
-        # A refusal without a request id can only belong to the pending request.
-        return not head.request_id and (head.not_executed or head.status == 421)
+        is_refusal = head.not_executed or head.status == MISDIRECTED
+        return self.count == 1 and is_refusal and not head.request_id
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -18,6 +18,8 @@
 
 BODYLESS_STATUSES = frozenset({204, 304})
 """Statuses of answers that have no body."""
+MISDIRECTED = 421
+"""Status of a server that is not the one a request names, or that has other weights."""
 
 
 class PromptPart(msgspec.Struct, frozen=True):
--- a/src/milletcourse/gateway/servers/signal_monitor.py
+++ b/src/milletcourse/gateway/servers/signal_monitor.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Iterable
 
-from milletcourse.exchange.attempts.answer_rules import MISDIRECTED
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.load.server_signals import ServerSignals
 from milletcourse.exchange.load.signal_record import (
@@ -14,7 +13,7 @@
     LimitChange,
     Signal,
 )
-from milletcourse.exchange.messages.messages import AnswerHead
+from milletcourse.exchange.messages.messages import MISDIRECTED, AnswerHead
 from milletcourse.exchange.messages.peer_messages import SignalReport
 from milletcourse.exchange.servers.instance_table import Instance, InstanceTable
 from milletcourse.gateway.telemetry.recorder import Recorder
