An answer whose head consists of parts of two answers is malformed

Cause: a server breaks off a surplus answer within its head and then answers the pending request. Both parse as one head, with the status and marker of the first and the id of the second one; the last of several fields of a name won. Change: a status line within the reason phrase or a field makes an answer malformed, and so does a field that decides (id, signature, marker, instance, version, length, transfer coding) with two values. Such an attempt is lost: it may have run. Why it works: the second answer's status line is whole, so wherever the first one ended it lies in its reason, in a value, in a name (which the parser refuses) or after its end (which is a surplus answer).

--- a/src/milletcourse/exchange/messages/dialect.py
+++ b/src/milletcourse/exchange/messages/dialect.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from milletcourse.errors import FailureError, MalformedRequest
+from milletcourse.exchange.messages.head_conflicts import has_conflicts
 from milletcourse.exchange.messages.messages import (
     AnswerHead,
     Dispatch,
@@ -106,6 +107,18 @@
         self._request_limit = names.request_limit.lower().encode()
         self._rejection_limit = names.rejection_limit.lower().encode()
         self._leaving = names.leaving.lower().encode()
+        self._single = frozenset(
+            (
+                self._request_id,
+                self._signature,
+                self._not_executed,
+                self._answer_instance,
+                self._answer_version,
+                b"content-length",
+                b"transfer-encoding",
+            )
+        )
+        """Fields that decide what an answer means, and where it ends."""
         set_by_router = (
             names.key,
             names.tenant,
@@ -265,6 +278,7 @@
             rejection_limit=read_limit(_all_values(self._rejection_limit, values, fields)),
             leaving=read_leaving(_all_values(self._leaving, values, fields)),
             back_off=_read_back_off(status, values, fields),
+            is_ambiguous=has_conflicts(reason, fields, self._single),
         )
 
 
--- a/src/milletcourse/gateway/fleet/answer_head_reader.py
+++ b/src/milletcourse/gateway/fleet/answer_head_reader.py
@@ -44,4 +44,6 @@
         if self._is_done or status < 200:
             return
         self._is_done = True
-        self._on_head(self._dialect.read_answer(status, self.reason, self.fields))
+        head = self._dialect.read_answer(status, self.reason, self.fields)
+        if not head.is_ambiguous:
+            self._on_head(head)
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -235,6 +235,11 @@
             self._skipping = True
             return
         head = self._dialect.read_answer(status, self.reason, self.fields)
+        if head.is_ambiguous:
+            self._skipping = True
+            self._report_surplus(head, False)
+            self._on_malformed()
+            return
         self._skipping = not self._requests.is_answered_by(head)
         if self._skipping or (self._requests.latest_id and not head.request_id):
             self._report_surplus(head, not self._skipping)
