The late answer to a request is no reply to a call on the same connection

What operators would see: an order for new weights that a server has taken counts as refused, or a report as unreadable. Cause: calls (orders, reports, probes) carry no request id and share connections with requests; any answer was taken for the reply. Evidence: a late 503 that names r-1 before the 202 to an order was read as the order's reply. Change: an answer that names a request that the connection has carried is none to a call. Why it works: a call has no id, so no answer to it names a request. Remains: a late answer to one call, without an id, on a connection that then carries another call.

--- a/src/milletcourse/exchange/messages/connection_requests.py
+++ b/src/milletcourse/exchange/messages/connection_requests.py
@@ -49,9 +49,12 @@
         """Whether an answer belongs to the latest request.
 
         A refusal without a request id belongs to the only request that there is, if there is only
-        one; on any other connection it may be a late answer to an earlier one.
+        one; on any other connection it may be a late answer to an earlier one. The answer to a call
+        without an id doesn't name a request either.
         """
-        if not self.latest_id or head.request_id == self.latest_id:
+        if not self.latest_id:
+            return head.request_id not in self._ids
+        if head.request_id == self.latest_id:
             return True
         is_refusal = head.not_executed or head.status == MISDIRECTED
         return self.count == 1 and is_refusal and not head.request_id
