--- /dev/null
+++ b/tests/soak/late_answers.py
@@ -0,0 +1,177 @@
+"""Soaks of surplus answers: `python3 tests/soak/late_answers.py [--seeds N:M] [--seconds N]`.
+
+Servers refuse many requests, for their weight version and because they are full. They send refusals
+and whole answers once more, at once and late, some without a request id and some cut off within
+their head. Meanwhile gateways are killed, stopped and suspended, and new weight versions are named.
+Prints one JSON line per seed; the exit code is 1 if a request that may run once ran twice, if one
+that ran was refused, or if a client got an answer that isn't the one to its request.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from gateway_standin import ReceivedRequest
+from soak.clients import ClientProfile, SoakClient
+from soak.gateway_faults import disturb_gateways, end_series, running_world
+from soak.seeds import Report, run_seeds
+from soak.server import SoakServer
+from soak.world import DEFAULT_GATEWAYS, SoakWorld
+
+CLIENTS = 24
+PROFILE = ClientProfile(
+    {"Model": "model-1", "Token_Usage": "40,8", "Prompt_Prefix": "5c1e07a2:20,91bd3f06:20"},
+    deadline_seconds=3.0,
+    pause_seconds=(0.0, 0.03),
+    close_share=0.5,
+    disconnect_share=0.03,
+)
+SURPLUS_SHARE = 0.5
+"""Share of the answers that are followed by surplus data."""
+SHED_SHARE = 0.1
+LATE_SECONDS = (0.0, 0.03)
+VERSION_SECONDS = (0.5, 2.0)
+"""Range of the time between two named weight versions."""
+SETTLE_SECONDS = 3.0
+MIN_SERVED = 100
+"""Fewer served requests say nothing about late answers."""
+MAX_REPEATED_BYTES = 4096
+
+
+class RecordingWriter:
+    """Passes on what a server writes, and keeps it.
+
+    Attributes:
+        data: What was written.
+    """
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self.data = b""
+        self._writer = writer
+
+    def write(self, data: bytes) -> None:
+        """See `asyncio.StreamWriter`."""
+        self.data += data
+        self._writer.write(data)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._writer, name)
+
+
+class SurplusServer(SoakServer):
+    """Sends surplus data after its answers, but never within an answer that has begun."""
+
+    def __init__(self, *given: Any, on_surplus: Callable[[], None]) -> None:
+        super().__init__(*given)
+        self._on_surplus = on_surplus
+        self._answering: dict[int, RecordingWriter] = {}
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        recording = RecordingWriter(writer)
+        self._answering[id(writer)] = recording
+        try:
+            await super()._handle(request, recording)  # type: ignore[arg-type]
+        finally:
+            self._answering.pop(id(writer), None)
+        is_short = 0 < len(recording.data) <= MAX_REPEATED_BYTES
+        if is_short and request.request_id and self._happens(SURPLUS_SHARE):
+            late = asyncio.create_task(self._send_surplus(self._surplus(recording.data), writer))
+            self._late.add(late)
+            late.add_done_callback(self._late.discard)
+
+    def _surplus(self, data: bytes) -> bytes:
+        """An answer once more, without its id or not, or the beginning of its head."""
+        head, _, body = data.partition(b"\r\n\r\n")
+        is_refusal = data.startswith((b"HTTP/1.1 421", b"HTTP/1.1 503"))
+        drawn = self.random.random()
+        if is_refusal and drawn < 0.3:
+            lines = [line for line in head.split(b"\r\n") if not line.startswith(b"Request-Id")]
+            return b"\r\n".join(lines) + b"\r\n\r\n" + body
+        if drawn < 0.5:
+            return head[: self.random.randint(9, len(head))]
+        return data
+
+    async def _send_surplus(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        if self._happens(0.7):
+            await asyncio.sleep(self.random.uniform(*LATE_SECONDS))
+        current = self._answering.get(id(writer))
+        if writer.is_closing() or (current is not None and current.data):
+            return
+        self._on_surplus()
+        writer.write(data)
+
+
+async def name_versions(world: SoakWorld) -> None:
+    """Name new weight versions until cancelled."""
+    while True:
+        await asyncio.sleep(world.random.uniform(*VERSION_SECONDS))
+        world.publish_version()
+
+
+async def late_answer_soak(seed: int, folder: Path, seconds: float, gateways: int) -> Report:
+    """Run one seed and return its report."""
+    world = SoakWorld(seed, folder, gateways)
+    world.servers_are_healthy = False
+    surplus = 0
+
+    def on_surplus() -> None:
+        nonlocal surplus
+        surplus += 1
+
+    world.new_server = lambda *given: SurplusServer(*given, on_surplus=on_surplus)
+    async with running_world(world) as background:
+        for server in world.servers.values():
+            server.fault_rates.shed = SHED_SHARE
+        clients = [
+            SoakClient(
+                number, world, world.random, lambda: world.random.choice(world.gateways), PROFILE
+            )
+            for number in range(CLIENTS)
+        ]
+        sending = [asyncio.create_task(client.run()) for client in clients]
+        faults = [
+            asyncio.create_task(work) for work in (name_versions(world), disturb_gateways(world))
+        ]
+        await asyncio.sleep(seconds)
+        await end_series(faults)
+        await asyncio.sleep(SETTLE_SECONDS)
+        world.ledger.check_late()
+        world.check_own_tasks([*background, *sending])
+    ledger = world.ledger
+    if ledger.outcomes.get("200", 0) < MIN_SERVED or not surplus:
+        ledger.violate("soak", f"{ledger.outcomes} with {surplus} surplus answers")
+    return {
+        "seed": seed,
+        "requests": len(ledger.sent),
+        "outcomes": dict(sorted(ledger.outcomes.items())),
+        "surplus": surplus,
+        "starts": sum(gateway.starts for gateway in world.gateways),
+        "violations": ledger.violations[:20],
+    }
+
+
+def main() -> int:
+    """Run all seeds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="", help="FIRST:LAST; default: one new seed")
+    parser.add_argument("--seconds", type=float, default=15.0, help="duration of faults per seed")
+    parser.add_argument("--gateways", type=int, default=DEFAULT_GATEWAYS, help="processes")
+    parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
+    arguments = parser.parse_args()
+
+    def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
+        return late_answer_soak(seed, folder, arguments.seconds, arguments.gateways)
+
+    return run_seeds(arguments.seeds, arguments.keep, run_seed)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
