--- a/tests/gateway/requests/test_late_answers.py
+++ b/tests/gateway/requests/test_late_answers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from gateway_harness import Harness, run_with_gateway
-from gateway_standin import Behaviour
+from gateway_standin import Behaviour, ReceivedRequest, StandinServer, answer, signed
 from signalling_fleet import SHORT_PROMPT
 from surplus_servers import SurplusServers, unidentified_refusal
 
@@ -101,3 +103,33 @@
         assert set(outcome.statuses.values()) == {200}
 
     run_with_gateway(scenario)
+
+
+def test_an_id_that_a_client_uses_again_gets_the_answer_to_its_own_request() -> None:
+    """Guards against a late answer to the first request of an id that answers the second one."""
+
+    async def scenario(harness: Harness) -> None:
+        sent: list[bytes] = []
+
+        async def behave(
+            server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            sent.append(answer(200, b"run %d" % (len(sent) + 1), signed(request)))
+            if len(sent) > 1:
+                first_writer.write(sent[0])
+                await asyncio.sleep(0.01)
+            else:
+                writers.append(writer)
+            writer.write(sent[-1])
+
+        writers: list[asyncio.StreamWriter] = []
+        await harness.add_server("s-1", "app", behave)
+        await harness.start()
+        bodies = []
+        for _ in range(2):
+            client = await harness.client()
+            bodies.append((await client.ask("/unsafe/", "id-1")).body)
+            first_writer = writers[0]
+        assert bodies == [b"run 1", b"run 2"]
+
+    run_with_gateway(scenario)
