Router: reads of applications use connections of their own

What callers would see: the answer to another caller's read, or the outcome of another operation, when an application sends an answer more than once. The HTTP client takes data that waits on an idle connection for the next answer. Evidence: five reads in a row got '/0 /0 /1 ...'. Copies that come with their answer are dropped by the client; idle and late ones aren't. Ruled out for writes: they had connections of their own before. Streams of engines name request, attempt and offset in each event. Cost: one connection a read; the gateway role isn't concerned.

--- a/src/milletcourse/backends/app_client.py
+++ b/src/milletcourse/backends/app_client.py
@@ -26,12 +26,16 @@
         self._client = client
 
     async def read(self, address: str, path: str, timeout_seconds: float) -> AppAnswer:
-        """Send a read, which may be retried.
+        """Send a read, which may be retried, on a dedicated connection.
+
+        Answers of applications name no request: on a shared connection a late answer to another
+        request would pass for the one to this.
 
         Raises:
             FailureError: `BackendUnreachable` or `BackendLost`.
         """
-        return await self._answer(HttpRequest("GET", address, path), timeout_seconds)
+        request = HttpRequest("GET", address, path, repeatable=False)
+        return await self._answer(request, timeout_seconds)
 
     async def write(
         self,
