--- a/tests/defect_searches.py
+++ b/tests/defect_searches.py
@@ -27,6 +27,7 @@
 import conftest  # noqa: F401
 import milletcourse
 import test_claims
+from exchange import test_at_most_once_machine
 from exchange.attempts import test_stop_machine
 from exchange.evidence import test_crash_machine
 from exchange.limits import test_tenant_limits
@@ -75,6 +76,11 @@
     }
     for rule in (test_claims.VotesAtOnce, test_claims.IgnoresClockDifference):
         found[f"claims: {rule.__name__}"] = Search(rule, test_claims.SEARCH)
+    at_most_once = test_at_most_once_machine
+    for history in at_most_once.KNOWN_BAD:
+        found[f"at-most-once: {history.__name__}"] = Search(
+            at_most_once.machine_with(history), at_most_once.SEARCH
+        )
     for mutant in signals.MUTANTS:
         found[f"signals: {mutant.__name__}"] = Search(signals.machine_with(mutant), signals.SEARCH)
     for defect in contents.DEFECTS:
--- a/tests/exchange/test_at_most_once_machine.py
+++ b/tests/exchange/test_at_most_once_machine.py
@@ -257,18 +257,22 @@
                 assert not self.runs[request.id], request.id
 
 
+KNOWN_BAD = (CarriesAnything, TakesUnidentifiedRefusals, TakesAnyAnswer)
+
+
+def machine_with(history: type[ConnectionRequests]) -> type[AtMostOnce]:
+    """The state machine with another way to match answers."""
+    return type(history.__name__, (AtMostOnce,), {"history": history})
+
+
 def test_requests_run_at_most_once_and_refused_ones_never() -> None:
     """Holds for every order of sends, answers, copies and resets."""
     run_state_machine_as_test(AtMostOnce, settings=RUNS)
 
 
-@pytest.mark.parametrize("history", [CarriesAnything, TakesUnidentifiedRefusals, TakesAnyAnswer])
+@pytest.mark.parametrize("history", KNOWN_BAD)
 def test_the_machine_finds_known_bad_histories(history: type[ConnectionRequests]) -> None:
     """Guards against a model in which a late answer can't do harm."""
 
-    class Bad(AtMostOnce):
-        pass
-
-    Bad.history = history
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(Bad, settings=SEARCH)
+        run_state_machine_as_test(machine_with(history), settings=SEARCH)
--- a/tests/soak/late_answers.py
+++ b/tests/soak/late_answers.py
@@ -143,6 +143,8 @@
         await asyncio.sleep(seconds)
         await end_series(faults)
         await asyncio.sleep(SETTLE_SECONDS)
+        world.ended = True
+        await asyncio.wait(sending, timeout=PROFILE.deadline_seconds + SETTLE_SECONDS)
         world.ledger.check_late()
         world.check_own_tasks([*background, *sending])
     ledger = world.ledger
