Read-through: an answer's time is optional, fleets and heads of tests stand once

Behaviour and assertions are as they were. RelayPair has a module of its own, two state machines share the heads of answers, the stand-in server resets its connections by a method.

--- a/src/milletcourse/exchange/messages/connection_requests.py
+++ b/src/milletcourse/exchange/messages/connection_requests.py
@@ -31,7 +31,7 @@
         return len(self._ids) >= MAX_REQUEST_IDS
 
     def may_carry(self, request_id: str) -> bool:
-        """Whether an answer to a request couldn't be mistaken for one to an earlier request."""
+        """Whether no request of this id has been sent; empty for a call without one."""
         return request_id not in self._ids
 
     def on_send(self, request_id: str) -> None:
@@ -48,9 +48,9 @@
     def is_answered_by(self, head: AnswerHead) -> bool:
         """Whether an answer belongs to the latest request.
 
-        A refusal without a request id belongs to the only request that there is, if there is only
-        one; on any other connection it may be a late answer to an earlier one. The answer to a call
-        without an id doesn't name a request either.
+        A refusal without a request id may be a late answer to any request of the connection, so
+        that it counts only if there has been no other. The answer to a call without an id names no
+        request.
         """
         if not self.latest_id:
             return head.request_id not in self._ids
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -1,7 +1,8 @@
 """One HTTP/1.1 connection to a server, which carries one exchange at a time.
 
 Answers are matched by request id, since a server may send a surplus answer where the next one is
-expected. A connection that delivered surplus or unexpected data is not reused.
+expected. A connection that delivered surplus or unexpected data is not reused. One that has carried
+a request never carries that request again.
 """
 
 from __future__ import annotations
@@ -68,7 +69,8 @@
         self.on_surplus: Callable[[SurplusData], None] | None = None
         """Called with data that isn't the answer to the pending request."""
         self._requests = ConnectionRequests()
-        self._sent_at = self._answered_at = float("-inf")
+        self._sent_at = float("-inf")
+        self._answer_seconds: float | None = None
         self.usable_until = 0.0
         self.heard_at = elapsed_seconds()
         """Monotonic time at which the latest answer ended, or the connection was opened."""
@@ -106,6 +108,7 @@
         self._busy = True
         self._requests.on_send(request_id)
         self._sent_at = elapsed_seconds()
+        self._answer_seconds = None
         if not self.is_open:
             self._events.append(AnswerEvent(lost=LossCause.CLOSED))
             return
@@ -145,7 +148,7 @@
 
     def last_use(self) -> ConnectionUse:
         """The latest request on this connection, for log lines."""
-        return ConnectionUse(self.number, self._requests.count, self._answered_at - self._sent_at)
+        return ConnectionUse(self.number, self._requests.count, self._answer_seconds)
 
     @property
     def framing(self) -> Framing:
@@ -181,7 +184,7 @@
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
         if not self._busy:
-            self._report_surplus(None, False)
+            self._report_surplus(None, is_taken=False)
             self._taint()
             return
         view = memoryview(data)
@@ -237,19 +240,19 @@
         head = self._dialect.read_answer(status, self.reason, self.fields)
         if head.is_ambiguous:
             self._skipping = True
-            self._report_surplus(head, False)
+            self._report_surplus(head, is_taken=False)
             self._on_malformed()
             return
         self._skipping = not self._requests.is_answered_by(head)
         if self._skipping or (self._requests.latest_id and not head.request_id):
-            self._report_surplus(head, not self._skipping)
+            self._report_surplus(head, is_taken=not self._skipping)
         if self._skipping:
             self._tainted = True
             if head.framing is Framing.CONNECTION:
                 self._on_malformed()
             return
         self._head = head
-        self._answered_at = elapsed_seconds()
+        self._answer_seconds = elapsed_seconds() - self._sent_at
         self._emit(AnswerEvent(head=head))
         if self._bodyless:
             self._tainted = True
--- a/src/milletcourse/gateway/telemetry/connection_records.py
+++ b/src/milletcourse/gateway/telemetry/connection_records.py
@@ -11,12 +11,12 @@
     Attributes:
         connection: Number of the connection within this process.
         request: Ordinal number of the request on that connection.
-        answer_seconds: Seconds from its send to the head of its answer; negative when none came.
+        answer_seconds: Time from its send to the head of its answer, None when none came.
     """
 
     connection: int
     request: int
-    answer_seconds: float
+    answer_seconds: float | None
 
 
 class SurplusData(msgspec.Struct, frozen=True):
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -384,8 +384,10 @@
     """Log fields of the connection that carried a request; empty if it was not sent."""
     if use is None:
         return {}
-    answered = {"answered": round(use.answer_seconds, 4)} if use.answer_seconds >= 0.0 else {}
-    return {"connection": use.connection, "use": use.request, **answered}
+    fields: dict[str, Any] = {"connection": use.connection, "use": use.request}
+    if use.answer_seconds is not None:
+        fields["answered"] = round(use.answer_seconds, 4)
+    return fields
 
 
 def _through_field(gateway: str) -> dict[str, Any]:
--- a/tests/exchange/test_at_most_once_machine.py
+++ b/tests/exchange/test_at_most_once_machine.py
@@ -16,6 +16,7 @@
     run_state_machine_as_test,
 )
 
+from answer_heads import bodyless_head
 from milletcourse.exchange.attempts.answer_rules import classify_answer
 from milletcourse.exchange.attempts.attempt_plan import AttemptPlan, NextStep
 from milletcourse.exchange.messages.connection_requests import ConnectionRequests
@@ -83,26 +84,6 @@
     final_step: NextStep | None = None
 
 
-def head(server: str, request_id: str, status: int, not_executed: bool = False) -> AnswerHead:
-    """The head of a server's answer without a body."""
-    return AnswerHead(
-        status=status,
-        reason=b"",
-        fields=[],
-        request_id=request_id,
-        signed=status == 200,
-        instance=server,
-        not_executed=not_executed,
-        weight_version=None,
-        keep_alive_seconds=None,
-        content_length=0,
-        chunked=False,
-        closing=False,
-        encoded=False,
-        event_stream=False,
-    )
-
-
 class AtMostOnce(RuleBasedStateMachine):
     """A gateway, two servers, and connections that carry one request after the other."""
 
@@ -206,9 +187,9 @@
         request_id = connection.unread.popleft()
         if outcome in ("run", "fail"):
             self.runs[request_id] += 1
-            answer = head(connection.server, request_id, 200 if outcome == "run" else 500)
+            answer = bodyless_head(200 if outcome == "run" else 500, request_id, connection.server)
         else:
-            answer = head(connection.server, request_id, int(outcome), outcome != "421")
+            answer = bodyless_head(int(outcome), request_id, connection.server, outcome != "421")
         connection.sent_answers.append(answer)
         connection.answers.append(answer)
 
@@ -227,7 +208,7 @@
         """A server that has answered a request sends a refusal that names none."""
         used = self._used()
         connection = used[index % len(used)]
-        connection.answers.append(head(connection.server, "", status, status != 421))
+        connection.answers.append(bodyless_head(status, "", connection.server, status != 421))
 
     def _used(self) -> list[Connection]:
         """Connections on which a server has answered."""
--- a/tests/gateway/requests/test_single_execution.py
+++ b/tests/gateway/requests/test_single_execution.py
@@ -9,7 +9,6 @@
 import pytest
 
 from cut_fleet import PROMPT
-from gateway.fleet.test_relayed_connections import RelayPair, run_pair
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
     Behaviour,
@@ -24,6 +23,7 @@
     signed,
     stream_head,
 )
+from relay_pair import RelayPair, run_pair
 
 WORK_SECONDS = 0.15
 SETTLE_SECONDS = 0.3
@@ -81,8 +81,7 @@
             lambda: context.route_table is not None and context.route_table.version == 2
         )
         for server in harness.servers.values():
-            for writer in list(server._writers):
-                writer.transport.abort()
+            server.reset_connections()
         result = await _answer_of(client)
         assert result is not None and result.status == 502
         assert servers.runs == {"id-1": 1}
--- a/tests/gateway/servers/test_signal_machine.py
+++ b/tests/gateway/servers/test_signal_machine.py
@@ -21,6 +21,7 @@
     run_state_machine_as_test,
 )
 
+from answer_heads import bodyless_head
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
 from milletcourse.exchange.load.load_exchange import LoadExchange
 from milletcourse.exchange.load.server_signals import ServerSignals
@@ -54,24 +55,10 @@
     instance: str, status: int = 200, leaving: bool = False, rest: float | None = None
 ) -> AnswerHead:
     """The head of an answer that carries signals of its server."""
-    return AnswerHead(
-        status=status,
-        reason=b"",
-        fields=[],
-        request_id="r",
-        signed=status == 200,
-        instance=instance,
-        not_executed=status != 200,
-        weight_version=None,
-        keep_alive_seconds=None,
-        content_length=0,
-        chunked=False,
-        closing=False,
-        encoded=False,
-        event_stream=False,
-        leaving=LeavingHeader(True) if leaving else NOT_LEAVING,
-        back_off=BackOffHeader(rest) if rest is not None else NO_BACK_OFF,
-    )
+    found = bodyless_head(status, "r", instance, not_executed=status != 200)
+    found.leaving = LeavingHeader(True) if leaving else NOT_LEAVING
+    found.back_off = BackOffHeader(rest) if rest is not None else NO_BACK_OFF
+    return found
 
 
 class ModelGateway:
--- a/tests/gateway/servers/test_truncated_heads.py
+++ b/tests/gateway/servers/test_truncated_heads.py
@@ -9,7 +9,6 @@
 
 from answer_feed import PENDING_ID, deliver
 from cut_fleet import PROMPT
-from gateway.fleet.test_relayed_connections import RelayPair, run_pair
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
     Behaviour,
@@ -28,6 +27,7 @@
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.platform.names import HEADER_NAMES
 from milletcourse.runtime.responsive_clock import ResponsiveClock
+from relay_pair import RelayPair, run_pair
 
 BODY = b'{"items":[],"More":false,"At":12}'
 SIGNED = b"Request-Id: %b\r\nServer-Signature: s-1\r\n" % PENDING_ID.encode()
--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -374,6 +374,10 @@
     async def crash(self) -> None:
         """Close the port and all connections, like a process that is killed."""
         self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections, whatever they carry."""
         for writer in list(self._writers):
             writer.transport.abort()
 
