--- a/tests/gateway/requests/test_late_answers.py
+++ b/tests/gateway/requests/test_late_answers.py
@@ -12,8 +12,6 @@
 from surplus_servers import SurplusServers, unidentified_refusal
 
 REQUESTS = 8
-
-
 MODEL = "model-1"
 
 
--- a/tests/surplus_servers.py
+++ b/tests/surplus_servers.py
@@ -18,7 +18,7 @@
 
 WORK_SECONDS = 0.02
 """How long a server works on a request before it answers."""
-SurplusData = Callable[[StandinServer, ReceivedRequest], bytes]
+SurplusSource = Callable[[StandinServer, ReceivedRequest], bytes]
 """Returns the data that a server sends in addition for an earlier request."""
 
 
@@ -58,7 +58,7 @@
             self._send_surplus(refused_on, refusal)
         await self._execute(server, request, writer)
 
-    def answer_after(self, surplus: SurplusData) -> Behaviour:
+    def answer_after(self, surplus: SurplusSource) -> Behaviour:
         """A behaviour: surplus data for the previous request of a connection, then the answer."""
 
         async def behave(
