--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -10,16 +10,24 @@
 from milletcourse.errors import Failure, RunState
 from milletcourse.exchange.attempts.attempt_plan import NextStep
 from milletcourse.exchange.counting.service_tally import Outcome, ServiceTally, served_outcome
-from milletcourse.exchange.evidence.containment import Containment, EvidenceChange, EvidenceEvent
+from milletcourse.exchange.evidence.containment import EvidenceChange, EvidenceEvent
 from milletcourse.exchange.evidence.request_identity import identity_text
 from milletcourse.exchange.limits.tenant_limits import LimitState
-from milletcourse.exchange.messages.answer_end import AnswerEnd
 from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.messages.peer_messages import FeatureKind
 from milletcourse.exchange.messages.records import RouteRecord
 from milletcourse.exchange.rollout.weight_rollout import OrderReply, WeightOrder
-from milletcourse.gateway.telemetry.connection_records import ConnectionUse
 from milletcourse.gateway.telemetry.event_log import EventLog
+from milletcourse.gateway.telemetry.log_fields import (
+    answer_end_fields,
+    connection_fields,
+    excluded_servers_field,
+    feature_field,
+    parts_field,
+    salt_field,
+    software_field,
+    through_field,
+)
 from milletcourse.gateway.telemetry.metrics_sink import MetricsSink
 from milletcourse.gateway.telemetry.path_recorder import PathRecorder
 from milletcourse.gateway.telemetry.request_records import (
@@ -33,10 +41,6 @@
 from milletcourse.gateway.telemetry.store_recorder import StoreRecorder
 from milletcourse.gateway.telemetry.unanswered import UnansweredRequest
 
-MAX_SHOWN_SERVERS = 8
-"""Limit of the excluded servers that the log line of a request names."""
-MAX_SHOWN_PARTS = 16
-"""Limit of the prompt parts that the log line of a failed attempt names."""
 ReportedState = Callable[[], dict[str, Any]]
 """Returns the state that the gateway acts on now, as fields for the log lines of decisions."""
 
@@ -114,7 +118,7 @@
             route=route.name,
             code=failure.code,
             detail=failure.detail,
-            **_excluded_servers_field(excluded_servers),
+            **excluded_servers_field(excluded_servers),
             **({"load": msgspec.to_builtins(overload)} if overload is not None else {}),
             **self._request_fields(request),
             **self._reported_state(),
@@ -138,19 +142,19 @@
             "attempt-failed",
             route=route.name,
             instance=failed.instance,
-            **_software_field(failed.software_version),
+            **software_field(failed.software_version),
             address=failed.address,
             result=failed.result.value,
             loss=failed.loss,
-            **_answer_end_fields(failed.answer_end),
+            **answer_end_fields(failed.answer_end),
             left=failed.abort_cause,
             step=step.value,
             content=identity_text(failed.features.content),
-            **_parts_field(failed.features.parts),
+            **parts_field(failed.features.parts),
             connect=round(failed.connect_seconds, 3),
-            **_through_field(failed.through),
+            **through_field(failed.through),
             answers_others=failed.answers_others,
-            **_connection_fields(failed.use),
+            **connection_fields(failed.use),
             **self._request_fields(request),
         )
 
@@ -185,15 +189,15 @@
             "request-served",
             route=route.name,
             instance=answered.instance,
-            **_software_field(answered.software_version),
+            **software_field(answered.software_version),
             sends=sends,
             first=round(first, 3),
             gap=round(gap, 3),
-            **_answer_end_fields(answered.answer_end),
-            **_salt_field(answered.cache_salt),
-            **_connection_fields(answered.use),
-            **_through_field(answered.through),
-            **_excluded_servers_field(excluded_servers),
+            **answer_end_fields(answered.answer_end),
+            **salt_field(answered.cache_salt),
+            **connection_fields(answered.use),
+            **through_field(answered.through),
+            **excluded_servers_field(excluded_servers),
             **self._request_fields(request),
         )
 
@@ -310,7 +314,7 @@
         noun = "request" if containment.kind is FeatureKind.CONTENT else "prompt-part"
         self._log.emit(
             f"{noun}-{change.event.value}",
-            **_feature_field(containment),
+            **feature_field(containment),
             ends=containment.crashes,
             since_last_end=round(self.now() - containment.last_crash_at, 3),
             seconds_left=round(containment.seconds_left, 1),
@@ -350,54 +354,3 @@
         seconds = round(self.now() - request.received_at, 3)
         resumes = {"resumes": request.resumes} if request.resumes else {}
         return {"request_id": request.request_id, **resumes, "seconds": seconds}
-
-
-def _answer_end_fields(end: AnswerEnd | None) -> dict[str, Any]:
-    """Log fields for an answer that ended with its connection or within an event."""
-    if end is None or end.is_usual:
-        return {}
-    return {"framing": end.framing.value, "partial_event_bytes": end.partial_event_bytes}
-
-
-def _software_field(version: str | None) -> dict[str, Any]:
-    """Log field of the version of a server's software; empty when servers don't state one."""
-    return {} if version == "" else {"software": version}
-
-
-def _salt_field(cache_salt: str) -> dict[str, Any]:
-    """Log field of the salt that a prompt was sent with; empty for requests without a prompt."""
-    return {"salt": cache_salt} if cache_salt else {}
-
-
-def _parts_field(parts: tuple[int, ...]) -> dict[str, Any]:
-    """Log field of a prompt's shared parts; empty for requests without any."""
-    return {"parts": [identity_text(part) for part in parts[:MAX_SHOWN_PARTS]]} if parts else {}
-
-
-def _feature_field(containment: Containment) -> dict[str, Any]:
-    """Log field that names a feature, as in the lines of failed attempts."""
-    name = "content" if containment.kind is FeatureKind.CONTENT else "part"
-    return {name: identity_text(containment.identity)}
-
-
-def _connection_fields(use: ConnectionUse | None) -> dict[str, Any]:
-    """Log fields of the connection that carried a request; empty if it was not sent."""
-    if use is None:
-        return {}
-    fields: dict[str, Any] = {"connection": use.connection, "use": use.request}
-    if use.answer_seconds is not None:
-        fields["answered"] = round(use.answer_seconds, 4)
-    return fields
-
-
-def _through_field(gateway: str) -> dict[str, Any]:
-    """Log field that names the gateway that relayed a connection; usually empty."""
-    return {"through": gateway} if gateway else {}
-
-
-def _excluded_servers_field(servers: dict[str, str]) -> dict[str, Any]:
-    """Log field that names the excluded servers with their signals; usually empty."""
-    if not servers:
-        return {}
-    shown = sorted(servers.items())[:MAX_SHOWN_SERVERS]
-    return {"kept_from": dict(shown)}
--- a/tests/soak/isolation.py
+++ b/tests/soak/isolation.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import signal
 import sys
@@ -23,7 +22,7 @@
 from gateway_standin import Client, ReceivedRequest, answer, chunk, event
 from prompt_memory import PromptMemory
 from soak.gateway_faults import disturb_gateways, running_world
-from soak.seeds import Report, run_seeds
+from soak.seeds import Report, run_seeds, soak_arguments
 from soak.server import SoakServer
 from soak.world import BOUNDS, DEFAULT_GATEWAYS, TENANTS, SoakWorld
 
@@ -206,12 +205,7 @@
 
 def main() -> int:
     """Run all seeds."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", default="", help="FIRST:LAST; default: one new seed")
-    parser.add_argument("--seconds", type=float, default=15.0, help="duration of faults per seed")
-    parser.add_argument("--gateways", type=int, default=DEFAULT_GATEWAYS, help="processes")
-    parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
-    arguments = parser.parse_args()
+    arguments = soak_arguments(__doc__, DEFAULT_GATEWAYS)
 
     def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
         return isolation_soak(seed, folder, arguments.seconds, arguments.gateways)
--- a/tests/soak/late_answers.py
+++ b/tests/soak/late_answers.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import sys
 from collections.abc import Callable, Coroutine
@@ -21,7 +20,7 @@
 from gateway_standin import ReceivedRequest
 from soak.clients import ClientProfile, SoakClient
 from soak.gateway_faults import disturb_gateways, end_series, running_world
-from soak.seeds import Report, run_seeds
+from soak.seeds import Report, run_seeds, soak_arguments
 from soak.server import SoakServer
 from soak.world import DEFAULT_GATEWAYS, SoakWorld
 
@@ -162,12 +161,7 @@
 
 def main() -> int:
     """Run all seeds."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", default="", help="FIRST:LAST; default: one new seed")
-    parser.add_argument("--seconds", type=float, default=15.0, help="duration of faults per seed")
-    parser.add_argument("--gateways", type=int, default=DEFAULT_GATEWAYS, help="processes")
-    parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
-    arguments = parser.parse_args()
+    arguments = soak_arguments(__doc__, DEFAULT_GATEWAYS)
 
     def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
         return late_answer_soak(seed, folder, arguments.seconds, arguments.gateways)
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import json
 import logging
@@ -82,3 +83,18 @@
             seen = any(_guarantee(item) == guarantee for item in _violations(report))
             print(f"known red, {'seen' if seen else 'not seen'}: {line}")
     return 1 if failed else 0
+
+
+def soak_arguments(description: str | None, gateways: int) -> argparse.Namespace:
+    """Parses the options that soaks of a whole fleet share.
+
+    Args:
+        description: Shown by `--help`.
+        gateways: Default number of processes.
+    """
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--seeds", default="", help="FIRST:LAST; default: one new seed")
+    parser.add_argument("--seconds", type=float, default=15.0, help="duration of faults per seed")
+    parser.add_argument("--gateways", type=int, default=gateways, help="processes")
+    parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
+    return parser.parse_args()
