Stand-ins number their connections; an object's identity came up again

Traced: the stand-in took id() of a closed connection's writer for the number of a new one, found a 'previous request' there, and sent its late refusal as the first data of a connection that had carried nothing else, where it is believed by design. No assertion changed.

--- a/tests/gateway_standin.py
+++ b/tests/gateway_standin.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 import socket
@@ -18,6 +19,8 @@
 import msgspec
 
 HOST = "127.0.0.1"
+connection_numbers = itertools.count(1)
+"""Numbers connections to stand-ins; an object's identity may be given out again."""
 
 
 @dataclass
@@ -241,8 +244,9 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        connection = next(connection_numbers)
         try:
-            while (request := await read_request(reader, id(writer))) is not None:
+            while (request := await read_request(reader, connection)) is not None:
                 self.calls.append(request)
                 status, document = await self._answer(request)
                 if self.silent:
@@ -383,7 +387,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        connection = id(writer)
+        connection = next(connection_numbers)
         pending: asyncio.Task[None] | None = None
         closed = asyncio.ensure_future(writer.wait_closed())
         closed.add_done_callback(lambda end: end.cancelled() or end.exception())
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gateway_standin import ReceivedRequest, answer, chunk, read_request
+from gateway_standin import ReceivedRequest, answer, chunk, connection_numbers, read_request
 from soak.ledger import Ledger, ReceivedOrder, Run, incarnation, stream_event, stream_event_count
 
 HOST = "127.0.0.1"
@@ -110,11 +110,12 @@
             writer.transport.abort()
             return
         self._writers.add(writer)
+        connection = next(connection_numbers)
         work: asyncio.Task[None] | None = None
         closed = asyncio.ensure_future(writer.wait_closed())
         closed.add_done_callback(lambda end: end.cancelled() or end.exception())
         try:
-            while (request := await read_request(reader, id(writer))) is not None:
+            while (request := await read_request(reader, connection)) is not None:
                 work = asyncio.create_task(self._handle(request, writer))
                 # A connection that closes in the meantime cancels the request.
                 await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
