Soak: recovery is judged with engines that have memory for all prompts

Cause: the check measured saturation. An engine of the rig has memory for 1,000 tokens and a prompt has 920, so that four engines hold four prompts, while twelve clients send half of their requests as prompts. Gateways refuse what doesn't fit (`overloaded`, "the expected wait at the best server is 0.73 s": no request of their own and one of another gateway at each server). Refused clients come again at once, so that the share falls as clients and machine get faster.

Change: the faults run as before. When they are over, the operator of the rig gives the engines memory for all prompts; what is refused then counts in full, so the bound rises from 0.7 to 0.9. Requests that crash servers go on; the 3 s of calm count from the last crash, 12 s after the faults at the latest. Two tests of the check itself.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -110,6 +110,8 @@
     refusals: dict[str, int] = field(default_factory=dict)
     crashes: dict[tuple[str, bytes], int] = field(default_factory=dict)
     crashes_since_all_killed: dict[tuple[str, bytes], int] = field(default_factory=dict)
+    crashed_at: float = float("-inf")
+    """Monotonic time of the latest crash of a server on a request."""
     violations: list[str] = field(default_factory=list)
     pauses: int = 0
     """Streams that their server paused midway."""
@@ -215,6 +217,7 @@
 
     def on_crash(self, tenant: str, body: bytes) -> None:
         """A server's process crashes on a tenant's request with this body."""
+        self.crashed_at = time.monotonic()
         self.crashes[tenant, body] = self.crashes.get((tenant, body), 0) + 1
         crashes = self.crashes_since_all_killed.get((tenant, body), 0) + 1
         self.crashes_since_all_killed[tenant, body] = crashes
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -49,11 +49,15 @@
 """Share of the servers that announce rate limits with `--limits`."""
 LIMIT_PER_SECOND = 2.0
 """Average announced limit in requests per second."""
+AMPLE_MEMORY_TOKENS = 24_000
+"""Engine memory that holds the prompts of all clients at once."""
 SETTLE_SECONDS = 3.0
-"""Quiet time after the faults, before recovery is measured."""
+"""Time without faults and crashes before recovery is measured."""
+MAX_CRASHING_SECONDS = 12.0
+"""Longest time after the faults during which requests may still crash servers."""
 POLL_SECONDS = 0.1
 JUDGED_SECONDS = 3.0
-RECOVERED_SHARE = 0.7
+RECOVERED_SHARE = 0.9
 """Minimum share of successful answers after the quiet time; refusals for revoked keys, of which
 there may be two of four, are not counted."""
 BACKING_OFF_SHARE = 0.3
@@ -123,10 +127,11 @@
         # Gateways still honour the latest back-offs.
         await asyncio.sleep(max(BACK_OFF_SECONDS) if signals else 0.0)
         await wait_for_gateways(world)
-        if restores_store:
-            # Operators rewrite the configuration after a restore; else keys are refused for 5 s.
-            world.put_configuration()
-        await asyncio.sleep(SETTLE_SECONDS)
+        # Prompts that exceed the engines' memory are refused, however well the fleet has recovered.
+        world.engine_memory_tokens = AMPLE_MEMORY_TOKENS
+        # Operators rewrite the configuration after a restore; else keys are refused for 5 s.
+        world.put_configuration()
+        await wait_for_calm(world)
         before = dict(world.ledger.outcomes)
         await asyncio.sleep(JUDGED_SECONDS)
         check_recovery(world, before)
@@ -187,6 +192,14 @@
         world.ledger.violate("start", f"{gateway.name} is not listening yet")
 
 
+async def wait_for_calm(world: SoakWorld) -> None:
+    """Wait until there has been no fault, and no crash of a server, for the settling time."""
+    since = time.monotonic()
+    ends_at = since + MAX_CRASHING_SECONDS
+    while time.monotonic() < min(max(since, world.ledger.crashed_at) + SETTLE_SECONDS, ends_at):
+        await asyncio.sleep(POLL_SECONDS)
+
+
 def check_recovery(world: SoakWorld, before: dict[str, int]) -> None:
     """Check that enough requests with valid keys succeed after the faults."""
     after = world.ledger.outcomes
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -11,8 +11,10 @@
 import pytest
 
 from soak.answers import ClientRequest, RequestContext, RequestResult, Verdict, classify
+from soak.clients import LONG_PROMPT
 from soak.ledger import MAX_CRASHES, Ledger, ReceivedOrder, Run, SentRequest, complete_stream
-from soak.world import LISTEN_TIMEOUT_SECONDS, GatewayProcess
+from soak.run import AMPLE_MEMORY_TOKENS, CLIENTS, check_recovery
+from soak.world import LISTEN_TIMEOUT_SECONDS, GatewayProcess, SoakWorld
 
 SILENT_PROGRAM = ("-c", "import time; time.sleep(60)")
 KEYS = {"key-1": "tenant-1", "key-2": "tenant-2"}
@@ -201,3 +203,23 @@
         gateway.process.kill()
         gateway.process.wait()
         gateway.release_ports()
+
+
+@pytest.mark.parametrize(
+    ("served", "refused", "has_recovered"), [(89, 11, False), (90, 10, True), (0, 0, False)]
+)
+def test_a_fleet_that_refuses_more_than_a_tenth_in_calm_has_not_recovered(
+    tmp_path: Path, served: int, refused: int, has_recovered: bool
+) -> None:
+    """Refusals for revoked keys and clients that disconnect are not counted."""
+    world = SoakWorld(1, tmp_path)
+    before = {"200": 5, "503": 50, "401": 5}
+    world.ledger.outcomes = {"200": 5 + served, "503": 50 + refused, "401": 45, "left": 9}
+    check_recovery(world, before)
+    assert (not world.ledger.violations) is has_recovered
+
+
+def test_calm_clients_fit_into_the_memory_of_one_engine() -> None:
+    """Guards against judging recovery by refusals for lack of memory."""
+    tokens = sum(int(part) for part in LONG_PROMPT["Token_Usage"].split(","))
+    assert CLIENTS * tokens <= AMPLE_MEMORY_TOKENS
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -306,6 +306,9 @@
         self.max_connections = 0
         """Connection limit of each server, also in the configuration; 0 for none at servers and the
         default in the configuration."""
+        self.engine_memory_tokens = 0
+        """Memory of each engine in the next configuration; 0 for the default, which holds one long
+        prompt."""
         self._program = program
         self.random = random.Random(seed)
         self.folder = folder
@@ -616,9 +619,11 @@
             for key, tenant in self.keys.items()
         ]
         document = configuration(self.configuration_version, Tenants=tenants)
-        if self.max_connections:
-            for service in document["Services"]:
+        for service in document["Services"]:
+            if self.max_connections:
                 service["MaxConnections"] = self.max_connections
+            if self.engine_memory_tokens and "Engine" in service:
+                service["Engine"]["KvCapacity"] = self.engine_memory_tokens
         document["Routes"] += [newest_route(self.configuration_version), *self.routes]
         self.store.put("config", "main", document)
         self.configurations.append((time.monotonic(), self.configuration_version))
