An answer that names an unknown request is no reply to a call

What could happen: orders and reports of a gateway share connections with requests. A surplus 200 then says that the weights are loaded already. Shown at the client of calls; what follows from it in a fleet was read, not run. `is_answered_by` left out answers that name a request of this connection and took all others; a reply names no request at all. Ruled out: giving calls ids of their own (callees don't return them). Change: an answer that names any request is no reply. Test: `test_an_answer_that_names_a_request_is_no_reply_to_a_call[unknown-id]`, failed before (200 taken for 202). tests/gateway/servers, fleet, store and tests/exchange pass.

--- a/src/milletcourse/exchange/messages/connection_requests.py
+++ b/src/milletcourse/exchange/messages/connection_requests.py
@@ -49,11 +49,11 @@
         """Whether an answer belongs to the latest request.
 
         A refusal without a request id may be a late answer to any request of the connection, so
-        that it counts only if there has been no other. The answer to a call without an id names no
+        that it counts only if there has been no other. The reply to a call without an id names no
         request.
         """
         if not self.latest_id:
-            return head.request_id not in self._ids
+            return not head.request_id
         if head.request_id == self.latest_id:
             return True
         is_refusal = head.not_executed or head.status == MISDIRECTED
