Orders to model servers use connections of their own

What could happen: replies to calls name no call. A server that sends its reply to a health check or a report once more, late, when an order is pending on that connection, made the gateway take it for the reply to the order: 200 says that the weights are loaded already, so that this gateway goes on to the next server while the order may have been refused. Shown: one gateway, one server that repeats its previous reply before it accepts the order: the line `weight-order` says "holds" where the server answered 202. Reports and health checks go on sharing connections: a late one tells an older state of the server and decides nothing for good. Test: `test_a_late_reply_to_another_call_is_no_reply_to_an_order`, failed before. tests/gateway and tests/exchange pass.

--- a/src/milletcourse/gateway/fleet/rollout_service.py
+++ b/src/milletcourse/gateway/fleet/rollout_service.py
@@ -224,6 +224,7 @@
             self._orders.order_call(order),
             ORDER_TIMEOUT_SECONDS,
             lambda: self._lease.is_held(self._context.now()),
+            is_dedicated=True,
         )
         result = OrderReply.UNANSWERED
         if reply is not None:
--- a/src/milletcourse/gateway/servers/call_client.py
+++ b/src/milletcourse/gateway/servers/call_client.py
@@ -73,9 +73,13 @@
         first_byte_seconds: float,
         may_send: Callable[[], bool] | None = None,
         on_content: Callable[[], None] | None = None,
+        is_dedicated: bool = False,
     ) -> Reply | None:
         """Send a call and read the answer.
 
+        Replies name no call: on a shared connection a late reply to an earlier call passes for the
+        one to this.
+
         Args:
             address: `host:port` of the callee.
             call: The call.
@@ -84,12 +88,13 @@
             may_send: Checked once the connection is established, since a permission may have
                 expired while connecting.
             on_content: Called when the answer is known to carry content.
+            is_dedicated: Use a connection that carries no other request, before or after.
 
         Returns:
             The reply, None when no complete answer arrived.
         """
         try:
-            connection = await self._pool.acquire(address, first_byte_seconds)
+            connection = await self._pool.acquire(address, first_byte_seconds, is_dedicated)
         except LocalResourceError:
             # The gateway logs this lack itself. The callee is unreachable for now.
             return None
--- a/src/milletcourse/gateway/servers/connection_pool.py
+++ b/src/milletcourse/gateway/servers/connection_pool.py
@@ -60,21 +60,31 @@
         self._on_surplus = on_surplus
         self._idle: dict[str, deque[ServerConnection]] = {}
 
-    async def acquire(self, address: str, timeout_seconds: float) -> ServerConnection | None:
+    async def acquire(
+        self, address: str, timeout_seconds: float, is_dedicated: bool = False
+    ) -> ServerConnection | None:
         """A connection to the address, None when none was established in time.
 
+        Args:
+            address: `host:port` of the server.
+            timeout_seconds: Timeout for a new connection to be established.
+            is_dedicated: Open a connection that is closed after one request.
+
         Raises:
             LocalResourceError: This process lacks a descriptor or another local resource for it.
         """
-        idle = self.take_idle(address)
+        idle = None if is_dedicated else self.take_idle(address)
         if idle is not None:
             return idle
         try:
-            return await self.open(address, timeout_seconds)
+            opened = await self.open(address, timeout_seconds)
         except LocalResourceError:
             raise
         except (OSError, TimeoutError):
             return None
+        if is_dedicated:
+            opened.close_after_answer()
+        return opened
 
     def take_idle(
         self, address: str, request_id: str = "", heard_since: float = float("-inf")
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -146,6 +146,10 @@
             self._transport.abort()
         self._emit(AnswerEvent(lost=LossCause.ABORTED))
 
+    def close_after_answer(self) -> None:
+        """Carry no further request after the next one."""
+        self._tainted = True
+
     def last_use(self) -> ConnectionUse:
         """The latest request on this connection, for log lines."""
         return ConnectionUse(self.number, self._requests.count, self._answer_seconds)
