Router: completions and orders use connections of their own

What could happen: an engine sends its answer once more, late, when the router has sent the next request on that connection. The copy of a refusal passed for the answer to a completion, which the router then sent to another engine while the first one worked on it; the copy of an acceptance passed for the reply to an order that the engine refused. Replies of engines name no request but in the events of streams. Ways weighed: a field by which engines name the request (their protocol has none, and other engines speak it too); a dedicated connection, as writes to applications have it (kept). Feeds, lists, exports, cancellations and resumptions go on sharing connections.

--- a/src/milletcourse/backends/engine_client.py
+++ b/src/milletcourse/backends/engine_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import msgspec
 
@@ -80,13 +81,16 @@
         self._client = client
 
     async def complete(self, address: str, completion: EngineCompletion) -> EngineStream:
-        """Start an answer.
+        """Start an answer, on a dedicated connection.
+
+        Refusals of engines name no request: on a shared connection a late refusal of another
+        request would pass for the answer to this.
 
         Raises:
             FailureError: `BackendUnreachable`, `BackendLost` or `BackendRefused`.
         """
         request = json_request("POST", address, "/v1/completions", completion)
-        return await self._open(request)
+        return await self._open(replace(request, repeatable=False))
 
     async def resume(
         self, address: str, request_id: str, attempt: int, offset: int
@@ -128,13 +132,13 @@
         await self._control(request, ORDER_TIMEOUT_SECONDS)
 
     async def order(self, address: str, order: EngineOrder) -> None:
-        """Send a fenced order.
+        """Send a fenced order, on a dedicated connection for the same reason as a completion.
 
         Raises:
             FailureError: `BackendRefused` with status 409 when the fencing token is stale.
         """
         request = json_request("POST", address, "/v1/orders", order)
-        await self._control(request, ORDER_TIMEOUT_SECONDS)
+        await self._control(replace(request, repeatable=False), ORDER_TIMEOUT_SECONDS)
 
     async def _control(
         self, request: HttpRequest, timeout_seconds: float = CONTROL_TIMEOUT_SECONDS
