Soak: servers send replies to calls once more, too

The soak of surplus answers repeated answers to requests only, so that it could not show that a late report passed for the reply to an order. Servers now repeat their replies to reports and health checks as well, and the rig compares how many orders gateways took for carried out with how many servers said so.

--- a/tests/soak/late_answers.py
+++ b/tests/soak/late_answers.py
@@ -2,22 +2,25 @@
 
 Servers refuse many requests, for their weight version and because they are full. They send refusals
 and whole answers once more, at once and late, some without a request id and some cut off within
-their head. Meanwhile gateways are killed, stopped and suspended, and new weight versions are named.
-Prints one JSON line per seed; the exit code is 1 if a request that may run once ran twice, if one
-that ran was refused, or if a client got an answer that isn't the one to its request.
+their head, and replies to calls likewise. Meanwhile gateways are killed, stopped and suspended, and
+new weight versions are named. Prints one JSON line per seed; the exit code is 1 if a request that
+may run once ran twice, if one that ran was refused, if a client got an answer that isn't the one to
+its request, or if an order passed for carried out that its server answered otherwise.
 """
 
 from __future__ import annotations
 
 import asyncio
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from gateway_standin import ReceivedRequest
+from milletcourse.exchange.rollout.weight_rollout import OrderReply
 from soak.clients import ClientProfile, SoakClient
 from soak.gateway_faults import disturb_gateways, end_series, running_world
 from soak.seeds import Report, run_seeds, soak_arguments
@@ -64,12 +67,25 @@
         return getattr(self._writer, name)
 
 
+@dataclass
+class SurplusTally:
+    """What all servers of a soak sent.
+
+    Attributes:
+        surplus: Number of times that surplus data was sent.
+        loaded_replies: Replies to orders that say that the weights are loaded already.
+    """
+
+    surplus: int = 0
+    loaded_replies: int = 0
+
+
 class SurplusServer(SoakServer):
     """Sends surplus data after its answers, but never within an answer that has begun."""
 
-    def __init__(self, *given: Any, on_surplus: Callable[[], None]) -> None:
+    def __init__(self, *given: Any, tally: SurplusTally) -> None:
         super().__init__(*given)
-        self._on_surplus = on_surplus
+        self._tally = tally
         self._answering: dict[int, RecordingWriter] = {}
         self._late: set[asyncio.Task[None]] = set()
 
@@ -81,7 +97,7 @@
         finally:
             self._answering.pop(id(writer), None)
         is_short = 0 < len(recording.data) <= MAX_REPEATED_BYTES
-        if is_short and request.request_id and self._happens(SURPLUS_SHARE):
+        if is_short and self._happens(SURPLUS_SHARE):
             late = asyncio.create_task(self._send_surplus(self._surplus(recording.data), writer))
             self._late.add(late)
             late.add_done_callback(self._late.discard)
@@ -104,9 +120,14 @@
         current = self._answering.get(id(writer))
         if writer.is_closing() or (current is not None and current.data):
             return
-        self._on_surplus()
+        self._tally.surplus += 1
         writer.write(data)
 
+    def _take_order(self, order: dict[str, Any]) -> int:
+        status = super()._take_order(order)
+        self._tally.loaded_replies += status == 200
+        return status
+
 
 async def name_versions(world: SoakWorld) -> None:
     """Name new weight versions until cancelled."""
@@ -115,17 +136,23 @@
         world.publish_version()
 
 
+def check_order_replies(world: SoakWorld, tally: SurplusTally) -> None:
+    """Check that gateways took no more orders for carried out than servers said."""
+    read = sum(
+        line["event"] == "weight-order" and line["reply"] == OrderReply.ALREADY_LOADED.value
+        for gateway in world.gateways
+        for line in gateway.log_lines()
+    )
+    if read > tally.loaded_replies:
+        world.ledger.violate("orders", f"{read} taken for carried out, {tally.loaded_replies} were")
+
+
 async def late_answer_soak(seed: int, folder: Path, seconds: float, gateways: int) -> Report:
     """Run one seed and return its report."""
     world = SoakWorld(seed, folder, gateways)
     world.servers_are_healthy = False
-    surplus = 0
-
-    def on_surplus() -> None:
-        nonlocal surplus
-        surplus += 1
-
-    world.new_server = lambda *given: SurplusServer(*given, on_surplus=on_surplus)
+    tally = SurplusTally()
+    world.new_server = lambda *given: SurplusServer(*given, tally=tally)
     async with running_world(world) as background:
         for server in world.servers.values():
             server.fault_rates.shed = SHED_SHARE
@@ -145,15 +172,17 @@
         world.ended = True
         await asyncio.wait(sending, timeout=PROFILE.deadline_seconds + SETTLE_SECONDS)
         world.ledger.check_late()
+        check_order_replies(world, tally)
         world.check_own_tasks([*background, *sending])
     ledger = world.ledger
-    if ledger.outcomes.get("200", 0) < MIN_SERVED or not surplus:
-        ledger.violate("soak", f"{ledger.outcomes} with {surplus} surplus answers")
+    if ledger.outcomes.get("200", 0) < MIN_SERVED or not tally.surplus:
+        ledger.violate("soak", f"{ledger.outcomes} with {tally.surplus} surplus answers")
     return {
         "seed": seed,
         "requests": len(ledger.sent),
         "outcomes": dict(sorted(ledger.outcomes.items())),
-        "surplus": surplus,
+        "surplus": tally.surplus,
+        "orders": len(ledger.orders),
         "starts": sum(gateway.starts for gateway in world.gateways),
         "violations": ledger.violations[:20],
     }
