Soak: a suspended gateway goes on when the series of faults ends

In 3 of 12 soaks of surplus answers all 24 clients waited past their deadline at once ("too-long": 24). Cause: the end of the series cancels the wait between SIGSTOP and SIGCONT, so that the gateway that was suspended just then stayed so to the end, and took every client that chose it. The rig, not the gateways; no check is touched.

--- a/tests/soak/gateway_faults.py
+++ b/tests/soak/gateway_faults.py
@@ -35,8 +35,11 @@
 
 async def _suspend(world: SoakWorld, gateway: GatewayProcess) -> None:
     gateway.send(signal.SIGSTOP)
-    await asyncio.sleep(world.random.uniform(*SUSPEND_SECONDS))
-    gateway.send(signal.SIGCONT)
+    try:
+        await asyncio.sleep(world.random.uniform(*SUSPEND_SECONDS))
+    finally:
+        # The end of the series cancels the sleep.
+        gateway.send(signal.SIGCONT)
 
 
 async def stop_gateways_in_turn(world: SoakWorld) -> None:
