--- a/tests/gateway/servers/test_truncated_heads.py
+++ b/tests/gateway/servers/test_truncated_heads.py
@@ -8,6 +8,7 @@
 import pytest
 
 from answer_feed import PENDING_ID, deliver
+from callee import listening_callee
 from cut_fleet import PROMPT
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
@@ -24,9 +25,7 @@
 from milletcourse.exchange.messages.messages import AnswerHead
 from milletcourse.gateway.fleet.answer_head_reader import AnswerHeadReader
 from milletcourse.gateway.servers.call_client import Call, CallClient
-from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.platform.names import HEADER_NAMES
-from milletcourse.runtime.responsive_clock import ResponsiveClock
 from relay_pair import RelayPair, run_pair
 
 BODY = b'{"items":[],"More":false,"At":12}'
@@ -88,19 +87,8 @@
             await asyncio.sleep(0.001)
             writer.transport.abort()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    pool = ConnectionPool(
-        HeaderDialect(HEADER_NAMES),
-        lambda address: None,
-        lambda data: None,
-        ResponsiveClock(),
-        8,
-        lambda address: 8,
-    )
-    reply = await CallClient(pool).call(f"{host}:{port}", Call("GET", "/objects"), 2.0)
-    pool.close()
-    server.close()
+    async with listening_callee(serve) as (pool, address):
+        reply = await CallClient(pool).call(address, Call("GET", "/objects"), 2.0)
     return reply is not None
 
 
