--- a/src/milletcourse/backends/app_client.py
+++ b/src/milletcourse/backends/app_client.py
@@ -34,7 +34,7 @@
         Raises:
             FailureError: `BackendUnreachable` or `BackendLost`.
         """
-        request = HttpRequest("GET", address, path, repeatable=False)
+        request = HttpRequest("GET", address, path, is_dedicated=True)
         return await self._answer(request, timeout_seconds)
 
     async def write(
@@ -53,7 +53,7 @@
             FailureError: `BackendUnreachable` when no byte was sent, `BackendLost` otherwise.
         """
         headers = {"Content-Type": content_type, KEY_HEADER: key}
-        request = HttpRequest(method, address, path, body, headers, repeatable=False)
+        request = HttpRequest(method, address, path, body, headers, is_dedicated=True)
         return await self._answer(request, timeout_seconds)
 
     async def read_operation(
--- a/src/milletcourse/backends/engine_client.py
+++ b/src/milletcourse/backends/engine_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from dataclasses import replace
 
 import msgspec
 
@@ -89,8 +88,8 @@
         Raises:
             FailureError: `BackendUnreachable`, `BackendLost` or `BackendRefused`.
         """
-        request = json_request("POST", address, "/v1/completions", completion)
-        return await self._open(replace(request, repeatable=False))
+        request = json_request("POST", address, "/v1/completions", completion, is_dedicated=True)
+        return await self._open(request)
 
     async def resume(
         self, address: str, request_id: str, attempt: int, offset: int
@@ -137,8 +136,8 @@
         Raises:
             FailureError: `BackendRefused` with status 409 when the fencing token is stale.
         """
-        request = json_request("POST", address, "/v1/orders", order)
-        await self._control(replace(request, repeatable=False), ORDER_TIMEOUT_SECONDS)
+        request = json_request("POST", address, "/v1/orders", order, is_dedicated=True)
+        await self._control(request, ORDER_TIMEOUT_SECONDS)
 
     async def _control(
         self, request: HttpRequest, timeout_seconds: float = CONTROL_TIMEOUT_SECONDS
--- a/src/milletcourse/configuration/platform_client.py
+++ b/src/milletcourse/configuration/platform_client.py
@@ -84,8 +84,7 @@
                 `ChangeUnknown` when reading back did not resolve it.
         """
         path = f"/v1/objects/{kind}/{name}"
-        request = json_request("PUT", self._address, path, write)
-        request = _with_repeatable(request, repeatable=False)
+        request = json_request("PUT", self._address, path, write, is_dedicated=True)
         try:
             status, body = await send_for_body(self._client, request, PLATFORM_TIMEOUT_SECONDS)
         except FailureError as error:
@@ -171,13 +170,6 @@
             raise FailureError(PlatformUnavailable("the platform can't be reached", 2.0)) from error
 
 
-def _with_repeatable(request: HttpRequest, repeatable: bool) -> HttpRequest:
-    """Return a copy of a request with the given repeatable flag."""
-    return HttpRequest(
-        request.method, request.address, request.path, request.body, request.headers, repeatable
-    )
-
-
 def _write_failure(
     status: int, body: bytes
 ) -> VersionConflict | InvalidObject | PlatformUnavailable | BackendRefused:
--- a/src/milletcourse/exchange/messages/dialect.py
+++ b/src/milletcourse/exchange/messages/dialect.py
@@ -278,7 +278,7 @@
             rejection_limit=read_limit(_all_values(self._rejection_limit, values, fields)),
             leaving=read_leaving(_all_values(self._leaving, values, fields)),
             back_off=_read_back_off(status, values, fields),
-            is_ambiguous=has_conflicts(reason, fields, self._single),
+            has_conflicts=has_conflicts(reason, fields, self._single),
         )
 
 
--- a/src/milletcourse/exchange/messages/messages.py
+++ b/src/milletcourse/exchange/messages/messages.py
@@ -144,7 +144,7 @@
         rejection_limit: Rejections per second beyond which the server crashes, as it reports.
         leaving: Whether the server reports that it is shutting down.
         back_off: Back-off that a refusing server requests.
-        is_ambiguous: Its parts contradict each other, so that it answers no request.
+        has_conflicts: Its parts contradict each other, so that it answers no request.
     """
 
     status: int
@@ -165,7 +165,7 @@
     rejection_limit: LimitHeader = NO_LIMIT
     leaving: LeavingHeader = NOT_LEAVING
     back_off: BackOffHeader = NO_BACK_OFF
-    is_ambiguous: bool = False
+    has_conflicts: bool = False
 
     @property
     def framing(self) -> Framing:
--- a/src/milletcourse/gateway/fleet/answer_head_reader.py
+++ b/src/milletcourse/gateway/fleet/answer_head_reader.py
@@ -45,5 +45,5 @@
             return
         self._is_done = True
         head = self._dialect.read_answer(status, self.reason, self.fields)
-        if not head.is_ambiguous:
+        if not head.has_conflicts:
             self._on_head(head)
--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -58,7 +58,7 @@
         server_retry_after_seconds: Retry-After of a server that rejected the request, None when it
             gave none.
         connect_seconds: Time spent on a connection to the server.
-        use: The request on its connection, None when it was not sent.
+        connection_use: The request on its connection, None when it was not sent.
         health: Counts its result for or against the server.
     """
 
@@ -79,7 +79,7 @@
         self.silence = Silence()
         self.server_retry_after_seconds: float | None = None
         self.connect_seconds = 0.0
-        self.use: ConnectionUse | None = None
+        self.connection_use: ConnectionUse | None = None
         self.health = AttemptHealth(context, instance)
         self._delivery_check: DeliveryCheck | None = None
         self._listener = listener
@@ -196,7 +196,7 @@
             connection.abort()
             raise
         finally:
-            self.use = connection.last_use()
+            self.connection_use = connection.last_use()
             self._connection = None
             self._silence_watch.stop()
             self._stop_delivery_check()
--- a/src/milletcourse/gateway/requests/server_attempt.py
+++ b/src/milletcourse/gateway/requests/server_attempt.py
@@ -64,7 +64,7 @@
             self.attempt.through,
             self.attempt.answer_end,
             self.attempt.cache_salt,
-            self.attempt.use,
+            self.attempt.connection_use,
         )
 
     def failure_record(
@@ -90,5 +90,5 @@
             self.attempt.connect_seconds,
             self.attempt.through,
             answers_others,
-            self.attempt.use,
+            self.attempt.connection_use,
         )
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -242,25 +242,13 @@
             self._skipping = True
             return
         head = self._dialect.read_answer(status, self.reason, self.fields)
-        if head.is_ambiguous:
-            self._skipping = True
-            self._report_surplus(head, is_taken=False)
-            self._on_malformed()
-            return
-        self._skipping = not self._requests.is_answered_by(head)
-        if self._skipping or (self._requests.latest_id and not head.request_id):
-            self._report_surplus(head, is_taken=not self._skipping)
-        if self._skipping:
-            self._tainted = True
-            if head.framing is Framing.CONNECTION:
-                self._on_malformed()
-            return
-        self._head = head
-        self._answer_seconds = elapsed_seconds() - self._sent_at
-        self._emit(AnswerEvent(head=head))
-        if self._bodyless:
-            self._tainted = True
-            self._finish_answer()
+        is_expected = not head.has_conflicts and self._requests.is_answered_by(head)
+        if not is_expected or (self._requests.latest_id and not head.request_id):
+            self._report_surplus(head, is_taken=is_expected)
+        if is_expected:
+            self._begin_answer(head)
+        else:
+            self._skip_answer(head)
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
@@ -294,6 +282,21 @@
             )
         )
 
+    def _begin_answer(self, head: AnswerHead) -> None:
+        self._head = head
+        self._answer_seconds = elapsed_seconds() - self._sent_at
+        self._emit(AnswerEvent(head=head))
+        if self._bodyless:
+            self._tainted = True
+            self._finish_answer()
+
+    def _skip_answer(self, head: AnswerHead) -> None:
+        """Discard an answer to another request; one without a known end ends the connection."""
+        self._skipping = True
+        self._tainted = True
+        if head.has_conflicts or head.framing is Framing.CONNECTION:
+            self._on_malformed()
+
     def _reset_answer(self) -> None:
         self._head = None
         self.reset_head()
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -154,7 +154,7 @@
             connect=round(failed.connect_seconds, 3),
             **through_field(failed.through),
             answers_others=failed.answers_others,
-            **connection_fields(failed.use),
+            **connection_fields(failed.connection_use),
             **self._request_fields(request),
         )
 
@@ -195,7 +195,7 @@
             gap=round(gap, 3),
             **answer_end_fields(answered.answer_end),
             **salt_field(answered.cache_salt),
-            **connection_fields(answered.use),
+            **connection_fields(answered.connection_use),
             **through_field(answered.through),
             **excluded_servers_field(excluded_servers),
             **self._request_fields(request),
--- a/src/milletcourse/gateway/telemetry/request_records.py
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -19,7 +19,7 @@
         through: Name of the gateway that relayed the connection; empty for a direct one.
         answer_end: How the answer ended, None when it is unknown.
         cache_salt: Salt under which the server read and kept prompt state; empty for none.
-        use: The request on its connection.
+        connection_use: The request on its connection.
     """
 
     instance: str
@@ -27,7 +27,7 @@
     through: str
     answer_end: AnswerEnd | None
     cache_salt: str
-    use: ConnectionUse | None
+    connection_use: ConnectionUse | None
 
 
 class FailedAttempt(msgspec.Struct, frozen=True):
@@ -46,7 +46,7 @@
         connect_seconds: Time spent on a connection to the server before the request was sent.
         through: Name of the gateway that relayed the connection; empty for a direct one.
         answers_others: The server has recently answered requests of this or other gateways.
-        use: The request on its connection, None when it was not sent.
+        connection_use: The request on its connection, None when it was not sent.
     """
 
     instance: str
@@ -60,7 +60,7 @@
     connect_seconds: float
     through: str
     answers_others: bool
-    use: ConnectionUse | None
+    connection_use: ConnectionUse | None
 
 
 class OverloadState(msgspec.Struct, frozen=True):
--- a/src/milletcourse/runtime/aiohttp_client.py
+++ b/src/milletcourse/runtime/aiohttp_client.py
@@ -62,10 +62,10 @@
 
 
 class AiohttpClient:
-    """Keeps two sessions: pooled connections, and one-shot connections for non-repeatable requests.
+    """Keeps two sessions: pooled connections, and one-shot connections for dedicated requests.
 
     aiohttp resends an idempotent method when a pooled connection turns out dead, so requests that
-    must not be repeated never use the pool.
+    must not be sent twice never use the pool.
     """
 
     def __init__(self) -> None:
@@ -89,7 +89,7 @@
 
     async def send(self, request: HttpRequest, timeout_seconds: float) -> HttpResponse:
         """See `HttpClient.send`."""
-        session = self._pooled if request.repeatable else self._one_shot
+        session = self._one_shot if request.is_dedicated else self._pooled
         try:
             async with asyncio.timeout(timeout_seconds):
                 response = await session.request(
--- a/src/milletcourse/runtime/http.py
+++ b/src/milletcourse/runtime/http.py
@@ -26,7 +26,8 @@
         path: Path with query string.
         body: Whole body; empty for none.
         headers: Header fields.
-        repeatable: False forbids any resend by the transport, also on a reused connection.
+        is_dedicated: Sent on a connection that carries nothing else. The transport then never sends
+            it twice, and no late answer to another request passes for its own.
     """
 
     method: str
@@ -34,7 +35,7 @@
     path: str
     body: bytes = b""
     headers: Mapping[str, str] = field(default_factory=dict)
-    repeatable: bool = True
+    is_dedicated: bool = False
 
 
 class HttpResponse(Protocol):
@@ -92,8 +93,9 @@
     path: str,
     document: object = None,
     headers: Mapping[str, str] | None = None,
+    is_dedicated: bool = False,
 ) -> HttpRequest:
     """Build a request with a JSON body."""
     body = b"" if document is None else msgspec.json.encode(document)
     fields = {"Content-Type": JSON_CONTENT_TYPE, **(headers or {})}
-    return HttpRequest(method, address, path, body, fields)
+    return HttpRequest(method, address, path, body, fields, is_dedicated)
--- a/tests/callee.py
+++ b/tests/callee.py
@@ -1,4 +1,4 @@
-"""A server on a socket that replies to calls, and a pool of connections to it."""
+"""Servers on a socket that a test handles byte by byte, and the clients that call them."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from milletcourse.exchange.messages.dialect import HeaderDialect
 from milletcourse.gateway.servers.connection_pool import ConnectionPool
 from milletcourse.platform.names import HEADER_NAMES
+from milletcourse.runtime.aiohttp_client import AiohttpClient
 from milletcourse.runtime.responsive_clock import ResponsiveClock
 
 MAX_CONNECTIONS = 8
@@ -16,10 +17,19 @@
 
 
 @asynccontextmanager
-async def listening_callee(serve: Serve) -> AsyncIterator[tuple[ConnectionPool, str]]:
-    """A pool, and the address of a server that handles each connection with `serve`."""
+async def _listening(serve: Serve) -> AsyncIterator[str]:
+    """The address of a server that handles each connection with `serve`."""
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.close()
+
+
+@asynccontextmanager
+async def pool_and_callee(serve: Serve) -> AsyncIterator[tuple[ConnectionPool, str]]:
+    """A gateway's connections, and the address of a server that handles them with `serve`."""
     pool = ConnectionPool(
         HeaderDialect(HEADER_NAMES),
         lambda address: None,
@@ -28,8 +38,19 @@
         MAX_CONNECTIONS,
         lambda address: MAX_CONNECTIONS,
     )
-    try:
-        yield pool, f"{host}:{port}"
-    finally:
-        pool.close()
-        server.close()
+    async with _listening(serve) as address:
+        try:
+            yield pool, address
+        finally:
+            pool.close()
+
+
+@asynccontextmanager
+async def client_and_callee(serve: Serve) -> AsyncIterator[tuple[AiohttpClient, str]]:
+    """The router's HTTP client, and the address of a server that handles it with `serve`."""
+    client = AiohttpClient()
+    async with _listening(serve) as address:
+        try:
+            yield client, address
+        finally:
+            await client.close()
--- a/tests/gateway/servers/test_replies_to_calls.py
+++ b/tests/gateway/servers/test_replies_to_calls.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from callee import listening_callee
+from callee import pool_and_callee
 from gateway_standin import answer
 from milletcourse.gateway.servers.call_client import Call, CallClient
 
@@ -25,7 +25,7 @@
         writer.write(surplus + answer(202, b"taken"))
 
     async def scenario() -> None:
-        async with listening_callee(serve) as (pool, address):
+        async with pool_and_callee(serve) as (pool, address):
             connection = await pool.open(address, 1.0)
             connection.send(b"POST / HTTP/1.1\r\nRequest-Id: r-1\r\n\r\n", "r-1")
             while not (await connection.next_event()).complete:
--- a/tests/gateway/servers/test_truncated_heads.py
+++ b/tests/gateway/servers/test_truncated_heads.py
@@ -8,7 +8,7 @@
 import pytest
 
 from answer_feed import PENDING_ID, deliver
-from callee import listening_callee
+from callee import pool_and_callee
 from cut_fleet import PROMPT
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import (
@@ -87,7 +87,7 @@
             await asyncio.sleep(0.001)
             writer.transport.abort()
 
-    async with listening_callee(serve) as (pool, address):
+    async with pool_and_callee(serve) as (pool, address):
         reply = await CallClient(pool).call(address, Call("GET", "/objects"), 2.0)
     return reply is not None
 
--- a/tests/soak/isolation.py
+++ b/tests/soak/isolation.py
@@ -13,7 +13,6 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +21,7 @@
 from gateway_standin import Client, ReceivedRequest, answer, chunk, event
 from prompt_memory import PromptMemory
 from soak.gateway_faults import disturb_gateways, running_world
-from soak.seeds import Report, run_seeds, soak_arguments
+from soak.seeds import Report, run_fleet_soak
 from soak.server import SoakServer
 from soak.world import BOUNDS, DEFAULT_GATEWAYS, TENANTS, SoakWorld
 
@@ -203,15 +202,5 @@
     }
 
 
-def main() -> int:
-    """Run all seeds."""
-    arguments = soak_arguments(__doc__, DEFAULT_GATEWAYS)
-
-    def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
-        return isolation_soak(seed, folder, arguments.seconds, arguments.gateways)
-
-    return run_seeds(arguments.seeds, arguments.keep, run_seed)
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_fleet_soak(__doc__, DEFAULT_GATEWAYS, isolation_soak))
--- a/tests/soak/late_answers.py
+++ b/tests/soak/late_answers.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import sys
-from collections.abc import Coroutine
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -23,7 +22,7 @@
 from milletcourse.exchange.rollout.weight_rollout import OrderReply
 from soak.clients import ClientProfile, SoakClient
 from soak.gateway_faults import disturb_gateways, end_series, running_world
-from soak.seeds import Report, run_seeds, soak_arguments
+from soak.seeds import Report, run_fleet_soak
 from soak.server import SoakServer
 from soak.world import DEFAULT_GATEWAYS, SoakWorld
 
@@ -188,15 +187,5 @@
     }
 
 
-def main() -> int:
-    """Run all seeds."""
-    arguments = soak_arguments(__doc__, DEFAULT_GATEWAYS)
-
-    def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
-        return late_answer_soak(seed, folder, arguments.seconds, arguments.gateways)
-
-    return run_seeds(arguments.seeds, arguments.keep, run_seed)
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_fleet_soak(__doc__, DEFAULT_GATEWAYS, late_answer_soak))
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -16,6 +16,7 @@
 
 Report = dict[str, object]
 SeedRunner = Callable[[int, Path], Coroutine[Any, Any, Report]]
+FleetSoak = Callable[[int, Path, float, int], Coroutine[Any, Any, Report]]
 VIOLATIONS_FIELD = "violations"
 """Report field with one text for each violation: its guarantee, a colon and the details."""
 FAILURE_FIELDS = ("lost", VIOLATIONS_FIELD)
@@ -85,16 +86,22 @@
     return 1 if failed else 0
 
 
-def soak_arguments(description: str | None, gateways: int) -> argparse.Namespace:
-    """Parses the options that soaks of a whole fleet share.
+def run_fleet_soak(description: str | None, gateways: int, soak: FleetSoak) -> int:
+    """Run all seeds with the options that soaks of a whole fleet share; returns the exit code.
 
     Args:
         description: Shown by `--help`.
         gateways: Default number of processes.
+        soak: Runs one seed with a folder for its logs, the seconds of faults and the processes.
     """
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--seeds", default="", help="FIRST:LAST; default: one new seed")
     parser.add_argument("--seconds", type=float, default=15.0, help="duration of faults per seed")
     parser.add_argument("--gateways", type=int, default=gateways, help="processes")
     parser.add_argument("--keep", type=Path, help="folder in which to keep the gateways' logs")
-    return parser.parse_args()
+    arguments = parser.parse_args()
+
+    def run_seed(seed: int, folder: Path) -> Coroutine[Any, Any, Report]:
+        return soak(seed, folder, arguments.seconds, arguments.gateways)
+
+    return run_seeds(arguments.seeds, arguments.keep, run_seed)
--- a/tests/test_late_application_answers.py
+++ b/tests/test_late_application_answers.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from callee import client_and_callee
 from milletcourse.backends.app_client import AppClient
-from milletcourse.runtime.aiohttp_client import AiohttpClient
 
 REQUESTS = 5
 DELAYS = {"before the next request": 0.0, "after the next request": 0.02}
@@ -35,16 +35,12 @@
             writer.close()
 
     async def scenario() -> list[bytes]:
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        http = AiohttpClient()
-        client = AppClient(http)
         bodies = []
-        for number in range(REQUESTS):
-            bodies.append((await client.read(f"{host}:{port}", f"/{number}", 2.0)).body)
-            await asyncio.sleep(0.02)
-        await http.close()
-        server.close()
+        async with client_and_callee(serve) as (http, address):
+            client = AppClient(http)
+            for number in range(REQUESTS):
+                bodies.append((await client.read(address, f"/{number}", 2.0)).body)
+                await asyncio.sleep(0.02)
         return bodies
 
     assert asyncio.run(scenario()) == [b"/%d" % number for number in range(REQUESTS)]
--- a/tests/test_late_engine_answers.py
+++ b/tests/test_late_engine_answers.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from callee import client_and_callee
 from milletcourse.backends.engine_client import EngineClient
 from milletcourse.backends.engine_messages import EngineCompletion, EngineOrder
 from milletcourse.errors import BackendRefused, FailureError
-from milletcourse.runtime.aiohttp_client import AiohttpClient
 
 REFUSAL = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 ACCEPTANCE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -41,14 +41,8 @@
             writer.close()
 
     async def run() -> None:
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        http = AiohttpClient()
-        try:
-            await scenario(EngineClient(http), f"{host}:{port}")
-        finally:
-            await http.close()
-            server.close()
+        async with client_and_callee(serve) as (http, address):
+            await scenario(EngineClient(http), address)
 
     asyncio.run(run())
 
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from callee import client_and_callee
 from milletcourse.errors import BackendLost, FailureError
-from milletcourse.runtime.aiohttp_client import AiohttpClient
 from milletcourse.runtime.http import HttpRequest
 
 LENGTH = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 64\r\n\r\n"
@@ -19,9 +19,9 @@
 }
 
 
-@pytest.mark.parametrize("repeatable", [True, False])
+@pytest.mark.parametrize("is_dedicated", [False, True])
 @pytest.mark.parametrize("head", HEADS)
-def test_a_truncated_head_of_a_back_end_is_a_lost_answer(head: str, repeatable: bool) -> None:
+def test_a_truncated_head_of_a_back_end_is_a_lost_answer(head: str, is_dedicated: bool) -> None:
     """Guards against a 200 with an empty body; a write is sent once."""
     received: list[bytes] = []
 
@@ -32,18 +32,14 @@
 
     async def scenario() -> None:
         nonlocal length
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        client = AiohttpClient()
-        for length in range(len(HEADS[head])):
-            received.clear()
-            request = HttpRequest("POST", f"{host}:{port}", "/", repeatable=repeatable)
-            with pytest.raises(FailureError) as lost:
-                await client.send(request, 2.0)
-            assert isinstance(lost.value.failure, BackendLost), length
-            assert len(received) == 1
-        await client.close()
-        server.close()
+        async with client_and_callee(serve) as (client, address):
+            for length in range(len(HEADS[head])):
+                received.clear()
+                request = HttpRequest("POST", address, "/", is_dedicated=is_dedicated)
+                with pytest.raises(FailureError) as lost:
+                    await client.send(request, 2.0)
+                assert isinstance(lost.value.failure, BackendLost), length
+                assert len(received) == 1
 
     length = 0
     asyncio.run(scenario())
