Soak: most new connections go to one gateway

No rig with real processes judged the rule on recovery while the platform hands most new connections to one node. After 3 s, requests that a gateway has read must be served at least three quarters as often as before.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 	$(VENV)/bin/python tests/soak/crashing_parts.py --seeds 1:1 --seconds 10
 	$(VENV)/bin/python tests/soak/isolation.py --seeds 1:1 --seconds 12
 	$(VENV)/bin/python tests/soak/late_answers.py --seeds 4:4 --seconds 12
+	$(VENV)/bin/python tests/soak/skewed_connections.py --seeds 1:2 --seconds 5
 	$(VENV)/bin/python tests/soak/revocation.py --seeds 1:1 --killed 4
 	$(VENV)/bin/python tests/soak/revocation.py --seeds 2:2 --heard 0
 	$(VENV)/bin/python tests/soak/revocation.py --seeds 3:3 --killed 2 --nothing-lost --written-again -1
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -14,6 +14,7 @@
 from soak.clients import LONG_PROMPT
 from soak.ledger import MAX_CRASHES, Ledger, ReceivedOrder, Run, SentRequest, complete_stream
 from soak.run import AMPLE_MEMORY_TOKENS, CLIENTS, check_recovery
+from soak.skewed_connections import ServedShare, check_served
 from soak.world import LISTEN_TIMEOUT_SECONDS, GatewayProcess, SoakWorld
 
 SILENT_PROGRAM = ("-c", "import time; time.sleep(60)")
@@ -223,3 +224,23 @@
     """Guards against judging recovery by refusals for lack of memory."""
     tokens = sum(int(part) for part in LONG_PROMPT["Token_Usage"].split(","))
     assert CLIENTS * tokens <= AMPLE_MEMORY_TOKENS
+
+
+@pytest.mark.parametrize(("before", "after", "holds"), [(0.8, 0.61, True), (0.8, 0.59, False)])
+def test_a_quarter_less_service_under_skewed_connections_is_reported(
+    tmp_path: Path, before: float, after: float, holds: bool
+) -> None:
+    """The bound is relative to the share before."""
+    world = SoakWorld(1, tmp_path)
+    check_served(world, before, after)
+    assert (not world.ledger.violations) is holds
+
+
+def test_the_served_share_leaves_out_requests_that_no_gateway_has_read(tmp_path: Path) -> None:
+    """Connections that were refused, or closed unread, and clients that left are not counted."""
+    world = SoakWorld(1, tmp_path)
+    world.ledger.outcomes = {"200": 9, "503": 9}
+    share = ServedShare(world)
+    unread = {"nothing": 5, "no-connection": 5, "left": 5}
+    world.ledger.outcomes.update({"200": 12, "503": 9, "502": 1, **unread})
+    assert (share.read_requests(), share.value()) == (4, 0.75)
