Each try to resume a stream has a log line of its own with its end

Cause: lines are limited per event name, and an overload uses up those of request-failed (1,619 in 34 s) and request-served. Ruled out: ends that write no line.

resumption-ended has its own rate, and says whether the stream went on, the outcome, the version, and how many servers of it are listed, ejected and suspected; resumptions_total counts the same.

--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -45,6 +45,8 @@
 
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Used for requests without a deadline of the client."""
+UNANSWERED_OUTCOME = "unanswered"
+"""Outcome of a request that this gateway ended without an answer."""
 
 
 class Exchange:
@@ -97,6 +99,7 @@
         self._is_unreachable = False
         """The latest server was reached neither from here nor through another gateway."""
         self._end_cause: AbortCause | None = None
+        self._outcome = UNANSWERED_OUTCOME
         self._servers: list[VisitedServer] = []
         self._deadline_timer: asyncio.TimerHandle | None = None
         self._has_rechecked_deadline = False
@@ -120,6 +123,7 @@
             self._client.on_disconnected = None
             self._handover.close()
             self._settle_limit()
+            self._continuity.on_end(self._outcome, self._relay.has_started)
 
     def _set_deadline_timer(self) -> None:
         """Schedule the end at the deadline; repeated after a suspension, which stops timers."""
@@ -162,6 +166,7 @@
             may_retry = self._plan.may_retry(self._seconds_left())
             await self._crash_check.on_attempt_end(server_attempt, result, may_retry)
             if self._end_cause is AbortCause.CLIENT_DISCONNECTED:
+                self._outcome = "client-left"
                 record.client_left(
                     request, self._job.route, server_attempt.instance.name, self._relay.has_started
                 )
@@ -310,6 +315,7 @@
     def _finish(self, step: NextStep, last: ServerAttempt) -> None:
         record = self._context.record
         if step is NextStep.FINISHED:
+            self._outcome = "served"
             relay = self._relay
             record.served(
                 self._job.request,
@@ -321,9 +327,11 @@
                 self._search.signals_by_server,
             )
         elif self._relay.has_started:
+            self._outcome = "cut"
             record.stream_truncated(self._job.request, self._job.route, self._truncated_stream())
             self._client.abort()
         elif step is NextStep.FORWARD_FAILURE and self._relay.failure is not None:
+            self._outcome = "passed-failure"
             record.passed_failure(self._job.route)
             self._relay.pass_failure(self._relay.failure)
         else:
@@ -352,6 +360,7 @@
         return Overloaded("servers rejected the request", max(retry_after, soonest))
 
     def _refuse(self, failure: Failure) -> None:
+        self._outcome = failure.code
         self._context.record.failure(
             failure,
             self._job.request,
--- a/src/milletcourse/gateway/requests/exchange_runner.py
+++ b/src/milletcourse/gateway/requests/exchange_runner.py
@@ -80,8 +80,9 @@
         self, failure: StreamNotResumable, admitted: _AdmittedRequest, client: ClientConnection
     ) -> None:
         record = self._context.record
-        record.resumption.resumption_refused()
-        record.failure(failure, admitted.request, admitted.route, {})
+        request = admitted.request
+        record.resumption.resumption_refused(request.request_id, request.resumes, failure.code)
+        record.failure(failure, request, admitted.route, {})
         refuse(client, failure)
 
     async def _resume_point(
--- a/src/milletcourse/gateway/requests/stream_continuity.py
+++ b/src/milletcourse/gateway/requests/stream_continuity.py
@@ -8,6 +8,7 @@
 from milletcourse.gateway.requests.exchange_job import ExchangeJob
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.state.stream_resumption import ResumePoint
+from milletcourse.gateway.telemetry.resumption_recorder import EndedResumption
 
 
 class StreamContinuity:
@@ -29,7 +30,8 @@
         """
         self._context = context
         self._job = job
-        self._has_begun = resume_point is not None
+        self._is_resumption = resume_point is not None
+        self._has_begun = self._is_resumption
         self._is_relayed = False
         self._software_version: str | None = None
         self._first_id = job.request.request_id
@@ -67,6 +69,33 @@
             job.client_deadline_at,
         )
 
+    def on_end(self, outcome: str, has_gone_on: bool) -> None:
+        """The request has ended; an attempt to resume a stream is recorded.
+
+        Args:
+            outcome: How it ended, as in the metric of all requests.
+            has_gone_on: Whether events, or the end of the stream, were relayed.
+        """
+        if not self._is_resumption:
+            return
+        context = self._context
+        now = context.now()
+        candidates = context.selector.candidates
+        servers = context.instances.of_service(self._job.service.name).values()
+        permitted = [instance for instance in servers if self.permits(instance)]
+        resumption = EndedResumption(
+            self._software_version or "",
+            outcome,
+            has_gone_on,
+            len(permitted),
+            sum(instance.health.is_ejected(now) for instance in permitted),
+            sum(candidates.is_suspected(instance, now) for instance in permitted),
+            round(now - self._job.request.received_at, 3),
+        )
+        context.record.resumption.resumption_ended(
+            self._job.request.request_id, self._first_id, resumption
+        )
+
     def permits(self, instance: Instance) -> bool:
         """Whether the request may be sent to a server."""
         if not self._has_begun:
--- a/src/milletcourse/gateway/telemetry/metrics.py
+++ b/src/milletcourse/gateway/telemetry/metrics.py
@@ -56,6 +56,7 @@
         self._relay_replies: Counter[str] = Counter()
         self._streams: Counter[tuple[str, str]] = Counter()
         self._streams_resumed: Counter[str] = Counter()
+        self._resumptions: Counter[tuple[str, str]] = Counter()
         self._origin_holder_timeouts = 0
         self._surplus_data: Counter[str] = Counter()
         self._answers_by_bucket = [0] * (len(ANSWER_BUCKETS_SECONDS) + 1)
@@ -117,6 +118,10 @@
         """See `MetricsSink`."""
         self._streams_resumed[outcome] += 1
 
+    def on_resumption_ended(self, outcome: str, went_on: bool) -> None:
+        """See `MetricsSink`."""
+        self._resumptions[outcome, str(went_on).lower()] += 1
+
     def on_origin_holders_silent(self) -> None:
         """See `MetricsSink`."""
         self._origin_holder_timeouts += 1
@@ -262,6 +267,14 @@
         for names, count in self._streams.items():
             streams.add_metric(names, count)
         yield streams
+        resumptions = CounterMetricFamily(
+            f"{PREFIX}resumptions",
+            "Attempts of clients to resume a stream, by how they ended",
+            labels=["outcome", "went_on"],
+        )
+        for names, count in self._resumptions.items():
+            resumptions.add_metric(names, count)
+        yield resumptions
         yield CounterMetricFamily(
             f"{PREFIX}origin_holders_silent",
             "Questions for the origin of a stream that not all holders replied to in time",
