--- /dev/null
+++ b/tests/gateway/requests/test_resumption_precedence.py
@@ -0,0 +1,84 @@
+"""Streams that clients resume while the servers of their version are busy."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gateway_harness import LogLines
+from gateway_standin import Client
+from versions_fleet import (
+    EVENTS,
+    GATEWAYS,
+    PROMPT,
+    STREAMS,
+    ReceivedStream,
+    VersionsFleet,
+    pausing_at,
+    run_fleet,
+)
+
+SLOTS = 4
+"""Slots of each server, far fewer than streams."""
+MAX_NEW_STREAMS = 200
+
+
+async def _fill_servers(fleet: VersionsFleet) -> list[Client]:
+    """Begin streams that never end, until each gateway refuses new ones."""
+    clients = []
+    refusing: set[int] = set()
+    for number in range(MAX_NEW_STREAMS):
+        gateway = number % GATEWAYS
+        if gateway in refusing:
+            continue
+        client = await Client.connect(fleet.nodes[gateway].frontend_address)
+        client.send("/stream/", f"new-{number}", **PROMPT)
+        async with asyncio.timeout(4.0):
+            head = await client.reader.readuntil(b"\r\n\r\n")
+        clients.append(client)
+        if b" 503 " in head.split(b"\r\n")[0]:
+            refusing.add(gateway)
+    assert len(refusing) == GATEWAYS, "the servers were never full"
+    return clients
+
+
+@pytest.mark.parametrize("versions", [("v1",), ("v1", "v1.2")], ids=["one-version", "two-versions"])
+def test_resumed_streams_are_not_refused_while_their_clients_still_wait(
+    versions: tuple[str, ...],
+) -> None:
+    """The servers are so busy that a first event would be late; the first event came long ago."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        for version in versions:
+            await fleet.add_servers(pausing_at(2), version)
+        await fleet.start_gateways(slots=SLOTS)
+        await fleet.begin()
+        clients = await _fill_servers(fleet)
+        await fleet.resume()
+        for client in clients:
+            client.close()
+        fleet.judge()
+
+    run_fleet(scenario)
+
+
+def test_each_try_to_resume_a_stream_is_logged_with_its_end() -> None:
+    """An overload suppresses lines of single requests, and must not suppress these."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        log = fleet.harness.log_lines = LogLines()
+        await fleet.start_with_two_versions(pausing_at(2))
+        await fleet.begin()
+        await fleet.resume()
+        unknown = ReceivedStream("never-was", numbers=[1])
+        await unknown.resume(fleet.nodes[0], EVENTS)
+        await fleet.harness.until(lambda: len(log.of_event("resumption-ended")) == STREAMS + 1)
+        lines = {line["resumes"]: line for line in log.of_event("resumption-ended")}
+        refused = lines.pop("never-was")
+        assert (refused["outcome"], refused["went_on"]) == ("stream-not-resumable", False)
+        assert all(line["outcome"] == "served" and line["went_on"] for line in lines.values())
+        assert {line["software"] for line in lines.values()} == {"v1", "v1.2"}
+        assert all(line["servers"] == 2 for line in lines.values())
+
+    run_fleet(scenario)
--- a/tests/versions_fleet.py
+++ b/tests/versions_fleet.py
@@ -153,11 +153,13 @@
         for node in self.nodes:
             await self.harness.until(lambda node=node: self.knows_all(node, len(self.nodes)))
 
-    async def start_gateways(self, gateways: int = GATEWAYS, **bounds: float) -> None:
+    async def start_gateways(
+        self, gateways: int = GATEWAYS, slots: int = 4 * STREAMS, **bounds: float
+    ) -> None:
         """Start gateways that are found through their entries, with retries for all streams."""
         self.harness.internal_ports = self.harness.free_ports()
         engine = self.harness.configuration["Services"][1]["Engine"]
-        engine.update(Slots=4 * STREAMS, KvCapacity=1_000_000)
+        engine.update(Slots=slots, KvCapacity=1_000_000)
         self.harness.store.put("versions", "model-1", {"Model": "model-1", "Version": 1})
         await super().start_gateways(gateways, RetrySlack=50.0 * STREAMS, **bounds)
 
