--- a/src/milletcourse/gateway/telemetry/metrics_sink.py
+++ b/src/milletcourse/gateway/telemetry/metrics_sink.py
@@ -55,7 +55,7 @@
         """A client resumes a stream: `known` or `unknown` tells whether the version is known."""
 
     def on_resumption_ended(self, outcome: str, went_on: bool) -> None:
-        """An attempt to resume a stream has ended; `went_on` tells whether events were relayed."""
+        """An attempt to resume a stream has ended; `went_on`: whether events were relayed."""
 
     def on_origin_holders_silent(self) -> None:
         """Not all gateways that keep the origin of a stream replied in time."""
