Readers record where streams began while several software versions serve

Cause: where a stream began is known to its gateway and to five holders, all of which had ended. The store knows only which versions may have begun streams. Class: what must outlast all gateways is kept in their memory alone. Ruled out: the version record (it named both), the store (it answered).

Change: two of the zones' readers are sent each origin beside the holders, and each writes what it knows into one object of its zone, every 0.25 s if there is something new. A gateway that starts while versions are mixed reads them once. An origin is a fact that stays true, so that an old copy does no harm. With one version nothing is sent or written.

--- a/src/milletcourse/gateway/adapter.py
+++ b/src/milletcourse/gateway/adapter.py
@@ -28,6 +28,7 @@
         targets: Kind of the named weight versions.
         gateways: Kind of the list of gateways.
         leases: Kind of the leases of the gateways.
+        origins: Kind of the records of where streams began.
         roll_out_lease: Name of the roll-out's lease.
     """
 
@@ -37,6 +38,7 @@
     targets: str
     gateways: str
     leases: str
+    origins: str
     rollout_lease: str
 
 
--- a/src/milletcourse/gateway/fleet_member.py
+++ b/src/milletcourse/gateway/fleet_member.py
@@ -29,6 +29,7 @@
 from milletcourse.gateway.store.kind_event_handler import KindEventHandler
 from milletcourse.gateway.store.kind_mirror import KindMirror
 from milletcourse.gateway.store.object_store import ObjectStoreClient
+from milletcourse.gateway.store.origin_store import OriginStore
 from milletcourse.gateway.store.registration import Registration
 from milletcourse.gateway.store.store_comparison import StoreState, compare_kinds
 from milletcourse.gateway.store.store_feed import StoreFeed
@@ -87,6 +88,15 @@
             context.record.resumption,
         )
         context.stream_resumption.on_new_version = self._on_new_version
+        self._origin_store = OriginStore(
+            store,
+            adapter.kinds.origins,
+            settings.zone,
+            context.stream_resumption,
+            context.now,
+            context.log,
+        )
+        self._version_record.on_read = self._restore_origins
         gateway_objects = GatewayObjectsEventHandler(self._directory, self._version_record)
         self._watched = _watched_kinds(context, adapter, gateway_objects)
         self._store_sync = StoreSync(
@@ -103,12 +113,19 @@
         port = await self._bind_datagrams(settings.host, settings.internal_ports)
         if port is None:
             self._context.log.emit("peers-unavailable", ports=settings.internal_ports)
+            self._context.stream_resumption.holders.set_readers([settings.name])
             self._context.stream_resumption.set_peers([])
         else:
             await self._join(f"{settings.host}:{port}")
         self._spawn(self._version_record.run())
+        self._spawn(self._origin_store.run())
         self._spawn(self._store_sync.run())
 
+    def _restore_origins(self) -> None:
+        """After a start among several software versions, learn which one began which stream."""
+        if self._context.stream_resumption.begin_restore():
+            self._spawn(self._origin_store.restore())
+
     def _on_new_version(self) -> None:
         """Record a software version at once; gateways that follow a reader leave that to readers.
 
@@ -210,6 +227,7 @@
         own_name = self._context.settings.name
         self._reader_selection.set_gateways(others)
         readers = [name for name in self._reader_selection.primary_readers if name != own_name]
+        self._context.stream_resumption.holders.set_readers(self._reader_selection.primary_readers)
         self.peers.set_gateways(others, readers)
         self._context.relays.set_peers(
             RelayPeer(gateway.name, gateway.feed, gateway.zone)
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
 from enum import Enum
@@ -24,6 +25,7 @@
     OriginStep,
 )
 from milletcourse.exchange.resumption.origin_holders import OriginHolders
+from milletcourse.exchange.resumption.origin_record import OriginRecord
 from milletcourse.exchange.resumption.software_versions import MAX_HORIZON_SECONDS, SoftwareVersions
 from milletcourse.exchange.resumption.stream_origins import StreamOrigin, StreamOrigins, stream_key
 from milletcourse.gateway.state.origin_question import OriginQuestion
@@ -76,6 +78,7 @@
     Attributes:
         versions: Software versions that may have begun streams.
         holders: Which gateways keep the origin of a stream.
+        origin_record: The streams that this gateway records in the store.
         send: Sends messages; messages sent before it is set are lost.
         on_new_version: Called when another version of a service has been seen, which has to be
             stored for gateways that start after all others have stopped.
@@ -110,6 +113,9 @@
         self._clock = clock
         self._now = now
         self._record = record
+        self.origin_record = OriginRecord()
+        self._restored: asyncio.Event | None = None
+        """Set once the records in the store have been read; None while that isn't needed."""
         self._origins = StreamOrigins()
         self._has_joined = False
         self._request_numbers = count(1)
@@ -138,15 +144,25 @@
         self._record.stream_relayed(service, version)
         if self.versions.is_mixed(service, now):
             self._tell({key: origin})
+            self._record_origin(key)
 
     def _on_new_version(self, service: str) -> None:
         """Tell the holders of the streams that began while there was nothing to tell."""
         now = self._now()
         if self.versions.is_mixed(service, now):
-            self._tell(dict(self._origins.own_of_service(service, now)))
+            told = dict(self._origins.own_of_service(service, now))
+            self._tell(told)
+            for key in told:
+                self._record_origin(key)
             self._join()
         self.on_new_version()
 
+    def _record_origin(self, key: int) -> None:
+        """Have a stream recorded in the store if this gateway is to do it."""
+        origin = self._origins.find(key, self._now())
+        if origin is not None and self.holders.is_recorder(key):
+            self.origin_record.add(key, origin)
+
     def set_peers(self, others: list[str]) -> None:
         """Replace the list of the other gateways."""
         self.holders.set_peers(others)
@@ -168,7 +184,7 @@
         for key, origin in origins.items():
             report = _report(key, origin, now)
             if report is not None:
-                for name in self.holders.others(key):
+                for name in self.holders.receivers(key):
                     reports[name].append(report)
         for name, told in reports.items():
             self._send_reports(name, told)
@@ -191,6 +207,7 @@
             services: Services that may continue it, the preferred one first.
         """
         key = stream_key(tenant, first_id)
+        await self._until_restored()
         origin = self._origins.find(key, self._now()) if first_id else None
         evidence = OriginEvidence.OWN_RECORD
         sole_versions = self._sole_versions(services)
@@ -209,6 +226,17 @@
         confirmed_version = version if is_confirmed else None
         return _resume_point(services[0], confirmed_version, OriginEvidence.SOLE_SINCE_START)
 
+    async def _until_restored(self) -> None:
+        """After a start, wait a little for the records in the store."""
+        if self._restored is None or self._restored.is_set():
+            return
+        try:
+            async with responsive_timeout(self._clock, ASK_TIMEOUT_SECONDS):
+                await self._restored.wait()
+        except TimeoutError:
+            # Without the records the stream may be refused, and its client retries.
+            return
+
     def _is_confirmed(self, question: OriginQuestion, service: str, version: str) -> bool:
         """Whether the only version seen here may be taken for the one that began a stream.
 
@@ -273,6 +301,7 @@
     def _on_told(self, report: OriginReport) -> None:
         now = self._now()
         self._origins.record(report.key, _origin(report, now), now)
+        self._record_origin(report.key)
         # The sender may have seen a version that isn't listed here yet.
         self.versions.on_seen(report.service, report.software_version, now)
 
@@ -309,6 +338,36 @@
         origin = _origin(message.reports[0], self._now()) if message.reports else None
         question.on_reply(message.sender, origin, message.services)
 
+    # -- records in the store -------------------------------------------------------------------
+
+    def begin_restore(self) -> bool:
+        """Whether the records in the store have to be read, after a start among several versions.
+
+        Requests that depend on them wait for `end_restore`.
+        """
+        now = self._now()
+        if not self.versions.mixed_services(now) and not self.versions.has_unknown(now):
+            return False
+        self._restored = asyncio.Event()
+        return True
+
+    def on_restored(self, key: int, origin: StreamOrigin, is_recorded_here: bool) -> None:
+        """A recorded stream was read.
+
+        Args:
+            key: Its key.
+            origin: Where it began.
+            is_recorded_here: Whether this gateway writes the record that names it.
+        """
+        self._origins.record(key, origin, self._now())
+        if is_recorded_here:
+            self.origin_record.add_stored(key, origin)
+
+    def end_restore(self) -> None:
+        """All records were read."""
+        if self._restored is not None:
+            self._restored.set()
+
     def sweep(self) -> None:
         """Drop expired state."""
         self._origins.drop_expired(self._now())
--- a/src/milletcourse/gateway/store/version_record_store.py
+++ b/src/milletcourse/gateway/store/version_record_store.py
@@ -31,7 +31,11 @@
 
 
 class VersionRecordStore:
-    """Reads and writes the record; writers are ordered by compare-and-set."""
+    """Reads and writes the record; writers are ordered by compare-and-set.
+
+    Attributes:
+        on_read: Called once the record is known as it was after this gateway started.
+    """
 
     def __init__(
         self,
@@ -61,6 +65,7 @@
         self._random = random_source
         self._log = log
         self._recorder = recorder
+        self.on_read: Callable[[], None] = lambda: None
         self._object: StoredObject | None = None
         self._changed = asyncio.Event()
         self._interval_seconds = CHECK_INTERVAL_SECONDS
@@ -81,6 +86,7 @@
         if not self._record.on_caught_up(has_run_before, self._now()):
             self._recorder.version_record_incomplete()
         self._changed.set()
+        self.on_read()
 
     def _decode(self, found: StoredObject | None) -> StoredVersions | None:
         if found is None:
--- a/src/milletcourse/platform/names.py
+++ b/src/milletcourse/platform/names.py
@@ -37,6 +37,7 @@
     targets="versions",
     gateways="milletcourse-gateways",
     leases="milletcourse-leases",
+    origins="milletcourse-stream-origins",
     rollout_lease="roll-out",
 )
 STORE_ERA_HEADER = b"store-era"
--- a/tests/exchange/resumption/test_stream_origins.py
+++ b/tests/exchange/resumption/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,7 +18,16 @@
 )
 from milletcourse.exchange.messages.peer_messages import PeerMessage, encode_message
 from milletcourse.exchange.resumption import stream_origins
-from milletcourse.exchange.resumption.origin_holders import HOLDERS_PER_STREAM, OriginHolders
+from milletcourse.exchange.resumption.origin_holders import (
+    HOLDERS_PER_STREAM,
+    RECORDERS_PER_STREAM,
+    OriginHolders,
+)
+from milletcourse.exchange.resumption.origin_record import (
+    MAX_RECORDED_ORIGINS,
+    OriginRecord,
+    RecordedOrigins,
+)
 from milletcourse.exchange.resumption.software_versions import (
     HOLD_SECONDS,
     MAX_HORIZON_SECONDS,
@@ -31,6 +41,7 @@
 )
 
 KEY = stream_key("tenant-1", "request-1")
+MAX_OBJECT_BYTES = 1_048_576
 
 
 def origin(version: str | None, expires_at: float = 10.0) -> StreamOrigin:
@@ -184,7 +195,7 @@
         holders = OriginHolders(own)
         holders.set_peers([name for name in reversed(names) if name != own])
         found.add(frozenset(holders.of_stream(KEY)))
-        assert own not in holders.others(KEY)
+        assert own not in holders.receivers(KEY)
     assert len(found) == 1 and len(found.pop()) == count
 
 
@@ -205,3 +216,84 @@
     long_name = OriginReport(KEY, "engine", "v" * (MAX_NAME_LENGTH + 1), 1500)
     told = OriginMessage(OriginStep.TELL, "front-1", [long_name])
     assert decode_origin_message(encode_origin_message(told)) is None
+
+
+# -- records in the store -----------------------------------------------------------------------
+
+
+def _restored(record: OriginRecord, written_at: float, read_at: float) -> dict[int, StreamOrigin]:
+    """The origins that a gateway reads which starts later."""
+    written = record.to_write(written_at)
+    assert written is not None
+    decoded = msgspec.json.decode(msgspec.json.encode(written), type=RecordedOrigins)
+    return dict(decoded.origins(read_at))
+
+
+@given(
+    st.dictionaries(
+        st.integers(min_value=0, max_value=2**64 - 1),
+        st.tuples(st.sampled_from(["engine", "other"]), st.sampled_from(["v1", "v2", None])),
+    )
+)
+def test_recorded_origins_are_read_as_they_were(
+    streams: dict[int, tuple[str, str | None]],
+) -> None:
+    """Keys keep all their bits, and an ambiguous version stays ambiguous."""
+    record = OriginRecord()
+    for key, (service, version) in streams.items():
+        record.add(key, StreamOrigin(service, version, 12.0, is_own=True))
+    if not streams:
+        assert record.to_write(2.0) is None
+        return
+    found = _restored(record, 2.0, 100.0)
+    assert found == {
+        key: StreamOrigin(service, version, 110.0, is_own=False)
+        for key, (service, version) in streams.items()
+    }
+    assert record.to_write(3.0) is None
+
+
+def test_a_record_keeps_what_it_held_before_this_start_and_drops_what_has_expired() -> None:
+    """What was read alone causes no write; a write that failed is repeated."""
+    record = OriginRecord()
+    record.add_stored(1, origin("v1", 5.0))
+    record.add_stored(2, origin("v1", 20.0))
+    assert record.to_write(1.0) is None
+    record.add(3, origin("v2", 20.0))
+    assert set(_restored(record, 10.0, 10.0)) == {2, 3}
+    record.on_not_written()
+    assert set(_restored(record, 11.0, 11.0)) == {2, 3}
+
+
+def test_the_largest_record_fits_into_an_object_of_the_store() -> None:
+    """Beyond its maximum the oldest streams are dropped."""
+    record = OriginRecord()
+    for key in range(MAX_RECORDED_ORIGINS + 10):
+        record.add(2**64 - 1 - key, origin("v" * MAX_NAME_LENGTH, 600.0))
+    written = record.to_write(0.0)
+    assert written is not None
+    assert len(msgspec.json.encode(written)) < MAX_OBJECT_BYTES / 2
+    assert len(dict(written.origins(0.0))) == MAX_RECORDED_ORIGINS
+
+
+def test_a_record_with_a_malformed_key_raises_a_value_error() -> None:
+    """Another writer may have changed it."""
+    with pytest.raises(ValueError):
+        list(RecordedOrigins({"engine": {"v1": {"no number": 5}}}).origins(0.0))
+
+
+def test_the_readers_of_two_zones_record_a_stream() -> None:
+    """All gateways agree on them; each gets one message, whether it holds the stream as well."""
+    names = [f"gateway-{number}" for number in range(20)]
+    readers = names[:4]
+    recorders = set()
+    for own in names:
+        holders = OriginHolders(own)
+        holders.set_peers([name for name in names if name != own])
+        holders.set_readers(readers)
+        receivers = holders.receivers(KEY)
+        assert own not in receivers and len(receivers) == len(set(receivers))
+        if holders.is_recorder(KEY):
+            recorders.add(own)
+    assert len(recorders) == RECORDERS_PER_STREAM
+    assert recorders <= set(readers)
--- a/tests/gateway/requests/test_resumption_after_kills.py
+++ b/tests/gateway/requests/test_resumption_after_kills.py
@@ -11,9 +11,12 @@
 
 import pytest
 
-from versions_fleet import VersionsFleet, pausing_at, run_fleet
+from milletcourse.platform.names import KINDS
+from versions_fleet import STREAMS, ReceivedStream, VersionsFleet, pausing_at, run_fleet
 
 RESUME_SECONDS = 2.0
+RECORD_SECONDS = 0.8
+"""After this long a reader has recorded where streams began."""
 OLD, NEW = "v1", "v1.2"
 
 Order = Callable[[VersionsFleet], Awaitable[None]]
@@ -233,3 +236,71 @@
         fleet.judge()
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("kills", [1, 2, 3])
+def test_streams_of_two_software_versions_go_on_after_all_gateways_were_killed(
+    kills: int,
+) -> None:
+    """No gateway that knew where they began is left; the readers have recorded it."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await _begin_with_both(fleet)
+        await asyncio.sleep(RECORD_SECONDS)
+        await _kill(fleet, kills, 0.2)
+        await fleet.resume_repeatedly(RESUME_SECONDS)
+        fleet.judge()
+
+    run_fleet(scenario)
+
+
+def test_recorded_streams_go_on_although_other_streams_began_after_the_kill() -> None:
+    """A record that a reader begins after its start doesn't replace what it had recorded."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await _begin_with_both(fleet)
+        await asyncio.sleep(RECORD_SECONDS)
+        earlier = fleet.streams
+        await _kill(fleet)
+        fleet.streams = [ReceivedStream(f"later-{number}") for number in range(STREAMS)]
+        await fleet.begin()
+        await asyncio.sleep(RECORD_SECONDS)
+        await _kill(fleet)
+        fleet.streams += earlier
+        await fleet.resume_repeatedly(RESUME_SECONDS)
+        whole = sum(stream.is_whole for stream in fleet.streams)
+        assert whole >= 0.95 * len(fleet.streams)
+        assert not any(stream.is_mixed for stream in fleet.streams)
+
+    run_fleet(scenario)
+
+
+def test_nothing_is_recorded_while_a_single_software_version_serves() -> None:
+    """Each record is a call to the store."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await _begin_with_one(fleet)
+        await asyncio.sleep(RECORD_SECONDS)
+        assert KINDS.origins not in fleet.harness.store.objects
+
+    run_fleet(scenario)
+
+
+def test_a_record_that_another_writer_made_unreadable_is_written_again() -> None:
+    """The streams that this gateway knows are in it, and the gateways go on."""
+
+    async def scenario(fleet: VersionsFleet) -> None:
+        await _begin_with_both(fleet)
+        await asyncio.sleep(RECORD_SECONDS)
+        store = fleet.harness.store
+        for name in list(store.objects[KINDS.origins]):
+            store.put(KINDS.origins, name, {"streams": {"engine": {"v1": {"no number": 5}}}})
+        fleet.streams += [ReceivedStream(f"later-{number}") for number in range(STREAMS)]
+        for number, stream in enumerate(fleet.streams[STREAMS:]):
+            await stream.read(fleet.nodes[number % len(fleet.nodes)], stream.request_id, 2)
+        await asyncio.sleep(2 * RECORD_SECONDS)
+        await _kill(fleet)
+        await fleet.resume_repeatedly(RESUME_SECONDS)
+        assert sum(stream.is_whole for stream in fleet.streams) >= 0.95 * len(fleet.streams)
+
+    run_fleet(scenario)
