A new software version is used once no gateway can take another for the only one

Cause: a gateway's view counts as current for 2.06 s, and a new version waited for 0.5 s, or not at all when no other server was left. Ruled out: lists that were in flight (0 joined after the cut).

Change: a gateway that sees a new version asks all others until they have replied that they know it. Resumable streams begin there then, or when no view from before it can be current; no exception, such streams are refused with the rest of that time. Why it works: a gateway that doesn't know the version has a proof from before it appeared, which has expired by then.

Gateways of an earlier release don't reply to the new message, so that beside them a new version waits for 2.1 s.

--- a/src/milletcourse/exchange/messages/origin_messages.py
+++ b/src/milletcourse/exchange/messages/origin_messages.py
@@ -30,6 +30,10 @@
     REPLY = 3
     JOIN = 4
     """The sender has started, and holds no origin yet."""
+    SEEN = 5
+    """The sender has seen new software versions, and asks whether the receiver knows them."""
+    KNOWN = 6
+    """The reply: the receiver knows them, and takes no other version for the only one."""
 
 
 class OriginReport(msgspec.Struct, array_like=True, frozen=True):
@@ -58,7 +62,7 @@
         key: Key of the stream that is asked for; 0 otherwise.
         request_number: Number that the asker gave its question; the reply repeats it.
         services: Services in question; in a reply those of which the sender has seen a single
-            version, with that version.
+            version, with that version. In `SEEN` and `KNOWN` the new version of each.
     """
 
     step: OriginStep
--- a/src/milletcourse/exchange/replication/freshness.py
+++ b/src/milletcourse/exchange/replication/freshness.py
@@ -112,6 +112,11 @@
         """Whether keys of the configuration may be trusted."""
         return not self._fail_closed or self.age(now) <= self._bound_seconds
 
+    @property
+    def view_seconds(self) -> float:
+        """Age of a proof up to which what isn't known may be taken for missing."""
+        return self._not_found_seconds
+
     def allows_not_found(self, now: float) -> bool:
         """Whether a missing route or key may be refused as unknown: the proof is recent enough."""
         return self.age(now) <= self._not_found_seconds
--- a/src/milletcourse/exchange/resumption/origin_holders.py
+++ b/src/milletcourse/exchange/resumption/origin_holders.py
@@ -46,6 +46,11 @@
         """Whether the list of gateways is known and has no other one."""
         return self._members == [self._own_name]
 
+    @property
+    def are_known(self) -> bool:
+        """Whether the list of gateways is known."""
+        return bool(self._members)
+
     def of_stream(self, key: int) -> list[str]:
         """Names of the holders of a stream, which may include this gateway."""
         holders = self._holders.get(key)
--- a/src/milletcourse/exchange/resumption/software_versions.py
+++ b/src/milletcourse/exchange/resumption/software_versions.py
@@ -10,9 +10,8 @@
 MIN_HORIZON_SECONDS = 60.0
 """A version may have begun streams that are resumed as long as this after its last server left."""
 MAX_HORIZON_SECONDS = 600.0
-HOLD_SECONDS = 0.5
-"""No resumable stream begins at a new version for this long while others serve: meanwhile all
-gateways learn of it, and those that relay streams of other versions tell where these began."""
+START_SECONDS = 0.5
+"""Versions that a gateway sees within this time of the first one served before it started."""
 
 
 class ServiceVersion(NamedTuple):
@@ -25,6 +24,7 @@
 class _Sighting(msgspec.Struct):
     first_at: float
     last_at: float
+    is_known_to_all: bool = False
 
 
 class SoftwareVersions:
@@ -35,19 +35,26 @@
     before it has read that record.
 
     Attributes:
+        hold_seconds: No resumable stream begins at a new version for this long, unless all other
+            gateways know it: one of them may still take an older version for the only one.
         horizon_seconds: For this long after the last sight of a version its streams may be resumed.
         is_listed: Whether a server of a service and version is listed now.
     """
 
     def __init__(
-        self, is_listed: Callable[[str, str], bool], on_new: Callable[[str], None]
+        self,
+        is_listed: Callable[[str, str], bool],
+        on_new: Callable[[ServiceVersion], None],
+        hold_seconds: float,
     ) -> None:
         """Start without any version.
 
         Args:
             is_listed: Whether a server of a service and version is listed now.
-            on_new: Called with a service when another version of it has been seen.
+            on_new: Called when another version of a service has been seen.
+            hold_seconds: See above.
         """
+        self.hold_seconds = hold_seconds
         self.horizon_seconds = MIN_HORIZON_SECONDS
         self.is_listed = is_listed
         self._on_new = on_new
@@ -72,7 +79,7 @@
             sighting.last_at = now
             return
         versions[version] = _Sighting(now, now)
-        self._on_new(service)
+        self._on_new(ServiceVersion(service, version))
 
     def on_record_read(self) -> None:
         """The versions that served before this gateway started have been seen in the record."""
@@ -116,14 +123,25 @@
         """Whether versions that nobody has recorded may have begun streams."""
         return now - self._unknown_at < self.horizon_seconds
 
-    def held(self, service: str, now: float) -> set[str]:
-        """Versions at which no resumable stream may begin yet, since they are new beside others."""
+    def on_known_to_all(self, seen: ServiceVersion) -> None:
+        """All other gateways know a version, and take no other one for the only one."""
+        sighting = self._sightings.get(seen.service, {}).get(seen.version)
+        if sighting is not None:
+            sighting.is_known_to_all = True
+
+    def held(self, service: str, now: float) -> dict[str, float]:
+        """Versions at which no resumable stream may begin yet, and the time until it may.
+
+        They are new beside others.
+        """
         versions = self._current(service, now)
         oldest_at = min((sighting.first_at for sighting in versions.values()), default=now)
         return {
-            version
+            version: sighting.first_at + self.hold_seconds - now
             for version, sighting in versions.items()
-            if now - sighting.first_at < HOLD_SECONDS <= sighting.first_at - oldest_at
+            if sighting.first_at - oldest_at >= START_SECONDS
+            and not sighting.is_known_to_all
+            and now < sighting.first_at + self.hold_seconds
         }
 
     def has_started_within(self, seconds: float, now: float) -> bool:
--- a/src/milletcourse/gateway/requests/server_search.py
+++ b/src/milletcourse/gateway/requests/server_search.py
@@ -187,6 +187,10 @@
         if version is not None and not any(map(self._continuity.permits, self._servers())):
             detail = f"no server of software version {version!r} serves, which began the stream"
             return StreamNotResumable(detail, retry_after)
+        held = self._continuity.held(self._servers())
+        if held:
+            detail = "servers of a new software version are not known to all gateways yet"
+            return NoEngineAvailable(detail, max(min(held.values()), retry_after))
         signals = self._signals_of_all(self._selected_at)
         if Signal.BACKING_OFF in signals:
             return ServersBackingOff(
@@ -225,10 +229,10 @@
     def _choose(self, left_out: set[str]) -> Choice | None:
         self._selected_at = self._context.now()
         self._note_signals()
-        left_out = left_out | self._continuity.excluded(self._servers())
-        held = self._continuity.held(self._servers())
-        choice = self._select(left_out | held)
-        return self._select(left_out) if choice is None and held else choice
+        servers = self._servers()
+        return self._select(
+            left_out | self._continuity.excluded(servers) | self._continuity.held(servers).keys()
+        )
 
     def _select(self, left_out: set[str]) -> Choice | None:
         job = self._job
--- a/src/milletcourse/gateway/requests/stream_continuity.py
+++ b/src/milletcourse/gateway/requests/stream_continuity.py
@@ -117,12 +117,14 @@
             return set()
         return {instance.name for instance in instances if not self.permits(instance)}
 
-    def held(self, instances: Iterable[Instance]) -> set[str]:
-        """Names of the servers at which a resumable stream should not begin yet."""
+    def held(self, instances: Iterable[Instance]) -> dict[str, float]:
+        """Servers at which a resumable stream may not begin yet, and the seconds until it may."""
         if self.has_begun or not self._job.route.resumable:
-            return set()
+            return {}
         versions = self._context.stream_resumption.versions
         held = versions.held(self._job.service.name, self._context.now())
-        if not held:
-            return set()
-        return {item.name for item in instances if item.record.software_version in held}
+        return {
+            instance.name: held[instance.record.software_version]
+            for instance in instances
+            if instance.record.software_version in held
+        }
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -219,6 +219,7 @@
         self.stream_resumption = StreamResumption(
             settings.name,
             self._knows_servers,
+            self.freshness.view_seconds,
             self.instances.has_software,
             self.responsive_clock,
             self.now,
@@ -253,6 +254,7 @@
         self.freshness.set_bound(
             self._key_bound(settings), bounds.fail_closed, self.replication_times.steady_state_age
         )
+        self.stream_resumption.versions.hold_seconds = self.freshness.view_seconds
         self.lag.apply_seconds = bounds.config_apply
         self.gate.bound_seconds = bounds.version
         self.tenant_limits.set_tolerance(bounds.limit_tolerance)
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -26,8 +26,13 @@
 )
 from milletcourse.exchange.resumption.origin_holders import OriginHolders
 from milletcourse.exchange.resumption.origin_record import OriginRecord
-from milletcourse.exchange.resumption.software_versions import MAX_HORIZON_SECONDS, SoftwareVersions
+from milletcourse.exchange.resumption.software_versions import (
+    MAX_HORIZON_SECONDS,
+    ServiceVersion,
+    SoftwareVersions,
+)
 from milletcourse.exchange.resumption.stream_origins import StreamOrigin, StreamOrigins, stream_key
+from milletcourse.exchange.resumption.version_announcements import VersionAnnouncements
 from milletcourse.gateway.state.origin_question import OriginQuestion
 from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
 from milletcourse.runtime.responsive_clock import ResponsiveClock
@@ -88,6 +93,7 @@
         self,
         own_name: str,
         is_view_current: Callable[[], bool],
+        view_seconds: float,
         is_listed: Callable[[str, str], bool],
         clock: ResponsiveClock,
         now: Callable[[], float],
@@ -99,12 +105,13 @@
             own_name: Name of this gateway.
             is_view_current: Whether this gateway has recently been in contact with the store, so
                 that it knows all servers that have been serving for a while.
+            view_seconds: Age up to which the view of any gateway counts as current.
             is_listed: Whether a server of a service and software version is listed now.
             clock: Responsive time of the event loop, used for the timeout of holders.
             now: Monotonic time.
             record: Counts streams by version.
         """
-        self.versions = SoftwareVersions(is_listed, self._on_new_version)
+        self.versions = SoftwareVersions(is_listed, self._on_new_version, view_seconds)
         self.holders = OriginHolders(own_name)
         self.send: SendMessage = lambda name, message: None
         self.on_new_version: Callable[[], None] = lambda: None
@@ -118,6 +125,7 @@
         """Set once the records in the store have been read; None while that isn't needed."""
         self._origins = StreamOrigins()
         self._has_joined = False
+        self._announcements = VersionAnnouncements()
         self._request_numbers = count(1)
         self._questions: dict[int, OriginQuestion] = {}
 
@@ -146,9 +154,13 @@
             self._tell({key: origin})
             self._record_origin(key)
 
-    def _on_new_version(self, service: str) -> None:
-        """Tell the holders of the streams that began while there was nothing to tell."""
+    def _on_new_version(self, seen: ServiceVersion) -> None:
+        """Announce a version, and tell the streams that began while there was nothing to tell."""
         now = self._now()
+        service = seen.service
+        if seen.version in self.versions.held(service, now):
+            self._announcements.begin(seen, now + self.versions.hold_seconds)
+            self.announce_versions()
         if self.versions.is_mixed(service, now):
             told = dict(self._origins.own_of_service(service, now))
             self._tell(told)
@@ -157,6 +169,16 @@
             self._join()
         self.on_new_version()
 
+    def announce_versions(self) -> None:
+        """Ask the gateways that aren't known to know a new version; called repeatedly."""
+        if not self.holders.are_known:
+            return
+        for complete in self._announcements.take_complete(self.holders.peers):
+            self.versions.on_known_to_all(complete)
+        for seen, name in self._announcements.due(self.holders.peers, self._now()):
+            services = {seen.service: seen.version}
+            self.send(name, OriginMessage(OriginStep.SEEN, self._own_name, services=services))
+
     def _record_origin(self, key: int) -> None:
         """Have a stream recorded in the store if this gateway is to do it."""
         origin = self._origins.find(key, self._now())
@@ -295,6 +317,10 @@
             self._on_asked(message)
         elif message.step is OriginStep.JOIN:
             self._on_joined(message.sender)
+        elif message.step is OriginStep.SEEN:
+            self._on_seen_elsewhere(message)
+        elif message.step is OriginStep.KNOWN:
+            self._on_known(message)
         else:
             self._on_reply(message)
 
@@ -305,6 +331,25 @@
         # The sender may have seen a version that isn't listed here yet.
         self.versions.on_seen(report.service, report.software_version, now)
 
+    def _on_seen_elsewhere(self, message: OriginMessage) -> None:
+        """Another gateway has seen new versions, which may not be listed here yet."""
+        now = self._now()
+        for service, version in message.services.items():
+            self.versions.on_seen(service, version, now)
+        self._on_known(message)
+        sole = self._sole_versions(message.services)
+        known = {
+            service: version
+            for service, version in message.services.items()
+            if sole.get(service, version) == version
+        }
+        self.send(message.sender, OriginMessage(OriginStep.KNOWN, self._own_name, services=known))
+
+    def _on_known(self, message: OriginMessage) -> None:
+        for service, version in message.services.items():
+            self._announcements.on_known(ServiceVersion(service, version), message.sender)
+        self.announce_versions()
+
     def _on_joined(self, name: str) -> None:
         """Tell a gateway that has just started the origins that it has to hold."""
         now = self._now()
--- a/tests/exchange/resumption/test_stream_origins.py
+++ b/tests/exchange/resumption/test_stream_origins.py
@@ -29,9 +29,9 @@
     RecordedOrigins,
 )
 from milletcourse.exchange.resumption.software_versions import (
-    HOLD_SECONDS,
     MAX_HORIZON_SECONDS,
     MIN_HORIZON_SECONDS,
+    ServiceVersion,
     SoftwareVersions,
 )
 from milletcourse.exchange.resumption.stream_origins import (
@@ -42,6 +42,7 @@
 
 KEY = stream_key("tenant-1", "request-1")
 MAX_OBJECT_BYTES = 1_048_576
+HOLD_SECONDS = 2.0
 
 
 def origin(version: str | None, expires_at: float = 10.0) -> StreamOrigin:
@@ -108,9 +109,9 @@
 
     def __init__(self) -> None:
         self.listed: set[str] = set()
-        self.new: list[str] = []
+        self.new: list[ServiceVersion] = []
         self.core = SoftwareVersions(
-            lambda service, version: version in self.listed, self.new.append
+            lambda service, version: version in self.listed, self.new.append, HOLD_SECONDS
         )
         self.core.on_record_read()
 
@@ -135,7 +136,7 @@
     versions.stop("v1", at + 1.0)
     assert versions.core.sole("engine", at + 1.0 + 0.9 * MIN_HORIZON_SECONDS) is None
     assert versions.core.sole("engine", at + 1.1 + MIN_HORIZON_SECONDS) == "v2"
-    assert versions.new == ["engine", "engine"]
+    assert versions.new == [ServiceVersion("engine", "v1"), ServiceVersion("engine", "v2")]
 
 
 def test_a_long_stream_extends_the_horizon_up_to_its_bound() -> None:
@@ -150,16 +151,24 @@
     versions = Versions()
     versions.start("v1", 0.0)
     versions.start("v2", 0.01)
-    assert versions.core.held("engine", 0.02) == set()
+    assert versions.core.held("engine", 0.02) == {}
     versions.start("v3", 5.0)
-    assert versions.core.held("engine", 5.0 + 0.9 * HOLD_SECONDS) == {"v3"}
-    assert versions.core.held("engine", 5.0 + HOLD_SECONDS) == set()
+    assert versions.core.held("engine", 5.0 + 0.9 * HOLD_SECONDS) == {
+        "v3": pytest.approx(0.1 * HOLD_SECONDS)
+    }
+    assert versions.core.held("engine", 5.0 + HOLD_SECONDS) == {}
+    versions.start("v4", 9.0)
+    assert set(versions.core.held("engine", 9.1)) == {"v4"}
+    versions.core.on_known_to_all(ServiceVersion("engine", "v4"))
+    assert versions.core.held("engine", 9.1) == {}
 
 
 def test_no_version_is_the_only_one_before_the_record_has_been_read() -> None:
     """A gateway that has just started can't know the others; after a horizon it has seen them."""
     versions = Versions()
-    versions.core = SoftwareVersions(lambda service, version: version in versions.listed, print)
+    versions.core = SoftwareVersions(
+        lambda service, version: version in versions.listed, versions.new.append, HOLD_SECONDS
+    )
     versions.start("v1", 0.0)
     assert versions.core.sole("engine", 1.0) is None and versions.core.is_mixed("engine", 1.0)
     assert versions.core.sole("engine", MIN_HORIZON_SECONDS + 0.1) == "v1"
--- a/tests/exchange/resumption/test_version_record.py
+++ b/tests/exchange/resumption/test_version_record.py
@@ -19,6 +19,7 @@
     VersionRecord,
 )
 
+HOLD_SECONDS = 2.0
 SERVICE = "engine"
 VERSIONS = ("v1", "v2", "v3")
 
@@ -51,7 +52,7 @@
         self._store = store
         self._view: set[str] = set()
         self.versions = SoftwareVersions(
-            lambda service, version: version in self._view, lambda service: None
+            lambda service, version: version in self._view, lambda seen: None, HOLD_SECONDS
         )
         self._record = VersionRecord(self.versions)
         self._revision = -1
