One unreadable object affects no other one

What callers saw (report: odd entries): an entry among the servers' that is nested deeply, or holds a lone surrogate, made every gateway stop to follow the list, and none became ready after a start (0 of 3, every request 503).

Cause: a page keeps its items undecoded, but to skip one the decoder reads it recursively and checks its text, and rejects the page for it. Ruled out: the decoders of single entries, whose errors are caught.

Change: a document that the decoder rejects is split at brackets and commas without recursion, and decoded member by member. An object keeps its name and position; a content that not every gateway can read stands as null.

Not mended: an entry of a gateway that another writer replaces isn't written again (older than this change).

--- a/src/milletcourse/exchange/messages/feed_messages.py
+++ b/src/milletcourse/exchange/messages/feed_messages.py
@@ -18,6 +18,7 @@
 from milletcourse.exchange.messages.configuration_effect import ConfigurationEffect
 from milletcourse.exchange.messages.content_patch import ContentPatch
 from milletcourse.exchange.messages.store_position import UNKNOWN_ERA, StorePosition
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 COMPRESSED_FROM_BYTES = 4096
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -190,7 +191,7 @@
     """Decodes the response to a `ContentRequest`; returns None when it is malformed."""
     try:
         return msgspec.msgpack.decode(data, type=ContentPatch)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
@@ -200,5 +201,5 @@
 def _decode(data: bytes, message_type: type[_Message]) -> _Message | None:
     try:
         return msgspec.json.decode(data, type=message_type)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/src/milletcourse/exchange/messages/origin_messages.py
+++ b/src/milletcourse/exchange/messages/origin_messages.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from milletcourse.runtime.json_members import DECODE_ERRORS
+
 _MARK = b"\xc2"
 """First byte of these datagrams; no load report (msgpack) starts with it."""
 MAX_REMAINING_MS = 600 * 1000
@@ -91,5 +93,5 @@
     """Decodes a datagram; returns None when it is malformed."""
     try:
         return _DECODER.decode(memoryview(data)[len(_MARK) :])
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/src/milletcourse/exchange/messages/peer_messages.py
+++ b/src/milletcourse/exchange/messages/peer_messages.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from milletcourse.exchange.messages.signal_headers import MAX_LIMIT_PER_SECOND
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 NOTICE_REPEATS = 3
 """Number of times that a notice is sent, in case messages are lost."""
@@ -253,7 +254,7 @@
     """Decodes a datagram; returns None when it is malformed."""
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/milletcourse/exchange/messages/quota_messages.py
+++ b/src/milletcourse/exchange/messages/quota_messages.py
@@ -13,6 +13,7 @@
 
 from milletcourse.exchange.messages.peer_messages import AgeMs, LimitPerSecond
 from milletcourse.exchange.messages.slot_messages import SlotDemand
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 _MARK = b"\xc1"
 """First byte of these datagrams; no load report (msgpack) starts with it."""
@@ -83,7 +84,7 @@
     """Decodes a datagram; returns None when it is malformed."""
     try:
         return _DECODER.decode(memoryview(data)[len(_MARK) :])
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/milletcourse/exchange/messages/relay_messages.py
+++ b/src/milletcourse/exchange/messages/relay_messages.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from milletcourse.runtime.json_members import DECODE_ERRORS
+
 RELAY_MARK = b"\xc1"
 """First byte of a request; no HTTP request starts with it."""
 _LENGTH_BYTES = 2
@@ -97,7 +99,7 @@
         return None
     try:
         request = _DECODER.decode(data[_HEADER_BYTES : _HEADER_BYTES + size])
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise RelayRequestError("not decodable") from error
     return request, data[_HEADER_BYTES + size :]
 
--- a/src/milletcourse/exchange/messages/slot_messages.py
+++ b/src/milletcourse/exchange/messages/slot_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from milletcourse.exchange.messages.peer_messages import LimitPerSecond
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 _MARK = b"\xc3"
 """First byte of these datagrams; no load report (msgpack) starts with it."""
@@ -103,5 +104,5 @@
     """Decodes a datagram; returns None when it is malformed."""
     try:
         return _DECODER.decode(memoryview(data)[len(_MARK) :])
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/src/milletcourse/gateway/fleet/rollout_service.py
+++ b/src/milletcourse/gateway/fleet/rollout_service.py
@@ -27,6 +27,7 @@
     StoreError,
     StoreProblem,
 )
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 TICK_SECONDS = 0.1
 MAX_RENEW_SECONDS = 0.9
@@ -184,7 +185,7 @@
     def _on_lease_read(self, stored: StoredObject) -> None:
         try:
             spec = msgspec.json.decode(stored.spec, type=LeaseSpec)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             self._context.log.emit("object-malformed", name=stored.name)
             return
         self._lease.on_observed(spec, stored.position, self._context.now())
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -12,10 +12,11 @@
 from milletcourse.exchange.messages.store_position import UNKNOWN_ERA, StorePosition
 from milletcourse.exchange.replication.reader_selection import GatewayRecord
 from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
-from milletcourse.gateway.store.object_store import DECODE_ERRORS, ObjectChange, StoredObject
+from milletcourse.gateway.store.object_store import ObjectChange, StoredObject
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.runtime.addresses import split_address
 from milletcourse.runtime.clock import elapsed_seconds
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 MAX_IDENTITY = 2**64 - 1
 MAX_GATEWAYS = 512
--- a/src/milletcourse/gateway/store/event_handlers.py
+++ b/src/milletcourse/gateway/store/event_handlers.py
@@ -14,8 +14,9 @@
 from milletcourse.exchange.placement.route_table import RouteTable
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
-from milletcourse.gateway.store.object_store import DECODE_ERRORS, ObjectChange, StoredObject
+from milletcourse.gateway.store.object_store import ObjectChange, StoredObject
 from milletcourse.gateway.telemetry.store_recorder import ReuseScopeChange
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 
 class _StateUpdater(NoOpEventHandler):
--- a/src/milletcourse/gateway/store/object_store.py
+++ b/src/milletcourse/gateway/store/object_store.py
@@ -31,10 +31,6 @@
 """A watch whose answer is this much later than its requested wait counts as hung."""
 
 
-DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
-"""Raised by decoders for malformed content, which any writer may have put into the store."""
-
-
 class StoredObject(msgspec.Struct, frozen=True):
     """One object.
 
--- a/src/milletcourse/gateway/store/origin_store.py
+++ b/src/milletcourse/gateway/store/origin_store.py
@@ -11,13 +11,13 @@
 from milletcourse.exchange.resumption.stream_origins import StreamOrigin
 from milletcourse.gateway.state.stream_resumption import StreamResumption
 from milletcourse.gateway.store.object_store import (
-    DECODE_ERRORS,
     ObjectStoreClient,
     StoredObject,
     StoreError,
     StoreProblem,
 )
 from milletcourse.gateway.telemetry.event_log import EventLog
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 WRITE_INTERVAL_SECONDS = 0.25
 """Streams that began this recently are lost when all gateways end at once."""
--- a/src/milletcourse/gateway/store/version_record_store.py
+++ b/src/milletcourse/gateway/store/version_record_store.py
@@ -11,7 +11,6 @@
 
 from milletcourse.exchange.resumption.version_record import StoredVersions, VersionRecord
 from milletcourse.gateway.store.object_store import (
-    DECODE_ERRORS,
     ObjectStoreClient,
     StoredObject,
     StoreError,
@@ -19,6 +18,7 @@
 )
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 RECORD_NAME = "software-versions"
 """Name of the object, among the objects of the gateways' kind."""
--- a/src/milletcourse/platform/cache_events.py
+++ b/src/milletcourse/platform/cache_events.py
@@ -7,7 +7,7 @@
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.gateway.fleet.cache_store_probe import ProbeReply
 from milletcourse.gateway.servers.call_client import Call, Reply
-from milletcourse.gateway.store.object_store import DECODE_ERRORS
+from milletcourse.runtime.json_members import DECODE_ERRORS, decode_document
 
 _EVENTS_PATH = "/milletcourse/kv-events"
 
@@ -28,7 +28,7 @@
     def read_probe_reply(self, reply: Reply) -> ProbeReply | None:
         """See `CacheStoreDialect`."""
         try:
-            page = msgspec.json.decode(reply.body, type=_Page)
+            page = decode_document(reply.body, _Page)
         except DECODE_ERRORS:
             return None
         return ProbeReply(page.next_token, max(page.born, 0))
--- a/src/milletcourse/platform/object_store.py
+++ b/src/milletcourse/platform/object_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -11,7 +11,6 @@
 from milletcourse.exchange.messages.store_position import UNKNOWN_ERA, StorePosition
 from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.gateway.store.object_store import (
-    DECODE_ERRORS,
     ObjectChange,
     ObjectChanges,
     ObjectPage,
@@ -20,6 +19,7 @@
     StoreProblem,
 )
 from milletcourse.platform.names import OBJECTS_PATH, STORE_ERA_HEADER
+from milletcourse.runtime.json_members import DECODE_ERRORS, decode_document, is_readable
 
 _PROBLEMS = {
     404: StoreProblem.NOT_FOUND,
@@ -28,6 +28,9 @@
 }
 
 
+UNREADABLE_SPEC = b"null"
+"""Takes the place of a content that not all gateways can decode: it names nothing usable, and can
+be passed on to them."""
 _ERA = re.compile(rb"[0-9]{1,15}")
 
 
@@ -57,6 +60,9 @@
     events: list[msgspec.Raw] = []
 
 
+_Document = TypeVar("_Document", bound=msgspec.Struct)
+
+
 class PlatformStoreDialect:
     """Implements `StoreDialect`."""
 
@@ -122,20 +128,23 @@
 
 def _stored(document: _Object, era: int) -> StoredObject:
     position = StorePosition(era, document.metadata.revision)
-    return StoredObject(document.metadata.name, position, bytes(document.spec))
+    spec = bytes(document.spec)
+    return StoredObject(
+        document.metadata.name, position, spec if is_readable(spec) else UNREADABLE_SPEC
+    )
 
 
 def _decode_listed_object(item: msgspec.Raw, era: int) -> StoredObject | None:
-    """An object of a list; None when it can't be decoded, so that the others are still used."""
+    """An object of a list; None when it has no name, so that the others are still used."""
     try:
-        return _stored(msgspec.json.decode(item, type=_Object), era)
+        return _stored(decode_document(item, _Object), era)
     except DECODE_ERRORS:
         return None
 
 
 def _decode_change(item: msgspec.Raw, era: int) -> ObjectChange | None:
     try:
-        event = msgspec.json.decode(item, type=_Event)
+        event = decode_document(item, _Event)
     except DECODE_ERRORS:
         return None
     stored = _decode_listed_object(event.object, era)
@@ -152,7 +161,7 @@
     return int(values[0])
 
 
-def _decode(reply: Reply, document_type: Any) -> Any:
+def _decode(reply: Reply, document_type: type[_Document]) -> _Document:
     if reply.status not in (200, 201):
         problem = _PROBLEMS.get(reply.status, StoreProblem.UNAVAILABLE)
         current = None
@@ -160,13 +169,13 @@
             current = _conflicting_object(reply.body, _read_era(reply))
         raise StoreError(problem, current)
     try:
-        return msgspec.json.decode(reply.body, type=document_type)
+        return decode_document(reply.body, document_type)
     except DECODE_ERRORS as error:
         raise StoreError(StoreProblem.UNAVAILABLE) from error
 
 
 def _conflicting_object(body: bytes, era: int) -> StoredObject | None:
     try:
-        return _stored(msgspec.json.decode(body, type=_Object), era)
+        return _stored(decode_document(body, _Object), era)
     except DECODE_ERRORS:
         return None
--- a/src/milletcourse/platform/orders.py
+++ b/src/milletcourse/platform/orders.py
@@ -13,6 +13,7 @@
 )
 from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.platform.names import HEADER_NAMES, ORDER_PATH, REPORT_PATH
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 _RUNNING_WORK_MODES = {
     RunningWork.WAIT: "wait",
@@ -81,7 +82,7 @@
             return None
         try:
             report = msgspec.json.decode(reply.body, type=_Report)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return None
         versions = {model.name: model.version for model in report.models}
         return ServerReport(versions, report.busy, report.sequence, max(report.born, 0))
--- a/tests/gateway/store/test_entries_of_other_writers.py
+++ b/tests/gateway/store/test_entries_of_other_writers.py
@@ -20,7 +20,7 @@
 from gateway_standin import serve_whole
 from milletcourse.gateway.servers.call_client import Reply
 from milletcourse.gateway.store.directory import decode_entry
-from milletcourse.gateway.store.object_store import DECODE_ERRORS, StoreError
+from milletcourse.gateway.store.object_store import StoreError
 from milletcourse.platform.documents import (
     decode_configuration,
     decode_instance,
@@ -28,6 +28,7 @@
 )
 from milletcourse.platform.object_store import PlatformStoreDialect
 from milletcourse.runtime.addresses import split_address
+from milletcourse.runtime.json_members import DECODE_ERRORS
 
 GOOD: dict[str, Any] = {
     "Service": "app",
