--- a/tests/soak/writers.py
+++ b/tests/soak/writers.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import Any
 
+import msgspec
+
 from soak.world import GATEWAY_KIND, SoakWorld
 
 MALFORMED_SPECS: tuple[Any, ...] = (
@@ -21,6 +23,10 @@
     {"Service": "app", "Address": "127.0.0.1:1", "Models": [{"Name": "m", "Version": -1}]},
     {"Service": "unnamed", "Address": "127.0.0.1:1", "State": "ready"},
     {"Service": "app", "Address": "127.0.0.1:1", "born": "yesterday"},
+    msgspec.Raw(b'{"Service": "app", "Address": "127.0.0.1:1", "Slots": 1%b}' % (b"0" * 400)),
+    msgspec.Raw(b"[" * 5_000 + b"]" * 5_000),
+    msgspec.Raw(b"[" * 960 + b"]" * 960),
+    msgspec.Raw(b'{"Service": "app", "Address": "127.0.0.1:1", "Odd": "\\ud800"}'),
 )
 RESTART_SECONDS = (1.0, 3.0)
 WRITE_SECONDS = (0.1, 0.6)
