Only streams that have begun go first; ends of requests have a type

A request with Last-Event-Id on any route got the rank of a stream that goes on at its server; now only one whose stream has begun does (test: a request of another kind with that field). The outcomes of requests stand once, as RequestEnd.

--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -247,9 +247,8 @@
 
     def _send(self, connection: ServerConnection) -> None:
         request = self._job.request
-        head = self._context.dialect.request_head(
-            request, self._dispatch.build(self._relay.last_event_id)
-        )
+        dispatch = self._dispatch.build(self._relay.last_event_id, self._continuity.has_begun)
+        head = self._context.dialect.request_head(request, dispatch)
         self._context.selector.note_sent(
             self._instance, request, self._job.scope, self._context.now()
         )
--- a/src/milletcourse/gateway/requests/dispatch_builder.py
+++ b/src/milletcourse/gateway/requests/dispatch_builder.py
@@ -38,11 +38,12 @@
         self._sent_chain: PromptChain | None = None
         self._sent_to = ""
 
-    def build(self, last_event_id: str) -> Dispatch:
+    def build(self, last_event_id: str, goes_on: bool) -> Dispatch:
         """Build the dispatch from the current state.
 
         Args:
             last_event_id: Id of the event after which a stream resumes; empty for none.
+            goes_on: Whether it is a stream that has begun.
         """
         job = self._job
         dispatch = Dispatch(
@@ -50,7 +51,7 @@
             deadline_seconds=job.deadline_at - self._context.now(),
             tenant=job.tenant.name if job.tenant else "",
             last_event_id=last_event_id,
-            priority=CONTINUATION_PRIORITY if last_event_id else None,
+            priority=CONTINUATION_PRIORITY if goes_on else None,
         )
         if job.service.models:
             self._add_model(dispatch)
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -39,14 +39,16 @@
 from milletcourse.gateway.requests.stream_handover import StreamHandover
 from milletcourse.gateway.state.context import GatewayContext
 from milletcourse.gateway.state.stream_resumption import ResumePoint
-from milletcourse.gateway.telemetry.request_records import StreamTruncation, VisitedServer
+from milletcourse.gateway.telemetry.request_records import (
+    RequestEnd,
+    StreamTruncation,
+    VisitedServer,
+)
 from milletcourse.runtime.responsive_clock import STALL_THRESHOLD_SECONDS
 from milletcourse.runtime.responsive_timer import RECHECK_DELAY_SECONDS
 
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Used for requests without a deadline of the client."""
-UNANSWERED_OUTCOME = "unanswered"
-"""Outcome of a request that this gateway ended without an answer."""
 
 
 class Exchange:
@@ -99,7 +101,8 @@
         self._is_unreachable = False
         """The latest server was reached neither from here nor through another gateway."""
         self._end_cause: AbortCause | None = None
-        self._outcome = UNANSWERED_OUTCOME
+        self._outcome: str = RequestEnd.UNANSWERED
+        """A `RequestEnd`, or the code of a failure."""
         self._servers: list[VisitedServer] = []
         self._deadline_timer: asyncio.TimerHandle | None = None
         self._has_rechecked_deadline = False
@@ -166,7 +169,7 @@
             may_retry = self._plan.may_retry(self._seconds_left())
             await self._crash_check.on_attempt_end(server_attempt, result, may_retry)
             if self._end_cause is AbortCause.CLIENT_DISCONNECTED:
-                self._outcome = "client-left"
+                self._outcome = RequestEnd.CLIENT_LEFT
                 record.client_left(
                     request, self._job.route, server_attempt.instance.name, self._relay.has_started
                 )
@@ -321,7 +324,7 @@
     def _finish(self, step: NextStep, last: ServerAttempt) -> None:
         record = self._context.record
         if step is NextStep.FINISHED:
-            self._outcome = "served"
+            self._outcome = RequestEnd.SERVED
             relay = self._relay
             record.served(
                 self._job.request,
@@ -333,11 +336,11 @@
                 self._search.signals_by_server,
             )
         elif self._relay.has_started:
-            self._outcome = "cut"
+            self._outcome = RequestEnd.CUT
             record.stream_truncated(self._job.request, self._job.route, self._truncated_stream())
             self._client.abort()
         elif step is NextStep.FORWARD_FAILURE and self._relay.failure is not None:
-            self._outcome = "passed-failure"
+            self._outcome = RequestEnd.PASSED_FAILURE
             record.passed_failure(self._job.route)
             self._relay.pass_failure(self._relay.failure)
         else:
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -34,6 +34,7 @@
     AnsweredAttempt,
     FailedAttempt,
     OverloadState,
+    RequestEnd,
     StreamTruncation,
 )
 from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
@@ -184,7 +185,7 @@
             excluded_servers: Servers excluded for a signal of their own -> that signal.
         """
         self.tally.on_end(route.name, served_outcome(route, first, gap))
-        self._metrics.on_request_finished("served")
+        self._metrics.on_request_finished(RequestEnd.SERVED)
         self._log.emit(
             "request-served",
             route=route.name,
@@ -204,14 +205,14 @@
     def passed_failure(self, route: RouteRecord) -> None:
         """A failure returned by a server was relayed; the line of its attempt describes it."""
         self.tally.on_end(route.name, Outcome.SERVER_FAILURE)
-        self._metrics.on_request_finished("passed-failure")
+        self._metrics.on_request_finished(RequestEnd.PASSED_FAILURE)
 
     def stream_truncated(
         self, request: ExchangeRequest, route: RouteRecord, truncation: StreamTruncation
     ) -> None:
         """A stream was truncated after a part of it had been sent to its client."""
         self.tally.on_end(route.name, Outcome.TRUNCATED)
-        self._metrics.on_request_finished("cut")
+        self._metrics.on_request_finished(RequestEnd.CUT)
         self._log.emit(
             "stream-cut",
             route=route.name,
@@ -224,7 +225,7 @@
     ) -> None:
         """A client closed its connection before the answer was complete."""
         self.tally.on_end(route.name, Outcome.CLIENT_DISCONNECTED)
-        self._metrics.on_request_finished("client-left")
+        self._metrics.on_request_finished(RequestEnd.CLIENT_LEFT)
         self._log.emit(
             "client-left",
             route=route.name,
--- a/src/milletcourse/gateway/telemetry/request_records.py
+++ b/src/milletcourse/gateway/telemetry/request_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 import msgspec
 
 from milletcourse.exchange.evidence.request_identity import RequestFeatures
@@ -10,6 +12,16 @@
 from milletcourse.gateway.telemetry.connection_records import ConnectionUse
 
 
+class RequestEnd(StrEnum):
+    """How a request ended that this gateway didn't answer with a failure of its own."""
+
+    SERVED = "served"
+    CUT = "cut"
+    PASSED_FAILURE = "passed-failure"
+    CLIENT_LEFT = "client-left"
+    UNANSWERED = "unanswered"
+
+
 class AnsweredAttempt(msgspec.Struct, frozen=True):
     """An attempt at a server that completed the answer.
 
--- a/tests/gateway/requests/test_resumption_precedence.py
+++ b/tests/gateway/requests/test_resumption_precedence.py
@@ -8,7 +8,14 @@
 import pytest
 
 from gateway_harness import LogLines
-from gateway_standin import Client, ReceivedRequest, StandinServer, chunk, stream_head
+from gateway_standin import (
+    Client,
+    ReceivedRequest,
+    StandinServer,
+    chunk,
+    serve_whole,
+    stream_head,
+)
 from milletcourse.gateway.requests.dispatch_builder import CONTINUATION_PRIORITY
 from versions_fleet import (
     EVENTS,
@@ -150,12 +157,23 @@
             )
         )
         await fleet.resume()
+        await fleet.harness.add_server("app-1", "app", serve_whole)
+        await fleet.harness.until(lambda: fleet.knows_all(fleet.nodes[0], GATEWAYS))
+        client = await Client.connect(fleet.nodes[0].frontend_address)
+        await client.ask("/safe/", "no-stream", Last_Event_Id="1", Request_Priority="0")
+        client.close()
         ranks = {
-            bool(request.headers.get("last-event-id")): request.headers.get("request-priority")
+            (request.target, "-after-" in request.request_id): request.headers.get(
+                "request-priority"
+            )
             for server in fleet.harness.servers.values()
             for request in server.received
         }
-        assert ranks == {False: None, True: str(CONTINUATION_PRIORITY)}
+        assert ranks == {
+            ("/stream/", False): None,
+            ("/stream/", True): str(CONTINUATION_PRIORITY),
+            ("/safe/", False): None,
+        }
 
     run_fleet(scenario)
 
