Read-through: resumption split by job, one writer of shared objects

Two stores wrote an object by compare-and-set in the same way: object_writer.py. Metrics with two labels are one loop; DECODE_ERRORS, which msgpack messages use too, has a module of its own; two tests of kills share their scenario.

--- a/src/milletcourse/exchange/messages/feed_messages.py
+++ b/src/milletcourse/exchange/messages/feed_messages.py
@@ -18,7 +18,7 @@
 from milletcourse.exchange.messages.configuration_effect import ConfigurationEffect
 from milletcourse.exchange.messages.content_patch import ContentPatch
 from milletcourse.exchange.messages.store_position import UNKNOWN_ERA, StorePosition
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 COMPRESSED_FROM_BYTES = 4096
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
--- a/src/milletcourse/exchange/messages/origin_messages.py
+++ b/src/milletcourse/exchange/messages/origin_messages.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import IntEnum
 from typing import Annotated
 
 import msgspec
 
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 _MARK = b"\xc2"
 """First byte of these datagrams; no load report (msgpack) starts with it."""
@@ -75,6 +76,9 @@
     services: dict[Name, str] = {}
 
 
+SendMessage = Callable[[str, OriginMessage], None]
+"""Sends a message to a gateway by name."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(OriginMessage)
 
--- a/src/milletcourse/exchange/messages/peer_messages.py
+++ b/src/milletcourse/exchange/messages/peer_messages.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from milletcourse.exchange.messages.signal_headers import MAX_LIMIT_PER_SECOND
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 NOTICE_REPEATS = 3
 """Number of times that a notice is sent, in case messages are lost."""
--- a/src/milletcourse/exchange/messages/quota_messages.py
+++ b/src/milletcourse/exchange/messages/quota_messages.py
@@ -13,7 +13,7 @@
 
 from milletcourse.exchange.messages.peer_messages import AgeMs, LimitPerSecond
 from milletcourse.exchange.messages.slot_messages import SlotDemand
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 _MARK = b"\xc1"
 """First byte of these datagrams; no load report (msgpack) starts with it."""
--- a/src/milletcourse/exchange/messages/relay_messages.py
+++ b/src/milletcourse/exchange/messages/relay_messages.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 RELAY_MARK = b"\xc1"
 """First byte of a request; no HTTP request starts with it."""
--- a/src/milletcourse/exchange/messages/slot_messages.py
+++ b/src/milletcourse/exchange/messages/slot_messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from milletcourse.exchange.messages.peer_messages import LimitPerSecond
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 _MARK = b"\xc3"
 """First byte of these datagrams; no load report (msgpack) starts with it."""
--- a/src/milletcourse/exchange/resumption/software_versions.py
+++ b/src/milletcourse/exchange/resumption/software_versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import msgspec
@@ -103,6 +103,11 @@
             return None
         return next(iter(versions))
 
+    def sole_versions(self, services: Iterable[str], now: float) -> dict[str, str]:
+        """The same by service, without those that have no such version."""
+        versions = {service: self.sole(service, now) for service in services}
+        return {service: version for service, version in versions.items() if version is not None}
+
     def is_mixed(self, service: str, now: float) -> bool:
         """Whether several versions may have begun streams of a service."""
         return len(self._current(service, now)) > 1 or self._may_have_missed(now)
--- a/src/milletcourse/gateway/fleet/peers.py
+++ b/src/milletcourse/gateway/fleet/peers.py
@@ -190,7 +190,7 @@
         reader = context.followed_reader
         now = context.now()
         context.permits.slots.tick()
-        context.stream_resumption.announce_versions()
+        context.stream_resumption.announcer.announce()
         uses = context.tenant_limits.tick(now)
         for outgoing in context.loads.tick(now, context.server_states.own_loads(), reader, uses):
             self._send(outgoing)
--- a/src/milletcourse/gateway/fleet/rollout_service.py
+++ b/src/milletcourse/gateway/fleet/rollout_service.py
@@ -27,7 +27,7 @@
     StoreError,
     StoreProblem,
 )
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 TICK_SECONDS = 0.1
 MAX_RENEW_SECONDS = 0.9
--- a/src/milletcourse/gateway/requests/stream_continuity.py
+++ b/src/milletcourse/gateway/requests/stream_continuity.py
@@ -87,13 +87,13 @@
         servers = context.instances.of_service(self._job.service.name).values()
         permitted = [instance for instance in servers if self.permits(instance)]
         resumption = EndedResumption(
-            self._software_version or "",
-            outcome,
-            has_gone_on,
-            len(permitted),
-            sum(instance.health.is_ejected(now) for instance in permitted),
-            sum(candidates.is_suspected(instance, now) for instance in permitted),
-            round(now - self._job.request.received_at, 3),
+            software=self._software_version or "",
+            outcome=outcome,
+            went_on=has_gone_on,
+            servers=len(permitted),
+            ejected=sum(instance.health.is_ejected(now) for instance in permitted),
+            suspected=sum(candidates.is_suspected(instance, now) for instance in permitted),
+            seconds=round(now - self._job.request.received_at, 3),
         )
         context.record.resumption.resumption_ended(
             self._job.request.request_id, self._first_id, resumption
--- a/src/milletcourse/gateway/state/origin_question.py
+++ b/src/milletcourse/gateway/state/origin_question.py
@@ -1,10 +1,21 @@
-"""A question to the holders of one stream, and what their replies say together."""
+"""Questions to the holders of streams, and what their replies say together."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
+from itertools import count
 
+from milletcourse.exchange.messages.origin_messages import OriginMessage, OriginStep, SendMessage
+from milletcourse.exchange.resumption.origin_holders import OriginHolders
+from milletcourse.exchange.resumption.origin_reports import read_report
 from milletcourse.exchange.resumption.stream_origins import StreamOrigin
+from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
+from milletcourse.runtime.responsive_clock import ResponsiveClock
+from milletcourse.runtime.responsive_timer import responsive_timeout
+
+ASK_TIMEOUT_SECONDS = 0.15
+"""How long a request waits for the holders of a stream; one in another region replies in less."""
 
 
 class OriginQuestion:
@@ -65,3 +76,70 @@
         replies = len(self._sole_versions)
         own = self._holder_count - len(self.asked)
         return replies > 0 and 2 * (replies + own) > self._holder_count
+
+
+class OriginQuestions:
+    """Asks the holders of streams, and assigns their replies."""
+
+    def __init__(
+        self,
+        own_name: str,
+        holders: OriginHolders,
+        send: SendMessage,
+        clock: ResponsiveClock,
+        record: ResumptionRecorder,
+    ) -> None:
+        """Start without any question.
+
+        Args:
+            own_name: Name of this gateway.
+            holders: Which gateways keep the origin of a stream.
+            send: Sends messages.
+            clock: Responsive time of the event loop, used for the timeout of holders.
+            record: Counts questions that not all holders replied to.
+        """
+        self._own_name = own_name
+        self._holders = holders
+        self._send = send
+        self._clock = clock
+        self._record = record
+        self._request_numbers = count(1)
+        self._pending: dict[int, OriginQuestion] = {}
+
+    async def ask(self, key: int, services: Sequence[str]) -> OriginQuestion:
+        """Ask the holders of a stream for its origin, and wait for their replies.
+
+        Args:
+            key: Key of the stream.
+            services: Services that may continue it.
+        """
+        question = OriginQuestion(self._own_name, self._holders.of_stream(key))
+        if not question.asked:
+            return question
+        number = next(self._request_numbers)
+        self._pending[number] = question
+        message = OriginMessage(
+            OriginStep.ASK,
+            self._own_name,
+            key=key,
+            request_number=number,
+            services=dict.fromkeys(services, ""),
+        )
+        for name in question.asked:
+            self._send(name, message)
+        try:
+            async with responsive_timeout(self._clock, ASK_TIMEOUT_SECONDS):
+                await question.decided
+        except TimeoutError:
+            self._record.holders_silent()
+        finally:
+            del self._pending[number]
+        return question
+
+    def on_reply(self, message: OriginMessage, now: float) -> None:
+        """A holder replied to a question."""
+        question = self._pending.get(message.request_number)
+        if question is None:
+            return
+        origin = read_report(message.reports[0], now) if message.reports else None
+        question.on_reply(message.sender, origin, message.services)
--- a/src/milletcourse/gateway/state/stream_resumption.py
+++ b/src/milletcourse/gateway/state/stream_resumption.py
@@ -10,45 +10,41 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
-from itertools import count
 
 import msgspec
 
 from milletcourse.exchange.messages.origin_messages import (
-    MAX_NAME_LENGTH,
-    MAX_REMAINING_MS,
     MAX_REPORTS,
     OriginMessage,
     OriginReport,
     OriginStep,
+    SendMessage,
 )
 from milletcourse.exchange.resumption.origin_holders import OriginHolders
 from milletcourse.exchange.resumption.origin_record import OriginRecord
+from milletcourse.exchange.resumption.origin_reports import read_report, write_report
 from milletcourse.exchange.resumption.software_versions import (
     MAX_HORIZON_SECONDS,
     ServiceVersion,
     SoftwareVersions,
 )
 from milletcourse.exchange.resumption.stream_origins import StreamOrigin, StreamOrigins, stream_key
-from milletcourse.exchange.resumption.version_announcements import VersionAnnouncements
-from milletcourse.gateway.state.origin_question import OriginQuestion
+from milletcourse.gateway.state.origin_question import OriginQuestion, OriginQuestions
+from milletcourse.gateway.state.version_announcer import VersionAnnouncer
 from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
 from milletcourse.runtime.responsive_clock import ResponsiveClock
 from milletcourse.runtime.responsive_timer import responsive_timeout
 
-ASK_TIMEOUT_SECONDS = 0.15
-"""How long a request waits for the holders of a stream; one in another region replies in less."""
+RESTORE_TIMEOUT_SECONDS = 0.15
+"""How long a request waits after a start for the records in the store."""
 JOIN_SECONDS = 5.0
 """A gateway asks for the origins that it has to hold only this long after its start; what begins
 later it is told."""
 RETURN_SECONDS = 2.0
 """A client that resumes a stream just before its deadline may be served a little later."""
 
-SendMessage = Callable[[str, OriginMessage], None]
-"""Sends a message to a gateway by name."""
-
 
 class OriginEvidence(Enum):
     """From what a gateway knows which software version began a stream."""
@@ -82,6 +78,7 @@
 
     Attributes:
         versions: Software versions that may have begun streams.
+        announcer: Makes new versions known to all gateways.
         holders: Which gateways keep the origin of a stream.
         origin_record: The streams that this gateway records in the store.
         send: Sends messages; messages sent before it is set are lost.
@@ -125,9 +122,12 @@
         """Set once the records in the store have been read; None while that isn't needed."""
         self._origins = StreamOrigins()
         self._has_joined = False
-        self._announcements = VersionAnnouncements()
-        self._request_numbers = count(1)
-        self._questions: dict[int, OriginQuestion] = {}
+        self.announcer = VersionAnnouncer(own_name, self.versions, self.holders, self._send, now)
+        self._questions = OriginQuestions(own_name, self.holders, self._send, clock, record)
+
+    def _send(self, name: str, message: OriginMessage) -> None:
+        """For the parts of this class, which are created before `send` is set."""
+        self.send(name, message)
 
     # -- streams that begin or go on here -------------------------------------------------------
 
@@ -158,9 +158,7 @@
         """Announce a version, and tell the streams that began while there was nothing to tell."""
         now = self._now()
         service = seen.service
-        if seen.version in self.versions.held(service, now):
-            self._announcements.begin(seen, now + self.versions.hold_seconds)
-            self.announce_versions()
+        self.announcer.on_new_version(seen)
         if self.versions.is_mixed(service, now):
             told = dict(self._origins.own_of_service(service, now))
             self._tell(told)
@@ -169,16 +167,6 @@
             self._join()
         self.on_new_version()
 
-    def announce_versions(self) -> None:
-        """Ask the gateways that aren't known to know a new version; called repeatedly."""
-        if not self.holders.are_known:
-            return
-        for complete in self._announcements.take_complete(self.holders.peers):
-            self.versions.on_known_to_all(complete)
-        for seen, name in self._announcements.due(self.holders.peers, self._now()):
-            services = {seen.service: seen.version}
-            self.send(name, OriginMessage(OriginStep.SEEN, self._own_name, services=services))
-
     def _record_origin(self, key: int) -> None:
         """Have a stream recorded in the store if this gateway is to do it."""
         origin = self._origins.find(key, self._now())
@@ -204,7 +192,7 @@
         now = self._now()
         reports: dict[str, list[OriginReport]] = defaultdict(list)
         for key, origin in origins.items():
-            report = _report(key, origin, now)
+            report = write_report(key, origin, now)
             if report is not None:
                 for name in self.holders.receivers(key):
                     reports[name].append(report)
@@ -232,13 +220,13 @@
         await self._until_restored()
         origin = self._origins.find(key, self._now()) if first_id else None
         evidence = OriginEvidence.OWN_RECORD
-        sole_versions = self._sole_versions(services)
+        sole_versions = self.versions.sole_versions(services, self._now())
         is_certain = len(sole_versions) == len(services) and self._knows_all_versions()
         version = sole_versions.get(services[0])
         may_help = bool(first_id) or version is not None
         question: OriginQuestion | None = None
         if origin is None and may_help and not is_certain:
-            question = await self._ask(key, services)
+            question = await self._questions.ask(key, services)
             origin, evidence = question.origin, OriginEvidence.HOLDER
         if origin is not None and origin.service in services:
             return _resume_point(origin.service, origin.software_version, evidence)
@@ -253,7 +241,7 @@
         if self._restored is None or self._restored.is_set():
             return
         try:
-            async with responsive_timeout(self._clock, ASK_TIMEOUT_SECONDS):
+            async with responsive_timeout(self._clock, RESTORE_TIMEOUT_SECONDS):
                 await self._restored.wait()
         except TimeoutError:
             # Without the records the stream may be refused, and its client retries.
@@ -275,37 +263,6 @@
         """Whether no version can have begun streams without being known to this gateway."""
         return self._is_view_current() and self.versions.has_seen_horizon(self._now())
 
-    def _sole_versions(self, services: Iterable[str]) -> dict[str, str]:
-        """By service, the version that alone may have begun streams as far as is known here."""
-        now = self._now()
-        versions = {service: self.versions.sole(service, now) for service in services}
-        return {service: version for service, version in versions.items() if version is not None}
-
-    async def _ask(self, key: int, services: Sequence[str]) -> OriginQuestion:
-        """Ask the holders of a stream for its origin."""
-        question = OriginQuestion(self._own_name, self.holders.of_stream(key))
-        if not question.asked:
-            return question
-        number = next(self._request_numbers)
-        self._questions[number] = question
-        message = OriginMessage(
-            OriginStep.ASK,
-            self._own_name,
-            key=key,
-            request_number=number,
-            services=dict.fromkeys(services, ""),
-        )
-        for name in question.asked:
-            self.send(name, message)
-        try:
-            async with responsive_timeout(self._clock, ASK_TIMEOUT_SECONDS):
-                await question.decided
-        except TimeoutError:
-            self._record.holders_silent()
-        finally:
-            del self._questions[number]
-        return question
-
     # -- messages -------------------------------------------------------------------------------
 
     def on_message(self, message: OriginMessage) -> None:
@@ -318,43 +275,24 @@
         elif message.step is OriginStep.JOIN:
             self._on_joined(message.sender)
         elif message.step is OriginStep.SEEN:
-            self._on_seen_elsewhere(message)
+            self.announcer.on_seen(message)
         elif message.step is OriginStep.KNOWN:
-            self._on_known(message)
+            self.announcer.on_known(message)
         else:
-            self._on_reply(message)
+            self._questions.on_reply(message, self._now())
 
     def _on_told(self, report: OriginReport) -> None:
         now = self._now()
-        self._origins.record(report.key, _origin(report, now), now)
+        self._origins.record(report.key, read_report(report, now), now)
         self._record_origin(report.key)
         # The sender may have seen a version that isn't listed here yet.
         self.versions.on_seen(report.service, report.software_version, now)
 
-    def _on_seen_elsewhere(self, message: OriginMessage) -> None:
-        """Another gateway has seen new versions, which may not be listed here yet."""
-        now = self._now()
-        for service, version in message.services.items():
-            self.versions.on_seen(service, version, now)
-        self._on_known(message)
-        sole = self._sole_versions(message.services)
-        known = {
-            service: version
-            for service, version in message.services.items()
-            if sole.get(service, version) == version
-        }
-        self.send(message.sender, OriginMessage(OriginStep.KNOWN, self._own_name, services=known))
-
-    def _on_known(self, message: OriginMessage) -> None:
-        for service, version in message.services.items():
-            self._announcements.on_known(ServiceVersion(service, version), message.sender)
-        self.announce_versions()
-
     def _on_joined(self, name: str) -> None:
         """Tell a gateway that has just started the origins that it has to hold."""
         now = self._now()
         reports = [
-            _report(key, origin, now)
+            write_report(key, origin, now)
             for key, origin in self._origins.unexpired(now)
             if name in self.holders.of_stream(key)
         ]
@@ -363,7 +301,7 @@
     def _on_asked(self, message: OriginMessage) -> None:
         now = self._now()
         origin = self._origins.find(message.key, now)
-        report = _report(message.key, origin, now) if origin is not None else None
+        report = write_report(message.key, origin, now) if origin is not None else None
         self.send(
             message.sender,
             OriginMessage(
@@ -372,17 +310,10 @@
                 [report] if report is not None else [],
                 message.key,
                 message.request_number,
-                self._sole_versions(message.services),
+                self.versions.sole_versions(message.services, now),
             ),
         )
 
-    def _on_reply(self, message: OriginMessage) -> None:
-        question = self._questions.get(message.request_number)
-        if question is None:
-            return
-        origin = _origin(message.reports[0], self._now()) if message.reports else None
-        question.on_reply(message.sender, origin, message.services)
-
     # -- records in the store -------------------------------------------------------------------
 
     def begin_restore(self) -> bool:
@@ -422,17 +353,3 @@
     service: str, version: str | None, evidence: OriginEvidence
 ) -> ResumePoint | None:
     return ResumePoint(service, version, evidence) if version is not None else None
-
-
-def _report(key: int, origin: StreamOrigin, now: float) -> OriginReport | None:
-    """The message form of an origin; None when a name in it is too long."""
-    version = origin.software_version
-    if max(len(origin.service), len(version or "")) > MAX_NAME_LENGTH:
-        return None
-    remaining_ms = min(max(round((origin.expires_at - now) * 1000.0), 0), MAX_REMAINING_MS)
-    return OriginReport(key, origin.service, version, remaining_ms)
-
-
-def _origin(report: OriginReport, now: float) -> StreamOrigin:
-    expires_at = now + report.remaining_ms / 1000.0
-    return StreamOrigin(report.service, report.software_version, expires_at, is_own=False)
--- a/src/milletcourse/gateway/store/directory.py
+++ b/src/milletcourse/gateway/store/directory.py
@@ -16,7 +16,7 @@
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.runtime.addresses import split_address
 from milletcourse.runtime.clock import elapsed_seconds
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 MAX_IDENTITY = 2**64 - 1
 MAX_GATEWAYS = 512
--- a/src/milletcourse/gateway/store/event_handlers.py
+++ b/src/milletcourse/gateway/store/event_handlers.py
@@ -16,7 +16,7 @@
 from milletcourse.gateway.store.kind_event_handler import NoOpEventHandler
 from milletcourse.gateway.store.object_store import ObjectChange, StoredObject
 from milletcourse.gateway.telemetry.store_recorder import ReuseScopeChange
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 
 class _StateUpdater(NoOpEventHandler):
--- a/src/milletcourse/gateway/store/origin_store.py
+++ b/src/milletcourse/gateway/store/origin_store.py
@@ -10,14 +10,10 @@
 from milletcourse.exchange.resumption.origin_record import RecordedOrigins
 from milletcourse.exchange.resumption.stream_origins import StreamOrigin
 from milletcourse.gateway.state.stream_resumption import StreamResumption
-from milletcourse.gateway.store.object_store import (
-    ObjectStoreClient,
-    StoredObject,
-    StoreError,
-    StoreProblem,
-)
+from milletcourse.gateway.store.object_store import ObjectStoreClient, StoredObject, StoreError
+from milletcourse.gateway.store.object_writer import ObjectWriter, WriteOutcome
 from milletcourse.gateway.telemetry.event_log import EventLog
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 WRITE_INTERVAL_SECONDS = 0.25
 """Streams that began this recently are lost when all gateways end at once."""
@@ -54,7 +50,7 @@
         self._resumption = resumption
         self._now = now
         self._log = log
-        self._object: StoredObject | None = None
+        self._writer = ObjectWriter(store, kind, self._name)
         self._interval_seconds = WRITE_INTERVAL_SECONDS
 
     # -- reading --------------------------------------------------------------------------------
@@ -77,11 +73,12 @@
 
     def _adopt(self, stored: StoredObject) -> int:
         """Take the origins of a record; the number of its streams."""
-        if stored.name == self._name:
-            self._object = stored
+        is_own = stored.name == self._name
+        if is_own:
+            self._writer.stored = stored
         origins = self._decode(stored)
         for key, origin in origins:
-            self._resumption.on_restored(key, origin, is_recorded_here=stored.name == self._name)
+            self._resumption.on_restored(key, origin, is_recorded_here=is_own)
         return len(origins)
 
     def _decode(self, stored: StoredObject) -> list[tuple[int, StreamOrigin]]:
@@ -103,30 +100,13 @@
                 await self._write(msgspec.json.encode(desired))
 
     async def _write(self, spec: bytes) -> None:
-        base = self._object
-        try:
-            if base is None:
-                written, _ = await self._store.create(self._kind, self._name, spec)
-            else:
-                written, _ = await self._store.replace(self._kind, self._name, spec, base.position)
-        except StoreError as error:
-            self._resumption.origin_record.on_not_written()
-            await self._on_store_error(error)
+        """Write the record; what another gateway of the zone has written is merged first."""
+        outcome = await self._writer.write(spec)
+        if outcome is WriteOutcome.WRITTEN:
+            self._interval_seconds = WRITE_INTERVAL_SECONDS
             return
-        self._object = written
-        self._interval_seconds = WRITE_INTERVAL_SECONDS
-
-    async def _on_store_error(self, error: StoreError) -> None:
-        """Merge what another gateway of the zone has written, and back off for other errors."""
-        current = error.current
-        if error.problem is StoreProblem.CONFLICT and current is None:
-            try:
-                current, _ = await self._store.get(self._kind, self._name)
-            except StoreError as second:
-                error = second
-        if current is not None:
-            self._adopt(current)
-        elif error.problem is StoreProblem.NOT_FOUND:
-            self._object = None
-        else:
+        self._resumption.origin_record.on_not_written()
+        if outcome is WriteOutcome.CHANGED and self._writer.stored is not None:
+            self._adopt(self._writer.stored)
+        elif outcome is WriteOutcome.UNAVAILABLE:
             self._interval_seconds = min(self._interval_seconds * 2, MAX_BACK_OFF_SECONDS)
--- a/src/milletcourse/gateway/store/version_record_store.py
+++ b/src/milletcourse/gateway/store/version_record_store.py
@@ -10,15 +10,11 @@
 import msgspec
 
 from milletcourse.exchange.resumption.version_record import StoredVersions, VersionRecord
-from milletcourse.gateway.store.object_store import (
-    ObjectStoreClient,
-    StoredObject,
-    StoreError,
-    StoreProblem,
-)
+from milletcourse.gateway.store.object_store import ObjectStoreClient, StoredObject
+from milletcourse.gateway.store.object_writer import ObjectWriter, WriteOutcome
 from milletcourse.gateway.telemetry.event_log import EventLog
 from milletcourse.gateway.telemetry.resumption_recorder import ResumptionRecorder
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 RECORD_NAME = "software-versions"
 """Name of the object, among the objects of the gateways' kind."""
@@ -58,15 +54,13 @@
             log: Gets a line for a malformed record.
             recorder: Notified of an incomplete record.
         """
-        self._store = store
-        self._kind = kind
+        self._writer = ObjectWriter(store, kind, RECORD_NAME)
         self._record = record
         self._now = now
         self._random = random_source
         self._log = log
         self._recorder = recorder
         self.on_read: Callable[[], None] = lambda: None
-        self._object: StoredObject | None = None
         self._changed = asyncio.Event()
         self._interval_seconds = CHECK_INTERVAL_SECONDS
 
@@ -78,8 +72,11 @@
 
     def on_object(self, found: StoredObject | None) -> None:
         """The object was listed, changed or written; None when there is none."""
-        self._object = found
-        self._record.on_stored(self._decode(found), self._now())
+        self._writer.stored = found
+        self._on_stored()
+
+    def _on_stored(self) -> None:
+        self._record.on_stored(self._decode(self._writer.stored), self._now())
 
     def on_caught_up(self, has_run_before: bool) -> None:
         """The object is known as it was after this gateway started."""
@@ -119,37 +116,13 @@
         self._changed.clear()
 
     async def _write(self, desired: StoredVersions) -> None:
-        spec = msgspec.json.encode(desired)
-        base = self._object
-        try:
-            if base is None:
-                written, _ = await self._store.create(self._kind, RECORD_NAME, spec)
-            else:
-                written, _ = await self._store.replace(self._kind, RECORD_NAME, spec, base.position)
-        except StoreError as error:
-            await self._on_store_error(error)
-            return
-        self._interval_seconds = CHECK_INTERVAL_SECONDS
-        self._adopt(written)
-
-    async def _on_store_error(self, error: StoreError) -> None:
-        """Continue from the stored object after a conflict, and back off otherwise."""
-        current = error.current
-        if error.problem is StoreProblem.CONFLICT and current is None:
-            try:
-                current, _ = await self._store.get(self._kind, RECORD_NAME)
-            except StoreError as second:
-                error = second
-        if current is not None:
-            self._adopt(current)
-        elif error.problem is StoreProblem.NOT_FOUND:
-            self.on_object(None)
-        else:
+        """Write the record, and continue from the stored one."""
+        outcome = await self._writer.write(msgspec.json.encode(desired))
+        if outcome is WriteOutcome.UNAVAILABLE:
             self._interval_seconds = min(self._interval_seconds * 2, MAX_BACK_OFF_SECONDS)
             return
-        self._changed.set()
-
-    def _adopt(self, stored: StoredObject) -> None:
-        """Take an object that a call returned, unless a later one has been read meanwhile."""
-        if self._object is None or stored.position > self._object.position:
-            self.on_object(stored)
+        self._on_stored()
+        if outcome is WriteOutcome.WRITTEN:
+            self._interval_seconds = CHECK_INTERVAL_SECONDS
+        else:
+            self._changed.set()
--- a/src/milletcourse/gateway/telemetry/metrics.py
+++ b/src/milletcourse/gateway/telemetry/metrics.py
@@ -251,30 +251,31 @@
             for value, count in counts.items():
                 family.add_metric([value], count)
             yield family
-        exclusions = CounterMetricFamily(
-            f"{PREFIX}kept_away",
-            "Requests for which a server was excluded, since it is shutting down or backing off",
-            labels=["service", "signal"],
-        )
-        for labels, count in self._exclusions.items():
-            exclusions.add_metric(labels, count)
-        yield exclusions
-        streams = CounterMetricFamily(
-            f"{PREFIX}streams",
-            "Answers that are streams, by the software version of the server that began them",
-            labels=["service", "software_version"],
-        )
-        for names, count in self._streams.items():
-            streams.add_metric(names, count)
-        yield streams
-        resumptions = CounterMetricFamily(
-            f"{PREFIX}resumptions",
-            "Attempts of clients to resume a stream, by how they ended",
-            labels=["outcome", "went_on"],
-        )
-        for names, count in self._resumptions.items():
-            resumptions.add_metric(names, count)
-        yield resumptions
+        for name, description, names, counts_by_labels in (
+            (
+                "kept_away",
+                "Requests for which a server was excluded, "
+                "since it is shutting down or backing off",
+                ("service", "signal"),
+                self._exclusions,
+            ),
+            (
+                "streams",
+                "Answers that are streams, by the software version of the server that began them",
+                ("service", "software_version"),
+                self._streams,
+            ),
+            (
+                "resumptions",
+                "Attempts of clients to resume a stream, by how they ended",
+                ("outcome", "went_on"),
+                self._resumptions,
+            ),
+        ):
+            family = CounterMetricFamily(PREFIX + name, description, labels=names)
+            for labels, count in counts_by_labels.items():
+                family.add_metric(labels, count)
+            yield family
         yield CounterMetricFamily(
             f"{PREFIX}origin_holders_silent",
             "Questions for the origin of a stream that not all holders replied to in time",
--- a/src/milletcourse/platform/cache_events.py
+++ b/src/milletcourse/platform/cache_events.py
@@ -7,7 +7,8 @@
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.gateway.fleet.cache_store_probe import ProbeReply
 from milletcourse.gateway.servers.call_client import Call, Reply
-from milletcourse.runtime.json_members import DECODE_ERRORS, decode_document
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
+from milletcourse.runtime.json_members import decode_document
 
 _EVENTS_PATH = "/milletcourse/kv-events"
 
--- a/src/milletcourse/platform/object_store.py
+++ b/src/milletcourse/platform/object_store.py
@@ -19,7 +19,8 @@
     StoreProblem,
 )
 from milletcourse.platform.names import OBJECTS_PATH, STORE_ERA_HEADER
-from milletcourse.runtime.json_members import DECODE_ERRORS, decode_document, is_readable
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
+from milletcourse.runtime.json_members import decode_document, is_readable
 
 _PROBLEMS = {
     404: StoreProblem.NOT_FOUND,
--- a/src/milletcourse/platform/orders.py
+++ b/src/milletcourse/platform/orders.py
@@ -13,7 +13,7 @@
 )
 from milletcourse.gateway.servers.call_client import Call, Reply
 from milletcourse.platform.names import HEADER_NAMES, ORDER_PATH, REPORT_PATH
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 _RUNNING_WORK_MODES = {
     RunningWork.WAIT: "wait",
--- a/src/milletcourse/runtime/json_members.py
+++ b/src/milletcourse/runtime/json_members.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
-"""Raised by decoders for malformed content, which any writer may have produced."""
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
+
 NESTING_MARGIN = 100
 """A value counts as readable if it could be nested this many levels deeper. How deeply a decoder
 reads depends on its caller, and other gateways decode the value as a part of larger messages."""
--- a/tests/gateway/requests/test_resumption_after_kills.py
+++ b/tests/gateway/requests/test_resumption_after_kills.py
@@ -42,6 +42,11 @@
     await fleet.begin()
 
 
+async def _begin_with_both_recorded(fleet: VersionsFleet) -> None:
+    await _begin_with_both(fleet)
+    await asyncio.sleep(RECORD_SECONDS)
+
+
 # -- orders of events ---------------------------------------------------------------------------
 
 
@@ -223,14 +228,9 @@
     run_fleet(scenario)
 
 
-@pytest.mark.parametrize("kills", [1, 2, 3])
-def test_streams_of_a_single_software_version_go_on_after_all_gateways_were_killed(
-    kills: int,
-) -> None:
-    """No other version can have begun them."""
-
+def _assert_streams_go_on_after_kills(begin: Order, kills: int) -> None:
     async def scenario(fleet: VersionsFleet) -> None:
-        await _begin_with_one(fleet)
+        await begin(fleet)
         await _kill(fleet, kills, 0.2)
         await fleet.resume_repeatedly(RESUME_SECONDS)
         fleet.judge()
@@ -239,27 +239,26 @@
 
 
 @pytest.mark.parametrize("kills", [1, 2, 3])
-def test_streams_of_two_software_versions_go_on_after_all_gateways_were_killed(
+def test_streams_of_a_single_software_version_go_on_after_all_gateways_were_killed(
     kills: int,
 ) -> None:
-    """No gateway that knew where they began is left; the readers have recorded it."""
+    """No other version can have begun them."""
+    _assert_streams_go_on_after_kills(_begin_with_one, kills)
 
-    async def scenario(fleet: VersionsFleet) -> None:
-        await _begin_with_both(fleet)
-        await asyncio.sleep(RECORD_SECONDS)
-        await _kill(fleet, kills, 0.2)
-        await fleet.resume_repeatedly(RESUME_SECONDS)
-        fleet.judge()
 
-    run_fleet(scenario)
+@pytest.mark.parametrize("kills", [1, 2, 3])
+def test_streams_of_two_software_versions_go_on_after_all_gateways_were_killed(
+    kills: int,
+) -> None:
+    """No gateway that knew where they began is left; the readers have recorded it."""
+    _assert_streams_go_on_after_kills(_begin_with_both_recorded, kills)
 
 
 def test_recorded_streams_go_on_although_other_streams_began_after_the_kill() -> None:
     """A record that a reader begins after its start doesn't replace what it had recorded."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await _begin_with_both(fleet)
-        await asyncio.sleep(RECORD_SECONDS)
+        await _begin_with_both_recorded(fleet)
         earlier = fleet.streams
         await _kill(fleet)
         fleet.streams = [ReceivedStream(f"later-{number}") for number in range(STREAMS)]
@@ -290,8 +289,7 @@
     """The streams that this gateway knows are in it, and the gateways go on."""
 
     async def scenario(fleet: VersionsFleet) -> None:
-        await _begin_with_both(fleet)
-        await asyncio.sleep(RECORD_SECONDS)
+        await _begin_with_both_recorded(fleet)
         store = fleet.harness.store
         for name in list(store.objects[KINDS.origins]):
             store.put(KINDS.origins, name, {"streams": {"engine": {"v1": {"no number": 5}}}})
--- a/tests/gateway/requests/test_versions_at_isolated_gateways.py
+++ b/tests/gateway/requests/test_versions_at_isolated_gateways.py
@@ -13,6 +13,7 @@
 
 from gateway_harness import Harness
 from isolated_gateway import IsolatedGateway
+from milletcourse.exchange.resumption.software_versions import ServiceVersion
 from versions_fleet import GATEWAYS, VersionsFleet, pausing_at, run_fleet
 
 OLD, NEW = "v1", "v1.2"
@@ -114,7 +115,7 @@
             versions = node.context.stream_resumption.versions
             await fleet.harness.until(
                 lambda versions=versions, node=node: (
-                    NEW in versions._sightings["engine"]
+                    ServiceVersion("engine", NEW) in versions.seen(node.context.now())
                     and not versions.held("engine", node.context.now())
                 )
             )
--- a/tests/gateway/store/test_entries_of_other_writers.py
+++ b/tests/gateway/store/test_entries_of_other_writers.py
@@ -28,7 +28,7 @@
 )
 from milletcourse.platform.object_store import PlatformStoreDialect
 from milletcourse.runtime.addresses import split_address
-from milletcourse.runtime.json_members import DECODE_ERRORS
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 
 GOOD: dict[str, Any] = {
     "Service": "app",
--- a/tests/gateway/store/test_unreadable_objects.py
+++ b/tests/gateway/store/test_unreadable_objects.py
@@ -40,8 +40,8 @@
 from milletcourse.platform.cache_events import PlatformCacheEvents
 from milletcourse.platform.object_store import PlatformStoreDialect
 from milletcourse.platform.orders import PlatformOrderDialect
+from milletcourse.runtime.decode_errors import DECODE_ERRORS
 from milletcourse.runtime.json_members import (
-    DECODE_ERRORS,
     decode_members,
     split_array,
     split_object,
