Failing tests: processes go over their memory among clients that ignore the limits

What callers saw: a process ended (out of memory) among clients that send trailers without end, many bodies of legal size, or many chunks, and stay open. They check that the process lives, that its peak resident memory and its open descriptors stay within the settings, and that an ordinary request is answered while the crowd is connected and after it. Nothing is asserted on time or on shares of served requests. Crowds and bounds are fixed here, before the product changes: the bound is the memory of the settings; every body has a legal size.

The tests run one at a time, after the others (`make test`).

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 	$(VENV)/bin/lint-imports --no-logo
 
 test: check
-	PYTHONHASHSEED=0 $(VENV)/bin/python -m pytest -n 6
+	PYTHONHASHSEED=0 $(VENV)/bin/python -m pytest -n 6 --ignore=tests/crowds
+	PYTHONHASHSEED=0 $(VENV)/bin/python -m pytest -n 0 tests/crowds
 
 format: $(STAMP)
 	$(VENV)/bin/ruff format src tests
--- /dev/null
+++ b/tests/crowds/test_client_crowds.py
@@ -0,0 +1,281 @@
+"""A gateway process among clients that send more than its limits allow, or never end.
+
+Each test checks that the process lives, stays within the memory and the descriptors of its
+settings, and answers an ordinary request while the crowd is connected and after it has left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+from collections.abc import Awaitable, Callable, Iterable
+from pathlib import Path
+
+import uvloop
+
+from client_crowd import BYTES_PER_MEGABYTE, ClientCrowd, open_descriptors, peak_memory_bytes
+from gateway_harness import Harness, settings_document
+from gateway_process import GatewayProcess
+from gateway_standin import (
+    Behaviour,
+    Client,
+    ReceivedRequest,
+    StandinServer,
+    configuration,
+    serve_whole,
+)
+
+MEMORY_MEGABYTES = 120
+MAX_DESCRIPTORS = 400
+MAX_BODY_BYTES = 4_000_000
+LIMITS = {
+    "MaxHeaderBytes": 8192,
+    "MaxBodyBytes": MAX_BODY_BYTES,
+    "HeaderTimeoutMs": 10_000,
+    "IdleTimeoutMs": 120_000,
+}
+"""Of the configuration; the idle time is longer than a test, so that no crowd leaves by itself."""
+CLIENTS = 20
+UPLOADS = 30
+"""Clients that each send a body of almost the largest legal size."""
+ANSWER_SECONDS = 30.0
+"""An ordinary client that is refused for now retries for this long."""
+PIECE_BYTES = 64_000
+
+
+def request_head(*fields: str, path: str = "/safe/", key: str = "key-1") -> bytes:
+    """Head of a request without its body."""
+    lines = (f"POST {path} HTTP/1.1", "Host: site.example", f"Api-Key: {key}", *fields)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+CHUNKED = request_head("Request-Id: crowd", "Transfer-Encoding: chunked")
+ALMOST_WHOLE = request_head("Request-Id: crowd", f"Content-Length: {MAX_BODY_BYTES}")
+
+
+def pieces_of(data: bytes, size: int = PIECE_BYTES) -> Iterable[bytes]:
+    """Data in pieces of a size."""
+    return (data[start : start + size] for start in range(0, len(data), size))
+
+
+def chunks_of(size: int, total: int) -> bytes:
+    """Chunks of a size without a last one, with so many bytes of payload together."""
+    return (b"%x\r\n%b\r\n" % (size, b"x" * size)) * (total // size)
+
+
+async def ask_ordinary(address: str) -> None:
+    """An ordinary client gets a successful answer, at the latest after some refusals."""
+    async with asyncio.timeout(ANSWER_SECONDS):
+        for number in itertools.count():
+            client = await Client.connect(address)
+            client.send("/safe/", f"ordinary-{number}")
+            answer = await client.read_answer()
+            client.close()
+            if answer is not None and answer.status == 200:
+                return
+            await asyncio.sleep(0.2)
+
+
+def run_crowd(
+    tmp_path: Path,
+    scenario: Callable[[ClientCrowd], Awaitable[None]],
+    behaviour: Behaviour = serve_whole,
+    max_descriptors: int = MAX_DESCRIPTORS,
+) -> None:
+    """Run a gateway process, bring the crowd, and check what must hold."""
+
+    async def body() -> None:
+        harness = Harness()
+        await harness.start_store()
+        await harness.add_server("app-1", "app", behaviour)
+        harness.store.put("config", "main", configuration(Limits=LIMITS))
+        document = settings_document(harness.store.address)
+        document["Limits"] = {"MemoryMb": MEMORY_MEGABYTES, "MaxFds": max_descriptors}
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(document))
+        gateway = GatewayProcess(path)
+        try:
+            started = await gateway.wait_for("started")
+            await gateway.wait_for("instances-listed")
+            log = asyncio.create_task(read_log(gateway))
+            await check_crowd(gateway, str(started["frontend"]), scenario, max_descriptors)
+        finally:
+            gateway.process.kill()
+            gateway.process.wait()
+            await log
+            await harness.close()
+
+    uvloop.run(body())
+
+
+async def read_log(gateway: GatewayProcess) -> None:
+    """Read the log of the process, whose pipe would fill up otherwise."""
+    output = gateway.process.stdout
+    assert output is not None
+    while await asyncio.to_thread(os.read, output.fileno(), PIECE_BYTES):
+        pass
+
+
+async def check_crowd(
+    gateway: GatewayProcess,
+    address: str,
+    scenario: Callable[[ClientCrowd], Awaitable[None]],
+    max_descriptors: int,
+) -> None:
+    """Bring the crowd and check memory, descriptors and an ordinary request."""
+    pid = gateway.process.pid
+    await ask_ordinary(address)
+    crowd = ClientCrowd(address)
+    try:
+        await scenario(crowd)
+        await ask_ordinary(address)
+        assert open_descriptors(pid) <= max_descriptors
+    finally:
+        crowd.close()
+    await ask_ordinary(address)
+    assert gateway.process.poll() is None
+    assert peak_memory_bytes(pid) <= MEMORY_MEGABYTES * BYTES_PER_MEGABYTE
+
+
+# -- trailers -----------------------------------------------------------------------------------
+
+
+def test_trailer_fields_without_end(tmp_path: Path) -> None:
+    """4 MB of trailer fields behind a chunked body on each connection."""
+    field = b"x-trailer-field: " + b"v" * 78 + b"\r\n"
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        trailers = pieces_of(field * (4_000_000 // len(field)))
+        await crowd.send(CLIENTS, CHUNKED + b"2\r\nab\r\n0\r\n", trailers)
+
+    run_crowd(tmp_path, scenario)
+
+
+def test_trailer_field_without_end(tmp_path: Path) -> None:
+    """One trailer field of 8 MB on each connection."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        pieces = pieces_of(b"v" * 8_000_000)
+        await crowd.send(CLIENTS, CHUNKED + b"2\r\nab\r\n0\r\nx-trailer: ", pieces)
+
+    run_crowd(tmp_path, scenario)
+
+
+# -- bodies with a length -----------------------------------------------------------------------
+
+
+def test_bodies_short_of_their_last_byte(tmp_path: Path) -> None:
+    """Large bodies of legal size, sent at once but for the last byte."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        await crowd.send(UPLOADS, ALMOST_WHOLE, [b"x" * (MAX_BODY_BYTES - 1)])
+
+    run_crowd(tmp_path, scenario)
+
+
+def test_bodies_in_small_pieces_short_of_their_last_byte(tmp_path: Path) -> None:
+    """The same in pieces of 1,400 bytes."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        pieces = pieces_of(b"x" * (MAX_BODY_BYTES - 1), 1400)
+        await crowd.send(UPLOADS, ALMOST_WHOLE, pieces)
+
+    run_crowd(tmp_path, scenario)
+
+
+def test_bodies_of_an_unknown_key(tmp_path: Path) -> None:
+    """The same with a key that no tenant has."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        length = f"Content-Length: {MAX_BODY_BYTES}"
+        head = request_head("Request-Id: crowd", length, key="no-key")
+        await crowd.send(UPLOADS, head, pieces_of(b"x" * (MAX_BODY_BYTES - 1)))
+
+    run_crowd(tmp_path, scenario)
+
+
+def test_whole_bodies_that_their_server_holds(tmp_path: Path) -> None:
+    """Whole bodies of legal size for a server that doesn't answer them for a while."""
+
+    async def hold_large(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if len(request.body) > PIECE_BYTES:
+            await asyncio.sleep(2.0)
+        await serve_whole(server, request, writer)
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        await crowd.send(UPLOADS, ALMOST_WHOLE, [b"x" * MAX_BODY_BYTES])
+
+    run_crowd(tmp_path, scenario, hold_large)
+
+
+def test_pipelined_bodies(tmp_path: Path) -> None:
+    """Eight whole bodies of 1 MB one behind the other on each connection."""
+    body = b"x" * 1_000_000
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        requests = [
+            request_head(f"Request-Id: crowd-{number}", f"Content-Length: {len(body)}") + body
+            for number in range(8)
+        ]
+        await crowd.send(CLIENTS, b"", requests)
+
+    run_crowd(tmp_path, scenario)
+
+
+# -- chunked bodies -----------------------------------------------------------------------------
+
+
+def test_large_chunks_short_of_the_last_one(tmp_path: Path) -> None:
+    """Chunks of 60 kB, almost 4 MB on each connection, without the last chunk."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        pieces = pieces_of(chunks_of(60_000, MAX_BODY_BYTES - 60_000))
+        await crowd.send(UPLOADS, CHUNKED, pieces)
+
+    run_crowd(tmp_path, scenario)
+
+
+def test_chunks_of_two_bytes_short_of_the_last_one(tmp_path: Path) -> None:
+    """Half a megabyte of payload in the smallest chunks but one, without the last chunk."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        await crowd.send(CLIENTS, CHUNKED, pieces_of(chunks_of(2, 500_000)))
+
+    run_crowd(tmp_path, scenario)
+
+
+def test_chunks_of_one_byte_short_of_the_last_one(tmp_path: Path) -> None:
+    """700 kB of payload in chunks of one byte, without the last chunk."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        await crowd.send(CLIENTS, CHUNKED, pieces_of(chunks_of(1, 700_000)))
+
+    run_crowd(tmp_path, scenario)
+
+
+# -- heads and connections ----------------------------------------------------------------------
+
+
+def test_heads_of_the_shortest_fields(tmp_path: Path) -> None:
+    """Heads of almost the largest legal size in the shortest fields, behind which a body lacks."""
+    fields = b"ab:cd\r\n" * 1000
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        start = b"POST /safe/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 9\r\n"
+        await crowd.send(800, start + fields + b"\r\n", [b"x"])
+
+    run_crowd(tmp_path, scenario, max_descriptors=3000)
+
+
+def test_slow_bodies_on_all_connections(tmp_path: Path) -> None:
+    """More connections than the process takes, each with a body that never ends."""
+
+    async def scenario(crowd: ClientCrowd) -> None:
+        head = request_head("Request-Id: crowd", "Content-Length: 1000")
+        await crowd.send(200, head, [b"x"] * 10)
+
+    run_crowd(tmp_path, scenario)
