Requests in small chunks are parsed in turns, beside which everything else goes on

What callers saw: among 20 clients that send bodies in chunks of one or two bytes, ordinary clients got no answer for seconds and 503 afterwards, since the gateway's proof that its configuration is current aged meanwhile. Cause: all that a read delivers, up to a quarter of a megabyte on each connection, was parsed in one step of the event loop; 256 kB hold 37,000 chunks of two bytes.

Change: received data goes through `RequestIntake`. What needs more parser callbacks than ordinary requests do (512 a read and a request) waits for its turn, a piece of 4 kB at a time, with at most 1,024 callbacks an iteration of the event loop over all connections (`TurnScheduler`); the socket of a connection that waits isn't read. Callbacks are counted because they take the time: a megabyte in large chunks needs 256 of them. Data that waits counts as received wherever a connection must not be closed with data unread.

Ways compared: a bound in milliseconds a turn (depends on the machine, can't be tested without its speed); refusing small chunks (500 kB in chunks of two bytes are legal and are served).

--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -16,6 +16,7 @@
 from milletcourse.exchange.attempts.planned_stop import ConnectionState
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.records import EdgeLimits
+from milletcourse.gateway.clients.request_intake import RequestIntake
 from milletcourse.gateway.clients.request_reader import ClientRequest, RequestReader
 from milletcourse.gateway.telemetry.unanswered import (
     RequestPhase,
@@ -24,6 +25,7 @@
 )
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.sockets import unread_bytes
+from milletcourse.runtime.turn_scheduler import TurnScheduler
 
 LINGER_SECONDS = 1.0
 """After its last answer a connection waits this long for the client to close, and discards received
@@ -46,6 +48,10 @@
     def on_unanswered(self, request: UnansweredRequest) -> None:
         """A request that was read ends without a complete answer."""
 
+    @property
+    def parsing_turns(self) -> TurnScheduler:
+        """Shares the time for parsing requests among the connections."""
+
 
 Handler = Callable[[ClientRequest, "ClientConnection"], Coroutine[Any, Any, None]]
 RefusalWriter = Callable[["ClientConnection", Failure], None]
@@ -71,6 +77,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(edge, self._enqueue, self._on_expects_continue)
+        self._intake = RequestIntake(self, self._reader, edge.parsing_turns)
         self._queue: deque[ClientRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._current: ClientRequest | None = None
@@ -87,7 +94,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or served, and the connection is not lingering."""
-        if self._task is not None or self._queue or self._reader.incoming is not None:
+        if self._task is not None or self._queue or self._is_receiving():
             return False
         return self._lingers_until is None
 
@@ -98,7 +105,12 @@
     def _count_unread_bytes(self) -> int:
         if self._transport is None or self._transport.is_closing():
             return 0
-        return unread_bytes(self._transport.get_extra_info("socket"))
+        unread = unread_bytes(self._transport.get_extra_info("socket"))
+        return unread + self._intake.unparsed_bytes
+
+    def _is_receiving(self) -> bool:
+        """Whether a part of a further request has been received."""
+        return self._reader.incoming is not None or self._intake.unparsed_bytes > 0
 
     def _current_phase(self) -> RequestPhase:
         return RequestPhase.ANSWERING if self._answered else self.phase
@@ -206,8 +218,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._lingers_until = elapsed_seconds() + LINGER_SECONDS
-        if not self._transport.is_reading():
-            self._transport.resume_reading()
+        self.update_reading()
         self._transport.write_eof()
 
     def _head_lines(self, status: int, reason: bytes, fields: list[HeaderField]) -> list[bytes]:
@@ -227,7 +238,7 @@
             return True
         if not self._edge.asks_clients_to_disconnect():
             return False
-        has_read_more = bool(self._queue) or self._reader.incoming is not None
+        has_read_more = bool(self._queue) or self._is_receiving()
         return not has_read_more and not self._count_unread_bytes()
 
     def _write(self, data: bytes) -> None:
@@ -253,13 +264,8 @@
 
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
-        if self._discarding or self._closing:
-            return
-        failure = self._reader.feed(data)
-        if failure is not None:
-            self._fail(failure)
-        elif len(self._queue) > MAX_QUEUED_REQUESTS and self._transport is not None:
-            self._transport.pause_reading()
+        if not self._is_discarding():
+            self._intake.receive(data)
 
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
@@ -268,12 +274,38 @@
     def connection_lost(self, error: Exception | None) -> None:
         """See `asyncio.Protocol`."""
         self.is_disconnected = True
+        self._intake.discard()
         self._queue.clear()
         for registry in self._registries:
             registry.discard(self)
         if self.on_disconnected is not None:
             self.on_disconnected()
 
+    # -- received data --------------------------------------------------------------------------
+
+    def may_take_requests(self) -> bool:
+        """Whether further requests may be parsed now."""
+        return len(self._queue) <= MAX_QUEUED_REQUESTS and not self._is_discarding()
+
+    def _is_discarding(self) -> bool:
+        return self._discarding or self._closing or self.is_disconnected
+
+    def update_reading(self) -> None:
+        """Read from the socket, or leave data in it, as the state of the connection requires."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        is_waiting = self._intake.unparsed_bytes or not self.may_take_requests()
+        if self._is_discarding() or not is_waiting:
+            if not transport.is_reading():
+                transport.resume_reading()
+        elif transport.is_reading():
+            transport.pause_reading()
+
+    def on_intake_failure(self, failure: Failure) -> None:
+        """The received data ends the connection."""
+        self._fail(failure)
+
     # -- internals ------------------------------------------------------------------------------
 
     def _on_expects_continue(self) -> None:
@@ -319,10 +351,9 @@
             return
         self._idle_since = elapsed_seconds()
         self._idle_limit = self._edge.limits().idle_timeout_seconds
-        if self._transport is not None and not self._transport.is_reading():
-            self._transport.resume_reading()
         if self._queue:
             self._serve_next()
+        self._intake.resume()
 
     def _end_failed(self, task: asyncio.Task[None]) -> None:
         """Report a failed handler, to the client too unless a part of an answer was written."""
--- /dev/null
+++ b/src/milletcourse/gateway/clients/request_intake.py
@@ -0,0 +1,99 @@
+"""Takes the received data of one client connection to the parser, a piece at a time.
+
+A few kilobytes may hold thousands of chunks or requests. What takes more parser work than ordinary
+requests do waits for its turn among all connections, and the connection isn't read meanwhile.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from milletcourse.errors import Failure
+from milletcourse.gateway.clients.request_reader import PARSED_BYTES, RequestReader
+from milletcourse.runtime.turn_scheduler import TurnScheduler
+
+IMMEDIATE_WORK = 512
+"""Parser callbacks that one read, and one request, may take without waiting for a turn; more than
+an ordinary request needs."""
+
+
+class IntakeOwner(Protocol):
+    """The connection whose data is taken in."""
+
+    def may_take_requests(self) -> bool:
+        """Whether further requests may be parsed now."""
+
+    def update_reading(self) -> None:
+        """Read from the socket, or leave data in it, as its state now requires."""
+
+    def on_intake_failure(self, failure: Failure) -> None:
+        """The received data ends the connection."""
+
+
+class RequestIntake:
+    """Received data of one connection that isn't parsed yet."""
+
+    def __init__(self, owner: IntakeOwner, reader: RequestReader, turns: TurnScheduler) -> None:
+        """Start without data.
+
+        Args:
+            owner: The connection.
+            reader: Parses its data.
+            turns: Shared by all connections; its unit is one parser callback.
+        """
+        self._owner = owner
+        self._reader = reader
+        self._turns = turns
+        self._unparsed = memoryview(b"")
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Size of the data that isn't parsed yet."""
+        return len(self._unparsed)
+
+    def receive(self, data: bytes) -> None:
+        """Take in received data, at once or in turns."""
+        if self._unparsed:
+            # A transport may deliver what it had read before it was paused.
+            self._unparsed = memoryview(bytes(self._unparsed) + data)
+            return
+        self._unparsed = memoryview(data)
+        work_before = self._reader.work
+        while self.has_work() and not self._is_heavy(work_before):
+            self.take_turn()
+        self.resume()
+
+    def _is_heavy(self, work_before: int) -> bool:
+        if self._reader.work - work_before > IMMEDIATE_WORK:
+            return True
+        incoming = self._reader.incoming
+        return incoming is not None and incoming.work > IMMEDIATE_WORK
+
+    def resume(self) -> None:
+        """Go on after requests could not be taken, or were."""
+        if self.has_work():
+            self._turns.add(self)
+        self._owner.update_reading()
+
+    def discard(self) -> None:
+        """Drop the data that isn't parsed yet."""
+        self._unparsed = memoryview(b"")
+
+    # -- turns ----------------------------------------------------------------------------------
+
+    def has_work(self) -> bool:
+        """Whether a piece may be parsed now."""
+        return len(self._unparsed) > 0 and self._owner.may_take_requests()
+
+    def take_turn(self) -> int:
+        """Parse one piece; returns the number of parser callbacks."""
+        piece = self._unparsed[:PARSED_BYTES]
+        self._unparsed = self._unparsed[PARSED_BYTES:]
+        work_before = self._reader.work
+        failure = self._reader.feed(piece)
+        if failure is not None:
+            self.discard()
+            self._owner.on_intake_failure(failure)
+        if not self._unparsed:
+            self._owner.update_reading()
+        return self._reader.work - work_before
--- a/src/milletcourse/gateway/clients/request_reader.py
+++ b/src/milletcourse/gateway/clients/request_reader.py
@@ -18,7 +18,7 @@
 FIELD_OVERHEAD_BYTES = 4
 """Colon, space and line end of a header field."""
 PARSED_BYTES = 4 * 1024
-"""Data is parsed in pieces, between which the bounds of the request are checked."""
+"""Data is parsed in pieces of this size, between which the bounds of the request are checked."""
 
 
 class ClientRequest(msgspec.Struct):
@@ -52,6 +52,7 @@
         body: Its body so far; one buffer, since a chunk may carry a single byte.
         trailer_bytes: Size of the trailer fields.
         max_body_bytes: Bound on the size of the body.
+        work: Number of parser callbacks for it.
     """
 
     bounds: MessageBounds
@@ -64,6 +65,7 @@
     trailer_bytes: int = 0
     body_bytes: int = 0
     max_body_bytes: int = 0
+    work: int = 0
     head_complete: bool = False
     expects_continue: bool = False
     failure: Failure | None = None
@@ -81,6 +83,7 @@
 
     Attributes:
         incoming: The request that is being received, None between two requests.
+        work: Number of parser callbacks so far, to which the time for parsing is in proportion.
     """
 
     def __init__(
@@ -90,23 +93,22 @@
         on_expects_continue: Callable[[], None],
     ) -> None:
         self.incoming: IncomingRequest | None = None
+        self.work = 0
         self._source = source
         self._on_request = on_request
         self._on_expects_continue = on_expects_continue
         self._parser = httptools.HttpRequestParser(self)
         self._piece_bytes = 0
+        self._begins_with_piece = True
 
-    def feed(self, data: bytes) -> Failure | None:
-        """Parse received bytes; return the failure that ends the connection, None otherwise."""
-        view = memoryview(data)
-        for start in range(0, len(view), PARSED_BYTES):
-            failure = self._feed_piece(view[start : start + PARSED_BYTES])
-            if failure is not None:
-                return failure
-        return None
+    def feed(self, data: memoryview) -> Failure | None:
+        """Parse a piece of received data, at most `PARSED_BYTES` long.
 
-    def _feed_piece(self, data: memoryview) -> Failure | None:
+        Returns:
+            The failure that ends the connection, None otherwise.
+        """
         now = elapsed_seconds()
+        self._begins_with_piece = self.incoming is None
         if self.incoming is None:
             # The timeouts also apply to bytes that never form a request.
             self.incoming = self._new_request(now)
@@ -124,8 +126,10 @@
         return malformed
 
     def _new_request(self, now: float) -> IncomingRequest:
-        # A request that begins within a piece is charged the whole piece.
-        max_stretch_bytes = self._source.limits().max_header_bytes + PARSED_BYTES
+        max_stretch_bytes = self._source.limits().max_header_bytes
+        if not self._begins_with_piece:
+            # The piece is counted from its start, which belongs to the request before.
+            max_stretch_bytes += PARSED_BYTES
         return IncomingRequest(MessageBounds(max_stretch_bytes), now, now)
 
     def _parse(self, data: memoryview) -> Failure | None:
@@ -161,18 +165,24 @@
         """Start of a request."""
         self.incoming = self._new_request(elapsed_seconds())
         self.incoming.bounds.on_received(self._piece_bytes)
+        self._begins_with_piece = False
 
-    def on_url(self, target: bytes) -> None:
-        """Raw path and query."""
+    def _count_work(self) -> IncomingRequest:
         incoming = self.incoming
         assert incoming is not None
+        self.work += 1
+        incoming.work += 1
+        return incoming
+
+    def on_url(self, target: bytes) -> None:
+        """Raw path and query."""
+        incoming = self._count_work()
         incoming.target += target
         incoming.head_bytes += len(target)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header or trailer field."""
-        incoming = self.incoming
-        assert incoming is not None
+        incoming = self._count_work()
         value = value or b""
         size = len(name) + len(value) + FIELD_OVERHEAD_BYTES
         if incoming.head_complete:
@@ -205,8 +215,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
-        incoming = self.incoming
-        assert incoming is not None
+        incoming = self._count_work()
         if incoming.failure is not None:
             return
         incoming.bounds.on_body(len(body))
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -55,6 +55,7 @@
 from milletcourse.gateway.telemetry.unanswered import UnansweredRequest
 from milletcourse.runtime.clock import SuspensionDetector, elapsed_seconds
 from milletcourse.runtime.responsive_clock import ResponsiveClock
+from milletcourse.runtime.turn_scheduler import TurnScheduler
 
 FRESHNESS_MARGIN_SECONDS = 0.4
 """Keys are refused this long before the bound on revocation."""
@@ -63,6 +64,9 @@
 between gateways."""
 ASSUMED_GATEWAYS = 10
 """Number of gateways that share the budgets and limits, assumed until the list is known."""
+PARSER_WORK_PER_ITERATION = 1024
+"""Parser callbacks in one iteration of the event loop for requests that take more of them than
+ordinary ones."""
 MAX_SHOWN_AGE_SECONDS = 999.0
 """Age shown when there has never been a proof."""
 RETRY_AFTER_SECONDS = 0.2
@@ -78,6 +82,7 @@
         planned_stop: The planned stop in progress, None before.
         replication_times: Wait times and proof ages for replication of the object store.
         descriptors: Partition of the file descriptors of this process.
+        parsing_turns: Shares the time for parsing clients' requests among their connections.
         paths: Which servers this gateway reaches itself.
         relays: The gateways through which it reaches the others.
         server_links: Connections to servers, direct ones and others.
@@ -183,6 +188,7 @@
         self.relayed_at = float("-inf")
         self.short_of_descriptors_until = float("-inf")
         self.descriptors = descriptor_plan(settings.max_descriptors)
+        self.parsing_turns = TurnScheduler(PARSER_WORK_PER_ITERATION)
         self.pool = ConnectionPool(
             dialect,
             self._on_opened,
