A request is freed with its body when it ends

What callers saw: a gateway's memory grew to 700 MB among clients that pipeline large bodies, and stayed there after all of them had been answered. Cause: each exchange and each attempt was part of a reference cycle (the handover of streams holds callbacks of the exchange, the timer for silence one of the attempt), so that it stayed, with its body, until a garbage collection; collections are rare on purpose (20,000 allocations), in the belief that requests leave no cycles.

Change: the end of a request drops these callbacks, and the exchange its last attempt. A successor of a stream that still runs keeps them until it has ended.

Ruled out: the allocator (with MALLOC_MMAP_THRESHOLD_=131072 the peaks of tests/crowds were the same, 157 to 171 MB); weak references from the handover to the exchange (an attempt that ends after its request must still be recorded).

Test: tests/gateway/requests/test_request_memory.py, six ends of requests with the garbage collection off: 6 of 6 failed before, 6 of 6 pass. The crowds of tests/crowds need further changes.

--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -138,6 +138,8 @@
             result = await self._connect_and_send()
         finally:
             load.close()
+            # A reference cycle would keep the request with its body until a garbage collection.
+            self._silence_watch.close()
             was_aborted = self.was_sent and self.abort_cause is not None
             self._context.permits.on_attempt_end(self._permit, result, was_aborted)
             self.health.on_end(result, self.loss, self._reflects_server_health())
@@ -198,7 +200,6 @@
         finally:
             self.connection_use = connection.last_use()
             self._connection = None
-            self._silence_watch.stop()
             self._stop_delivery_check()
         if result is AttemptResult.ANSWERED and not self._relay.has_started:
             self._instance.on_answer_time(self._context.now() - self.sent_at)
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -125,6 +125,7 @@
             self._cancel_deadline_timer()
             self._client.on_disconnected = None
             self._handover.close()
+            self._handover.current = None
             self._settle_limit()
             self._continuity.on_end(self._outcome, self._relay.has_started)
 
--- a/src/milletcourse/gateway/requests/silence_watch.py
+++ b/src/milletcourse/gateway/requests/silence_watch.py
@@ -75,9 +75,9 @@
         """Expect data within some time, never if it is infinite."""
         self._timer.expect_within(seconds)
 
-    def stop(self) -> None:
-        """Expect nothing any more."""
-        self._timer.stop()
+    def close(self) -> None:
+        """Expect nothing any more, without a reference to the owner."""
+        self._timer.close()
 
     def silence(self) -> Silence:
         """How long the server has been silent."""
--- a/src/milletcourse/gateway/requests/stream_handover.py
+++ b/src/milletcourse/gateway/requests/stream_handover.py
@@ -97,6 +97,8 @@
         self._core.on_request_end()
         if self._successor is not None:
             self._successor.attempt.end(AbortCause.FIRST_CONTINUED)
+        else:
+            self._release_request()
 
     def end(self, cause: AbortCause) -> None:
         """Abort all attempts."""
@@ -133,14 +135,33 @@
             self._context.log.emit("handover-failed", error=repr(error))
         result = AttemptResult.TRUNCATED if error is not None else task.result()
         self._on_offer_failed(server_attempt, result)
-        if is_undecided:
+        if self._core.state is HandoverState.FINISHED:
+            self._release_request()
+        elif is_undecided:
             # The successor did not continue the stream, and the first server has sent nothing
             # since. Only in this state is the stream offered again: the events of a server that
             # gets the offer after the answer is complete would be written into the client's next
             # answer.
             self.on_silent()
 
+    def _release_request(self) -> None:
+        """Drop the callbacks of a request that is over.
+
+        The reference cycle would keep it, with its body, until a garbage collection.
+        """
+        self._open_successor = _open_none
+        self._on_offer_failed = _ignore_failure
+
     def _stop_timer(self) -> None:
         if self._overlap_timer is not None:
             self._overlap_timer.cancel()
             self._overlap_timer = None
+
+
+def _open_none(_: Instance) -> ServerAttempt | None:
+    """There are no further attempts for a request that is over."""
+    return None
+
+
+def _ignore_failure(_: ServerAttempt, __: AttemptResult) -> None:
+    """No attempt of a request that is over is left."""
--- a/src/milletcourse/runtime/responsive_timer.py
+++ b/src/milletcourse/runtime/responsive_timer.py
@@ -51,6 +51,11 @@
             self._handle.cancel()
             self._handle = None
 
+    def close(self) -> None:
+        """Stop for good, without a reference to the owner."""
+        self.stop()
+        self._on_timeout = _do_nothing
+
     def _arm(self, now: float) -> None:
         self._handle = None
         if self._deadline != float("inf"):
@@ -71,6 +76,10 @@
         self._on_timeout()
 
 
+def _do_nothing() -> None:
+    """The callback of a closed timer."""
+
+
 @asynccontextmanager
 async def responsive_timeout(clock: ResponsiveClock, seconds: float) -> AsyncIterator[None]:
     """`asyncio.timeout` measured in responsive time.
