Pipelined bodies stay in the socket until the requests before them are answered

What callers saw: a gateway ran out of memory among clients that send several large bodies one behind the other on a connection (724 MB for 20 clients). Cause: the bound on what is read ahead counts requests (8), whatever their size, and was looked at after a whole read had been parsed.

A body of any legal size is read as soon as its turn comes.

Ways compared: refusing what is pipelined beyond the bound (legal clients would lose requests that they have a right to), and a bound of one request (small ones are served faster when read ahead).

--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -32,6 +32,9 @@
 data. Closing a socket with unread bytes sends a reset, which destroys an answer in transit."""
 MAX_QUEUED_REQUESTS = 8
 """Pipelined requests of one connection that are queued before reading pauses."""
+MAX_QUEUED_BYTES = 64 * 1024
+"""Size of the bodies of these requests, and of the request that is being received meanwhile, at
+which reading pauses."""
 MAX_UNREAD_ANSWER_BYTES = 4 * 1024 * 1024
 """The connection of a client that leaves more bytes than this unread is aborted."""
 
@@ -285,7 +288,16 @@
 
     def may_take_requests(self) -> bool:
         """Whether further requests may be parsed now."""
-        return len(self._queue) <= MAX_QUEUED_REQUESTS and not self._is_discarding()
+        if self._is_discarding():
+            return False
+        return self._task is None or not self._is_queue_full()
+
+    def _is_queue_full(self) -> bool:
+        if len(self._queue) > MAX_QUEUED_REQUESTS:
+            return True
+        incoming = self._reader.incoming
+        size = incoming.body_bytes if incoming is not None else 0
+        return size + sum(len(request.body) for request in self._queue) > MAX_QUEUED_BYTES
 
     def _is_discarding(self) -> bool:
         return self._discarding or self._closing or self.is_disconnected
