A large body is sent without a copy of it

What callers saw: bodies of legal size for slow servers took twice their size each, the body and the joined bytes of head and body that wait to be sent. Change: a body over 16 kB is given to the transport beside its head; a smaller one is joined with it as before, so that it leaves in one segment.

--- a/src/milletcourse/gateway/requests/attempt.py
+++ b/src/milletcourse/gateway/requests/attempt.py
@@ -253,15 +253,14 @@
         self._context.selector.note_sent(
             self._instance, request, self._job.scope, self._context.now()
         )
-        data = head + request.body
-        connection.send(data, request.request_id, request.method == b"HEAD")
+        connection.send(head, request.request_id, request.method == b"HEAD", request.body)
         self._on_delivery_change(True)
         if not connection.is_relayed:
             self._delivery_check = DeliveryCheck(
                 self._context,
                 self._instance,
                 connection,
-                len(data),
+                len(head) + len(request.body),
                 self._on_delivery_change,
                 self._on_undeliverable,
             )
--- a/src/milletcourse/gateway/servers/server_connection.py
+++ b/src/milletcourse/gateway/servers/server_connection.py
@@ -36,6 +36,8 @@
 """A pooled connection is not reused during this time before the server closes it."""
 PARSED_BYTES = 16 * 1024
 """Data is parsed in pieces, between which the bounds of the answer are checked."""
+MAX_JOINED_BODY_BYTES = 16 * 1024
+"""A small body is written together with its head; a larger one is not copied for that."""
 DEFAULT_KEEP_ALIVE_SECONDS = 2.0
 """Keep-alive time assumed when a server does not send one."""
 _numbers = itertools.count(1)
@@ -93,13 +95,16 @@
 
     # -- use ------------------------------------------------------------------------------------
 
-    def send(self, data: bytes, request_id: str = "", bodyless: bool = False) -> None:
+    def send(
+        self, data: bytes, request_id: str = "", bodyless: bool = False, body: bytes = b""
+    ) -> None:
         """Write a complete request and expect its answer next.
 
         Args:
-            data: Head and body.
+            data: The request, without the body if that is given apart.
             request_id: Request id that the answer must carry; empty when answers carry none.
             bodyless: The answer has no body, whatever its head says (HEAD requests).
+            body: Body that follows the data.
         """
         assert self._transport is not None
         self._events.clear()
@@ -112,7 +117,10 @@
         if not self.is_open:
             self._events.append(AnswerEvent(lost=LossCause.CLOSED))
             return
-        self._transport.write(data)
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            self._transport.write(data + body)
+        else:
+            self._transport.writelines((data, body))
 
     async def next_event(self) -> AnswerEvent:
         """Wait for the next step of the answer."""
