The memory of all clients' requests together is bounded by that of the machine

What callers saw: a gateway ran out of memory among many clients that each send a body of legal size and stop short of its end, or whole bodies that their servers hold. Cause: each request had a bound and their sum had none; the process did not know its machine's memory (`Limits.MemoryMb`).

Change: `ClientMemory` accounts for what every connection holds: data that isn't parsed, heads (2 kB a request and 192 bytes a field besides their bytes), trailers, bodies that come, requests that are queued or served. Its capacity is three fifths of the memory beyond 64 MB, at least 16 MB. - A body over 64 kB is refused as soon as its size is known, by its Content-Length before it is read (503 with Retry-After, not run), when requests being served hold three quarters of the capacity or nothing that is being received may give way. One that exceeds `MaxBodyBytes` by its length gets its 413 then, too. - When the capacity is exceeded, requests that grow by less than 16 kB in a second go first, those with the most bytes times seconds before the others; then the large ones that began last, so that those that began first are finished. Requests that are complete are never dropped. - Small requests may take the whole capacity: a crowd of uploads doesn't refuse them. A client within the limits meets none of this in calm: a slow one is served as before, since slowness counts only while memory is short.

Ways compared: back-pressure (a stalled crowd holds the memory until its time-outs, and who comes later waits with it); reserving the declared length (clients that declare 4 MB and send 16 kB/s would keep all uploads away with a megabyte); refusing by arrival alone (the same crowd, once in, keeps its place); a minimum rate at all times (cuts legal slow clients in calm).

Not counted: what the kernel holds for sockets, and answers that clients don't read.

--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -12,12 +12,17 @@
 from http import HTTPStatus
 from typing import Any, Protocol, cast
 
-from milletcourse.errors import Failure, InternalError, RequestTimeout
+from milletcourse.errors import Failure, GatewayExhausted, InternalError, RequestTimeout
 from milletcourse.exchange.attempts.planned_stop import ConnectionState
+from milletcourse.exchange.limits.client_memory import ClientMemory
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.records import EdgeLimits
 from milletcourse.gateway.clients.request_intake import RequestIntake
-from milletcourse.gateway.clients.request_reader import ClientRequest, RequestReader
+from milletcourse.gateway.clients.request_reader import (
+    ClientRequest,
+    IncomingRequest,
+    RequestReader,
+)
 from milletcourse.gateway.telemetry.unanswered import (
     RequestPhase,
     UnansweredCause,
@@ -51,10 +56,17 @@
     def on_unanswered(self, request: UnansweredRequest) -> None:
         """A request that was read ends without a complete answer."""
 
+    def retry_after(self) -> float:
+        """Seconds after which a refused client may retry."""
+
     @property
     def parsing_turns(self) -> TurnScheduler:
         """Shares the time for parsing requests among the connections."""
 
+    @property
+    def client_memory(self) -> ClientMemory:
+        """Memory that all connections hold for requests."""
+
 
 Handler = Callable[[ClientRequest, "ClientConnection"], Coroutine[Any, Any, None]]
 RefusalWriter = Callable[["ClientConnection", Failure], None]
@@ -79,8 +91,8 @@
         self._registries = registries
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = RequestReader(edge, self._enqueue, self._on_expects_continue)
-        self._intake = RequestIntake(self, self._reader, edge.parsing_turns)
+        self._reader = RequestReader(self)
+        self._intake = RequestIntake(self, self._reader, edge.parsing_turns, edge.client_memory)
         self._queue: deque[ClientRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._current: ClientRequest | None = None
@@ -129,7 +141,9 @@
     def _drop_queue(self, cause: UnansweredCause) -> None:
         """Drop and report pipelined requests that can no longer be answered."""
         while self._queue:
-            self._report_unanswered(self._queue.popleft(), RequestPhase.QUEUED, cause)
+            request = self._queue.popleft()
+            self._intake.share.remove_served(request.memory_bytes)
+            self._report_unanswered(request, RequestPhase.QUEUED, cause)
 
     def check_timeouts(self, now: float) -> None:
         """Apply the timeouts; called several times per second."""
@@ -146,7 +160,7 @@
                 bound = max(limits.idle_timeout_seconds, bound)
                 since = incoming.last_byte_at
             if now - since > bound and not self._count_unread_bytes():
-                self._fail(RequestTimeout("the request was not received in time"))
+                self.on_intake_failure(RequestTimeout("the request was not received in time"))
         elif self._has_been_idle_for(max(self._idle_limit, limits.idle_timeout_seconds), now):
             self.close()
 
@@ -278,7 +292,8 @@
         """See `asyncio.Protocol`."""
         self.is_disconnected = True
         self._intake.discard()
-        self._queue.clear()
+        while self._queue:
+            self._intake.share.remove_served(self._queue.popleft().memory_bytes)
         for registry in self._registries:
             registry.discard(self)
         if self.on_disconnected is not None:
@@ -315,19 +330,57 @@
             transport.pause_reading()
 
     def on_intake_failure(self, failure: Failure) -> None:
-        """The received data ends the connection."""
-        self._fail(failure)
+        """The received data ends the connection; requests before it are still answered."""
+        self._intake.discard()
+        self._discarding = True
+        self._enqueue(ClientRequest(b"", b"", [], b"", 0, elapsed_seconds(), False, failure))
 
-    # -- internals ------------------------------------------------------------------------------
+    def on_evicted(self) -> None:
+        """The memory of the request that is being received is needed for others."""
+        if not self._is_discarding():
+            self.on_intake_failure(self._out_of_memory())
 
-    def _on_expects_continue(self) -> None:
+    def limits(self) -> EdgeLimits:
+        """Limits in force."""
+        return self._edge.limits()
+
+    def max_body_bytes(self) -> int:
+        """Size of the largest body that can be taken."""
+        return min(self._edge.limits().max_body_bytes, self._edge.client_memory.max_body_bytes)
+
+    def on_expects_continue(self) -> None:
+        """The client waits for a sign that it may send the body."""
         if self._task is None:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _fail(self, failure: Failure) -> None:
-        self._reader.incoming = None
-        self._discarding = True
-        self._enqueue(ClientRequest(b"", b"", [], b"", elapsed_seconds(), False, failure))
+    def on_large_body(self, incoming: IncomingRequest) -> Failure | None:
+        """The body is large: refuse it now if there is no memory for it."""
+        memory = self._edge.client_memory
+        size = max(incoming.declared_bytes, incoming.body_bytes)
+        now = elapsed_seconds()
+        if memory.may_serve(size) and memory.may_receive(self._intake.share, size, now):
+            return None
+        memory.refusals += 1
+        return self._out_of_memory()
+
+    def on_request(self, request: ClientRequest) -> None:
+        """A request is complete."""
+        if self._is_discarding():
+            return
+        if self._edge.client_memory.may_serve(request.memory_bytes):
+            self._intake.share.add_served(request.memory_bytes)
+        else:
+            self._edge.client_memory.refusals += 1
+            request.failure = self._out_of_memory()
+            request.body = b""
+            request.memory_bytes = 0
+        self._enqueue(request)
+
+    def _out_of_memory(self) -> Failure:
+        detail = "this gateway has no memory for the body of the request"
+        return GatewayExhausted(detail, self._edge.retry_after())
+
+    # -- internals ------------------------------------------------------------------------------
 
     def _enqueue(self, request: ClientRequest) -> None:
         self._queue.append(request)
@@ -348,6 +401,8 @@
         self._task.add_done_callback(self._on_served)
 
     def _on_served(self, task: asyncio.Task[None]) -> None:
+        assert self._current is not None
+        self._intake.share.remove_served(self._current.memory_bytes)
         self._task = None
         self.on_disconnected = None
         failed = task.cancelled() or task.exception() is not None
--- a/src/milletcourse/gateway/clients/request_intake.py
+++ b/src/milletcourse/gateway/clients/request_intake.py
@@ -9,7 +9,9 @@
 from typing import Protocol
 
 from milletcourse.errors import Failure
+from milletcourse.exchange.limits.client_memory import ClientMemory, MemoryShare
 from milletcourse.gateway.clients.request_reader import PARSED_BYTES, RequestReader
+from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.turn_scheduler import TurnScheduler
 
 IMMEDIATE_WORK = 512
@@ -29,22 +31,40 @@
     def on_intake_failure(self, failure: Failure) -> None:
         """The received data ends the connection."""
 
+    def on_evicted(self) -> None:
+        """The memory of the request that is being received is needed for others."""
 
-class RequestIntake:
-    """Received data of one connection that isn't parsed yet."""
 
-    def __init__(self, owner: IntakeOwner, reader: RequestReader, turns: TurnScheduler) -> None:
+class RequestIntake:
+    """Received data of one connection until it forms complete requests.
+
+    Attributes:
+        share: Memory that the connection holds for requests.
+    """
+
+    def __init__(
+        self,
+        owner: IntakeOwner,
+        reader: RequestReader,
+        turns: TurnScheduler,
+        memory: ClientMemory,
+    ) -> None:
         """Start without data.
 
         Args:
             owner: The connection.
             reader: Parses its data.
             turns: Shared by all connections; its unit is one parser callback.
+            memory: Shared by all connections.
         """
+        self.share = MemoryShare(memory, owner.on_evicted)
         self._owner = owner
         self._reader = reader
         self._turns = turns
+        self._memory = memory
         self._unparsed = memoryview(b"")
+        self._unparsed_memory = 0
+        """Size of the read whose last part isn't parsed yet; it is freed as a whole."""
 
     @property
     def unparsed_bytes(self) -> int:
@@ -55,9 +75,13 @@
         """Take in received data, at once or in turns."""
         if self._unparsed:
             # A transport may deliver what it had read before it was paused.
-            self._unparsed = memoryview(bytes(self._unparsed) + data)
-            return
+            data = bytes(self._unparsed) + data
+        is_waiting = len(self._unparsed) > 0
         self._unparsed = memoryview(data)
+        self._unparsed_memory = len(data)
+        self._account()
+        if is_waiting:
+            return
         work_before = self._reader.work
         while self.has_work() and not self._is_heavy(work_before):
             self.take_turn()
@@ -76,8 +100,22 @@
         self._owner.update_reading()
 
     def discard(self) -> None:
-        """Drop the data that isn't parsed yet."""
+        """Drop the request that is being received, and the data that isn't parsed yet."""
+        self._reader.incoming = None
         self._unparsed = memoryview(b"")
+        self.share.set_received(0, elapsed_seconds())
+
+    def _account(self) -> None:
+        """Account for what is being received, which may evict this or another request."""
+        incoming = self._reader.incoming
+        size = incoming.memory_bytes if incoming is not None else 0
+        if self._unparsed:
+            size += self._unparsed_memory
+        now = elapsed_seconds()
+        has_grown = size > self.share.received_bytes
+        self.share.set_received(size, now)
+        if has_grown:
+            self._memory.enforce(now)
 
     # -- turns ----------------------------------------------------------------------------------
 
@@ -92,8 +130,8 @@
         work_before = self._reader.work
         failure = self._reader.feed(piece)
         if failure is not None:
-            self.discard()
             self._owner.on_intake_failure(failure)
+        self._account()
         if not self._unparsed:
             self._owner.update_reading()
         return self._reader.work - work_before
--- a/src/milletcourse/gateway/clients/request_reader.py
+++ b/src/milletcourse/gateway/clients/request_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from io import BytesIO
 from typing import Protocol
 
@@ -10,6 +9,7 @@
 import msgspec
 
 from milletcourse.errors import BodyTooLarge, Failure, HeadersTooLarge, MalformedRequest
+from milletcourse.exchange.limits.client_memory import LARGE_BODY_BYTES, request_bytes
 from milletcourse.exchange.messages.message_bounds import MessageBounds
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.records import EdgeLimits
@@ -29,6 +29,7 @@
         target: Raw path and query.
         fields: All header fields.
         body: Complete body.
+        memory_bytes: Memory that it takes.
         received_at: Monotonic time of its first byte.
         keep_alive: Whether the client wants to keep the connection open.
         failure: Why the request cannot be served, None for a valid request.
@@ -38,6 +39,7 @@
     target: bytes
     fields: list[HeaderField]
     body: bytes
+    memory_bytes: int
     received_at: float
     keep_alive: bool
     failure: Failure | None = None
@@ -52,7 +54,9 @@
         body: Its body so far; one buffer, since a chunk may carry a single byte.
         trailer_bytes: Size of the trailer fields.
         max_body_bytes: Bound on the size of the body.
+        declared_bytes: Size of the body by Content-Length, 0 for a chunked one.
         work: Number of parser callbacks for it.
+        is_large: The connection knows that its body is large.
     """
 
     bounds: MessageBounds
@@ -65,18 +69,38 @@
     trailer_bytes: int = 0
     body_bytes: int = 0
     max_body_bytes: int = 0
+    declared_bytes: int = 0
     work: int = 0
     head_complete: bool = False
     expects_continue: bool = False
+    is_large: bool = False
     failure: Failure | None = None
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that it takes so far."""
+        head_bytes = self.head_bytes + self.trailer_bytes
+        return request_bytes(head_bytes, len(self.fields), self.body_bytes)
 
-class LimitSource(Protocol):
-    """Provides the size limits."""
+
+class RequestOwner(Protocol):
+    """The connection whose requests are read."""
 
     def limits(self) -> EdgeLimits:
         """Limits in force."""
 
+    def max_body_bytes(self) -> int:
+        """Size of the largest body that can be taken."""
+
+    def on_expects_continue(self) -> None:
+        """The client waits for a sign that it may send the body."""
+
+    def on_large_body(self, incoming: IncomingRequest) -> Failure | None:
+        """The body is large: why the request cannot be served, None if it can."""
+
+    def on_request(self, request: ClientRequest) -> None:
+        """A request is complete."""
+
 
 class RequestReader:
     """Parses bytes into complete requests.
@@ -86,17 +110,10 @@
         work: Number of parser callbacks so far, to which the time for parsing is in proportion.
     """
 
-    def __init__(
-        self,
-        source: LimitSource,
-        on_request: Callable[[ClientRequest], None],
-        on_expects_continue: Callable[[], None],
-    ) -> None:
+    def __init__(self, owner: RequestOwner) -> None:
         self.incoming: IncomingRequest | None = None
         self.work = 0
-        self._source = source
-        self._on_request = on_request
-        self._on_expects_continue = on_expects_continue
+        self._owner = owner
         self._parser = httptools.HttpRequestParser(self)
         self._piece_bytes = 0
         self._begins_with_piece = True
@@ -126,7 +143,7 @@
         return malformed
 
     def _new_request(self, now: float) -> IncomingRequest:
-        max_stretch_bytes = self._source.limits().max_header_bytes
+        max_stretch_bytes = self._owner.limits().max_header_bytes
         if not self._begins_with_piece:
             # The piece is counted from its start, which belongs to the request before.
             max_stretch_bytes += PARSED_BYTES
@@ -192,10 +209,13 @@
         incoming.fields.append(HeaderField(name, value))
         if name.lower() == b"expect" and value.lower() == b"100-continue":
             incoming.expects_continue = True
+        if name.lower() == b"content-length":
+            # The parser has checked that it is a number.
+            incoming.declared_bytes = int(value)
 
     def _on_trailer(self, incoming: IncomingRequest, field: HeaderField, size: int) -> None:
         incoming.trailer_bytes += size
-        if incoming.trailer_bytes > self._source.limits().max_header_bytes:
+        if incoming.trailer_bytes > self._owner.limits().max_header_bytes:
             incoming.failure = HeadersTooLarge("the trailers of the request are too large")
             return
         incoming.fields.append(field)
@@ -206,12 +226,15 @@
         assert incoming is not None
         incoming.head_complete = True
         incoming.bounds.on_head_complete()
-        limits = self._source.limits()
-        incoming.max_body_bytes = limits.max_body_bytes
-        if incoming.head_bytes > limits.max_header_bytes:
+        incoming.max_body_bytes = self._owner.max_body_bytes()
+        if incoming.head_bytes > self._owner.limits().max_header_bytes:
             incoming.failure = HeadersTooLarge("the head of the request is too large")
-        elif incoming.expects_continue and not self._parser.should_upgrade():
-            self._on_expects_continue()
+            return
+        self._check_body_size(incoming, incoming.declared_bytes)
+        if incoming.failure is not None:
+            return
+        if incoming.expects_continue and not self._parser.should_upgrade():
+            self._owner.on_expects_continue()
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
@@ -220,10 +243,17 @@
             return
         incoming.bounds.on_body(len(body))
         incoming.body_bytes += len(body)
-        if incoming.body_bytes > incoming.max_body_bytes:
+        self._check_body_size(incoming, incoming.body_bytes)
+        if incoming.failure is None:
+            incoming.body.write(body)
+
+    def _check_body_size(self, incoming: IncomingRequest, size: int) -> None:
+        """Decide as early as possible whether the body can be taken."""
+        if size > incoming.max_body_bytes:
             incoming.failure = BodyTooLarge("the body of the request is too large")
-            return
-        incoming.body.write(body)
+        elif size > LARGE_BODY_BYTES and not incoming.is_large:
+            incoming.is_large = True
+            incoming.failure = self._owner.on_large_body(incoming)
 
     def on_message_complete(self) -> None:
         """End of the request: hand it to the connection."""
@@ -237,7 +267,8 @@
             target=incoming.target,
             fields=incoming.fields,
             body=incoming.body.getvalue(),
+            memory_bytes=incoming.memory_bytes,
             received_at=incoming.started_at,
             keep_alive=self._parser.should_keep_alive(),
         )
-        self._on_request(request)
+        self._owner.on_request(request)
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -11,6 +11,7 @@
 from milletcourse.exchange.attempts.planned_stop import PlannedStop, StopPhase
 from milletcourse.exchange.counting.weighted_choice import WeightedChoice
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
+from milletcourse.exchange.limits.client_memory import ClientMemory
 from milletcourse.exchange.limits.connection_share import connection_share
 from milletcourse.exchange.limits.peer_usage import SummedPeerUsage
 from milletcourse.exchange.limits.permit_retry_delays import PermitRetryDelays
@@ -46,6 +47,7 @@
 from milletcourse.gateway.servers.signal_monitor import SignalMonitor
 from milletcourse.gateway.state.answer_rates import ServerAnswerRates
 from milletcourse.gateway.state.cache_store_availability import CacheStoreAvailability
+from milletcourse.gateway.state.memory_plan import client_memory_bytes
 from milletcourse.gateway.state.server_states import ServerStates
 from milletcourse.gateway.state.settings import GatewaySettings
 from milletcourse.gateway.state.stream_resumption import StreamResumption
@@ -82,6 +84,7 @@
         planned_stop: The planned stop in progress, None before.
         replication_times: Wait times and proof ages for replication of the object store.
         descriptors: Partition of the file descriptors of this process.
+        client_memory: What this process holds for its clients, and which requests give way.
         parsing_turns: Shares the time for parsing clients' requests among their connections.
         paths: Which servers this gateway reaches itself.
         relays: The gateways through which it reaches the others.
@@ -189,6 +192,7 @@
         self.short_of_descriptors_until = float("-inf")
         self.descriptors = descriptor_plan(settings.max_descriptors)
         self.parsing_turns = TurnScheduler(PARSER_WORK_PER_ITERATION)
+        self.client_memory = ClientMemory(client_memory_bytes(settings.memory_bytes))
         self.pool = ConnectionPool(
             dialect,
             self._on_opened,
@@ -264,6 +268,7 @@
         self.lag.apply_seconds = bounds.config_apply
         self.gate.bound_seconds = bounds.version
         self.tenant_limits.set_tolerance(bounds.limit_tolerance)
+        self.client_memory.capacity_bytes = client_memory_bytes(settings.memory_bytes)
         self._budgets.clear()
 
     @staticmethod
@@ -355,9 +360,12 @@
         return budget
 
     def report_limits(self) -> None:
-        """Log the tenants that were refused over their limits since the last call."""
+        """Log the tenants, and the large bodies, that were refused over limits."""
         for state in self.tenant_limits.due_reports(self.now()):
             self.record.limited(state)
+        memory = self.client_memory.due_report(self.now())
+        if memory is not None:
+            self.record.client_memory_short(memory)
 
     def retry_after(self) -> float:
         """Seconds after which a refused client may retry."""
--- a/src/milletcourse/gateway/state/settings.py
+++ b/src/milletcourse/gateway/state/settings.py
@@ -60,6 +60,7 @@
         bounds: Time bounds.
         link_megabits: Bandwidth of the machine's link in Mbit/s; 0 when it isn't known.
         max_descriptors: Most file descriptors of the process; 0 when only the system bounds them.
+        memory_bytes: Memory of the process; 0 when only the machine bounds it.
     """
 
     name: str
@@ -72,3 +73,4 @@
     bounds: GatewayBounds = GatewayBounds()
     link_megabits: float = 0.0
     max_descriptors: int = 0
+    memory_bytes: int = 0
--- a/src/milletcourse/gateway/telemetry/metrics.py
+++ b/src/milletcourse/gateway/telemetry/metrics.py
@@ -78,6 +78,21 @@
             "1 when it reads the object store itself, 0 when it follows another gateway",
         )
         self.clients = GaugeValue("client_connections", "Open connections")
+        self.received_memory = GaugeValue(
+            "client_memory_received_bytes", "Memory of requests that are being received"
+        )
+        self.served_memory = GaugeValue(
+            "client_memory_served_bytes", "Memory of requests that have not been answered"
+        )
+        self.memory_capacity = GaugeValue(
+            "client_memory_capacity_bytes", "Bound on the memory of requests"
+        )
+        self.memory_evictions = GaugeValue(
+            "client_memory_evictions", "Requests that lost their memory since the start"
+        )
+        self.memory_refusals = GaugeValue(
+            "client_memory_refusals", "Requests refused for lack of memory since the start"
+        )
         self.contained = GaugeValue(
             "contained_requests", "Requests that are not sent to servers, since they crash them"
         )
@@ -333,6 +348,11 @@
             self.holds_lease,
             self.reads_store,
             self.clients,
+            self.received_memory,
+            self.served_memory,
+            self.memory_capacity,
+            self.memory_evictions,
+            self.memory_refusals,
             self.limited_servers,
             self.signalling_servers,
             self.lost_paths,
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -12,6 +12,7 @@
 from milletcourse.exchange.counting.service_tally import Outcome, ServiceTally, served_outcome
 from milletcourse.exchange.evidence.containment import EvidenceChange, EvidenceEvent
 from milletcourse.exchange.evidence.request_identity import identity_text
+from milletcourse.exchange.limits.client_memory import MemoryReport
 from milletcourse.exchange.limits.tenant_limits import LimitState
 from milletcourse.exchange.messages.messages import AttemptResult, ExchangeRequest
 from milletcourse.exchange.messages.peer_messages import FeatureKind
@@ -294,6 +295,10 @@
         """Client connections wait in the listen backlog, since the connection limit is reached."""
         self._log.emit("clients-waiting", clients=clients, waiting=waiting)
 
+    def client_memory_short(self, report: MemoryReport) -> None:
+        """Requests of clients were refused or evicted, since the memory doesn't suffice."""
+        self._log.emit("client-memory-short", **msgspec.to_builtins(report))
+
     def peer_message_refused(self, sender: str) -> None:
         """A datagram was rejected as malformed or for implausible values."""
         self._metrics.on_peer_message_refused()
--- a/src/milletcourse/platform/documents.py
+++ b/src/milletcourse/platform/documents.py
@@ -23,6 +23,7 @@
 from milletcourse.runtime.addresses import split_address
 
 SECONDS_PER_MILLISECOND = 0.001
+BYTES_PER_MEGABYTE = 1000 * 1000
 
 
 class _Document(msgspec.Struct, frozen=True, rename="pascal"):
@@ -44,6 +45,7 @@
 class _MachineLimits(_Document, frozen=True):
     link_mbps: float = 0.0
     max_fds: float | None = None
+    memory_mb: float | None = None
 
 
 _BOUND_NAMES = {
@@ -90,6 +92,7 @@
         bounds=_bounds(document.bounds),
         link_megabits=document.limits.link_mbps,
         max_descriptors=int(document.limits.max_fds or 0),
+        memory_bytes=int((document.limits.memory_mb or 0) * BYTES_PER_MEGABYTE),
     )
 
 
