An open connection doesn't keep the body of its last request

What callers saw: memory that large bodies had taken stayed with the process after they had been answered, for as long as their connections were open (up to 1,600 bodies of 4 MB). Cause: a connection keeps its latest request, for log lines, until the next one. Change: the body is dropped with the end of the request; the account had counted it as free.

--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -403,6 +403,8 @@
     def _on_served(self, task: asyncio.Task[None]) -> None:
         assert self._current is not None
         self._intake.share.remove_served(self._current.memory_bytes)
+        # The connection may stay open without a further request for long.
+        self._current.body = b""
         self._task = None
         self.on_disconnected = None
         failed = task.cancelled() or task.exception() is not None
--- a/tests/gateway/requests/test_request_memory.py
+++ b/tests/gateway/requests/test_request_memory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import sys
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -20,8 +21,11 @@
     serve_whole,
     stream_head,
 )
+from milletcourse.gateway.clients.client_connection import ClientConnection
+from milletcourse.gateway.clients.request_reader import ClientRequest
 from milletcourse.gateway.requests.attempt import Attempt
 from milletcourse.gateway.requests.exchange import Exchange
+from milletcourse.gateway.requests.exchange_runner import ExchangeRunner
 
 BODY = b"x" * 100_000
 LIMITS = {**configuration()["Limits"], "MaxBodyBytes": len(BODY)}
@@ -104,3 +108,31 @@
             gc.enable()
 
     run_with_gateway(scenario)
+
+
+def test_idle_connection_keeps_no_body() -> None:
+    """Otherwise each open connection holds the largest body that a request may have."""
+
+    bodies: list[bytes] = []
+    handle = ExchangeRunner.handle
+
+    async def keep_body(
+        runner: ExchangeRunner, received: ClientRequest, client: ClientConnection
+    ) -> None:
+        bodies.append(received.body)
+        await handle(runner, received, client)
+
+    async def scenario(harness: Harness) -> None:
+        await harness.add_server("app-1", "app", serve_whole)
+        harness.configuration = configuration(Limits=LIMITS)
+        await harness.start()
+        client = await harness.client()
+        await client.ask("/safe/", "kept", body=BODY)
+        # One reference more than those to an unnamed object: the list's.
+        references = sys.getrefcount(object()) + 1
+        await harness.until(lambda: sys.getrefcount(bodies[0]) == references)
+        client.close()
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(ExchangeRunner, "handle", keep_body)
+        run_with_gateway(scenario)
