--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -14,7 +14,7 @@
 
 from milletcourse.errors import Failure, GatewayExhausted, InternalError, RequestTimeout
 from milletcourse.exchange.attempts.planned_stop import ConnectionState
-from milletcourse.exchange.limits.client_memory import ClientMemory
+from milletcourse.exchange.limits.client_memory import ClientMemory, MemoryShare
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.records import EdgeLimits
 from milletcourse.gateway.clients.request_intake import RequestIntake
@@ -43,6 +43,8 @@
 MAX_UNREAD_ANSWER_BYTES = 4 * 1024 * 1024
 """The connection of a client that leaves more bytes than this unread is aborted."""
 
+OUT_OF_MEMORY_DETAIL = "this gateway has no memory for the body of the request"
+
 
 class EdgeState(Protocol):
     """State of the gateway that a client connection needs."""
@@ -113,6 +115,11 @@
             return False
         return self._lingers_until is None
 
+    @property
+    def memory_share(self) -> MemoryShare:
+        """Memory that it holds for requests."""
+        return self._intake.share
+
     def state(self) -> ConnectionState:
         """State that a planned stop needs to decide when to close the connection."""
         return ConnectionState(self._idle_since, self.is_idle, self._count_unread_bytes())
@@ -337,8 +344,12 @@
 
     def on_evicted(self) -> None:
         """The memory of the request that is being received is needed for others."""
+        self.refuse_incomplete(OUT_OF_MEMORY_DETAIL)
+
+    def refuse_incomplete(self, detail: str) -> None:
+        """Refuse the request that is being received, and close the connection."""
         if not self._is_discarding():
-            self.on_intake_failure(self._out_of_memory())
+            self.on_intake_failure(GatewayExhausted(detail, self._edge.retry_after()))
 
     def limits(self) -> EdgeLimits:
         """Limits in force."""
@@ -377,8 +388,7 @@
         self._enqueue(request)
 
     def _out_of_memory(self) -> Failure:
-        detail = "this gateway has no memory for the body of the request"
-        return GatewayExhausted(detail, self._edge.retry_after())
+        return GatewayExhausted(OUT_OF_MEMORY_DETAIL, self._edge.retry_after())
 
     # -- internals ------------------------------------------------------------------------------
 
--- a/src/milletcourse/gateway/telemetry/recorder.py
+++ b/src/milletcourse/gateway/telemetry/recorder.py
@@ -295,6 +295,10 @@
         """Client connections wait in the listen backlog, since the connection limit is reached."""
         self._log.emit("clients-waiting", clients=clients, waiting=waiting)
 
+    def slow_clients_refused(self, count: int) -> None:
+        """Incomplete requests were refused, since other clients wait to be accepted."""
+        self._log.emit("slow-clients-refused", count=count)
+
     def client_memory_short(self, report: MemoryReport) -> None:
         """Requests of clients were refused or evicted, since the memory doesn't suffice."""
         self._log.emit("client-memory-short", **msgspec.to_builtins(report))
