A large body is not read for a request that can't be served

What callers saw: clients without a valid key could fill a gateway's memory with bodies of legal size; others sent 4 MB to learn that their route does not exist. Cause: route, key and the state of the configuration were looked at once a request was complete.

Change: when a body turns out to be large (over 64 kB, by its Content-Length or as it comes), the request is checked as it will be once it is complete, with the same refusal and the same log line. Small requests are answered as before, on a connection that stays open.

--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -18,11 +18,7 @@
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.records import EdgeLimits
 from milletcourse.gateway.clients.request_intake import RequestIntake
-from milletcourse.gateway.clients.request_reader import (
-    ClientRequest,
-    IncomingRequest,
-    RequestReader,
-)
+from milletcourse.gateway.clients.request_reader import ClientRequest, RequestReader
 from milletcourse.gateway.telemetry.unanswered import (
     RequestPhase,
     UnansweredCause,
@@ -72,6 +68,13 @@
 
 Handler = Callable[[ClientRequest, "ClientConnection"], Coroutine[Any, Any, None]]
 RefusalWriter = Callable[["ClientConnection", Failure], None]
+HeadCheck = Callable[[ClientRequest], Failure | None]
+"""Tells from the head of a request why it cannot be served; None if it may be."""
+
+
+def accept_any(_: ClientRequest) -> Failure | None:
+    """Check nothing before a request is complete."""
+    return None
 
 
 class ClientConnection(asyncio.Protocol):
@@ -83,6 +86,7 @@
         handler: Handler,
         refuse: RefusalWriter,
         *registries: set[ClientConnection],
+        check_head: HeadCheck = accept_any,
     ) -> None:
         self.on_disconnected: Callable[[], None] | None = None
         self.is_disconnected = False
@@ -91,6 +95,7 @@
         self._handler = handler
         self._refuse = refuse
         self._registries = registries
+        self._check_head = check_head
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(self)
@@ -364,10 +369,12 @@
         if self._task is None:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_large_body(self, incoming: IncomingRequest) -> Failure | None:
-        """The body is large: refuse it now if there is no memory for it."""
+    def on_large_body(self, head: ClientRequest, size: int) -> Failure | None:
+        """The body is large: refuse the request now if it cannot be served."""
+        failure = self._check_head(head)
+        if failure is not None:
+            return failure
         memory = self._edge.client_memory
-        size = max(incoming.declared_bytes, incoming.body_bytes)
         now = elapsed_seconds()
         if memory.may_serve(size) and memory.may_receive(self._intake.share, size, now):
             return None
--- a/src/milletcourse/gateway/clients/request_reader.py
+++ b/src/milletcourse/gateway/clients/request_reader.py
@@ -95,8 +95,13 @@
     def on_expects_continue(self) -> None:
         """The client waits for a sign that it may send the body."""
 
-    def on_large_body(self, incoming: IncomingRequest) -> Failure | None:
-        """The body is large: why the request cannot be served, None if it can."""
+    def on_large_body(self, head: ClientRequest, size: int) -> Failure | None:
+        """The body is large: why the request cannot be served, None if it can.
+
+        Args:
+            head: The request without its body.
+            size: Size of the body in bytes as far as it is known.
+        """
 
     def on_request(self, request: ClientRequest) -> None:
         """A request is complete."""
@@ -253,7 +258,7 @@
             incoming.failure = BodyTooLarge("the body of the request is too large")
         elif size > LARGE_BODY_BYTES and not incoming.is_large:
             incoming.is_large = True
-            incoming.failure = self._owner.on_large_body(incoming)
+            incoming.failure = self._owner.on_large_body(self._request(incoming, b""), size)
 
     def on_message_complete(self) -> None:
         """End of the request: hand it to the connection."""
@@ -262,13 +267,15 @@
         if incoming.failure is not None or self._parser.should_upgrade():
             return
         self.incoming = None
-        request = ClientRequest(
+        self._owner.on_request(self._request(incoming, incoming.body.getvalue()))
+
+    def _request(self, incoming: IncomingRequest, body: bytes) -> ClientRequest:
+        return ClientRequest(
             method=self._parser.get_method(),
             target=incoming.target,
             fields=incoming.fields,
-            body=incoming.body.getvalue(),
+            body=body,
             memory_bytes=incoming.memory_bytes,
             received_at=incoming.started_at,
             keep_alive=self._parser.should_keep_alive(),
         )
-        self._owner.on_request(request)
--- a/src/milletcourse/gateway/node.py
+++ b/src/milletcourse/gateway/node.py
@@ -93,7 +93,7 @@
         runner = ExchangeRunner(self.context)
         settings = self.context.settings
         self.readiness_address = await self._listen(settings.readiness, self._answer_readiness)
-        self.frontend_address = self._listen_for_clients(settings.frontend, runner.handle)
+        self.frontend_address = self._listen_for_clients(settings.frontend, runner)
         self.context.log.emit("started", frontend=self.frontend_address)
         await self._fleet.start()
         kinds = self._adapter.kinds
@@ -143,7 +143,7 @@
         bound_host, bound_port = server.sockets[0].getsockname()[:2]
         return f"{bound_host}:{bound_port}"
 
-    def _listen_for_clients(self, address: str, handler: Handler) -> str:
+    def _listen_for_clients(self, address: str, runner: ExchangeRunner) -> str:
         """Listen for clients, and accept only as many connections as can be served.
 
         Returns the address in use.
@@ -153,7 +153,14 @@
         listening = listening_socket(host, int(port), LISTEN_BACKLOG)
 
         def new_connection() -> ClientConnection:
-            return ClientConnection(self.context, handler, refuse, self._clients, limiter.clients)
+            return ClientConnection(
+                self.context,
+                runner.handle,
+                refuse,
+                self._clients,
+                limiter.clients,
+                check_head=runner.check_head,
+            )
 
         self._listeners.append(
             Acceptor(listening, new_connection, lambda: limiter.capacity(listening))
--- a/src/milletcourse/gateway/requests/exchange_runner.py
+++ b/src/milletcourse/gateway/requests/exchange_runner.py
@@ -7,6 +7,7 @@
 from milletcourse.errors import (
     ConfigurationStale,
     Draining,
+    Failure,
     FailureError,
     NotFound,
     NotReady,
@@ -54,12 +55,24 @@
                 return
             exchange = self._open(admitted, resume_point, client)
         except FailureError as error:
-            request_id = self._context.dialect.request_id_of(received.fields)
-            self._context.record.refusal(error.failure, request_id, received.target)
+            self._record_refusal(error.failure, received)
             refuse(client, error.failure)
             return
         await exchange.run()
 
+    def check_head(self, head: ClientRequest) -> Failure | None:
+        """Why a request whose body has not been received cannot be served; None if it may be."""
+        try:
+            self._admit(head)
+        except FailureError as error:
+            self._record_refusal(error.failure, head)
+            return error.failure
+        return None
+
+    def _record_refusal(self, failure: Failure, received: ClientRequest) -> None:
+        request_id = self._context.dialect.request_id_of(received.fields)
+        self._context.record.refusal(failure, request_id, received.target)
+
     def _admit(self, received: ClientRequest) -> _AdmittedRequest:
         context = self._context
         context.handle_suspension()
