Router: heads, trailers and chunk framing without end are refused

What callers saw: a router's memory grew without bound among clients that send a header or trailer field without end (483 MB for 20 clients with 16 MB each). Cause: uvicorn's parser keeps a field until it is complete; what bounds heads in `RequestGuard` sees them only then, and no trailers.

Change: `BoundedHttpProtocol` counts the bytes that carry no body with the same bounds as answers of servers have (64 kB a head or a stretch of framing, 1 MB and 16 times the payload in all) and answers 431, or closes the connection while an earlier answer is being written. A head over 16 kB gets its 431 from `RequestGuard` as before.

Ways compared: h11, which bounds heads (uvicorn's slower protocol, and trailers aren't bounded), and counting complete fields (one field without end is never complete).

--- a/src/milletcourse/runtime/server.py
+++ b/src/milletcourse/runtime/server.py
@@ -10,6 +10,7 @@
 
 import uvicorn
 
+from milletcourse.runtime.bounded_http import BoundedHttpProtocol
 from milletcourse.runtime.listeners import drain_and_close
 
 Scope = MutableMapping[str, Any]
@@ -45,7 +46,7 @@
         self._server = _QuietServer(
             uvicorn.Config(
                 application,
-                http="httptools",
+                http=BoundedHttpProtocol,
                 lifespan="off",
                 log_config=None,
                 access_log=False,
