Router: the bodies of all requests together are bounded

What callers saw: a router's memory grew to 394 and 413 MB among 80 clients that each send a body of legal size and stop short of its end. Cause: each body had a bound and their sum had none.

Change: `RequestGuard` reads bodies through `BodyReader`, which accounts for them in the same `ClientMemory` as gateways use: large bodies beyond `max_held_bytes` (a new setting, 96 MiB, 24 bodies of the largest size) are refused by their Content-Length or as they come (503, not run), those that hardly move give way, small ones are served beside them.

Failed on the way: 128 MiB gave a peak of 283 to 319 MB of 300 (a router takes 97 MB by itself).

--- a/src/milletcourse/edge/asgi.py
+++ b/src/milletcourse/edge/asgi.py
@@ -9,9 +9,9 @@
 import falcon.asgi
 import msgspec
 
+from milletcourse.edge.body_reader import BodyReader, ClientDisconnectedError
 from milletcourse.edge.problems import PROBLEM_CONTENT_TYPE, problem_body, retry_after_header
 from milletcourse.errors import (
-    BodyTooLarge,
     Failure,
     FailureError,
     HeadersTooLarge,
@@ -20,15 +20,15 @@
     NotFound,
     RequestTimeout,
 )
+from milletcourse.exchange.limits.client_memory import ClientMemory
 from milletcourse.logs import get_logger
 from milletcourse.runtime.server import AsgiApplication, Receive, Scope, Send
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Fits a prompt of a million tokens; larger bodies are refused before they are parsed."""
-DISCARD_FACTOR = 4
-"""An oversized body is read and discarded up to this multiple of the limit, because closing a
-connection while the client is still sending loses the response."""
+MAX_HELD_BYTES = 96 * 1024 * 1024
+"""Bodies of all requests that are being received or served."""
 BODY_TIMEOUT_SECONDS = 20.0
 MAX_JSON_DEPTH = 64
 CLIENT_DISCONNECTED_SCOPE_KEY = "milletcourse.client_gone"
@@ -38,10 +38,6 @@
 _log = get_logger("edge")
 
 
-class _ClientDisconnectedError(Exception):
-    """The client closed the connection before its request was complete."""
-
-
 class RequestGuard:
     """ASGI middleware that limits request size and cancels work when the client disconnects.
 
@@ -54,8 +50,10 @@
         application: AsgiApplication,
         max_body_bytes: int = MAX_BODY_BYTES,
         body_timeout_seconds: float = BODY_TIMEOUT_SECONDS,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         self._application = application
+        self._memory = ClientMemory(max_held_bytes)
         self._max_body_bytes = max_body_bytes
         self._body_timeout_seconds = body_timeout_seconds
 
@@ -67,36 +65,21 @@
         if sum(len(name) + len(value) for name, value in scope["headers"]) > MAX_HEADER_BYTES:
             await send_problem(send, HeadersTooLarge(f"over {MAX_HEADER_BYTES} bytes"))
             return
+        reader = BodyReader(self._memory, self._max_body_bytes)
         try:
             async with asyncio.timeout(self._body_timeout_seconds):
-                body = await self._read_body(receive)
+                body = await reader.read(scope, receive)
         except TimeoutError:
             await send_problem(send, RequestTimeout("the request body did not arrive in time"))
         except FailureError as error:
             await send_problem(send, error.failure)
-        except _ClientDisconnectedError:
+        except ClientDisconnectedError:
             return
         else:
-            await self._run(scope, receive, send, body)
-
-    async def _read_body(self, receive: Receive) -> bytes:
-        parts = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise _ClientDisconnectedError
-            part = message.get("body", b"")
-            size += len(part)
-            ended = not message.get("more_body", False)
-            if size <= self._max_body_bytes:
-                parts.append(part)
-            elif ended or size > DISCARD_FACTOR * self._max_body_bytes:
-                raise FailureError(BodyTooLarge(f"over {self._max_body_bytes} bytes"))
-            else:
-                parts.clear()
-            if ended:
-                return b"".join(parts)
+            try:
+                await self._run(scope, receive, send, body)
+            finally:
+                reader.release()
 
     async def _run(self, scope: Scope, receive: Receive, send: Send, body: bytes) -> None:
         disconnected = asyncio.Event()
--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -69,7 +69,7 @@
 Handler = Callable[[ClientRequest, "ClientConnection"], Coroutine[Any, Any, None]]
 RefusalWriter = Callable[["ClientConnection", Failure], None]
 HeadCheck = Callable[[ClientRequest], Failure | None]
-"""Tells from the head of a request why it cannot be served; None if it may be."""
+"""Returns why a request cannot be served, judged by its head; None if it may be."""
 
 
 def accept_any(_: ClientRequest) -> Failure | None:
--- a/src/milletcourse/node.py
+++ b/src/milletcourse/node.py
@@ -92,7 +92,9 @@
         self._build_inference(client, parameters or RoutingParameters())
         self._build_operations(client)
         self._build_control()
-        self.application: AsgiApplication = RequestGuard(self._routes(), settings.max_body_bytes)
+        self.application: AsgiApplication = RequestGuard(
+            self._routes(), settings.max_body_bytes, max_held_bytes=settings.max_held_bytes
+        )
 
     # -- assembly -------------------------------------------------------------------------------
 
--- a/src/milletcourse/settings.py
+++ b/src/milletcourse/settings.py
@@ -41,6 +41,11 @@
     freshness_bound_seconds: float = Field(default=DEFAULT_BOUND_SECONDS, gt=0)
     clock_skew_seconds: float = Field(default=DEFAULT_SKEW_SECONDS, ge=0)
     max_body_bytes: int = Field(default=4 * 1024 * 1024, ge=1024)
+    max_held_bytes: int = Field(
+        default=96 * 1024 * 1024,
+        ge=1024 * 1024,
+        description="Bodies of all requests that are being received or served.",
+    )
     drain_seconds: float = Field(
         default=1.0, ge=0, description="Seconds for which a draining router still serves."
     )
