A client that goes on sending after its refusal can read the answer

What callers saw: a reset instead of 401, 404, 413 or 503 when a client sends its whole body before it reads: the connection was closed a second after the answer with bytes unread, which destroys an answer in transit. Refusals by the head of a request made that more likely. Change: while more arrives, the connection is open for up to five seconds after the answer; what arrives is discarded and not parsed. Test: test_client_that_reads_after_sending_gets_its_answer, failed before.

--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -29,8 +29,11 @@
 from milletcourse.runtime.turn_scheduler import TurnScheduler
 
 LINGER_SECONDS = 1.0
-"""After its last answer a connection waits this long for the client to close, and discards received
-data. Closing a socket with unread bytes sends a reset, which destroys an answer in transit."""
+"""After its last answer a connection waits this long for the client to close, or to send more, and
+discards received data. Closing a socket with unread bytes sends a reset, which destroys an answer
+in transit."""
+MAX_LINGER_SECONDS = 5.0
+"""Longest such wait for a client that goes on sending: many read an answer only after that."""
 MAX_QUEUED_REQUESTS = 8
 """Pipelined requests of one connection that are queued before reading pauses."""
 MAX_QUEUED_BYTES = 64 * 1024
@@ -108,6 +111,7 @@
         self._closing = False
         self._discarding = False
         self._lingers_until: float | None = None
+        self._answered_at = 0.0
         self._idle_since = elapsed_seconds()
         self._idle_limit = 0.0
 
@@ -246,7 +250,8 @@
         self._closing = True
         if self._transport is None or self._transport.is_closing():
             return
-        self._lingers_until = elapsed_seconds() + LINGER_SECONDS
+        self._answered_at = elapsed_seconds()
+        self._lingers_until = self._answered_at + LINGER_SECONDS
         self.update_reading()
         self._transport.write_eof()
 
@@ -295,6 +300,9 @@
         """See `asyncio.Protocol`."""
         if not self._is_discarding():
             self._intake.receive(data)
+        elif self._lingers_until is not None:
+            latest = self._answered_at + MAX_LINGER_SECONDS
+            self._lingers_until = min(elapsed_seconds() + LINGER_SECONDS, latest)
 
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
--- a/tests/gateway/clients/test_early_refusals.py
+++ b/tests/gateway/clients/test_early_refusals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from gateway_harness import Harness, run_with_gateway
@@ -58,6 +60,23 @@
     run_with_gateway(scenario)
 
 
+def test_client_that_reads_after_sending_gets_its_answer() -> None:
+    """It is refused by its head and goes on sending its body for some seconds."""
+    piece = b"x" * (MAX_BODY_BYTES // 20)
+
+    async def scenario(harness: Harness) -> None:
+        client = await start(harness)
+        client.writer.write(head("/safe/", "no-key", f"Content-Length: {MAX_BODY_BYTES}"))
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            client.writer.write(piece)
+            await client.writer.drain()
+        answer = await client.read_answer()
+        assert answer is not None and answer.status == 401
+
+    run_with_gateway(scenario)
+
+
 def test_small_refused_request_keeps_its_connection() -> None:
     """A client with an old key goes on on its connection."""
 
