A refusal behind a refusal on one connection is not written

What callers saw: nothing, on a connection that was never closed. Found by hand with 90 clients that pipeline large bodies: one of them stayed blocked. Cause: parsing goes on to the end of a piece after a complete request was refused, which closes the sending direction; when the next request in that piece is refused by its head, its answer raised an error. In a turn of the scheduler that error also ended the turns of all connections that waited.

Change: a connection that is closing drops what it receives instead of refusing it. The scheduler goes on after a step that raises.

--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -352,6 +352,8 @@
     def on_intake_failure(self, failure: Failure) -> None:
         """The received data ends the connection; requests before it are still answered."""
         self._intake.discard()
+        if self._is_discarding():
+            return
         self._discarding = True
         self._enqueue(ClientRequest(b"", b"", [], b"", 0, elapsed_seconds(), False, failure))
 
@@ -361,8 +363,7 @@
 
     def refuse_incomplete(self, detail: str) -> None:
         """Refuse the request that is being received, and close the connection."""
-        if not self._is_discarding():
-            self.on_intake_failure(GatewayExhausted(detail, self._edge.retry_after()))
+        self.on_intake_failure(GatewayExhausted(detail, self._edge.retry_after()))
 
     def limits(self) -> EdgeLimits:
         """Limits in force."""
--- a/src/milletcourse/runtime/turn_scheduler.py
+++ b/src/milletcourse/runtime/turn_scheduler.py
@@ -43,6 +43,13 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
+        try:
+            self._give_turns()
+        finally:
+            # A step that raises must not end the turns of the others.
+            self._schedule()
+
+    def _give_turns(self) -> None:
         work = 0
         while self._waiting and work < self._work_per_iteration:
             taker, _ = self._waiting.popitem(last=False)
@@ -50,4 +57,3 @@
                 work += taker.take_turn()
             if taker.has_work():
                 self._waiting.setdefault(taker)
-        self._schedule()
