--- a/tests/gateway/clients/test_pipelined_refusals.py
+++ b/tests/gateway/clients/test_pipelined_refusals.py
@@ -34,8 +34,8 @@
         refused = Client.request_bytes("/safe/", "refused", body=BODY)
         client.writer.write(refused[:-10])
         await harness.until(lambda: memory.received_bytes > len(BODY) - 1000)
-        # Nothing more may be served from now on.
-        memory.served_bytes = memory.capacity_bytes
+        # No large body may be served from now on.
+        memory.served_bytes = memory.max_body_bytes
         client.writer.write(refused[-10:] + Client.request_bytes("/safe/", "large", body=BODY))
         assert [answer.status for answer in await read_all(client)] == [503]
         assert not errors
