--- a/src/milletcourse/exchange/messages/message_bounds.py
+++ b/src/milletcourse/exchange/messages/message_bounds.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+PARSED_BYTES = 4 * 1024
+"""Requests are parsed in pieces of this size, between which their bounds are checked."""
 MAX_HEAD_BYTES = 64 * 1024
 """Status line and header fields of an answer, with informational answers before them, and each
 stretch of framing between two parts of its body: chunk sizes, chunk extensions, trailers."""
--- a/src/milletcourse/gateway/clients/request_intake.py
+++ b/src/milletcourse/gateway/clients/request_intake.py
@@ -10,7 +10,8 @@
 
 from milletcourse.errors import Failure
 from milletcourse.exchange.limits.client_memory import ClientMemory, MemoryShare
-from milletcourse.gateway.clients.request_reader import PARSED_BYTES, RequestReader
+from milletcourse.exchange.messages.message_bounds import PARSED_BYTES
+from milletcourse.gateway.clients.request_reader import RequestReader
 from milletcourse.runtime.clock import elapsed_seconds
 from milletcourse.runtime.turn_scheduler import TurnScheduler
 
@@ -73,10 +74,10 @@
 
     def receive(self, data: bytes) -> None:
         """Take in received data, at once or in turns."""
-        if self._unparsed:
+        is_waiting = len(self._unparsed) > 0
+        if is_waiting:
             # A transport may deliver what it had read before it was paused.
             data = bytes(self._unparsed) + data
-        is_waiting = len(self._unparsed) > 0
         self._unparsed = memoryview(data)
         self._unparsed_memory = len(data)
         self._account()
--- a/src/milletcourse/gateway/clients/request_reader.py
+++ b/src/milletcourse/gateway/clients/request_reader.py
@@ -10,15 +10,13 @@
 
 from milletcourse.errors import BodyTooLarge, Failure, HeadersTooLarge, MalformedRequest
 from milletcourse.exchange.limits.client_memory import LARGE_BODY_BYTES, request_bytes
-from milletcourse.exchange.messages.message_bounds import MessageBounds
+from milletcourse.exchange.messages.message_bounds import PARSED_BYTES, MessageBounds
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.records import EdgeLimits
 from milletcourse.runtime.clock import elapsed_seconds
 
 FIELD_OVERHEAD_BYTES = 4
 """Colon, space and line end of a header field."""
-PARSED_BYTES = 4 * 1024
-"""Data is parsed in pieces of this size, between which the bounds of the request are checked."""
 
 
 class ClientRequest(msgspec.Struct):
--- a/src/milletcourse/runtime/bounded_http.py
+++ b/src/milletcourse/runtime/bounded_http.py
@@ -6,10 +6,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from milletcourse.exchange.messages.message_bounds import MessageBounds
+from milletcourse.exchange.messages.message_bounds import PARSED_BYTES, MessageBounds
 
-PARSED_BYTES = 4 * 1024
-"""Data is parsed in pieces of this size, between which the bounds are checked."""
 REFUSAL = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
--- a/tests/gateway/clients/test_parsing_turns.py
+++ b/tests/gateway/clients/test_parsing_turns.py
@@ -7,10 +7,11 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import configuration, serve_whole
+from milletcourse.exchange.messages.message_bounds import PARSED_BYTES
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
 from milletcourse.gateway.clients.request_intake import IMMEDIATE_WORK
-from milletcourse.gateway.clients.request_reader import PARSED_BYTES, ClientRequest
+from milletcourse.gateway.clients.request_reader import ClientRequest
 from milletcourse.gateway.state.context import PARSER_WORK_PER_ITERATION
 
 CONNECTIONS = 20
