Soak of clients that ignore all limits, beside faults and changes of the limits

It checks that no process exceeds its memory, ends by itself or logs an internal error, what the ledger of all soaks checks, and that each gateway serves ordinary clients afterwards and has closed the connections of the others.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 		&& wait $$calm
 	$(VENV)/bin/python tests/soak/crashing_parts.py --seeds 1:1 --seconds 10
 	$(VENV)/bin/python tests/soak/isolation.py --seeds 1:1 --seconds 12
+	$(VENV)/bin/python tests/soak/abusive_clients.py --seeds 1:4 --seconds 8
 	$(VENV)/bin/python tests/soak/late_answers.py --seeds 4:4 --seconds 12
 	$(VENV)/bin/python tests/soak/skewed_connections.py --seeds 1:2 --seconds 5
 	$(VENV)/bin/python tests/soak/revocation.py --seeds 1:1 --killed 4
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -131,7 +131,7 @@
         self.links_are_cut = False
         self.feed = FaultProxy(f"{HOST}:{internal}", links, link_megabits)
         self._callers = FaultProxy(self.frontend, links) if link_callers else None
-        document = {
+        document: dict[str, Any] = {
             "NodeName": name,
             "Zone": zone,
             "Ip": HOST,
@@ -144,6 +144,8 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.descriptors = 0
         """File descriptor limit of the process; 0 for the machine's default."""
+        self.memory_megabytes = 0
+        """Memory of the process in its settings; 0 for that of the machine."""
         self.suspensions: list[Disturbance] = []
         """Short suspensions, which do not excuse lost requests."""
         self._disturbances: list[Disturbance] = []
@@ -157,7 +159,12 @@
         if self._callers is not None:
             await self._callers.start()
             self.frontend = self._callers.address
-        document = {**self._document, "Platform": {"Address": self.store.address}}
+        limits = {**self._document["Limits"], "MemoryMb": self.memory_megabytes}
+        document = {
+            **self._document,
+            "Limits": limits,
+            "Platform": {"Address": self.store.address},
+        }
         self._settings.write_text(json.dumps(document))
 
     async def close_proxies(self) -> None:
@@ -292,6 +299,10 @@
     ) -> None:
         self._gateway_count = gateways
         self.descriptors = 0
+        self.memory_megabytes = 0
+        """Memory of each gateway in its settings; 0 for that of the machine."""
+        self.limits: dict[str, int] = {}
+        """Limits on requests in the next configuration; the others have their defaults."""
         self.link_megabits = 0.0
         """Link bandwidth of each gateway; 0 for no limit."""
         self.link_callers = False
@@ -382,6 +393,7 @@
                 self.link_megabits,
                 self.link_callers,
             )
+            gateway.memory_megabytes = self.memory_megabytes
             await gateway.open_proxies()
             gateway.descriptors = self.descriptors
             gateway.serves_state = self.serves_state
@@ -624,6 +636,7 @@
                 service["MaxConnections"] = self.max_connections
             if self.engine_memory_tokens and "Engine" in service:
                 service["Engine"]["KvCapacity"] = self.engine_memory_tokens
+        document["Limits"].update(self.limits)
         document["Routes"] += [newest_route(self.configuration_version), *self.routes]
         self.store.put("config", "main", document)
         self.configurations.append((time.monotonic(), self.configuration_version))
