Router: requests in small chunks are parsed in turns

What callers saw: beside 20 clients with chunks of two bytes a router answered its readiness check after up to 1.5 s: all that a read delivers was parsed in one step, and uvicorn copies a body once more for each part of it until 64 kB are full. Change: as at gateways, a connection whose data takes more than 512 parser callbacks waits for its turns, a piece of 4 kB each, and isn't read meanwhile.

--- a/src/milletcourse/gateway/clients/request_intake.py
+++ b/src/milletcourse/gateway/clients/request_intake.py
@@ -13,11 +13,7 @@
 from milletcourse.exchange.messages.message_bounds import PARSED_BYTES
 from milletcourse.gateway.clients.request_reader import RequestReader
 from milletcourse.runtime.clock import elapsed_seconds
-from milletcourse.runtime.turn_scheduler import TurnScheduler
-
-IMMEDIATE_WORK = 512
-"""Parser callbacks that one read, and one request, may take without waiting for a turn; more than
-an ordinary request needs."""
+from milletcourse.runtime.turn_scheduler import IMMEDIATE_PARSER_WORK, TurnScheduler
 
 
 class IntakeOwner(Protocol):
@@ -89,10 +85,10 @@
         self.resume()
 
     def _is_heavy(self, work_before: int) -> bool:
-        if self._reader.work - work_before > IMMEDIATE_WORK:
+        if self._reader.work - work_before > IMMEDIATE_PARSER_WORK:
             return True
         incoming = self._reader.incoming
-        return incoming is not None and incoming.work > IMMEDIATE_WORK
+        return incoming is not None and incoming.work > IMMEDIATE_PARSER_WORK
 
     def resume(self) -> None:
         """Go on after requests could not be taken, or were."""
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -57,7 +57,7 @@
 from milletcourse.gateway.telemetry.unanswered import UnansweredRequest
 from milletcourse.runtime.clock import SuspensionDetector, elapsed_seconds
 from milletcourse.runtime.responsive_clock import ResponsiveClock
-from milletcourse.runtime.turn_scheduler import TurnScheduler
+from milletcourse.runtime.turn_scheduler import PARSER_WORK_PER_ITERATION, TurnScheduler
 
 FRESHNESS_MARGIN_SECONDS = 0.4
 """Keys are refused this long before the bound on revocation."""
@@ -66,9 +66,6 @@
 between gateways."""
 ASSUMED_GATEWAYS = 10
 """Number of gateways that share the budgets and limits, assumed until the list is known."""
-PARSER_WORK_PER_ITERATION = 1024
-"""Parser callbacks in one iteration of the event loop for requests that take more of them than
-ordinary ones."""
 MAX_SHOWN_AGE_SECONDS = 999.0
 """Age shown when there has never been a proof."""
 RETRY_AFTER_SECONDS = 0.2
--- a/src/milletcourse/runtime/server.py
+++ b/src/milletcourse/runtime/server.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
-from typing import Any
+from typing import Any, cast
 
 import uvicorn
 
 from milletcourse.runtime.bounded_http import BoundedHttpProtocol
 from milletcourse.runtime.listeners import drain_and_close
+from milletcourse.runtime.turn_scheduler import PARSER_WORK_PER_ITERATION, TurnScheduler
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -43,10 +45,14 @@
         self._socket.listen(LISTEN_BACKLOG)
         bound_host, bound_port = self._socket.getsockname()[:2]
         self.address = f"{bound_host}:{bound_port}"
+        new_protocol = functools.partial(
+            BoundedHttpProtocol, turns=TurnScheduler(PARSER_WORK_PER_ITERATION)
+        )
         self._server = _QuietServer(
             uvicorn.Config(
                 application,
-                http=BoundedHttpProtocol,
+                # uvicorn only calls it.
+                http=cast(type[asyncio.Protocol], new_protocol),
                 lifespan="off",
                 log_config=None,
                 access_log=False,
--- a/src/milletcourse/runtime/turn_scheduler.py
+++ b/src/milletcourse/runtime/turn_scheduler.py
@@ -6,6 +6,12 @@
 from collections import OrderedDict
 from typing import Protocol
 
+IMMEDIATE_PARSER_WORK = 512
+"""Parser callbacks that one read, and one request, may take without waiting for a turn; more than
+an ordinary request needs."""
+PARSER_WORK_PER_ITERATION = 1024
+"""Parser callbacks in one iteration of the event loop for requests that take more of them."""
+
 
 class TurnTaker(Protocol):
     """Has work that it does in small steps."""
@@ -27,7 +33,6 @@
             work_per_iteration: Work of all steps together after which the loop runs on.
         """
         self._work_per_iteration = work_per_iteration
-        self._loop = asyncio.get_running_loop()
         self._waiting: OrderedDict[TurnTaker, None] = OrderedDict()
         self._is_scheduled = False
 
@@ -39,7 +44,7 @@
     def _schedule(self) -> None:
         if not self._is_scheduled and self._waiting:
             self._is_scheduled = True
-            self._loop.call_soon(self._run)
+            asyncio.get_running_loop().call_soon(self._run)
 
     def _run(self) -> None:
         self._is_scheduled = False
--- a/tests/gateway/clients/test_parsing_turns.py
+++ b/tests/gateway/clients/test_parsing_turns.py
@@ -10,9 +10,8 @@
 from milletcourse.exchange.messages.message_bounds import PARSED_BYTES
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
-from milletcourse.gateway.clients.request_intake import IMMEDIATE_WORK
 from milletcourse.gateway.clients.request_reader import ClientRequest
-from milletcourse.gateway.state.context import PARSER_WORK_PER_ITERATION
+from milletcourse.runtime.turn_scheduler import IMMEDIATE_PARSER_WORK, PARSER_WORK_PER_ITERATION
 
 CONNECTIONS = 20
 READ_BYTES = 256 * 1024
@@ -83,7 +82,7 @@
         per_piece = PARSED_BYTES // len(CHUNK) + 1
         for parsed in connections:
             parsed.connection.data_received(HEAD + CHUNK * CHUNKS)
-            assert parsed.chunks <= IMMEDIATE_WORK + per_piece
+            assert parsed.chunks <= IMMEDIATE_PARSER_WORK + per_piece
             assert not parsed.transport.is_reading()
         done = sum(parsed.chunks for parsed in connections)
         while done < CONNECTIONS * CHUNKS:
