Read-through: admission, queue and lingering close have modules of their own

`MemoryReport` alone lists what the account shows, to logs and gauges. - PARSED_BYTES meant two sizes: that of requests is REQUEST_PIECE_BYTES. - Tests: one `pieces_of`, one server that holds requests.

--- a/src/milletcourse/edge/body_reader.py
+++ b/src/milletcourse/edge/body_reader.py
@@ -36,7 +36,6 @@
             max_body_bytes: Size of the largest body.
         """
         self.share = MemoryShare(memory, self._evict)
-        self._memory = memory
         self._max_body_bytes = max_body_bytes
         self._body = BytesIO()
         self._size = 0
@@ -55,9 +54,8 @@
         try:
             if await self._read_part(receive):
                 await self._read_remaining(receive)
-            if not self._memory.may_serve(self._size):
+            if not self.share.try_serve(self._size):
                 raise self._out_of_memory()
-            self.share.add_served(self._size)
             return self._body.getvalue()
         finally:
             self._drop_body()
@@ -100,9 +98,7 @@
         if self._size > LARGE_BODY_BYTES and not was_large:
             self._check_large(self._size)
         self._body.write(part)
-        now = elapsed_seconds()
-        self.share.set_received(self._size, now)
-        self._memory.enforce(now)
+        self.share.update_received(self._size, elapsed_seconds())
         return has_more
 
     def _discard(self, has_more: bool) -> None:
@@ -111,11 +107,8 @@
         self._drop_body()
 
     def _check_large(self, size: int) -> None:
-        is_possible = self._memory.may_serve(size)
-        if is_possible and self._memory.may_receive(self.share, size, elapsed_seconds()):
-            return
-        self._memory.refusals += 1
-        raise self._out_of_memory()
+        if not self.share.try_receive(size, elapsed_seconds()):
+            raise self._out_of_memory()
 
     def _evict(self) -> None:
         if not self._evicted.done():
--- a/src/milletcourse/exchange/limits/client_memory.py
+++ b/src/milletcourse/exchange/limits/client_memory.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -25,7 +25,6 @@
 SLOW_SECONDS = 1.0
 """A request that grows by less than `PROGRESS_BYTES` in this time is slow. Slow requests are served
 unless the memory is short."""
-
 REPORT_INTERVAL_SECONDS = 1.0
 """What was refused and evicted is reported to operators at most once in this time."""
 
@@ -90,6 +89,28 @@
         self._memory.on_received_change(self, size - self.received_bytes, size > 0)
         self.received_bytes = size
 
+    def update_received(self, size: int, now: float) -> None:
+        """Like `set_received`; requests are evicted if the capacity is exceeded by more memory."""
+        has_grown = size > self.received_bytes
+        self.set_received(size, now)
+        if has_grown:
+            self._memory.enforce(now)
+
+    def try_receive(self, size: int, now: float) -> bool:
+        """Whether a large body of this size is to be received; if so, there is memory for it."""
+        if self._memory.may_serve(size) and self._memory.may_receive(self, size, now):
+            return True
+        self._memory.refusals += 1
+        return False
+
+    def try_serve(self, size: int) -> bool:
+        """Add a complete request if it may be served."""
+        if not self._memory.may_serve(size):
+            self._memory.refusals += 1
+            return False
+        self.add_served(size)
+        return True
+
     def add_served(self, size: int) -> None:
         """Add a complete request."""
         self.served_bytes += size
@@ -111,12 +132,7 @@
 class ClientMemory:
     """Sums the shares of all connections, and decides which requests lose their memory.
 
-    Attributes:
-        capacity_bytes: Bound on all shares together.
-        received_bytes: Memory of requests that are being received.
-        served_bytes: Memory of requests that have not been answered.
-        evictions: Requests that lost their memory since the start.
-        refusals: Requests that were refused for lack of memory since the start.
+    Its public attributes are those of `MemoryReport`.
     """
 
     def __init__(self, capacity_bytes: int) -> None:
@@ -152,7 +168,7 @@
             slow = [share for share in others if share.is_slow(now)]
             if not slow:
                 return False
-            self._evict(max(slow, key=lambda share: share.byte_seconds(now)), now)
+            self._evict(_costliest(slow, now), now)
         return True
 
     def enforce(self, now: float) -> None:
@@ -167,6 +183,10 @@
             return None
         self._reported = count
         self._reported_at = now
+        return self.report()
+
+    def report(self) -> MemoryReport:
+        """The state now."""
         return MemoryReport(
             self.capacity_bytes,
             self.received_bytes,
@@ -180,7 +200,7 @@
         large = [share for share in self._receiving if share.received_bytes > LARGE_BODY_BYTES]
         if large and not slow:
             return max(large, key=lambda share: share.since)
-        return max(slow or self._receiving, key=lambda share: share.byte_seconds(now))
+        return _costliest(slow or self._receiving, now)
 
     def _evict(self, share: MemoryShare, now: float) -> None:
         self.evictions += 1
@@ -197,3 +217,8 @@
             self._receiving[share] = None
         else:
             self._receiving.pop(share, None)
+
+
+def _costliest(shares: Iterable[MemoryShare], now: float) -> MemoryShare:
+    """The share that has taken most memory for the longest time."""
+    return max(shares, key=lambda share: share.byte_seconds(now))
--- a/src/milletcourse/exchange/messages/message_bounds.py
+++ b/src/milletcourse/exchange/messages/message_bounds.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-PARSED_BYTES = 4 * 1024
+REQUEST_PIECE_BYTES = 4 * 1024
 """Requests are parsed in pieces of this size, between which their bounds are checked."""
 MAX_HEAD_BYTES = 64 * 1024
 """Status line and header fields of an answer, with informational answers before them, and each
--- a/src/milletcourse/gateway/clients/client_connection.py
+++ b/src/milletcourse/gateway/clients/client_connection.py
@@ -7,17 +7,23 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 from typing import Any, Protocol, cast
 
-from milletcourse.errors import Failure, GatewayExhausted, InternalError, RequestTimeout
+from milletcourse.errors import Failure, InternalError, RequestTimeout
 from milletcourse.exchange.attempts.planned_stop import ConnectionState
-from milletcourse.exchange.limits.client_memory import ClientMemory, MemoryShare
+from milletcourse.exchange.limits.client_memory import MemoryShare
 from milletcourse.exchange.messages.messages import HeaderField
-from milletcourse.exchange.messages.records import EdgeLimits
+from milletcourse.gateway.clients.lingering_close import LingeringClose
+from milletcourse.gateway.clients.request_admission import (
+    AdmissionState,
+    HeadCheck,
+    RequestAdmission,
+    accept_any,
+)
 from milletcourse.gateway.clients.request_intake import RequestIntake
+from milletcourse.gateway.clients.request_queue import RequestQueue
 from milletcourse.gateway.clients.request_reader import ClientRequest, RequestReader
 from milletcourse.gateway.telemetry.unanswered import (
     RequestPhase,
@@ -28,60 +34,37 @@
 from milletcourse.runtime.sockets import unread_bytes
 from milletcourse.runtime.turn_scheduler import TurnScheduler
 
-LINGER_SECONDS = 1.0
-"""After its last answer a connection waits this long for the client to close, or to send more, and
-discards received data. Closing a socket with unread bytes sends a reset, which destroys an answer
-in transit."""
-MAX_LINGER_SECONDS = 5.0
-"""Longest such wait for a client that goes on sending: many read an answer only after that."""
-MAX_QUEUED_REQUESTS = 8
-"""Pipelined requests of one connection that are queued before reading pauses."""
-MAX_QUEUED_BYTES = 64 * 1024
-"""Size of the bodies of these requests, and of the request that is being received meanwhile, at
-which reading pauses."""
 MAX_UNREAD_ANSWER_BYTES = 4 * 1024 * 1024
 """The connection of a client that leaves more bytes than this unread is aborted."""
 
-OUT_OF_MEMORY_DETAIL = "this gateway has no memory for the body of the request"
-
 
-class EdgeState(Protocol):
+class EdgeState(AdmissionState, Protocol):
     """State of the gateway that a client connection needs."""
 
-    def limits(self) -> EdgeLimits:
-        """Limits in force."""
-
     def asks_clients_to_disconnect(self) -> bool:
         """Whether answers ask clients to close their connections."""
 
     def on_unanswered(self, request: UnansweredRequest) -> None:
         """A request that was read ends without a complete answer."""
 
-    def retry_after(self) -> float:
-        """Seconds after which a refused client may retry."""
-
     @property
     def parsing_turns(self) -> TurnScheduler:
         """Shares the time for parsing requests among the connections."""
 
-    @property
-    def client_memory(self) -> ClientMemory:
-        """Memory that all connections hold for requests."""
-
 
 Handler = Callable[[ClientRequest, "ClientConnection"], Coroutine[Any, Any, None]]
 RefusalWriter = Callable[["ClientConnection", Failure], None]
-HeadCheck = Callable[[ClientRequest], Failure | None]
-"""Returns why a request cannot be served, judged by its head; None if it may be."""
-
-
-def accept_any(_: ClientRequest) -> Failure | None:
-    """Check nothing before a request is complete."""
-    return None
 
 
 class ClientConnection(asyncio.Protocol):
-    """Parses requests and hands them to a handler, one at a time."""
+    """Parses requests and hands them to a handler, one at a time.
+
+    Attributes:
+        on_disconnected: Called when the client disconnects, None while nobody waits for that.
+        is_disconnected: Whether the connection is closed.
+        phase: How far the handler has come with the current request.
+        memory_share: Memory that the connection holds for requests.
+    """
 
     def __init__(
         self,
@@ -98,20 +81,19 @@
         self._handler = handler
         self._refuse = refuse
         self._registries = registries
-        self._check_head = check_head
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = RequestReader(self)
-        self._intake = RequestIntake(self, self._reader, edge.parsing_turns, edge.client_memory)
-        self._queue: deque[ClientRequest] = deque()
+        self.memory_share = MemoryShare(edge.client_memory, self.on_evicted)
+        self._admission = RequestAdmission(edge, self.memory_share, check_head)
+        self._reader = RequestReader(self._admission, self)
+        self._intake = RequestIntake(self, self._reader, edge.parsing_turns, self.memory_share)
+        self._queue = RequestQueue(self.memory_share)
         self._task: asyncio.Task[None] | None = None
-        self._current: ClientRequest | None = None
         self._streaming = False
         self._answered = False
         self._closing = False
         self._discarding = False
-        self._lingers_until: float | None = None
-        self._answered_at = 0.0
+        self._lingering = LingeringClose()
         self._idle_since = elapsed_seconds()
         self._idle_limit = 0.0
 
@@ -122,12 +104,7 @@
         """Whether no request is being read or served, and the connection is not lingering."""
         if self._task is not None or self._queue or self._is_receiving():
             return False
-        return self._lingers_until is None
-
-    @property
-    def memory_share(self) -> MemoryShare:
-        """Memory that it holds for requests."""
-        return self._intake.share
+        return not self._lingering.has_begun
 
     def state(self) -> ConnectionState:
         """State that a planned stop needs to decide when to close the connection."""
@@ -156,14 +133,12 @@
 
     def _drop_queue(self, cause: UnansweredCause) -> None:
         """Drop and report pipelined requests that can no longer be answered."""
-        while self._queue:
-            request = self._queue.popleft()
-            self._intake.share.remove_served(request.memory_bytes)
+        for request in self._queue.drop_waiting():
             self._report_unanswered(request, RequestPhase.QUEUED, cause)
 
     def check_timeouts(self, now: float) -> None:
         """Apply the timeouts; called several times per second."""
-        if self._lingers_until is not None and now >= self._lingers_until:
+        if self._lingering.is_over(now):
             self.close()
         if self._task is not None or self._closing:
             return
@@ -194,7 +169,7 @@
         if status != HTTPStatus.NO_CONTENT and status != HTTPStatus.NOT_MODIFIED:
             head.append(b"Content-Length: %d\r\n" % len(body))
         head.append(b"\r\n")
-        if self._current is None or self._current.method != b"HEAD":
+        if self._queue.current is None or self._queue.current.method != b"HEAD":
             head.append(body)
         self._answered = True
         self._write(b"".join(head))
@@ -228,9 +203,9 @@
         """Report unfinished requests and abort the connection, since the process shuts down."""
         # The client did not disconnect.
         self.on_disconnected = None
-        if self._current is not None and (self._task is not None or self._is_sending()):
+        if self._queue.current is not None and (self._task is not None or self._is_sending()):
             self._report_unanswered(
-                self._current, self._current_phase(), UnansweredCause.GRACE_EXPIRED
+                self._queue.current, self._current_phase(), UnansweredCause.GRACE_EXPIRED
             )
         self._drop_queue(UnansweredCause.GRACE_EXPIRED)
         self.abort()
@@ -250,8 +225,7 @@
         self._closing = True
         if self._transport is None or self._transport.is_closing():
             return
-        self._answered_at = elapsed_seconds()
-        self._lingers_until = self._answered_at + LINGER_SECONDS
+        self._lingering.begin(elapsed_seconds())
         self.update_reading()
         self._transport.write_eof()
 
@@ -268,7 +242,7 @@
 
         A gateway that asks clients to disconnect still serves requests that were already received.
         """
-        if self._current is None or not self._current.keep_alive:
+        if self._queue.current is None or not self._queue.current.keep_alive:
             return True
         if not self._edge.asks_clients_to_disconnect():
             return False
@@ -280,9 +254,9 @@
             return
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:
-            if self._current is not None:
+            if self._queue.current is not None:
                 self._report_unanswered(
-                    self._current, RequestPhase.ANSWERING, UnansweredCause.SLOW_READER
+                    self._queue.current, RequestPhase.ANSWERING, UnansweredCause.SLOW_READER
                 )
             self.abort()
 
@@ -298,11 +272,10 @@
 
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
-        if not self._is_discarding():
+        if self._is_discarding():
+            self._lingering.on_received(elapsed_seconds())
+        else:
             self._intake.receive(data)
-        elif self._lingers_until is not None:
-            latest = self._answered_at + MAX_LINGER_SECONDS
-            self._lingers_until = min(elapsed_seconds() + LINGER_SECONDS, latest)
 
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`."""
@@ -312,8 +285,7 @@
         """See `asyncio.Protocol`."""
         self.is_disconnected = True
         self._intake.discard()
-        while self._queue:
-            self._intake.share.remove_served(self._queue.popleft().memory_bytes)
+        self._queue.clear()
         for registry in self._registries:
             registry.discard(self)
         if self.on_disconnected is not None:
@@ -325,14 +297,7 @@
         """Whether further requests may be parsed now."""
         if self._is_discarding():
             return False
-        return self._task is None or not self._is_queue_full()
-
-    def _is_queue_full(self) -> bool:
-        if len(self._queue) > MAX_QUEUED_REQUESTS:
-            return True
-        incoming = self._reader.incoming
-        size = incoming.body_bytes if incoming is not None else 0
-        return size + sum(len(request.body) for request in self._queue) > MAX_QUEUED_BYTES
+        return self._task is None or not self._queue.is_full(self._reader.incoming)
 
     def _is_discarding(self) -> bool:
         return self._discarding or self._closing or self.is_disconnected
@@ -355,67 +320,36 @@
         if self._is_discarding():
             return
         self._discarding = True
-        self._enqueue(ClientRequest(b"", b"", [], b"", 0, elapsed_seconds(), False, failure))
+        self._enqueue(ClientRequest.refused(failure, elapsed_seconds()))
 
     def on_evicted(self) -> None:
         """The memory of the request that is being received is needed for others."""
-        self.refuse_incomplete(OUT_OF_MEMORY_DETAIL)
+        self.on_intake_failure(self._admission.out_of_memory())
 
     def refuse_incomplete(self, detail: str) -> None:
         """Refuse the request that is being received, and close the connection."""
-        self.on_intake_failure(GatewayExhausted(detail, self._edge.retry_after()))
-
-    def limits(self) -> EdgeLimits:
-        """Limits in force."""
-        return self._edge.limits()
-
-    def max_body_bytes(self) -> int:
-        """Size of the largest body that can be taken."""
-        return min(self._edge.limits().max_body_bytes, self._edge.client_memory.max_body_bytes)
+        self.on_intake_failure(self._admission.exhausted(detail))
 
     def on_expects_continue(self) -> None:
         """The client waits for a sign that it may send the body."""
         if self._task is None:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_large_body(self, head: ClientRequest, size: int) -> Failure | None:
-        """The body is large: refuse the request now if it cannot be served."""
-        failure = self._check_head(head)
-        if failure is not None:
-            return failure
-        memory = self._edge.client_memory
-        now = elapsed_seconds()
-        if memory.may_serve(size) and memory.may_receive(self._intake.share, size, now):
-            return None
-        memory.refusals += 1
-        return self._out_of_memory()
-
     def on_request(self, request: ClientRequest) -> None:
         """A request is complete."""
-        if self._is_discarding():
-            return
-        if self._edge.client_memory.may_serve(request.memory_bytes):
-            self._intake.share.add_served(request.memory_bytes)
-        else:
-            self._edge.client_memory.refusals += 1
-            request.failure = self._out_of_memory()
-            request.body = b""
-            request.memory_bytes = 0
-        self._enqueue(request)
-
-    def _out_of_memory(self) -> Failure:
-        return GatewayExhausted(OUT_OF_MEMORY_DETAIL, self._edge.retry_after())
+        if not self._is_discarding():
+            self._admission.admit(request)
+            self._enqueue(request)
 
     # -- internals ------------------------------------------------------------------------------
 
     def _enqueue(self, request: ClientRequest) -> None:
-        self._queue.append(request)
+        self._queue.add(request)
         if self._task is None:
             self._serve_next()
 
     def _serve_next(self) -> None:
-        request = self._queue.popleft()
-        self._current = request
+        request = self._queue.take()
         self._streaming = False
         self._answered = False
         self.phase = RequestPhase.DECIDING
@@ -427,10 +361,7 @@
         self._task.add_done_callback(self._on_served)
 
     def _on_served(self, task: asyncio.Task[None]) -> None:
-        assert self._current is not None
-        self._intake.share.remove_served(self._current.memory_bytes)
-        # The connection may stay open without a further request for long.
-        self._current.body = b""
+        self._queue.on_served()
         self._task = None
         self.on_disconnected = None
         failed = task.cancelled() or task.exception() is not None
@@ -452,10 +383,10 @@
 
     def _end_failed(self, task: asyncio.Task[None]) -> None:
         """Report a failed handler, to the client too unless a part of an answer was written."""
-        assert self._current is not None
+        assert self._queue.current is not None
         error = "cancelled" if task.cancelled() else repr(task.exception())
         self._report_unanswered(
-            self._current, self._current_phase(), UnansweredCause.HANDLER_FAILED, error
+            self._queue.current, self._current_phase(), UnansweredCause.HANDLER_FAILED, error
         )
         if not self._answered and not self.is_disconnected:
             self._refuse(self, InternalError("internal error; the request may have been executed"))
--- a/src/milletcourse/gateway/clients/request_intake.py
+++ b/src/milletcourse/gateway/clients/request_intake.py
@@ -9,10 +9,11 @@
 from typing import Protocol
 
 from milletcourse.errors import Failure
-from milletcourse.exchange.limits.client_memory import ClientMemory, MemoryShare
-from milletcourse.exchange.messages.message_bounds import PARSED_BYTES
+from milletcourse.exchange.limits.client_memory import MemoryShare
+from milletcourse.exchange.messages.message_bounds import REQUEST_PIECE_BYTES
 from milletcourse.gateway.clients.request_reader import RequestReader
 from milletcourse.runtime.clock import elapsed_seconds
+from milletcourse.runtime.received_data import ReceivedData
 from milletcourse.runtime.turn_scheduler import IMMEDIATE_PARSER_WORK, TurnScheduler
 
 
@@ -28,23 +29,12 @@
     def on_intake_failure(self, failure: Failure) -> None:
         """The received data ends the connection."""
 
-    def on_evicted(self) -> None:
-        """The memory of the request that is being received is needed for others."""
-
 
 class RequestIntake:
-    """Received data of one connection until it forms complete requests.
-
-    Attributes:
-        share: Memory that the connection holds for requests.
-    """
+    """Received data of one connection until it forms complete requests."""
 
     def __init__(
-        self,
-        owner: IntakeOwner,
-        reader: RequestReader,
-        turns: TurnScheduler,
-        memory: ClientMemory,
+        self, owner: IntakeOwner, reader: RequestReader, turns: TurnScheduler, share: MemoryShare
     ) -> None:
         """Start without data.
 
@@ -52,16 +42,13 @@
             owner: The connection.
             reader: Parses its data.
             turns: Shared by all connections; its unit is one parser callback.
-            memory: Shared by all connections.
+            share: Memory of the connection.
         """
-        self.share = MemoryShare(memory, owner.on_evicted)
         self._owner = owner
         self._reader = reader
         self._turns = turns
-        self._memory = memory
-        self._unparsed = memoryview(b"")
-        self._unparsed_memory = 0
-        """Size of the read whose last part isn't parsed yet; it is freed as a whole."""
+        self._share = share
+        self._unparsed = ReceivedData()
 
     @property
     def unparsed_bytes(self) -> int:
@@ -71,11 +58,7 @@
     def receive(self, data: bytes) -> None:
         """Take in received data, at once or in turns."""
         is_waiting = len(self._unparsed) > 0
-        if is_waiting:
-            # A transport may deliver what it had read before it was paused.
-            data = bytes(self._unparsed) + data
-        self._unparsed = memoryview(data)
-        self._unparsed_memory = len(data)
+        self._unparsed.add(data)
         self._account()
         if is_waiting:
             return
@@ -99,20 +82,16 @@
     def discard(self) -> None:
         """Drop the request that is being received, and the data that isn't parsed yet."""
         self._reader.incoming = None
-        self._unparsed = memoryview(b"")
-        self.share.set_received(0, elapsed_seconds())
+        self._unparsed.clear()
+        self._share.set_received(0, elapsed_seconds())
 
     def _account(self) -> None:
         """Account for what is being received, which may evict this or another request."""
         incoming = self._reader.incoming
-        size = incoming.memory_bytes if incoming is not None else 0
-        if self._unparsed:
-            size += self._unparsed_memory
-        now = elapsed_seconds()
-        has_grown = size > self.share.received_bytes
-        self.share.set_received(size, now)
-        if has_grown:
-            self._memory.enforce(now)
+        size = self._unparsed.memory_bytes
+        if incoming is not None:
+            size += incoming.memory_bytes
+        self._share.update_received(size, elapsed_seconds())
 
     # -- turns ----------------------------------------------------------------------------------
 
@@ -122,8 +101,7 @@
 
     def take_turn(self) -> int:
         """Parse one piece; returns the number of parser callbacks."""
-        piece = self._unparsed[:PARSED_BYTES]
-        self._unparsed = self._unparsed[PARSED_BYTES:]
+        piece = self._unparsed.take(REQUEST_PIECE_BYTES)
         work_before = self._reader.work
         failure = self._reader.feed(piece)
         if failure is not None:
--- a/src/milletcourse/gateway/clients/request_reader.py
+++ b/src/milletcourse/gateway/clients/request_reader.py
@@ -10,7 +10,7 @@
 
 from milletcourse.errors import BodyTooLarge, Failure, HeadersTooLarge, MalformedRequest
 from milletcourse.exchange.limits.client_memory import LARGE_BODY_BYTES, request_bytes
-from milletcourse.exchange.messages.message_bounds import PARSED_BYTES, MessageBounds
+from milletcourse.exchange.messages.message_bounds import REQUEST_PIECE_BYTES, MessageBounds
 from milletcourse.exchange.messages.messages import HeaderField
 from milletcourse.exchange.messages.records import EdgeLimits
 from milletcourse.runtime.clock import elapsed_seconds
@@ -42,6 +42,20 @@
     keep_alive: bool
     failure: Failure | None = None
 
+    @classmethod
+    def refused(cls, failure: Failure, now: float) -> ClientRequest:
+        """Stands for data that forms no request that could be served."""
+        return cls(
+            method=b"",
+            target=b"",
+            fields=[],
+            body=b"",
+            memory_bytes=0,
+            received_at=now,
+            keep_alive=False,
+            failure=failure,
+        )
+
 
 class IncomingRequest(msgspec.Struct):
     """A request that is being received.
@@ -54,7 +68,7 @@
         max_body_bytes: Bound on the size of the body.
         declared_bytes: Size of the body by Content-Length, 0 for a chunked one.
         work: Number of parser callbacks for it.
-        is_large: The connection knows that its body is large.
+        is_large: Its body is large and may be received.
     """
 
     bounds: MessageBounds
@@ -81,8 +95,8 @@
         return request_bytes(head_bytes, len(self.fields), self.body_bytes)
 
 
-class RequestOwner(Protocol):
-    """The connection whose requests are read."""
+class Admission(Protocol):
+    """Decides what is taken before a request is complete."""
 
     def limits(self) -> EdgeLimits:
         """Limits in force."""
@@ -90,16 +104,15 @@
     def max_body_bytes(self) -> int:
         """Size of the largest body that can be taken."""
 
-    def on_expects_continue(self) -> None:
-        """The client waits for a sign that it may send the body."""
+    def check_large_body(self, head: ClientRequest, size: int) -> Failure | None:
+        """Why a request with a large body cannot be served, None if it may be."""
 
-    def on_large_body(self, head: ClientRequest, size: int) -> Failure | None:
-        """The body is large: why the request cannot be served, None if it can.
 
-        Args:
-            head: The request without its body.
-            size: Size of the body in bytes as far as it is known.
-        """
+class RequestListener(Protocol):
+    """The connection whose requests are read."""
+
+    def on_expects_continue(self) -> None:
+        """The client waits for a sign that it may send the body."""
 
     def on_request(self, request: ClientRequest) -> None:
         """A request is complete."""
@@ -113,16 +126,17 @@
         work: Number of parser callbacks so far, to which the time for parsing is in proportion.
     """
 
-    def __init__(self, owner: RequestOwner) -> None:
+    def __init__(self, admission: Admission, listener: RequestListener) -> None:
         self.incoming: IncomingRequest | None = None
         self.work = 0
-        self._owner = owner
+        self._admission = admission
+        self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
         self._piece_bytes = 0
         self._begins_with_piece = True
 
     def feed(self, data: memoryview) -> Failure | None:
-        """Parse a piece of received data, at most `PARSED_BYTES` long.
+        """Parse a piece of received data, at most `REQUEST_PIECE_BYTES` long.
 
         Returns:
             The failure that ends the connection, None otherwise.
@@ -146,10 +160,10 @@
         return malformed
 
     def _new_request(self, now: float) -> IncomingRequest:
-        max_stretch_bytes = self._owner.limits().max_header_bytes
+        max_stretch_bytes = self._admission.limits().max_header_bytes
         if not self._begins_with_piece:
             # The piece is counted from its start, which belongs to the request before.
-            max_stretch_bytes += PARSED_BYTES
+            max_stretch_bytes += REQUEST_PIECE_BYTES
         return IncomingRequest(MessageBounds(max_stretch_bytes), now, now)
 
     def _parse(self, data: memoryview) -> Failure | None:
@@ -218,7 +232,7 @@
 
     def _on_trailer(self, incoming: IncomingRequest, field: HeaderField, size: int) -> None:
         incoming.trailer_bytes += size
-        if incoming.trailer_bytes > self._owner.limits().max_header_bytes:
+        if incoming.trailer_bytes > self._admission.limits().max_header_bytes:
             incoming.failure = HeadersTooLarge("the trailers of the request are too large")
             return
         incoming.fields.append(field)
@@ -229,15 +243,15 @@
         assert incoming is not None
         incoming.head_complete = True
         incoming.bounds.on_head_complete()
-        incoming.max_body_bytes = self._owner.max_body_bytes()
-        if incoming.head_bytes > self._owner.limits().max_header_bytes:
+        incoming.max_body_bytes = self._admission.max_body_bytes()
+        if incoming.head_bytes > self._admission.limits().max_header_bytes:
             incoming.failure = HeadersTooLarge("the head of the request is too large")
             return
         self._check_body_size(incoming, incoming.declared_bytes)
         if incoming.failure is not None:
             return
         if incoming.expects_continue and not self._parser.should_upgrade():
-            self._owner.on_expects_continue()
+            self._listener.on_expects_continue()
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
@@ -256,7 +270,7 @@
             incoming.failure = BodyTooLarge("the body of the request is too large")
         elif size > LARGE_BODY_BYTES and not incoming.is_large:
             incoming.is_large = True
-            incoming.failure = self._owner.on_large_body(self._request(incoming, b""), size)
+            incoming.failure = self._admission.check_large_body(self._request(incoming, b""), size)
 
     def on_message_complete(self) -> None:
         """End of the request: hand it to the connection."""
@@ -265,7 +279,7 @@
         if incoming.failure is not None or self._parser.should_upgrade():
             return
         self.incoming = None
-        self._owner.on_request(self._request(incoming, incoming.body.getvalue()))
+        self._listener.on_request(self._request(incoming, incoming.body.getvalue()))
 
     def _request(self, incoming: IncomingRequest, body: bytes) -> ClientRequest:
         return ClientRequest(
--- a/src/milletcourse/gateway/operator_api.py
+++ b/src/milletcourse/gateway/operator_api.py
@@ -13,7 +13,7 @@
 from milletcourse.errors import NotFound
 from milletcourse.exchange.evidence.containment import KIND_NAMES
 from milletcourse.exchange.evidence.request_identity import identity_text
-from milletcourse.exchange.limits.client_memory import ClientMemory
+from milletcourse.exchange.limits.client_memory import MemoryReport
 from milletcourse.exchange.limits.tenant_limits import LimitState
 from milletcourse.exchange.load.signal_record import (
     ServerLimitState,
@@ -176,10 +176,10 @@
     keys = [instance.key for instance in context.instances]
     metrics.signalling_servers.set(len(context.server_signals.active_signals(keys, now)))
     metrics.log_lines_left_out.set(context.log.left_out)
-    _set_memory_gauges(context.client_memory, metrics)
+    _set_memory_gauges(context.client_memory.report(), metrics)
 
 
-def _set_memory_gauges(memory: ClientMemory, metrics: GatewayMetrics) -> None:
+def _set_memory_gauges(memory: MemoryReport, metrics: GatewayMetrics) -> None:
     metrics.received_memory.set(memory.received_bytes)
     metrics.served_memory.set(memory.served_bytes)
     metrics.memory_capacity.set(memory.capacity_bytes)
--- a/src/milletcourse/gateway/requests/exchange.py
+++ b/src/milletcourse/gateway/requests/exchange.py
@@ -117,7 +117,7 @@
         if self._client.is_disconnected:
             # The client disconnected after sending its request and before this point.
             self._on_client_disconnected()
-        self._context.budget(self._job.service.name).on_request()
+        self._context.retry_budgets.budget(self._job.service.name).on_request()
         try:
             await self._run_attempts()
         finally:
@@ -125,6 +125,7 @@
             self._cancel_deadline_timer()
             self._client.on_disconnected = None
             self._handover.close()
+            # A reference cycle with the last attempt would keep the request with its body.
             self._handover.current = None
             self._settle_limit()
             self._continuity.on_end(self._outcome, self._relay.has_started)
@@ -289,7 +290,7 @@
         return self._context.may_use_keys(self._job.tenant) and self._containment() is None
 
     def _try_retry(self) -> bool:
-        budget = self._context.budget(self._job.service.name)
+        budget = self._context.retry_budgets.budget(self._job.service.name)
         return budget.try_retry(self._context.now())
 
     async def _next_attempt(
--- a/src/milletcourse/gateway/state/context.py
+++ b/src/milletcourse/gateway/state/context.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from milletcourse.admission.retry_budget import RetryBudget, shared_retry_budget
 from milletcourse.exchange.attempts.planned_stop import PlannedStop, StopPhase
 from milletcourse.exchange.counting.weighted_choice import WeightedChoice
 from milletcourse.exchange.evidence.crash_evidence import CrashEvidence
@@ -48,6 +47,7 @@
 from milletcourse.gateway.state.answer_rates import ServerAnswerRates
 from milletcourse.gateway.state.cache_store_availability import CacheStoreAvailability
 from milletcourse.gateway.state.memory_plan import client_memory_bytes
+from milletcourse.gateway.state.retry_budgets import RetryBudgets
 from milletcourse.gateway.state.server_states import ServerStates
 from milletcourse.gateway.state.settings import GatewaySettings
 from milletcourse.gateway.state.stream_resumption import StreamResumption
@@ -61,9 +61,6 @@
 
 FRESHNESS_MARGIN_SECONDS = 0.4
 """Keys are refused this long before the bound on revocation."""
-RETRY_BUDGET_SHARE = 0.8
-"""Share of the allowed retries that the gateways use; the remainder covers windows that differ
-between gateways."""
 ASSUMED_GATEWAYS = 10
 """Number of gateways that share the budgets and limits, assumed until the list is known."""
 MAX_SHOWN_AGE_SECONDS = 999.0
@@ -80,6 +77,7 @@
         mechanisms: Mechanisms that are switched on.
         planned_stop: The planned stop in progress, None before.
         replication_times: Wait times and proof ages for replication of the object store.
+        retry_budgets: Retries that this gateway may spend.
         descriptors: Partition of the file descriptors of this process.
         client_memory: What this process holds for its clients, and which requests give way.
         parsing_turns: Shares the time for parsing clients' requests among their connections.
@@ -234,7 +232,7 @@
         )
         self.instances.on_seen = self._on_server_seen
         self.gateways = 0
-        self._budgets: dict[str, RetryBudget] = {}
+        self.retry_budgets = RetryBudgets(bounds, lambda: self.members, self.now)
 
     def now(self) -> float:
         """Monotonic seconds, including the time while the machine is suspended."""
@@ -266,7 +264,7 @@
         self.gate.bound_seconds = bounds.version
         self.tenant_limits.set_tolerance(bounds.limit_tolerance)
         self.client_memory.capacity_bytes = client_memory_bytes(settings.memory_bytes)
-        self._budgets.clear()
+        self.retry_budgets.set_bounds(bounds)
 
     @staticmethod
     def _key_bound(settings: GatewaySettings) -> float:
@@ -279,7 +277,7 @@
         """Set the number of gateways that share the retry budget, including this one."""
         if count != self.gateways:
             self.gateways = count
-            self._budgets.clear()
+            self.retry_budgets.reset()
 
     @property
     def members(self) -> int:
@@ -342,20 +340,6 @@
         knows_all = self.route_table is not None and self.instances.is_listed
         return knows_all and not self.stopping and self.freshness.allows_keys(self.now())
 
-    def budget(self, service: str) -> RetryBudget:
-        """This node's share of a service's retry budget."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self.settings.bounds
-            budget = self._budgets[service] = shared_retry_budget(
-                self.now(),
-                ratio=bounds.retry_ratio * RETRY_BUDGET_SHARE,
-                slack=bounds.retry_slack * RETRY_BUDGET_SHARE,
-                window_seconds=bounds.budget_window,
-                members=self.members,
-            )
-        return budget
-
     def report_limits(self) -> None:
         """Log the tenants, and the large bodies, that were refused over limits."""
         for state in self.tenant_limits.due_reports(self.now()):
--- a/src/milletcourse/runtime/bounded_http.py
+++ b/src/milletcourse/runtime/bounded_http.py
@@ -10,7 +10,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from milletcourse.exchange.messages.message_bounds import PARSED_BYTES, MessageBounds
+from milletcourse.exchange.messages.message_bounds import REQUEST_PIECE_BYTES, MessageBounds
+from milletcourse.runtime.received_data import ReceivedData
 from milletcourse.runtime.turn_scheduler import IMMEDIATE_PARSER_WORK, TurnScheduler
 
 REFUSAL = (
@@ -36,7 +37,7 @@
         super().__init__(**options)
         self._turns = turns
         self._bounds = MessageBounds()
-        self._unparsed = memoryview(b"")
+        self._unparsed = ReceivedData()
         self._work = 0
         """Parser callbacks so far."""
         self._request_work = 0
@@ -44,11 +45,9 @@
 
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
+        # The flow control of uvicorn may have resumed reading.
         is_waiting = self.has_work()
-        if is_waiting:
-            # The flow control of uvicorn may have resumed reading.
-            data = bytes(self._unparsed) + data
-        self._unparsed = memoryview(data)
+        self._unparsed.add(data)
         work_before = self._work
         while self.has_work() and not is_waiting and not self._is_heavy(work_before):
             self.take_turn()
@@ -58,7 +57,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See `asyncio.Protocol`."""
-        self._unparsed = memoryview(b"")
+        self._unparsed.clear()
         super().connection_lost(exc)
 
     def _is_heavy(self, work_before: int) -> bool:
@@ -66,7 +65,7 @@
         return work > IMMEDIATE_PARSER_WORK
 
     def _refuse(self) -> None:
-        self._unparsed = memoryview(b"")
+        self._unparsed.clear()
         cycle = self.cycle
         is_answering = cycle is not None and cycle.response_started and not cycle.response_complete
         if is_answering or self.pipeline:
@@ -83,8 +82,7 @@
 
     def take_turn(self) -> int:
         """Parse one piece; returns the number of parser callbacks."""
-        piece = self._unparsed[:PARSED_BYTES]
-        self._unparsed = self._unparsed[PARSED_BYTES:]
+        piece = self._unparsed.take(REQUEST_PIECE_BYTES)
         work_before = self._work
         self._bounds.on_received(len(piece))
         super().data_received(bytes(piece))
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -12,6 +12,12 @@
 """Senders that the process under test has stopped reading are abandoned after this time."""
 BYTES_PER_MEGABYTE = 1_000_000
 KIBIBYTE = 1024
+PIECE_BYTES = 64_000
+
+
+def pieces_of(data: bytes, size: int = PIECE_BYTES) -> Iterable[bytes]:
+    """Data in pieces of a size."""
+    return (data[start : start + size] for start in range(0, len(data), size))
 
 
 class ClientCrowd:
--- a/tests/crowds/test_client_crowds.py
+++ b/tests/crowds/test_client_crowds.py
@@ -10,16 +10,18 @@
 import itertools
 import json
 import os
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import uvloop
 
 from client_crowd import (
     BYTES_PER_MEGABYTE,
+    PIECE_BYTES,
     ClientCrowd,
     open_descriptors,
     peak_memory_bytes,
+    pieces_of,
     unread_socket_bytes,
 )
 from gateway_harness import Harness, settings_document
@@ -48,7 +50,8 @@
 """Clients that each send a body of almost the largest legal size."""
 ANSWER_SECONDS = 30.0
 """An ordinary client that is refused for now retries for this long."""
-PIECE_BYTES = 64_000
+HOLD_SECONDS = 2.0
+"""A server that holds requests answers them after this time."""
 
 
 def request_head(*fields: str, path: str = "/safe/", key: str = "key-1") -> bytes:
@@ -61,16 +64,24 @@
 ALMOST_WHOLE = request_head("Request-Id: crowd", f"Content-Length: {MAX_BODY_BYTES}")
 
 
-def pieces_of(data: bytes, size: int = PIECE_BYTES) -> Iterable[bytes]:
-    """Data in pieces of a size."""
-    return (data[start : start + size] for start in range(0, len(data), size))
-
-
 def chunks_of(size: int, total: int) -> bytes:
     """Chunks of a size without a last one, with so many bytes of payload together."""
     return (b"%x\r\n%b\r\n" % (size, b"x" * size)) * (total // size)
 
 
+def hold(is_held: Callable[[ReceivedRequest], bool]) -> Behaviour:
+    """A server that answers some requests after a while, and the others at once."""
+
+    async def behaviour(
+        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if is_held(request):
+            await asyncio.sleep(HOLD_SECONDS)
+        await serve_whole(server, request, writer)
+
+    return behaviour
+
+
 async def ask_ordinary(address: str) -> None:
     """An ordinary client gets a successful answer, at the latest after some refusals."""
     async with asyncio.timeout(ANSWER_SECONDS):
@@ -221,17 +232,10 @@
 def test_whole_bodies_that_their_server_holds(tmp_path: Path) -> None:
     """Whole bodies of legal size for a server that doesn't answer them for a while."""
 
-    async def hold_large(
-        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        if len(request.body) > PIECE_BYTES:
-            await asyncio.sleep(2.0)
-        await serve_whole(server, request, writer)
-
     async def scenario(crowd: ClientCrowd) -> None:
         await crowd.send(UPLOADS, ALMOST_WHOLE, [b"x" * MAX_BODY_BYTES])
 
-    run_crowd(tmp_path, scenario, hold_large)
+    run_crowd(tmp_path, scenario, hold(lambda request: len(request.body) > PIECE_BYTES))
 
 
 def test_pipelined_bodies(tmp_path: Path) -> None:
@@ -252,13 +256,6 @@
     """Data that has arrived and isn't read is memory of the machine, too."""
     unread = 0
 
-    async def hold_crowd(
-        server: StandinServer, request: ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        if request.request_id.startswith("crowd"):
-            await asyncio.sleep(2.0)
-        await serve_whole(server, request, writer)
-
     async def scenario(crowd: ClientCrowd) -> None:
         nonlocal unread
         requests = [
@@ -270,7 +267,8 @@
             unread = max(unread, unread_socket_bytes(crowd.address))
             await asyncio.sleep(0.1)
 
-    run_crowd(tmp_path, scenario, hold_crowd, unread=lambda: unread)
+    behaviour = hold(lambda request: request.request_id.startswith("crowd"))
+    run_crowd(tmp_path, scenario, behaviour, unread=lambda: unread)
 
 
 # -- chunked bodies -----------------------------------------------------------------------------
--- a/tests/crowds/test_router_crowds.py
+++ b/tests/crowds/test_router_crowds.py
@@ -3,27 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
-from client_crowd import BYTES_PER_MEGABYTE, ClientCrowd, peak_memory_bytes
+from client_crowd import BYTES_PER_MEGABYTE, ClientCrowd, peak_memory_bytes, pieces_of
 from local_processes import LocalDeployment
 
 MEMORY_MEGABYTES = 300
 """Memory of a machine."""
 CLIENTS = 20
 UPLOADS = 80
-PIECE_BYTES = 64_000
 MAX_BODY_BYTES = 4 * 1024 * 1024
 ANSWER_SECONDS = 30.0
 HEAD = b"POST /v1/completions HTTP/1.1\r\nHost: router\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
 
 
-def pieces_of(data: bytes) -> Iterable[bytes]:
-    """Data in pieces."""
-    return (data[start : start + PIECE_BYTES] for start in range(0, len(data), PIECE_BYTES))
-
-
 async def wait_until_ready(deployment: LocalDeployment) -> None:
     """An ordinary request is answered, at the latest after some refusals."""
     router = deployment.routers[0]
--- a/tests/gateway/clients/test_parsing_turns.py
+++ b/tests/gateway/clients/test_parsing_turns.py
@@ -7,7 +7,7 @@
 
 from gateway_harness import Harness, run_with_gateway
 from gateway_standin import configuration, serve_whole
-from milletcourse.exchange.messages.message_bounds import PARSED_BYTES
+from milletcourse.exchange.messages.message_bounds import REQUEST_PIECE_BYTES
 from milletcourse.gateway.clients.client_connection import ClientConnection
 from milletcourse.gateway.clients.refusals import refuse
 from milletcourse.gateway.clients.request_reader import ClientRequest
@@ -79,7 +79,7 @@
         harness.configuration = configuration(Limits=LIMITS)
         await harness.start()
         connections = [ParsedConnection(harness) for _ in range(CONNECTIONS)]
-        per_piece = PARSED_BYTES // len(CHUNK) + 1
+        per_piece = REQUEST_PIECE_BYTES // len(CHUNK) + 1
         for parsed in connections:
             parsed.connection.data_received(HEAD + CHUNK * CHUNKS)
             assert parsed.chunks <= IMMEDIATE_PARSER_WORK + per_piece
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -125,7 +125,7 @@
         await harness.start()
         assert harness.node is not None
         context = harness.node.context
-        budget = context.budget("app")
+        budget = context.retry_budgets.budget("app")
         for number in range(5):
             assert (await (await harness.client()).ask("/unsafe/", f"id-{number}")).status == 502
         spent = 0
--- a/tests/soak/abusive_requests.py
+++ b/tests/soak/abusive_requests.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from client_crowd import pieces_of
+
 MAX_BODY_BYTES = 4_000_000
 PIECE_BYTES = (1_400, 64_000)
 CHUNK_BYTES = (1, 2, 16, 1_000, 60_000)
@@ -42,8 +44,7 @@
 
 def pieces(source: random.Random, data: bytes) -> Iterable[bytes]:
     """The bytes in pieces of one size."""
-    size = source.choice(PIECE_BYTES)
-    return (data[start : start + size] for start in range(0, len(data), size))
+    return pieces_of(data, source.choice(PIECE_BYTES))
 
 
 def _head(request_id: str, key: str, *fields: str) -> bytes:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from gateway_standin import Client
-from milletcourse.exchange.messages.message_bounds import MAX_HEAD_BYTES, PARSED_BYTES
+from milletcourse.exchange.messages.message_bounds import MAX_HEAD_BYTES, REQUEST_PIECE_BYTES
 from milletcourse.runtime.bounded_http import BoundedHttpProtocol
 from milletcourse.runtime.server import HttpServer, Receive, Scope, Send
 from milletcourse.runtime.turn_scheduler import PARSER_WORK_PER_ITERATION, TurnScheduler
@@ -77,7 +77,7 @@
             answers = [await client.read_answer() for client in clients]
         assert [got.body if got else b"" for got in answers] == [BODY] * CONNECTIONS
         assert sum(work) > CONNECTIONS * len(parts) / 2
-        assert max(work) <= PARSER_WORK_PER_ITERATION + PARSED_BYTES
+        assert max(work) <= PARSER_WORK_PER_ITERATION + REQUEST_PIECE_BYTES
         for client in clients:
             client.close()
         await server.stop()
@@ -117,7 +117,7 @@
         server = HttpServer(echo, "127.0.0.1", 0)
         await server.start()
         client = await Client.connect(server.address)
-        client.writer.write(start + b"v" * (MAX_HEAD_BYTES + PARSED_BYTES))
+        client.writer.write(start + b"v" * (MAX_HEAD_BYTES + REQUEST_PIECE_BYTES))
         answer = await client.read_answer()
         assert answer is not None and answer.status == 431
         client.close()
