--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -65,22 +65,38 @@
 # -- ports and processes ------------------------------------------------------------------------
 
 
+FIRST_PORT = 15000
+BLOCK_PORTS = 100
+BLOCKS = 160
+"""Each script takes ports of a block of its own, so that scripts side by side don't meet."""
+_next_port = FIRST_PORT + os.getpid() % BLOCKS * BLOCK_PORTS
+_last_port = FIRST_PORT + BLOCKS * BLOCK_PORTS
+
+
 def free_ports(count: int) -> int:
     """The first of `count` ports in a row that nobody uses, below the range for outgoing calls."""
-    for _ in range(400):
-        first = random.randrange(15000, 31000)
-        with contextlib.ExitStack() as stack:
-            try:
-                for port in range(first, first + count):
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                        probe.bind((HOST, port))
-            except OSError:
-                continue
+    global _next_port
+    for _ in range(BLOCKS * BLOCK_PORTS):
+        first = _next_port if _next_port + count <= _last_port else FIRST_PORT
+        _next_port = first + 1
+        if _are_free(first, count):
+            _next_port = first + count
             return first
     raise CannotRun("no free ports")
 
 
+def _are_free(first: int, count: int) -> bool:
+    with contextlib.ExitStack() as stack:
+        try:
+            for port in range(first, first + count):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                    probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 def deploy_command() -> list[str]:
     """The command of the only role in the deploy file."""
     with (REPOSITORY / "deploy/system.toml").open("rb") as file:
@@ -218,6 +234,8 @@
     ends_at = time.monotonic() + seconds
     for gateway in gateways:
         while not await gateway.is_ready():
+            if not gateway.is_running():
+                raise CannotRun(f"{gateway.name} has ended at its start")
             if time.monotonic() > ends_at:
                 raise CannotRun(f"{gateway.name} is not ready")
             await asyncio.sleep(0.1)
