--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,7 +8,20 @@
 from pathlib import Path
 
 import rig
-from rig import BOUNDS, BROKEN, ENGINES, HELD, LIMITS, PLAIN, Client, Gateway, Record, Request, Server, Store
+from rig import (
+    BOUNDS,
+    BROKEN,
+    ENGINES,
+    HELD,
+    LIMITS,
+    PLAIN,
+    Client,
+    Gateway,
+    Record,
+    Request,
+    Server,
+    Store,
+)
 
 MEMORY_BYTES = LIMITS["MemoryMb"] * 1024 * 1024
 """A process that goes over it is killed; the larger reading of `MemoryMb`."""
@@ -72,12 +85,17 @@
                     self._spawn(self._send_requests(gateway, path))
             await self._play()
             self.record.write(
-                "result", ends=self.ends, peaks=self.peaks, endless=self.endless,
+                "result",
+                ends=self.ends,
+                peaks=self.peaks,
+                endless=self.endless,
                 answers=self.answers,
             )
             shown = {name: f"{peak / 1e6:.0f} MB" for name, peak in self.peaks.items()}
-            print(f"ended by themselves: {self.ends}; peak memory: {shown}; "
-                  f"answers without end: {self.endless}")
+            print(
+                f"ended by themselves: {self.ends}; peak memory: {shown}; "
+                f"answers without end: {self.endless}"
+            )
             return BROKEN if self._is_broken() else HELD
         finally:
             for task in self.tasks:
@@ -173,7 +191,11 @@
             pass
         self.answers[outcome] = self.answers.get(outcome, 0) + 1
         self.record.write(
-            "request", at=gateway.name, path=path, id=headers["Request-Id"], outcome=outcome,
+            "request",
+            at=gateway.name,
+            path=path,
+            id=headers["Request-Id"],
+            outcome=outcome,
             seconds=round(time.monotonic() - began_at, 3),
         )
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,20 @@
 from pathlib import Path
 
 import rig
-from rig import BOUNDS, BROKEN, ENGINES, HELD, LIMITS, PLAIN, Client, Gateway, Record, Request, Server, Store
+from rig import (
+    BOUNDS,
+    BROKEN,
+    ENGINES,
+    HELD,
+    LIMITS,
+    PLAIN,
+    Client,
+    Gateway,
+    Record,
+    Request,
+    Server,
+    Store,
+)
 
 TROUBLE_SECONDS = 5.5
 """How long servers are in trouble at a time (`garble` on the site's sheet)."""
@@ -111,12 +124,17 @@
             past += seconds > bound
             late += seconds > bound + SLACK_SECONDS
         self.record.write(
-            "result", past_timeout=past, late=late, endless=self.endless,
-            attempts=len(self.attempts), longest_silence=round(self.longest_silence, 3),
+            "result",
+            past_timeout=past,
+            late=late,
+            endless=self.endless,
+            attempts=len(self.attempts),
+            longest_silence=round(self.longest_silence, 3),
         )
         print(
-            f"past TimeoutMs: {past}, half a second later still unanswered: {late}; answers without "
-            f"end: {self.endless}; longest silence of a readiness check: {self.longest_silence:.1f} s"
+            f"past TimeoutMs: {past}, half a second later still unanswered: {late}; answers "
+            f"without end: {self.endless}; longest silence of a readiness check: "
+            f"{self.longest_silence:.1f} s"
         )
         return BROKEN if late >= 8 and late > past / 2 else HELD
 
@@ -200,8 +218,13 @@
         except (TimeoutError, OSError):
             pass
         self.record.write(
-            "request", at=gateway.name, path=path, id=headers["Request-Id"], outcome=outcome,
-            sent=round(attempt.sent_at, 3), seconds=round(rig.now() - attempt.sent_at, 3),
+            "request",
+            at=gateway.name,
+            path=path,
+            id=headers["Request-Id"],
+            outcome=outcome,
+            sent=round(attempt.sent_at, 3),
+            seconds=round(rig.now() - attempt.sent_at, 3),
         )
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,7 +9,20 @@
 from pathlib import Path
 
 import rig
-from rig import BOUNDS, BROKEN, ENGINES, HELD, HOST, LIMITS, PLAIN, Client, Gateway, Record, Server, Store
+from rig import (
+    BOUNDS,
+    BROKEN,
+    ENGINES,
+    HELD,
+    HOST,
+    LIMITS,
+    PLAIN,
+    Client,
+    Gateway,
+    Record,
+    Server,
+    Store,
+)
 
 MEMORY_BYTES = LIMITS["MemoryMb"] * 1024 * 1024
 """A process that goes over it is killed; the larger reading of `MemoryMb`."""
@@ -52,8 +65,12 @@
         configuration = rig.configuration()
         configuration["Services"].append(
             {
-                "Name": "wuno96b", "KvStoreAddr": f"{HOST}:{port}", "Zone": "split-b",
-                "KvCapacity": 635402, "LinkMbps": 25000.0, "MaxInFlight": 12,
+                "Name": "wuno96b",
+                "KvStoreAddr": f"{HOST}:{port}",
+                "Zone": "split-b",
+                "KvCapacity": 635402,
+                "LinkMbps": 25000.0,
+                "MaxInFlight": 12,
             }
         )
         self.store.put("config", "main", configuration)
@@ -66,7 +83,13 @@
             self.servers.append(server)
         for zone in ("split-a", "split-b", "kastela"):
             gateway = Gateway(
-                f"front-{zone}-1", zone, self.store.address, self.folder, self.record, BOUNDS, LIMITS
+                f"front-{zone}-1",
+                zone,
+                self.store.address,
+                self.folder,
+                self.record,
+                BOUNDS,
+                LIMITS,
             )
             self.gateways.append(gateway)
             self.ends[gateway.name] = self.peaks[gateway.name] = 0
@@ -86,7 +109,10 @@
                 self.is_trouble = False
                 self.record.write("store-in-trouble", on=False)
             self.record.write(
-                "result", ends=self.ends, peaks=self.peaks, endless=self.endless,
+                "result",
+                ends=self.ends,
+                peaks=self.peaks,
+                endless=self.endless,
                 answers=self.answers,
             )
             shown = {name: f"{peak / 1e6:.0f} MB" for name, peak in self.peaks.items()}
@@ -184,7 +210,10 @@
             pass
         self.answers[outcome] = self.answers.get(outcome, 0) + 1
         self.record.write(
-            "request", at=gateway.name, id=headers["Request-Id"], outcome=outcome,
+            "request",
+            at=gateway.name,
+            id=headers["Request-Id"],
+            outcome=outcome,
             seconds=round(time.monotonic() - began_at, 3),
         )
 
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -1,8 +1,8 @@
 """Stand-ins for the cases of the second review: store, servers, clients, gateway processes.
 
-Written from the users' pages (SYSTEM, PROTOCOL, RULES, DEPLOY, NEWS and the letters); nothing of the
-project is imported. Everything listens on 127.0.0.1 and runs in the script's own event loop, but the
-gateways, which are processes started with the command of the deploy file.
+Written from the users' pages (SYSTEM, PROTOCOL, RULES, DEPLOY, NEWS and the letters); nothing of
+the project is imported. Everything listens on 127.0.0.1 and runs in the script's own event loop, but
+the gateways, which are processes started with the command of the deploy file.
 """
 
 from __future__ import annotations
@@ -793,12 +793,28 @@
         "Version": version,
         "Routes": [
             route(
-                "leak-summary", "/leak/", "streaming", ENGINES, TimeoutMs=4000, Priority=1,
-                TargetLatencyMs=600, MaxAttempts=1, Resumable=False, **stream,
+                "leak-summary",
+                "/leak/",
+                "streaming",
+                ENGINES,
+                TimeoutMs=4000,
+                Priority=1,
+                TargetLatencyMs=600,
+                MaxAttempts=1,
+                Resumable=False,
+                **stream,
             ),
             route(
-                "alarm-note", "/alarm/", "streaming", ENGINES, TimeoutMs=12000, Priority=0,
-                TargetLatencyMs=500, MaxAttempts=2, Resumable=True, **stream,
+                "alarm-note",
+                "/alarm/",
+                "streaming",
+                ENGINES,
+                TimeoutMs=12000,
+                Priority=0,
+                TargetLatencyMs=500,
+                MaxAttempts=2,
+                Resumable=True,
+                **stream,
             ),
             route("logger-batch", "/logger/", "unsafe", PLAIN, MaxAttempts=1, **plain),
             route("valve-status", "/valve/", "safe", PLAIN, MaxAttempts=2, **plain),
@@ -861,7 +877,7 @@
     try:
         with tempfile.TemporaryDirectory(prefix="review-2-") as temporary:
             code = asyncio.run(_within(seconds, case(record, Path(temporary))))
-    except Exception as error:  # noqa: BLE001 - whatever goes wrong here is no verdict
+    except Exception as error:
         record.write("could-not-run", why=repr(error))
         traceback.print_exc()
     record.write("exit", code=code)
--- a/review/lib-2/token_usage.py
+++ b/review/lib-2/token_usage.py
@@ -49,7 +49,13 @@
             self.servers.append(server)
         for zone in ("split-a", "split-b"):
             gateway = Gateway(
-                f"front-{zone}-1", zone, self.store.address, self.folder, self.record, BOUNDS, LIMITS
+                f"front-{zone}-1",
+                zone,
+                self.store.address,
+                self.folder,
+                self.record,
+                BOUNDS,
+                LIMITS,
             )
             self.gateways.append(gateway)
             self.ends[gateway.name] = 0
@@ -123,7 +129,10 @@
         outcome = await self._ask(gateway, "GET", "/valve/2f", headers, None, 3.0)
         self.answers[outcome] = self.answers.get(outcome, 0) + 1
         self.record.write(
-            "request", at=gateway.name, id=headers["Request-Id"], outcome=outcome,
+            "request",
+            at=gateway.name,
+            id=headers["Request-Id"],
+            outcome=outcome,
             seconds=round(time.monotonic() - began_at, 3),
         )
 
