--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -1,8 +1,8 @@
 """Stand-ins for the cases of the second review: store, servers, clients, gateway processes.
 
 Written from the users' pages (SYSTEM, PROTOCOL, RULES, DEPLOY, NEWS and the letters); nothing of
-the project is imported. Everything listens on 127.0.0.1 and runs in the script's own event loop, but
-the gateways, which are processes started with the command of the deploy file.
+the project is imported. Everything listens on 127.0.0.1 and runs in the script's own event loop,
+but the gateways, which are processes started with the command of the deploy file.
 """
 
 from __future__ import annotations
